--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, checker, demo and measurements."""
--- /dev/null
+++ b/src/lycheering/__init__.py
@@ -0,0 +1,1 @@
+"""A router for language-model traffic with long shared prompts."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that lycheering meets."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools run from the Makefile."""
