--- /dev/null
+++ b/src/lycheering/app/__init__.py
@@ -0,0 +1,1 @@
+"""The application object that owns a process's parts."""
--- /dev/null
+++ b/src/lycheering/app/api.py
@@ -0,0 +1,119 @@
+"""Parts with a life cycle, and the application that owns them."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+_LOG = logs.get("app")
+
+
+class Part(abc.ABC):
+    """Something an application starts, drains and stops."""
+
+    @abc.abstractmethod
+    async def start(self) -> None:
+        """Makes the part ready; raises if it can't be."""
+
+    async def drain(self) -> None:  # noqa: B027
+        """Takes nothing new and returns once what runs has ended."""
+
+    @abc.abstractmethod
+    async def stop(self) -> None:
+        """Releases all the part holds."""
+
+
+class Application:
+    """Starts parts in order, and drains and stops them in reverse.
+
+    Attributes:
+        stopping: Set once the process was asked to end.
+    """
+
+    def __init__(self, drain_timeout_ms: float) -> None:
+        self.stopping = asyncio.Event()
+        self._drain_timeout_ms = drain_timeout_ms
+        self._parts: list[Part] = []
+        self._started: list[Part] = []
+
+    def add(self, part: Part) -> None:
+        """Adds a part, started after those added before it."""
+        self._parts.append(part)
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then drains and stops all parts.
+
+        Raises:
+            ExceptionGroup: If starting failed or parts failed to stop.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        try:
+            for part in self._parts:
+                await part.start()
+                self._started.append(part)
+            _LOG.event("started", parts=len(self._started))
+            await self.stopping.wait()
+            _LOG.event("draining")
+            await self._drain()
+        finally:
+            await self._stop()
+
+    async def _drain(self) -> None:
+        try:
+            async with asyncio.timeout(self._drain_timeout_ms / 1_000):
+                for part in reversed(self._started):
+                    await part.drain()
+        except TimeoutError:
+            _LOG.warning("drain_timeout", timeout_ms=self._drain_timeout_ms)
+
+    async def _stop(self) -> None:
+        failures: list[Exception] = []
+        while self._started:
+            part = self._started.pop()
+            try:
+                await part.stop()
+            except Exception as error:
+                failures.append(error)
+        _LOG.event("stopped", failures=len(failures))
+        if failures:
+            raise ExceptionGroup("parts failed to stop", failures)
+
+
+class TaskOwner:
+    """Keeps background tasks, logs their failures and ends them together."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: Coroutine[object, object, None], name: str) -> None:
+        """Runs work in a task of its own until it ends or all are ended."""
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            _LOG.error("task_failed", task=task.get_name(), error=repr(error))
+
+    async def cancel_all(self) -> None:
+        """Cancels every task and waits for them to end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+__all__ = ["Application", "Part", "TaskOwner"]
--- /dev/null
+++ b/src/lycheering/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process, read from an INI file."""
--- /dev/null
+++ b/src/lycheering/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs of key=value pairs and counters sent by statsd."""
--- /dev/null
+++ b/src/lycheering/telemetry/logs.py
@@ -0,0 +1,81 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+import logbook
+
+_PLAIN_EXTRA = frozenset("._-:/@+,")
+
+
+def format_value(value: object) -> str:
+    """Returns a value as it stands in a log line, quoted where needed."""
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    text = str(value)
+    if text and all(c.isalnum() or c in _PLAIN_EXTRA for c in text):
+        return text
+    return json.dumps(text)
+
+
+def format_line(event: str, fields: dict[str, object]) -> str:
+    """Returns the key=value pairs of one event."""
+    pairs = [f"event={format_value(event)}"]
+    pairs += [f"{key}={format_value(value)}" for key, value in fields.items()]
+    return " ".join(pairs)
+
+
+class EventLog:
+    """Writes events of one part of the process.
+
+    Attributes:
+        name: The part's name, logged as `part`.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self._logger = logbook.Logger(name)
+
+    def event(self, event: str, **fields: object) -> None:
+        """Logs an event that belongs to ordinary work."""
+        self._logger.info(format_line(event, fields))
+
+    def debug(self, event: str, **fields: object) -> None:
+        """Logs an event that only a close look needs."""
+        self._logger.debug(format_line(event, fields))
+
+    def warning(self, event: str, **fields: object) -> None:
+        """Logs an event that an operator should look at."""
+        self._logger.warning(format_line(event, fields))
+
+    def error(self, event: str, **fields: object) -> None:
+        """Logs a failure that the process could not mend."""
+        self._logger.error(format_line(event, fields))
+
+
+def get(name: str) -> EventLog:
+    """Returns the event log of a part of the process."""
+    return EventLog(name)
+
+
+def install(role: str, instance: str, level: str = "info") -> None:
+    """Sends all events of this process to standard error.
+
+    Args:
+        role: The process's role, written on every line.
+        instance: The instance's name, written on every line.
+        level: The lowest level written, such as `debug` or `info`.
+    """
+    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    handler.format_string = (
+        "time={record.time:%Y-%m-%dT%H:%M:%S.%f} "
+        "level={record.level_name} "
+        f"role={role} instance={format_value(instance)} "
+        "part={record.channel} {record.message}"
+    )
+    handler.push_application()
+
+
+__all__ = ["EventLog", "format_line", "format_value", "get", "install"]
