Add the inner protocol, the fleet view and HTTP plumbing

The end of a connection is taken from the socket's monitor, since the silence limit alone would leave a killed peer unnoticed for two seconds.

--- /dev/null
+++ b/src/lycheering/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet view that every process holds: options, teams and targets."""
--- /dev/null
+++ b/src/lycheering/fleet/view.py
@@ -0,0 +1,296 @@
+"""The fleet view: a pure function of the changes applied to it."""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering.fleet import changes
+from lycheering.fleet import options
+from lycheering.fleet import records
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+RECENT_CHANGES = 1_000
+
+
+class Subject(msgspec.Struct, frozen=True):
+    """What an option's value is asked for.
+
+    Attributes:
+        target: The target's name, if one is meant.
+        team: The team's name, if one is meant.
+        service: The plain service's name, if one is meant.
+        model: The model's name, if one is meant.
+        failure_domain: The failure domain, if one is meant.
+    """
+
+    target: str = ""
+    team: str = ""
+    service: str = ""
+    model: str = ""
+    failure_domain: str = ""
+
+
+def subject_of_target(target: records.Target) -> Subject:
+    """Returns the subject for options of one target."""
+    return Subject(
+        target=target.name,
+        service=target.service,
+        model=target.model,
+        failure_domain=target.failure_domain,
+    )
+
+
+class ViewSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """A whole fleet view.
+
+    Attributes:
+        view_revision: The revision of the whole view.
+        config_revision: The revision that operators expect and name.
+        value_by_option: Defaults that operators set.
+        exceptions: All exceptions.
+        teams: All teams.
+        targets: All targets.
+    """
+
+    view_revision: int
+    config_revision: int
+    value_by_option: dict[str, options.OptionValue]
+    exceptions: tuple[records.ExceptionRecord, ...]
+    teams: tuple[records.Team, ...]
+    targets: tuple[records.Target, ...]
+
+
+class ViewGapError(Exception):
+    """Changes do not follow on the view that they were applied to."""
+
+
+def key_digest(key: str) -> str:
+    """Returns the digest under which a bearer key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class FleetView:
+    """Defaults, exceptions, teams and targets at one revision.
+
+    Attributes:
+        view_revision: Number of the last change applied.
+        config_revision: Number of the last change by an operator.
+        value_by_option: Defaults that operators set.
+        exception_by_id: Exceptions.
+        team_by_name: Teams.
+        target_by_name: Targets and their agents.
+    """
+
+    def __init__(self) -> None:
+        self.view_revision = 0
+        self.config_revision = 0
+        self.value_by_option: dict[str, options.OptionValue] = {}
+        self.exception_by_id: dict[str, records.ExceptionRecord] = {}
+        self.team_by_name: dict[str, records.Team] = {}
+        self.target_by_name: dict[str, records.Target] = {}
+        self._team_by_digest: dict[str, records.Team] = {}
+        self._value_by_scope: dict[
+            tuple[str, records.Scope], options.OptionValue
+        ] = {}
+        self._recent: collections.deque[changes.NumberedChange] = (
+            collections.deque(maxlen=RECENT_CHANGES)
+        )
+
+    def snapshot(self) -> ViewSnapshot:
+        """Returns the whole view, for a peer that holds too old a one."""
+        return ViewSnapshot(
+            self.view_revision,
+            self.config_revision,
+            dict(self.value_by_option),
+            tuple(self.exception_by_id.values()),
+            tuple(self.team_by_name.values()),
+            tuple(self.target_by_name.values()),
+        )
+
+    def restore(self, snapshot: ViewSnapshot) -> bool:
+        """Takes over a whole view, unless the present one is as new.
+
+        Args:
+            snapshot: The view to take over.
+
+        Returns:
+            Whether it was taken over.
+        """
+        if snapshot.view_revision <= self.view_revision:
+            return False
+        self.view_revision = snapshot.view_revision
+        self.config_revision = snapshot.config_revision
+        self.value_by_option = dict(snapshot.value_by_option)
+        self.exception_by_id = {
+            record.exception_id: record for record in snapshot.exceptions
+        }
+        self.team_by_name = {team.name: team for team in snapshot.teams}
+        self.target_by_name = {
+            target.name: target for target in snapshot.targets
+        }
+        self._recent.clear()
+        self._index_teams()
+        self._index_exceptions()
+        return True
+
+    def changes_since(
+        self, view_revision: int
+    ) -> list[changes.NumberedChange] | None:
+        """Returns the changes after a revision, or None if too old."""
+        if view_revision >= self.view_revision:
+            return []
+        missing = self.view_revision - view_revision
+        if missing > len(self._recent):
+            return None
+        return list(self._recent)[-missing:]
+
+    def apply_all(self, numbered: Iterable[changes.NumberedChange]) -> int:
+        """Applies the changes that are newer than the view.
+
+        Args:
+            numbered: Changes in order of their revisions.
+
+        Returns:
+            How many were applied.
+
+        Raises:
+            ViewGapError: If a change is missing before one of them.
+        """
+        applied = 0
+        for item in numbered:
+            if item.view_revision <= self.view_revision:
+                continue
+            if item.view_revision != self.view_revision + 1:
+                raise ViewGapError(
+                    f"view at {self.view_revision},"
+                    f" change makes {item.view_revision}"
+                )
+            self._apply(item)
+            applied += 1
+        return applied
+
+    def make(
+        self, change: changes.Change, *, by_operator: bool
+    ) -> changes.NumberedChange:
+        """Numbers a change, applies it and returns it."""
+        numbered = changes.NumberedChange(
+            self.view_revision + 1,
+            self.config_revision + int(by_operator),
+            change,
+        )
+        self._apply(numbered)
+        return numbered
+
+    def _apply(self, item: changes.NumberedChange) -> None:
+        self.view_revision = item.view_revision
+        self.config_revision = item.config_revision
+        self._recent.append(item)
+        match item.change:
+            case changes.DefaultSet(option, value):
+                self.value_by_option[option] = value
+            case changes.ExceptionAdded(record):
+                self.exception_by_id[record.exception_id] = record
+                self._index_exceptions()
+            case changes.ExceptionRemoved(exception_id):
+                self.exception_by_id.pop(exception_id, None)
+                self._index_exceptions()
+            case changes.TeamPut(team):
+                self._drop_digests(team.name)
+                self.team_by_name[team.name] = team
+                for digest in team.key_digests:
+                    self._team_by_digest[digest] = team
+            case changes.TeamRemoved(name):
+                self._drop_digests(name)
+                self.team_by_name.pop(name, None)
+            case changes.TargetPut(target):
+                self.target_by_name[target.name] = target
+            case changes.TargetRemoved(name):
+                self.target_by_name.pop(name, None)
+
+    def _drop_digests(self, team_name: str) -> None:
+        team = self.team_by_name.get(team_name)
+        if team is not None:
+            for digest in team.key_digests:
+                self._team_by_digest.pop(digest, None)
+
+    def _index_teams(self) -> None:
+        self._team_by_digest = {
+            digest: team
+            for team in self.team_by_name.values()
+            for digest in team.key_digests
+        }
+
+    def _index_exceptions(self) -> None:
+        self._value_by_scope = {
+            (record.option, record.scope): record.value
+            for record in self.exception_by_id.values()
+        }
+
+    def team_of_key(self, key: str) -> records.Team | None:
+        """Returns the team that a bearer key names, if any."""
+        digest = key_digest(key)
+        team = self._team_by_digest.get(digest)
+        if team is None:
+            return None
+        # the look-up is by digest, the comparison in constant time
+        for known in team.key_digests:
+            if hmac.compare_digest(known, digest):
+                return team
+        return None
+
+    def value(
+        self, option: str, subject: Subject | None = None
+    ) -> options.OptionValue:
+        """Returns an option's value in force for a subject.
+
+        Args:
+            option: The option's name.
+            subject: What the value is for; the default when None.
+
+        Returns:
+            The value of the narrowest exception, else the default.
+        """
+        if subject is not None:
+            for kind in options.PRECEDENCE:
+                name = getattr(subject, kind.value)
+                if not name:
+                    continue
+                key = (option, records.Scope(kind, name))
+                if key in self._value_by_scope:
+                    return self._value_by_scope[key]
+        known = options.OPTION_BY_NAME[option]
+        return self.value_by_option.get(option, known.default)
+
+    def number(self, option: str, subject: Subject | None = None) -> float:
+        """Returns an option's value as a number."""
+        return float(self.value(option, subject))
+
+    def integer(self, option: str, subject: Subject | None = None) -> int:
+        """Returns an option's value as an integer."""
+        return int(self.value(option, subject))
+
+    def flag(self, option: str, subject: Subject | None = None) -> bool:
+        """Returns an option's value as a flag."""
+        return bool(self.value(option, subject))
+
+    def text(self, option: str, subject: Subject | None = None) -> str:
+        """Returns an option's value as text."""
+        return str(self.value(option, subject))
+
+
+__all__ = [
+    "RECENT_CHANGES",
+    "FleetView",
+    "Subject",
+    "ViewGapError",
+    "ViewSnapshot",
+    "key_digest",
+    "subject_of_target",
+]
--- /dev/null
+++ b/src/lycheering/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP: serving callers and operators, and speaking to outside systems."""
--- /dev/null
+++ b/src/lycheering/web/client.py
@@ -0,0 +1,308 @@
+"""HTTP/1.1 exchanges that never repeat a request by themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket as sockets
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import httptools
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Mapping
+
+READ_BYTES = 65_536
+MAX_HEADERS = 100
+DEFAULT_CONNECT_TIMEOUT_MS = 1_000
+
+
+class HttpError(Exception):
+    """The base of failed exchanges."""
+
+
+class ConnectFailedError(HttpError):
+    """There is no connection, so no byte of the request was sent."""
+
+
+class ExchangeBrokenError(HttpError):
+    """The exchange failed after the request may have been received."""
+
+
+class SilenceError(ExchangeBrokenError):
+    """The other side sent nothing for too long."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Origin:
+    """Where an HTTP server listens.
+
+    Attributes:
+        ip: Its IP number.
+        port: Its port.
+    """
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, url: str) -> Origin:
+        """Reads `http://ip:port`.
+
+        Raises:
+            ValueError: If the text has another shape.
+        """
+        parts = urllib.parse.urlsplit(url)
+        if parts.scheme != "http" or not parts.hostname or not parts.port:
+            raise ValueError(f"expected http://ip:port, found {url!r}")
+        return cls(parts.hostname, parts.port)
+
+    @property
+    def host_header(self) -> str:
+        """The value of the Host header."""
+        host = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{host}:{self.port}"
+
+
+@dataclasses.dataclass
+class Head:
+    """The start of a response.
+
+    Attributes:
+        status: The HTTP status.
+        header_by_name: The headers, by lower-case name.
+    """
+
+    status: int
+    header_by_name: dict[str, str]
+
+    def header(self, name: str, default: str = "") -> str:
+        """Returns a header's value."""
+        return self.header_by_name.get(name.lower(), default)
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A whole response.
+
+    Attributes:
+        head: Its start.
+        body: Its body.
+    """
+
+    head: Head
+    body: bytes
+
+
+class _ParserCallbacks:
+    """Collects what the parser finds."""
+
+    def __init__(self) -> None:
+        self.header_by_name: dict[str, str] = {}
+        self.parts: list[bytes] = []
+        self.headers_done = False
+        self.done = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self.header_by_name) >= MAX_HEADERS:
+            raise ExchangeBrokenError("too many headers")
+        self.header_by_name[name.decode("latin-1").lower()] = value.decode(
+            "latin-1"
+        )
+
+    def on_headers_complete(self) -> None:
+        self.headers_done = True
+
+    def on_body(self, body: bytes) -> None:
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+
+class Exchange:
+    """One request and its response on a connection of their own.
+
+    Attributes:
+        sent: Whether any byte of the request may have left.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        origin: Origin,
+    ) -> None:
+        self.sent = False
+        self._reader = reader
+        self._writer = writer
+        self._origin = origin
+        self._callbacks = _ParserCallbacks()
+        self._parser = httptools.HttpResponseParser(self._callbacks)
+
+    @classmethod
+    async def connect(
+        cls, origin: Origin, timeout_ms: float = DEFAULT_CONNECT_TIMEOUT_MS
+    ) -> Exchange:
+        """Opens a connection.
+
+        Raises:
+            ConnectFailedError: If none could be opened in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                reader, writer = await asyncio.open_connection(
+                    origin.ip, origin.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectFailedError(f"{origin.host_header}: {error}") from (
+                error
+            )
+        socket = writer.get_extra_info("socket")
+        socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        return cls(reader, writer, origin)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        header_by_name: Mapping[str, str] | None = None,
+        body: bytes = b"",
+    ) -> None:
+        """Writes the request; from here on it may have been received.
+
+        Args:
+            method: The HTTP method.
+            path: The path with its query.
+            header_by_name: Headers besides Host and Content-Length.
+            body: The body.
+
+        Raises:
+            ValueError: If a header would break the request apart.
+        """
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines.append(f"Host: {self._origin.host_header}")
+        lines.append(f"Content-Length: {len(body)}")
+        for name, value in (header_by_name or {}).items():
+            lines.append(f"{name}: {value}")
+        if any("\r" in line or "\n" in line for line in lines):
+            raise ValueError("line break in a header")
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        self.sent = True
+        self._writer.write(head + body)
+
+    async def head(self, silence_ms: float) -> Head:
+        """Returns the start of the response.
+
+        Raises:
+            ExchangeBrokenError: If it did not come whole.
+        """
+        while not self._callbacks.headers_done:
+            await self._feed(silence_ms)
+        status = self._parser.get_status_code()
+        return Head(status, self._callbacks.header_by_name)
+
+    async def parts(self, silence_ms: float) -> AsyncIterator[bytes]:
+        """Yields the body's parts as they come, until it is whole.
+
+        Raises:
+            ExchangeBrokenError: If the body ends before it is whole.
+        """
+        callbacks = self._callbacks
+        while True:
+            if callbacks.parts:
+                part = b"".join(callbacks.parts)
+                callbacks.parts.clear()
+                yield part
+            elif callbacks.done:
+                return
+            else:
+                await self._feed(silence_ms)
+
+    async def body(self, silence_ms: float, max_bytes: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            ExchangeBrokenError: If it is not whole or too large.
+        """
+        collected = bytearray()
+        async for part in self.parts(silence_ms):
+            collected += part
+            if len(collected) > max_bytes:
+                raise ExchangeBrokenError(f"body over {max_bytes} bytes")
+        return bytes(collected)
+
+    async def _feed(self, silence_ms: float) -> None:
+        try:
+            async with asyncio.timeout(silence_ms / 1_000):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError as error:
+            raise SilenceError(f"nothing for {silence_ms:.0f} ms") from error
+        except OSError as error:
+            raise ExchangeBrokenError(str(error)) from error
+        if not data:
+            raise ExchangeBrokenError("connection closed before the end")
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise ExchangeBrokenError(f"not HTTP: {error}") from error
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._writer.close()
+
+
+async def fetch(
+    origin: Origin,
+    method: str,
+    path: str,
+    *,
+    header_by_name: Mapping[str, str] | None = None,
+    body: bytes = b"",
+    timeout_ms: float,
+    max_bytes: int = 16_777_216,
+) -> Reply:
+    """Does one short exchange.
+
+    Args:
+        origin: The server.
+        method: The HTTP method.
+        path: The path with its query.
+        header_by_name: Headers.
+        body: The body.
+        timeout_ms: Time for the whole exchange.
+        max_bytes: The largest body accepted.
+
+    Returns:
+        The whole response.
+
+    Raises:
+        ConnectFailedError: If the request was not sent.
+        ExchangeBrokenError: If it may have been received.
+    """
+    exchange = await Exchange.connect(origin, timeout_ms)
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000):
+            exchange.send(method, path, header_by_name, body)
+            head = await exchange.head(timeout_ms)
+            content = await exchange.body(timeout_ms, max_bytes)
+    except TimeoutError as error:
+        raise SilenceError(f"no answer in {timeout_ms:.0f} ms") from error
+    finally:
+        exchange.close()
+    return Reply(head, content)
+
+
+__all__ = [
+    "ConnectFailedError",
+    "Exchange",
+    "ExchangeBrokenError",
+    "Head",
+    "HttpError",
+    "Origin",
+    "Reply",
+    "SilenceError",
+    "fetch",
+]
--- /dev/null
+++ b/src/lycheering/web/server.py
@@ -0,0 +1,102 @@
+"""Serves a blacksheep application as a part with a life cycle."""
+
+from __future__ import annotations
+
+import asyncio
+import socket as sockets
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+from lycheering.app import api as app_api
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    import blacksheep
+
+BACKLOG = 2_048
+KEEP_ALIVE_IDLE_S = 15
+KEEP_ALIVE_INTERVAL_S = 5
+KEEP_ALIVE_COUNT = 3
+UNACKNOWLEDGED_TIMEOUT_MS = 20_000
+START_POLL_MS = 5
+STOP_TIMEOUT_S = 5
+
+_LOG = logs.get("web")
+
+
+def listen(ip: str, port: int) -> sockets.socket:
+    """Returns a listening socket whose connections notice dead peers."""
+    family = sockets.AF_INET6 if ":" in ip else sockets.AF_INET
+    listener = sockets.create_server((ip, port), family=family, backlog=BACKLOG)
+    level = sockets.IPPROTO_TCP
+    listener.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
+    listener.setsockopt(level, sockets.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    listener.setsockopt(level, sockets.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    listener.setsockopt(level, sockets.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
+    listener.setsockopt(
+        level, sockets.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    )
+    listener.setsockopt(level, sockets.TCP_NODELAY, 1)
+    return listener
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """A server whose signals are the application's to handle."""
+
+    def install_signal_handlers(self) -> None:
+        """Installs none."""
+
+
+class WebServer(app_api.Part):
+    """An HTTP server on one port.
+
+    Attributes:
+        port: The port listened on, once started.
+    """
+
+    def __init__(
+        self, application: blacksheep.Application, ip: str, port: int
+    ) -> None:
+        self.port = port
+        self._application = application
+        self._ip = ip
+        self._server: _EmbeddedServer | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Binds the port and begins to serve."""
+        await self._application.start()
+        listener = listen(self._ip, self.port)
+        self.port = listener.getsockname()[1]
+        config = uvicorn.Config(
+            self._application,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            timeout_graceful_shutdown=STOP_TIMEOUT_S,
+        )
+        server = _EmbeddedServer(config)
+        self._server = server
+        self._task = asyncio.create_task(
+            # the inner call, since the outer one takes over the signals
+            server._serve(sockets=[listener]),
+            name="web",
+        )
+        while not server.started and not self._task.done():
+            await asyncio.sleep(START_POLL_MS / 1_000)
+        _LOG.event("serving_http", ip=self._ip, port=self.port)
+
+    async def stop(self) -> None:
+        """Ends the server after its open answers."""
+        if self._server is not None and self._task is not None:
+            self._server.should_exit = True
+            await self._task
+        await self._application.stop()
+
+
+__all__ = ["WebServer", "listen"]
--- /dev/null
+++ b/src/lycheering/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between lycheering's own processes."""
--- /dev/null
+++ b/src/lycheering/wire/api.py
@@ -0,0 +1,152 @@
+"""What the inner protocol needs from the process around it."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import secrets
+from typing import TYPE_CHECKING
+
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    import zmq.asyncio
+
+    from lycheering import clock
+    from lycheering.settings import model
+    from lycheering.telemetry import counters
+    from lycheering.wire import server
+
+
+class ViewExchange(abc.ABC):
+    """The fleet view as the inner protocol hands it around."""
+
+    takes_from_peers = True
+
+    @abc.abstractmethod
+    def revision(self) -> int:
+        """Returns the view revision in force in this process."""
+
+    @abc.abstractmethod
+    def update_since(self, revision: int) -> messages.ViewUpdate:
+        """Returns what a peer at a lower revision lacks."""
+
+    @abc.abstractmethod
+    def take(self, update: messages.ViewUpdate) -> bool:
+        """Puts a newer view in force.
+
+        Args:
+            update: What a peer handed over.
+
+        Returns:
+            False if changes are missing in between.
+        """
+
+
+class Security(abc.ABC):
+    """Keys of the inner protocol."""
+
+    @abc.abstractmethod
+    def secure_client(self, socket: zmq.asyncio.Socket) -> None:
+        """Sets up a socket that connects."""
+
+    @abc.abstractmethod
+    def secure_server(self, socket: zmq.asyncio.Socket) -> None:
+        """Sets up a socket that listens."""
+
+
+class NoSecurity(Security):
+    """A network that is trusted."""
+
+    def secure_client(self, socket: zmq.asyncio.Socket) -> None:
+        """Leaves the socket open."""
+
+    def secure_server(self, socket: zmq.asyncio.Socket) -> None:
+        """Leaves the socket open."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """Who this process is.
+
+    Attributes:
+        name: Its instance, or its target's name for an agent.
+        role: Its role.
+        failure_domain: The failure domain it is in.
+        incarnation: Differs each time the process starts.
+    """
+
+    name: str
+    role: messages.Role
+    failure_domain: str
+    incarnation: str = dataclasses.field(
+        default_factory=lambda: secrets.token_hex(8)
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """Where a peer listens.
+
+    Attributes:
+        name: The peer's name.
+        ip: Its IP number.
+        port: Its port.
+    """
+
+    name: str
+    ip: str
+    port: int
+
+    @property
+    def url(self) -> str:
+        """The address in the form that sockets take."""
+        host = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"tcp://{host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Link:
+    """All that connections of one process share.
+
+    Attributes:
+        context: The ZeroMQ context.
+        identity: Who this process is.
+        settings: The inner protocol's settings.
+        clock: The process's clock.
+        view: The fleet view to hand around.
+        counters: The process's counters.
+        security: Keys.
+    """
+
+    context: zmq.asyncio.Context
+    identity: Identity
+    settings: model.WireSettings
+    clock: clock.Clock
+    view: ViewExchange
+    counters: counters.Counters
+    security: Security = dataclasses.field(default_factory=NoSecurity)
+
+
+class SessionHandler(abc.ABC):
+    """Handles what peers send to a server."""
+
+    @abc.abstractmethod
+    async def handle(
+        self, session: server.Session, envelope: messages.Envelope
+    ) -> None:
+        """Handles one frame; the session's next one waits meanwhile."""
+
+    async def closed(self, session: server.Session) -> None:  # noqa: B027
+        """Learns that a peer left or went silent."""
+
+
+__all__ = [
+    "Address",
+    "Identity",
+    "Link",
+    "NoSecurity",
+    "Security",
+    "SessionHandler",
+    "ViewExchange",
+]
--- /dev/null
+++ b/src/lycheering/wire/client.py
@@ -0,0 +1,418 @@
+"""A connection to one peer, replaced by a new one when it goes silent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+import zmq
+import zmq.asyncio
+
+from lycheering.telemetry import logs
+from lycheering.wire import codec
+from lycheering.wire import errors
+from lycheering.wire import messages
+from lycheering.wire import sockets
+from lycheering.wire import view_gate
+
+if TYPE_CHECKING:
+    from lycheering.wire import api
+
+FIRST_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 1_000
+MAX_CHANNEL_FRAMES = 4_096
+
+_LOG = logs.get("wire")
+
+
+@dataclasses.dataclass(frozen=True)
+class Replaced:
+    """Put into a channel when its connection was replaced.
+
+    Attributes:
+        incarnation: The incarnation of the peer now spoken to.
+    """
+
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """Put into a channel when its connection is closed for good."""
+
+
+Event = messages.Message | Replaced | Lost
+
+
+class _SilenceError(errors.WireError):
+    """Nothing came for longer than a live peer may be silent."""
+
+
+class Channel:
+    """The frames that belong to one call on a connection.
+
+    A channel outlives the connection's replacement: its reader gets a
+    Replaced event and picks the call up again.
+    """
+
+    def __init__(self, connection: Connection, call_id: int) -> None:
+        self._connection = connection
+        self._call_id = call_id
+        self._events: asyncio.Queue[Event] = asyncio.Queue(MAX_CHANNEL_FRAMES)
+
+    def send(self, message: messages.Message, ttl_ms: float = 0.0) -> None:
+        """Hands a frame to the connection.
+
+        Args:
+            message: What to say.
+            ttl_ms: Time after which the peer must not act on it; 0 for
+                no limit.
+
+        Raises:
+            PeerUnreachableError: If there is no live connection.
+        """
+        self._connection.send(message, self._call_id, ttl_ms)
+
+    async def receive(self, timeout_ms: float) -> Event:
+        """Returns the next event.
+
+        Raises:
+            CallTimeoutError: If none came in time.
+        """
+        if not self._events.empty():
+            return self._events.get_nowait()
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                return await self._events.get()
+        except TimeoutError as error:
+            raise errors.CallTimeoutError(
+                f"no frame within {timeout_ms:.0f} ms"
+            ) from error
+
+    def put(self, event: Event) -> None:
+        """Adds an event; the channel is closed if too many wait."""
+        try:
+            self._events.put_nowait(event)
+        except asyncio.QueueFull:
+            self.close()
+
+    def close(self) -> None:
+        """Forgets the call: later frames of it go nowhere."""
+        self._connection.forget(self._call_id)
+
+
+class Connection:
+    """A connection to one peer.
+
+    Attributes:
+        address: Where the peer listens.
+        peer_incarnation: The peer's incarnation; empty before the first
+            welcome.
+        peer_load: The load that the peer reported last.
+        peer_load_at_ms: When it did, by this process's clock.
+        last_used_ms: When it was last sent a request.
+    """
+
+    def __init__(self, address: api.Address, link: api.Link) -> None:
+        self.address = address
+        self.peer_incarnation = ""
+        self.peer_load = messages.LoadReport()
+        self.peer_load_at_ms = 0.0
+        self.last_used_ms = link.clock.now_ms()
+        self._link = link
+        self._socket: zmq.asyncio.Socket | None = None
+        self._gate: view_gate.ViewGate | None = None
+        self._ready = asyncio.Event()
+        self._channel_by_call_id: dict[int, Channel] = {}
+        self._call_ids = itertools.count(1)
+        self._last_sent_ms = 0.0
+        self._last_received_ms = 0.0
+        self._peer_clock_offset_ms = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def connected(self) -> bool:
+        """Whether the peer has answered on the present connection."""
+        return self._ready.is_set()
+
+    @property
+    def busy(self) -> bool:
+        """Whether calls are in flight."""
+        return bool(self._channel_by_call_id)
+
+    @property
+    def peer_revision(self) -> int:
+        """The view revision that the peer was last seen to have."""
+        return self._gate.peer_revision if self._gate is not None else 0
+
+    def start(self) -> None:
+        """Begins to connect."""
+        self._task = asyncio.create_task(
+            self._run(), name=f"wire:{self.address.name}"
+        )
+
+    async def close(self) -> None:
+        """Closes the connection; its channels get Lost."""
+        if self._ready.is_set():
+            with contextlib.suppress(errors.PeerUnreachableError):
+                self.send(messages.Bye())
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._end_channels()
+
+    async def ready(self, timeout_ms: float) -> None:
+        """Returns once the peer has answered.
+
+        Raises:
+            PeerUnreachableError: If it did not in time.
+        """
+        if self._ready.is_set():
+            return
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                await self._ready.wait()
+        except TimeoutError as error:
+            raise errors.PeerUnreachableError(self.address.name) from error
+
+    def open(self) -> Channel:
+        """Returns a channel for a new call."""
+        call_id = next(self._call_ids)
+        channel = Channel(self, call_id)
+        self._channel_by_call_id[call_id] = channel
+        self.last_used_ms = self._link.clock.now_ms()
+        return channel
+
+    def forget(self, call_id: int) -> None:
+        """Drops a channel."""
+        self._channel_by_call_id.pop(call_id, None)
+
+    async def call(
+        self,
+        message: messages.Message,
+        timeout_ms: float | None = None,
+    ) -> messages.Message:
+        """Sends a message and returns the reply.
+
+        Args:
+            message: The message.
+            timeout_ms: Time for connection and reply; the settings' call
+                timeout when None.
+
+        Returns:
+            The reply.
+
+        Raises:
+            PeerUnreachableError: If the message was not sent.
+            CallTimeoutError: If it may have been acted on.
+            CallFailedError: If the peer could not do it.
+        """
+        if timeout_ms is None:
+            timeout_ms = self._link.settings.call_timeout_ms
+        deadline_ms = self._link.clock.now_ms() + timeout_ms
+        await self.ready(timeout_ms)
+        channel = self.open()
+        try:
+            left_ms = max(1.0, deadline_ms - self._link.clock.now_ms())
+            channel.send(message, ttl_ms=left_ms)
+            event = await channel.receive(left_ms)
+        finally:
+            channel.close()
+        if isinstance(event, messages.Failure):
+            raise errors.CallFailedError(event)
+        if isinstance(event, Replaced | Lost):
+            raise errors.CallTimeoutError(f"{self.address.name}: replaced")
+        return event
+
+    def send(
+        self,
+        message: messages.Message,
+        call_id: int = 0,
+        ttl_ms: float = 0.0,
+    ) -> None:
+        """Hands a frame to the present connection.
+
+        Args:
+            message: What to say.
+            call_id: The call that it belongs to.
+            ttl_ms: Time after which the peer must not act on it.
+
+        Raises:
+            PeerUnreachableError: If there is no live connection, or too
+                many frames wait in it.
+        """
+        if not self._ready.is_set():
+            raise errors.PeerUnreachableError(self.address.name)
+        self._send(message, call_id, ttl_ms)
+
+    def peer_time_ms(self, own_time_ms: float) -> float:
+        """Returns a time of this process by the peer's clock, or earlier."""
+        return own_time_ms + self._peer_clock_offset_ms
+
+    def _send(
+        self,
+        message: messages.Message,
+        call_id: int = 0,
+        ttl_ms: float = 0.0,
+    ) -> None:
+        socket = self._socket
+        if socket is None:
+            raise errors.PeerUnreachableError(self.address.name)
+        now_ms = self._link.clock.now_ms()
+        expires_ms = self.peer_time_ms(now_ms + ttl_ms) if ttl_ms else 0.0
+        data = codec.encode(self._envelope(message, call_id, expires_ms))
+        sockets.send_now(socket, [data], self.address.name)
+        self._last_sent_ms = now_ms
+
+    def _envelope(
+        self, message: messages.Message, call_id: int, expires_ms: float
+    ) -> messages.Envelope:
+        return messages.Envelope(
+            messages.PROTOCOL_VERSION,
+            self._link.identity.name,
+            self._link.identity.incarnation,
+            self.peer_incarnation,
+            self._link.view.revision(),
+            call_id,
+            expires_ms,
+            message,
+        )
+
+    async def _run(self) -> None:
+        backoff_ms: float = FIRST_BACKOFF_MS
+        while True:
+            try:
+                await self._serve()
+            except* (errors.WireError, zmq.ZMQError) as group:
+                reason = type(group.exceptions[0]).__name__
+                self._link.counters.increment("wire.replaced")
+                _LOG.event(
+                    "connection_replaced",
+                    peer=self.address.name,
+                    reason=reason,
+                )
+            was_ready = self._ready.is_set()
+            self._ready.clear()
+            if was_ready:
+                backoff_ms = FIRST_BACKOFF_MS
+            pause_ms = backoff_ms * random.uniform(0.5, 1.5)
+            await self._link.clock.sleep(pause_ms)
+            backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
+
+    async def _serve(self) -> None:
+        socket = self._make_socket()
+        self._socket = socket
+        self._gate = view_gate.ViewGate(self._link.view, self._send)
+        try:
+            await self._greet(socket)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._read(socket))
+                group.create_task(self._monitor(socket))
+                group.create_task(self._watch())
+        finally:
+            self._socket = None
+            socket.close(linger=0)
+
+    def _make_socket(self) -> zmq.asyncio.Socket:
+        socket = self._link.context.socket(zmq.DEALER)
+        sockets.configure(socket, self._link.settings, self.address.ip)
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        self._link.security.secure_client(socket)
+        socket.connect(self.address.url)
+        return socket
+
+    async def _greet(self, socket: zmq.asyncio.Socket) -> None:
+        identity = self._link.identity
+        hello = messages.Hello(identity.role, identity.failure_domain)
+        before = self.peer_incarnation
+        self.peer_incarnation = ""
+        data = codec.encode(self._envelope(hello, 0, 0.0))
+        self.peer_incarnation = before
+        try:
+            async with asyncio.timeout(self._link.settings.silence_ms / 1_000):
+                await socket.send(data)
+                envelope = codec.decode(await socket.recv())
+        except TimeoutError as error:
+            raise _SilenceError(self.address.name) from error
+        if not isinstance(envelope.message, messages.Welcome):
+            raise errors.MalformedFrameError("no welcome")
+        self._welcomed(envelope, envelope.message)
+
+    def _welcomed(
+        self, envelope: messages.Envelope, welcome: messages.Welcome
+    ) -> None:
+        now_ms = self._link.clock.now_ms()
+        self._last_received_ms = now_ms
+        self._last_sent_ms = now_ms
+        self._peer_clock_offset_ms = welcome.now_ms - now_ms
+        self.peer_incarnation = envelope.sender_incarnation
+        self._ready.set()
+        self._accept(envelope)
+        replaced = Replaced(self.peer_incarnation)
+        for channel in list(self._channel_by_call_id.values()):
+            channel.put(replaced)
+
+    async def _read(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            envelope = codec.decode(await socket.recv())
+            if envelope.sender_incarnation != self.peer_incarnation:
+                raise errors.PeerRestartedError(self.address.name)
+            self._last_received_ms = self._link.clock.now_ms()
+            self._accept(envelope)
+
+    def _accept(self, envelope: messages.Envelope) -> None:
+        if envelope.load is not None:
+            self.peer_load = envelope.load
+            self.peer_load_at_ms = self._link.clock.now_ms()
+        assert self._gate is not None
+        for admitted in self._gate.admit(envelope):
+            self._dispatch(admitted)
+
+    def _dispatch(self, envelope: messages.Envelope) -> None:
+        message = envelope.message
+        if isinstance(message, messages.HeartbeatReply):
+            now_ms = self._link.clock.now_ms()
+            self._peer_clock_offset_ms = message.now_ms - now_ms
+        elif isinstance(message, messages.HelloRequired | messages.Bye):
+            raise errors.PeerUnreachableError(self.address.name)
+        elif envelope.call_id:
+            channel = self._channel_by_call_id.get(envelope.call_id)
+            if channel is None:
+                self._link.counters.increment("wire.late_frame")
+                return
+            channel.put(message)
+
+    async def _monitor(self, socket: zmq.asyncio.Socket) -> None:
+        events = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        try:
+            await events.recv_multipart()
+        finally:
+            socket.disable_monitor()
+        raise errors.PeerUnreachableError(self.address.name)
+
+    async def _watch(self) -> None:
+        settings = self._link.settings
+        while True:
+            await self._link.clock.sleep(settings.heartbeat_ms / 2)
+            now_ms = self._link.clock.now_ms()
+            silent_ms = now_ms - self._last_received_ms
+            if silent_ms >= settings.silence_ms:
+                self._link.counters.increment("wire.silent")
+                raise _SilenceError(self.address.name)
+            unsent_ms = now_ms - self._last_sent_ms
+            if max(silent_ms, unsent_ms) >= settings.heartbeat_ms:
+                self._send(messages.Heartbeat())
+            assert self._gate is not None
+            self._gate.offer()
+
+    def _end_channels(self) -> None:
+        for channel in list(self._channel_by_call_id.values()):
+            channel.put(Lost())
+        self._channel_by_call_id.clear()
+
+
+__all__ = ["Channel", "Connection", "Event", "Lost", "Replaced"]
--- /dev/null
+++ b/src/lycheering/wire/server.py
@@ -0,0 +1,342 @@
+"""Accepts peers' connections and runs one task for each."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import zmq
+import zmq.asyncio
+
+from lycheering.app import api as app_api
+from lycheering.telemetry import logs
+from lycheering.wire import codec
+from lycheering.wire import errors
+from lycheering.wire import messages
+from lycheering.wire import sockets
+from lycheering.wire import view_gate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheering.wire import api
+
+MAX_SESSIONS = 5_000
+MAX_SESSION_FRAMES = 2_000
+LOAD_INTERVAL_MS = 50
+
+_LOG = logs.get("wire")
+
+
+class Session:
+    """A peer's connection, as the server sees it.
+
+    Attributes:
+        name: The peer's name.
+        role: Its role.
+        incarnation: Its incarnation.
+        failure_domain: The failure domain it is in.
+        last_received_ms: When its last frame came.
+    """
+
+    def __init__(
+        self,
+        server: Server,
+        routing_id: bytes,
+        envelope: messages.Envelope,
+        hello: messages.Hello,
+    ) -> None:
+        self.name = envelope.sender
+        self.role = hello.role
+        self.incarnation = envelope.sender_incarnation
+        self.failure_domain = hello.failure_domain
+        self.last_received_ms = 0.0
+        self.inbox: asyncio.Queue[messages.Envelope] = asyncio.Queue(
+            MAX_SESSION_FRAMES
+        )
+        self.gate = view_gate.ViewGate(server.link.view, self.send)
+        self._server = server
+        self._routing_id = routing_id
+        self._load_sent_ms = 0.0
+
+    @property
+    def view_revision(self) -> int:
+        """The view revision that the peer was last seen to have."""
+        return self.gate.peer_revision
+
+    def send(self, message: messages.Message, call_id: int = 0) -> None:
+        """Hands a frame to the peer's connection.
+
+        Args:
+            message: What to say.
+            call_id: The call that it answers.
+
+        Raises:
+            PeerUnreachableError: If the peer is gone or reads too slowly.
+        """
+        self._server.send(self, self._routing_id, message, call_id)
+
+    def load_due(self, now_ms: float) -> bool:
+        """Returns whether the next frame should carry the load."""
+        due = now_ms - self._load_sent_ms >= LOAD_INTERVAL_MS
+        if due:
+            self._load_sent_ms = now_ms
+        return due
+
+
+class Server(app_api.Part):
+    """Listens for peers.
+
+    Attributes:
+        link: What connections of this process share.
+        port: The port listened on, once started.
+        session_by_routing_id: The sessions open now.
+    """
+
+    def __init__(
+        self,
+        link: api.Link,
+        ip: str,
+        handler: api.SessionHandler,
+        load: Callable[[], messages.LoadReport] | None = None,
+    ) -> None:
+        self.link = link
+        self.port = link.settings.port
+        self.session_by_routing_id: dict[bytes, Session] = {}
+        self._ip = ip
+        self._handler = handler
+        self._load = load
+        self._socket: zmq.asyncio.Socket | None = None
+        self._tasks = app_api.TaskOwner()
+
+    async def start(self) -> None:
+        """Binds the port and begins to accept."""
+        settings = self.link.settings
+        socket = self.link.context.socket(zmq.ROUTER)
+        sockets.configure(socket, settings, self._ip)
+        socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        host = f"[{self._ip}]" if ":" in self._ip else self._ip
+        self.link.security.secure_server(socket)
+        port = settings.port or "*"
+        socket.bind(f"tcp://{host}:{port}")
+        endpoint = socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        self.port = int(endpoint.rpartition(":")[2])
+        self._socket = socket
+        self._tasks.spawn(self._read(socket), "wire:server")
+        self._tasks.spawn(self._watch(), "wire:watch")
+        _LOG.event("listening", ip=self._ip, port=self.port)
+
+    async def stop(self) -> None:
+        """Says goodbye to all peers and closes the port."""
+        for session in list(self.session_by_routing_id.values()):
+            try:
+                session.send(messages.Bye())
+            except errors.PeerUnreachableError:
+                continue
+        await asyncio.sleep(0)
+        await self._tasks.cancel_all()
+        if self._socket is not None:
+            # lets the last frames out before the port closes
+            self._socket.close(linger=200)
+            self._socket = None
+
+    def offer_view(self) -> None:
+        """Hands a changed fleet view to every peer that lacks it."""
+        for session in list(self.session_by_routing_id.values()):
+            try:
+                session.gate.offer()
+            except errors.PeerUnreachableError:
+                continue
+
+    def send(
+        self,
+        session: Session,
+        routing_id: bytes,
+        message: messages.Message,
+        call_id: int,
+    ) -> None:
+        """Hands a frame to a session's connection."""
+        socket = self._socket
+        if socket is None:
+            raise errors.PeerUnreachableError(session.name)
+        load = None
+        if self._load is not None and session.load_due(
+            self.link.clock.now_ms()
+        ):
+            load = self._load()
+        envelope = messages.Envelope(
+            messages.PROTOCOL_VERSION,
+            self.link.identity.name,
+            self.link.identity.incarnation,
+            session.incarnation,
+            self.link.view.revision(),
+            call_id,
+            0.0,
+            message,
+            load,
+        )
+        parts = [routing_id, codec.encode(envelope)]
+        sockets.send_now(socket, parts, session.name)
+
+    async def _read(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            parts = await socket.recv_multipart()
+            try:
+                if len(parts) != 2:
+                    raise errors.MalformedFrameError(f"{len(parts)} parts")
+                envelope = codec.decode(parts[1])
+                self._accept(socket, parts[0], envelope)
+            except errors.MalformedFrameError as error:
+                self.link.counters.increment("wire.malformed")
+                _LOG.warning("malformed_frame", detail=str(error)[:200])
+            except errors.PeerUnreachableError as error:
+                self._drop(parts[0], str(error))
+
+    def _accept(
+        self,
+        socket: zmq.asyncio.Socket,
+        routing_id: bytes,
+        envelope: messages.Envelope,
+    ) -> None:
+        message = envelope.message
+        if isinstance(message, messages.Hello):
+            self._welcome(routing_id, envelope, message)
+            return
+        session = self.session_by_routing_id.get(routing_id)
+        own = self.link.identity.incarnation
+        if session is None or envelope.receiver_incarnation != own:
+            self.link.counters.increment("wire.stray_frame")
+            self._require_hello(socket, routing_id, envelope)
+            return
+        session.last_received_ms = self.link.clock.now_ms()
+        if isinstance(message, messages.Bye):
+            self._drop(routing_id, "bye")
+            return
+        for admitted in session.gate.admit(envelope):
+            self._enqueue(routing_id, session, admitted)
+
+    def _enqueue(
+        self,
+        routing_id: bytes,
+        session: Session,
+        envelope: messages.Envelope,
+    ) -> None:
+        if isinstance(envelope.message, messages.Heartbeat):
+            now_ms = self.link.clock.now_ms()
+            session.send(messages.HeartbeatReply(now_ms))
+            return
+        try:
+            session.inbox.put_nowait(envelope)
+        except asyncio.QueueFull:
+            self.link.counters.increment("wire.inbox_full")
+            self._drop(routing_id, "inbox full")
+
+    def _welcome(
+        self,
+        routing_id: bytes,
+        envelope: messages.Envelope,
+        hello: messages.Hello,
+    ) -> None:
+        if len(self.session_by_routing_id) >= MAX_SESSIONS:
+            self.link.counters.refusal("sessions")
+            return
+        session = Session(self, routing_id, envelope, hello)
+        session.last_received_ms = self.link.clock.now_ms()
+        self.session_by_routing_id[routing_id] = session
+        session.send(messages.Welcome(self.link.clock.now_ms()))
+        session.gate.peer_revision = envelope.view_revision
+        session.gate.offer()
+        self._tasks.spawn(
+            self._serve(routing_id, session), f"wire:{session.name}"
+        )
+
+    def _require_hello(
+        self,
+        socket: zmq.asyncio.Socket,
+        routing_id: bytes,
+        envelope: messages.Envelope,
+    ) -> None:
+        reply = messages.Envelope(
+            messages.PROTOCOL_VERSION,
+            self.link.identity.name,
+            self.link.identity.incarnation,
+            envelope.sender_incarnation,
+            0,
+            0,
+            0.0,
+            messages.HelloRequired(),
+        )
+        parts = [routing_id, codec.encode(reply)]
+        sockets.send_now(socket, parts, envelope.sender)
+
+    async def _serve(self, routing_id: bytes, session: Session) -> None:
+        try:
+            while self.session_by_routing_id.get(routing_id) is session:
+                envelope = await session.inbox.get()
+                if isinstance(envelope.message, messages.Bye):
+                    break
+                await self._handle(session, envelope)
+        except errors.PeerUnreachableError as error:
+            self._drop(routing_id, str(error))
+        finally:
+            self.session_by_routing_id.pop(routing_id, None)
+            await self._handler.closed(session)
+
+    async def _handle(
+        self, session: Session, envelope: messages.Envelope
+    ) -> None:
+        expires_ms = envelope.expires_ms
+        if expires_ms and self.link.clock.now_ms() >= expires_ms:
+            self.link.counters.refusal(messages.Reason.EXPIRED)
+            if envelope.call_id:
+                failure = messages.Failure(messages.Reason.EXPIRED)
+                session.send(failure, envelope.call_id)
+            return
+        try:
+            await self._handler.handle(session, envelope)
+        except errors.PeerUnreachableError:
+            raise
+        except Exception as error:
+            self.link.counters.increment("wire.handler_failed")
+            kind = type(envelope.message).__name__
+            _LOG.error("handler_failed", message=kind, error=repr(error))
+            if envelope.call_id:
+                failure = messages.Failure(
+                    messages.Reason.INTERNAL, type(error).__name__
+                )
+                session.send(failure, envelope.call_id)
+
+    def _drop(self, routing_id: bytes, reason: str) -> None:
+        session = self.session_by_routing_id.pop(routing_id, None)
+        if session is None:
+            return
+        _LOG.event("session_closed", peer=session.name, reason=reason)
+        # wakes the session's task, which then finds itself dropped
+        while session.inbox.full():
+            session.inbox.get_nowait()
+        session.inbox.put_nowait(
+            messages.Envelope(
+                messages.PROTOCOL_VERSION,
+                session.name,
+                session.incarnation,
+                self.link.identity.incarnation,
+                0,
+                0,
+                0.0,
+                messages.Bye(),
+            )
+        )
+
+    async def _watch(self) -> None:
+        settings = self.link.settings
+        while True:
+            await self.link.clock.sleep(settings.heartbeat_ms)
+            self.offer_view()
+            now_ms = self.link.clock.now_ms()
+            for routing_id, session in list(self.session_by_routing_id.items()):
+                if now_ms - session.last_received_ms >= settings.silence_ms:
+                    self.link.counters.increment("wire.silent_session")
+                    self._drop(routing_id, "silent")
+
+
+__all__ = ["Server", "Session"]
