--- /dev/null
+++ b/src/lycheering/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoint for callers."""
--- /dev/null
+++ b/src/lycheering/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on how often work is tried again."""
--- /dev/null
+++ b/src/lycheering/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of a target for each request."""
--- /dev/null
+++ b/src/lycheering/routing/api.py
@@ -0,0 +1,76 @@
+"""What a routing policy is given and what it returns."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.routing import levels
+
+if TYPE_CHECKING:
+    from lycheering.fleet import records
+
+
+@dataclasses.dataclass(frozen=True)
+class Query:
+    """A request as routing sees it.
+
+    Attributes:
+        request_id: The request.
+        levels: The nested levels of its prompt.
+        reuse_weight: 0 weighs time only, 1 weighs reuse only.
+        candidates: Ranked targets to compare.
+        max_width: Most targets that one hot prefix may use.
+    """
+
+    request_id: str
+    levels: levels.Levels = dataclasses.field(default_factory=levels.Levels)
+    reuse_weight: float = 0.7
+    candidates: int = 3
+    max_width: int = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """A target that was compared.
+
+    Attributes:
+        target: The target.
+        score: Lower is better; in ms where the policy weighs time.
+        queue_ms: Expected wait before prefill.
+        missing_pieces: Pieces expected to be computed.
+        piece_ms: Time to prefill one of them.
+        reason: What decided the score.
+    """
+
+    target: records.Target
+    score: float
+    queue_ms: float = 0.0
+    missing_pieces: float = 0.0
+    piece_ms: float = 0.0
+    reason: str = ""
+
+
+class Policy(abc.ABC):
+    """Orders the targets that could serve a request."""
+
+    name = ""
+
+    @abc.abstractmethod
+    def order(
+        self, query: Query, targets: tuple[records.Target, ...]
+    ) -> list[Candidate]:
+        """Returns targets to try, the best first.
+
+        Args:
+            query: The request.
+            targets: The targets that may serve it; never empty.
+        """
+
+    def width(self, query: Query) -> int:
+        """Returns over how many targets the request's prefix is spread."""
+        return 1
+
+
+__all__ = ["Candidate", "Policy", "Query"]
--- /dev/null
+++ b/src/lycheering/routing/score.py
@@ -0,0 +1,84 @@
+"""The expected cost of sending a request to a target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.routing import api
+from lycheering.routing import rendezvous
+
+if TYPE_CHECKING:
+    from lycheering.fleet import records
+    from lycheering.routing import policies
+
+UNCOMPARED = 1e9
+FAR_MS = 2.0  # another failure domain is a little farther away
+PLACE_MS = 1.0
+OPEN_REQUEST_MS = 1.0
+DRAINING_MS = 1e6
+
+
+def of_target(
+    knowledge: policies.Knowledge,
+    query: api.Query,
+    target: records.Target,
+    *,
+    place: int,
+    width: int,
+) -> api.Candidate:
+    """Returns a target's cost for a request with a known prefix.
+
+    Args:
+        knowledge: What is known about targets.
+        query: The request.
+        target: The target.
+        place: Its place in the order that the innermost level prefers.
+        width: How many targets the prefix is spread over.
+    """
+    levels = query.levels
+    estimate = knowledge.loads.estimate(target.name)
+    cached = knowledge.hints.expected_pieces(target.name, levels)
+    if place == 0 and width == 1 and not cached:
+        # every process sends this prefix there, so it is likely held
+        cached = float(levels.pieces[levels.rank_index]) / 2
+    missing = max(0.0, levels.prompt_pieces - cached)
+    miss_ms = missing * estimate.piece_ms
+    wait_ms = estimate.queue_ms + OPEN_REQUEST_MS * estimate.open_requests
+    total = (1.0 - query.reuse_weight) * wait_ms + miss_ms
+    total += PLACE_MS * place
+    if target.failure_domain != knowledge.failure_domain:
+        total += FAR_MS
+    if knowledge.loads.draining(target.name):
+        total += DRAINING_MS
+    reason = f"place={place} cached={cached:.1f} known={estimate.known}"
+    return api.Candidate(
+        target, total, wait_ms, missing, estimate.piece_ms, reason
+    )
+
+
+def by_load(
+    knowledge: policies.Knowledge,
+    query: api.Query,
+    targets: tuple[records.Target, ...],
+) -> list[api.Candidate]:
+    """Returns the targets by expected wait; ties differ by request."""
+    found = []
+    for target in targets:
+        estimate = knowledge.loads.estimate(target.name)
+        wait_ms = estimate.queue_ms + OPEN_REQUEST_MS * estimate.open_requests
+        total = wait_ms
+        if target.failure_domain != knowledge.failure_domain:
+            total += FAR_MS / 2
+        if knowledge.loads.draining(target.name):
+            total += DRAINING_MS
+        found.append(api.Candidate(target, total, wait_ms, reason="load"))
+    found.sort(
+        key=lambda c: (
+            c.score,
+            -rendezvous.weight_of(query.request_id, c.target.name, 1),
+        )
+    )
+    return found
+
+
+__all__ = ["UNCOMPARED", "by_load", "of_target"]
