--- /dev/null
+++ b/src/lycheering/entry/dispatch.py
@@ -0,0 +1,213 @@
+"""Gets a repeatable request answered, in one attempt or several."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.entry import attempt as attempts
+from lycheering.entry import refusals
+from lycheering.entry import sinks
+from lycheering.fleet import view as fleet_view
+from lycheering.retries import budget as budgets
+from lycheering.routing import api as routing_api
+from lycheering.routing import router as routers
+from lycheering.telemetry import logs
+from lycheering.wire import api as wire_api
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from lycheering.entry import job as jobs
+
+MAX_WARM_TARGETS = 64
+
+_LOG = logs.get("dispatch")
+
+
+def subject_of(job: jobs.Job) -> fleet_view.Subject:
+    """Returns the subject for options of a request."""
+    return fleet_view.Subject(
+        team=job.team, service=job.wanted.service, model=job.wanted.model
+    )
+
+
+def choose(
+    targets: attempts.Targets,
+    job: jobs.Job,
+    number: int,
+    tried: Collection[str],
+) -> routers.Choice:
+    """Chooses the target of an attempt.
+
+    Raises:
+        RefusalError: If no target may serve the request.
+    """
+    fleet = targets.view.fleet
+    subject = subject_of(job)
+    query = routing_api.Query(
+        job.request_id,
+        job.caller_request_id,
+        job.levels,
+        fleet.number("routing.reuse_weight", subject),
+        fleet.integer("routing.candidates", subject),
+        fleet.integer("routing.max_width", subject),
+    )
+    note_loads(targets, job.wanted)
+    try:
+        return targets.router.choose(
+            job.wanted,
+            query,
+            policy=fleet.text("routing.policy", subject),
+            attempt=number,
+            tried=tried,
+            usable=targets.circuits.usable,
+        )
+    except routers.NoTargetError as error:
+        raise refusals.RefusalError(
+            messages.Reason.NO_TARGET,
+            f"no live target for {error}",
+            not_run=number == 1,
+        ) from error
+
+
+def note_loads(targets: attempts.Targets, wanted: routers.Wanted) -> None:
+    """Takes over what agents reported since the last choice."""
+    candidates = targets.router.targets(wanted)
+    if len(candidates) > MAX_WARM_TARGETS:
+        return
+    for target in candidates:
+        address = wire_api.Address(target.name, target.ip, target.port)
+        connection = targets.connections.known(address)
+        if connection is not None:
+            targets.router.loads.report(
+                target.name, connection.peer_load, connection.peer_load_at_ms
+            )
+
+
+class Dispatcher:
+    """Runs requests that may be repeated."""
+
+    def __init__(
+        self, targets: attempts.Targets, budget: budgets.RetryBudget
+    ) -> None:
+        self._targets = targets
+        self._budget = budget
+
+    async def run(self, job: jobs.Job, sink: sinks.Sink) -> None:
+        """Returns once the answer is whole.
+
+        Args:
+            job: The request.
+            sink: Where the answer goes.
+
+        Raises:
+            RefusalError: If it can't be had.
+            CallerStalledError: If the caller reads nothing.
+        """
+        fleet = self._targets.view.fleet
+        subject = subject_of(job)
+        self._budget.earn(fleet.number("retry.budget_ratio", subject))
+        limit = fleet.integer("retry.max_attempts", subject)
+        tried: list[str] = []
+        may_have_run = False
+        number = 1
+        while True:
+            try:
+                choice = choose(self._targets, job, number, tried)
+            except refusals.RefusalError as error:
+                error.not_run = not may_have_run
+                raise
+            name = choice.target.name
+            tried.append(name)
+            try:
+                await attempts.Attempt(
+                    self._targets, job, number, choice, sink
+                ).run()
+                return
+            except attempts.NotRunError as error:
+                failure: attempts.NotRunError | attempts.BrokenError = error
+                if error.reason is messages.Reason.UNREACHABLE:
+                    self._targets.circuits.failed(name)
+            except attempts.BrokenError as error:
+                failure = error
+                may_have_run = True
+                self._targets.circuits.failed(name)
+            except attempts.OverdueError as error:
+                raise refusals.RefusalError(
+                    messages.Reason.DEADLINE,
+                    "the answer was not whole by the deadline",
+                    not_run=False,
+                ) from error
+            except sinks.AnswerTooLargeError as error:
+                raise refusals.RefusalError(
+                    messages.Reason.TOO_LARGE, str(error), not_run=False
+                ) from error
+            self._check_repeat(job, sink, failure, may_have_run)
+            self._check_budget(job, failure, may_have_run, number < limit)
+            await self._targets.clock.sleep(budgets.pause_ms(number))
+            self._count(job, failure, name, number)
+            number += 1
+
+    def _check_repeat(
+        self,
+        job: jobs.Job,
+        sink: sinks.Sink,
+        failure: attempts.NotRunError | attempts.BrokenError,
+        may_have_run: bool,
+    ) -> None:
+        if sink.next_seq == 0 or (job.deterministic and sink.is_event_stream):
+            return
+        if not sink.passed_on:
+            sink.restart()
+            return
+        raise refusals.RefusalError(
+            failure.reason,
+            f"the answer broke off after {sink.next_seq} chunks and can't be"
+            f" continued elsewhere: {failure}",
+            not_run=not may_have_run,
+        )
+
+    def _check_budget(
+        self,
+        job: jobs.Job,
+        failure: attempts.NotRunError | attempts.BrokenError,
+        may_have_run: bool,
+        attempts_left: bool,
+    ) -> None:
+        left_ms = job.deadline_at_ms - self._targets.clock.now_ms()
+        if attempts_left and left_ms > 0 and self._budget.spend():
+            return
+        retry_after_ms = 0.0
+        if isinstance(failure, attempts.NotRunError):
+            retry_after_ms = failure.retry_after_ms
+        if attempts_left and left_ms > 0:
+            self._targets.counters.increment("retry_budget.empty")
+        raise refusals.RefusalError(
+            failure.reason,
+            str(failure) or failure.reason.value,
+            not_run=not may_have_run,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _count(
+        self,
+        job: jobs.Job,
+        failure: attempts.NotRunError | attempts.BrokenError,
+        target: str,
+        number: int,
+    ) -> None:
+        self._targets.counters.retry(failure.reason)
+        _LOG.event(
+            "retry",
+            request_id=job.request_id,
+            caller_request_id=job.caller_request_id,
+            team=job.team,
+            attempt=number,
+            target=target,
+            reason=failure.reason.value,
+            detail=str(failure),
+        )
+
+
+__all__ = ["MAX_WARM_TARGETS", "Dispatcher", "choose", "note_loads"]
--- /dev/null
+++ b/src/lycheering/entry/intake.py
@@ -0,0 +1,300 @@
+"""Turns a caller's HTTP request into a job."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import secrets
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from lycheering.entry import border
+from lycheering.entry import job as jobs
+from lycheering.entry import refusals
+from lycheering.fleet import view as fleet_view
+from lycheering.routing import levels as prefix_levels
+from lycheering.routing import router as routers
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    import blacksheep
+
+    from lycheering import clock
+    from lycheering.fleet import holder
+    from lycheering.fleet import records
+    from lycheering.settings import model
+
+MAX_DEADLINE_MS = 86_400_000
+MAX_KEY_CHARS = 200
+MAX_PATH_CHARS = 2_000
+
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+_KEY = re.compile(r"[!-~]{1,200}")
+
+
+def new_request_id() -> str:
+    """Returns an id that no other request has."""
+    return secrets.token_hex(12)
+
+
+def valid_request_id(text: str) -> bool:
+    """Returns whether a caller's id may be echoed and logged."""
+    return _REQUEST_ID.fullmatch(text) is not None
+
+
+def header(request: blacksheep.Request, name: bytes) -> str:
+    """Returns a header's value, or an empty text.
+
+    Raises:
+        RefusalError: If it is given more than once or is not ASCII.
+    """
+    values = request.get_headers(name)
+    if not values:
+        return ""
+    text = name.decode()
+    if len(values) > 1:
+        raise refusals.bad_request(f"{text}: given more than once")
+    try:
+        return values[0].decode("ascii").strip()
+    except UnicodeDecodeError as error:
+        raise refusals.bad_request(f"{text}: not ASCII") from error
+
+
+class Intake:
+    """Reads and checks what callers send."""
+
+    def __init__(
+        self,
+        settings: model.EntrySettings,
+        view: holder.ViewHolder,
+        time: clock.Clock,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._clock = time
+
+    def team(
+        self, request: blacksheep.Request, *, current: bool
+    ) -> records.Team:
+        """Returns the team that the bearer key names.
+
+        Args:
+            request: The caller's request.
+            current: Whether the teams known here are known to be current.
+
+        Raises:
+            RefusalError: If there is none.
+        """
+        kind, _, key = header(request, b"authorization").partition(" ")
+        found = None
+        if kind.lower() == "bearer" and key:
+            found = self._view.fleet.team_of_key(key.strip())
+        if found is not None:
+            return found
+        if key and not current:
+            raise refusals.RefusalError(
+                messages.Reason.FLEET_LEASE,
+                "the key is not known here, and newer settings can't be had",
+                not_run=True,
+            )
+        raise refusals.RefusalError(
+            messages.Reason.UNAUTHORIZED,
+            "expected a known key in Authorization: Bearer",
+            not_run=True,
+        )
+
+    async def body(self, request: blacksheep.Request) -> bytes:
+        """Returns the request's body.
+
+        Raises:
+            RefusalError: If it is too large or comes too slowly.
+        """
+        limit = self._settings.max_body_bytes
+        length = header(request, b"content-length")
+        too_large = refusals.RefusalError(
+            messages.Reason.TOO_LARGE,
+            f"the body exceeds {limit} bytes",
+            not_run=True,
+        )
+        if length.isdigit() and int(length) > limit:
+            raise too_large
+        parts = bytearray()
+        stream = request.stream()
+        while True:
+            try:
+                async with asyncio.timeout(
+                    self._settings.caller_stall_ms / 1_000
+                ):
+                    part = await anext(stream, b"")
+            except TimeoutError as error:
+                raise refusals.bad_request(
+                    "the body did not arrive in time"
+                ) from error
+            if not part:
+                return bytes(parts)
+            parts += part
+            if len(parts) > limit:
+                raise too_large
+
+    async def completion(
+        self,
+        request: blacksheep.Request,
+        team: str,
+        caller_request_id: str,
+        form: jobs.AnswerForm,
+    ) -> jobs.Job:
+        """Returns the job of a completion.
+
+        Raises:
+            RefusalError: If the request can't be understood.
+        """
+        raw = await self.body(request)
+        chat = form is jobs.AnswerForm.CHAT
+        body = border.parse(raw, chat=chat)
+        subject = fleet_view.Subject(team=team, model=body.model)
+        priority_class = self._priority_class(
+            request, jobs.PriorityClass.TAG_QUERY
+        )
+        path = "/v1/chat/completions" if chat else "/v1/completions"
+        key = self._key(request)
+        return jobs.Job(
+            request_id=new_request_id(),
+            caller_request_id=caller_request_id,
+            team=team,
+            priority_class=priority_class,
+            priority=self._priority(priority_class, subject),
+            deadline_at_ms=self._deadline(request, priority_class, subject),
+            form=form,
+            wanted=routers.Wanted(model=body.model),
+            path=path,
+            body=border.for_target(raw),
+            stream=body.stream,
+            deterministic=body.deterministic,
+            levels=self._levels(body, team, subject),
+            idempotency_key=key,
+            digest=_digest("POST", path, raw) if key else "",
+        )
+
+    async def service_call(
+        self,
+        request: blacksheep.Request,
+        team: str,
+        caller_request_id: str,
+        service: str,
+        path: str,
+    ) -> jobs.Job:
+        """Returns the job of a call to a plain service.
+
+        Raises:
+            RefusalError: If the request can't be understood.
+        """
+        if len(path) > MAX_PATH_CHARS:
+            raise refusals.bad_request(f"path: over {MAX_PATH_CHARS} chars")
+        body = await self.body(request)
+        subject = fleet_view.Subject(team=team, service=service)
+        key = self._key(request)
+        repeatable = self._view.fleet.flag("calls.repeatable", subject)
+        if not repeatable and not key:
+            raise refusals.bad_request(
+                f"Idempotency-Key: required by the service {service}"
+            )
+        priority_class = self._priority_class(
+            request, jobs.PriorityClass.LOOKUP
+        )
+        content_type = header(request, b"content-type")
+        method = request.method.upper()
+        return jobs.Job(
+            request_id=new_request_id(),
+            caller_request_id=caller_request_id,
+            team=team,
+            priority_class=priority_class,
+            priority=self._priority(priority_class, subject),
+            deadline_at_ms=self._deadline(request, priority_class, subject),
+            form=jobs.AnswerForm.SERVICE,
+            wanted=routers.Wanted(service=service),
+            path=path,
+            method=method,
+            body=body,
+            content_type=content_type or "application/octet-stream",
+            idempotency_key=key,
+            digest=_digest(method, f"{service}{path}", body) if key else "",
+        )
+
+    def _levels(
+        self,
+        body: border.ChatBody | border.CompletionBody,
+        team: str,
+        subject: fleet_view.Subject,
+    ) -> prefix_levels.Levels:
+        prompt = body.prompt_text()
+        if body.prefix_levels is None:
+            return prefix_levels.found(
+                prompt, body.boundaries(), model=body.model, team=team
+            )
+        try:
+            ends = prefix_levels.check_ends(body.prefix_levels, len(prompt))
+        except prefix_levels.LevelsError as error:
+            raise refusals.bad_request(str(error)) from error
+        shared = self._view.fleet.integer("prefix.shared_levels", subject)
+        return prefix_levels.given(
+            prompt, ends, model=body.model, team=team, shared=shared
+        )
+
+    def _priority_class(
+        self, request: blacksheep.Request, default: jobs.PriorityClass
+    ) -> jobs.PriorityClass:
+        text = header(request, b"x-priority-class")
+        if not text:
+            return default
+        try:
+            return jobs.PriorityClass(text)
+        except ValueError as error:
+            known = ", ".join(jobs.PriorityClass)
+            raise refusals.bad_request(
+                f"X-Priority-Class: expected one of {known}"
+            ) from error
+
+    def _priority(
+        self, priority_class: jobs.PriorityClass, subject: fleet_view.Subject
+    ) -> int:
+        option = f"priority.{priority_class.value}"
+        return self._view.fleet.integer(option, subject)
+
+    def _deadline(
+        self,
+        request: blacksheep.Request,
+        priority_class: jobs.PriorityClass,
+        subject: fleet_view.Subject,
+    ) -> float:
+        text = header(request, b"x-deadline-ms")
+        if text:
+            if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+                raise refusals.bad_request(
+                    f"X-Deadline-Ms: expected 1 to {MAX_DEADLINE_MS}"
+                )
+            allowed_ms = float(text)
+        else:
+            option = f"deadline_ms.{priority_class.value}"
+            allowed_ms = self._view.fleet.number(option, subject)
+        return self._clock.now_ms() + allowed_ms
+
+    def _key(self, request: blacksheep.Request) -> str:
+        key = header(request, b"idempotency-key")
+        if key and not _KEY.fullmatch(key):
+            raise refusals.bad_request(
+                f"Idempotency-Key: expected 1 to {MAX_KEY_CHARS} visible"
+                " ASCII characters"
+            )
+        if not key and request.get_headers(b"idempotency-key"):
+            raise refusals.bad_request("Idempotency-Key: empty")
+        return key
+
+
+def _digest(method: str, path: str, body: bytes) -> str:
+    digest = xxhash.xxh3_128(f"{method} {path}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+__all__ = ["Intake", "header", "new_request_id", "valid_request_id"]
--- /dev/null
+++ b/src/lycheering/entry/sinks.py
@@ -0,0 +1,283 @@
+"""Where the chunks of an answer go."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.entry import assemble
+from lycheering.entry import refusals
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from lycheering.wire import messages
+
+EVENT_STREAM = "text/event-stream"
+MAX_ANSWER_BYTES = 8_388_608
+PIPE_ITEMS = 32
+
+
+class CallerStalledError(Exception):
+    """The caller reads nothing for too long."""
+
+
+class BrokenAnswerError(Exception):
+    """The connection must break, so that the answer does not look whole."""
+
+
+class AnswerTooLargeError(Exception):
+    """The answer exceeds what may be held for one caller."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """The start of an answer.
+
+    Attributes:
+        status: The HTTP status.
+        content_type: The content type.
+        header_by_name: Further headers.
+    """
+
+    status: int
+    content_type: str
+    header_by_name: dict[str, str]
+
+
+class Sink(abc.ABC):
+    """Takes one request's answer, over all its attempts.
+
+    Attributes:
+        next_seq: The first chunk not yet taken.
+        weights_version: The weights that the answer began with.
+        passed_on: Whether the caller got a part of it already.
+    """
+
+    def __init__(self) -> None:
+        self.next_seq = 0
+        self.weights_version = ""
+        self.passed_on = False
+        self.head: Head | None = None
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the chunks are the data of server-sent events."""
+        head = self.head
+        return head is not None and head.content_type.startswith(EVENT_STREAM)
+
+    def begin(self, started: messages.Started) -> None:
+        """Takes the start; that of a later attempt keeps the first head."""
+        if self.next_seq == 0:
+            self.weights_version = started.weights_version
+        if self.head is not None:
+            return
+        self.head = Head(
+            started.status,
+            started.content_type,
+            {
+                "X-Prompt-Pieces": str(started.prompt_pieces),
+                "X-Cached-Pieces": str(started.cached_pieces),
+            },
+        )
+
+    @abc.abstractmethod
+    async def take(self, items: tuple[bytes, ...]) -> None:
+        """Takes the next chunks."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """Learns that the answer is whole."""
+
+    def restart(self) -> None:
+        """Forgets the answer so far, which the caller has not seen."""
+        assert not self.passed_on
+        self.next_seq = 0
+        self.weights_version = ""
+        self.head = None
+
+
+class WholeSink(Sink):
+    """Collects the answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._items: list[bytes] = []
+        self._size = 0
+
+    async def take(self, items: tuple[bytes, ...]) -> None:
+        """Takes the next chunks.
+
+        Raises:
+            AnswerTooLargeError: If they are more than may be held.
+        """
+        self._size += sum(len(item) for item in items)
+        if self._size > MAX_ANSWER_BYTES:
+            raise AnswerTooLargeError(f"over {MAX_ANSWER_BYTES} bytes")
+        self._items.extend(items)
+        self.next_seq += len(items)
+
+    async def finish(self) -> None:
+        """Needs nothing: the chunks are counted already."""
+
+    def restart(self) -> None:
+        """Forgets the answer so far."""
+        super().restart()
+        self._items.clear()
+        self._size = 0
+
+    def answer(self, *, chat: bool, stream: bool) -> refusals.Answer:
+        """Returns the whole answer.
+
+        Args:
+            chat: Whether it answers a chat.
+            stream: Whether the caller reads server-sent events.
+
+        Raises:
+            ChunkError: If it can't be put together.
+        """
+        assert self.head is not None
+        head = self.head
+        if not self.is_event_stream:
+            body = b"".join(self._items)
+            content_type = head.content_type
+        elif stream:
+            events = event_bytes(0, tuple(self._items))
+            body = events + end_bytes()
+            content_type = EVENT_STREAM
+        else:
+            body = assemble.assemble(self._items, chat=chat)
+            content_type = "application/json"
+        return refusals.Answer(
+            head.status, content_type, body, dict(head.header_by_name)
+        )
+
+
+class StreamSink(Sink):
+    """Hands chunks to a caller as they come."""
+
+    def __init__(self, stall_ms: float) -> None:
+        super().__init__()
+        self._stall_ms = stall_ms
+        self._pipe: asyncio.Queue[bytes | None] = asyncio.Queue(PIPE_ITEMS)
+        self._begun = asyncio.Event()
+        self._broken = False
+
+    def begin(self, started: messages.Started) -> None:
+        """Takes the start and lets the caller's answer begin."""
+        super().begin(started)
+        self.passed_on = True
+        self._begun.set()
+
+    async def take(self, items: tuple[bytes, ...]) -> None:
+        """Passes the next chunks on.
+
+        Raises:
+            CallerStalledError: If the caller reads nothing.
+        """
+        if self.is_event_stream:
+            data = event_bytes(self.next_seq, items)
+        else:
+            data = b"".join(items)
+        self.next_seq += len(items)
+        if data:
+            await self._put(data)
+
+    async def finish(self) -> None:
+        """Passes the end mark on.
+
+        Raises:
+            CallerStalledError: If the caller reads nothing.
+        """
+        if self.is_event_stream:
+            await self._put(end_bytes())
+        await self._put(None)
+
+    async def fail(self, refusal: refusals.RefusalError) -> None:
+        """Ends the answer with an error instead of the end mark."""
+        if not self.is_event_stream:
+            self._broken = True
+            self.abandon()
+            return
+        try:
+            await self._put(b"event: error\ndata: " + refusal.body() + b"\n\n")
+            await self._put(None)
+        except CallerStalledError:
+            self.abandon()
+
+    def abandon(self) -> None:
+        """Ends the answer for a caller that reads nothing."""
+        while not self._pipe.empty():
+            self._pipe.get_nowait()
+        self._pipe.put_nowait(None)
+
+    async def wait_begun(self) -> Head:
+        """Returns the start once it is there."""
+        await self._begun.wait()
+        assert self.head is not None
+        return self.head
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yields the answer's bytes as they come.
+
+        Raises:
+            BrokenAnswerError: If an answer that is no event stream broke.
+        """
+        while True:
+            data = await self._pipe.get()
+            if self._broken:
+                raise BrokenAnswerError("the target's answer broke off")
+            if data is None:
+                return
+            parts = [data]
+            ended = False
+            while not self._pipe.empty():
+                more = self._pipe.get_nowait()
+                if more is None:
+                    ended = True
+                    break
+                parts.append(more)
+            yield data if len(parts) == 1 else b"".join(parts)
+            if ended:
+                return
+
+    async def _put(self, data: bytes | None) -> None:
+        if not self._pipe.full():
+            self._pipe.put_nowait(data)
+            return
+        try:
+            async with asyncio.timeout(self._stall_ms / 1_000):
+                await self._pipe.put(data)
+        except TimeoutError as error:
+            raise CallerStalledError(f"{self._stall_ms:.0f} ms") from error
+
+
+def event_bytes(first_seq: int, items: tuple[bytes, ...]) -> bytes:
+    """Returns chunks as numbered server-sent events."""
+    return b"".join(
+        b"id: %d\ndata: %b\n\n" % (seq, item)
+        for seq, item in enumerate(items, first_seq)
+        if item != assemble.END_MARK
+    )
+
+
+def end_bytes() -> bytes:
+    """Returns the event that ends a whole answer."""
+    return b"data: " + assemble.END_MARK + b"\n\n"
+
+
+__all__ = [
+    "EVENT_STREAM",
+    "MAX_ANSWER_BYTES",
+    "AnswerTooLargeError",
+    "BrokenAnswerError",
+    "CallerStalledError",
+    "Head",
+    "Sink",
+    "StreamSink",
+    "WholeSink",
+    "end_bytes",
+    "event_bytes",
+]
--- /dev/null
+++ b/src/lycheering/entry/view_file.py
@@ -0,0 +1,91 @@
+"""Keeps the last known fleet view, for an entry that restarts alone."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering.app import api as app_api
+from lycheering.fleet import view as fleet_view
+from lycheering.telemetry import logs
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering import clock
+    from lycheering.fleet import holder
+
+FILE_NAME = "view.msgpack"
+SAVE_PAUSE_MS = 1_000
+
+_LOG = logs.get("view_file")
+_DECODER = msgspec.msgpack.Decoder(fleet_view.ViewSnapshot)
+
+
+class ViewFile(app_api.Part):
+    """Writes the view to a file after changes and reads it at the start."""
+
+    def __init__(
+        self, folder: str, view: holder.ViewHolder, time: clock.Clock
+    ) -> None:
+        self._path = pathlib.Path(folder) / FILE_NAME
+        self._view = view
+        self._clock = time
+        self._saved_revision = 0
+        self._tasks = app_api.TaskOwner()
+
+    async def start(self) -> None:
+        """Takes the kept view over, if there is a readable one."""
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        self._load()
+        self._tasks.spawn(self._keep_saved(), "view_file")
+
+    async def stop(self) -> None:
+        """Writes the view a last time."""
+        await self._tasks.cancel_all()
+        self._save(self._snapshot())
+
+    def _load(self) -> None:
+        try:
+            snapshot = _DECODER.decode(self._path.read_bytes())
+        except FileNotFoundError:
+            return
+        except (msgspec.DecodeError, OSError) as error:
+            # a view from a peer replaces it
+            _LOG.warning("view_file_unreadable", detail=str(error))
+            return
+        self._view.take(messages.ViewUpdate(snapshot=snapshot))
+        self._saved_revision = snapshot.view_revision
+
+    async def _keep_saved(self) -> None:
+        while True:
+            await self._clock.sleep(SAVE_PAUSE_MS)
+            snapshot = self._snapshot()
+            if snapshot is not None:
+                await asyncio.to_thread(self._save, snapshot)
+
+    def _snapshot(self) -> fleet_view.ViewSnapshot | None:
+        if self._view.revision() <= self._saved_revision:
+            return None
+        return self._view.fleet.snapshot()
+
+    def _save(self, snapshot: fleet_view.ViewSnapshot | None) -> None:
+        if snapshot is None:
+            return
+        temporary = self._path.with_suffix(".new")
+        try:
+            with temporary.open("wb") as file:
+                file.write(msgspec.msgpack.encode(snapshot))
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.replace(self._path)
+        except OSError as error:
+            _LOG.warning("view_file_unwritable", detail=str(error))
+            return
+        self._saved_revision = snapshot.view_revision
+
+
+__all__ = ["FILE_NAME", "ViewFile"]
--- a/src/lycheering/routing/api.py
+++ b/src/lycheering/routing/api.py
@@ -18,6 +18,7 @@
 
     Attributes:
         request_id: The request.
+        caller_request_id: The id that the caller knows it by.
         levels: The nested levels of its prompt.
         reuse_weight: 0 weighs time only, 1 weighs reuse only.
         candidates: Ranked targets to compare.
@@ -25,7 +26,8 @@
     """
 
     request_id: str
-    levels: levels.Levels = dataclasses.field(default_factory=levels.Levels)
+    caller_request_id: str = ""
+    levels: levels.Levels = levels.NO_LEVELS
     reuse_weight: float = 0.7
     candidates: int = 3
     max_width: int = 4
--- a/src/lycheering/routing/levels.py
+++ b/src/lycheering/routing/levels.py
@@ -51,6 +51,9 @@
         return self.keys[-1] if self.keys else ""
 
 
+NO_LEVELS = Levels()
+
+
 def check_ends(ends: Sequence[int], length: int) -> tuple[int, ...]:
     """Checks level ends given by a caller.
 
@@ -156,6 +159,7 @@
 
 __all__ = [
     "MAX_LEVELS",
+    "NO_LEVELS",
     "PIECE_CHARS",
     "SHARED_SCOPE",
     "Levels",
--- a/src/lycheering/routing/policies.py
+++ b/src/lycheering/routing/policies.py
@@ -25,13 +25,13 @@
 
     Attributes:
         loads: Load of each target.
-        hints: Likely contents of caches.
+        caches: Likely contents of caches.
         widths: Width of hot prefixes.
         failure_domain: Where this process is.
     """
 
     loads: load.LoadBook
-    hints: hints.CacheHints
+    caches: hints.CacheHints
     widths: hints.Widths
     failure_domain: str
 
--- a/src/lycheering/routing/rendezvous.py
+++ b/src/lycheering/routing/rendezvous.py
@@ -24,7 +24,7 @@
         slots: The target's size, to which its share of keys is in
             proportion.
     """
-    digest = xxhash.xxh3_64_intdigest(f"{key}\0{name}")
+    digest = xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
     share = (digest + 1) / (_HASH_RANGE + 2)
     return -max(1, slots) / math.log(share)
 
--- a/src/lycheering/routing/router.py
+++ b/src/lycheering/routing/router.py
@@ -19,7 +19,6 @@
 
     from lycheering import clock
     from lycheering.fleet import holder
-    from lycheering.routing import levels
 
 STANDBY_ROLE = "standby"
 
@@ -63,7 +62,7 @@
 
     Attributes:
         loads: Load of each target.
-        hints: Likely contents of caches.
+        caches: Likely contents of caches.
         widths: Width of hot prefixes.
         explanations: Why recent requests went where they went.
     """
@@ -72,7 +71,7 @@
         self, view: holder.ViewHolder, time: clock.Clock, failure_domain: str
     ) -> None:
         self.loads = load.LoadBook(time)
-        self.hints = hints.CacheHints(time)
+        self.caches = hints.CacheHints(time)
         self.widths = hints.Widths(time)
         self.explanations = explain.Explanations()
         self._view = view
@@ -80,7 +79,7 @@
         self._revision = -1
         self._policy_by_name = policies.build_all(
             policies.Knowledge(
-                self.loads, self.hints, self.widths, failure_domain
+                self.loads, self.caches, self.widths, failure_domain
             )
         )
 
@@ -138,7 +137,7 @@
         width = chosen_by.width(query)
         self.explanations.add(
             explain.Explanation(
-                query.request_id,
+                query.caller_request_id or query.request_id,
                 attempt,
                 policy,
                 query.levels.rank_key,
@@ -158,7 +157,7 @@
             target.name: target.agent_incarnation
             for target in fleet.target_by_name.values()
         }
-        self.hints.keep_only(incarnation_by_target)
+        self.caches.keep_only(incarnation_by_target)
         self.loads.keep_only(set(incarnation_by_target))
 
 
--- a/src/lycheering/routing/score.py
+++ b/src/lycheering/routing/score.py
@@ -37,7 +37,7 @@
     """
     levels = query.levels
     estimate = knowledge.loads.estimate(target.name)
-    cached = knowledge.hints.expected_pieces(target.name, levels)
+    cached = knowledge.caches.expected_pieces(target.name, levels)
     if place == 0 and width == 1 and not cached:
         # every process sends this prefix there, so it is likely held
         cached = float(levels.pieces[levels.rank_index]) / 2
