--- a/src/lycheering/entry/admission.py
+++ b/src/lycheering/entry/admission.py
@@ -23,11 +23,13 @@
     """Counts open requests, in all and per team.
 
     Attributes:
+        leaving: Whether the balancer shall send no more.
         draining: Whether new requests are refused.
         open_requests: Requests that are being answered.
     """
 
     def __init__(self, view: holder.ViewHolder, max_open: int) -> None:
+        self.leaving = False
         self.draining = False
         self.open_requests = 0
         self._view = view
--- /dev/null
+++ b/src/lycheering/entry/daemon.py
@@ -0,0 +1,189 @@
+"""Puts an entry together and runs it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import zmq.asyncio
+
+from lycheering import clock
+from lycheering.app import api as app_api
+from lycheering.entry import admission as admissions
+from lycheering.entry import attempt as attempts
+from lycheering.entry import control_client
+from lycheering.entry import dispatch
+from lycheering.entry import exchange as exchanges
+from lycheering.entry import http
+from lycheering.entry import intake as intakes
+from lycheering.entry import orders
+from lycheering.entry import view_file
+from lycheering.fleet import holder
+from lycheering.fleet import records
+from lycheering.retries import budget as budgets
+from lycheering.retries import circuit
+from lycheering.routing import router as routers
+from lycheering.telemetry import counters
+from lycheering.telemetry import logs
+from lycheering.web import server as web_server
+from lycheering.wire import api as wire_api
+from lycheering.wire import messages
+from lycheering.wire import pool as wire_pool
+
+if TYPE_CHECKING:
+    from lycheering.settings import model
+
+WARM_POLL_MS = 1_000
+DRAIN_POLL_MS = 20
+
+_LOG = logs.get("entry")
+
+
+class Entry(app_api.Part):
+    """Owns what an entry is made of.
+
+    Attributes:
+        view: The fleet view in force.
+        counters: The process's counters.
+        admission: The requests that are open.
+        web: The endpoint for callers.
+    """
+
+    def __init__(self, settings: model.Settings) -> None:
+        assert settings.entry is not None
+        self.view = holder.ViewHolder()
+        self.counters = counters.Counters(settings.metrics)
+        self._settings = settings.entry
+        self._clock = clock.Clock()
+        self._context = zmq.asyncio.Context()
+        link = wire_api.Link(
+            self._context,
+            wire_api.Identity(
+                settings.instance.name,
+                messages.Role.ENTRY,
+                settings.instance.failure_domain,
+            ),
+            settings.wire,
+            self._clock,
+            self.view,
+            self.counters,
+        )
+        self._connections = wire_pool.ConnectionPool(link)
+        self._control = control_client.ControlClient(
+            settings.control, link, self._connections, self.view
+        )
+        self._view_file: view_file.ViewFile | None = None
+        if self._settings.state_folder:
+            self._view_file = view_file.ViewFile(
+                self._settings.state_folder, self.view, self._clock
+            )
+        self._circuits = circuit.Circuits(self._clock)
+        self._router = routers.Router(
+            self.view, self._clock, settings.instance.failure_domain
+        )
+        self.admission = admissions.Admission(
+            self.view, self._settings.max_open_requests
+        )
+        self._build_api(settings)
+        self._tasks = app_api.TaskOwner()
+        self.view.listen(self._view_changed)
+
+    def _build_api(self, settings: model.Settings) -> None:
+        targets = attempts.Targets(
+            self._clock,
+            self.view,
+            self._router,
+            self._connections,
+            self._circuits,
+            self.counters,
+        )
+        budget = budgets.RetryBudget(self._clock)
+        desk = orders.OrderDesk(targets, self._control, budget)
+        self._exchanges = exchanges.Exchanges(
+            dispatch.Dispatcher(targets, budget),
+            desk,
+            self.counters,
+            self._clock,
+            self._settings.caller_stall_ms,
+        )
+        api = http.EntryApi(
+            self._settings,
+            self.view,
+            intakes.Intake(self._settings, self.view, self._clock),
+            self.admission,
+            self._exchanges,
+            desk,
+            self._router.explanations,
+            self.counters,
+            self.is_current,
+        )
+        self.web = web_server.WebServer(
+            api.application, settings.instance.ip, self._settings.http_port
+        )
+
+    def is_current(self) -> bool:
+        """Returns whether settings known here are known to be current."""
+        silent_ms = self._clock.now_ms() - self._control.last_contact_ms
+        return silent_ms < self._settings.fleet_lease_ms
+
+    async def start(self) -> None:
+        """Begins to follow the fleet and to serve."""
+        if self._view_file is not None:
+            await self._view_file.start()
+        await self._connections.start()
+        await self._control.start()
+        self._tasks.spawn(self._keep_warm(), "entry:warm")
+        await self.web.start()
+
+    async def drain(self) -> None:
+        """Leaves the balancer first, then ends what runs."""
+        self.admission.leaving = True
+        await self._clock.sleep(self._settings.balancer_grace_ms)
+        self.admission.draining = True
+        while self.admission.open_requests:
+            await self._clock.sleep(DRAIN_POLL_MS)
+        _LOG.event("drained")
+
+    async def stop(self) -> None:
+        """Ends the endpoint and all connections."""
+        await self.web.stop()
+        await self._exchanges.stop()
+        await self._tasks.cancel_all()
+        await self._control.stop()
+        await self._connections.stop()
+        if self._view_file is not None:
+            await self._view_file.stop()
+        self._context.destroy(linger=0)
+
+    def _view_changed(self) -> None:
+        self._circuits.keep_only(set(self.view.fleet.target_by_name))
+
+    async def _keep_warm(self) -> None:
+        """Keeps connections to all targets of a small fleet."""
+        while True:
+            live = [
+                target
+                for target in self.view.fleet.target_by_name.values()
+                if target.state is records.TargetState.LIVE
+            ]
+            if len(live) <= dispatch.MAX_WARM_TARGETS:
+                for target in live:
+                    self._connections.get(
+                        wire_api.Address(target.name, target.ip, target.port)
+                    )
+            await self._clock.sleep(WARM_POLL_MS)
+
+
+def build(settings: model.Settings) -> app_api.Application:
+    """Returns an entry, ready to run."""
+    application = app_api.Application(settings.instance.drain_timeout_ms)
+    application.add(Entry(settings))
+    return application
+
+
+def main(settings: model.Settings) -> None:
+    """Runs an entry until it is told to stop."""
+    asyncio.run(build(settings).run())
+
+
+__all__ = ["Entry", "build", "main"]
--- a/src/lycheering/entry/intake.py
+++ b/src/lycheering/entry/intake.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import re
-import secrets
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from lycheering.entry import border
+from lycheering.entry import callers
 from lycheering.entry import job as jobs
 from lycheering.entry import refusals
 from lycheering.fleet import view as fleet_view
@@ -29,20 +28,9 @@
 MAX_KEY_CHARS = 200
 MAX_PATH_CHARS = 2_000
 
-_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 _KEY = re.compile(r"[!-~]{1,200}")
 
 
-def new_request_id() -> str:
-    """Returns an id that no other request has."""
-    return secrets.token_hex(12)
-
-
-def valid_request_id(text: str) -> bool:
-    """Returns whether a caller's id may be echoed and logged."""
-    return _REQUEST_ID.fullmatch(text) is not None
-
-
 def header(request: blacksheep.Request, name: bytes) -> str:
     """Returns a header's value, or an empty text.
 
@@ -120,22 +108,25 @@
         if length.isdigit() and int(length) > limit:
             raise too_large
         parts = bytearray()
-        stream = request.stream()
-        while True:
+        receive = callers.caller_of(request).receive
+        more = True
+        while more:
             try:
                 async with asyncio.timeout(
                     self._settings.caller_stall_ms / 1_000
                 ):
-                    part = await anext(stream, b"")
+                    message = await receive()
             except TimeoutError as error:
                 raise refusals.bad_request(
                     "the body did not arrive in time"
                 ) from error
-            if not part:
-                return bytes(parts)
-            parts += part
+            if message["type"] == callers.DISCONNECT:
+                raise callers.CallerGoneError
+            parts += message.get("body", b"")
+            more = bool(message.get("more_body"))
             if len(parts) > limit:
                 raise too_large
+        return bytes(parts)
 
     async def completion(
         self,
@@ -159,7 +150,7 @@
         path = "/v1/chat/completions" if chat else "/v1/completions"
         key = self._key(request)
         return jobs.Job(
-            request_id=new_request_id(),
+            request_id=callers.new_request_id(),
             caller_request_id=caller_request_id,
             team=team,
             priority_class=priority_class,
@@ -205,7 +196,7 @@
         content_type = header(request, b"content-type")
         method = request.method.upper()
         return jobs.Job(
-            request_id=new_request_id(),
+            request_id=callers.new_request_id(),
             caller_request_id=caller_request_id,
             team=team,
             priority_class=priority_class,
@@ -292,9 +283,9 @@
 
 
 def _digest(method: str, path: str, body: bytes) -> str:
-    digest = xxhash.xxh3_128(f"{method} {path}\0".encode())
+    digest = hashlib.sha256(f"{method} {path}\0".encode())
     digest.update(body)
     return digest.hexdigest()
 
 
-__all__ = ["Intake", "header", "new_request_id", "valid_request_id"]
+__all__ = ["Intake", "header"]
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -183,6 +183,7 @@
         balancer_grace_ms: Time served on after the ready endpoint says no.
         fleet_lease_ms: Time served on with no contact that can tell newer
             settings, before requests that need current ones are refused.
+        operator_key_file: File with the operators' bearer keys, if any.
     """
 
     http_port: Port = 0
@@ -192,6 +193,7 @@
     state_folder: str = ""
     balancer_grace_ms: Annotated[int, pydantic.Field(ge=0)] = 1_000
     fleet_lease_ms: PositiveMs = 60_000
+    operator_key_file: str = ""
 
 
 class AgentSettings(Section):
