--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that steps share."""
--- /dev/null
+++ b/tests/support/fake_fleet.py
@@ -0,0 +1,384 @@
+"""Fakes of agents and control that speak the inner protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+
+import zmq.asyncio
+
+from lycheering import clock
+from lycheering.entry import daemon
+from lycheering.fleet import changes
+from lycheering.fleet import holder
+from lycheering.fleet import records
+from lycheering.fleet import view as fleet_view
+from lycheering.settings import model
+from lycheering.telemetry import counters
+from lycheering.web import client as web
+from lycheering.wire import api
+from lycheering.wire import messages
+from lycheering.wire import server
+
+IP = "127.0.0.1"
+GIVE_UP_MS = 10_000
+TOKENS = 40
+BATCH = 4
+WIRE = model.WireSettings(heartbeat_ms=200, silence_ms=900)
+
+
+class FixedView(holder.ViewHolder):
+    """The view that the fake control owns."""
+
+    takes_from_peers = False
+
+
+def token_item(text, seq, last, *, chat):
+    """Returns the data of one event."""
+    choice = {"index": 0, "finish_reason": "length" if last else None}
+    if chat:
+        choice["delta"] = {"content": f" {text}{seq}"}
+    else:
+        choice["text"] = f" {text}{seq}"
+    return json.dumps(
+        {"id": "c", "created": 1, "model": "m", "choices": [choice]}
+    ).encode()
+
+
+def expected_text(text, count=TOKENS):
+    """Returns the whole answer to a prompt."""
+    return "".join(f" {text}{seq}" for seq in range(count))
+
+
+@dataclasses.dataclass
+class Script:
+    """What a fake agent does with a request."""
+
+    not_run: str = ""
+    break_after: int = -1
+    mute_after: int = -1
+    repeat_frames: bool = False
+    skip_once_at: int = -1
+    crossed: bool = False
+    pause_ms: float = 0.0
+    weights_version: str = "w1"
+    cut_short: bool = False
+
+
+class FakeAgent(api.SessionHandler):
+    """Answers requests as its script says."""
+
+    def __init__(self, name, incarnation):
+        self.name = name
+        self.script = Script()
+        self.submits = []
+        self.cancels = []
+        self.resumes = []
+        self.tasks = set()
+        self.load = messages.LoadReport(piece_ms=10.0)
+        self.context = zmq.asyncio.Context.instance()
+        self.link = api.Link(
+            self.context,
+            api.Identity(name, messages.Role.AGENT, "a", incarnation),
+            WIRE,
+            clock.Clock(),
+            holder.ViewHolder(),
+            counters.Counters(),
+        )
+        self.server = server.Server(self.link, IP, self, lambda: self.load)
+
+    async def handle(self, session, envelope):
+        match envelope.message:
+            case messages.Submit() as submit:
+                self.submits.append(submit)
+                self.spawn(self.answer(session, envelope.call_id, submit, 0))
+            case messages.Resume() as resume:
+                self.resumes.append(resume)
+                submit = next(
+                    s
+                    for s in self.submits
+                    if s.request_id == resume.request_id
+                )
+                self.spawn(
+                    self.send(
+                        session, envelope.call_id, submit, resume.next_seq
+                    )
+                )
+            case messages.Cancel() as cancel:
+                self.cancels.append(cancel)
+
+    def spawn(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def answer(self, session, call_id, submit, _):
+        if self.script.not_run:
+            reason = messages.Reason(self.script.not_run)
+            session.send(messages.NotRun(reason, 700.0), call_id)
+            return
+        session.send(messages.Accepted(0.0), call_id)
+        kind = "text/event-stream"
+        if not submit.model:
+            kind = "application/json"
+        session.send(
+            messages.Started(200, kind, 4, 2, self.script.weights_version),
+            call_id,
+        )
+        if not submit.model:
+            body = f'{{"run":{len(self.submits)}}}'.encode()
+            session.send(messages.Chunks(0, (body,)), call_id)
+            session.send(messages.Finished(1), call_id)
+            return
+        await self.send(session, call_id, submit, submit.continue_from)
+
+    async def send(self, session, call_id, submit, first):
+        script = self.script
+        text = prompt_of(submit)
+        chat = "chat" in submit.path
+        if script.crossed:
+            stray = (token_item("stray", 0, False, chat=chat),)
+            session.send(messages.Chunks(first, stray), call_id + 1_000)
+        for seq in range(first, TOKENS, BATCH):
+            if 0 <= script.mute_after <= seq:
+                return
+            if 0 <= script.break_after <= seq:
+                broken = messages.Broken(
+                    messages.Reason.TARGET_FAILED, seq, "engine died"
+                )
+                session.send(broken, call_id)
+                return
+            if script.skip_once_at == seq:
+                script.skip_once_at = -1
+                continue
+            items = tuple(
+                token_item(text, at, at == TOKENS - 1, chat=chat)
+                for at in range(seq, min(TOKENS, seq + BATCH))
+            )
+            session.send(messages.Chunks(seq, items), call_id)
+            if script.repeat_frames:
+                session.send(messages.Chunks(seq, items), call_id)
+            await asyncio.sleep(script.pause_ms / 1_000)
+        if script.cut_short:
+            session.send(messages.Finished(TOKENS + 5), call_id)
+            return
+        session.send(messages.Finished(TOKENS), call_id)
+
+    def record(self, **fields):
+        return records.Target(
+            name=self.name,
+            instance=f"i-{self.name}",
+            ip=IP,
+            port=self.server.port,
+            agent_incarnation=self.link.identity.incarnation,
+            failure_domain="a",
+            **fields,
+        )
+
+
+def prompt_of(submit):
+    body = json.loads(submit.body)
+    if "messages" in body:
+        return body["messages"][-1]["content"]
+    return body["prompt"]
+
+
+class FakeControl(api.SessionHandler):
+    """Owns the view and a ledger in memory."""
+
+    def __init__(self):
+        self.view = FixedView()
+        self.reply_by_order = {}
+        self.calls = []
+        self.in_doubt_state = messages.OrderState.UNKNOWN
+        self.down = False
+        link = api.Link(
+            zmq.asyncio.Context.instance(),
+            api.Identity("c1", messages.Role.CONTROL, "a"),
+            WIRE,
+            clock.Clock(),
+            self.view,
+            counters.Counters(),
+        )
+        self.server = server.Server(link, IP, self)
+
+    def change(self, change):
+        self.view.fleet.make(change, by_operator=True)
+        self.server.offer_view()
+
+    async def handle(self, session, envelope):
+        message = envelope.message
+        self.calls.append(message)
+        if self.down:
+            reply = messages.Failure(messages.Reason.NO_QUORUM)
+        else:
+            reply = self.reply(message)
+        session.send(reply, envelope.call_id)
+
+    def reply(self, message):
+        match message:
+            case messages.OrderClaim():
+                return self.claim(message)
+            case messages.OrderFinish(order_id, outcome):
+                self.put(
+                    order_id,
+                    state=messages.OrderState.FINISHED,
+                    outcome=outcome,
+                )
+                return messages.Done()
+            case messages.OrderRelease(order_id):
+                self.put(order_id, state=messages.OrderState.RELEASED)
+                return messages.Done()
+            case messages.OrderLookup(team, key):
+                return self.look_up(f"{team}/{key}")
+        return messages.Done()
+
+    def put(self, order_id, **fields):
+        known, digest = self.reply_by_order[order_id]
+        reply = messages.OrderReply(
+            known.order_id,
+            fields["state"],
+            False,
+            True,
+            request_id=known.request_id,
+            outcome=fields.get("outcome"),
+        )
+        self.reply_by_order[order_id] = (reply, digest)
+
+    def claim(self, claim):
+        order_id = f"{claim.team}/{claim.key}"
+        known = self.reply_by_order.get(order_id)
+        if known and known[0].state is not messages.OrderState.RELEASED:
+            reply, digest = known
+            return messages.OrderReply(
+                reply.order_id,
+                reply.state,
+                False,
+                digest == claim.digest,
+                request_id=reply.request_id,
+                outcome=reply.outcome,
+            )
+        reply = messages.OrderReply(
+            order_id,
+            messages.OrderState.CLAIMED,
+            True,
+            True,
+            fence=7,
+            request_id=claim.request_id,
+        )
+        self.reply_by_order[order_id] = (reply, claim.digest)
+        return reply
+
+    def look_up(self, order_id):
+        if order_id not in self.reply_by_order:
+            return messages.Failure(messages.Reason.NOT_FOUND, "no such order")
+        reply = self.reply_by_order[order_id][0]
+        if reply.state is messages.OrderState.CLAIMED:
+            self.put(order_id, state=self.in_doubt_state)
+        return self.reply_by_order[order_id][0]
+
+
+class FakeFleet:
+    """One entry under test among fakes."""
+
+    def __init__(self, agents=2, **entry_settings):
+        self.runner = asyncio.Runner()
+        self.control = FakeControl()
+        self.agent_by_name = {}
+        self.entry = None
+        self.entry_settings = {"balancer_grace_ms": 0} | entry_settings
+        self.run(self.start(agents))
+
+    def run(self, work):
+        return self.runner.run(within(work))
+
+    async def start(self, agents):
+        await self.control.server.start()
+        digest = fleet_view.key_digest
+        for team in ("north", "south"):
+            self.control.change(
+                changes.TeamPut(
+                    records.Team(team, (digest(f"key-{team}"),)),
+                )
+            )
+        for number in range(agents):
+            await self.add_agent(f"t{number}")
+        service = await self.add_agent(
+            "s0", kind=records.TargetKind.SERVICE, service="portal"
+        )
+        self.service = service
+        await self.start_entry()
+
+    async def add_agent(self, name, **fields):
+        agent = FakeAgent(name, f"{name}-1")
+        await agent.server.start()
+        self.agent_by_name[name] = agent
+        wanted = {"kind": records.TargetKind.ENGINE, "model": "m"} | fields
+        if wanted["kind"] is records.TargetKind.SERVICE:
+            del wanted["model"]
+        self.control.change(changes.TargetPut(agent.record(**wanted)))
+        return agent
+
+    async def start_entry(self):
+        self.entry = daemon.Entry(self.settings())
+        await self.entry.start()
+        await until(
+            lambda: self.entry.view.revision() == self.control.view.revision()
+        )
+
+    def settings(self):
+        return model.Settings(
+            instance=model.InstanceSettings(name="e1", failure_domain="a"),
+            wire=WIRE,
+            control=model.ControlSettings(
+                members=f"c1@{IP}:{self.control.server.port}"
+            ),
+            entry=model.EntrySettings(**self.entry_settings),
+        )
+
+    @property
+    def engines(self):
+        return [a for n, a in self.agent_by_name.items() if n.startswith("t")]
+
+    async def fetch(self, method, path, key="key-north", body=None, **headers):
+        given = {"Authorization": f"Bearer {key}"} if key else {}
+        given |= {n.replace("_", "-"): v for n, v in headers.items()}
+        data = body if isinstance(body, bytes) else b""
+        if isinstance(body, dict):
+            data = json.dumps(body).encode()
+        return await web.fetch(
+            self.origin,
+            method,
+            path,
+            header_by_name=given,
+            body=data,
+            timeout_ms=GIVE_UP_MS,
+        )
+
+    @property
+    def origin(self):
+        return web.Origin(IP, self.entry.web.port)
+
+    def close(self):
+        self.run(self.stop())
+        self.runner.close()
+
+    async def stop(self):
+        if self.entry is not None:
+            await self.entry.stop()
+        for agent in self.agent_by_name.values():
+            await agent.server.stop()
+        await self.control.server.stop()
+
+
+async def within(work):
+    async with asyncio.timeout(4 * GIVE_UP_MS / 1_000):
+        return await work
+
+
+async def until(condition):
+    """Returns once a condition holds."""
+    async with asyncio.timeout(GIVE_UP_MS / 1_000):
+        while not condition():
+            await asyncio.sleep(0.01)
