Test the entry, routing and retries; bound a stalled caller by bytes

Found by the tests: blacksheep applications share one router unless given their own, so a second entry in a process answered with the first one's parts; the queue to a caller was bounded in items, so frames of 4 MB held 128 MB for one caller that read nothing.

--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -135,7 +135,7 @@
             NotRunError: If the target never got the request.
             BrokenError: If it may have, and the answer is not whole.
             OverdueError: If the deadline passed meanwhile.
-            CallerStalledError: If the caller reads nothing.
+            StalledError: If the caller reads nothing.
         """
         left_ms = self._job.deadline_at_ms - self._targets.clock.now_ms()
         if left_ms <= 0:
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -103,7 +103,7 @@
 
         Raises:
             RefusalError: If it can't be had.
-            CallerStalledError: If the caller reads nothing.
+            StalledError: If the caller reads nothing.
         """
         fleet = self._targets.view.fleet
         subject = subject_of(job)
--- a/src/lycheering/entry/exchange.py
+++ b/src/lycheering/entry/exchange.py
@@ -11,6 +11,7 @@
 from lycheering.entry import assemble
 from lycheering.entry import callers
 from lycheering.entry import job as jobs
+from lycheering.entry import pipe
 from lycheering.entry import refusals
 from lycheering.entry import sinks
 from lycheering.telemetry import logs
@@ -147,10 +148,13 @@
                 self._answered(job, began_ms, 200)
             except refusals.RefusalError as error:
                 await self._failed(job, sink, ended, error)
-            except (sinks.CallerStalledError, callers.CallerGoneError):
+            except pipe.StalledError:
+                self._left(job)
+                sink.break_off()
+            except callers.CallerGoneError as error:
                 self._left(job)
                 sink.abandon()
-                _end(ended, sink, callers.CallerGoneError())
+                _end(ended, sink, error)
             except Exception as error:
                 _LOG.error(
                     "exchange_failed",
--- a/src/lycheering/entry/http.py
+++ b/src/lycheering/entry/http.py
@@ -70,7 +70,8 @@
         self._counters = count
         self._is_current = is_current
         self._operator_keys = _read_keys(settings.operator_key_file)
-        self.application = callers.EntryApplication(show_error_details=False)
+        # the default router is shared by all applications of a process
+        self.application = callers.EntryApplication(router=blacksheep.Router())
         self._add_routes()
 
     def _add_routes(self) -> None:
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -253,11 +253,10 @@
     async def _settle(self, job: jobs.Job) -> refusals.Answer:
         """Answers an order of which only control can tell what became."""
         clock = self._targets.clock
-        until_ms = max(job.deadline_at_ms, clock.now_ms() + CALL_MS)
         while True:
             reply = await self.look_up(job.team, job.idempotency_key)
             running = reply.state is messages.OrderState.CLAIMED
-            if not running or clock.now_ms() >= until_ms:
+            if not running or clock.now_ms() >= job.deadline_at_ms:
                 return self._by_state(job, reply)
             await clock.sleep(ASK_PAUSE_MS)
 
--- a/src/lycheering/entry/sinks.py
+++ b/src/lycheering/entry/sinks.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from lycheering.entry import assemble
+from lycheering.entry import pipe
 from lycheering.entry import refusals
 
 if TYPE_CHECKING:
@@ -17,11 +18,6 @@
 
 EVENT_STREAM = "text/event-stream"
 MAX_ANSWER_BYTES = 8_388_608
-PIPE_ITEMS = 32
-
-
-class CallerStalledError(Exception):
-    """The caller reads nothing for too long."""
 
 
 class BrokenAnswerError(Exception):
@@ -74,14 +70,11 @@
             self.weights_version = started.weights_version
         if self.head is not None:
             return
-        self.head = Head(
-            started.status,
-            started.content_type,
-            {
-                "X-Prompt-Pieces": str(started.prompt_pieces),
-                "X-Cached-Pieces": str(started.cached_pieces),
-            },
-        )
+        header_by_name = {}
+        if started.prompt_pieces:
+            header_by_name["X-Prompt-Pieces"] = str(started.prompt_pieces)
+            header_by_name["X-Cached-Pieces"] = str(started.cached_pieces)
+        self.head = Head(started.status, started.content_type, header_by_name)
 
     @abc.abstractmethod
     async def take(self, items: tuple[bytes, ...]) -> None:
@@ -160,8 +153,7 @@
 
     def __init__(self, stall_ms: float) -> None:
         super().__init__()
-        self._stall_ms = stall_ms
-        self._pipe: asyncio.Queue[bytes | None] = asyncio.Queue(PIPE_ITEMS)
+        self._pipe = pipe.Pipe(stall_ms)
         self._begun = asyncio.Event()
         self._broken = False
 
@@ -175,43 +167,47 @@
         """Passes the next chunks on.
 
         Raises:
-            CallerStalledError: If the caller reads nothing.
+            StalledError: If the caller reads nothing.
         """
         if self.is_event_stream:
             data = event_bytes(self.next_seq, items)
         else:
             data = b"".join(items)
         self.next_seq += len(items)
-        if data:
-            await self._put(data)
+        await self._pipe.write(data)
 
     async def finish(self) -> None:
         """Passes the end mark on.
 
         Raises:
-            CallerStalledError: If the caller reads nothing.
+            StalledError: If the caller reads nothing.
         """
         if self.is_event_stream:
-            await self._put(end_bytes())
-        await self._put(None)
+            await self._pipe.write(end_bytes())
+        self._pipe.close()
 
     async def fail(self, refusal: refusals.RefusalError) -> None:
         """Ends the answer with an error instead of the end mark."""
         if not self.is_event_stream:
-            self._broken = True
-            self.abandon()
+            self.break_off()
             return
         try:
-            await self._put(b"event: error\ndata: " + refusal.body() + b"\n\n")
-            await self._put(None)
-        except CallerStalledError:
-            self.abandon()
+            await self._pipe.write(
+                b"event: error\ndata: " + refusal.body() + b"\n\n"
+            )
+        except pipe.StalledError:
+            self.break_off()
+        self._pipe.close()
+
+    def break_off(self) -> None:
+        """Ends the answer in a way that can't look whole."""
+        self._broken = True
+        self.abandon()
 
     def abandon(self) -> None:
-        """Ends the answer for a caller that reads nothing."""
-        while not self._pipe.empty():
-            self._pipe.get_nowait()
-        self._pipe.put_nowait(None)
+        """Ends the answer of a caller that left."""
+        self._pipe.clear()
+        self._pipe.close()
 
     async def wait_begun(self) -> Head:
         """Returns the start once it is there."""
@@ -223,35 +219,13 @@
         """Yields the answer's bytes as they come.
 
         Raises:
-            BrokenAnswerError: If an answer that is no event stream broke.
+            BrokenAnswerError: If the connection is all that can tell the
+                caller that the answer is not whole.
         """
-        while True:
-            data = await self._pipe.get()
-            if self._broken:
-                raise BrokenAnswerError("the target's answer broke off")
-            if data is None:
-                return
-            parts = [data]
-            ended = False
-            while not self._pipe.empty():
-                more = self._pipe.get_nowait()
-                if more is None:
-                    ended = True
-                    break
-                parts.append(more)
-            yield data if len(parts) == 1 else b"".join(parts)
-            if ended:
-                return
-
-    async def _put(self, data: bytes | None) -> None:
-        if not self._pipe.full():
-            self._pipe.put_nowait(data)
-            return
-        try:
-            async with asyncio.timeout(self._stall_ms / 1_000):
-                await self._pipe.put(data)
-        except TimeoutError as error:
-            raise CallerStalledError(f"{self._stall_ms:.0f} ms") from error
+        while data := await self._pipe.read():
+            yield data
+        if self._broken:
+            raise BrokenAnswerError("the target's answer broke off")
 
 
 def event_bytes(first_seq: int, items: tuple[bytes, ...]) -> bytes:
@@ -273,7 +247,6 @@
     "MAX_ANSWER_BYTES",
     "AnswerTooLargeError",
     "BrokenAnswerError",
-    "CallerStalledError",
     "Head",
     "Sink",
     "StreamSink",
--- a/src/lycheering/retries/budget.py
+++ b/src/lycheering/retries/budget.py
@@ -15,11 +15,16 @@
 
 
 class RetryBudget:
-    """Tokens earned by first attempts and spent by retries."""
+    """Tokens earned by first attempts and spent by retries.
+
+    The floor lets a process that sees few requests retry at all; it adds
+    nothing once first attempts earn more than the floor.
+    """
 
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
         self._tokens = FLOOR_PER_S
+        self._earned = 0.0
         self._filled_ms = time.now_ms()
 
     def earn(self, ratio: float) -> None:
@@ -28,6 +33,7 @@
         Args:
             ratio: Retries allowed per first attempt.
         """
+        self._earned += ratio
         self._add(ratio)
 
     def spend(self) -> bool:
@@ -35,7 +41,8 @@
         now_ms = self._clock.now_ms()
         elapsed_s = (now_ms - self._filled_ms) / 1_000
         self._filled_ms = now_ms
-        self._add(elapsed_s * FLOOR_PER_S)
+        self._add(max(0.0, elapsed_s * FLOOR_PER_S - self._earned))
+        self._earned = 0.0
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
--- a/src/lycheering/routing/explain.py
+++ b/src/lycheering/routing/explain.py
@@ -4,15 +4,32 @@
 
 import collections
 import dataclasses
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from lycheering.routing import api
 
 MAX_KEPT = 1_000
 MAX_CANDIDATES = 8
 
 
+@dataclasses.dataclass(frozen=True)
+class Compared:
+    """A target that was compared.
+
+    Attributes:
+        target: The target's name.
+        score: Lower is better.
+        queue_ms: Expected wait before prefill.
+        missing_pieces: Pieces expected to be computed.
+        piece_ms: Time to prefill one of them.
+        reason: What decided the score.
+    """
+
+    target: str
+    score: float
+    queue_ms: float
+    missing_pieces: float
+    piece_ms: float
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Explanation:
     """One choice of a target.
@@ -35,7 +52,7 @@
     width: int
     chosen: str
     reason: str
-    candidates: tuple[api.Candidate, ...]
+    candidates: tuple[Compared, ...]
 
 
 class Explanations:
@@ -59,4 +76,10 @@
         return list(self._by_request_id.get(request_id, ()))
 
 
-__all__ = ["MAX_CANDIDATES", "MAX_KEPT", "Explanation", "Explanations"]
+__all__ = [
+    "MAX_CANDIDATES",
+    "MAX_KEPT",
+    "Compared",
+    "Explanation",
+    "Explanations",
+]
--- a/src/lycheering/routing/router.py
+++ b/src/lycheering/routing/router.py
@@ -144,7 +144,10 @@
                 width,
                 taken.target.name,
                 "" if taken is ordered[0] else "better ones tried or failing",
-                tuple(ordered[: explain.MAX_CANDIDATES]),
+                tuple(
+                    _compared(candidate)
+                    for candidate in ordered[: explain.MAX_CANDIDATES]
+                ),
             )
         )
         cost_ms = taken.missing_pieces * taken.piece_ms
@@ -161,6 +164,17 @@
         self.loads.keep_only(set(incarnation_by_target))
 
 
+def _compared(candidate: api.Candidate) -> explain.Compared:
+    return explain.Compared(
+        candidate.target.name,
+        round(candidate.score, 3),
+        round(candidate.queue_ms, 3),
+        round(candidate.missing_pieces, 3),
+        round(candidate.piece_ms, 3),
+        candidate.reason,
+    )
+
+
 def _may_serve(
     fleet: fleet_view.FleetView, target: records.Target, wanted: Wanted
 ) -> bool:
--- /dev/null
+++ b/tests/routing/policies.feature
@@ -0,0 +1,72 @@
+Feature: Routing policies
+
+  Background:
+    Given 6 routing targets
+    And the routing prompt "arch" of levels 40000,60000 asked by "north" with 1 shared
+
+  Scenario: A prefix goes to its first target while that is not busy
+    When the affinity policy orders the targets
+    Then the first candidate is the first ranked target
+
+  Scenario: A busy target loses the prefix to the next one
+    Given the first ranked target reports a queue of 60000 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+    And the first candidate is among the first 3 ranked targets
+
+  Scenario: Full weight on reuse keeps the prefix at a busy target that holds it
+    Given the first ranked target reports a queue of 60000 ms
+    And the first ranked target started the prompt
+    When the affinity policy orders the targets with reuse weight 1.0
+    Then the first candidate is the first ranked target
+
+  Scenario: Own work in flight counts before the next report
+    Given the first ranked target reports a queue of 0 ms
+    And this process sent 60000 ms of prefill to the first ranked target
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+
+  Scenario: A report newer than the own work replaces it
+    Given this process sent 60000 ms of prefill to the first ranked target
+    And the first ranked target reports a queue of 0 ms
+    When the affinity policy orders the targets
+    Then the first candidate is the first ranked target
+
+  Scenario: A hint falls with the agent's incarnation
+    Given the first ranked target started the prompt
+    When the agent of the first ranked target restarts
+    Then no cached pieces are expected at the first ranked target
+
+  Scenario: A hint falls with the weights
+    Given the first ranked target started the prompt
+    When the first ranked target starts another prompt with weights "w2"
+    Then no cached pieces are expected at the first ranked target
+
+  Scenario: A hint fades when the cache proves short-lived
+    Given the first ranked target started the prompt
+    When the routing clock advances by 10000 ms
+    And the first ranked target finds nothing cached of the prompt
+    And the routing clock advances by 60000 ms
+    Then fewer than 10 cached pieces are expected at the first ranked target
+
+  Scenario: A hot prefix spreads over its width and shrinks back
+    Given a hint of width 3 for the prompt
+    Then 30 prompts under the prefix go first to 3 targets
+    When the routing clock advances by 20000 ms
+    Then 30 prompts under the prefix go first to 1 targets
+
+  Scenario: A draining target is taken last
+    Given the first ranked target reports that it drains
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+
+  Scenario Outline: Baselines order all targets
+    When the <policy> policy orders the targets
+    Then 6 targets are ordered
+
+    Examples:
+      | policy       |
+      | round_robin  |
+      | least_loaded |
+      | prefix_hash  |
+      | affinity     |
--- /dev/null
+++ b/tests/steps/retries_steps.py
@@ -0,0 +1,77 @@
+"""Steps for the retry budget and circuits."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.retries import budget
+from lycheering.retries import circuit
+
+
+@given("a retry budget")
+def step_budget(context):
+    context.clock = clock.ManualClock()
+    context.budget = budget.RetryBudget(context.clock)
+
+
+@when(
+    "{count:d} first attempts arrive over {duration_ms:d} ms and each asks"
+    " for {retries:d} retries"
+)
+def step_attempts(context, count, duration_ms, retries):
+    context.granted = 0
+    for _ in range(count):
+        context.clock.advance(duration_ms / count)
+        context.budget.earn(0.1)
+        for _ in range(retries):
+            context.granted += context.budget.spend()
+
+
+@then("at most {count:d} retries were granted")
+def step_at_most(context, count):
+    assert context.granted <= count, context.granted
+
+
+@then("at least {count:d} retries were granted")
+def step_at_least(context, count):
+    assert context.granted >= count, context.granted
+
+
+@given("a circuit whose target failed once")
+def step_circuit(context):
+    context.clock = clock.ManualClock()
+    context.circuits = circuit.Circuits(context.clock)
+    context.circuits.failed("t")
+
+
+@given("the circuit's target fails again")
+def step_failed(context):
+    context.circuits.failed("t")
+
+
+@when("the circuit's clock advances by {duration_ms:d} ms")
+def step_advance(context, duration_ms):
+    context.clock.advance(duration_ms)
+
+
+@when("a probe is sent to the circuit's target")
+def step_sent(context):
+    context.circuits.sent("t")
+
+
+@when("the circuit's target succeeds")
+def step_succeeds(context):
+    context.circuits.succeeded("t")
+
+
+@then("the circuit's target is usable")
+def step_usable(context):
+    assert context.circuits.usable("t")
+
+
+@then("the circuit's target is not usable")
+def step_not_usable(context):
+    assert not context.circuits.usable("t")
--- a/tests/support/fake_fleet.py
+++ b/tests/support/fake_fleet.py
@@ -64,6 +64,7 @@
     pause_ms: float = 0.0
     weights_version: str = "w1"
     cut_short: bool = False
+    padding: int = 0
 
 
 class FakeAgent(api.SessionHandler):
@@ -73,6 +74,7 @@
         self.name = name
         self.script = Script()
         self.submits = []
+        self.runs = 0
         self.cancels = []
         self.resumes = []
         self.tasks = set()
@@ -92,13 +94,11 @@
         match envelope.message:
             case messages.Submit() as submit:
                 self.submits.append(submit)
-                self.spawn(self.answer(session, envelope.call_id, submit, 0))
+                self.spawn(self.answer(session, envelope.call_id, submit))
             case messages.Resume() as resume:
                 self.resumes.append(resume)
                 submit = next(
-                    s
-                    for s in self.submits
-                    if s.request_id == resume.request_id
+                    s for s in self.submits if s.request_id == resume.request_id
                 )
                 self.spawn(
                     self.send(
@@ -113,21 +113,26 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def answer(self, session, call_id, submit, _):
+    async def answer(self, session, call_id, submit):
         if self.script.not_run:
             reason = messages.Reason(self.script.not_run)
             session.send(messages.NotRun(reason, 700.0), call_id)
             return
+        script = self.script
+        self.runs += 1
         session.send(messages.Accepted(0.0), call_id)
         kind = "text/event-stream"
         if not submit.model:
             kind = "application/json"
         session.send(
-            messages.Started(200, kind, 4, 2, self.script.weights_version),
+            messages.Started(200, kind, 4, 2, script.weights_version),
             call_id,
         )
+        if not submit.model and script.mute_after == 0:
+            return
         if not submit.model:
-            body = f'{{"run":{len(self.submits)}}}'.encode()
+            await asyncio.sleep(script.pause_ms / 1_000)
+            body = f'{{"run":{self.runs}}}'.encode()
             session.send(messages.Chunks(0, (body,)), call_id)
             session.send(messages.Finished(1), call_id)
             return
@@ -135,7 +140,7 @@
 
     async def send(self, session, call_id, submit, first):
         script = self.script
-        text = prompt_of(submit)
+        text = prompt_of(submit) + "x" * script.padding
         chat = "chat" in submit.path
         if script.crossed:
             stray = (token_item("stray", 0, False, chat=chat),)
@@ -339,7 +344,8 @@
 
     @property
     def engines(self):
-        return [a for n, a in self.agent_by_name.items() if n.startswith("t")]
+        agents = self.agent_by_name.items()
+        return [agent for name, agent in agents if name.startswith("t")]
 
     async def fetch(self, method, path, key="key-north", body=None, **headers):
         given = {"Authorization": f"Bearer {key}"} if key else {}
