--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,418 @@
+"""A whole fleet of real processes and stand-ins on one machine."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import json
+import pathlib
+import secrets
+import urllib.error
+import urllib.request
+
+from bench import processes
+
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+READY_TIMEOUT_S = 60.0
+HTTP_TIMEOUT_S = 10.0
+OPERATOR = "bench"
+
+
+@dataclasses.dataclass(frozen=True)
+class EnginePlan:
+    """How the engine stand-ins behave.
+
+    Attributes:
+        slots: Requests that one engine runs at once.
+        capacity_blocks: Cached blocks that one engine holds.
+        prefill_ms_per_piece: Time to prefill one missing piece.
+        token_ms: Time of one decode step.
+    """
+
+    slots: int = 8
+    capacity_blocks: int = 200
+    prefill_ms_per_piece: float = 40.0
+    token_ms: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetPlan:
+    """Which processes a fleet has.
+
+    Attributes:
+        controls: Control instances.
+        entries: Entry instances.
+        engines: Engines, each with an agent.
+        services: Plain services by name, with their number of targets.
+        teams: Names of the teams.
+        model: The model that the engines serve.
+        engine: How the engines behave.
+        fencing: Engines and services that check fencing numbers.
+        once_services: Services whose calls may not be repeated.
+        value_by_default: Defaults that differ from the product's.
+        agent_silence_ms: Silence after which connections are replaced.
+        kv_store: Whether there is a store of kept KV cache.
+        weight_store: Whether there is a weight store.
+    """
+
+    controls: int = 3
+    entries: int = 2
+    engines: int = 6
+    services: dict[str, int] = dataclasses.field(default_factory=dict)
+    teams: tuple[str, ...] = ("team-1", "team-2")
+    model: str = "drafting"
+    engine: EnginePlan = EnginePlan()
+    fencing: frozenset[str] = frozenset()
+    once_services: frozenset[str] = frozenset()
+    value_by_default: dict[str, bool | int | float | str] = dataclasses.field(
+        default_factory=dict
+    )
+    agent_silence_ms: int = 2_000
+    kv_store: bool = False
+    weight_store: bool = False
+
+
+class OperatorError(Exception):
+    """The operator endpoint refused.
+
+    Attributes:
+        status: The HTTP status.
+        body: What it answered.
+    """
+
+    def __init__(self, status: int, body: str) -> None:
+        super().__init__(f"{status}: {body}")
+        self.status = status
+        self.body = body
+
+
+def call_json(
+    url: str,
+    method: str = "GET",
+    body: object = None,
+    timeout_s: float = HTTP_TIMEOUT_S,
+) -> object:
+    """Does one exchange in JSON.
+
+    Raises:
+        OperatorError: If the answer is an error.
+        OSError: If there is no answer.
+    """
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    request.add_header("Content-Type", "application/json")
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+            text = reply.read()
+    except urllib.error.HTTPError as error:
+        raise OperatorError(error.code, error.read().decode()) from error
+    return json.loads(text) if text else None
+
+
+def answers(url: str) -> bool:
+    """Returns whether a URL answers with success."""
+    try:
+        with urllib.request.urlopen(url, timeout=2):
+            return True
+    except OSError:
+        return False
+
+
+class Fleet:
+    """A running fleet.
+
+    Attributes:
+        plan: Which processes it has.
+        group: Its processes.
+        entry_urls: Where callers reach each entry.
+        operator_urls: Where operators reach each control instance.
+        url_by_target: Where each target stand-in listens.
+        key_by_team: Each team's bearer key.
+        platform_url: The platform stand-in.
+    """
+
+    def __init__(self, plan: FleetPlan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.group = processes.ProcessGroup(folder)
+        self.entry_urls: list[str] = []
+        self.operator_urls: list[str] = []
+        self.url_by_target: dict[str, str] = {}
+        self.key_by_team = {
+            team: f"key-{team}-{secrets.token_hex(8)}" for team in plan.teams
+        }
+        self.platform_url = ""
+        self._folder = folder
+        self._ports = processes.PortAllocator()
+        self._members = ""
+        self._stores: list[str] = []
+        self._kv_url = ""
+
+    def start(self) -> None:
+        """Starts every process and waits until requests can be served."""
+        self._start_outside()
+        self._start_controls()
+        self._configure()
+        self._start_agents()
+        self._start_entries()
+        self.wait_serving()
+
+    def close(self) -> None:
+        """Ends every process."""
+        self.group.close()
+
+    def _stand_in(self, name: str, module: str, *options: str) -> str:
+        process = self.group.start(
+            name, "-m", f"standins.{module}", "--port", "0", *options
+        )
+        return f"http://{processes.HOST}:{process.ready_port()}"
+
+    def _start_outside(self) -> None:
+        self.platform_url = self._stand_in("platform", "platform")
+        weight_options: list[str] = []
+        if self.plan.weight_store:
+            url = self._stand_in("weight-store", "weight_store")
+            weight_options = ["--weight-store", url]
+        if self.plan.kv_store:
+            self._kv_url = self._stand_in("kv-store", "kv_store")
+            weight_options += ["--kv-store", self._kv_url]
+        for number in range(self.plan.engines):
+            self.start_engine(f"engine-{number}", *weight_options)
+        for service, count in self.plan.services.items():
+            for number in range(count):
+                name = f"{service}-{number}"
+                options = []
+                if service in self.plan.fencing:
+                    options.append("--check-fencing")
+                url = self._stand_in(name, "service", *options)
+                self.url_by_target[name] = url
+
+    def start_engine(self, name: str, *options: str) -> None:
+        """Starts an engine, on its old port if it had one."""
+        engine = self.plan.engine
+        old = self.url_by_target.get(name)
+        port = old.rpartition(":")[2] if old else str(self._ports.take())
+        command = ["-m", "standins.engine", "--port", port]
+        command += ["--model", self.plan.model, "--slots", str(engine.slots)]
+        command += ["--capacity-blocks", str(engine.capacity_blocks)]
+        command += ["--prefill-ms-per-piece", str(engine.prefill_ms_per_piece)]
+        command += ["--token-ms", str(engine.token_ms), *options]
+        if "engine" in self.plan.fencing:
+            command.append("--check-fencing")
+        process = self.group.start(name, *command)
+        process.ready_port()
+        self.url_by_target[name] = f"http://{processes.HOST}:{port}"
+
+    def write_settings(
+        self,
+        name: str,
+        domain: str,
+        role_section: str,
+        option_by_name: dict[str, str],
+        wire_port: int = 0,
+        members: str = "",
+    ) -> pathlib.Path:
+        """Writes one process's settings file and returns its path."""
+        parser = configparser.ConfigParser(interpolation=None)
+        parser["instance"] = {
+            "name": name,
+            "ip": processes.HOST,
+            "failure_domain": domain,
+        }
+        parser["wire"] = {
+            "port": str(wire_port),
+            "silence_ms": str(self.plan.agent_silence_ms),
+        }
+        parser["control"] = {"members": members or self._members}
+        parser[role_section] = option_by_name
+        path = self._folder / f"{name}.ini"
+        with path.open("w") as file:
+            parser.write(file)
+        return path
+
+    def _start_controls(self) -> None:
+        ports = [self._ports.take() for _ in range(self.plan.controls)]
+        self._members = ", ".join(
+            f"control-{number}@{processes.HOST}:{port}"
+            for number, port in enumerate(ports)
+        )
+        for number, port in enumerate(ports):
+            self.start_control(f"control-{number}", port)
+        for url in self.operator_urls:
+            processes.wait_until(
+                lambda url=url: answers(f"{url}/health/ready"),  # type: ignore[misc]
+                "the control instances",
+                READY_TIMEOUT_S,
+            )
+
+    def start_control(
+        self, name: str, wire_port: int, *, join: bool = False
+    ) -> None:
+        """Starts a control instance with a data folder of its own."""
+        operator_port = self._ports.take()
+        number = int(name.rpartition("-")[2])
+        path = self.write_settings(
+            name,
+            DOMAINS[number % len(DOMAINS)],
+            "log_store",
+            {
+                "data_folder": str(self._folder / f"{name}.data"),
+                "operator_port": str(operator_port),
+                "platform_url": self.platform_url,
+                "join": str(join).lower(),
+            },
+            wire_port,
+        )
+        self.operator_urls.append(f"http://{processes.HOST}:{operator_port}")
+        self.group.start(name, "-m", "lycheering", "control", str(path))
+
+    def _start_agents(self) -> None:
+        for number in range(self.plan.engines):
+            self._start_agent(f"engine-{number}", number, "engine")
+        for service, count in self.plan.services.items():
+            for number in range(count):
+                self._start_agent(f"{service}-{number}", number, service)
+
+    def _start_agent(self, target: str, number: int, service: str) -> None:
+        option_by_name = {
+            "target": target,
+            "url": self.url_by_target[target],
+            "slots": str(self.plan.engine.slots),
+        }
+        if service == "engine":
+            option_by_name |= {"kind": "engine", "model": self.plan.model}
+            if self._kv_url:
+                option_by_name["kv_store_url"] = self._kv_url
+        else:
+            option_by_name |= {"kind": "service", "service": service}
+        name = f"agent-{target}"
+        path = self.write_settings(
+            name,
+            DOMAINS[number % len(DOMAINS)],
+            "agent",
+            option_by_name,
+            self._ports.take(),
+        )
+        self.group.start(name, "-m", "lycheering", "agent", str(path))
+
+    def _start_entries(self) -> None:
+        for number in range(self.plan.entries):
+            port = self._ports.take()
+            name = f"entry-{number}"
+            path = self.write_settings(
+                name,
+                DOMAINS[number % len(DOMAINS)],
+                "entry",
+                {
+                    "http_port": str(port),
+                    "balancer_grace_ms": "200",
+                    "state_folder": str(self._folder / f"{name}.state"),
+                },
+            )
+            self.entry_urls.append(f"http://{processes.HOST}:{port}")
+            self.group.start(name, "-m", "lycheering", "entry", str(path))
+
+    def operator(
+        self, path: str, method: str = "GET", body: object = None
+    ) -> object:
+        """Calls the operator endpoint of the first instance that answers.
+
+        Raises:
+            OperatorError: If it refuses.
+            OSError: If no instance answers.
+        """
+        failure: Exception = OSError("no control instance")
+        for url in self.operator_urls:
+            try:
+                return call_json(url + path, method, body)
+            except OperatorError as error:
+                if error.status != 503:
+                    raise
+                failure = error
+            except OSError as error:
+                failure = error
+        raise failure
+
+    def revision(self) -> int:
+        """Returns the config revision in force at control."""
+        reply = self.operator("/v1/defaults")
+        assert isinstance(reply, dict)
+        return int(reply["config_revision"])
+
+    def _configure(self) -> None:
+        for team, key in self.key_by_team.items():
+            self.operator(
+                f"/v1/teams/{team}",
+                "PUT",
+                self._change(key=key),
+            )
+        for option, value in self.plan.value_by_default.items():
+            self.set_default(option, value)
+        for service in sorted(self.plan.once_services):
+            self.add_exception(
+                "service", service, "calls.repeatable", False, "bills"
+            )
+        for service in sorted(self.plan.fencing - {"engine"}):
+            self.add_exception(
+                "service", service, "target.checks_fencing", True, "checks"
+            )
+
+    def _change(self, **fields: object) -> dict[str, object]:
+        return {
+            "change_id": secrets.token_hex(8),
+            "expected_revision": self.revision(),
+            "operator": OPERATOR,
+            **fields,
+        }
+
+    def set_default(
+        self, option: str, value: bool | int | float | str
+    ) -> object:
+        """Sets a default for the whole fleet."""
+        body = self._change(option=option, value=value)
+        return self.operator("/v1/defaults", "POST", body)
+
+    def add_exception(
+        self,
+        kind: str,
+        name: str,
+        option: str,
+        value: bool | int | float | str,
+        reason: str,
+    ) -> object:
+        """Adds an exception."""
+        body = self._change(
+            scope={"kind": kind, "name": name},
+            option=option,
+            value=value,
+            reason=reason,
+        )
+        return self.operator("/v1/exceptions", "POST", body)
+
+    def wait_serving(self) -> None:
+        """Waits until all targets are registered and all entries ready."""
+        expected = self.plan.engines + sum(self.plan.services.values())
+
+        def registered() -> bool:
+            reply = self.operator("/v1/targets")
+            assert isinstance(reply, dict)
+            live = [t for t in reply["targets"] if t["state"] == "live"]
+            return len(live) == expected
+
+        processes.wait_until(registered, "the agents", READY_TIMEOUT_S)
+        for url in self.entry_urls:
+            processes.wait_until(
+                lambda url=url: answers(f"{url}/health/ready"),  # type: ignore[misc]
+                "the entries",
+                READY_TIMEOUT_S,
+            )
+
+
+__all__ = [
+    "DOMAINS",
+    "EnginePlan",
+    "Fleet",
+    "FleetPlan",
+    "OperatorError",
+    "answers",
+    "call_json",
+]
