--- /dev/null
+++ b/src/lycheering/commands/check.py
@@ -0,0 +1,40 @@
+"""The command that checks settings files."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+from lycheering.commands import exit_codes
+from lycheering.settings import load
+
+
+def run(files: list[str], *, as_json: bool = False) -> int:
+    """Checks settings files and prints every finding.
+
+    Args:
+        files: The files.
+        as_json: Whether to print JSON.
+
+    Returns:
+        The exit code.
+    """
+    findings: list[load.Finding] = []
+    for file in files:
+        try:
+            load.load(file)
+        except load.SettingsError as error:
+            findings += error.findings
+    if as_json:
+        records = [dataclasses.asdict(finding) for finding in findings]
+        print(json.dumps({"findings": records}, indent=2))
+    else:
+        for finding in findings:
+            print(finding)
+        print(f"{len(files)} checked, {len(findings)} findings")
+    if findings:
+        return exit_codes.ExitCode.FAILED
+    return exit_codes.ExitCode.OK
+
+
+__all__ = ["run"]
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -246,7 +246,22 @@
     agent: AgentSettings | None = None
 
 
+SECTION_TYPE_BY_NAME: dict[str, type[Section]] = {
+    "instance": InstanceSettings,
+    "wire": WireSettings,
+    "log": LogSettings,
+    "metrics": MetricsSettings,
+    "control": ControlSettings,
+    "log_store": LogStoreSettings,
+    "entry": EntrySettings,
+    "agent": AgentSettings,
+}
+REQUIRED_SECTIONS = ("instance", "control")
+
+
 __all__ = [
+    "REQUIRED_SECTIONS",
+    "SECTION_TYPE_BY_NAME",
     "AgentSettings",
     "ControlSettings",
     "EntrySettings",
