Add stand-ins for the systems that a fleet meets

The fleet is tested only against published protocols, so each outside system needs a small server: a model engine, a plain service, the store of kept blocks, the weight store and the platform's list.

--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the outside systems that lycheering meets."""
+"""Small servers that speak the published protocols of outside systems."""
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a model engine that batches and caches prompt prefixes."""
