--- /dev/null
+++ b/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""A load tool that drives callers with seeded arrivals."""
--- /dev/null
+++ b/bench/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded request traces of the two users."""
--- /dev/null
+++ b/bench/traces/mavazi.py
@@ -0,0 +1,124 @@
+"""The trace of the Mavazi Trend Consortium."""
+
+from __future__ import annotations
+
+import random
+
+from bench.traces import calls
+
+ARCHIVES = 3
+SEASONS = 4
+ARCHIVE_PIECES = 4
+SEASON_PIECES = 6
+MEMBER_PIECES = 3
+GUIDE_PIECES = 2
+BRIEF_TAIL_CHARS = 1_500
+TAG_TAIL_CHARS = 300
+BRIEF_TOKENS = 64
+TAG_TOKENS = 8
+BRIEF_DEADLINE_MS = 30_000
+TAG_DEADLINE_MS = 3_000
+ORDER_DEADLINE_MS = 10_000
+READ_DEADLINE_MS = 5_000
+KINDS = ("brief", "tag_query", "order", "lookup")
+KIND_WEIGHTS = (0.40, 0.40, 0.04, 0.16)
+
+
+def team_names(settings: calls.TraceSettings) -> list[str]:
+    """Returns the names of the Members."""
+    return [f"member-{index + 1}" for index in range(settings.teams)]
+
+
+def brief(
+    settings: calls.TraceSettings,
+    rng: random.Random,
+    call_id: str,
+    at_ms: float,
+    team: str,
+) -> calls.Call:
+    """Returns a Forecast Brief over an archive, a season and a Member."""
+    archive = f"archive-{calls.draw_hot(settings, rng, at_ms, ARCHIVES)}"
+    number = calls.draw_hot(settings, rng, at_ms, SEASONS)
+    season = f"{archive}/season-{number}"
+    return calls.Call(
+        call_id=call_id,
+        at_ms=at_ms,
+        team=team,
+        priority_class="brief",
+        deadline_ms=BRIEF_DEADLINE_MS,
+        model=settings.model,
+        levels=(
+            calls.Level(archive, ARCHIVE_PIECES),
+            calls.Level(season, SEASON_PIECES),
+            calls.Level(f"{season}/{team}", MEMBER_PIECES, team),
+        ),
+        tail=calls.filler_text(call_id, BRIEF_TAIL_CHARS),
+        is_chat=True,
+        max_tokens=BRIEF_TOKENS,
+    )
+
+
+def tag_query(
+    settings: calls.TraceSettings,
+    rng: random.Random,
+    call_id: str,
+    at_ms: float,
+    team: str,
+) -> calls.Call:
+    """Returns a Tag Query under the Member's labelling guide."""
+    return calls.Call(
+        call_id=call_id,
+        at_ms=at_ms,
+        team=team,
+        priority_class="tag_query",
+        deadline_ms=TAG_DEADLINE_MS,
+        model=settings.model,
+        levels=(calls.Level(f"guide/{team}", GUIDE_PIECES, team),),
+        tail=calls.filler_text(call_id, TAG_TAIL_CHARS),
+        max_tokens=TAG_TOKENS,
+        is_streamed=rng.random() < 0.5,
+    )
+
+
+def service_call(
+    settings: calls.TraceSettings,
+    kind: str,
+    call_id: str,
+    at_ms: float,
+    team: str,
+) -> calls.Call:
+    """Returns a Commission Order or a Catalogue Read."""
+    is_order = kind == "order"
+    deadline_ms = ORDER_DEADLINE_MS if is_order else READ_DEADLINE_MS
+    return calls.Call(
+        call_id=call_id,
+        at_ms=at_ms,
+        team=team,
+        priority_class=kind,
+        deadline_ms=deadline_ms,
+        service=settings.service,
+        service_path="/orders" if is_order else "/catalogue",
+        tail=f"{kind} {call_id} of {team}",
+        is_repeatable=not is_order,
+    )
+
+
+def trace(settings: calls.TraceSettings) -> list[calls.Call]:
+    """Returns the calls of the trace in order of time."""
+    rng = random.Random(f"mavazi/{settings.seed}")
+    teams = team_names(settings)
+    drawn = []
+    for index, at_ms in enumerate(calls.arrivals(settings, rng)):
+        call_id = f"mavazi-{settings.seed}-{index}"
+        team = calls.draw_team(settings, rng, teams)
+        kind = rng.choices(KINDS, KIND_WEIGHTS)[0]
+        if kind == "brief":
+            drawn.append(brief(settings, rng, call_id, at_ms, team))
+        elif kind == "tag_query":
+            drawn.append(tag_query(settings, rng, call_id, at_ms, team))
+        else:
+            drawn.append(service_call(settings, kind, call_id, at_ms, team))
+    return drawn
+
+
+__all__ = ["team_names", "trace"]
--- /dev/null
+++ b/bench/traces/tahanan.py
@@ -0,0 +1,108 @@
+"""The trace of Tahanan Softworks."""
+
+from __future__ import annotations
+
+import random
+
+from bench.traces import calls
+
+CLASSES = 12
+SCHOOL_PIECES = 3
+CLASS_PIECES = 2
+LETTER_PIECES = 1
+OPEN_LETTERS = 6
+CHECK_TAIL_CHARS = 200
+MATCH_TAIL_CHARS = 1_200
+LETTER_TAIL_CHARS = 600
+CHECK_TOKENS = 8
+MATCH_TOKENS = 32
+LETTER_TOKENS = 24
+CHECK_DEADLINE_MS = 2_000
+MATCH_DEADLINE_MS = 5_000
+LETTER_DEADLINE_MS = 15_000
+CONFIRMATION_DEADLINE_MS = 10_000
+KINDS = ("letter", "check", "match", "confirmation")
+KIND_WEIGHTS = (0.20, 0.50, 0.22, 0.08)
+
+
+def team_names(settings: calls.TraceSettings) -> list[str]:
+    """Returns the names of the schools."""
+    return [f"school-{index + 1}" for index in range(settings.teams)]
+
+
+def completion(
+    settings: calls.TraceSettings,
+    rng: random.Random,
+    kind: str,
+    call_id: str,
+    at_ms: float,
+    team: str,
+) -> calls.Call:
+    """Returns a letter, a check or a match within a school's class."""
+    number = calls.draw_hot(settings, rng, at_ms, CLASSES)
+    school_class = f"{team}/class-{number}"
+    letter = f"{school_class}/letter-{rng.randrange(OPEN_LETTERS)}"
+    shape = {
+        "letter": ("brief", LETTER_DEADLINE_MS, LETTER_TAIL_CHARS),
+        "check": ("check", CHECK_DEADLINE_MS, CHECK_TAIL_CHARS),
+        "match": ("match", MATCH_DEADLINE_MS, MATCH_TAIL_CHARS),
+    }[kind]
+    tokens = {
+        "letter": LETTER_TOKENS,
+        "check": CHECK_TOKENS,
+        "match": MATCH_TOKENS,
+    }[kind]
+    return calls.Call(
+        call_id=call_id,
+        at_ms=at_ms,
+        team=team,
+        priority_class=shape[0],
+        deadline_ms=shape[1],
+        model=settings.model,
+        levels=(
+            calls.Level(team, SCHOOL_PIECES, team),
+            calls.Level(school_class, CLASS_PIECES, team),
+            calls.Level(letter, LETTER_PIECES, team),
+        ),
+        tail=calls.filler_text(call_id, shape[2]),
+        max_tokens=tokens,
+        is_streamed=kind != "check" or rng.random() < 0.7,
+    )
+
+
+def confirmation(
+    settings: calls.TraceSettings, call_id: str, at_ms: float, team: str
+) -> calls.Call:
+    """Returns a pairing confirmation, which may not be repeated."""
+    return calls.Call(
+        call_id=call_id,
+        at_ms=at_ms,
+        team=team,
+        priority_class="order",
+        deadline_ms=CONFIRMATION_DEADLINE_MS,
+        service=settings.service,
+        service_path="/confirmations",
+        tail=f"confirmation {call_id} of {team}",
+        is_repeatable=False,
+    )
+
+
+def trace(settings: calls.TraceSettings) -> list[calls.Call]:
+    """Returns the calls of the trace in order of time."""
+    rng = random.Random(f"tahanan/{settings.seed}")
+    teams = team_names(settings)
+    drawn = []
+    for index, at_ms in enumerate(calls.arrivals(settings, rng)):
+        call_id = f"tahanan-{settings.seed}-{index}"
+        team = calls.draw_team(settings, rng, teams)
+        kind = rng.choices(KINDS, KIND_WEIGHTS)[0]
+        if kind == "confirmation":
+            drawn.append(confirmation(settings, call_id, at_ms, team))
+        else:
+            drawn.append(
+                completion(settings, rng, kind, call_id, at_ms, team)
+            )
+    return drawn
+
+
+__all__ = ["team_names", "trace"]
