Add the operators' commands and their HTTP client

Cause: operators drive the fleet by defaults, exceptions and orders, and need to know whether a change was done, refused or is in doubt.

Ruled out: http.client, which can't tell a refused connection from a lost answer without more code than the client the product has already.

Refusals show reason, findings, winner and time to retry.

--- a/bench/traces/tahanan.py
+++ b/bench/traces/tahanan.py
@@ -99,9 +99,7 @@
         if kind == "confirmation":
             drawn.append(confirmation(settings, call_id, at_ms, team))
         else:
-            drawn.append(
-                completion(settings, rng, kind, call_id, at_ms, team)
-            )
+            drawn.append(completion(settings, rng, kind, call_id, at_ms, team))
     return drawn
 
 
--- /dev/null
+++ b/src/lycheering/commands/orders.py
@@ -0,0 +1,126 @@
+"""The commands that show orders and settle them by hand."""
+
+from __future__ import annotations
+
+import dataclasses
+import getpass
+from typing import Annotated
+from typing import Literal
+
+import cappa
+
+from lycheering.commands import base
+from lycheering.commands import exit_codes
+from lycheering.commands import output
+from lycheering.operator import answers
+from lycheering.operator import calls
+from lycheering.operator import client
+
+HEADERS = ("ORDER", "TEAM", "KEY", "STATE", "TARGET", "CLAIMED AT", "REASON")
+
+
+def _print(orders: tuple[answers.OrderItem, ...]) -> None:
+    rows = [
+        (
+            order.order_id,
+            order.team,
+            order.key,
+            order.state,
+            order.target,
+            output.moment(order.claimed_at_ms),
+            order.reason,
+        )
+        for order in orders
+    ]
+    output.table(HEADERS, rows)
+
+
+@cappa.command(name="show", help="Show where one order stands.")
+@dataclasses.dataclass(kw_only=True)
+class Show(base.OperatorCommand):
+    """Shows where one order stands."""
+
+    team: Annotated[str, cappa.Arg(help="The team's name.")]
+    key: Annotated[str, cappa.Arg(help="The caller's idempotency key.")]
+
+    async def run(self) -> int:
+        """Runs the command."""
+        path = f"/v1/orders/{calls.quote(self.team)}/{calls.quote(self.key)}"
+        content = await self.client().call(calls.read(path))
+        if self.json:
+            output.as_json(content)
+            return exit_codes.ExitCode.OK
+        answer = client.decode(content, answers.OrderAnswer)
+        if answer.order is not None:
+            _print((answer.order,))
+        return exit_codes.ExitCode.OK
+
+
+@cappa.command(name="list", help="List orders, those unknown by default.")
+@dataclasses.dataclass(kw_only=True)
+class List(base.OperatorCommand):
+    """Lists orders, those unknown by default."""
+
+    state: Annotated[
+        Literal["claimed", "finished", "released", "unknown"],
+        cappa.Arg(long=True, help="The state of the orders listed."),
+    ] = "unknown"
+    limit: Annotated[
+        int, cappa.Arg(long=True, help="The most orders listed.")
+    ] = 100
+
+    async def run(self) -> int:
+        """Runs the command."""
+        path = f"/v1/orders?state={self.state}&limit={self.limit}"
+        content = await self.client().call(calls.read(path))
+        if self.json:
+            output.as_json(content)
+            return exit_codes.ExitCode.OK
+        _print(client.decode(content, answers.OrdersAnswer).orders)
+        return exit_codes.ExitCode.OK
+
+
+@cappa.command(name="resolve", help="Settle an order of unknown outcome.")
+@dataclasses.dataclass(kw_only=True)
+class Resolve(base.OperatorCommand):
+    """Settles an order of unknown outcome."""
+
+    order_id: Annotated[str, cappa.Arg(help="The order's id.")]
+    resolution: Annotated[
+        Literal["ran", "not_run"],
+        cappa.Arg(help="Whether it ran; not_run frees its key."),
+    ]
+    reason: Annotated[
+        str, cappa.Arg(long=True, required=True, help="The written reason.")
+    ]
+    operator: Annotated[
+        str,
+        cappa.Arg(
+            long=True, default=cappa.Env(base.OPERATOR_VARIABLE, default="")
+        ),
+    ] = ""
+
+    async def run(self) -> int:
+        """Runs the command."""
+        operator = self.operator or getpass.getuser()
+        body = calls.ResolveBody(operator, self.reason, self.resolution)
+        call = calls.resolve_order(self.order_id, body)
+        content = await self.client().call(call)
+        if self.json:
+            output.as_json(content)
+            return exit_codes.ExitCode.OK
+        answer = client.decode(content, answers.OrderAnswer)
+        if answer.order is not None:
+            _print((answer.order,))
+        return exit_codes.ExitCode.OK
+
+
+@cappa.command(name="order", help="Show orders and settle them by hand.")
+@dataclasses.dataclass
+class Order:
+    """Shows orders and settles them by hand."""
+
+    command: cappa.Subcommands[Show | List | Resolve]
+
+
+__all__ = ["List", "Order", "Resolve", "Show"]
--- a/src/lycheering/commands/root.py
+++ b/src/lycheering/commands/root.py
@@ -4,23 +4,30 @@
 
 import dataclasses
 from typing import Annotated
+from typing import Protocol
+from typing import cast
 
 import cappa
 
 from lycheering.commands import check
+from lycheering.commands import defaults
+from lycheering.commands import exceptions
+from lycheering.commands import explain
+from lycheering.commands import members
+from lycheering.commands import options
+from lycheering.commands import orders
 from lycheering.commands import roles
+from lycheering.commands import status
+from lycheering.commands import targets
+from lycheering.commands import teams
 
 
 @cappa.command(name="entry", help="Serve callers on this instance.")
 @dataclasses.dataclass
 class Entry:
-    """Serves callers.
+    """Serves callers."""
 
-    Args:
-        file: The settings file.
-    """
-
-    file: str
+    file: Annotated[str, cappa.Arg(help="The settings file.")]
 
     def __call__(self) -> int:
         """Runs the role."""
@@ -30,13 +37,9 @@
 @cappa.command(name="agent", help="Run beside one target.")
 @dataclasses.dataclass
 class Agent:
-    """Runs beside one target.
-
-    Args:
-        file: The settings file.
-    """
+    """Runs beside one target."""
 
-    file: str
+    file: Annotated[str, cappa.Arg(help="The settings file.")]
 
     def __call__(self) -> int:
         """Runs the role."""
@@ -46,13 +49,9 @@
 @cappa.command(name="control", help="Run one control instance.")
 @dataclasses.dataclass
 class Control:
-    """Runs one control instance.
+    """Runs one control instance."""
 
-    Args:
-        file: The settings file.
-    """
-
-    file: str
+    file: Annotated[str, cappa.Arg(help="The settings file.")]
 
     def __call__(self) -> int:
         """Runs the role."""
@@ -62,15 +61,13 @@
 @cappa.command(name="check", help="Report all findings in settings files.")
 @dataclasses.dataclass
 class Check:
-    """Checks settings files.
-
-    Args:
-        files: The settings files.
-        json: Print JSON.
-    """
+    """Checks settings files."""
 
-    files: Annotated[list[str], cappa.Arg(num_args=-1, required=True)]
-    json: Annotated[bool, cappa.Arg(long=True)] = False
+    files: Annotated[
+        list[str],
+        cappa.Arg(num_args=-1, required=True, help="The settings files."),
+    ]
+    json: Annotated[bool, cappa.Arg(long=True, help="Print JSON.")] = False
 
     def __call__(self) -> int:
         """Runs the command."""
@@ -82,7 +79,28 @@
 class Lycheering:
     """Routes language-model traffic with long shared prompts."""
 
-    command: cappa.Subcommands[Entry | Agent | Control | Check]
+    command: cappa.Subcommands[
+        Entry
+        | Agent
+        | Control
+        | Check
+        | defaults.Defaults
+        | exceptions.Exceptions
+        | teams.Teams
+        | targets.Targets
+        | targets.Drain
+        | targets.Undrain
+        | status.Status
+        | status.History
+        | orders.Order
+        | members.Members
+        | explain.Explain
+        | options.Options
+    ]
+
+
+class _Group(Protocol):
+    command: object
 
 
 def run(arguments: list[str]) -> int:
@@ -95,7 +113,11 @@
         The exit code.
     """
     parsed = cappa.parse(Lycheering, argv=arguments, completion=False)
-    return int(parsed.command())
+    command: object = parsed.command
+    while not callable(command):
+        # a group of commands holds the one chosen
+        command = cast("_Group", command).command
+    return int(command())
 
 
 __all__ = ["Lycheering", "run"]
--- /dev/null
+++ b/src/lycheering/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the operators' HTTP interface."""
--- /dev/null
+++ b/src/lycheering/operator/answers.py
@@ -0,0 +1,397 @@
+"""What the operators' HTTP interface answers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lycheering.fleet import options
+
+
+class Winner(msgspec.Struct, frozen=True):
+    """The change that was accepted instead of another.
+
+    Attributes:
+        revision: The config revision that it made.
+        operator: Who made it.
+        change_id: Its id.
+    """
+
+    revision: int = 0
+    operator: str = ""
+    change_id: str = ""
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Why a call failed.
+
+    Attributes:
+        code: The HTTP status.
+        reason: A fixed word for the reason.
+        message: Text for people.
+        findings: Everything wrong with the call.
+        retry_after_ms: When to try again; 0 where that is no use.
+        winner: The change that was accepted instead, if that is why.
+    """
+
+    code: int = 0
+    reason: str = ""
+    message: str = ""
+    findings: tuple[str, ...] = ()
+    retry_after_ms: float = 0.0
+    winner: Winner | None = None
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """The body of every failed call.
+
+    Attributes:
+        error: Why it failed.
+    """
+
+    error: ErrorBody
+
+
+class ReadAnswer(msgspec.Struct, frozen=True):
+    """What every answer to a read begins with.
+
+    Attributes:
+        current: Whether a quorum confirmed that nothing is newer.
+        config_revision: The config revision read.
+        view_revision: The view revision read.
+    """
+
+    current: bool = False
+    config_revision: int = 0
+    view_revision: int = 0
+
+
+class WriteAnswer(msgspec.Struct, frozen=True):
+    """The answer to an accepted configuration change.
+
+    Attributes:
+        change_id: The change's id.
+        config_revision: The config revision that it made.
+        view_revision: The view revision that it made.
+        resent: Whether it had been accepted before.
+        exception_id: The id of the exception it added, if it did.
+    """
+
+    change_id: str
+    config_revision: int
+    view_revision: int = 0
+    resent: bool = False
+    exception_id: str = ""
+
+
+class Scope(msgspec.Struct, frozen=True):
+    """What an exception applies to.
+
+    Attributes:
+        kind: The kind of thing.
+        name: Its name.
+    """
+
+    kind: str
+    name: str
+
+
+class DefaultItem(msgspec.Struct, frozen=True):
+    """A default in force.
+
+    Attributes:
+        option: The option's name.
+        value: Its value.
+        is_set: Whether an operator set it.
+    """
+
+    option: str
+    value: options.OptionValue
+    is_set: bool = False
+
+
+class ExceptionItem(msgspec.Struct, frozen=True):
+    """An exception in force.
+
+    Attributes:
+        exception_id: Its id.
+        scope: What it applies to.
+        option: The option's name.
+        value: The option's value within the scope.
+        reason: The written reason.
+        operator: Who added it.
+        revision: The config revision that it came with.
+    """
+
+    exception_id: str
+    scope: Scope
+    option: str
+    value: options.OptionValue
+    reason: str
+    operator: str
+    revision: int
+
+
+class TeamItem(msgspec.Struct, frozen=True):
+    """A team.
+
+    Attributes:
+        name: Its name.
+        keys: How many bearer keys name it.
+    """
+
+    name: str
+    keys: int
+
+
+class ChangeItem(msgspec.Struct, frozen=True):
+    """A change in the history.
+
+    Attributes:
+        revision: The config revision that it made.
+        at_ms: When it was accepted, since the epoch.
+        operator: Who made it.
+        kind: What kind of change it is.
+        subject: What it changed.
+        value: The value it set, if any.
+        reason: The written reason.
+        change_id: Its id.
+    """
+
+    revision: int
+    at_ms: float
+    operator: str
+    kind: str
+    subject: str
+    reason: str
+    change_id: str
+    value: options.OptionValue | None = None
+
+
+class TargetItem(msgspec.Struct, frozen=True):
+    """A target in the fleet view.
+
+    Attributes:
+        name: Its name.
+        kind: What it is.
+        state: Whether it may get new work.
+        drained: Whether operators keep new work from it.
+        failure_domain: The failure domain it is in.
+        ip: The IP number of its agent.
+        port: The port of its agent.
+        model: The model that an engine serves.
+        service: The name that a plain service is routed under.
+    """
+
+    name: str
+    kind: str
+    state: str
+    drained: bool
+    failure_domain: str
+    ip: str
+    port: int
+    model: str
+    service: str
+
+
+class OrderItem(msgspec.Struct, frozen=True):
+    """An order that runs at most once.
+
+    Attributes:
+        order_id: The claim's id.
+        team: The team.
+        key: The caller's idempotency key.
+        state: Where it stands.
+        target: The target claimed for.
+        request_id: The request that holds or held the claim.
+        reason: Why it stands there, if that needs a reason.
+        claimed_at_ms: When it was claimed, since the epoch.
+    """
+
+    order_id: str
+    team: str
+    key: str
+    state: str
+    target: str
+    request_id: str
+    reason: str = ""
+    claimed_at_ms: float = 0.0
+
+
+class MemberItem(msgspec.Struct, frozen=True):
+    """A member of the replicated log.
+
+    Attributes:
+        instance: The control instance.
+        ip: Its IP number.
+        port: Its port.
+        id: The id kept on its disk.
+        votes: Whether it votes.
+    """
+
+    instance: str
+    ip: str
+    port: int
+    id: str
+    votes: bool
+
+
+class ProcessItem(msgspec.Struct, frozen=True):
+    """A live process as the control instances see it.
+
+    Attributes:
+        name: Its name.
+        role: Its role.
+        failure_domain: The failure domain it is in.
+        view_revision: The view revision it has in force.
+        last_heard_ms: Time since its last frame.
+    """
+
+    name: str
+    role: str
+    failure_domain: str
+    view_revision: int
+    last_heard_ms: float
+
+
+class DefaultsAnswer(ReadAnswer, frozen=True):
+    """All defaults.
+
+    Attributes:
+        defaults: The defaults.
+    """
+
+    defaults: tuple[DefaultItem, ...] = ()
+
+
+class ExceptionsAnswer(ReadAnswer, frozen=True):
+    """All exceptions.
+
+    Attributes:
+        exceptions: The exceptions.
+    """
+
+    exceptions: tuple[ExceptionItem, ...] = ()
+
+
+class TeamsAnswer(ReadAnswer, frozen=True):
+    """All teams.
+
+    Attributes:
+        teams: The teams.
+    """
+
+    teams: tuple[TeamItem, ...] = ()
+
+
+class HistoryAnswer(ReadAnswer, frozen=True):
+    """The last changes.
+
+    Attributes:
+        changes: The changes, newest first.
+    """
+
+    changes: tuple[ChangeItem, ...] = ()
+
+
+class TargetsAnswer(ReadAnswer, frozen=True):
+    """All targets.
+
+    Attributes:
+        targets: The targets.
+    """
+
+    targets: tuple[TargetItem, ...] = ()
+
+
+class OrdersAnswer(ReadAnswer, frozen=True):
+    """Some orders.
+
+    Attributes:
+        orders: The orders.
+    """
+
+    orders: tuple[OrderItem, ...] = ()
+
+
+class OrderAnswer(ReadAnswer, frozen=True):
+    """One order.
+
+    Attributes:
+        order: The order.
+    """
+
+    order: OrderItem | None = None
+
+
+class MembersAnswer(ReadAnswer, frozen=True):
+    """The members of the replicated log.
+
+    Attributes:
+        members: The members.
+        leader: The leading one, if it is known.
+        change: The change under way, if there is one.
+    """
+
+    members: tuple[MemberItem, ...] = ()
+    leader: str | None = None
+    change: str = ""
+
+
+class ReplaceAnswer(msgspec.Struct, frozen=True):
+    """The end of a replacement.
+
+    Attributes:
+        joined: The instance that joined.
+        left: The instance that left.
+        synced_index: The log index that the newcomer holds.
+    """
+
+    joined: str
+    left: str
+    synced_index: int
+
+
+class StatusAnswer(ReadAnswer, frozen=True):
+    """Who has which configuration in force.
+
+    Attributes:
+        leader: The leading control instance, if one is known.
+        processes: The live processes.
+        in_force: Whether all of them have the revision asked for.
+        lacking: Those that do not.
+        unreachable: Control instances that could not be asked.
+    """
+
+    leader: str | None = None
+    processes: tuple[ProcessItem, ...] = ()
+    in_force: bool = True
+    lacking: tuple[str, ...] = ()
+    unreachable: tuple[str, ...] = ()
+
+
+__all__ = [
+    "ChangeItem",
+    "DefaultItem",
+    "DefaultsAnswer",
+    "ErrorAnswer",
+    "ErrorBody",
+    "ExceptionItem",
+    "ExceptionsAnswer",
+    "HistoryAnswer",
+    "MemberItem",
+    "MembersAnswer",
+    "OrderAnswer",
+    "OrderItem",
+    "OrdersAnswer",
+    "ProcessItem",
+    "ReadAnswer",
+    "ReplaceAnswer",
+    "Scope",
+    "StatusAnswer",
+    "TargetItem",
+    "TargetsAnswer",
+    "TeamItem",
+    "TeamsAnswer",
+    "Winner",
+    "WriteAnswer",
+]
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -282,7 +282,8 @@
         ConnectFailedError: If the request was not sent.
         ExchangeBrokenError: If it may have been received.
     """
-    exchange = await Exchange.connect(origin, timeout_ms)
+    connect_timeout_ms = min(timeout_ms, DEFAULT_CONNECT_TIMEOUT_MS)
+    exchange = await Exchange.connect(origin, connect_timeout_ms)
     try:
         async with asyncio.timeout(timeout_ms / 1_000):
             exchange.send(method, path, header_by_name, body)
