Add CURVE keys, count refused peers and test the inner protocol

Cause: a peer with a wrong key or a malformed frame must be refused, counted and logged, and harm nothing.

Ruled out: pyzmq's own certificate files, which are written readable by all; a home-made ZAP handler, since pyzmq's takes a callback. A shared key for all servers only would let one lost target speak for all, so keys go by peer, and one for all remains possible as `*`.

Change: `lycheering keys make`, key files as INI with findings, the server counts refused keys, handshakes and disconnects. Frames up to twice the bound are read and counted as malformed, since ZeroMQ cuts a larger one without saying why. `Security.secure_client` is told the peer, and `Security.close` ends the authenticator with the server.

--- a/src/lycheering/commands/check.py
+++ b/src/lycheering/commands/check.py
@@ -22,7 +22,7 @@
     findings: list[load.Finding] = []
     for file in files:
         try:
-            load.load(file)
+            _check(file)
         except load.SettingsError as error:
             findings += error.findings
     if as_json:
@@ -37,4 +37,13 @@
     return exit_codes.ExitCode.OK
 
 
+def _check(file: str) -> None:
+    settings = load.load(file)
+    if settings.wire.curve_secret_key_file:
+        # files without keys are checked without the messaging library
+        from lycheering.wire import security
+
+        security.security_from(settings.wire)
+
+
 __all__ = ["run"]
--- /dev/null
+++ b/src/lycheering/commands/keys.py
@@ -0,0 +1,52 @@
+"""The command that makes keys of the inner protocol."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from typing import Annotated
+
+import cappa
+
+from lycheering.commands import exit_codes
+from lycheering.commands import output
+from lycheering.settings import findings
+
+
+@cappa.command(name="make", help="Make key files and a list of public keys.")
+@dataclasses.dataclass
+class Make:
+    """Makes key files and a list of public keys."""
+
+    folder: Annotated[str, cappa.Arg(help="Where the files go.")]
+    names: Annotated[
+        list[str],
+        cappa.Arg(
+            num_args=-1,
+            help="One pair for each peer named; else one for all peers.",
+        ),
+    ] = dataclasses.field(default_factory=list)
+
+    def __call__(self) -> int:
+        """Runs the command."""
+        from lycheering.wire import security
+
+        try:
+            files = security.make_keys(pathlib.Path(self.folder), self.names)
+        except (OSError, findings.SettingsError) as error:
+            output.problem(str(error))
+            return exit_codes.ExitCode.FAILED
+        for file in files:
+            print(file)
+        return exit_codes.ExitCode.OK
+
+
+@cappa.command(name="keys", help="Make keys of the inner protocol.")
+@dataclasses.dataclass
+class Keys:
+    """Makes keys of the inner protocol."""
+
+    command: cappa.Subcommands[Make]
+
+
+__all__ = ["Keys", "Make"]
--- a/src/lycheering/commands/root.py
+++ b/src/lycheering/commands/root.py
@@ -13,6 +13,7 @@
 from lycheering.commands import defaults
 from lycheering.commands import exceptions
 from lycheering.commands import explain
+from lycheering.commands import keys
 from lycheering.commands import members
 from lycheering.commands import options
 from lycheering.commands import orders
@@ -95,6 +96,7 @@
         | orders.Order
         | members.Members
         | explain.Explain
+        | keys.Keys
         | options.Options
     ]
 
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -321,7 +321,7 @@
         socket = self._link.context.socket(zmq.DEALER)
         sockets.configure(socket, self._link.settings, self.address.ip)
         socket.setsockopt(zmq.IMMEDIATE, 1)
-        self._link.security.secure_client(socket)
+        self._link.security.secure_client(socket, self.address.name)
         socket.connect(self.address.url)
         return socket
 
@@ -335,7 +335,7 @@
         try:
             async with asyncio.timeout(self._link.settings.silence_ms / 1_000):
                 await socket.send(data)
-                envelope = codec.decode(await socket.recv())
+                envelope = self._decode(await socket.recv())
         except TimeoutError as error:
             raise _SilenceError(self.address.name) from error
         if not isinstance(envelope.message, messages.Welcome):
@@ -358,12 +358,20 @@
 
     async def _read(self, socket: zmq.asyncio.Socket) -> None:
         while True:
-            envelope = codec.decode(await socket.recv())
+            envelope = self._decode(await socket.recv())
             if envelope.sender_incarnation != self.peer_incarnation:
                 raise errors.PeerRestartedError(self.address.name)
             self._last_received_ms = self._link.clock.now_ms()
             self._accept(envelope)
 
+    def _decode(self, data: bytes) -> messages.Envelope:
+        try:
+            sockets.check_size(data, self._link.settings)
+            return codec.decode(data)
+        except errors.MalformedFrameError:
+            self._link.counters.increment("wire.malformed")
+            raise
+
     def _accept(self, envelope: messages.Envelope) -> None:
         if envelope.load is not None:
             self.peer_load = envelope.load
--- /dev/null
+++ b/src/lycheering/wire/security.py
@@ -0,0 +1,250 @@
+"""CURVE keys that encrypt connections and say who may connect."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+from typing import TYPE_CHECKING
+
+import zmq
+import zmq.auth.asyncio
+import zmq.utils.z85
+
+from lycheering.settings import findings
+from lycheering.settings import ini
+from lycheering.telemetry import logs
+from lycheering.wire import api
+from lycheering.wire import errors
+
+if TYPE_CHECKING:
+    import zmq.asyncio
+
+    from lycheering.settings import model
+    from lycheering.telemetry import counters
+
+KEY_CHARS = 40
+ANY_PEER = "*"
+KEY_SECTION = "key"
+PEERS_SECTION = "peers"
+SECRET_FILE_MODE = 0o600
+PEERS_FILE = "peers.ini"
+KEY_FILE_SUFFIX = ".key.ini"
+DEFAULT_NAME = "fleet"
+ZAP_DOMAIN = "lycheering"
+
+_LOG = logs.get("wire")
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyPair:
+    """A process's own keys, as Z85 text.
+
+    Attributes:
+        public: The public key.
+        secret: The secret key.
+    """
+
+    public: str
+    secret: str = dataclasses.field(repr=False)
+
+    @classmethod
+    def generate(cls) -> KeyPair:
+        """Returns a new pair."""
+        public, secret = zmq.curve_keypair()
+        return cls(public.decode(), secret.decode())
+
+
+def _check_key(document: ini.Document, section: str, option: str) -> str:
+    options = document.text_by_option_by_section.get(section, {})
+    text = options.get(option)
+    if text is None:
+        document.add(section, option, "missing")
+        return ""
+    try:
+        valid = len(text) == KEY_CHARS and zmq.utils.z85.decode(text)
+    except (KeyError, ValueError):
+        valid = False
+    if not valid:
+        problem = f"not a key of {KEY_CHARS} Z85 characters"
+        document.add(section, option, problem)
+    return text
+
+
+def _raise_findings(document: ini.Document) -> None:
+    if document.findings:
+        raise findings.SettingsError(document.findings)
+
+
+def read_key_pair(path: str) -> KeyPair:
+    """Reads a process's own keys.
+
+    Raises:
+        SettingsError: If the file holds none.
+    """
+    document = ini.read(path)
+    public = _check_key(document, KEY_SECTION, "public")
+    secret = _check_key(document, KEY_SECTION, "secret")
+    _raise_findings(document)
+    return KeyPair(public, secret)
+
+
+def read_peers(path: str) -> dict[str, str]:
+    """Reads the public keys accepted, by the peer's name.
+
+    The name `*` stands for every peer without a key of its own.
+
+    Raises:
+        SettingsError: If the file holds none or some are malformed.
+    """
+    document = ini.read(path)
+    names = document.text_by_option_by_section.get(PEERS_SECTION, {})
+    if not names:
+        document.add(PEERS_SECTION, "", "no public keys")
+    key_by_peer = {
+        name: _check_key(document, PEERS_SECTION, name) for name in names
+    }
+    _raise_findings(document)
+    return key_by_peer
+
+
+class CurveSecurity(api.Security):
+    """Encrypts connections and refuses peers whose key is not known.
+
+    One process has one of it, since a ZeroMQ context has one authenticator.
+    """
+
+    def __init__(
+        self,
+        own: KeyPair,
+        key_by_peer: dict[str, str],
+        process_counters: counters.Counters | None = None,
+    ) -> None:
+        self._own = own
+        self._key_by_peer = key_by_peer
+        self._accepted = frozenset(key_by_peer.values())
+        self._counters = process_counters
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+
+    def secure_client(self, socket: zmq.asyncio.Socket, peer: str) -> None:
+        """Sets up a socket that connects.
+
+        Raises:
+            PeerUnreachableError: If the peer's public key is not known.
+        """
+        key = self._key_by_peer.get(peer.lower())
+        key = key or self._key_by_peer.get(ANY_PEER)
+        if key is None:
+            raise errors.PeerUnreachableError(f"{peer}: no public key")
+        socket.curve_publickey = self._own.public.encode()
+        socket.curve_secretkey = self._own.secret.encode()
+        socket.curve_serverkey = key.encode()
+
+    def secure_server(self, socket: zmq.asyncio.Socket) -> None:
+        """Sets up a socket that listens, and begins to check keys."""
+        if self._authenticator is None:
+            authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
+                socket.context
+            )
+            authenticator.start()
+            authenticator.configure_curve_callback(ZAP_DOMAIN, self)
+            self._authenticator = authenticator
+        socket.curve_publickey = self._own.public.encode()
+        socket.curve_secretkey = self._own.secret.encode()
+        socket.curve_server = True
+        socket.zap_domain = ZAP_DOMAIN.encode()
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Returns whether a peer with this public key may connect."""
+        text = key.decode("ascii", errors="replace")
+        if text in self._accepted:
+            return True
+        if self._counters is not None:
+            self._counters.increment("wire.refused_key")
+        _LOG.warning("refused_key", public_key=text)
+        return False
+
+    def close(self) -> None:
+        """Ends checking keys."""
+        if self._authenticator is not None:
+            self._authenticator.stop()
+            self._authenticator = None
+
+
+def security_from(
+    settings: model.WireSettings,
+    process_counters: counters.Counters | None = None,
+) -> api.Security:
+    """Returns the security that the settings ask for.
+
+    Args:
+        settings: The inner protocol's settings.
+        process_counters: Counts the peers refused.
+
+    Returns:
+        CURVE with the keys named, or none.
+
+    Raises:
+        SettingsError: If the key files can't be used.
+    """
+    if not settings.curve_secret_key_file:
+        return api.NoSecurity()
+    own = read_key_pair(settings.curve_secret_key_file)
+    key_by_peer = read_peers(settings.curve_peers_file)
+    return CurveSecurity(own, key_by_peer, process_counters)
+
+
+def make_keys(folder: pathlib.Path, names: list[str]) -> list[pathlib.Path]:
+    """Makes key files, and adds their public keys to the folder's peers.
+
+    Args:
+        folder: Where the files go; made if it is missing.
+        names: The names of the peers; one pair for all peers when empty.
+
+    Returns:
+        The files written.
+
+    Raises:
+        OSError: If a key file is there already or can't be written.
+        SettingsError: If the folder's peers can't be read.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    peers_path = folder / PEERS_FILE
+    key_by_peer = {}
+    if peers_path.exists():
+        key_by_peer = read_peers(str(peers_path))
+    written = []
+    for name in names or [DEFAULT_NAME]:
+        pair = KeyPair.generate()
+        path = folder / f"{name}{KEY_FILE_SUFFIX}"
+        _write_secret(path, pair)
+        written.append(path)
+        key_by_peer[name.lower() if names else ANY_PEER] = pair.public
+    lines = [f"[{PEERS_SECTION}]"]
+    lines += [f"{name} = {key}" for name, key in key_by_peer.items()]
+    draft = peers_path.with_suffix(".new")
+    draft.write_text("\n".join([*lines, ""]), encoding="utf-8")
+    draft.replace(peers_path)
+    return [*written, peers_path]
+
+
+def _write_secret(path: pathlib.Path, pair: KeyPair) -> None:
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    lines = [f"[{KEY_SECTION}]", f"public = {pair.public}"]
+    lines += [f"secret = {pair.secret}", ""]
+    with os.fdopen(os.open(path, flags, SECRET_FILE_MODE), "w") as file:
+        file.write("\n".join(lines))
+
+
+__all__ = [
+    "ANY_PEER",
+    "DEFAULT_NAME",
+    "KEY_FILE_SUFFIX",
+    "PEERS_FILE",
+    "CurveSecurity",
+    "KeyPair",
+    "make_keys",
+    "read_key_pair",
+    "read_peers",
+    "security_from",
+]
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -7,6 +7,7 @@
 
 import zmq
 import zmq.asyncio
+import zmq.utils.monitor
 
 from lycheering.app import api as app_api
 from lycheering.telemetry import logs
@@ -124,6 +125,7 @@
         self._socket = socket
         self._tasks.spawn(self._read(socket), "wire:server")
         self._tasks.spawn(self._watch(), "wire:watch")
+        self._tasks.spawn(self._monitor(socket), "wire:monitor")
         _LOG.event("listening", ip=self._ip, port=self.port)
 
     async def stop(self) -> None:
@@ -139,6 +141,26 @@
             # lets the last frames out before the port closes
             self._socket.close(linger=200)
             self._socket = None
+        self.link.security.close()
+
+    async def _monitor(self, socket: zmq.asyncio.Socket) -> None:
+        kinds = (
+            zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+            | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+            | zmq.EVENT_DISCONNECTED
+        )
+        events = socket.get_monitor_socket(kinds)
+        try:
+            while True:
+                parts = await events.recv_multipart()
+                event = zmq.utils.monitor.parse_monitor_message(parts)
+                if event["event"] == zmq.EVENT_DISCONNECTED:
+                    self.link.counters.increment("wire.disconnected")
+                    continue
+                self.link.counters.increment("wire.refused_handshake")
+                _LOG.warning("refused_handshake", port=self.port)
+        finally:
+            socket.disable_monitor()
 
     def offer_view(self) -> None:
         """Hands a changed fleet view to every peer that lacks it."""
@@ -184,6 +206,7 @@
             try:
                 if len(parts) != 2:
                     raise errors.MalformedFrameError(f"{len(parts)} parts")
+                sockets.check_size(parts[1], self.link.settings)
                 envelope = codec.decode(parts[1])
                 self._accept(socket, parts[0], envelope)
             except errors.MalformedFrameError as error:
--- a/src/lycheering/wire/sockets.py
+++ b/src/lycheering/wire/sockets.py
@@ -14,6 +14,7 @@
     from lycheering.settings import model
 
 RECONNECT_MS = 50
+OVERSIZE_FACTOR = 2
 
 
 def configure(
@@ -23,7 +24,9 @@
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, settings.high_water_mark)
     socket.setsockopt(zmq.RCVHWM, settings.high_water_mark)
-    socket.setsockopt(zmq.MAXMSGSIZE, settings.max_frame_bytes)
+    # a frame somewhat too large is read and counted, a larger one cuts
+    largest = OVERSIZE_FACTOR * settings.max_frame_bytes
+    socket.setsockopt(zmq.MAXMSGSIZE, largest)
     socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     if ":" in ip:
         socket.setsockopt(zmq.IPV6, 1)
@@ -51,4 +54,20 @@
         raise errors.PeerUnreachableError(peer) from failure
 
 
-__all__ = ["RECONNECT_MS", "configure", "send_now"]
+def check_size(data: bytes, settings: model.WireSettings) -> None:
+    """Checks that a frame is not too large.
+
+    Raises:
+        MalformedFrameError: If it is.
+    """
+    if len(data) > settings.max_frame_bytes:
+        raise errors.MalformedFrameError(f"{len(data)} bytes")
+
+
+__all__ = [
+    "OVERSIZE_FACTOR",
+    "RECONNECT_MS",
+    "check_size",
+    "configure",
+    "send_now",
+]
--- /dev/null
+++ b/tests/support/wire_peers.py
@@ -0,0 +1,120 @@
+"""Two ends of the inner protocol in one test process."""
+
+from __future__ import annotations
+
+import asyncio
+
+import zmq.asyncio
+
+from lycheering import clock
+from lycheering.fleet import changes
+from lycheering.fleet import holder
+from lycheering.settings import model
+from lycheering.telemetry import counters
+from lycheering.wire import api
+from lycheering.wire import client
+from lycheering.wire import messages
+from lycheering.wire import server
+
+HOST = "127.0.0.1"
+HEARTBEAT_MS = 50
+SILENCE_MS = 400
+MAX_FRAME_BYTES = 65_536
+GIVE_UP_S = 20
+POLL_S = 0.005
+
+
+def wire_settings(**options):
+    """Returns settings whose silence is short enough for tests."""
+    return model.WireSettings(
+        **{
+            "heartbeat_ms": HEARTBEAT_MS,
+            "silence_ms": SILENCE_MS,
+            "max_frame_bytes": MAX_FRAME_BYTES,
+            "call_timeout_ms": 5_000,
+        }
+        | options
+    )
+
+
+class RecordingHandler(api.SessionHandler):
+    """Records each message and answers calls with Done."""
+
+    def __init__(self, view):
+        self.handled = []
+        self.revisions = []
+        self.closed_names = []
+        self._view = view
+
+    async def handle(self, session, envelope):
+        self.handled.append(envelope.message)
+        self.revisions.append(self._view.revision())
+        if envelope.call_id:
+            session.send(messages.Done(), envelope.call_id)
+
+    async def closed(self, session):
+        self.closed_names.append(session.name)
+
+
+class Peer:
+    """One process's end: its link, server and connections.
+
+    `security` makes the keys of the end from its counters.
+    """
+
+    def __init__(self, name, security=None, view_revision=0):
+        self.context = zmq.asyncio.Context()
+        self.counters = counters.Counters()
+        self.view = holder.ViewHolder()
+        for number in range(view_revision):
+            self.change(number)
+        self.link = api.Link(
+            self.context,
+            api.Identity(name, messages.Role.CONTROL, "d1"),
+            wire_settings(),
+            clock.Clock(),
+            self.view,
+            self.counters,
+            security(self.counters) if security else api.NoSecurity(),
+        )
+        self.handler = RecordingHandler(self.view)
+        self.server = server.Server(self.link, HOST, self.handler)
+        self.connections = []
+        self.sockets = []
+
+    def change(self, number):
+        """Makes the view one revision newer."""
+        change = changes.DefaultSet("limits.max_running", number + 1)
+        self.view.fleet.make(change, by_operator=True)
+
+    def connect(self, name, port):
+        """Returns a connection to a port."""
+        connection = client.Connection(api.Address(name, HOST, port), self.link)
+        connection.start()
+        self.connections.append(connection)
+        return connection
+
+    def raw_socket(self, port):
+        """Returns a plain socket connected to a port."""
+        socket = self.context.socket(zmq.DEALER)
+        socket.linger = 0
+        socket.connect(f"tcp://{HOST}:{port}")
+        self.sockets.append(socket)
+        return socket
+
+    async def stop(self):
+        """Closes everything."""
+        for connection in self.connections:
+            await connection.close()
+        await self.server.stop()
+        self.context.destroy(linger=0)
+
+
+async def until(condition):
+    """Waits until a condition holds; fails after a generous time."""
+    async with asyncio.timeout(GIVE_UP_S):
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+
+__all__ = ["HOST", "MAX_FRAME_BYTES", "Peer", "until", "wire_settings"]
--- /dev/null
+++ b/tests/wire/frames.feature
@@ -0,0 +1,47 @@
+Feature: Frames that harm nothing
+
+  Scenario Outline: A peer that sends <kind> is counted and harms nobody
+    Given a wire server
+    And a connected wire client
+    When a raw wire peer sends <kind>
+    Then the wire server counts at least 1 "<counter>"
+    And the wire client can make a call
+
+    Examples:
+      | kind                    | counter           |
+      | random bytes            | wire.malformed    |
+      | a frame of version 99   | wire.malformed    |
+      | a frame of three parts  | wire.malformed    |
+      | a frame over the bound  | wire.malformed    |
+      | a frame far over it     | wire.disconnected |
+      | a call before its hello | wire.stray_frame  |
+
+  Scenario: Bytes that are no ZeroMQ at all harm nobody
+    Given a wire server
+    And a connected wire client
+    When a raw TCP peer of the wire sends random bytes
+    Then the wire server counts at least 1 "wire.refused_handshake"
+    And the wire client can make a call
+
+  Scenario: Any bytes are either a frame or malformed
+    Then decoding any bytes as a wire frame gives a frame or a malformed frame
+
+  Scenario: A stream of damaged frames harms nobody
+    Given a wire server
+    And a connected wire client
+    When a raw wire peer floods with 200 damaged copies of real frames
+    Then the wire client can make a call
+
+  Scenario: A frame past its time is not acted on
+    Given a wire server
+    When a raw wire peer says hello and calls with a frame that expired
+    Then the raw wire peer is told "expired"
+    And the wire server handled no frame
+    And the wire server counts at least 1 "refusal.expired"
+
+  Scenario: A frame for an earlier incarnation is not acted on
+    Given a wire server
+    When a raw wire peer says hello and calls another incarnation
+    Then the raw wire peer is told to say hello
+    And the wire server handled no frame
+    And the wire server counts at least 1 "wire.stray_frame"
