--- a/src/lycheering/commands/check.py
+++ b/src/lycheering/commands/check.py
@@ -6,6 +6,8 @@
 import json
 
 from lycheering.commands import exit_codes
+from lycheering.operator import seed
+from lycheering.settings import ini
 from lycheering.settings import load
 
 
@@ -38,6 +40,10 @@
 
 
 def _check(file: str) -> None:
+    document = ini.read(file)
+    if seed.is_seed(document):
+        seed.parse(document)
+        return
     settings = load.load(file)
     if settings.wire.curve_secret_key_file:
         # files without keys are checked without the messaging library
--- a/src/lycheering/commands/defaults.py
+++ b/src/lycheering/commands/defaults.py
@@ -10,10 +10,10 @@
 from lycheering.commands import base
 from lycheering.commands import exit_codes
 from lycheering.commands import output
-from lycheering.commands import values
 from lycheering.operator import answers
 from lycheering.operator import calls
 from lycheering.operator import client
+from lycheering.operator import values
 
 
 @cappa.command(name="show", help="Show every default in force.")
--- a/src/lycheering/commands/root.py
+++ b/src/lycheering/commands/root.py
@@ -18,6 +18,7 @@
 from lycheering.commands import options
 from lycheering.commands import orders
 from lycheering.commands import roles
+from lycheering.commands import seed
 from lycheering.commands import status
 from lycheering.commands import targets
 from lycheering.commands import teams
@@ -96,6 +97,7 @@
         | orders.Order
         | members.Members
         | explain.Explain
+        | seed.Seed
         | keys.Keys
         | options.Options
     ]
