--- a/src/lycheering/settings/cross_check.py
+++ b/src/lycheering/settings/cross_check.py
@@ -78,9 +78,12 @@
         document.add("wire", "idle_close_ms", "below silence_ms")
     key_file = section.curve_secret_key_file
     peers_file = section.curve_peers_file
-    if bool(key_file) != bool(peers_file):
-        option = "curve_peers_file" if key_file else "curve_secret_key_file"
-        document.add("wire", option, "keys need both files")
+    if key_file and not peers_file:
+        problem = "needs curve_peers_file too"
+        document.add("wire", "curve_secret_key_file", problem)
+    if peers_file and not key_file:
+        problem = "needs curve_secret_key_file too"
+        document.add("wire", "curve_peers_file", problem)
     _check_file(document, "wire", "curve_secret_key_file", key_file)
     _check_file(document, "wire", "curve_peers_file", peers_file)
 
--- /dev/null
+++ b/tests/operator/client.feature
@@ -0,0 +1,96 @@
+Feature: Operators' calls to control instances
+
+  Background:
+    Given operator endpoints "c1" and "c2"
+
+  Scenario: The next endpoint is asked when one is unreachable
+    Given the operator endpoint "c1" is down
+    When the operator runs "defaults show"
+    Then the operator command exits with 0
+    And it prints "limits.max_running"
+
+  Scenario: No endpoint that can be reached
+    Given the operator endpoint "c1" is down
+    And the operator endpoint "c2" is down
+    When the operator runs "defaults show"
+    Then the operator command exits with 4
+    And it complains of "unreachable"
+
+  Scenario: A change whose answer was lost is sent again under its id
+    Given the operator endpoint "c1" loses the answers to "/v1/defaults" writes
+    When the operator runs "defaults set limits.max_running 4 --reason tuning"
+    Then the operator command exits with 0
+    And both operator endpoints received the same change
+    And it complains of "resend with --change-id"
+
+  Scenario: A change that is answered nowhere is in doubt
+    Given the operator endpoint "c1" loses the answers to "/v1/defaults" writes
+    And the operator endpoint "c2" loses the answers to "/v1/defaults" writes
+    When the operator runs "defaults set limits.max_running 4 --reason tuning"
+    Then the operator command exits with 5
+    And it complains of "outcome unknown"
+
+  Scenario: What has no change id is sent once
+    Given the operator endpoint "c1" loses the answers to "/v1/orders/o1/resolve"
+    When the operator runs "order resolve o1 ran --reason seen-at-target"
+    Then the operator command exits with 5
+    And the operator endpoint "c1" received "/v1/orders/o1/resolve" once
+    And the operator endpoint "c2" received "/v1/orders/o1/resolve" never
+
+  Scenario: A lost race names the winner
+    Given the operator endpoint "c1" answers "/v1/defaults" writes with a conflict
+    When the operator runs "defaults set limits.max_running 4 --reason tuning"
+    Then the operator command exits with 3
+    And it complains of "accepted instead: revision 6 by ada (change w1)"
+
+  Scenario: A refusal shows every finding
+    Given the operator endpoint "c1" answers "/v1/defaults" writes with findings
+    When the operator runs "defaults set limits.max_running 4 --reason tuning"
+    Then the operator command exits with 3
+    And it complains of "first finding"
+    And it complains of "second finding"
+
+  Scenario: Without a quorum the time to come back is shown
+    Given no operator endpoint has a quorum
+    When the operator runs "defaults set limits.max_running 4 --reason tuning"
+    Then the operator command exits with 3
+    And it complains of "try again in 700 ms"
+
+  Scenario Outline: <command> is refused before anything is sent
+    When the operator runs "<command>"
+    Then the operator command exits with 2
+    And no operator endpoint received anything
+
+    Examples:
+      | command                                                     |
+      | defaults set limits.max_running 4                           |
+      | defaults set limits.max_running no --reason r               |
+      | defaults set limits.max_running 0 --reason r                |
+      | defaults set limits.none 1 --reason r                       |
+      | exceptions add zone:a limits.max_running 1 --reason r       |
+      | exceptions add team:a limits.max_running 1                  |
+      | exceptions add model:a limits.team_share 1 --reason r       |
+      | members replace c1 c4 nowhere                               |
+      | order resolve o1 perhaps --reason r                         |
+
+  Scenario: A given revision is expected without asking for it
+    When the operator runs "exceptions add team:a limits.team_share 2 --reason big --expect 3 --change-id k1"
+    Then the operator command exits with 0
+    And the operator endpoint "c1" received the change "k1" expecting revision 3
+
+  Scenario: The key is sent, and only as a header
+    Given an operator key file with "secret-1"
+    When the operator runs "history" with the key file
+    Then the operator command exits with 0
+    And the operator endpoint "c1" received the key "secret-1"
+
+  Scenario: JSON is printed as answered
+    When the operator runs "targets --json"
+    Then the operator command exits with 0
+    And it prints JSON with "targets"
+
+  Scenario: Waiting for a revision fails when a process lacks it
+    Given the operator endpoint "c1" answers that "e1" lacks the revision
+    When the operator runs "status --wait 5 --timeout-ms 100"
+    Then the operator command exits with 1
+    And it prints "lacking: e1"
