Test fleet view, telemetry, life cycle and the HTTP client

Cause: these shared parts had no scenarios of their own.

Found: an application that was told to stop while a part started went on starting the others. It now starts no more and drains those it has.

Ruled out: taking a body that ends with its connection as whole. Its end can't be told from a cut, so such an answer breaks the exchange; a scenario says so.

--- a/src/lycheering/app/api.py
+++ b/src/lycheering/app/api.py
@@ -58,6 +58,8 @@
             loop.add_signal_handler(number, self.stopping.set)
         try:
             for part in self._parts:
+                if self.stopping.is_set():
+                    break
                 await part.start()
                 self._started.append(part)
             _LOG.event("started", parts=len(self._started))
--- a/src/lycheering/commands/roles.py
+++ b/src/lycheering/commands/roles.py
@@ -29,7 +29,7 @@
 
 
 class RoleModule(Protocol):
-    """What the `main` module of each role's package offers."""
+    """What the `daemon` module of each role's package offers."""
 
     def build(self, settings: model.Settings) -> app_api.Application:
         """Returns the role's application, not yet started."""
@@ -63,7 +63,7 @@
 
 async def _run(role: str, settings: model.Settings) -> None:
     # a role's imports are paid by that role alone
-    module = importlib.import_module(f"lycheering.{role}.main")
+    module = importlib.import_module(f"lycheering.{role}.daemon")
     application = cast("RoleModule", module).build(settings)
     await application.run()
 
--- /dev/null
+++ b/tests/steps/telemetry_steps.py
@@ -0,0 +1,113 @@
+"""Steps for logs and counters."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import re
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+import logbook
+
+from lycheering.settings import model
+from lycheering.telemetry import counters
+from lycheering.telemetry import logs
+
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"]+)(?: |$)')
+GIVE_UP_S = 20
+DATAGRAM_BYTES = 4_096
+
+
+def pairs_of(line):
+    found = PAIR.findall(line)
+    assert " ".join(f"{k}={v}" for k, v in found) == line, line
+    return [(k, json.loads(v) if v[0] == '"' else v) for k, v in found]
+
+
+@then('the logged value "{value}" stands as "{text}"')
+def step_value(context, value, text):
+    value = value.replace("\\n", "\n")
+    text = text.replace("\\\\", "\\")
+    assert logs.format_value(value) == text, logs.format_value(value)
+
+
+@then("any logged event is one line whose pairs read back")
+def step_any(context):
+    @hypothesis.settings(derandomize=True, database=None, max_examples=300)
+    @hypothesis.given(strategies.text(), strategies.text())
+    def check(event, value):
+        line = logs.format_line(event, {"value": value})
+        assert len(line.splitlines()) == 1, line
+        assert pairs_of(line) == [("event", event), ("value", value)], line
+
+    check()
+
+
+@when('an event with request "{request}" is logged by the entry "{name}"')
+def step_log(context, request, name):
+    stream = io.StringIO()
+    with contextlib.redirect_stderr(stream):
+        logs.install("entry", name)
+        context.stack.callback(logbook.Handler.stack_manager.pop_application)
+        logs.get("test").event("asked", request=request)
+        logs.get("test").debug("unseen")
+    context.lines = stream.getvalue().splitlines()
+
+
+@then("the log holds one line with these keys first")
+def step_line(context):
+    [line] = context.lines
+    pairs = pairs_of(line)
+    for row, (key, value) in zip(context.table, pairs, strict=True):
+        assert row["key"] == key, line
+        assert row["value"] in ("", value), line
+
+
+@when("{count:d} different counters and gauges are set")
+def step_many(context, count):
+    context.counted = counters.Counters()
+    for number in range(count):
+        context.counted.increment(f"name{number}")
+        context.counted.gauge(f"name{number}", 1)
+
+
+@then("there are {count:d} counters and an overflow that holds the rest")
+def step_overflow(context, count):
+    value_by_name = context.counted.value_by_name
+    assert len(value_by_name) == count + 1
+    assert value_by_name[counters.OVERFLOW_NAME] == 3_000 - count
+
+
+@then("there are at most {count:d} gauges")
+def step_gauges(context, count):
+    assert len(context.counted.gauge_by_name) <= count
+
+
+@given("a statsd server")
+def step_statsd(context):
+    context.statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.stack.enter_context(context.statsd)
+    context.statsd.bind(("127.0.0.1", 0))
+    context.statsd.settimeout(GIVE_UP_S)
+
+
+@when('a refusal for "{refusal}" and a retry for "{retry}" are counted')
+def step_count(context, refusal, retry):
+    port = context.statsd.getsockname()[1]
+    settings = model.MetricsSettings(
+        statsd_ip="127.0.0.1", statsd_port=port, prefix="x"
+    )
+    counted = counters.Counters(settings)
+    counted.refusal(refusal)
+    counted.retry(retry)
+
+
+@then('the statsd server receives "{text}"')
+def step_receives(context, text):
+    assert context.statsd.recv(DATAGRAM_BYTES).decode() == text
--- /dev/null
+++ b/tests/steps/web_steps.py
@@ -0,0 +1,210 @@
+"""Steps for the HTTP client."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering.web import client
+
+HOST = "127.0.0.1"
+TIMEOUT_MS = 10_000
+SILENCE_MS = 100
+MAX_BYTES = 64
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ANSWER_BY_KIND = {
+    "a body cut short": HEAD + b"Content-Length: 11\r\n\r\nhello",
+    "a chunked body cut short": CHUNKED + b"5\r\nhello\r\n",
+    "a chunk of malformed length": CHUNKED + b"zz\r\nhello\r\n0\r\n\r\n",
+    "nothing at all": b"",
+    "half a header": HEAD + b"Content-Le",
+    "no HTTP": b"220 mail.example ready\r\n\r\n",
+    "too many headers": HEAD
+    + b"".join(b"X-%d: 1\r\n" % n for n in range(client.MAX_HEADERS + 1))
+    + b"Content-Length: 0\r\n\r\n",
+    "a body over the bound": HEAD + b"Content-Length: 65\r\n\r\n" + b"x" * 65,
+    "silence in the body": HEAD + b"Content-Length: 11\r\n\r\nhello",
+    "a body of known length": HEAD + b"Content-Length: 11\r\n\r\nhello world",
+    "a chunked body": CHUNKED + b"6\r\nhello \r\n5\r\nworld\r\n0\r\n\r\n",
+    "a body up to its end": HEAD + b"Connection: close\r\n\r\nhello world",
+    "an interim answer before it": b"HTTP/1.1 100 Continue\r\n\r\n"
+    + HEAD
+    + b"Content-Length: 11\r\n\r\nhello world",
+}
+
+
+class Server:
+    """Gives one answer to each connection's request."""
+
+    def __init__(self, answer, stays_silent=False):
+        self.requests = 0
+        self.origin = None
+        self._answer = answer
+        self._stays_silent = stays_silent
+        self._done = asyncio.Event()
+        self._tasks = set()
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.origin = client.Origin(HOST, port)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._done.set()
+        self._server.close()
+        await asyncio.gather(*self._tasks)
+        await self._server.wait_closed()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        head = await reader.read(65_536)
+        if head:
+            self.requests += 1
+            writer.write(self._answer)
+            if self._stays_silent:
+                await self._done.wait()
+        writer.close()
+
+
+def run(context, work):
+    """Runs work with the scenario's server and keeps what it raised."""
+
+    async def serve():
+        kind = context.web_kind
+        silent = kind.startswith("silence")
+        async with Server(ANSWER_BY_KIND[kind], silent) as server:
+            try:
+                context.web_result = await work(server.origin)
+            except (client.HttpError, ValueError) as error:
+                context.web_result = error
+            context.web_requests = server.requests
+
+    asyncio.run(serve())
+
+
+@given("a web server that answers with {kind}")
+def step_server(context, kind):
+    context.web_kind = kind
+
+
+@when("the web client fetches from it")
+def step_fetch(context):
+    timeout_ms = TIMEOUT_MS
+    if context.web_kind.startswith("silence"):
+        timeout_ms = SILENCE_MS
+
+    async def work(origin):
+        return await client.fetch(
+            origin,
+            "POST",
+            "/x",
+            body=b"{}",
+            timeout_ms=timeout_ms,
+            max_bytes=MAX_BYTES,
+        )
+
+    run(context, work)
+
+
+@then("the web exchange is broken")
+def step_broken(context):
+    result = context.web_result
+    assert isinstance(result, client.ExchangeBrokenError), result
+
+
+@then("the web server received {count:d} request")
+def step_requests(context, count):
+    assert context.web_requests == count
+
+
+@then('the web answer is "{text}"')
+def step_answer(context, text):
+    assert isinstance(context.web_result, client.Reply), context.web_result
+    assert context.web_result.head.status == 200
+    assert context.web_result.body == text.encode()
+
+
+@when("the web client fetches from a port where nobody listens")
+def step_nobody(context):
+    async def work():
+        async with Server(b"") as server:
+            origin = server.origin
+        try:
+            await client.fetch(origin, "GET", "/", timeout_ms=TIMEOUT_MS)
+        except client.HttpError as error:
+            context.web_result = error
+
+    asyncio.run(work())
+
+
+@then("the web exchange sent nothing")
+def step_sent_nothing(context):
+    result = context.web_result
+    assert isinstance(result, client.ConnectFailedError), result
+
+
+@when("the web client sends a line break in {place}")
+def step_line_break(context, place):
+    broken = "x\r\nInjected: 1"
+    headers = {"X": broken} if place == "a header value" else {}
+    headers |= {broken: "1"} if place == "a header name" else {}
+    path = f"/{broken}" if place == "the path" else "/"
+
+    async def work(origin):
+        return await client.fetch(
+            origin,
+            "GET",
+            path,
+            header_by_name=headers,
+            timeout_ms=TIMEOUT_MS,
+        )
+
+    run(context, work)
+
+
+@then("the web request is refused as malformed")
+def step_refused(context):
+    assert isinstance(context.web_result, ValueError), context.web_result
+
+
+@given("a web server that streams a part and waits for the reader")
+def step_streams(context):
+    context.web_seen = []
+
+
+@when("the web client reads the streamed parts")
+def step_read_stream(context):
+    async def work():
+        read_first = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.read(65_536)
+            writer.write(CHUNKED + b"5\r\nfirst\r\n")
+            await read_first.wait()
+            context.web_seen.append("last sent")
+            writer.write(b"4\r\nlast\r\n0\r\n\r\n")
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server:
+            exchange = await client.Exchange.connect(client.Origin(HOST, port))
+            exchange.send("GET", "/")
+            await exchange.head(TIMEOUT_MS)
+            async for part in exchange.parts(TIMEOUT_MS):
+                context.web_seen.append(part)
+                read_first.set()
+            exchange.close()
+
+    asyncio.run(work())
+
+
+@then("the web client had the first part before the last was sent")
+def step_stream_order(context):
+    assert context.web_seen == [b"first", "last sent", b"last"]
