--- /dev/null
+++ b/src/lycheering/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: what its replicated log decides and tells."""
--- /dev/null
+++ b/src/lycheering/control/machine.py
@@ -0,0 +1,257 @@
+"""The state that all control instances reach by the same commands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering.control import commands
+from lycheering.control import config_rules
+from lycheering.control import history
+from lycheering.control import target_book
+from lycheering.fleet import changes
+from lycheering.fleet import records
+from lycheering.fleet import view
+from lycheering.orders import ledger
+from lycheering.orders import records as order_records
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_LOG = logs.get("control")
+
+
+class MachineSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The whole state.
+
+    Attributes:
+        highest_fence: The highest fencing number granted.
+        fleet: The fleet view.
+        history: Changes and their outcomes.
+        targets: What is kept on targets beside the view.
+        orders: The order ledger.
+    """
+
+    highest_fence: int
+    fleet: view.ViewSnapshot
+    history: history.HistorySnapshot
+    targets: target_book.TargetBookSnapshot
+    orders: order_records.LedgerSnapshot
+
+
+class ControlMachine:
+    """Applies commands; a bad one is refused and changes nothing.
+
+    Attributes:
+        fleet: The fleet view.
+        history: Changes and their outcomes.
+        targets: What is kept on targets beside the view.
+        orders: The order ledger.
+        highest_fence: The highest fencing number granted.
+    """
+
+    def __init__(self) -> None:
+        self.fleet = view.FleetView()
+        self.history = history.History()
+        self.targets = target_book.TargetBook()
+        self.orders = ledger.Ledger()
+        self.highest_fence = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Has a function called after each change of the fleet view."""
+        self._listeners.append(listener)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Applies a committed command and returns the encoded reply."""
+        before = self.fleet.view_revision
+        try:
+            decoded = commands.decode_command(command)
+        except (msgspec.DecodeError, RecursionError) as error:
+            _LOG.error("bad_command", index=index, detail=str(error)[:200])
+            return commands.encode(commands.Refused("not a command"))
+        reply = self._apply(decoded)
+        if self.fleet.view_revision != before:
+            self._announce()
+        return commands.encode(reply)
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return msgspec.msgpack.encode(
+            MachineSnapshot(
+                self.highest_fence,
+                self.fleet.snapshot(),
+                self.history.snapshot(),
+                self.targets.snapshot(),
+                self.orders.snapshot(),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state by one that a snapshot returned."""
+        state = msgspec.msgpack.decode(data, type=MachineSnapshot)
+        self.fleet = view.FleetView()
+        self.fleet.restore(state.fleet)
+        self.history.restore(state.history)
+        self.targets.restore(state.targets)
+        self.orders.restore(state.orders)
+        self.highest_fence = state.highest_fence
+        self._announce()
+
+    def _announce(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+    def _apply(self, command: commands.Command) -> commands.Reply:
+        match command:
+            case commands.ChangeConfig():
+                return self._change(command)
+            case commands.RegisterTargets(targets, at_ms):
+                for target in targets:
+                    self.targets.register(self.fleet, target, at_ms)
+                return commands.FenceGranted(self.highest_fence)
+            case commands.MarkTarget():
+                self.targets.mark(
+                    self.fleet,
+                    command.name,
+                    command.agent_incarnation,
+                    command.state,
+                    departed=command.departed,
+                )
+                return commands.FenceGranted(self.highest_fence)
+            case commands.GrantFence():
+                self.highest_fence += 1
+                return commands.FenceGranted(self.highest_fence)
+        return self._apply_order(command)
+
+    def _apply_order(self, command: commands.Command) -> commands.Reply:
+        orders = self.orders
+        match command:
+            case commands.ClaimOrder(claim, at_ms):
+                verdict = orders.claim(claim, self.highest_fence + 1, at_ms)
+                if verdict.granted:
+                    self.highest_fence += 1
+                return _answer(verdict)
+            case commands.FinishOrder(order_id, outcome, at_ms):
+                return _answer(orders.finish(order_id, outcome, at_ms))
+            case commands.ReleaseOrder(order_id, reason, at_ms):
+                return _answer(orders.release(order_id, reason, at_ms))
+            case commands.MarkOrderUnknown(order_id, reason, at_ms):
+                return _answer(orders.mark_unknown(order_id, reason, at_ms))
+            case commands.ResolveOrder():
+                reason = f"{command.operator}: {command.reason}"
+                return _answer(
+                    orders.resolve(
+                        command.order_id, command.ran, reason, command.at_ms
+                    )
+                )
+            case commands.ExpireOrders(at_ms):
+                return commands.Expired(orders.expire(at_ms))
+        return commands.Refused(type(command).__name__)
+
+    def _change(self, command: commands.ChangeConfig) -> commands.ChangeOutcome:
+        first = self.history.outcome_by_change_id.get(command.change_id)
+        if first is not None:
+            return self._resent(command, first)
+        findings = config_rules.findings_of(command, self.fleet)
+        expected = command.expected_revision
+        current = self.fleet.config_revision
+        if findings:
+            # not kept, since nothing stands against correcting and resending
+            return self._outcome(command, False, findings=tuple(findings))
+        if expected != current:
+            winner = self.history.winner(expected + 1)
+            outcome = self._outcome(command, False, winner=winner)
+        else:
+            exception_id = self._edit(command)
+            outcome = self._outcome(command, True, exception_id=exception_id)
+        self.history.keep(command, outcome)
+        return outcome
+
+    def _resent(
+        self, command: commands.ChangeConfig, first: history.KeptOutcome
+    ) -> commands.ChangeOutcome:
+        is_same = (
+            first.edit == command.edit
+            and first.expected_revision == command.expected_revision
+        )
+        if is_same:
+            return msgspec.structs.replace(first.outcome, resent=True)
+        finding = "change_id: was used for another change"
+        return self._outcome(command, False, findings=(finding,))
+
+    def _outcome(
+        self,
+        command: commands.ChangeConfig,
+        accepted: bool,
+        *,
+        exception_id: str = "",
+        winner: commands.Winner | None = None,
+        findings: tuple[str, ...] = (),
+    ) -> commands.ChangeOutcome:
+        return commands.ChangeOutcome(
+            command.change_id,
+            accepted,
+            self.fleet.config_revision,
+            self.fleet.view_revision,
+            exception_id,
+            winner,
+            findings,
+        )
+
+    def _edit(self, command: commands.ChangeConfig) -> str:
+        """Makes the change; returns the id of an exception it adds."""
+        revision = self.fleet.config_revision + 1
+        made: changes.ConfigChange
+        exception_id = ""
+        match command.edit:
+            case commands.SetDefault(option, value):
+                made = changes.DefaultSet(option, value)
+            case commands.AddException():
+                record = self._exception(command, command.edit, revision)
+                exception_id = record.exception_id
+                made = changes.ExceptionAdded(record)
+            case commands.RemoveException(removed_id):
+                made = changes.ExceptionRemoved(removed_id)
+            case commands.PutTeam(name, key_digests):
+                made = changes.TeamPut(records.Team(name, key_digests))
+            case commands.RemoveTeam(name):
+                made = changes.TeamRemoved(name)
+        self.fleet.make(made, by_operator=True)
+        return exception_id
+
+    def _exception(
+        self,
+        command: commands.ChangeConfig,
+        edit: commands.AddException,
+        revision: int,
+    ) -> records.ExceptionRecord:
+        exception_id = f"x{revision}"
+        for known in self.fleet.exception_by_id.values():
+            if known.scope == edit.scope and known.option == edit.option:
+                # one value per scope and option, under its first id
+                exception_id = known.exception_id
+        return records.ExceptionRecord(
+            exception_id,
+            edit.scope,
+            edit.option,
+            edit.value,
+            command.reason,
+            command.operator,
+            revision,
+        )
+
+
+def _answer(verdict: ledger.Verdict) -> commands.OrderAnswer:
+    return commands.OrderAnswer(
+        verdict.done,
+        verdict.refusal,
+        verdict.granted,
+        verdict.same_digest,
+        verdict.order,
+    )
+
+
+__all__ = ["ControlMachine", "MachineSnapshot"]
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -233,10 +233,14 @@
             for record in self.exception_by_id.values()
         }
 
+    def team_of_digest(self, digest: str) -> records.Team | None:
+        """Returns the team that a key's digest names, if any."""
+        return self._team_by_digest.get(digest)
+
     def team_of_key(self, key: str) -> records.Team | None:
         """Returns the team that a bearer key names, if any."""
         digest = key_digest(key)
-        team = self._team_by_digest.get(digest)
+        team = self.team_of_digest(digest)
         if team is None:
             return None
         # the look-up is by digest, the comparison in constant time
--- /dev/null
+++ b/src/lycheering/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets are live, leaving or gone."""
