Add the data folder and the replicated log

Cause: config, fencing numbers, membership and the order ledger need one truth that survives lost instances and disks.

--- /dev/null
+++ b/src/lycheering/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control instances."""
--- /dev/null
+++ b/src/lycheering/store/__init__.py
@@ -0,0 +1,1 @@
+"""The data folder of one instance: synced records, snapshots, identity."""
--- /dev/null
+++ b/src/lycheering/store/snapshots.py
@@ -0,0 +1,72 @@
+"""Snapshot files."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering.store import entries
+from lycheering.store import folder as folders
+from lycheering.store import frames
+
+if TYPE_CHECKING:
+    import pathlib
+
+_PREFIX = "snapshot-"
+_SUFFIX = ".data"
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The state after all entries up to a position.
+
+    Attributes:
+        position: The last entry that went into it.
+        configuration: The members at that position, encoded.
+        data: What the state machine gave.
+    """
+
+    position: entries.Position
+    configuration: bytes
+    data: bytes
+
+
+class SnapshotFiles:
+    """Keeps the latest snapshot of a data folder."""
+
+    def __init__(self, folder: folders.DataFolder) -> None:
+        """Loads the latest snapshot.
+
+        Raises:
+            DamagedFileError: The latest file is damaged.
+        """
+        self._folder = folder
+        self.latest: Snapshot | None = None
+        paths = self._paths()
+        if paths:
+            body = frames.read_single(paths[-1])
+            self.latest = msgspec.msgpack.decode(body, type=Snapshot)
+
+    async def save(self, snapshot: Snapshot) -> None:
+        """Makes a snapshot durable, then removes the older ones."""
+        await self._folder.run(lambda: self._write(snapshot))
+        latest = self.latest
+        if latest is None or latest.position.index < snapshot.position.index:
+            self.latest = snapshot
+
+    def _write(self, snapshot: Snapshot) -> None:
+        name = f"{_PREFIX}{snapshot.position.index:020d}{_SUFFIX}"
+        path = self._folder.path / name
+        body = msgspec.msgpack.encode(snapshot)
+        folders.write_durably(path, frames.encode(body))
+        older = [other for other in self._paths() if other.name < name]
+        for other in older:
+            other.unlink()
+        if older:
+            folders.sync_folder(self._folder.path)
+
+    def _paths(self) -> list[pathlib.Path]:
+        return sorted(self._folder.path.glob(f"{_PREFIX}*{_SUFFIX}"))
+
+
+__all__ = ["Snapshot", "SnapshotFiles"]
--- /dev/null
+++ b/tests/replication/fakes.py
@@ -0,0 +1,223 @@
+"""A group of members in one event loop, joined by a network in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import shutil
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering import clock
+from lycheering.replication import api
+from lycheering.replication import errors
+from lycheering.replication import log
+from lycheering.replication import members
+from lycheering.replication import messages
+from lycheering.replication import settings
+from lycheering.store import storage
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+GIVE_UP_S = 30.0
+POLL_S = 0.005
+CUT_ANSWER_S = 0.005
+
+FAST_SETTINGS = settings.ReplicationSettings(
+    heartbeat_ms=40.0,
+    election_timeout_ms=400.0,
+    lease_ms=300.0,
+    call_timeout_ms=200.0,
+)
+
+
+class JumpingClock(clock.Clock):
+    """A clock that a test can put forward."""
+
+    def __init__(self) -> None:
+        self.offset_ms = 0.0
+
+    def now_ms(self) -> float:
+        return super().now_ms() + self.offset_ms
+
+
+class ListMachine(api.StateMachine):
+    """Keeps all commands; the result is how many there are."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+        self.applied = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.commands.append(command)
+        self.applied += 1
+        return str(len(self.commands)).encode()
+
+    def snapshot(self) -> bytes:
+        return msgspec.msgpack.encode(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        self.commands = msgspec.msgpack.decode(data, type=list[bytes])
+
+
+class Network:
+    """Carries messages, except over links that are cut."""
+
+    def __init__(self) -> None:
+        self.log_by_instance: dict[str, log.ReplicatedLog] = {}
+        self.cut_links: set[tuple[str, str]] = set()
+        self.requests: list[messages.Message] = []
+        self.records = False
+
+    def cut(self, instance: str) -> None:
+        for other in self.log_by_instance:
+            self.cut_links |= {(instance, other), (other, instance)}
+
+    async def carry(
+        self, sender: str, receiver: str, message: messages.Message
+    ) -> messages.Message:
+        if self.records:
+            self.requests.append(message)
+        member = self.log_by_instance.get(receiver)
+        if member is None or (sender, receiver) in self.cut_links:
+            await asyncio.sleep(CUT_ANSWER_S)
+            raise errors.PeerUnreachableError(receiver)
+        request = messages.decode(messages.encode(message))
+        reply = await member.handle(request)
+        if (receiver, sender) in self.cut_links:
+            raise errors.PeerUnreachableError(receiver)
+        return messages.decode(messages.encode(reply))
+
+
+class Transport(api.Transport):
+    """One member's end of the network."""
+
+    def __init__(self, network: Network, instance: str) -> None:
+        self._network = network
+        self._instance = instance
+
+    async def call(
+        self,
+        peer: members.PeerAddress,
+        message: messages.Message,
+        timeout_ms: float,
+    ) -> messages.Message:
+        try:
+            async with asyncio.timeout(timeout_ms / clock.MS_PER_S):
+                return await self._network.carry(
+                    self._instance, peer.instance, message
+                )
+        except TimeoutError as error:
+            raise errors.PeerUnreachableError(peer.instance) from error
+
+
+class Group:
+    """Members by the name of their instance."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        names: list[str],
+        options: settings.ReplicationSettings = FAST_SETTINGS,
+    ) -> None:
+        self.folder = folder
+        self.options = options
+        self.network = Network()
+        self.initial = [address(name) for name in names]
+        self.clock_by_instance: dict[str, JumpingClock] = {}
+        self.machine_by_instance: dict[str, ListMachine] = {}
+        self.store_by_instance: dict[str, storage.Storage] = {}
+
+    @property
+    def log_by_instance(self) -> dict[str, log.ReplicatedLog]:
+        return self.network.log_by_instance
+
+    def start(self, name: str) -> log.ReplicatedLog:
+        store = storage.Storage(self.folder / name)
+        self.store_by_instance[name] = store
+        self.machine_by_instance[name] = ListMachine()
+        self.clock_by_instance[name] = JumpingClock()
+        member = log.ReplicatedLog(
+            store,
+            address(name),
+            self.initial,
+            self.machine_by_instance[name],
+            Transport(self.network, name),
+            self.clock_by_instance[name],
+            self.options,
+            random.Random(name),
+        )
+        self.log_by_instance[name] = member
+        member.start()
+        return member
+
+    async def stop(self, name: str) -> None:
+        await self.log_by_instance.pop(name).stop()
+
+    async def stop_all(self) -> None:
+        for name in list(self.log_by_instance):
+            await self.stop(name)
+
+    def lose_disk(self, name: str) -> None:
+        shutil.rmtree(self.folder / name)
+
+    def leaders(self) -> list[str]:
+        return [
+            name
+            for name, member in self.log_by_instance.items()
+            if holds_lease(member)
+        ]
+
+    async def leader(self, but: str = "") -> str:
+        def found() -> bool:
+            return any(name != but for name in self.leaders())
+
+        await wait_for(found, f"a leader other than {but!r}")
+        return next(name for name in self.leaders() if name != but)
+
+    async def propose(self, command: bytes, but: str = "") -> bytes:
+        """Proposes until a leader takes the command."""
+        async with asyncio.timeout(GIVE_UP_S):
+            while True:
+                name = await self.leader(but)
+                try:
+                    return await self.log_by_instance[name].propose(
+                        command, GIVE_UP_S * clock.MS_PER_S
+                    )
+                except errors.NotLeaderError:
+                    await asyncio.sleep(POLL_S)
+
+    async def fill(self, count: int, prefix: str = "c") -> None:
+        """Proposes many commands at once."""
+        name = await self.leader()
+        member = self.log_by_instance[name]
+        timeout_ms = GIVE_UP_S * clock.MS_PER_S
+        commands = [f"{prefix}{number}".encode() for number in range(count)]
+        proposals = [member.propose(item, timeout_ms) for item in commands]
+        await asyncio.gather(*proposals)
+
+
+def address(name: str) -> members.PeerAddress:
+    return members.PeerAddress(name, f"127.0.0.1:{name}")
+
+
+def holds_lease(member: log.ReplicatedLog) -> bool:
+    try:
+        member.check_lease()
+    except errors.ReplicationError:
+        return False
+    return True
+
+
+async def wait_for(condition: Callable[[], Any], what: str) -> None:
+    """Waits until a condition holds."""
+    try:
+        async with asyncio.timeout(GIVE_UP_S):
+            while not condition():
+                await asyncio.sleep(POLL_S)
+    except TimeoutError as error:
+        raise AssertionError(f"waited in vain for {what}") from error
