Add the control daemon, its operator endpoint and its leader tasks

Each part is one module: the replica with typed commands, the view publisher, registrations in batches, the order desk, target orders, the membership watcher and the operators' HTTP interface.

Entries and agents that reach a follower are told who leads; operators' calls are forwarded, since people should not follow a leader around.

--- /dev/null
+++ b/src/lycheering/control/daemon.py
@@ -0,0 +1,219 @@
+"""Puts a control instance together and runs it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import zmq.asyncio
+
+from lycheering import clock
+from lycheering.app import api as app_api
+from lycheering.control import fleet_status
+from lycheering.control import handler
+from lycheering.control import operator_http
+from lycheering.control import operator_reads
+from lycheering.control import operator_writes
+from lycheering.control import order_desk
+from lycheering.control import publisher
+from lycheering.control import registrations
+from lycheering.control import replica
+from lycheering.control import target_membership
+from lycheering.control import target_orders
+from lycheering.control import transport
+from lycheering.membership import watcher
+from lycheering.orders import in_doubt
+from lycheering.telemetry import counters
+from lycheering.telemetry import logs
+from lycheering.web import server as web_server
+from lycheering.wire import api as wire_api
+from lycheering.wire import messages
+from lycheering.wire import pool
+from lycheering.wire import server
+
+if TYPE_CHECKING:
+    from lycheering.settings import model
+
+
+class _HandlerPart(app_api.Part):
+    """Ends the calls that peers still wait for."""
+
+    def __init__(self, calls: handler.ControlHandler) -> None:
+        self._calls = calls
+
+    async def start(self) -> None:
+        """Needs nothing."""
+
+    async def stop(self) -> None:
+        """Ends all calls."""
+        await self._calls.stop()
+
+
+class _ContextPart(app_api.Part):
+    """Closes the ZeroMQ context after all that uses it."""
+
+    def __init__(self, context: zmq.asyncio.Context) -> None:
+        self._context = context
+
+    async def start(self) -> None:
+        """Needs nothing."""
+
+    async def stop(self) -> None:
+        """Closes the context and any socket left in it."""
+        self._context.destroy(linger=0)
+
+
+class ControlDaemon:
+    """The parts of one control instance, joined together.
+
+    Attributes:
+        application: Starts and stops the parts.
+        group: The replicated log and its state.
+        listener: Where peers connect.
+        web: Where operators connect.
+    """
+
+    def __init__(self, settings: model.Settings) -> None:
+        assert settings.log_store is not None
+        self._settings = settings
+        self._store_settings = settings.log_store
+        self._clock = clock.Clock()
+        self._counters = counters.Counters(settings.metrics)
+        self._context = zmq.asyncio.Context()
+        self.application = app_api.Application(
+            settings.instance.drain_timeout_ms
+        )
+        self._join_log()
+        self._join_wire()
+        self._join_leader_tasks()
+        self._join_web()
+        self._add_parts()
+
+    def _join_log(self) -> None:
+        settings = self._settings
+        machine = replica.LoggedMachine()
+        identity = wire_api.Identity(
+            settings.instance.name,
+            messages.Role.CONTROL,
+            settings.instance.failure_domain,
+        )
+        self._link = wire_api.Link(
+            self._context,
+            identity,
+            settings.wire,
+            self._clock,
+            publisher.LogView(machine),
+            self._counters,
+        )
+        self._connections = pool.ConnectionPool(self._link)
+        self.group = replica.Replica(
+            settings,
+            machine,
+            transport.WireTransport(self._connections),
+            self._clock,
+            lambda: self.listener.port,
+        )
+
+    def _join_wire(self) -> None:
+        self._status = fleet_status.FleetStatus(
+            self.group, self._link, self._connections
+        )
+        self._doubts = in_doubt.InDoubtTask(
+            order_desk.LedgerBook(self.group, self._clock),
+            order_desk.WireInquirer(self.group, self._connections),
+            self._clock,
+            self._counters,
+        )
+        self._registers = registrations.Registrations(self.group, self._clock)
+        self._handler = handler.ControlHandler(
+            self.group,
+            order_desk.OrderDesk(self.group, self._doubts, self._clock),
+            self._registers,
+            self._status,
+            self._counters,
+        )
+        self.listener = server.Server(
+            self._link, self._settings.instance.ip, self._handler
+        )
+        self._status.attach(self.listener)
+
+    def _join_leader_tasks(self) -> None:
+        self._publisher = publisher.ViewPublisher(
+            self.group.machine, self.listener, self._clock
+        )
+        self._watcher = watcher.MembershipWatcher(
+            target_membership.LogMembership(self.group, self._status),
+            self._store_settings,
+            self._clock,
+            self._counters,
+        )
+        self._target_orders = target_orders.TargetOrdersTask(
+            self.group,
+            self._status,
+            self._connections,
+            self._clock,
+            self._counters,
+        )
+
+    def _join_web(self) -> None:
+        reads = operator_reads.OperatorReads(
+            self.group,
+            self._status,
+            self._clock,
+            self._counters,
+            self._settings.instance.name,
+        )
+        writes = operator_writes.OperatorWrites(self.group, reads, self._clock)
+        endpoint = operator_http.OperatorEndpoint(
+            reads,
+            writes,
+            operator_http.load_keys(self._store_settings.operator_key_file),
+            self._counters,
+        )
+        self.web = web_server.WebServer(
+            endpoint.application,
+            self._settings.instance.ip,
+            self._store_settings.operator_port,
+        )
+
+    def _add_parts(self) -> None:
+        parts: list[app_api.Part] = [
+            _ContextPart(self._context),
+            self._connections,
+            self.listener,
+            # started after the port is known, stopped before it closes
+            self.group,
+            _HandlerPart(self._handler),
+            self._publisher,
+            self._registers,
+            self._doubts,
+            self._watcher,
+            self._target_orders,
+            self.web,
+        ]
+        for part in parts:
+            self.application.add(part)
+
+
+def build(settings: model.Settings) -> app_api.Application:
+    """Returns a control instance that is ready to run.
+
+    Args:
+        settings: Its settings, with a `log_store` section.
+    """
+    return ControlDaemon(settings).application
+
+
+async def _run(settings: model.Settings) -> None:
+    await build(settings).run()
+
+
+def main(settings: model.Settings) -> None:
+    """Runs a control instance until it is asked to end."""
+    logs.install(
+        messages.Role.CONTROL, settings.instance.name, settings.log.level
+    )
+    asyncio.run(_run(settings))
+
+
+__all__ = ["ControlDaemon", "build", "main"]
--- /dev/null
+++ b/src/lycheering/control/fleet_status.py
@@ -0,0 +1,161 @@
+"""Which processes live, and what they have in force."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.control import transport
+from lycheering.wire import errors as wire_errors
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering.control import replica
+    from lycheering.replication import members
+    from lycheering.wire import api as wire_api
+    from lycheering.wire import pool
+    from lycheering.wire import server
+
+STATUS_TIMEOUT_MS = 500
+MAX_REPORTS = 20_000
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetPicture:
+    """What all control instances that answered see together.
+
+    Attributes:
+        peer_by_name: Every live process, as it was heard of last.
+        report_by_target: The last report of each target.
+        unreachable: Control instances that did not answer.
+    """
+
+    peer_by_name: dict[str, messages.PeerStatus]
+    report_by_target: dict[str, messages.TargetReport]
+    unreachable: tuple[str, ...]
+
+    def lacking(self, view_revision: int) -> list[str]:
+        """Returns the live processes that have a lower view revision."""
+        return sorted(
+            name
+            for name, peer in self.peer_by_name.items()
+            if peer.view_revision < view_revision
+        )
+
+
+class FleetStatus:
+    """Collects the sessions of this control instance and of the others."""
+
+    def __init__(
+        self,
+        group: replica.Replica,
+        link: wire_api.Link,
+        connections: pool.ConnectionPool,
+    ) -> None:
+        self._group = group
+        self._link = link
+        self._connections = connections
+        self._server: server.Server | None = None
+        self._report_by_target: dict[str, messages.TargetReport] = {}
+
+    def attach(self, listener: server.Server) -> None:
+        """Names the server whose sessions are looked at."""
+        self._server = listener
+
+    def take_report(
+        self, session: server.Session, report: messages.TargetReport
+    ) -> None:
+        """Keeps the last report of a target, from its own agent only."""
+        is_own = session.name == report.target
+        known = report.target in self._report_by_target
+        if is_own and (known or len(self._report_by_target) < MAX_REPORTS):
+            self._report_by_target[report.target] = report
+
+    def own(self) -> messages.StatusReply:
+        """Returns what this instance sees, itself included."""
+        identity = self._link.identity
+        peers = [
+            messages.PeerStatus(
+                identity.name,
+                identity.role,
+                identity.incarnation,
+                identity.failure_domain,
+                self._link.view.revision(),
+                0.0,
+            )
+        ]
+        now_ms = self._link.clock.now_ms()
+        sessions = self._server.session_by_routing_id if self._server else {}
+        live = {}
+        for session in sessions.values():
+            live[session.name] = session.incarnation
+            if session.role == messages.Role.CONTROL:
+                continue
+            peers.append(
+                messages.PeerStatus(
+                    session.name,
+                    session.role,
+                    session.incarnation,
+                    session.failure_domain,
+                    session.view_revision,
+                    now_ms - session.last_received_ms,
+                )
+            )
+        reports = tuple(
+            report
+            for name, report in self._report_by_target.items()
+            if live.get(name) == report.agent_incarnation
+        )
+        return messages.StatusReply(tuple(peers), reports)
+
+    async def collect(self) -> FleetPicture:
+        """Asks all control instances and returns what they see together."""
+        others = [
+            member
+            for member in self._group.peers()
+            if member.instance != self._link.identity.name
+        ]
+        replies = await asyncio.gather(*(self._fetch(o) for o in others))
+        unreachable = tuple(
+            other.instance
+            for other, reply in zip(others, replies, strict=True)
+            if reply is None
+        )
+        peer_by_name: dict[str, messages.PeerStatus] = {}
+        report_by_target: dict[str, messages.TargetReport] = {}
+        for reply in [self.own(), *replies]:
+            if reply is None:
+                continue
+            for peer in reply.peers:
+                known = peer_by_name.get(peer.name)
+                peer_by_name[peer.name] = _newer(known, peer)
+            for report in reply.reports:
+                report_by_target[report.target] = report
+        return FleetPicture(peer_by_name, report_by_target, unreachable)
+
+    async def _fetch(
+        self, other: members.PeerAddress
+    ) -> messages.StatusReply | None:
+        address = transport.wire_address(other)
+        connection = self._connections.get(address)
+        try:
+            reply = await connection.call(
+                messages.StatusFetch(), STATUS_TIMEOUT_MS
+            )
+        except wire_errors.WireError:
+            return None
+        return reply if isinstance(reply, messages.StatusReply) else None
+
+
+def _newer(
+    known: messages.PeerStatus | None, peer: messages.PeerStatus
+) -> messages.PeerStatus:
+    if known is None:
+        return peer
+    if known.incarnation == peer.incarnation:
+        return max(known, peer, key=lambda status: status.view_revision)
+    return min(known, peer, key=lambda status: status.last_heard_ms)
+
+
+__all__ = ["STATUS_TIMEOUT_MS", "FleetPicture", "FleetStatus"]
--- /dev/null
+++ b/src/lycheering/control/handler.py
@@ -0,0 +1,141 @@
+"""Answers what entries, agents and control instances send."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.control import failures
+from lycheering.control import peer_calls
+from lycheering.wire import api as wire_api
+from lycheering.wire import errors as wire_errors
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering.control import fleet_status
+    from lycheering.control import order_desk
+    from lycheering.control import registrations
+    from lycheering.control import replica
+    from lycheering.telemetry import counters
+    from lycheering.wire import server
+
+MAX_OPEN_CALLS = 5_000
+
+
+class ControlHandler(wire_api.SessionHandler):
+    """Runs each call in a task of its own, so that none waits for another.
+
+    Entries and agents are told who leads instead of having their calls
+    forwarded: the caller then knows that nothing was done, and its next
+    call takes one hop.
+    """
+
+    def __init__(
+        self,
+        group: replica.Replica,
+        desk: order_desk.OrderDesk,
+        registers: registrations.Registrations,
+        status: fleet_status.FleetStatus,
+        counts: counters.Counters,
+    ) -> None:
+        self._group = group
+        self._desk = desk
+        self._registers = registers
+        self._status = status
+        self._counters = counts
+        self._tasks = app_api.TaskOwner()
+        self._open_calls = 0
+
+    async def handle(
+        self, session: server.Session, envelope: messages.Envelope
+    ) -> None:
+        """Handles one frame."""
+        message = envelope.message
+        if isinstance(message, messages.TargetReport):
+            self._status.take_report(session, message)
+            if envelope.call_id:
+                session.send(messages.Done(), envelope.call_id)
+            return
+        if self._open_calls >= MAX_OPEN_CALLS:
+            self._counters.refusal(messages.Reason.FULL)
+            failure = messages.Failure(
+                messages.Reason.FULL, "", failures.FULL_RETRY_MS
+            )
+            session.send(failure, envelope.call_id)
+            return
+        self._open_calls += 1
+        kind = type(message).__name__
+        self._tasks.spawn(self._answer(session, envelope), f"control:{kind}")
+
+    async def stop(self) -> None:
+        """Ends all calls."""
+        await self._tasks.cancel_all()
+
+    async def _answer(
+        self, session: server.Session, envelope: messages.Envelope
+    ) -> None:
+        try:
+            reply = await self._reply(session, envelope.message)
+        except Exception as error:
+            reply = failures.failure_of(error, self._group.leader_name())
+            self._counters.refusal(reply.reason)
+        finally:
+            self._open_calls -= 1
+        if not envelope.call_id:
+            return
+        try:
+            session.send(reply, envelope.call_id)
+        except wire_errors.PeerUnreachableError:
+            self._counters.increment("control.reply_lost")
+
+    async def _reply(
+        self, session: server.Session, message: messages.Message
+    ) -> messages.Message:
+        match message:
+            case messages.LogCall(payload):
+                return await self._peer_call(session, payload)
+            case messages.OrderClaim():
+                return await self._desk.claim(message)
+            case messages.OrderFinish():
+                return await self._desk.finish(message)
+            case messages.OrderRelease():
+                return await self._desk.release(message)
+            case messages.OrderLookup():
+                return await self._desk.look_up(message)
+            case messages.Register(target):
+                fence = await self._registers.register(target)
+                return messages.Registered(fence)
+            case messages.Deregister():
+                await self._registers.deregister(message)
+                return messages.Done()
+            case messages.StatusFetch():
+                return self._status.own()
+        kind = type(message).__name__
+        return messages.Failure(messages.Reason.BAD_REQUEST, kind)
+
+    async def _peer_call(
+        self, session: server.Session, payload: bytes
+    ) -> messages.Message:
+        if session.role != messages.Role.CONTROL:
+            return messages.Failure(
+                messages.Reason.UNAUTHORIZED, session.role.value
+            )
+        call = peer_calls.decode(payload)
+        answer: peer_calls.PeerMessage
+        match call:
+            case peer_calls.ReplicationCall(data):
+                reply = await self._group.handle(data)
+                answer = peer_calls.ReplicationCall(reply)
+            case peer_calls.ProposeCall(command):
+                result = await self._group.propose_encoded(command)
+                answer = peer_calls.Proposed(result)
+            case peer_calls.ReadIndexCall():
+                answer = peer_calls.ReadIndex(await self._group.read_index())
+            case peer_calls.ReplaceCall():
+                answer = await self._group.replace(call)
+            case _:
+                return messages.Failure(messages.Reason.BAD_REQUEST)
+        return messages.LogReply(peer_calls.encode(answer))
+
+
+__all__ = ["MAX_OPEN_CALLS", "ControlHandler"]
--- /dev/null
+++ b/src/lycheering/control/replica.py
@@ -0,0 +1,305 @@
+"""The replicated log of this control instance, with typed commands."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.control import commands
+from lycheering.control import machine
+from lycheering.control import peer_calls
+from lycheering.control import transport
+from lycheering.replication import api as replication_api
+from lycheering.replication import core
+from lycheering.replication import errors
+from lycheering.replication import log
+from lycheering.replication import members
+from lycheering.replication import messages as replication_messages
+from lycheering.replication import settings as replication_settings
+from lycheering.store import storage
+from lycheering.telemetry import logs
+from lycheering.wire import errors as wire_errors
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheering import clock
+    from lycheering.settings import model
+
+PROPOSE_TIMEOUT_MS = 2_000
+READ_TIMEOUT_MS = 1_000
+REPLACE_TIMEOUT_MS = 60_000
+APPLY_POLL_MS = 5
+LEADER_WAIT_MS = 100
+
+_LOG = logs.get("control")
+
+
+class LoggedMachine(machine.ControlMachine, replication_api.StateMachine):
+    """The state machine as the replicated log drives it."""
+
+
+class Replica(app_api.Part):
+    """One member of the group of control instances.
+
+    Attributes:
+        machine: The state that the commands make.
+    """
+
+    def __init__(
+        self,
+        settings: model.Settings,
+        state: LoggedMachine,
+        carrier: transport.WireTransport,
+        time: clock.Clock,
+        listening_port: Callable[[], int],
+    ) -> None:
+        self.machine = state
+        self._settings = settings
+        self._transport = carrier
+        self._clock = time
+        self._listening_port = listening_port
+        self._log: log.ReplicatedLog | None = None
+
+    @property
+    def log(self) -> log.ReplicatedLog:
+        """The replicated log, once started."""
+        if self._log is None:
+            raise errors.UnavailableError("not started")
+        return self._log
+
+    async def start(self) -> None:
+        """Opens the data folder and takes part."""
+        assert self._settings.log_store is not None
+        folder = pathlib.Path(self._settings.log_store.data_folder)
+        store = storage.Storage(folder)
+        instance = self._settings.instance
+        port = self._listening_port()
+        address = members.PeerAddress(instance.name, f"{instance.ip}:{port}")
+        self._log = log.ReplicatedLog(
+            store,
+            address,
+            self._initial_members(),
+            self.machine,
+            self._transport,
+            self._clock,
+            self._options(self._settings.log_store),
+        )
+        self._log.start()
+
+    async def drain(self) -> None:
+        """Hands leadership over, so that nobody waits for an election."""
+        if self.is_leader() and len(self.peers()) > 1:
+            moved = await self.log.transfer_leadership()
+            _LOG.event("leadership_handed_over", done=moved)
+
+    async def stop(self) -> None:
+        """Ends taking part and closes the data folder."""
+        if self._log is not None:
+            await self._log.stop()
+
+    def _initial_members(self) -> list[members.PeerAddress]:
+        assert self._settings.log_store is not None
+        if self._settings.log_store.join:
+            return []
+        return [
+            members.PeerAddress(peer.instance, f"{peer.ip}:{peer.port}")
+            for peer in self._settings.control.members
+        ]
+
+    def _options(
+        self, chosen: model.LogStoreSettings
+    ) -> replication_settings.ReplicationSettings:
+        return replication_settings.ReplicationSettings(
+            election_timeout_ms=chosen.election_timeout_ms,
+            lease_ms=chosen.leader_lease_ms,
+            snapshot_entries=chosen.snapshot_entries,
+        )
+
+    def is_leader(self) -> bool:
+        """Returns whether this instance may act as leader now."""
+        if self._log is None:
+            return False
+        try:
+            self._log.check_lease()
+        except errors.ReplicationError:
+            return False
+        return True
+
+    def leader_name(self) -> str:
+        """Returns the instance that leads as far as known, or an empty text."""
+        if self._log is None:
+            return ""
+        status = self._log.status()
+        if status.role == core.Role.LEADER:
+            return status.id.instance
+        hint = self._log.leader_hint()
+        return hint.instance if hint is not None else ""
+
+    def peers(self) -> list[members.PeerAddress]:
+        """Returns where all members listen, this one included."""
+        if self._log is None:
+            return self._initial_members()
+        known = self._log.status().members
+        if not known:
+            return self._initial_members()
+        return [
+            members.PeerAddress(member.id.instance, member.address)
+            for member in known
+        ]
+
+    async def handle(self, data: bytes) -> bytes:
+        """Answers a message of the replicated log."""
+        message = replication_messages.decode(data)
+        reply = await self.log.handle(message)
+        return replication_messages.encode(reply)
+
+    async def propose(self, command: commands.Command) -> commands.Reply:
+        """Commits a command; only on the leader.
+
+        Raises:
+            NotLeaderError: This instance does not lead; nothing was done.
+            UnavailableError: Nothing was done.
+            OutcomeUnknownError: It may or may not take effect.
+        """
+        data = await self.propose_encoded(commands.encode(command))
+        return commands.decode_reply(data)
+
+    async def propose_encoded(self, command: bytes) -> bytes:
+        """Commits an encoded command and returns the encoded reply."""
+        return await self.log.propose(command, PROPOSE_TIMEOUT_MS)
+
+    async def propose_anywhere(
+        self, command: commands.Command
+    ) -> commands.Reply:
+        """Commits a command, through the leader if that is another.
+
+        Raises:
+            UnavailableError: Nothing was done.
+            OutcomeUnknownError: It may or may not take effect.
+        """
+        data = commands.encode(command)
+        leader = await self.find_leader()
+        if leader is None:
+            reply = await self.propose_encoded(data)
+            return commands.decode_reply(reply)
+        answer = await self._call_leader(leader, peer_calls.ProposeCall(data))
+        if not isinstance(answer, peer_calls.Proposed):
+            raise errors.OutcomeUnknownError("no reply to a proposal")
+        return commands.decode_reply(answer.reply)
+
+    async def read_anywhere(self) -> None:
+        """Returns once the state here is as new as the leader's.
+
+        Raises:
+            ReplicationError: If that can't be had now.
+        """
+        leader = await self.find_leader()
+        if leader is None:
+            await self.log.read_barrier(READ_TIMEOUT_MS)
+            return
+        answer = await self._call_leader(leader, peer_calls.ReadIndexCall())
+        if not isinstance(answer, peer_calls.ReadIndex):
+            raise errors.UnavailableError("no read index")
+        await self._wait_applied(answer.index)
+
+    async def read_index(self) -> int:
+        """Returns how far a state must be to be current; only on the leader."""
+        await self.log.read_barrier(READ_TIMEOUT_MS)
+        return self.log.status().applied_index
+
+    async def replace_anywhere(
+        self, call: peer_calls.ReplaceCall
+    ) -> peer_calls.Replaced:
+        """Replaces a member, through the leader if that is another.
+
+        Raises:
+            ReplicationError: If the repair is not over; it may be asked
+                for again.
+        """
+        leader = await self.find_leader()
+        if leader is None:
+            return await self.replace(call)
+        answer = await self._call_leader(leader, call, REPLACE_TIMEOUT_MS)
+        if not isinstance(answer, peer_calls.Replaced):
+            raise errors.OutcomeUnknownError("no reply to a replacement")
+        return answer
+
+    async def replace(
+        self, call: peer_calls.ReplaceCall
+    ) -> peer_calls.Replaced:
+        """Replaces a member; only on the leader."""
+        new = members.PeerAddress(call.new, call.address)
+        old = [
+            member
+            for member in self.log.status().members
+            if member.id.instance == call.old and member.address != call.address
+        ]
+        if not old:
+            raise errors.MemberChangeError(f"{call.old} is no member")
+        async with asyncio.timeout(REPLACE_TIMEOUT_MS / 1_000):
+            report = await self.log.replace(old[0].id, new)
+        return peer_calls.Replaced(
+            str(report.joined), str(report.left), report.synced_index
+        )
+
+    async def find_leader(self) -> members.PeerAddress | None:
+        """Returns another member that leads, or None if this one does.
+
+        Raises:
+            UnavailableError: If no leader is known here.
+        """
+        deadline_ms = self._clock.now_ms() + LEADER_WAIT_MS
+        while True:
+            if self.is_leader():
+                return None
+            hint = self.log.leader_hint()
+            if hint is not None:
+                return hint
+            if self._clock.now_ms() >= deadline_ms:
+                raise errors.UnavailableError("no leader")
+            await self._clock.sleep(APPLY_POLL_MS)
+
+    async def _call_leader(
+        self,
+        leader: members.PeerAddress,
+        call: peer_calls.PeerMessage,
+        timeout_ms: float = PROPOSE_TIMEOUT_MS,
+    ) -> peer_calls.PeerMessage:
+        try:
+            return await self._transport.call_peer(leader, call, timeout_ms)
+        except wire_errors.CallFailedError as error:
+            failure = error.failure
+            text = failure.detail or failure.reason
+            if failure.reason in (
+                messages.Reason.NOT_LEADER,
+                messages.Reason.NO_QUORUM,
+            ):
+                raise errors.UnavailableError(text) from error
+            if failure.reason == messages.Reason.BAD_REQUEST:
+                raise errors.MemberChangeError(text) from error
+            raise errors.OutcomeUnknownError(text) from error
+        except errors.PeerUnreachableError as error:
+            # the frame may have arrived all the same
+            if isinstance(call, peer_calls.ReadIndexCall):
+                raise errors.UnavailableError(str(error)) from error
+            raise errors.OutcomeUnknownError(str(error)) from error
+
+    async def _wait_applied(self, index: int) -> None:
+        deadline_ms = self._clock.now_ms() + READ_TIMEOUT_MS
+        while self.log.status().applied_index < index:
+            if self._clock.now_ms() >= deadline_ms:
+                raise errors.UnavailableError("not caught up")
+            await self._clock.sleep(APPLY_POLL_MS)
+
+
+__all__ = [
+    "PROPOSE_TIMEOUT_MS",
+    "READ_TIMEOUT_MS",
+    "REPLACE_TIMEOUT_MS",
+    "LoggedMachine",
+    "Replica",
+]
--- /dev/null
+++ b/src/lycheering/control/target_membership.py
@@ -0,0 +1,61 @@
+"""The replicated targets as the membership watcher uses them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.control import commands
+from lycheering.membership import api
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from lycheering.control import fleet_status
+    from lycheering.control import replica
+    from lycheering.fleet import records
+    from lycheering.membership import reconcile
+
+
+class LogMembership(api.Membership):
+    """Reads the state machine and commits marks to the log."""
+
+    def __init__(
+        self, group: replica.Replica, status: fleet_status.FleetStatus
+    ) -> None:
+        self._group = group
+        self._status = status
+
+    def is_leader(self) -> bool:
+        """Returns whether this process may mark targets now."""
+        return self._group.is_leader()
+
+    def targets(self) -> list[records.Target]:
+        """Returns all targets of the fleet view."""
+        return list(self._group.machine.fleet.target_by_name.values())
+
+    def revived_ms_by_target(self) -> Mapping[str, int]:
+        """Returns when targets last came back."""
+        return self._group.machine.targets.revived_ms_by_target
+
+    async def heard_incarnations(self) -> Mapping[str, str] | None:
+        """Returns the incarnation of each agent that is heard anywhere."""
+        picture = await self._status.collect()
+        members = len(self._group.peers())
+        answered = members - len(picture.unreachable)
+        if answered <= members // 2:
+            return None
+        return {
+            name: peer.incarnation
+            for name, peer in picture.peer_by_name.items()
+            if peer.role == messages.Role.AGENT
+        }
+
+    async def mark(self, mark: reconcile.Mark) -> None:
+        """Commits a mark."""
+        await self._group.propose(
+            commands.MarkTarget(mark.target, mark.agent_incarnation, mark.state)
+        )
+
+
+__all__ = ["LogMembership"]
--- /dev/null
+++ b/src/lycheering/control/target_orders.py
@@ -0,0 +1,275 @@
+"""Brings targets to the weights, adapters and role that are configured."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.control import commands
+from lycheering.control import transport
+from lycheering.fleet import records
+from lycheering.fleet import view
+from lycheering.replication import errors
+from lycheering.replication import members
+from lycheering.telemetry import logs
+from lycheering.wire import errors as wire_errors
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering import clock
+    from lycheering.control import fleet_status
+    from lycheering.control import replica
+    from lycheering.telemetry import counters
+    from lycheering.wire import pool
+
+CHECK_INTERVAL_MS = 500
+MAX_LOADS = 2
+ORDER_TIMEOUT_MS = 30_000
+CONNECT_TIMEOUT_MS = 1_000
+FIRST_BACKOFF_MS = 500
+MAX_BACKOFF_MS = 30_000
+# loads that the leader before had begun may still run
+SETTLE_MS = 3_000
+
+_LOG = logs.get("targets")
+
+
+@dataclasses.dataclass(frozen=True)
+class WantedOrder:
+    """What a target has to be told next.
+
+    Attributes:
+        kind: What to do.
+        model: The model.
+        version: The weights version.
+        adapter: The adapter.
+        role: The role.
+    """
+
+    kind: messages.TargetOrderKind
+    model: str = ""
+    version: str = ""
+    adapter: str = ""
+    role: str = ""
+
+    @property
+    def is_load(self) -> bool:
+        """Whether the weight store is read for it."""
+        return self.kind != messages.TargetOrderKind.SET_ROLE
+
+    def numbered(self, fence: int) -> messages.TargetOrder:
+        """Returns the order under a fencing number."""
+        return messages.TargetOrder(
+            fence, self.kind, self.model, self.version, self.adapter, self.role
+        )
+
+
+@dataclasses.dataclass
+class _Backoff:
+    """When a target is tried next after a failure.
+
+    Attributes:
+        next_ms: When it is due.
+        pause_ms: The pause after the next failure.
+    """
+
+    next_ms: float
+    pause_ms: float
+
+
+def next_order(
+    fleet: view.FleetView,
+    target: records.Target,
+    report: messages.TargetReport,
+) -> WantedOrder | None:
+    """Returns what a target has to be told next, or None if nothing.
+
+    Args:
+        fleet: The fleet view with the options.
+        target: The target.
+        report: What its agent reported last.
+    """
+    subject = view.subject_of_target(target)
+    version = fleet.text("weights.version", subject)
+    if version and version != report.weights_version:
+        return WantedOrder(
+            messages.TargetOrderKind.LOAD_WEIGHTS,
+            model=target.model,
+            version=version,
+        )
+    for name in fleet.text("adapters.loaded", subject).split(","):
+        adapter = name.strip()
+        if adapter and adapter not in report.adapters:
+            return WantedOrder(
+                messages.TargetOrderKind.LOAD_ADAPTER,
+                model=target.model,
+                adapter=adapter,
+            )
+    role = fleet.text("target.role", subject)
+    if report.role and role != report.role:
+        return WantedOrder(messages.TargetOrderKind.SET_ROLE, role=role)
+    return None
+
+
+class TargetOrdersTask(app_api.Part):
+    """Sends orders to targets, through their agents, while this leads."""
+
+    def __init__(
+        self,
+        group: replica.Replica,
+        status: fleet_status.FleetStatus,
+        connections: pool.ConnectionPool,
+        time: clock.Clock,
+        counts: counters.Counters,
+    ) -> None:
+        self._group = group
+        self._status = status
+        self._connections = connections
+        self._clock = time
+        self._counters = counts
+        self._tasks = app_api.TaskOwner()
+        self._loads = asyncio.Semaphore(MAX_LOADS)
+        self._busy: set[str] = set()
+        self._backoff_by_target: dict[str, _Backoff] = {}
+        self._leading_since_ms: float | None = None
+
+    async def start(self) -> None:
+        """Begins to compare what is wanted with what is reported."""
+        self._tasks.spawn(self._run(), "control:target-orders")
+
+    async def stop(self) -> None:
+        """Ends waiting for targets."""
+        await self._tasks.cancel_all()
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+            if not self._is_settled_leader():
+                continue
+            picture = await self._status.collect()
+            self._check(picture.report_by_target)
+
+    def _is_settled_leader(self) -> bool:
+        if not self._group.is_leader():
+            self._leading_since_ms = None
+            return False
+        now_ms = self._clock.now_ms()
+        if self._leading_since_ms is None:
+            self._leading_since_ms = now_ms
+        return now_ms - self._leading_since_ms >= SETTLE_MS
+
+    def _check(
+        self, report_by_target: dict[str, messages.TargetReport]
+    ) -> None:
+        fleet = self._group.machine.fleet
+        for name in list(self._backoff_by_target):
+            if name not in fleet.target_by_name:
+                del self._backoff_by_target[name]
+        for target in fleet.target_by_name.values():
+            report = report_by_target.get(target.name)
+            if report is None or not self._may_order(target, report):
+                continue
+            wanted = next_order(fleet, target, report)
+            if wanted is not None:
+                self._busy.add(target.name)
+                self._tasks.spawn(
+                    self._carry_out(target, wanted), f"order:{target.name}"
+                )
+
+    def _may_order(
+        self, target: records.Target, report: messages.TargetReport
+    ) -> bool:
+        if target.kind != records.TargetKind.ENGINE:
+            return False
+        if target.state != records.TargetState.LIVE:
+            return False
+        if not report.engine_incarnation or target.name in self._busy:
+            return False
+        if report.agent_incarnation != target.agent_incarnation:
+            return False
+        backoff = self._backoff_by_target.get(target.name)
+        return backoff is None or self._clock.now_ms() >= backoff.next_ms
+
+    async def _carry_out(
+        self, target: records.Target, wanted: WantedOrder
+    ) -> None:
+        try:
+            if wanted.is_load:
+                async with self._loads:
+                    done = await self._send(target, wanted)
+            else:
+                done = await self._send(target, wanted)
+            if done:
+                self._backoff_by_target.pop(target.name, None)
+                # the report that follows shows what the order did
+                await self._clock.sleep(CHECK_INTERVAL_MS)
+            else:
+                self._back_off(target.name)
+        finally:
+            self._busy.discard(target.name)
+
+    async def _send(self, target: records.Target, wanted: WantedOrder) -> bool:
+        peer = members.PeerAddress(target.name, f"{target.ip}:{target.port}")
+        connection = self._connections.get(transport.wire_address(peer))
+        try:
+            await connection.ready(CONNECT_TIMEOUT_MS)
+            granted = await self._group.propose(commands.GrantFence())
+            if not isinstance(granted, commands.FenceGranted):
+                return False
+            order = wanted.numbered(granted.highest_fence)
+            await connection.ready(CONNECT_TIMEOUT_MS)
+            if connection.peer_incarnation != target.agent_incarnation:
+                return False
+            # the last thing before the send, with no await in between
+            self._group.log.check_lease()
+            reply = await connection.call(order, ORDER_TIMEOUT_MS)
+        except (wire_errors.WireError, errors.ReplicationError) as error:
+            self._counters.retry("target_order")
+            _LOG.warning(
+                "target_order_failed", target=target.name, error=repr(error)
+            )
+            return False
+        return self._take(target, order, reply)
+
+    def _take(
+        self,
+        target: records.Target,
+        order: messages.TargetOrder,
+        reply: messages.Message,
+    ) -> bool:
+        if not isinstance(reply, messages.TargetOrderReply):
+            return False
+        _LOG.event(
+            "target_ordered",
+            target=target.name,
+            kind=order.kind,
+            fence=order.fence,
+            version=order.version,
+            adapter=order.adapter,
+            wanted_role=order.role,
+            done=reply.done,
+            detail=reply.detail,
+        )
+        if not reply.done:
+            self._counters.retry("target_order_refused")
+        return reply.done
+
+    def _back_off(self, name: str) -> None:
+        before = self._backoff_by_target.get(name)
+        pause_ms: float = FIRST_BACKOFF_MS
+        if before is not None:
+            pause_ms = before.pause_ms
+        self._backoff_by_target[name] = _Backoff(
+            self._clock.now_ms() + pause_ms, min(MAX_BACKOFF_MS, pause_ms * 2)
+        )
+
+
+__all__ = [
+    "MAX_LOADS",
+    "SETTLE_MS",
+    "TargetOrdersTask",
+    "WantedOrder",
+    "next_order",
+]
--- /dev/null
+++ b/src/lycheering/control/transport.py
@@ -0,0 +1,82 @@
+"""Carries the replicated log's messages over the inner protocol."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering.control import peer_calls
+from lycheering.replication import api as replication_api
+from lycheering.replication import errors as replication_errors
+from lycheering.replication import messages as replication_messages
+from lycheering.wire import api as wire_api
+from lycheering.wire import errors as wire_errors
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering.replication import members
+    from lycheering.wire import pool
+
+
+def wire_address(peer: members.PeerAddress) -> wire_api.Address:
+    """Returns where a member listens, in the inner protocol's form."""
+    ip, _, port = peer.address.rpartition(":")
+    return wire_api.Address(peer.instance, ip, int(port))
+
+
+class WireTransport(replication_api.Transport):
+    """Sends requests over the process's connections."""
+
+    def __init__(self, connections: pool.ConnectionPool) -> None:
+        self._connections = connections
+
+    async def call(
+        self,
+        peer: members.PeerAddress,
+        message: replication_messages.Message,
+        timeout_ms: float,
+    ) -> replication_messages.Message:
+        """Sends a request of the replicated log and waits for its reply."""
+        data = replication_messages.encode(message)
+        reply = await self.call_peer(
+            peer, peer_calls.ReplicationCall(data), timeout_ms
+        )
+        if not isinstance(reply, peer_calls.ReplicationCall):
+            raise replication_errors.PeerUnreachableError(peer.address)
+        try:
+            return replication_messages.decode(reply.data)
+        except msgspec.DecodeError as error:
+            raise replication_errors.PeerUnreachableError(str(error)) from error
+
+    async def call_peer(
+        self,
+        peer: members.PeerAddress,
+        call: peer_calls.PeerMessage,
+        timeout_ms: float,
+    ) -> peer_calls.PeerMessage:
+        """Sends any call to another control instance.
+
+        Raises:
+            PeerUnreachableError: No reply came in time, or the frame could
+                not be read.
+            CallFailedError: The peer could not do it.
+        """
+        connection = self._connections.get(wire_address(peer))
+        frame = messages.LogCall(peer_calls.encode(call))
+        try:
+            reply = await connection.call(frame, timeout_ms)
+            if not isinstance(reply, messages.LogReply):
+                raise replication_errors.PeerUnreachableError(peer.address)
+            return peer_calls.decode(reply.payload)
+        except wire_errors.CallFailedError as error:
+            if isinstance(call, peer_calls.ReplicationCall):
+                raise replication_errors.PeerUnreachableError(
+                    str(error)
+                ) from error
+            raise
+        except (wire_errors.WireError, msgspec.DecodeError) as error:
+            raise replication_errors.PeerUnreachableError(str(error)) from error
+
+
+__all__ = ["WireTransport", "wire_address"]
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -151,6 +151,16 @@
             return None
         return list(self._recent)[-missing:]
 
+    def view_revision_of(self, config_revision: int) -> int:
+        """Returns the first view revision that holds a config revision.
+
+        Where the change is no longer kept, it is the present one.
+        """
+        for item in self._recent:
+            if item.config_revision >= config_revision:
+                return item.view_revision
+        return self.view_revision
+
     def apply_all(self, numbered: Iterable[changes.NumberedChange]) -> int:
         """Applies the changes that are newer than the view.
 
