--- /dev/null
+++ b/tests/steps/in_doubt_steps.py
@@ -0,0 +1,196 @@
+"""Steps for claims in doubt."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.orders import api
+from lycheering.orders import in_doubt
+from lycheering.orders import ledger
+from lycheering.telemetry import counters
+from lycheering.wire import messages
+
+
+class LocalBook(api.OrderBook):
+    """A ledger that needs no quorum."""
+
+    def __init__(self, time):
+        self.ledger = ledger.Ledger()
+        self.clock = time
+        self.asking_back = True
+        self.has_quorum = True
+
+    def is_leader(self):
+        return True
+
+    def asks_back(self):
+        return self.asking_back
+
+    def wall_ms(self):
+        return self.clock.wall_ms()
+
+    def open_orders(self):
+        return self.ledger.open_orders()
+
+    def find_id(self, order_id):
+        return self.ledger.find_id(order_id)
+
+    def check(self):
+        if not self.has_quorum:
+            raise RuntimeError("no quorum")
+
+    async def finish(self, order_id, outcome):
+        self.check()
+        self.ledger.finish(order_id, outcome, self.wall_ms())
+
+    async def release(self, order_id, reason):
+        self.check()
+        self.ledger.release(order_id, reason, self.wall_ms())
+
+    async def mark_unknown(self, order_id, reason):
+        self.check()
+        self.ledger.mark_unknown(order_id, reason, self.wall_ms())
+
+    async def expire(self):
+        self.ledger.expire(self.wall_ms())
+
+
+class ScriptedAgent(api.AgentInquirer):
+    """An agent that answers as it was told to."""
+
+    def __init__(self):
+        self.answer = None
+        self.asked = 0
+
+    async def ask(self, order):
+        self.asked += 1
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+def claim(context, request_id="r1"):
+    asked = messages.OrderClaim(
+        "alpha", "k", "d", request_id, "t1", "i1", 86_400_000
+    )
+    fence = len(context.book.ledger.order_by_key) + 1
+    if context.order_id:
+        fence += 1
+    return context.book.ledger.claim(asked, fence, context.clock.wall_ms())
+
+
+@given("claims in doubt at a leader")
+def step_doubts(context):
+    context.clock = clock.ManualClock(1_000_000)
+    context.book = LocalBook(context.clock)
+    context.agent = ScriptedAgent()
+    context.counters = counters.Counters()
+    context.task = in_doubt.InDoubtTask(
+        context.book, context.agent, context.clock, context.counters
+    )
+    context.order_id = ""
+
+
+@given('the asked agent says "{result}"')
+def step_answers(context, result):
+    context.agent.answer = messages.OrderInquiryReply(
+        messages.InquiryResult(result)
+    )
+
+
+@given('the asked agent finished it with "{text}"')
+def step_answers_done(context, text):
+    outcome = messages.OrderOutcome(200, "text/plain", text.encode(), "r1")
+    context.agent.answer = messages.OrderInquiryReply(
+        messages.InquiryResult.DONE, outcome
+    )
+
+
+@given('the asked agent finished it but dropped the answer')
+def step_answers_empty(context):
+    context.agent.answer = messages.OrderInquiryReply(
+        messages.InquiryResult.DONE
+    )
+
+
+@given("the asked agent is gone")
+def step_gone(context):
+    context.agent.answer = api.AgentGoneError("agent was restarted")
+
+
+@given("the asked agent is silent")
+def step_silent(context):
+    context.agent.answer = api.AgentSilentError("no answer")
+
+
+@given("agents are not asked back for orders")
+def step_not_asked(context):
+    context.book.asking_back = False
+
+
+@given("the doubtful ledger has no quorum")
+def step_no_quorum(context):
+    context.book.has_quorum = False
+
+
+def age(context, age_ms):
+    context.order_id = claim(context).order.order_id
+    context.clock.advance(age_ms)
+
+
+@when("the sweep runs on a claim that is {age_ms:d} ms old")
+def step_sweep(context, age_ms):
+    age(context, age_ms)
+    asyncio.run(context.task.sweep())
+
+
+@when("the sweep runs {count:d} times on a claim that is {age_ms:d} ms old")
+def step_sweeps(context, count, age_ms):
+    age(context, age_ms)
+    for _ in range(count):
+        asyncio.run(context.task.sweep())
+
+
+@when("{pause_ms:d} ms pass and the sweep runs")
+def step_later(context, pause_ms):
+    context.clock.advance(pause_ms)
+    asyncio.run(context.task.sweep())
+
+
+@when("a caller looks up a claim that is {age_ms:d} ms old")
+def step_look_up(context, age_ms):
+    age(context, age_ms)
+    order = context.book.find_id(context.order_id)
+    asyncio.run(context.task.settle(order))
+
+
+@then("the doubtful order is {state}")
+def step_state(context, state):
+    assert context.book.find_id(context.order_id).state == state
+
+
+@then('the doubtful order holds the answer "{text}"')
+def step_finished(context, text):
+    order = context.book.find_id(context.order_id)
+    assert order.state == messages.OrderState.FINISHED
+    assert order.outcome.body == text.encode()
+
+
+@then("the key can be claimed again")
+def step_claim_again(context):
+    assert claim(context, "r2").granted
+
+
+@then("the unknown order is counted")
+def step_counted(context):
+    assert context.counters.value_by_name["orders.unknown"] == 1
+
+
+@then("the asked agent was called {count:d} times")
+def step_asked(context, count):
+    assert context.agent.asked == count
