--- /dev/null
+++ b/src/lycheering/agent/context.py
@@ -0,0 +1,90 @@
+"""What all requests of one agent share."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.fleet import view
+from lycheering.limits import admission as admissions
+
+if TYPE_CHECKING:
+    from lycheering import clock as clocks
+    from lycheering.agent import kept
+    from lycheering.agent import orders
+    from lycheering.agent import target_state
+    from lycheering.cache import index as indexes
+    from lycheering.fleet import holder as holders
+    from lycheering.limits import cost as costs
+    from lycheering.limits import width as widths
+    from lycheering.settings import model
+    from lycheering.targets import api as targets_api
+    from lycheering.telemetry import counters as counting
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """The parts that every request of an agent uses.
+
+    Attributes:
+        settings: The agent's settings.
+        wire: The inner protocol's settings.
+        subject: The target, as options are asked for.
+        clock: The process's clock.
+        counters: The process's counters.
+        holder: The fleet view.
+        driver: The way to the target.
+        state: The target's state.
+        index: What the target has cached.
+        cost: What requests cost there.
+        admission: The queue.
+        desk: Orders that run at most once.
+        widths: The demand for each prefix.
+        importer: Brings kept KV cache in.
+        order_lock: Held while an order is in flight to a target that
+            refuses old fencing numbers.
+    """
+
+    settings: model.AgentSettings
+    wire: model.WireSettings
+    subject: view.Subject
+    clock: clocks.Clock
+    counters: counting.Counters
+    holder: holders.ViewHolder
+    driver: targets_api.TargetDriver
+    state: target_state.TargetState
+    index: indexes.BlockIndex
+    cost: costs.CostModel
+    admission: admissions.Admission
+    desk: orders.OrderDesk
+    widths: widths.WidthMeter
+    importer: kept.KeptImporter | None = None
+    order_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+    @property
+    def is_engine(self) -> bool:
+        """Whether the target is a model engine."""
+        return self.settings.kind == "engine"
+
+    def refresh_limits(self) -> None:
+        """Puts the fleet's limits in force."""
+        fleet = self.holder.fleet
+        max_running = min(
+            fleet.integer("limits.max_running", self.subject),
+            self.state.slots,
+        )
+        window = admissions.PREFILL_WINDOW if self.is_engine else max_running
+        limits = admissions.Limits(
+            max_running,
+            fleet.integer("limits.max_queued", self.subject),
+            window,
+        )
+        if limits != self.admission.limits:
+            self.admission.change_limits(limits)
+        self.desk.retention_ms = fleet.number(
+            "orders.retention_ms", self.subject
+        )
+
+
+__all__ = ["Context"]
--- /dev/null
+++ b/src/lycheering/agent/daemon.py
@@ -0,0 +1,164 @@
+"""Puts the parts of an agent together."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import zmq.asyncio
+
+from lycheering import clock as clocks
+from lycheering.agent import context as contexts
+from lycheering.agent import control_link
+from lycheering.agent import departure
+from lycheering.agent import orders
+from lycheering.agent import sessions
+from lycheering.agent import target_orders
+from lycheering.agent import target_state
+from lycheering.app import api as app_api
+from lycheering.cache import feed
+from lycheering.cache import index as indexes
+from lycheering.fleet import holder as holders
+from lycheering.fleet import records
+from lycheering.fleet import view
+from lycheering.limits import admission
+from lycheering.limits import cost as costs
+from lycheering.limits import width as widths
+from lycheering.targets import engine
+from lycheering.targets import service
+from lycheering.telemetry import counters as counting
+from lycheering.telemetry import logs
+from lycheering.wire import api as wire_api
+from lycheering.wire import messages
+from lycheering.wire import pool as pools
+from lycheering.wire import server as servers
+
+if TYPE_CHECKING:
+    from lycheering.settings import model
+
+
+class LoadReporter:
+    """Makes the load reports of one agent."""
+
+    def __init__(self, context: contexts.Context) -> None:
+        self._context = context
+
+    def report(self) -> messages.LoadReport:
+        """Returns the load now."""
+        context = self._context
+        gate = context.admission
+        return messages.LoadReport(
+            running=gate.running,
+            queued=len(gate.queue),
+            slots=gate.limits.max_running,
+            queue_ms=gate.expected_wait_ms(),
+            piece_ms=context.cost.piece_ms if context.is_engine else 0.0,
+            draining=gate.draining or not context.state.up,
+        )
+
+
+def _subject(
+    settings: model.Settings, agent: model.AgentSettings
+) -> view.Subject:
+    return view.Subject(
+        target=agent.target,
+        service=agent.service,
+        model=agent.model,
+        failure_domain=settings.instance.failure_domain,
+    )
+
+
+def build(settings: model.Settings) -> app_api.Application:
+    """Returns an agent that is ready to run.
+
+    Args:
+        settings: The settings, with an agent section.
+
+    Raises:
+        ValueError: If that section is missing.
+    """
+    agent = settings.agent
+    if agent is None:
+        raise ValueError("settings without an agent section")
+    clock = clocks.Clock()
+    counters = counting.Counters(settings.metrics)
+    holder = holders.ViewHolder()
+    identity = wire_api.Identity(
+        agent.target, messages.Role.AGENT, settings.instance.failure_domain
+    )
+    link = wire_api.Link(
+        zmq.asyncio.Context(),
+        identity,
+        settings.wire,
+        clock,
+        holder,
+        counters,
+    )
+    state = target_state.TargetState(agent, clock)
+    index = indexes.BlockIndex()
+    driver: engine.EngineDriver | service.ServiceDriver
+    application = app_api.Application(settings.instance.drain_timeout_ms)
+    if agent.kind == records.TargetKind.ENGINE.value:
+        driver = engine.EngineDriver(agent, settings.wire)
+        application.add(feed.EventFeed(driver, index, clock, counters))
+    else:
+        driver = service.ServiceDriver(agent, settings.wire)
+    context = contexts.Context(
+        agent,
+        settings.wire,
+        _subject(settings, agent),
+        clock,
+        counters,
+        holder,
+        driver,
+        state,
+        index,
+        costs.CostModel(),
+        admission.Admission(clock),
+        orders.OrderDesk(clock, 0.0),
+        widths.WidthMeter(clock),
+    )
+    _add_parts(settings, application, context, link)
+    return application
+
+
+def _add_parts(
+    settings: model.Settings,
+    application: app_api.Application,
+    context: contexts.Context,
+    link: wire_api.Link,
+) -> None:
+    load = LoadReporter(context).report
+    desk = target_orders.TargetOrderDesk(context)
+    handler = sessions.AgentSessions(context, desk)
+    pool = pools.ConnectionPool(link)
+    server = servers.Server(link, settings.instance.ip, handler, load)
+    watch = departure.DepartureWatch(
+        context, link.identity, application.stopping
+    )
+    context.refresh_limits()
+    context.holder.listen(watch.view_changed)
+    context.holder.listen(server.offer_view)
+    poll_ms = context.settings.load_poll_ms
+    application.add(
+        target_state.TargetMonitor(
+            context.driver, context.state, context.clock, poll_ms
+        )
+    )
+    application.add(pool)
+    application.add(handler)
+    application.add(server)
+    application.add(
+        control_link.ControlLink(settings, context, pool, server, load)
+    )
+
+
+def main(settings: model.Settings) -> None:
+    """Runs an agent until it is told to stop."""
+    agent = settings.agent
+    name = agent.target if agent is not None else settings.instance.name
+    logs.install("agent", name, settings.log.level)
+    asyncio.run(build(settings).run())
+
+
+__all__ = ["LoadReporter", "build", "main"]
--- /dev/null
+++ b/src/lycheering/agent/delivery.py
@@ -0,0 +1,162 @@
+"""Hands a request's answer to whoever waits for it."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.agent import tail as tails
+from lycheering.wire import errors
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering import clock as clocks
+    from lycheering.wire import server
+
+Ending = messages.Finished | messages.NotRun | messages.Broken
+
+
+@dataclasses.dataclass
+class Reader:
+    """The session that waits for an answer.
+
+    Attributes:
+        session: The session.
+        call_id: The call that the answer belongs to there.
+        next_seq: The next chunk to be sent.
+        told_started: Whether it was told that the target answers.
+    """
+
+    session: server.Session
+    call_id: int
+    next_seq: int
+    told_started: bool = False
+
+
+class Delivery:
+    """Sends what is there of an answer, and keeps it to be sent again.
+
+    Attributes:
+        tail: The chunks.
+        reader: Who waits, if anybody does.
+        started: The start of the answer, once there.
+        ending: The end, once there.
+        ended_ms: When it ended.
+        orphaned_ms: Since when nobody waits; 0 while somebody does.
+    """
+
+    def __init__(self, first_seq: int, clock: clocks.Clock) -> None:
+        self.tail = tails.StreamTail(first_seq)
+        self.reader: Reader | None = None
+        self.started: messages.Started | None = None
+        self.ending: Ending | None = None
+        self.ended_ms = 0.0
+        self.orphaned_ms = clock.now_ms()
+        self._clock = clock
+        self._progress = asyncio.Event()
+
+    @property
+    def taken(self) -> bool:
+        """Whether the reader has acknowledged the whole answer."""
+        return (
+            isinstance(self.ending, messages.Finished)
+            and self.tail.acknowledged_seq == self.tail.next_seq
+        )
+
+    def attach(
+        self, session: server.Session, call_id: int, next_seq: int
+    ) -> None:
+        """Sends the answer from a chunk on to a session."""
+        self.reader = Reader(session, call_id, next_seq)
+        self.orphaned_ms = 0.0
+        self.flush()
+
+    def detach(self, session: server.Session) -> None:
+        """Stops sending to a session that closed."""
+        if self.reader is not None and self.reader.session is session:
+            self.reader = None
+            self.orphaned_ms = self._clock.now_ms()
+
+    def tell(self, message: messages.Message) -> None:
+        """Sends a message that need not be sent again."""
+        reader = self.reader
+        if reader is not None:
+            self._send(reader, message)
+
+    def start(self, started: messages.Started) -> None:
+        """Learns that the target began to answer."""
+        self.started = started
+        self.flush()
+
+    def add(self, items: tuple[bytes, ...]) -> None:
+        """Adds chunks."""
+        self.tail.append(items)
+        self.flush()
+
+    def end(self, ending: Ending) -> None:
+        """Ends the answer."""
+        self.ending = ending
+        self.ended_ms = self._clock.now_ms()
+        self._progress.set()
+        self.flush()
+
+    def acknowledge(self, session: server.Session, next_seq: int) -> None:
+        """Learns which chunks the reader has."""
+        reader = self.reader
+        if reader is None or reader.session is not session:
+            return
+        self.tail.acknowledge(min(next_seq, reader.next_seq))
+        self._progress.set()
+
+    async def room(self, timeout_ms: float) -> bool:
+        """Waits until more may be read; returns False if it did not."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                while not self.tail.has_room:
+                    self._progress.clear()
+                    await self._progress.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def flush(self) -> None:
+        """Sends the reader all that it lacks."""
+        reader = self.reader
+        if reader is None:
+            return
+        if self.started is not None and not reader.told_started:
+            reader.told_started = True
+            if not self._send(reader, self.started):
+                return
+        while reader.next_seq < self.tail.next_seq:
+            if not self._send_chunks(reader):
+                return
+        if self.ending is not None:
+            self._send(reader, self.ending)
+
+    def _send_chunks(self, reader: Reader) -> bool:
+        try:
+            items = self.tail.read(reader.next_seq)
+        except tails.TrimmedError as error:
+            broken = messages.Broken(
+                messages.Reason.NOT_FOUND, self.tail.next_seq, str(error)
+            )
+            self._send(reader, broken)
+            return False
+        chunks = messages.Chunks(reader.next_seq, items)
+        if not self._send(reader, chunks):
+            return False
+        reader.next_seq += len(items)
+        return True
+
+    def _send(self, reader: Reader, message: messages.Message) -> bool:
+        try:
+            reader.session.send(message, reader.call_id)
+        except errors.PeerUnreachableError:
+            self.detach(reader.session)
+            return False
+        return True
+
+
+__all__ = ["Delivery", "Ending", "Reader"]
--- /dev/null
+++ b/src/lycheering/agent/departure.py
@@ -0,0 +1,61 @@
+"""Follows what the fleet view says of an agent's own target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.fleet import records
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from lycheering.agent import context as contexts
+    from lycheering.wire import api as wire_api
+
+_LOG = logs.get("departure")
+
+
+class DepartureWatch:
+    """Stops new work for a drained target, and ends for a leaving one."""
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        identity: wire_api.Identity,
+        stopping: asyncio.Event,
+    ) -> None:
+        self._context = context
+        self._identity = identity
+        self._stopping = stopping
+
+    def view_changed(self) -> None:
+        """Puts what the view says of the target in force."""
+        context = self._context
+        context.refresh_limits()
+        if self._stopping.is_set():
+            return
+        if self._is_leaving():
+            _LOG.event("target_leaving")
+            context.admission.hand_back()
+            self._stopping.set()
+            return
+        drained = context.holder.fleet.flag("target.drained", context.subject)
+        if drained and not context.admission.draining:
+            _LOG.event("target_drained")
+            context.admission.hand_back()
+        elif not drained and context.admission.draining:
+            _LOG.event("target_back")
+            context.admission.draining = False
+
+    def _is_leaving(self) -> bool:
+        fleet = self._context.holder.fleet
+        target = fleet.target_by_name.get(self._identity.name)
+        return (
+            target is not None
+            and target.agent_incarnation == self._identity.incarnation
+            and target.state is records.TargetState.LEAVING
+        )
+
+
+__all__ = ["DepartureWatch"]
--- /dev/null
+++ b/src/lycheering/agent/requests.py
@@ -0,0 +1,151 @@
+"""Turns a submitted request into what its target is sent."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
+
+from lycheering.cache import pieces
+from lycheering.fleet import view
+from lycheering.limits import admission
+from lycheering.limits import cost as costs
+from lycheering.targets import api as targets_api
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering.agent import context as contexts
+
+T = TypeVar("T")
+
+DEFAULT_MAX_TOKENS = 16
+MAX_PRIORITY = 100
+MIN_SHARE = 0.001
+
+
+class _TokenLimit(msgspec.Struct):
+    max_tokens: int = DEFAULT_MAX_TOKENS
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What is known of a request before it is sent.
+
+    Attributes:
+        keys: The keys of its pieces.
+        cost: Its expected work.
+        char_counts: The length of each piece.
+    """
+
+    keys: tuple[bytes, ...]
+    cost: costs.Cost
+    char_counts: tuple[int, ...] = ()
+
+    def missing_after(self, cached_pieces: int, piece_chars: int) -> float:
+        """Returns what is to be prefilled after some cached pieces."""
+        return sum(self.char_counts[cached_pieces:]) / piece_chars
+
+
+def make_plan(context: contexts.Context, submit: messages.Submit) -> Plan:
+    """Returns what a request is expected to ask of the target.
+
+    Raises:
+        RefusedError: If its body can't be read.
+    """
+    if not context.is_engine:
+        return Plan((), context.cost.call())
+    version = context.state.weights_version
+    prompt = cut_prompt(context, submit)
+    keys = prompt.keys(submit.model, version)
+    cached = 0
+    if context.index.weights_version == version:
+        cached = context.index.matched_count(keys)
+    missing = prompt.missing_pieces(cached, context.settings.piece_chars)
+    tokens = _decode(submit.body, _TokenLimit).max_tokens
+    left = max(1, tokens - submit.continue_from)
+    cost = context.cost.completion(missing, left)
+    return Plan(keys, cost, tuple(len(piece) for piece in prompt.pieces))
+
+
+def cut_prompt(
+    context: contexts.Context, submit: messages.Submit
+) -> pieces.PromptPlan:
+    """Returns a completion's prompt as it is to be cached.
+
+    Raises:
+        RefusedError: If its body can't be read.
+    """
+    body = _decode(submit.body, pieces.PromptBody)
+    return pieces.plan_prompt(
+        body.text(),
+        submit.level_ends,
+        submit.shared_levels,
+        model=submit.model,
+        team=submit.team,
+        piece_chars=context.settings.piece_chars,
+    )
+
+
+def make_demand(
+    context: contexts.Context, submit: messages.Submit, cost: costs.Cost
+) -> admission.Demand:
+    """Returns what the queue needs to know of a request."""
+    team = view.Subject(team=submit.team)
+    share = context.holder.fleet.number("limits.team_share", team)
+    priority = min(max(submit.priority, 0), MAX_PRIORITY)
+    return admission.Demand(
+        submit.team,
+        max(MIN_SHARE, share),
+        priority,
+        cost,
+        submit.deadline_ms,
+    )
+
+
+def make_call(
+    context: contexts.Context, submit: messages.Submit
+) -> targets_api.TargetCall:
+    """Returns the request as the target is to get it."""
+    body = submit.body
+    if context.is_engine:
+        body = _engine_body(submit, cut_prompt(context, submit))
+    ticket = submit.ticket
+    return targets_api.TargetCall(
+        submit.request_id,
+        submit.method,
+        submit.path,
+        body,
+        submit.content_type,
+        submit.continue_from if context.is_engine else 0,
+        ticket.order_id if ticket is not None else "",
+        ticket.fence if ticket is not None else 0,
+    )
+
+
+def _engine_body(submit: messages.Submit, prompt: pieces.PromptPlan) -> bytes:
+    fields = _decode(submit.body, dict[str, msgspec.Raw])
+    # what the caller says of the cache never reaches the engine
+    fields.pop("cache_salt", None)
+    own: dict[str, object] = {
+        "model": submit.model,
+        "stream": True,
+        "pieces": prompt.pieces,
+        "cache_salts": prompt.salts,
+        "priority": submit.priority,
+        "continue_from": submit.continue_from,
+    }
+    return msgspec.json.encode({**fields, **own})
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise admission.RefusedError(
+            messages.Reason.BAD_REQUEST, 0.0, str(error)
+        ) from error
+
+
+__all__ = ["Plan", "cut_prompt", "make_call", "make_demand", "make_plan"]
--- /dev/null
+++ b/src/lycheering/agent/runs.py
@@ -0,0 +1,397 @@
+"""One request from its arrival to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering.agent import delivery as deliveries
+from lycheering.agent import orders
+from lycheering.agent import requests
+from lycheering.limits import admission
+from lycheering.targets import api as targets_api
+from lycheering.telemetry import logs
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering.agent import context as contexts
+
+MAX_RESUMES = 3
+RESUME_PAUSE_MS = 100
+DOWN_RETRY_AFTER_MS = 1_000
+MAX_OUTCOME_BYTES = 1_048_576
+OK_STATUS = 200
+FIRST_SERVER_ERROR = 500
+
+_LOG = logs.get("runs")
+
+
+class WrongWeightsError(targets_api.LostStreamError):
+    """Other weights answered than were promised."""
+
+    reason = messages.Reason.WRONG_WEIGHTS
+
+
+class SlowReaderError(targets_api.LostStreamError):
+    """Nobody took the answer for too long."""
+
+    reason = messages.Reason.CANCELLED
+
+
+class Run:
+    """One attempt of one request at the target.
+
+    Attributes:
+        submit: The request; its body is dropped once sent.
+        delivery: The answer.
+        sent: Whether a byte of it may have left for the target.
+    """
+
+    def __init__(
+        self, submit: messages.Submit, context: contexts.Context
+    ) -> None:
+        self.submit = submit
+        self.sent = False
+        first_seq = submit.continue_from if context.is_engine else 0
+        self.delivery = deliveries.Delivery(first_seq, context.clock)
+        self._context = context
+        self._sent_ms = 0.0
+        self._checked_ms = 0.0
+        self._incarnation = ""
+        self._hint: messages.WidthHint | None = None
+        self._head_ms = 0.0
+        self._outcome = bytearray()
+        self._received = False
+
+    async def work(self) -> None:
+        """Runs the request; its delivery has an end afterwards."""
+        try:
+            ending: deliveries.Ending = await self._attempt()
+        except admission.RefusedError as error:
+            ending = self._failed(
+                error.reason, error.detail, error.retry_after_ms
+            )
+        except orders.AlreadySentError as error:
+            ending = messages.Broken(
+                messages.Reason.BLOCKED, 0, f"order {error} was sent before"
+            )
+        except targets_api.TargetError as error:
+            ending = self._failed(error.reason, str(error), DOWN_RETRY_AFTER_MS)
+        except TimeoutError:
+            ending = self._failed(messages.Reason.DEADLINE, "past the deadline")
+        except asyncio.CancelledError:
+            ending = self._failed(messages.Reason.CANCELLED, "cancelled")
+        except Exception as error:
+            _LOG.error(
+                "run_failed",
+                request_id=self.submit.request_id,
+                error=repr(error),
+            )
+            ending = self._failed(messages.Reason.INTERNAL, repr(error))
+        self._end(ending)
+        if isinstance(ending, messages.Broken):
+            await self._cancel_at_target()
+
+    def abandon(self) -> None:
+        """Ends the request if its task was ended before it could."""
+        if self.delivery.ending is None:
+            self._end(self._failed(messages.Reason.CANCELLED, "cancelled"))
+
+    def _end(self, ending: deliveries.Ending) -> None:
+        self._settle(ending)
+        self.delivery.end(ending)
+        self._log(ending)
+
+    def _failed(
+        self,
+        reason: messages.Reason,
+        detail: str,
+        retry_after_ms: float = 0.0,
+    ) -> messages.NotRun | messages.Broken:
+        # the one place that tells "not run" from "may have run"
+        if self.sent:
+            return messages.Broken(reason, self.delivery.tail.next_seq, detail)
+        return messages.NotRun(reason, retry_after_ms, detail, self._hint)
+
+    async def _attempt(self) -> messages.Finished:
+        context = self._context
+        self._check_acceptable()
+        plan = requests.make_plan(context, self.submit)
+        self._measure_width(plan)
+        demand = requests.make_demand(context, self.submit, plan.cost)
+        place = context.admission.enter(demand)
+        try:
+            self._receive_order()
+            self.delivery.tell(messages.Accepted(place.expected_start_ms))
+            await context.admission.wait(place)
+            left_ms = self.submit.deadline_ms - context.clock.now_ms()
+            if self.submit.ticket is not None:
+                # a late outcome is worth more to an order than none
+                left_ms += context.settings.stream_tail_ms
+            async with asyncio.timeout(max(0.0, left_ms) / 1_000):
+                return await self._run(place, plan)
+        finally:
+            context.admission.leave(place)
+
+    def _check_acceptable(self) -> None:
+        context = self._context
+        state = context.state
+        reasons = messages.Reason
+        if self.submit.deadline_ms <= context.clock.now_ms():
+            raise admission.RefusedError(reasons.EXPIRED)
+        if context.admission.draining:
+            raise admission.RefusedError(reasons.DRAINING)
+        if not state.up:
+            raise admission.RefusedError(
+                reasons.TARGET_DOWN, DOWN_RETRY_AFTER_MS
+            )
+        if not context.is_engine:
+            return
+        known = (state.model, *state.adapters)
+        if self.submit.model not in known:
+            raise admission.RefusedError(
+                reasons.WRONG_MODEL, 0.0, f"serves {', '.join(known)}"
+            )
+        self._check_weights()
+
+    def _check_weights(self) -> None:
+        wanted = self.submit.weights_version
+        state = self._context.state
+        if not wanted or (
+            wanted == state.weights_version and not state.loading_version
+        ):
+            return
+        coming = wanted == state.loading_version
+        raise admission.RefusedError(
+            messages.Reason.WRONG_WEIGHTS,
+            state.load_left_ms() if coming else 0.0,
+            f"serves {state.weights_version}",
+        )
+
+    def _measure_width(self, plan: requests.Plan) -> None:
+        context = self._context
+        max_width = context.holder.fleet.integer(
+            "routing.max_width", context.subject
+        )
+        slots = max(1, context.admission.limits.max_running)
+        work_ms = plan.cost.prefill_ms + plan.cost.decode_ms / slots
+        self._hint = context.widths.offer(
+            self.submit.level_key, work_ms, self.submit.width, max_width
+        )
+
+    def _receive_order(self) -> None:
+        if self.submit.ticket is not None:
+            self._context.desk.receive(self.submit.ticket)
+            self._received = True
+
+    async def _run(
+        self, place: admission.Place, plan: requests.Plan
+    ) -> messages.Finished:
+        context = self._context
+        async with contextlib.AsyncExitStack() as stack:
+            if self._is_fenced():
+                await stack.enter_async_context(context.order_lock)
+            if context.importer is not None:
+                await context.importer.bring(self.submit, plan)
+            call = requests.make_call(context, self.submit)
+            self._checked_ms = context.clock.now_ms()
+            answer = await context.driver.send(call, self._before_send)
+            del call
+            self.submit = msgspec.structs.replace(self.submit, body=b"")
+            return await self._read(answer, place, plan)
+
+    def _is_fenced(self) -> bool:
+        context = self._context
+        return self.submit.ticket is not None and context.holder.fleet.flag(
+            "target.checks_fencing", context.subject
+        )
+
+    def _before_send(self) -> None:
+        context = self._context
+        now_ms = context.clock.now_ms()
+        if now_ms >= self.submit.deadline_ms:
+            raise admission.RefusedError(messages.Reason.DEADLINE)
+        if now_ms - self._checked_ms >= context.wire.silence_ms:
+            raise admission.RefusedError(
+                messages.Reason.EXPIRED, 0.0, "the agent stood still"
+            )
+        if context.is_engine:
+            self._check_weights()
+        if self.submit.ticket is not None:
+            context.desk.sending(self.submit.ticket, self._is_fenced())
+        self._incarnation = context.state.incarnation
+        self._sent_ms = now_ms
+        self.sent = True
+
+    async def _read(
+        self,
+        answer: targets_api.Answer,
+        place: admission.Place,
+        plan: requests.Plan,
+    ) -> messages.Finished:
+        reasons = messages.Reason
+        failures = 0
+        renewed = False
+        try:
+            while True:
+                try:
+                    await self._read_head(answer, place, plan, renewed)
+                    await self._read_chunks(answer)
+                    return messages.Finished(self.delivery.tail.next_seq)
+                except targets_api.LostStreamError:
+                    raise
+                except targets_api.SilentTargetError:
+                    self._context.counters.retry(reasons.SILENT)
+                    if not await self._context.driver.healthy():
+                        raise
+                except targets_api.BrokenAnswerError:
+                    failures += 1
+                    if not answer.resumable or failures > MAX_RESUMES:
+                        raise
+                    self._context.counters.retry(reasons.TARGET_FAILED)
+                if answer.resumable:
+                    answer.close()
+                    answer = await self._renew()
+                    renewed = True
+        finally:
+            answer.close()
+
+    async def _renew(self) -> targets_api.Answer:
+        context = self._context
+        request_id = self.submit.request_id
+        next_seq = self.delivery.tail.next_seq
+        for _ in range(MAX_RESUMES):
+            try:
+                return await context.driver.resume(request_id, next_seq)
+            except targets_api.NotSentError:
+                await context.clock.sleep(RESUME_PAUSE_MS)
+        raise targets_api.LostStreamError("the target is gone")
+
+    async def _read_head(
+        self,
+        answer: targets_api.Answer,
+        place: admission.Place,
+        plan: requests.Plan,
+        renewed: bool,
+    ) -> None:
+        context = self._context
+        head = await answer.head(context.wire.silence_ms)
+        if renewed:
+            self._check_renewed(head)
+        if self.delivery.started is not None:
+            return
+        self._check_first(head)
+        now_ms = context.clock.now_ms()
+        if context.is_engine and head.status == OK_STATUS:
+            self._incarnation = head.incarnation
+            context.state.learn_head(head)
+            missing = plan.missing_after(
+                head.cached_pieces, context.settings.piece_chars
+            )
+            context.cost.learn_prefill(self._sent_ms, now_ms, missing)
+        self._head_ms = now_ms
+        context.admission.prefilled(place)
+        self.delivery.start(
+            messages.Started(
+                head.status,
+                head.content_type,
+                head.prompt_pieces,
+                head.cached_pieces,
+                head.weights_version,
+                self._hint,
+            )
+        )
+
+    def _check_renewed(self, head: targets_api.AnswerHead) -> None:
+        if head.status != OK_STATUS:
+            raise targets_api.LostStreamError(f"resumed: {head.status}")
+        if head.incarnation != self._incarnation:
+            raise targets_api.LostStreamError("another incarnation")
+
+    def _check_first(self, head: targets_api.AnswerHead) -> None:
+        if not self._context.is_engine:
+            return
+        began = self.submit.continue_from > 0
+        if head.status >= FIRST_SERVER_ERROR or (
+            began and head.status != OK_STATUS
+        ):
+            raise targets_api.LostStreamError(f"engine answered {head.status}")
+        wanted = self.submit.weights_version
+        if head.status == OK_STATUS and wanted not in (
+            "",
+            head.weights_version,
+        ):
+            raise WrongWeightsError(f"answered by {head.weights_version}")
+
+    async def _read_chunks(self, answer: targets_api.Answer) -> None:
+        context = self._context
+        first_seq = self.delivery.tail.next_seq
+        async for items in answer.batches(context.wire.silence_ms):
+            self.delivery.add(items)
+            if self.submit.ticket is not None:
+                self._keep_outcome(items)
+            elif not await self.delivery.room(context.settings.stream_tail_ms):
+                raise SlowReaderError("nobody took the answer")
+        spent_ms = context.clock.now_ms() - self._head_ms
+        if context.is_engine:
+            tokens = self.delivery.tail.next_seq - first_seq - 1
+            context.cost.learn_decode(spent_ms, tokens)
+        else:
+            context.cost.learn_call(context.clock.now_ms() - self._sent_ms)
+
+    def _keep_outcome(self, items: tuple[bytes, ...]) -> None:
+        self._outcome += b"".join(items)
+        if len(self._outcome) > MAX_OUTCOME_BYTES:
+            raise targets_api.LostStreamError("the order's answer is too large")
+        # an order goes on without a reader, so that its outcome is known
+        self.delivery.tail.acknowledge(self.delivery.tail.next_seq)
+
+    async def _cancel_at_target(self) -> None:
+        if self.sent and self.submit.ticket is None:
+            await self._context.driver.cancel(self.submit.request_id)
+
+    def _settle(self, ending: deliveries.Ending) -> None:
+        ticket = self.submit.ticket
+        if ticket is None or not self._received:
+            return
+        desk = self._context.desk
+        started = self.delivery.started
+        if isinstance(ending, messages.NotRun):
+            desk.not_run(ticket.order_id)
+        elif isinstance(ending, messages.Finished) and started is not None:
+            outcome = messages.OrderOutcome(
+                started.status,
+                started.content_type,
+                bytes(self._outcome),
+                self.submit.request_id,
+            )
+            desk.done(ticket.order_id, outcome)
+        else:
+            desk.broken(ticket.order_id)
+
+    def _log(self, ending: deliveries.Ending) -> None:
+        context = self._context
+        if isinstance(ending, messages.Finished):
+            context.counters.increment("requests.finished")
+            reason = ""
+        elif isinstance(ending, messages.NotRun):
+            context.counters.refusal(ending.reason)
+            reason = ending.reason
+        else:
+            context.counters.increment(f"broken.{ending.reason}")
+            reason = ending.reason
+        _LOG.event(
+            "request_ended",
+            request_id=self.submit.request_id,
+            attempt=self.submit.attempt,
+            team=self.submit.team,
+            result=type(ending).__name__.lower(),
+            reason=reason,
+            chunks=self.delivery.tail.next_seq,
+        )
+
+
+__all__ = ["Run", "SlowReaderError", "WrongWeightsError"]
--- /dev/null
+++ b/src/lycheering/agent/sessions.py
@@ -0,0 +1,289 @@
+"""Handles what entries and control instances send to an agent."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING
+
+from lycheering.agent import runs
+from lycheering.app import api as app_api
+from lycheering.limits import admission
+from lycheering.telemetry import logs
+from lycheering.wire import api as wire_api
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering.agent import context as contexts
+    from lycheering.agent import target_orders
+    from lycheering.wire import server
+
+SWEEP_MS = 250
+ENDED_KEPT_MS = 600_000
+MAX_ENDED = 20_000
+MAX_OPEN_RUNS = 4_096
+
+_LOG = logs.get("sessions")
+
+RunKey = tuple[str, int]
+
+
+class _EndedRuns:
+    """Attempts that ended or must not begin any more."""
+
+    def __init__(self) -> None:
+        self._ended_ms_by_key: collections.OrderedDict[RunKey, float] = (
+            collections.OrderedDict()
+        )
+        self._overflow_ms = float("-inf")
+
+    def __contains__(self, key: RunKey) -> bool:
+        return key in self._ended_ms_by_key
+
+    def add(self, key: RunKey, now_ms: float) -> None:
+        self._ended_ms_by_key[key] = now_ms
+        self._ended_ms_by_key.move_to_end(key)
+        while self._ended_ms_by_key:
+            oldest = next(iter(self._ended_ms_by_key))
+            age_ms = now_ms - self._ended_ms_by_key[oldest]
+            if age_ms < ENDED_KEPT_MS:
+                if len(self._ended_ms_by_key) <= MAX_ENDED:
+                    break
+                self._overflow_ms = now_ms
+            del self._ended_ms_by_key[oldest]
+
+    def complete(self, now_ms: float) -> bool:
+        """Returns whether no recent attempt was forgotten."""
+        return now_ms - self._overflow_ms >= ENDED_KEPT_MS
+
+
+class AgentSessions(wire_api.SessionHandler, app_api.Part):
+    """Runs requests for the sessions that send them.
+
+    Attributes:
+        run_by_key: The attempts that run or can be picked up again.
+    """
+
+    def __init__(
+        self,
+        context: contexts.Context,
+        target_order_desk: target_orders.TargetOrderDesk,
+    ) -> None:
+        self.run_by_key: dict[RunKey, runs.Run] = {}
+        self._context = context
+        self._target_orders = target_order_desk
+        self._task_by_key: dict[RunKey, asyncio.Task[None]] = {}
+        self._ended = _EndedRuns()
+        self._tasks = app_api.TaskOwner()
+
+    async def start(self) -> None:
+        """Begins to look after answers that nobody takes."""
+        self._tasks.spawn(self._sweep(), "agent:sweep")
+
+    async def drain(self) -> None:
+        """Hands queued requests back and lets running ones end."""
+        self._context.admission.hand_back()
+        await self._context.admission.idle()
+        await self._delivered()
+
+    async def stop(self) -> None:
+        """Ends all requests."""
+        for task in self._task_by_key.values():
+            task.cancel()
+        await asyncio.gather(
+            *self._task_by_key.values(), return_exceptions=True
+        )
+        await self._tasks.cancel_all()
+
+    async def handle(
+        self, session: server.Session, envelope: messages.Envelope
+    ) -> None:
+        """Handles one frame."""
+        message = envelope.message
+        call_id = envelope.call_id
+        match message:
+            case messages.Submit():
+                self._submit(session, call_id, message)
+            case messages.Resume():
+                self._resume(session, call_id, message)
+            case messages.Cancel():
+                self._cancel(message)
+            case messages.Ack():
+                self._acknowledge(session, message)
+            case messages.OrderInquiry():
+                self._inquire(session, call_id, message)
+            case messages.TargetOrder():
+                self._tasks.spawn(
+                    self._target_orders.carry_out(session, call_id, message),
+                    "agent:target_order",
+                )
+            case _:
+                self._context.counters.increment("wire.unexpected")
+                if call_id:
+                    failure = messages.Failure(messages.Reason.BAD_REQUEST)
+                    session.send(failure, call_id)
+
+    async def closed(self, session: server.Session) -> None:
+        """Lets the session's requests wait to be picked up again."""
+        for run in self.run_by_key.values():
+            run.delivery.detach(session)
+
+    def _submit(
+        self,
+        session: server.Session,
+        call_id: int,
+        submit: messages.Submit,
+    ) -> None:
+        key = (submit.request_id, submit.attempt)
+        run = self.run_by_key.get(key)
+        if run is not None:
+            first_seq = run.delivery.tail.first_seq
+            run.delivery.attach(session, call_id, first_seq)
+            return
+        if key in self._ended:
+            broken = messages.Broken(
+                messages.Reason.NOT_FOUND, 0, "the attempt ended before"
+            )
+            session.send(broken, call_id)
+            return
+        if len(self.run_by_key) >= MAX_OPEN_RUNS:
+            self._context.counters.refusal(messages.Reason.TOO_MANY_OPEN)
+            refused = messages.NotRun(
+                messages.Reason.TOO_MANY_OPEN,
+                self._context.admission.expected_wait_ms(),
+            )
+            session.send(refused, call_id)
+            return
+        self._begin(key, session, call_id, submit)
+
+    def _begin(
+        self,
+        key: RunKey,
+        session: server.Session,
+        call_id: int,
+        submit: messages.Submit,
+    ) -> None:
+        run = runs.Run(submit, self._context)
+        self.run_by_key[key] = run
+        run.delivery.attach(session, call_id, run.delivery.tail.first_seq)
+        earlier = self._task_by_key.get((submit.request_id, submit.attempt - 1))
+        task = asyncio.create_task(
+            self._work(run, earlier), name=f"run:{submit.request_id}"
+        )
+        self._task_by_key[key] = task
+        task.add_done_callback(lambda _: self._worked(key, run))
+
+    def _worked(self, key: RunKey, run: runs.Run) -> None:
+        self._task_by_key.pop(key, None)
+        run.abandon()
+
+    async def _work(
+        self, run: runs.Run, earlier: asyncio.Task[None] | None
+    ) -> None:
+        if earlier is not None and run.submit.ticket is None:
+            # the target knows requests by their id, not by their attempt
+            earlier.cancel()
+            await asyncio.wait([earlier])
+        await run.work()
+
+    def _resume(
+        self,
+        session: server.Session,
+        call_id: int,
+        resume: messages.Resume,
+    ) -> None:
+        key = (resume.request_id, resume.attempt)
+        run = self.run_by_key.get(key)
+        if run is not None:
+            self._context.counters.increment("requests.resumed")
+            run.delivery.attach(session, call_id, resume.next_seq)
+            return
+        now_ms = self._context.clock.now_ms()
+        if key in self._ended or not self._ended.complete(now_ms):
+            ending: messages.Message = messages.Broken(
+                messages.Reason.NOT_FOUND, resume.next_seq
+            )
+        else:
+            # a frame of it that comes late must not make this untrue
+            self._ended.add(key, now_ms)
+            ending = messages.NotRun(messages.Reason.NOT_FOUND)
+        session.send(ending, call_id)
+
+    def _cancel(self, cancel: messages.Cancel) -> None:
+        key = (cancel.request_id, cancel.attempt)
+        run = self.run_by_key.get(key)
+        if run is None:
+            self._ended.add(key, self._context.clock.now_ms())
+            return
+        self._abort(key, run)
+
+    def _abort(self, key: RunKey, run: runs.Run) -> None:
+        if run.sent and run.submit.ticket is not None:
+            # its outcome is wanted even if nobody waits for the answer
+            return
+        task = self._task_by_key.get(key)
+        if task is not None:
+            task.cancel()
+
+    def _acknowledge(self, session: server.Session, ack: messages.Ack) -> None:
+        key = (ack.request_id, ack.attempt)
+        run = self.run_by_key.get(key)
+        if run is None:
+            return
+        run.delivery.acknowledge(session, ack.next_seq)
+        if run.delivery.taken:
+            self._forget(key)
+
+    def _inquire(
+        self,
+        session: server.Session,
+        call_id: int,
+        inquiry: messages.OrderInquiry,
+    ) -> None:
+        reply: messages.Message
+        try:
+            reply = self._context.desk.inquire(inquiry.order_id)
+        except admission.RefusedError as error:
+            reply = messages.Failure(
+                error.reason, error.detail, error.retry_after_ms
+            )
+        session.send(reply, call_id)
+
+    def _forget(self, key: RunKey) -> None:
+        del self.run_by_key[key]
+        self._ended.add(key, self._context.clock.now_ms())
+
+    async def _sweep(self) -> None:
+        while True:
+            await self._context.clock.sleep(SWEEP_MS)
+            self._context.refresh_limits()
+            now_ms = self._context.clock.now_ms()
+            tail_ms = self._context.settings.stream_tail_ms
+            for key, run in list(self.run_by_key.items()):
+                delivery = run.delivery
+                if delivery.ending is not None:
+                    if now_ms - delivery.ended_ms >= tail_ms:
+                        self._forget(key)
+                elif delivery.orphaned_ms and (
+                    now_ms - delivery.orphaned_ms >= tail_ms
+                ):
+                    _LOG.event("orphan_cancelled", request_id=key[0])
+                    self._abort(key, run)
+
+    async def _delivered(self) -> None:
+        """Waits until answers were taken, for a short time at most."""
+        settings = self._context.wire
+        give_up_ms = self._context.clock.now_ms() + settings.silence_ms
+        while self._context.clock.now_ms() < give_up_ms:
+            waiting = [
+                run
+                for run in self.run_by_key.values()
+                if isinstance(run.delivery.ending, messages.Finished)
+                and not run.delivery.taken
+            ]
+            if not waiting:
+                return
+            await self._context.clock.sleep(settings.heartbeat_ms / 10)
+
+
+__all__ = ["AgentSessions", "RunKey"]
--- /dev/null
+++ b/src/lycheering/agent/tail.py
@@ -0,0 +1,106 @@
+"""The chunks of one answer that may have to be sent again."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+
+MAX_UNACKNOWLEDGED_CHUNKS = 1_024
+MAX_UNACKNOWLEDGED_BYTES = 2_097_152
+KEPT_ACKNOWLEDGED_BYTES = 65_536
+MAX_FRAME_ITEM_BYTES = 1_048_576
+
+
+class TrimmedError(Exception):
+    """A chunk is no longer kept."""
+
+
+class StreamTail:
+    """Keeps chunks until they were acknowledged, and some longer.
+
+    Attributes:
+        first_seq: The number of the first chunk kept.
+        next_seq: The number of the next chunk to come.
+        byte_count: Bytes kept.
+        unacknowledged_bytes: Bytes not yet acknowledged.
+    """
+
+    def __init__(self, first_seq: int) -> None:
+        self.first_seq = first_seq
+        self.next_seq = first_seq
+        self.byte_count = 0
+        self.unacknowledged_bytes = 0
+        self._acknowledged_seq = first_seq
+        self._items: collections.deque[bytes] = collections.deque()
+
+    @property
+    def acknowledged_seq(self) -> int:
+        """The first chunk not yet acknowledged."""
+        return self._acknowledged_seq
+
+    @property
+    def has_room(self) -> bool:
+        """Whether more chunks may be read from the target."""
+        waiting = self.next_seq - self._acknowledged_seq
+        return (
+            waiting < MAX_UNACKNOWLEDGED_CHUNKS
+            and self.unacknowledged_bytes < MAX_UNACKNOWLEDGED_BYTES
+        )
+
+    def append(self, items: tuple[bytes, ...]) -> None:
+        """Adds chunks."""
+        self._items.extend(items)
+        self.next_seq += len(items)
+        size = sum(map(len, items))
+        self.byte_count += size
+        self.unacknowledged_bytes += size
+
+    def read(self, seq: int) -> tuple[bytes, ...]:
+        """Returns chunks from a number on, as many as fit into a frame.
+
+        Raises:
+            TrimmedError: If they are no longer kept.
+        """
+        if seq < self.first_seq or seq > self.next_seq:
+            raise TrimmedError(f"chunk {seq}")
+        items: list[bytes] = []
+        size = 0
+        start = seq - self.first_seq
+        for item in itertools.islice(self._items, start, None):
+            if items and size + len(item) > MAX_FRAME_ITEM_BYTES:
+                break
+            items.append(item)
+            size += len(item)
+        return tuple(items)
+
+    def acknowledge(self, next_seq: int) -> None:
+        """Learns that all chunks before a number arrived."""
+        until = min(next_seq, self.next_seq)
+        if until <= self._acknowledged_seq:
+            return
+        start = self._acknowledged_seq - self.first_seq
+        stop = until - self.first_seq
+        for item in itertools.islice(self._items, start, stop):
+            self.unacknowledged_bytes -= len(item)
+        self._acknowledged_seq = until
+        self._trim()
+
+    def _trim(self) -> None:
+        kept = self.byte_count - self.unacknowledged_bytes
+        while (
+            kept > KEPT_ACKNOWLEDGED_BYTES
+            and self.first_seq < self._acknowledged_seq
+        ):
+            size = len(self._items.popleft())
+            self.first_seq += 1
+            self.byte_count -= size
+            kept -= size
+
+
+__all__ = [
+    "KEPT_ACKNOWLEDGED_BYTES",
+    "MAX_UNACKNOWLEDGED_BYTES",
+    "MAX_UNACKNOWLEDGED_CHUNKS",
+    "StreamTail",
+    "TrimmedError",
+]
--- /dev/null
+++ b/src/lycheering/agent/target_state.py
@@ -0,0 +1,159 @@
+"""What an agent knows of its target's present state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.targets import api as targets_api
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from lycheering import clock as clocks
+    from lycheering.settings import model
+    from lycheering.wire import messages
+
+MAX_FAILED_POLLS = 3
+FIRST_LOAD_ORDER_MS = 1_000.0
+SMOOTHING = 0.3
+
+_LOG = logs.get("target")
+
+
+class TargetState:
+    """The target's incarnation, weights and load, as last learnt.
+
+    Attributes:
+        up: Whether the target answers.
+        incarnation: The engine's incarnation.
+        weights_version: The weights it serves.
+        adapters: The adapters it holds.
+        role: Its role.
+        model: The model it serves.
+        slots: Requests it runs at once.
+        loading_version: The weights being loaded; empty for none.
+        load_order_ms: How long loading weights takes.
+    """
+
+    def __init__(
+        self, settings: model.AgentSettings, clock: clocks.Clock
+    ) -> None:
+        self.up = False
+        self.incarnation = ""
+        self.weights_version = ""
+        self.adapters: tuple[str, ...] = ()
+        self.role = ""
+        self.model = settings.model
+        self.slots = settings.slots
+        self.loading_version = ""
+        self.load_order_ms = FIRST_LOAD_ORDER_MS
+        self._clock = clock
+        self._loading_since_ms = 0.0
+        self._changed_ms = 0.0
+
+    def learn_load(self, load: targets_api.TargetLoad) -> None:
+        """Takes over a target's own report, unless it is outdated."""
+        self.up = True
+        self.slots = load.slots or self.slots
+        sampled_ms = self._clock.now_ms() - load.age_ms
+        same = load.incarnation == self.incarnation
+        if same and sampled_ms <= self._changed_ms:
+            return
+        self.incarnation = load.incarnation
+        self.weights_version = load.weights_version
+        self.adapters = load.adapters
+        self.role = load.role
+        self.model = load.model or self.model
+
+    def learn_head(self, head: targets_api.AnswerHead) -> None:
+        """Learns from the start of an answer."""
+        if not head.incarnation:
+            return
+        changed = (
+            head.incarnation != self.incarnation
+            or head.weights_version != self.weights_version
+        )
+        if changed and not self.loading_version:
+            self._changed_ms = self._clock.now_ms()
+            self.incarnation = head.incarnation
+            self.weights_version = head.weights_version
+
+    def load_began(self, version: str) -> None:
+        """Learns that weights are being loaded."""
+        self.loading_version = version
+        self._loading_since_ms = self._clock.now_ms()
+
+    def load_ended(self, done: bool) -> None:
+        """Learns that loading weights ended."""
+        now_ms = self._clock.now_ms()
+        if done:
+            self.weights_version = self.loading_version
+            self._changed_ms = now_ms
+            spent_ms = now_ms - self._loading_since_ms
+            self.load_order_ms += SMOOTHING * (spent_ms - self.load_order_ms)
+        self.loading_version = ""
+
+    def order_done(self, order: messages.TargetOrder) -> None:
+        """Learns that a target order was carried out."""
+        self._changed_ms = self._clock.now_ms()
+        if order.role:
+            self.role = order.role
+        if order.adapter and order.adapter not in self.adapters:
+            self.adapters = (*self.adapters, order.adapter)
+
+    def load_left_ms(self) -> float:
+        """Returns how long loading is expected to go on."""
+        spent_ms = self._clock.now_ms() - self._loading_since_ms
+        return max(self.load_order_ms / 10, self.load_order_ms - spent_ms)
+
+
+class TargetMonitor(app_api.Part):
+    """Reads the target's load again and again."""
+
+    def __init__(
+        self,
+        driver: targets_api.TargetDriver,
+        state: TargetState,
+        clock: clocks.Clock,
+        poll_ms: float,
+    ) -> None:
+        self._driver = driver
+        self._state = state
+        self._clock = clock
+        self._poll_ms = poll_ms
+        self._tasks = app_api.TaskOwner()
+
+    async def start(self) -> None:
+        """Reads the load once and goes on in the background."""
+        await self._poll()
+        self._tasks.spawn(self._run(), "target:monitor")
+
+    async def stop(self) -> None:
+        """Stops reading."""
+        await self._tasks.cancel_all()
+
+    async def _run(self) -> None:
+        failed = 0
+        while True:
+            await self._clock.sleep(self._poll_ms)
+            failed = 0 if await self._poll() else failed + 1
+            if failed >= MAX_FAILED_POLLS and self._state.up:
+                self._state.up = False
+                _LOG.warning("target_down")
+
+    async def _poll(self) -> bool:
+        try:
+            load = await self._driver.load()
+        except targets_api.NotSentError:
+            # a refused connection shows at once that nothing listens
+            self._state.up = False
+            return False
+        except targets_api.TargetError:
+            return False
+        if not self._state.up:
+            _LOG.event("target_up", incarnation=load.incarnation)
+        self._state.learn_load(load)
+        return True
+
+
+__all__ = ["TargetMonitor", "TargetState"]
--- /dev/null
+++ b/src/lycheering/cache/__init__.py
@@ -0,0 +1,1 @@
+"""The truth about what one engine has cached."""
--- /dev/null
+++ b/src/lycheering/cache/feed.py
@@ -0,0 +1,71 @@
+"""Keeps a block index in step with an engine's cache events."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.targets import api as targets_api
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from lycheering import clock as clocks
+    from lycheering.cache import api
+    from lycheering.cache import index as indexes
+    from lycheering.telemetry import counters as counting
+
+RESYNC_PAUSE_MS = 250
+
+_LOG = logs.get("cache")
+
+
+class EventFeed(app_api.Part):
+    """Reads one engine's events and lists its blocks after each gap."""
+
+    def __init__(
+        self,
+        source: api.EventSource,
+        index: indexes.BlockIndex,
+        clock: clocks.Clock,
+        counters: counting.Counters,
+    ) -> None:
+        self._source = source
+        self._index = index
+        self._clock = clock
+        self._counters = counters
+        self._tasks = app_api.TaskOwner()
+
+    async def start(self) -> None:
+        """Begins to follow the engine."""
+        self._tasks.spawn(self._run(), "cache:feed")
+
+    async def stop(self) -> None:
+        """Stops following the engine."""
+        await self._tasks.cancel_all()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._follow()
+                self._counters.increment("cache.gap")
+            except targets_api.TargetError as error:
+                self._counters.increment("cache.feed_lost")
+                _LOG.debug("feed_lost", detail=str(error))
+            self._index.drop()
+            await self._clock.sleep(RESYNC_PAUSE_MS)
+
+    async def _follow(self) -> None:
+        listing = await self._source.list_blocks()
+        self._index.restore(listing)
+        _LOG.event(
+            "index_synced",
+            incarnation=listing.incarnation,
+            weights_version=listing.weights_version,
+            blocks=len(self._index),
+        )
+        async for event in self._source.cache_events(listing.seq + 1):
+            if not self._index.apply(event):
+                return
+
+
+__all__ = ["RESYNC_PAUSE_MS", "EventFeed"]
--- /dev/null
+++ b/src/lycheering/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded queues, fair shares and refusals at once."""
--- /dev/null
+++ b/src/lycheering/limits/admission.py
@@ -0,0 +1,330 @@
+"""Decides at once whether a request is taken, and when it starts."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.limits import cost as costs
+from lycheering.limits import queue as queues
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering import clock as clocks
+
+PREFILL_WINDOW = 2
+MIN_RETRY_AFTER_MS = 10.0
+MIDDLE_PRIORITY = 50
+FULL_DRAIN_SHARE = 0.25
+
+
+class RefusedError(Exception):
+    """A request is not run here.
+
+    Attributes:
+        reason: Why.
+        retry_after_ms: When such a request is expected to be taken.
+        detail: Text for people.
+    """
+
+    def __init__(
+        self,
+        reason: messages.Reason,
+        retry_after_ms: float = 0.0,
+        detail: str = "",
+    ) -> None:
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        self.detail = detail
+
+
+@dataclasses.dataclass
+class Limits:
+    """What an agent may take on, from the fleet's options.
+
+    Attributes:
+        max_running: Requests sent to the target at once.
+        max_queued: Requests that wait at the agent.
+        prefill_window: Requests sent whose first token is awaited.
+    """
+
+    max_running: int = 8
+    max_queued: int = 64
+    prefill_window: int = PREFILL_WINDOW
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """What a request asks of the target.
+
+    Attributes:
+        team: The team that it belongs to.
+        share: The team's weight.
+        priority: Smaller is served first.
+        cost: Its expected work.
+        deadline_ms: End of the request.
+    """
+
+    team: str
+    share: float
+    priority: int
+    cost: costs.Cost
+    deadline_ms: float
+
+
+@dataclasses.dataclass(eq=False)
+class Place:
+    """A request that was taken, from the queue to its end.
+
+    Attributes:
+        waiting: Its place in the queue.
+        expected_start_ms: The wait expected when it came.
+        started_ms: When it was let through; 0 before.
+        prefilling: Whether its first token is awaited.
+    """
+
+    waiting: queues.Waiting
+    expected_start_ms: float
+    started_ms: float = 0.0
+    prefilling: bool = False
+
+
+class Admission:
+    """The queue and the running requests of one target.
+
+    Attributes:
+        limits: What may be taken on.
+        queue: The requests that wait.
+        draining: Whether nothing new is taken.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.limits = Limits()
+        self.queue = queues.FairQueue()
+        self.draining = False
+        self._clock = clock
+        self._running: set[Place] = set()
+        self._place_by_waiting: dict[queues.Waiting, Place] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def running(self) -> int:
+        """Requests that were let through and have not ended."""
+        return len(self._running)
+
+    def enter(self, demand: Demand) -> Place:
+        """Takes a request into the queue, or refuses it at once.
+
+        Args:
+            demand: What it asks.
+
+        Returns:
+            Its place; call `wait`, then `leave` in any case.
+
+        Raises:
+            RefusedError: If it is not run here.
+        """
+        if self.draining:
+            raise self._refused_draining()
+        now_ms = self._clock.now_ms()
+        waiting = queues.Waiting(
+            demand.team,
+            demand.share,
+            demand.priority,
+            demand.cost,
+            now_ms,
+            demand.deadline_ms,
+            asyncio.get_running_loop().create_future(),
+        )
+        self.queue.rank(waiting)
+        wait_ms = self._expected_wait_ms(waiting)
+        self._check_deadline(waiting, now_ms, wait_ms)
+        self._make_room(waiting)
+        self.queue.add(waiting)
+        place = Place(waiting, wait_ms)
+        self._place_by_waiting[waiting] = place
+        self._idle.clear()
+        self._advance()
+        return place
+
+    async def wait(self, place: Place) -> None:
+        """Returns once the request may be sent.
+
+        Raises:
+            RefusedError: If it is refused after all, such as when its
+                deadline can no longer be met.
+        """
+        waiting = place.waiting
+        left_ms = waiting.deadline_ms - self._clock.now_ms()
+        latest_ms = left_ms - waiting.cost.service_ms
+        try:
+            async with asyncio.timeout(max(0.0, latest_ms) / 1_000):
+                await asyncio.shield(waiting.turn)
+        except TimeoutError as error:
+            if waiting.turn.done():
+                waiting.turn.result()
+                return
+            raise RefusedError(
+                messages.Reason.DEADLINE,
+                self._retry_after(self._expected_wait_ms(waiting)),
+                "waited too long to end in time",
+            ) from error
+
+    def prefilled(self, place: Place) -> None:
+        """Learns that a request's first token came."""
+        place.prefilling = False
+        self._advance()
+
+    def leave(self, place: Place) -> None:
+        """Learns that a request ended, however it did."""
+        self.queue.remove(place.waiting)
+        self._place_by_waiting.pop(place.waiting, None)
+        self._running.discard(place)
+        if not place.waiting.turn.done():
+            place.waiting.turn.cancel()
+        elif not place.waiting.turn.cancelled():
+            # marks a refusal as seen that nobody waited for
+            place.waiting.turn.exception()
+        self._advance()
+        if not self._place_by_waiting:
+            self._idle.set()
+
+    def hand_back(self) -> None:
+        """Refuses all that wait, as the target gets no new work."""
+        self.draining = True
+        for waiting in self.queue.everyone():
+            self._refuse(waiting, self._refused_draining())
+
+    def change_limits(self, limits: Limits) -> None:
+        """Puts other limits in force."""
+        self.limits = limits
+        self._advance()
+
+    async def idle(self) -> None:
+        """Returns once nothing waits or runs."""
+        await self._idle.wait()
+
+    def expected_wait_ms(self, priority: int = MIDDLE_PRIORITY) -> float:
+        """Returns the wait expected for a new request of an idle team."""
+        waiting = queues.Waiting(
+            "",
+            1.0,
+            priority,
+            costs.Cost(0.0, 0.0),
+            self._clock.now_ms(),
+            0.0,
+            asyncio.get_running_loop().create_future(),
+        )
+        self.queue.rank(waiting)
+        return self._expected_wait_ms(waiting)
+
+    def _expected_wait_ms(self, waiting: queues.Waiting) -> float:
+        ahead = self.queue.ahead_of(waiting)
+        prefill_ms = self._running_prefill_ms()
+        prefill_ms += sum(other.cost.prefill_ms for other in ahead)
+        if not ahead and self.running < self.limits.max_running:
+            return prefill_ms
+        work_ms = self._running_work_ms()
+        work_ms += sum(other.cost.service_ms for other in ahead)
+        return max(prefill_ms, work_ms / max(1, self.limits.max_running))
+
+    def _running_prefill_ms(self) -> float:
+        now_ms = self._clock.now_ms()
+        return sum(
+            max(0.0, place.waiting.cost.prefill_ms - now_ms + place.started_ms)
+            for place in self._running
+            if place.prefilling
+        )
+
+    def _running_work_ms(self) -> float:
+        now_ms = self._clock.now_ms()
+        return sum(
+            max(0.0, place.waiting.cost.service_ms - now_ms + place.started_ms)
+            for place in self._running
+        )
+
+    def _check_deadline(
+        self, waiting: queues.Waiting, now_ms: float, wait_ms: float
+    ) -> None:
+        left_ms = waiting.deadline_ms - now_ms
+        service_ms = waiting.cost.service_ms
+        if wait_ms + service_ms <= left_ms:
+            return
+        # a later one with as much time fits once the queue is this short
+        bearable_ms = max(0.0, left_ms - service_ms)
+        raise RefusedError(
+            messages.Reason.DEADLINE,
+            self._retry_after(wait_ms - bearable_ms),
+            f"needs {wait_ms + service_ms:.0f} ms, has {left_ms:.0f} ms",
+        )
+
+    def _make_room(self, waiting: queues.Waiting) -> None:
+        if not self.queue and self._may_start():
+            return
+        if len(self.queue) < self.limits.max_queued:
+            return
+        worst = self.queue.worst()
+        place = (waiting.priority, *waiting.place)
+        if worst is None or place >= (worst.priority, *worst.place):
+            raise self._refused_full(waiting.team)
+        self._refuse(worst, self._refused_full(worst.team))
+
+    def _refused_full(self, team: str) -> RefusedError:
+        count = len(self.queue)
+        fair_count = count / max(1, self.queue.active_teams())
+        reason = messages.Reason.FULL
+        several = self.queue.active_teams() > 1
+        if several and self.queue.team_count(team) > fair_count:
+            reason = messages.Reason.TEAM_LIMIT
+        work_ms = self._running_work_ms()
+        work_ms += sum(w.cost.service_ms for w in self.queue.everyone())
+        drain_ms = work_ms / max(1, self.limits.max_running)
+        return RefusedError(
+            reason,
+            self._retry_after(drain_ms * FULL_DRAIN_SHARE),
+            f"{count} requests wait",
+        )
+
+    def _refused_draining(self) -> RefusedError:
+        return RefusedError(messages.Reason.DRAINING, 0.0, "target is leaving")
+
+    def _retry_after(self, wait_ms: float) -> float:
+        return max(MIN_RETRY_AFTER_MS, wait_ms)
+
+    def _refuse(self, waiting: queues.Waiting, error: RefusedError) -> None:
+        self.queue.remove(waiting)
+        if not waiting.turn.done():
+            waiting.turn.set_exception(error)
+
+    def _may_start(self) -> bool:
+        prefilling = sum(place.prefilling for place in self._running)
+        return (
+            self.running < self.limits.max_running
+            and prefilling < self.limits.prefill_window
+        )
+
+    def _advance(self) -> None:
+        while self.queue and self._may_start():
+            now_ms = self._clock.now_ms()
+            waiting = self.queue.pop(now_ms)
+            if waiting.turn.done():
+                continue
+            place = self._place_by_waiting[waiting]
+            place.started_ms = now_ms
+            place.prefilling = True
+            self._running.add(place)
+            waiting.turn.set_result(None)
+
+
+__all__ = [
+    "MIDDLE_PRIORITY",
+    "PREFILL_WINDOW",
+    "Admission",
+    "Demand",
+    "Limits",
+    "Place",
+    "RefusedError",
+]
--- /dev/null
+++ b/src/lycheering/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers for what stands behind an agent."""
--- /dev/null
+++ b/src/lycheering/targets/exchange.py
@@ -0,0 +1,147 @@
+"""What the drivers of all targets share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.targets import api
+from lycheering.web import client
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from lycheering.settings import model
+
+MAX_REPLY_BYTES = 33_554_432
+
+
+async def send(
+    origin: client.Origin,
+    call: api.TargetCall,
+    before_send: Callable[[], None],
+) -> client.Exchange:
+    """Sends a request once, on a connection of its own.
+
+    Raises:
+        NotSentError: If there is no connection.
+    """
+    header_by_name = {
+        "Content-Type": call.content_type,
+        "X-Request-Id": call.request_id,
+    }
+    if call.order_id:
+        header_by_name["Idempotency-Key"] = call.order_id
+        header_by_name["X-Fence"] = str(call.fence)
+    try:
+        exchange = await client.Exchange.connect(origin)
+    except client.ConnectFailedError as error:
+        raise api.NotSentError(str(error)) from error
+    try:
+        before_send()
+        exchange.send(call.method, call.path, header_by_name, call.body)
+    except BaseException:
+        exchange.close()
+        raise
+    return exchange
+
+
+async def read_head(
+    exchange: client.Exchange, silence_ms: float
+) -> client.Head:
+    """Returns the start of a response.
+
+    Raises:
+        BrokenAnswerError: If it did not come whole.
+    """
+    try:
+        return await exchange.head(silence_ms)
+    except client.SilenceError as error:
+        raise api.SilentTargetError(str(error)) from error
+    except client.ExchangeBrokenError as error:
+        raise api.BrokenAnswerError(str(error)) from error
+
+
+async def read_parts(
+    exchange: client.Exchange, silence_ms: float
+) -> AsyncIterator[bytes]:
+    """Yields the parts of a response's body until it is whole.
+
+    Raises:
+        BrokenAnswerError: If it ends before it is whole.
+    """
+    try:
+        async for part in exchange.parts(silence_ms):
+            yield part
+    except client.SilenceError as error:
+        raise api.SilentTargetError(str(error)) from error
+    except client.ExchangeBrokenError as error:
+        raise api.BrokenAnswerError(str(error)) from error
+
+
+async def fetch(
+    origin: client.Origin,
+    settings: model.WireSettings,
+    method: str,
+    path: str,
+    *,
+    body: bytes = b"",
+    timeout_ms: float = 0.0,
+) -> client.Reply:
+    """Does one short exchange.
+
+    Raises:
+        NotSentError: If the request was not sent.
+        BrokenAnswerError: If it may have been received.
+    """
+    header_by_name = {"Content-Type": "application/json"} if body else {}
+    try:
+        return await client.fetch(
+            origin,
+            method,
+            path,
+            header_by_name=header_by_name,
+            body=body,
+            timeout_ms=timeout_ms or settings.silence_ms,
+            max_bytes=MAX_REPLY_BYTES,
+        )
+    except client.ConnectFailedError as error:
+        raise api.NotSentError(str(error)) from error
+    except client.SilenceError as error:
+        raise api.SilentTargetError(str(error)) from error
+    except client.ExchangeBrokenError as error:
+        raise api.BrokenAnswerError(str(error)) from error
+
+
+class BodyAnswer(api.Answer):
+    """An answer whose chunks are the parts of a plain HTTP body."""
+
+    def __init__(self, exchange: client.Exchange) -> None:
+        self._exchange = exchange
+
+    async def head(self, silence_ms: float) -> api.AnswerHead:
+        """Returns the start of the answer."""
+        head = await read_head(self._exchange, silence_ms)
+        content_type = head.header("content-type", "application/octet-stream")
+        return api.AnswerHead(head.status, content_type)
+
+    async def batches(
+        self, silence_ms: float
+    ) -> AsyncIterator[tuple[bytes, ...]]:
+        """Yields the body's parts until it is whole."""
+        async for part in read_parts(self._exchange, silence_ms):
+            yield (part,)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._exchange.close()
+
+
+__all__ = [
+    "MAX_REPLY_BYTES",
+    "BodyAnswer",
+    "fetch",
+    "read_head",
+    "read_parts",
+    "send",
+]
--- /dev/null
+++ b/tests/helpers/agent_bench.py
@@ -0,0 +1,275 @@
+"""An agent with its target and peers, all on the loop of one test."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import msgspec
+import zmq.asyncio
+
+from lycheering import clock
+from lycheering.agent import daemon
+from lycheering.fleet import holder
+from lycheering.settings import model
+from lycheering.telemetry import counters
+from lycheering.wire import api
+from lycheering.wire import client
+from lycheering.wire import messages
+from lycheering.wire import server
+from standins import answers
+from standins import serving
+from standins.engine import batch
+from standins.engine import server as engine_server
+
+GIVE_UP_S = 20
+POLL_S = 0.01
+LONG_MS = 60_000
+WIRE = model.WireSettings(silence_ms=1_000, heartbeat_ms=200)
+
+
+async def until(condition):
+    """Returns once a condition holds; fails after a generous time."""
+    async with asyncio.timeout(GIVE_UP_S):
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+
+def new_link(context, name, role):
+    identity = api.Identity(name, role, "domain-1")
+    return api.Link(
+        context,
+        identity,
+        WIRE,
+        clock.Clock(),
+        holder.ViewHolder(),
+        counters.Counters(),
+    )
+
+
+class ControlPeer(api.SessionHandler):
+    """Answers an agent's registration with a fixed fencing number."""
+
+    def __init__(self, context, highest_fence=0):
+        self.highest_fence = highest_fence
+        self.registered = []
+        self.deregistered = []
+        self.reports = []
+        self.link = new_link(context, "control-1", messages.Role.CONTROL)
+        self.server = server.Server(self.link, "127.0.0.1", self)
+
+    async def handle(self, session, envelope):
+        match envelope.message:
+            case messages.Register(target):
+                if self.highest_fence is None:
+                    failure = messages.Failure(messages.Reason.NO_QUORUM)
+                    session.send(failure, envelope.call_id)
+                    return
+                self.registered.append(target)
+                reply = messages.Registered(self.highest_fence)
+                session.send(reply, envelope.call_id)
+            case messages.Deregister():
+                self.deregistered.append(envelope.message)
+                session.send(messages.Done(), envelope.call_id)
+            case messages.TargetReport():
+                self.reports.append(envelope.message)
+
+    def change(self, change):
+        """Puts a change of the fleet view in force here and offers it."""
+        self.link.view.fleet.make(change, by_operator=True)
+        self.server.offer_view()
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What one call to the agent came to."""
+
+    started: messages.Started | None = None
+    items: list = dataclasses.field(default_factory=list)
+    ending: messages.Message | None = None
+
+    @property
+    def text(self):
+        return "".join(_content(item) for item in self.items)
+
+
+def _content(item):
+    choice = msgspec.json.decode(item)["choices"][0]
+    return choice["delta"]["content"] if "delta" in choice else choice["text"]
+
+
+def chat_body(prompt, max_tokens=5):
+    body = {"model": "model", "max_tokens": max_tokens}
+    body["messages"] = [{"role": "user", "content": prompt}]
+    return msgspec.json.encode(body)
+
+
+def expected_text(prompt, max_tokens=5, continue_from=0):
+    text = answers.chat_prompt([("user", prompt)])
+    return answers.expected_answer(text, max_tokens, continue_from)
+
+
+class Bench:
+    """Everything that one scenario starts, and ends again."""
+
+    def __init__(self):
+        self.runner = asyncio.Runner()
+        self.clock = clock.Clock()
+        self.zmq = None
+        self.control = None
+        self.engine = None
+        self.target_url = ""
+        self.entry_by_name = {}
+        self._tasks = []
+        self._application = None
+        self._agent_task = None
+        self._closers = []
+        self.run(self._open())
+
+    def run(self, work):
+        return self.runner.run(work)
+
+    async def _open(self):
+        self.zmq = zmq.asyncio.Context()
+        self.control = ControlPeer(self.zmq)
+        await self.control.server.start()
+
+    def spawn(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.append(task)
+        return task
+
+    async def start_engine(self, timing=None, **options):
+        settings = engine_server.EngineSettings(
+            timing=timing or batch.Timing(prefill_ms_per_piece=5, token_ms=2),
+            load_lag_ms=0,
+            **options,
+        )
+        self.engine = engine_server.Engine(settings)
+        self.target_url = await self.serve(self.engine.app)
+
+    async def serve(self, app):
+        web = serving.StandInServer(app)
+        task = self.spawn(web.run_until_stopped())
+        await until(lambda: web.started or task.done())
+        self._closers.append((web, task))
+        return f"http://127.0.0.1:{web.port}"
+
+    async def start_agent(self, **options):
+        agent = model.AgentSettings(
+            target="target-1",
+            url=self.target_url,
+            model="" if options.get("kind") == "service" else "model",
+            load_poll_ms=50,
+            **options,
+        )
+        control = model.PeerAddress(
+            instance="control-1", ip="127.0.0.1", port=self.control.server.port
+        )
+        settings = model.Settings(
+            instance=model.InstanceSettings(
+                name="instance-1", failure_domain="domain-1"
+            ),
+            wire=WIRE,
+            control=model.ControlSettings(members=(control,)),
+            agent=agent,
+        )
+        application = daemon.build(settings)
+        self._application = application
+        self._agent_task = self.spawn(application.run())
+        if self.control.highest_fence is not None:
+            await until(lambda: self.control.registered)
+        self.handler = next(
+            part for part in application._parts if hasattr(part, "run_by_key")
+        )
+        self.context = self.handler._context
+
+    @property
+    def agent_address(self):
+        server_part = next(
+            part
+            for part in self._application._parts
+            if isinstance(part, server.Server)
+        )
+        return api.Address("target-1", "127.0.0.1", server_part.port)
+
+    async def entry(self, name="entry-1"):
+        connection = self.entry_by_name.get(name)
+        if connection is None:
+            link = new_link(self.zmq, name, messages.Role.ENTRY)
+            connection = client.Connection(self.agent_address, link)
+            connection.start()
+            self.entry_by_name[name] = connection
+        await connection.ready(GIVE_UP_S * 1_000)
+        return connection
+
+    def submit(self, request_id, prompt="hello", max_tokens=5, **fields):
+        values = {
+            "team": "team-1",
+            "priority_class": "check",
+            "priority": 10,
+            "deadline_ms": self.clock.now_ms() + LONG_MS,
+            "path": "/v1/chat/completions",
+            "attempt": 1,
+            "model": "model",
+            "body": chat_body(prompt, max_tokens),
+        }
+        return messages.Submit(request_id=request_id, **(values | fields))
+
+    async def ask(self, message, entry="entry-1"):
+        """Sends a request and reads its answer to the end."""
+        connection = await self.entry(entry)
+        channel = connection.open()
+        channel.send(message)
+        return await self.read(channel, message)
+
+    async def read(self, channel, message, outcome=None, *, acks=True):
+        outcome = outcome or Outcome()
+        while outcome.ending is None:
+            await self.read_one(channel, message, outcome, acks=acks)
+        return outcome
+
+    async def read_one(self, channel, message, outcome, *, acks=True):
+        event = await channel.receive(GIVE_UP_S * 1_000)
+        match event:
+            case messages.Accepted():
+                pass
+            case messages.Started():
+                outcome.started = event
+            case messages.Chunks(first_seq, items):
+                assert first_seq == message.continue_from + len(outcome.items)
+                outcome.items += items
+                if acks:
+                    channel.send(
+                        messages.Ack(
+                            message.request_id,
+                            message.attempt,
+                            first_seq + len(items),
+                        )
+                    )
+            case _:
+                outcome.ending = event
+
+    async def stop_agent(self):
+        self._application.stopping.set()
+        await self._agent_task
+
+    def close(self):
+        self.run(self._close())
+        self.runner.close()
+
+    async def _close(self):
+        for connection in self.entry_by_name.values():
+            await connection.close()
+        if self._agent_task is not None:
+            self._application._drain_timeout_ms = 200
+            self._application.stopping.set()
+            await asyncio.gather(self._agent_task, return_exceptions=True)
+        await self.control.server.stop()
+        for web, task in self._closers:
+            web.stop()
+            await asyncio.gather(task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.zmq.destroy(linger=0)
