--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -219,6 +219,7 @@
                     self._note_load(connection)
                 case messages.Finished():
                     if event.next_seq == self._sink.next_seq:
+                        self._ack(channel)
                         self._targets.circuits.succeeded(
                             self._choice.target.name
                         )
@@ -323,13 +324,15 @@
             return
         await sink.take(items)
         if sink.next_seq - self._acked >= ACK_CHUNKS:
-            self._acked = sink.next_seq
-            ack = messages.Ack(
-                self._job.request_id, self._number, sink.next_seq
-            )
-            # a lost one is made good by the next or by Resume
-            with contextlib.suppress(errors.PeerUnreachableError):
-                channel.send(ack)
+            self._ack(channel)
+
+    def _ack(self, channel: client.Channel) -> None:
+        next_seq = self._sink.next_seq
+        self._acked = next_seq
+        ack = messages.Ack(self._job.request_id, self._number, next_seq)
+        # a lost one is made good by the next or by Resume
+        with contextlib.suppress(errors.PeerUnreachableError):
+            channel.send(ack)
 
     def _replaced(self, channel: client.Channel, incarnation: str) -> None:
         if incarnation != self._incarnation:
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -29,6 +29,7 @@
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
 from lycheering.wire import pool as wire_pool
+from lycheering.wire import security
 
 if TYPE_CHECKING:
     from lycheering.settings import model
@@ -67,6 +68,7 @@
             self._clock,
             self.view,
             self.counters,
+            security.security_from(settings.wire, self.counters),
         )
         self._connections = wire_pool.ConnectionPool(link)
         self._control = control_client.ControlClient(
