--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from typing import TYPE_CHECKING
 
 import zmq.asyncio
@@ -136,6 +137,9 @@
         await self._control.start()
         self._tasks.spawn(self._keep_warm(), "entry:warm")
         await self.web.start()
+        # what lives as long as the process need not be traversed again
+        gc.collect()
+        gc.freeze()
 
     async def drain(self) -> None:
         """Leaves the balancer first, then ends what runs."""
