Keep new requests away from agents that are silent or disconnected

Trials against real processes (6 engines, 2 entries, 60 requests/s for 8 s, deterministic prompts): with two of six engines and their agents killed, 8 of 487 requests were refused as unreachable, since each waited 1 s for a connection and the budget ran out.

--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -22,10 +22,10 @@
     from lycheering.telemetry import counters
     from lycheering.wire import pool as wire_pool
 
-CONNECT_MS = 1_000.0
+CONNECT_MS = 500.0
 ORDER_SEND_MS = 2_000.0
 POLL_MS = 250.0
-RECONNECT_MS = 1_000.0
+RECONNECT_MS = 500.0
 ACK_CHUNKS = 16
 MAX_RESUMES = 8
 
@@ -75,6 +75,7 @@
         connections: The connections to agents.
         circuits: The failing targets.
         counters: The process's counters.
+        suspect_ms: Silence after which an agent gets no new request.
     """
 
     clock: clock.Clock
@@ -83,6 +84,23 @@
     connections: wire_pool.ConnectionPool
     circuits: circuit.Circuits
     counters: counters.Counters
+    suspect_ms: float
+
+    def usable(self, name: str) -> bool:
+        """Returns whether a target is worth a try now."""
+        if not self.circuits.usable(name):
+            return False
+        target = self.view.fleet.target_by_name.get(name)
+        if target is None:
+            return False
+        address = wire_api.Address(target.name, target.ip, target.port)
+        connection = self.connections.known(address)
+        if connection is None:
+            return True
+        if connection.connected:
+            return connection.silent_ms < self.suspect_ms
+        # a new connection may yet come up, a lost one is being replaced
+        return not connection.peer_incarnation
 
     async def connect(
         self, choice: routers.Choice, timeout_ms: float = CONNECT_MS
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -37,6 +37,7 @@
 
 WARM_POLL_MS = 1_000
 DRAIN_POLL_MS = 20
+SUSPECT_HEARTBEATS = 2
 
 _LOG = logs.get("entry")
 
@@ -99,6 +100,7 @@
             self._connections,
             self._circuits,
             self.counters,
+            SUSPECT_HEARTBEATS * settings.wire.heartbeat_ms,
         )
         budget = budgets.RetryBudget(self._clock)
         desk = orders.OrderDesk(targets, self._control, budget)
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -61,7 +61,7 @@
             policy=fleet.text("routing.policy", subject),
             attempt=number,
             tried=tried,
-            usable=targets.circuits.usable,
+            usable=targets.usable,
         )
     except routers.NoTargetError as error:
         raise refusals.RefusalError(
--- a/src/lycheering/retries/budget.py
+++ b/src/lycheering/retries/budget.py
@@ -9,6 +9,7 @@
     from lycheering import clock
 
 FLOOR_PER_S = 2.0
+FIRST_TOKENS = 10.0
 MAX_TOKENS = 50.0
 FIRST_PAUSE_MS = 5.0
 MAX_PAUSE_MS = 200.0
@@ -23,7 +24,7 @@
 
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
-        self._tokens = FLOOR_PER_S
+        self._tokens = FIRST_TOKENS
         self._earned = 0.0
         self._filled_ms = time.now_ms()
 
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -139,6 +139,11 @@
         """Whether the peer has answered on the present connection."""
         return self._ready.is_set()
 
+    @property
+    def silent_ms(self) -> float:
+        """Time since the peer's last frame."""
+        return self._link.clock.now_ms() - self._last_received_ms
+
     @property
     def busy(self) -> bool:
         """Whether calls are in flight."""
--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -92,3 +92,9 @@
     And agents that fall silent after 8 chunks
     When a caller asks for a streamed chat "hi" with a seed and its agent stops
     Then the caller gets the whole answer to "hi"
+
+  Scenario: Requests keep away from an agent whose connection is lost
+    Given an entry among fakes
+    And agent "t0" has stopped
+    When the caller asks for 12 different chats
+    Then all chats came whole without a retry
