--- a/src/lycheering/store/folder.py
+++ b/src/lycheering/store/folder.py
@@ -27,7 +27,8 @@
 class DataFolder:
     """A folder on a disk that one process at a time may use.
 
-    All file operations run in one thread, in the order they were asked for.
+    File operations run in one thread, in the order they were asked for. Long
+    ones have a thread of their own, so that syncs of the log do not wait.
 
     Attributes:
         path: Where the folder is.
@@ -51,18 +52,23 @@
         except BaseException:
             os.close(self._lock)
             raise
-        self._thread = concurrent.futures.ThreadPoolExecutor(
-            1, thread_name_prefix="store"
-        )
+        self._thread = _start_thread("store")
+        self._long_thread = _start_thread("store-long")
 
     async def run(self, operation: Callable[[], _T]) -> _T:
         """Runs a file operation in the folder's thread."""
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(self._thread, operation)
 
+    async def run_long(self, operation: Callable[[], _T]) -> _T:
+        """Runs a long file operation beside the others."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._long_thread, operation)
+
     def close(self) -> None:
         """Waits for running file operations and releases the folder."""
         self._thread.shutdown(wait=True)
+        self._long_thread.shutdown(wait=True)
         os.close(self._lock)
 
     def _acquire_lock(self) -> int:
@@ -90,6 +96,10 @@
         return disk_id
 
 
+def _start_thread(name: str) -> concurrent.futures.ThreadPoolExecutor:
+    return concurrent.futures.ThreadPoolExecutor(1, thread_name_prefix=name)
+
+
 def temporary(path: pathlib.Path) -> pathlib.Path:
     """Returns where a file is written before it takes its name."""
     return path.with_name(f"{path.name}.new")
--- a/src/lycheering/store/snapshots.py
+++ b/src/lycheering/store/snapshots.py
@@ -49,7 +49,7 @@
 
     async def save(self, snapshot: Snapshot) -> None:
         """Makes a snapshot durable, then removes the older ones."""
-        await self._folder.run(lambda: self._write(snapshot))
+        await self._folder.run_long(lambda: self._write(snapshot))
         latest = self.latest
         if latest is None or latest.position.index < snapshot.position.index:
             self.latest = snapshot
