--- /dev/null
+++ b/tests/replication/commits.feature
@@ -0,0 +1,45 @@
+Feature: A proposal is answered only when it is synced on a quorum
+
+  Background:
+    Given a group of members a, b, c
+    And 3 commands were proposed
+
+  Scenario: Entries in the memory of followers do not count
+    Given both followers cannot sync
+    When the command "one" is proposed in the background
+    And both followers hold it in memory and the leader has synced it
+    Then the proposal is not answered
+    When one follower can sync again
+    Then the proposal is answered
+
+  Scenario: The leader's own sync need not be the first
+    Given the leader cannot sync
+    When the command "one" is proposed in the background
+    Then the proposal is answered
+
+  Scenario: Without a quorum the outcome is unknown, then nothing is taken
+    When both followers are stopped
+    Then a proposal ends with an unknown outcome
+    And later proposals are refused as not appended
+
+  Scenario: A member whose disk fails stops, and the others go on
+    When the leader's disk fails
+    And the command "one" is proposed to another leader
+    Then the other members have all commands answered
+    And the member with the failed disk reports why
+
+  Scenario: A proposer that waits too long is refused at once
+    When more proposals wait than the settings allow
+    Then the last proposal is refused as not appended
+
+  Scenario Outline: What was answered is never lost or doubled
+    When members are cut off, restarted and frozen at random from seed <seed>
+    Then all answered commands stand once in the same order on every member
+    And no two members ever led the same term or held a lease together
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
--- a/tests/replication/fakes.py
+++ b/tests/replication/fakes.py
@@ -12,6 +12,7 @@
 
 from lycheering import clock
 from lycheering.replication import api
+from lycheering.replication import core
 from lycheering.replication import errors
 from lycheering.replication import log
 from lycheering.replication import members
@@ -77,6 +78,14 @@
         for other in self.log_by_instance:
             self.cut_links |= {(instance, other), (other, instance)}
 
+    def votes_asked_by(self, instance: str) -> list[messages.VoteRequest]:
+        return [
+            request
+            for request in self.requests
+            if isinstance(request, messages.VoteRequest)
+            and request.sender.instance == instance
+        ]
+
     async def carry(
         self, sender: str, receiver: str, message: messages.Message
     ) -> messages.Message:
@@ -131,6 +140,7 @@
         self.clock_by_instance: dict[str, JumpingClock] = {}
         self.machine_by_instance: dict[str, ListMachine] = {}
         self.store_by_instance: dict[str, storage.Storage] = {}
+        self._gate_by_instance: dict[str, asyncio.Event] = {}
 
     @property
     def log_by_instance(self) -> dict[str, log.ReplicatedLog]:
@@ -162,6 +172,25 @@
         for name in list(self.log_by_instance):
             await self.stop(name)
 
+    def running(self) -> list[str]:
+        return list(self.log_by_instance)
+
+    def hold_syncs(self, name: str) -> None:
+        """Keeps file operations of a member waiting."""
+        folder = self.store_by_instance[name].folder
+        gate = asyncio.Event()
+        run = folder.run
+        self._gate_by_instance[name] = gate
+
+        async def held(operation: Callable[[], Any]) -> Any:
+            await gate.wait()
+            return await run(operation)
+
+        folder.run = held  # type: ignore[method-assign]
+
+    def release_syncs(self, name: str) -> None:
+        self._gate_by_instance[name].set()
+
     def lose_disk(self, name: str) -> None:
         shutil.rmtree(self.folder / name)
 
@@ -201,6 +230,96 @@
         await asyncio.gather(*proposals)
 
 
+class Watch:
+    """Watches that no two members act as leader at once."""
+
+    def __init__(self, group: Group) -> None:
+        self._group = group
+        self.faults: list[str] = []
+        self.checks = 0
+        self._leader_by_term: dict[int, members.MemberId] = {}
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            self.checks += 1
+            leaders = self._group.leaders()
+            if len(leaders) > 1:
+                self.faults.append(f"leases of {leaders}")
+            for member in self._group.log_by_instance.values():
+                status = member.status()
+                if status.role is not core.Role.LEADER:
+                    continue
+                first = self._leader_by_term.setdefault(status.term, status.id)
+                if first != status.id:
+                    self.faults.append(f"{first} and {status.id} led together")
+            await asyncio.sleep(POLL_S / 5)
+
+
+class Chaos:
+    """Proposes commands while members fail in turn."""
+
+    ROUNDS = 12
+    PROPOSERS = 4
+    PROPOSAL_MS = 300.0
+
+    def __init__(self, group: Group, randomness: random.Random) -> None:
+        self._group = group
+        self._random = randomness
+        self._over = False
+        self.answered: list[bytes] = []
+
+    async def run(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(self.PROPOSERS):
+                tasks.create_task(self._propose(number))
+            for _ in range(self.ROUNDS):
+                await self._fail_once()
+            self._over = True
+
+    async def _propose(self, proposer: int) -> None:
+        number = 0
+        while not self._over:
+            number += 1
+            command = f"chaos-{proposer}-{number}".encode()
+            for member in list(self._group.log_by_instance.values()):
+                try:
+                    await member.propose(command, self.PROPOSAL_MS)
+                except errors.OutcomeUnknownError:
+                    break
+                except errors.ReplicationError:
+                    continue
+                self.answered.append(command)
+                break
+            await asyncio.sleep(POLL_S)
+
+    async def _fail_once(self) -> None:
+        group = self._group
+        name = self._random.choice(group.running())
+        if self._random.random() < 0.5:
+            name = (group.leaders() or [name])[0]
+        fault = self._random.choice(["cut", "one way", "restart", "freeze"])
+        lasts_s = self._random.uniform(0.05, 1.0)
+        if fault == "cut":
+            group.network.cut(name)
+        elif fault == "one way":
+            for other in group.running():
+                group.network.cut_links.add((other, name))
+        elif fault == "freeze":
+            group.clock_by_instance[name].offset_ms += 2_000
+        else:
+            await group.stop(name)
+        await asyncio.sleep(lasts_s)
+        group.network.cut_links.clear()
+        if fault == "restart":
+            group.start(name)
+        await asyncio.sleep(self._random.uniform(0.0, 0.6))
+
+
 def address(name: str) -> members.PeerAddress:
     return members.PeerAddress(name, f"127.0.0.1:{name}")
 
--- /dev/null
+++ b/tests/replication/members.feature
@@ -0,0 +1,67 @@
+Feature: Members are replaced one step at a time
+
+  Background:
+    Given a group of members a, b, c
+    And 50 commands were proposed
+
+  Scenario: A lost disk does not vote under its old identity
+    When a follower loses its disk and starts again
+    And the other follower is stopped
+    Then the leader loses its lease and is not elected in 4 more tries
+    And the restarted instance refuses requests to its old identity
+    And it creates no group of its own
+
+  Scenario Outline: A second loss right after a repair loses nothing
+    When member c loses its disk for good
+    And member d replaces it
+    And the <second> loses its disk for good
+    Then 2 members still have the 50 commands
+    And the command "one" is still taken
+
+    Examples:
+      | second          |
+      | leader          |
+      | member a or b   |
+
+  Scenario: An instance with a new disk replaces itself
+    When member c loses its disk and starts again
+    And member c is replaced by its new identity
+    Then the members are a, b, c and all vote
+    And all members have the same log and the 50 commands proposed
+
+  Scenario: A repair is not over while the newcomer lacks anything
+    When member d, which cannot sync, is to replace a follower
+    And member d has been sent the whole log
+    Then the repair is not reported as finished
+    And the old member is still a member and the newcomer does not vote
+    When member d can sync again
+    Then the repair is reported as finished
+    And the old member is no member
+
+  Scenario: A new leader goes on with a repair
+    When member d, which cannot sync, is to replace a follower
+    And leadership is transferred to the other old member
+    And member d can sync again
+    And the same repair is asked of the new leader
+    Then the repair is reported as finished
+    And the old member is no member
+
+  Scenario: A leader that is replaced hands over first
+    When member d replaces the leader
+    Then the repair is reported as finished
+    And the old member is no member
+
+  Scenario: A group grows to five and shrinks again
+    When members d and e are added
+    Then the members are a, b, c, d, e and all vote
+    When member b is removed
+    And member c is removed
+    Then the members are a, d, e and all vote
+    And the command "one" is still taken
+
+  Scenario: Only one change is under way at a time
+    When member d, which cannot sync, is to replace a follower
+    Then adding another member is refused
+
+  Scenario: An unknown member cannot be replaced
+    Then replacing a member under an unknown identity is refused
--- /dev/null
+++ b/tests/steps/member_steps.py
@@ -0,0 +1,296 @@
+"""Steps for changes of the members."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import then
+from behave import when
+
+from lycheering.replication import errors
+from lycheering.replication import members
+from lycheering.replication import messages
+from tests.replication import fakes
+from tests.steps import replication_steps
+
+LONG_MS = 30_000
+
+
+def run(context, work):
+    return context.runner.run(work)
+
+
+def wait(context, condition, what):
+    run(context, fakes.wait_for(condition, what))
+
+
+def current(context):
+    return context.group.log_by_instance[run(context, context.group.leader())]
+
+
+def id_of(context, name):
+    found = current(context).status().members
+    return next(item.id for item in found if item.id.instance == name)
+
+
+def lose(context, name):
+    run(context, context.group.stop(name))
+    context.group.lose_disk(name)
+
+
+def start(context, name):
+    async def started():
+        return context.group.start(name)
+
+    context.group.network.records = True
+    return run(context, started())
+
+
+@when("a follower loses its disk and starts again")
+def step_lose_follower(context):
+    context.name, context.rest = replication_steps.followers(context)
+    context.old_id = id_of(context, context.name)
+    context.leader_name = run(context, context.group.leader())
+    lose(context, context.name)
+    start(context, context.name)
+
+
+@when("the other follower is stopped")
+def step_stop_rest(context):
+    run(context, context.group.stop(context.rest))
+
+
+@then("the leader loses its lease and is not elected in {count:d} more tries")
+def step_no_quorum(context, count):
+    network = context.group.network
+    member = context.group.log_by_instance[context.leader_name]
+    wait(context, lambda: not context.group.leaders(), "the lease's end")
+    network.requests.clear()
+
+    def tried():
+        asked = network.votes_asked_by(context.leader_name)
+        return len(asked) >= 2 * count
+
+    wait(context, tried, "more elections")
+    assert context.group.leaders() == []
+    assert member.status().role.value != "leader"
+
+
+@then("the restarted instance refuses requests to its old identity")
+def step_wrong_member(context):
+    member = context.group.log_by_instance[context.name]
+    sender = context.group.log_by_instance[context.leader_name].status().id
+    new_id = member.status().id
+    assert new_id != context.old_id
+    last = context.group.store_by_instance[context.leader_name].log.last
+    request = messages.VoteRequest(sender, context.old_id, 1_000, last)
+    reply = run(context, member.handle(request))
+    assert reply == messages.WrongMemberReply(new_id)
+
+
+@then("it creates no group of its own")
+def step_no_group(context):
+    status = context.group.log_by_instance[context.name].status()
+    assert (status.last_index, status.members) == (0, [])
+
+
+@when("member {name} loses its disk for good")
+@when("the {name} loses its disk for good")
+def step_lose(context, name):
+    if name == "leader":
+        name = run(context, context.group.leader())
+    if name == "member a or b":
+        leader = run(context, context.group.leader())
+        name = "a" if leader == "b" else "b"
+    if name == "c":
+        context.old_id = id_of(context, name)
+    lose(context, name)
+
+
+@when("member {name} loses its disk and starts again")
+def step_lose_and_start(context, name):
+    step_lose(context, name)
+    start(context, name)
+
+
+def replace_until_done(context, old_id, new):
+    async def replaced():
+        while True:
+            member = context.group.log_by_instance[await context.group.leader()]
+            try:
+                return await member.replace(old_id, fakes.address(new))
+            except errors.NotLeaderError:
+                await asyncio.sleep(fakes.POLL_S)
+
+    return run(context, replaced())
+
+
+@when("member {name} replaces it")
+def step_replace(context, name):
+    start(context, name)
+    context.report = replace_until_done(context, context.old_id, name)
+    assert context.report.left == context.old_id
+    assert context.report.joined.instance == name
+
+
+@when("member {name} is replaced by its new identity")
+def step_replace_itself(context, name):
+    context.report = replace_until_done(context, context.old_id, name)
+    assert context.report.joined.instance == name
+    assert context.report.joined != context.old_id
+
+
+@when("member {name} replaces the leader")
+def step_replace_leader(context, name):
+    context.old_id = current(context).status().id
+    start(context, name)
+    context.report = replace_until_done(context, context.old_id, name)
+
+
+@then("{count:d} members still have the {commands:d} commands")
+def step_still_have(context, count, commands):
+    group = context.group
+
+    def all_have():
+        lists = [group.machine_by_instance[n].commands for n in group.running()]
+        return [len(item) for item in lists] == [commands] * count
+
+    wait(context, all_have, "all commands on the members left")
+
+
+@then("the members are {names} and all vote")
+def step_members(context, names):
+    expected = names.split(", ")
+
+    def are():
+        found = current(context).status().members
+        voters = [item.id.instance for item in found if item.is_voter]
+        return sorted(voters) == expected and len(found) == len(expected)
+
+    assert are()
+
+
+@when("member {name}, which cannot sync, is to replace a follower")
+def step_hold_newcomer(context, name):
+    old, context.rest = replication_steps.followers(context)
+    context.old_id = id_of(context, old)
+    start(context, name)
+    context.group.hold_syncs(name)
+    context.stack.callback(lambda: context.group.release_syncs(name))
+    context.new = name
+    leader = current(context)
+
+    async def begun():
+        work = leader.replace(context.old_id, fakes.address(name))
+        context.repair = asyncio.create_task(work)
+
+    run(context, begun())
+    wait(
+        context,
+        lambda: any(m.id.instance == name for m in leader.status().members),
+        "the newcomer as a learner",
+    )
+
+
+@when("member {name} has been sent the whole log")
+def step_sent(context, name):
+    newcomer = context.group.log_by_instance[name]
+    last = current(context).status().last_index
+    wait(context, lambda: newcomer.status().last_index >= last, "the log")
+    run(context, asyncio.sleep(0.1))
+
+
+@then("the repair is not reported as finished")
+def step_not_finished(context):
+    assert not context.repair.done()
+
+
+@then("the old member is still a member and the newcomer does not vote")
+def step_still_member(context):
+    found = {m.id: m for m in current(context).status().members}
+    assert found[context.old_id].is_voter
+    newcomer = next(i for i in found if i.instance == context.new)
+    assert not found[newcomer].is_voter
+
+
+@when("member {name} can sync again")
+def step_release(context, name):
+    context.group.release_syncs(name)
+
+
+@when("leadership is transferred to the other old member")
+def step_transfer_to(context):
+    leader = current(context)
+    rest = context.rest
+
+    async def transferred():
+        voters = leader._core.configuration.voters()
+        voter = next(v for v in voters if v.id.instance == rest)
+        await leader._core.leadership.transfer_to(voter)
+        await asyncio.gather(context.repair, return_exceptions=True)
+
+    run(context, transferred())
+    assert run(context, context.group.leader()) == rest
+
+
+@when("the same repair is asked of the new leader")
+def step_ask_again(context):
+    context.report = replace_until_done(context, context.old_id, context.new)
+
+
+@then("the repair is reported as finished")
+def step_finished(context):
+    if "report" not in context:
+        wait(context, context.repair.done, "the repair")
+        context.report = context.repair.result()
+    report = context.report
+    found = {m.id: m for m in current(context).status().members}
+    assert found[report.joined].is_voter
+    newcomer = context.group.log_by_instance[report.joined.instance]
+    assert newcomer.status().synced_index >= report.synced_index
+
+
+@then("the old member is no member")
+def step_no_member(context):
+    ids = [item.id for item in current(context).status().members]
+    assert context.old_id not in ids
+
+
+@when("members d and e are added")
+def step_add(context):
+    for name in ("d", "e"):
+        start(context, name)
+        run(context, current(context).add(fakes.address(name)))
+
+
+@when("member {name} is removed")
+def step_remove(context, name):
+    member_id = id_of(context, name)
+
+    async def removed():
+        while True:
+            member = context.group.log_by_instance[await context.group.leader()]
+            try:
+                return await member.remove(member_id)
+            except errors.NotLeaderError:
+                await asyncio.sleep(fakes.POLL_S)
+
+    run(context, removed())
+    run(context, context.group.stop(name))
+
+
+@then("adding another member is refused")
+def step_refuse_add(context):
+    start(context, "e")
+    work = current(context).add(fakes.address("e"))
+    error = replication_steps.refusal(context, work)
+    assert isinstance(error, errors.MemberChangeError)
+
+
+@then("replacing a member under an unknown identity is refused")
+def step_refuse_unknown(context):
+    start(context, "d")
+    unknown = members.MemberId("c", "another disk")
+    work = current(context).replace(unknown, fakes.address("d"))
+    error = replication_steps.refusal(context, work)
+    assert isinstance(error, errors.MemberChangeError)
