Keep the lease off slow disks, and bound a newcomer's catching up

Cause: a heartbeat waited for the follower's sync, so two slow disks ended a healthy leadership; a newcomer under steady load might never hold the very last entry at the moment of the check; a failed disk of a follower raised through the transport. Change: followers answer after one heartbeat with what is synced by then; catching up goes by rounds; a change can be given up; refusals are typed.

--- a/src/lycheering/replication/bootstrap.py
+++ b/src/lycheering/replication/bootstrap.py
@@ -85,6 +85,9 @@
     )
     if not isinstance(reply, messages.IdentifyReply):
         raise errors.PeerUnreachableError(f"no identity from {peer.address}")
+    if reply.member_id.instance != peer.instance:
+        message = f"{peer.address} is {reply.member_id}, not {peer.instance}"
+        raise errors.PeerUnreachableError(message)
     return reply
 
 
--- a/src/lycheering/replication/changes.py
+++ b/src/lycheering/replication/changes.py
@@ -33,6 +33,19 @@
     synced_index: int
 
 
+@dataclasses.dataclass(frozen=True)
+class _Round:
+    """One round of waiting for a newcomer to catch up."""
+
+    led: leadership.Leadership
+    configuration_index: int
+    target_index: int
+    began_ms: float
+
+    def is_of(self, led: leadership.Leadership, index: int) -> bool:
+        return self.led is led and self.configuration_index == index
+
+
 class MemberChanges:
     """Drives the change named in the configuration while this member leads.
 
@@ -42,7 +55,7 @@
 
     def __init__(self, core: cores.Core) -> None:
         self._core = core
-        self._joined_index = 0
+        self._round: _Round | None = None
 
     async def run(self) -> None:
         """Takes the next step whenever it is due."""
@@ -100,18 +113,39 @@
 
         Raises:
             NotLeaderError: This member stopped leading meanwhile.
+            MemberChangeError: The change was cancelled.
         """
         core = self._core
         while True:
             core.require_leadership()
             latest = core.history.latest
             is_committed = latest.index <= core.commit_index
-            if is_committed and _is_over(latest.configuration, change):
+            if is_committed and latest.configuration.change != change:
                 break
             await core.clock.sleep(core.settings.heartbeat_ms / 2)
+        if not _is_over(latest.configuration, change):
+            raise errors.MemberChangeError("the change was cancelled")
         index = self._synced_index(core.require_leadership(), change.joining)
         return ChangeReport(change.joining, change.leaving, index)
 
+    async def cancel(self) -> None:
+        """Gives up the change under way; the newcomer leaves again.
+
+        Raises:
+            NotLeaderError: This member does not lead.
+        """
+        core = self._core
+        led = core.require_leadership()
+        while core.history.latest.index > core.commit_index:
+            await core.clock.sleep(core.settings.heartbeat_ms / 2)
+            led = core.require_leadership()
+        change = core.configuration.change
+        if change is None:
+            return
+        _LOG.event("member_change_cancelled", joining=change.joining)
+        rest = core.configuration.without(change.joining)
+        await led.propose_configuration(rest)
+
     async def _newcomer(
         self, joining: members.PeerAddress | None
     ) -> members.Member | None:
@@ -137,7 +171,7 @@
             return
         joining = change.joining
         if joining is not None:
-            if not self._has_whole_log(led, joining):
+            if not self._has_caught_up(led, joining):
                 return
             if not configuration.is_voter(joining):
                 await led.propose_configuration(
@@ -150,10 +184,26 @@
             "member_change_finished", joined=joining, left=change.leaving
         )
 
-    def _has_whole_log(
+    def _has_caught_up(
         self, led: leadership.Leadership, joining: members.MemberId
     ) -> bool:
-        return self._synced_index(led, joining) >= self._core.commit_index
+        """Returns whether a newcomer syncs as fast as entries come.
+
+        It has then synced all that was committed when the round began, and
+        the round was short. Waiting for the very last entry could take for
+        ever under load.
+        """
+        core = self._core
+        now_ms = core.clock.now_ms()
+        entry_index = core.history.latest.index
+        current = self._round
+        if current is None or not current.is_of(led, entry_index):
+            current = _Round(led, entry_index, core.commit_index, now_ms)
+            self._round = current
+        if self._synced_index(led, joining) < current.target_index:
+            return False
+        self._round = None
+        return now_ms - current.began_ms < core.settings.election_timeout_ms
 
     def _synced_index(
         self, led: leadership.Leadership, member_id: members.MemberId | None
@@ -165,8 +215,9 @@
 
     async def _hand_over(self, led: leadership.Leadership) -> None:
         for voter in self._core.configuration.voters():
-            if voter.id != self._core.id and self._has_whole_log(led, voter.id):
-                await led.transfer_to(voter)
+            if voter.id == self._core.id:
+                continue
+            if await led.transfer_to(voter):
                 return
 
 
--- a/src/lycheering/replication/log.py
+++ b/src/lycheering/replication/log.py
@@ -223,6 +223,14 @@
         change = await self._changes.begin(None, old)
         return await self._changes.finish(change)
 
+    async def cancel_change(self) -> None:
+        """Gives up the change of members under way.
+
+        Raises:
+            NotLeaderError: This member does not lead.
+        """
+        await self._changes.cancel()
+
     def status(self) -> GroupStatus:
         """Returns the group as this member sees it."""
         core = self._core
--- a/src/lycheering/replication/messages.py
+++ b/src/lycheering/replication/messages.py
@@ -119,7 +119,8 @@
 
     Attributes:
         is_matching: Whether the log agrees with the leader's.
-        index: If so, up to where it is synced; if not, where to try next.
+        index: If so, up to where that is synced by now; if not, where to
+            try next.
     """
 
     is_matching: bool
@@ -140,14 +141,16 @@
     """Answers a request to stand for election."""
 
 
-class WrongMemberReply(Message, frozen=True):
-    """Refuses a request that was meant for another disk.
+class RefusedReply(Message, frozen=True):
+    """Refuses a request that was meant for another disk, or any on a fault.
 
     Attributes:
         member_id: Who listens here in truth.
+        reason: Why it is refused.
     """
 
     member_id: members.MemberId
+    reason: str
 
 
 AnyMessage = (
@@ -161,7 +164,7 @@
     | AppendReply
     | SnapshotReply
     | ElectNowReply
-    | WrongMemberReply
+    | RefusedReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -199,7 +202,7 @@
     "SnapshotRequest",
     "VoteReply",
     "VoteRequest",
-    "WrongMemberReply",
+    "RefusedReply",
     "decode",
     "encode",
 ]
--- a/src/lycheering/replication/peers.py
+++ b/src/lycheering/replication/peers.py
@@ -63,7 +63,7 @@
             except errors.PeerUnreachableError:
                 await core.clock.sleep(core.settings.heartbeat_ms)
                 continue
-            if progress.next_index <= core.log.last_index:
+            if progress.match_index < core.log.last_index:
                 continue
             pause_s = core.settings.heartbeat_ms / clock.MS_PER_S
             try:
@@ -95,13 +95,15 @@
         )
         reply = await self._call(request)
         if isinstance(reply, messages.AppendReply):
-            self._take_append_reply(reply)
+            self._take_append_reply(reply, previous_index + len(sent))
 
-    def _take_append_reply(self, reply: messages.AppendReply) -> None:
+    def _take_append_reply(
+        self, reply: messages.AppendReply, sent_index: int
+    ) -> None:
         progress = self._progress
         if reply.is_matching:
             progress.match_index = max(progress.match_index, reply.index)
-            progress.next_index = max(progress.next_index, reply.index + 1)
+            progress.next_index = max(progress.next_index, sent_index + 1)
             self._led.advance_commit()
             return
         lower = min(reply.index + 1, progress.next_index - 1)
--- a/src/lycheering/replication/receiver.py
+++ b/src/lycheering/replication/receiver.py
@@ -6,11 +6,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lycheering.replication import core as cores
+from lycheering import clock
 from lycheering.replication import messages
+from lycheering.store import errors as store_errors
 from lycheering.store import snapshots
 
 if TYPE_CHECKING:
+    from lycheering.replication import core as cores
     from lycheering.replication import elections
     from lycheering.replication import members
     from lycheering.store import entries
@@ -46,8 +48,19 @@
             return messages.IdentifyReply(core.id, core.has_log)
         if not isinstance(message, messages.MemberRequest):
             raise TypeError(f"not a request: {type(message).__name__}")
-        if message.receiver != core.id or core.failure is not None:
-            return messages.WrongMemberReply(core.id)
+        if message.receiver != core.id:
+            return messages.RefusedReply(core.id, "another disk")
+        if core.failure is not None:
+            return messages.RefusedReply(core.id, str(core.failure))
+        try:
+            return await self._handle_request(message)
+        except (OSError, store_errors.StoreError) as error:
+            core.fail(error)
+            return messages.RefusedReply(core.id, str(error))
+
+    async def _handle_request(
+        self, message: messages.MemberRequest
+    ) -> messages.Message:
         match message:
             case messages.AppendRequest():
                 return await self._append(message)
@@ -111,11 +124,21 @@
         matching = previous.index + len(request.entries)
         core.set_commit(min(request.commit_index, matching))
         await core.save_hard_state()
-        await core.log.sync()
+        await self._sync_for_a_while()
         if core.term != request.term:
             # what was synced may have been replaced since
             return self._mismatch(core.commit_index)
-        return messages.AppendReply(core.id, core.term, True, matching)
+        synced = min(matching, core.log.synced_index)
+        return messages.AppendReply(core.id, core.term, True, synced)
+
+    async def _sync_for_a_while(self) -> None:
+        # the leader's lease must not wait for a slow disk
+        pause_s = self._core.settings.heartbeat_ms / clock.MS_PER_S
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._core.log.sync()
+        except TimeoutError:
+            return
 
     def _take_entries(self, received: list[entries.Entry]) -> None:
         core = self._core
--- a/tests/replication/commits.feature
+++ b/tests/replication/commits.feature
@@ -17,12 +17,26 @@
     When the command "one" is proposed in the background
     Then the proposal is answered
 
+  Scenario: Slow disks of the followers do not end the lease
+    Given both followers cannot sync
+    When the command "one" is proposed in the background
+    And both followers hold it in memory and the leader has synced it
+    Then the leader keeps its lease for 3 times its length
+    When one follower can sync again
+    Then the proposal is answered
+
   Scenario: Without a quorum the outcome is unknown, then nothing is taken
     When both followers are stopped
     Then a proposal ends with an unknown outcome
     And later proposals are refused as not appended
 
-  Scenario: A member whose disk fails stops, and the others go on
+  Scenario: A follower whose disk fails stops, and the others go on
+    When a follower's disk fails
+    And 20 commands are proposed
+    Then the member with the failed disk reports why
+    And the command "one" is still taken
+
+  Scenario: A leader whose disk fails stops, and the others go on
     When the leader's disk fails
     And the command "one" is proposed to another leader
     Then the other members have all commands answered
--- a/tests/replication/fakes.py
+++ b/tests/replication/fakes.py
@@ -27,6 +27,7 @@
 GIVE_UP_S = 30.0
 POLL_S = 0.005
 CUT_ANSWER_S = 0.005
+FILL_AT_ONCE = 500
 
 FAST_SETTINGS = settings.ReplicationSettings(
     heartbeat_ms=40.0,
@@ -225,9 +226,11 @@
         name = await self.leader()
         member = self.log_by_instance[name]
         timeout_ms = GIVE_UP_S * clock.MS_PER_S
-        commands = [f"{prefix}{number}".encode() for number in range(count)]
-        proposals = [member.propose(item, timeout_ms) for item in commands]
-        await asyncio.gather(*proposals)
+        for first in range(0, count, FILL_AT_ONCE):
+            numbers = range(first, min(first + FILL_AT_ONCE, count))
+            commands = [f"{prefix}{number}".encode() for number in numbers]
+            proposals = [member.propose(item, timeout_ms) for item in commands]
+            await asyncio.gather(*proposals)
 
 
 class Watch:
--- a/tests/replication/members.feature
+++ b/tests/replication/members.feature
@@ -63,5 +63,17 @@
     When member d, which cannot sync, is to replace a follower
     Then adding another member is refused
 
+  Scenario: A change can be given up
+    When member d, which cannot sync, is to replace a follower
+    And the change is cancelled
+    Then the members are a, b, c and all vote
+    And the repair is reported as cancelled
+    And the command "one" is still taken
+
+  Scenario: A newcomer catches up while commands keep coming
+    When commands keep coming while member d replaces a follower
+    Then the repair is reported as finished
+    And the old member is no member
+
   Scenario: An unknown member cannot be replaced
     Then replacing a member under an unknown identity is refused
--- a/tests/steps/member_steps.py
+++ b/tests/steps/member_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 from behave import then
 from behave import when
@@ -85,7 +86,7 @@
     last = context.group.store_by_instance[context.leader_name].log.last
     request = messages.VoteRequest(sender, context.old_id, 1_000, last)
     reply = run(context, member.handle(request))
-    assert reply == messages.WrongMemberReply(new_id)
+    assert reply == messages.RefusedReply(new_id, "another disk")
 
 
 @then("it creates no group of its own")
@@ -200,6 +201,40 @@
     run(context, asyncio.sleep(0.1))
 
 
+@when("the change is cancelled")
+def step_cancel(context):
+    run(context, current(context).cancel_change())
+
+
+@then("the repair is reported as cancelled")
+def step_cancelled(context):
+    wait(context, context.repair.done, "the repair")
+    assert isinstance(context.repair.exception(), errors.MemberChangeError)
+
+
+@when("commands keep coming while member {name} replaces a follower")
+def step_under_load(context, name):
+    old = replication_steps.followers(context)[0]
+    context.old_id = id_of(context, old)
+    start(context, name)
+    leader = current(context)
+
+    async def load(proposer):
+        for number in itertools.count():
+            await leader.propose(f"{proposer}:{number}".encode(), LONG_MS)
+
+    async def replaced():
+        tasks = [asyncio.create_task(load(item)) for item in range(32)]
+        try:
+            return await leader.replace(context.old_id, fakes.address(name))
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.report = run(context, replaced())
+
+
 @then("the repair is not reported as finished")
 def step_not_finished(context):
     assert not context.repair.done()
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -391,6 +391,15 @@
     assert not context.proposal.done()
 
 
+@then("the leader keeps its lease for {count:d} times its length")
+def step_keeps_lease(context, count):
+    term = context.leader.status().term
+    lease_ms = context.group.options.lease_ms
+    run(context, asyncio.sleep(count * lease_ms / 1_000))
+    assert context.leader.status().term == term
+    assert context.leader.status().role.value == "leader"
+
+
 @when("one follower can sync again")
 def step_release_one(context):
     context.group.release_syncs(context.held[0])
@@ -428,7 +437,16 @@
 
 @when("the leader's disk fails")
 def step_disk_fails(context):
-    context.old = run(context, context.group.leader())
+    fail_disk(context, run(context, context.group.leader()))
+
+
+@when("a follower's disk fails")
+def step_follower_disk_fails(context):
+    fail_disk(context, followers(context)[0])
+
+
+def fail_disk(context, name):
+    context.old = name
 
     def failing(_):
         raise OSError("input/output error")
@@ -453,9 +471,10 @@
 
 @then("the member with the failed disk reports why")
 def step_reports(context):
-    status = context.group.log_by_instance[context.old].status()
-    assert "input/output error" in status.failure
-    assert status.role.value == "follower"
+    member = context.group.log_by_instance[context.old]
+    wait(context, lambda: member.status().failure, "the report")
+    assert "input/output error" in member.status().failure
+    assert member.status().role.value == "follower"
 
 
 @when("more proposals wait than the settings allow")
