--- a/bench/traces/calls.py
+++ b/bench/traces/calls.py
@@ -89,6 +89,7 @@
         is_streamed: Whether the answer is streamed.
         service: Name of the plain service; empty for a completion.
         service_path: Path within the service.
+        method: HTTP method.
         is_repeatable: Whether it may run more than once.
     """
 
@@ -105,6 +106,7 @@
     is_streamed: bool = True
     service: str = ""
     service_path: str = ""
+    method: str = "POST"
     is_repeatable: bool = True
 
     def level_texts(self) -> list[str]:
@@ -175,7 +177,7 @@
 
 def arrivals(settings: TraceSettings, rng: random.Random) -> list[float]:
     """Returns the arrival times, with exponential gaps."""
-    times = []
+    times: list[float] = []
     at_ms = 0.0
     while True:
         at_ms += rng.expovariate(settings.rate_per_s) * 1_000
--- a/bench/traces/mavazi.py
+++ b/bench/traces/mavazi.py
@@ -88,18 +88,27 @@
     team: str,
 ) -> calls.Call:
     """Returns a Commission Order or a Catalogue Read."""
-    is_order = kind == "order"
-    deadline_ms = ORDER_DEADLINE_MS if is_order else READ_DEADLINE_MS
+    if kind == "lookup":
+        return calls.Call(
+            call_id=call_id,
+            at_ms=at_ms,
+            team=team,
+            priority_class=kind,
+            deadline_ms=READ_DEADLINE_MS,
+            service=settings.service,
+            service_path=f"/catalogue/{call_id}",
+            method="GET",
+        )
     return calls.Call(
         call_id=call_id,
         at_ms=at_ms,
         team=team,
         priority_class=kind,
-        deadline_ms=deadline_ms,
+        deadline_ms=ORDER_DEADLINE_MS,
         service=settings.service,
-        service_path="/orders" if is_order else "/catalogue",
+        service_path="/orders",
         tail=f"{kind} {call_id} of {team}",
-        is_repeatable=not is_order,
+        is_repeatable=False,
     )
 
 
--- a/bench/traces/tahanan.py
+++ b/bench/traces/tahanan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from bench.traces import calls
@@ -11,20 +12,28 @@
 CLASS_PIECES = 2
 LETTER_PIECES = 1
 OPEN_LETTERS = 6
-CHECK_TAIL_CHARS = 200
-MATCH_TAIL_CHARS = 1_200
-LETTER_TAIL_CHARS = 600
-CHECK_TOKENS = 8
-MATCH_TOKENS = 32
-LETTER_TOKENS = 24
-CHECK_DEADLINE_MS = 2_000
-MATCH_DEADLINE_MS = 5_000
-LETTER_DEADLINE_MS = 15_000
 CONFIRMATION_DEADLINE_MS = 10_000
 KINDS = ("letter", "check", "match", "confirmation")
 KIND_WEIGHTS = (0.20, 0.50, 0.22, 0.08)
 
 
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """What the calls of one kind have in common."""
+
+    priority_class: str
+    deadline_ms: int
+    tail_chars: int
+    max_tokens: int
+
+
+SHAPE_BY_KIND = {
+    "letter": Shape("brief", 15_000, 600, 24),
+    "check": Shape("check", 2_000, 200, 8),
+    "match": Shape("match", 5_000, 1_200, 32),
+}
+
+
 def team_names(settings: calls.TraceSettings) -> list[str]:
     """Returns the names of the schools."""
     return [f"school-{index + 1}" for index in range(settings.teams)]
@@ -42,30 +51,21 @@
     number = calls.draw_hot(settings, rng, at_ms, CLASSES)
     school_class = f"{team}/class-{number}"
     letter = f"{school_class}/letter-{rng.randrange(OPEN_LETTERS)}"
-    shape = {
-        "letter": ("brief", LETTER_DEADLINE_MS, LETTER_TAIL_CHARS),
-        "check": ("check", CHECK_DEADLINE_MS, CHECK_TAIL_CHARS),
-        "match": ("match", MATCH_DEADLINE_MS, MATCH_TAIL_CHARS),
-    }[kind]
-    tokens = {
-        "letter": LETTER_TOKENS,
-        "check": CHECK_TOKENS,
-        "match": MATCH_TOKENS,
-    }[kind]
+    shape = SHAPE_BY_KIND[kind]
     return calls.Call(
         call_id=call_id,
         at_ms=at_ms,
         team=team,
-        priority_class=shape[0],
-        deadline_ms=shape[1],
+        priority_class=shape.priority_class,
+        deadline_ms=shape.deadline_ms,
         model=settings.model,
         levels=(
             calls.Level(team, SCHOOL_PIECES, team),
             calls.Level(school_class, CLASS_PIECES, team),
             calls.Level(letter, LETTER_PIECES, team),
         ),
-        tail=calls.filler_text(call_id, shape[2]),
-        max_tokens=tokens,
+        tail=calls.filler_text(call_id, shape.tail_chars),
+        max_tokens=shape.max_tokens,
         is_streamed=kind != "check" or rng.random() < 0.7,
     )
 
@@ -99,9 +99,7 @@
         if kind == "confirmation":
             drawn.append(confirmation(settings, call_id, at_ms, team))
         else:
-            drawn.append(
-                completion(settings, rng, kind, call_id, at_ms, team)
-            )
+            drawn.append(completion(settings, rng, kind, call_id, at_ms, team))
     return drawn
 
 
--- a/standins/engine/server.py
+++ b/standins/engine/server.py
@@ -111,7 +111,7 @@
         self.app = self._application()
 
     def _application(self) -> blacksheep.Application:
-        app = blacksheep.Application()
+        app = serving.new_application()
         calls = completions.Completions(
             self.batch, self.desk.state, self.event_log.incarnation, self.awake
         )
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -36,7 +36,7 @@
         self.block_by_key: collections.OrderedDict[str, KeptBlock] = (
             collections.OrderedDict()
         )
-        self.app = blacksheep.Application()
+        self.app = serving.new_application()
         serving.add_route(self.app, "PUT", "/kv/{block}", self.put)
         serving.add_route(self.app, "GET", "/kv/{block}", self.get)
         serving.add_route(self.app, "HEAD", "/kv/{block}", self.get)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -55,7 +55,7 @@
         self._listings: collections.deque[Listing] = collections.deque(
             [Listing([], 0)], maxlen=KEPT_LISTS
         )
-        self.app = blacksheep.Application()
+        self.app = serving.new_application()
         serving.add_route(self.app, "GET", "/instances", self.instances)
         serving.add_route(self.app, "POST", "/admin/set", self.set_instance)
         serving.add_route(self.app, "GET", "/health", self.health)
--- a/standins/service.py
+++ b/standins/service.py
@@ -70,7 +70,7 @@
         self.count_by_key: collections.Counter[str] = collections.Counter()
         self.highest_fence = 0
         self.running = 0
-        self.app = blacksheep.Application()
+        self.app = serving.new_application()
         serving.add_route(self.app, "GET", "/admin/record", self.record)
         serving.add_route(self.app, "GET", "/health", self.health)
         serving.add_route(self.app, "GET", "/load", self.load)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -117,6 +117,11 @@
         await self.app(scope, receive, send)
 
 
+def new_application() -> blacksheep.Application:
+    """Returns an application that shares no routes with another one."""
+    return blacksheep.Application(router=blacksheep.Router())
+
+
 def add_route(
     app: blacksheep.Application, method: str, path: str, handler: Handler
 ) -> None:
@@ -215,6 +220,7 @@
     "error_response",
     "header_text",
     "json_response",
+    "new_application",
     "query_int",
     "route_text",
     "run",
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -29,7 +29,7 @@
         self.loading = 0
         self.most_at_once = 0
         self.versions_by_model: dict[str, list[str]] = {}
-        self.app = blacksheep.Application()
+        self.app = serving.new_application()
         serving.add_route(
             self.app, "GET", "/weights/{model}/{version}", self.weights
         )
--- a/tests/support/background.py
+++ b/tests/support/background.py
@@ -13,7 +13,7 @@
 
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 20
-REQUEST_TIMEOUT_S = 20
+REQUEST_TIMEOUT_S = 10
 POLL_S = 0.01
 
 
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -39,12 +39,14 @@
     Attributes:
         is_silent: Whether all bytes are swallowed for good.
         swallowed_bytes: Number of bytes swallowed.
+        held_bytes: Number of bytes that a cut holds back in the proxy.
         writers: The open ends.
     """
 
     def __init__(self, caller: asyncio.StreamWriter) -> None:
         self.is_silent = False
         self.swallowed_bytes = 0
+        self.held_bytes = 0
         self.writers = [caller]
 
     def abort(self) -> None:
@@ -131,6 +133,11 @@
         """Number of bytes swallowed on the open connections."""
         return sum(c.swallowed_bytes for c in list(self._connections))
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that cuts hold back in the proxy."""
+        return sum(c.held_bytes for c in list(self._connections))
+
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
@@ -225,7 +232,9 @@
         while True:
             delayed = await queue.get()
             await asyncio.sleep(delayed.due_s - self._loop.time())
+            connection.held_bytes += len(delayed.data)
             await self._open_by_direction[direction].wait()
+            connection.held_bytes -= len(delayed.data)
             if connection.is_silent:
                 connection.swallowed_bytes += len(delayed.data)
                 if not delayed.data:
