Drop a prompt once its answer has ended

An ended generation is kept for 30 s so that its stream can be resumed, and held its prompt too; at 150 requests/s of 60 KB that would be some 270 MB. The pieces go once the prompt is processed.

--- a/standins/engine/batch.py
+++ b/standins/engine/batch.py
@@ -155,6 +155,8 @@
         # a load of other weights meanwhile makes the pieces worthless
         if version == self.prefix_cache.weights_version:
             self.prefix_cache.store(chain)
+        # an ended job is kept for a while; its prompt need not be
+        job.pieces = ()
         job.prefilled = True
         job.advance()
         if job.is_complete:
--- a/standins/engine/generation.py
+++ b/standins/engine/generation.py
@@ -14,8 +14,6 @@
     from collections.abc import AsyncIterator
     from collections.abc import Sequence
 
-    from standins.engine import cache
-
 
 class Outcome(enum.StrEnum):
     """How a run has ended, or that it goes on."""
@@ -97,7 +95,6 @@
         self.pieces = pieces
         self.salts = salts
         self.is_chat = is_chat
-        self.chain: list[cache.Block] = []
         self.prefilled = False
         self.readers = 0
         self.ended_ms = 0.0
--- a/standins/engine/server.py
+++ b/standins/engine/server.py
@@ -144,7 +144,7 @@
     async def _stop(self, app: blacksheep.Application) -> None:
         self._sampler.cancel()
         await self.batch.stop()
-        await self._session.close()  # type: ignore[no-untyped-call]
+        await self._session.close()
 
     def _when_awake(self, handler: serving.Handler) -> serving.Handler:
         async def handle(request: blacksheep.Request) -> blacksheep.Response:
