--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -151,6 +151,16 @@
             return None
         return list(self._recent)[-missing:]
 
+    def view_revision_of(self, config_revision: int) -> int:
+        """Returns the first view revision that holds a config revision.
+
+        Where the change is no longer kept, it is the present one.
+        """
+        for item in self._recent:
+            if item.config_revision >= config_revision:
+                return item.view_revision
+        return self.view_revision
+
     def apply_all(self, numbered: Iterable[changes.NumberedChange]) -> int:
         """Applies the changes that are newer than the view.
 
@@ -233,10 +243,14 @@
             for record in self.exception_by_id.values()
         }
 
+    def team_of_digest(self, digest: str) -> records.Team | None:
+        """Returns the team that a key's digest names, if any."""
+        return self._team_by_digest.get(digest)
+
     def team_of_key(self, key: str) -> records.Team | None:
         """Returns the team that a bearer key names, if any."""
         digest = key_digest(key)
-        team = self._team_by_digest.get(digest)
+        team = self.team_of_digest(digest)
         if team is None:
             return None
         # the look-up is by digest, the comparison in constant time
