--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -343,7 +343,7 @@
             self.operator(
                 f"/v1/teams/{team}",
                 "PUT",
-                self._change(key=key),
+                self._change("the bench's team", keys=[key]),
             )
         for option, value in self.plan.value_by_default.items():
             self.set_default(option, value)
@@ -356,8 +356,9 @@
                 "service", service, "target.checks_fencing", True, "checks"
             )
 
-    def _change(self, **fields: object) -> dict[str, object]:
+    def _change(self, reason: str, **fields: object) -> dict[str, object]:
         return {
+            "reason": reason,
             "change_id": secrets.token_hex(8),
             "expected_revision": self.revision(),
             "operator": OPERATOR,
@@ -368,7 +369,7 @@
         self, option: str, value: bool | int | float | str
     ) -> object:
         """Sets a default for the whole fleet."""
-        body = self._change(option=option, value=value)
+        body = self._change("the bench's plan", option=option, value=value)
         return self.operator("/v1/defaults", "POST", body)
 
     def add_exception(
@@ -381,10 +382,10 @@
     ) -> object:
         """Adds an exception."""
         body = self._change(
+            reason,
             scope={"kind": kind, "name": name},
             option=option,
             value=value,
-            reason=reason,
         )
         return self.operator("/v1/exceptions", "POST", body)
 
