Count a call's times from when it was due

Times counted from the sending would hide a load tool that falls behind its trace. Time to first token is now taken from streamed answers only, as a whole answer's first token comes with its last.

--- a/bench/load/driver.py
+++ b/bench/load/driver.py
@@ -52,9 +52,9 @@
         looks_whole: Whether an answer came that claims to be whole.
         text: The text of the completion.
         body: The answer of a service.
-        started_ms: When the call was first sent.
-        first_token_ms: Time from the first sending to the first token.
-        total_ms: Time from the first sending to the end.
+        started_ms: When the call was due to be sent.
+        first_token_ms: Time from then to the first token.
+        total_ms: Time from then to the end.
         gaps_ms: Times between the chunks.
     """
 
@@ -120,19 +120,20 @@
         start_ms = self.clock.now_ms()
         async with asyncio.TaskGroup() as group:
             for call in trace:
-                wait_ms = start_ms + call.at_ms - self.clock.now_ms()
+                due_ms = start_ms + call.at_ms
+                wait_ms = due_ms - self.clock.now_ms()
                 await self.clock.sleep(max(0, wait_ms))
-                group.create_task(self._call(call, on_record))
+                record = CallRecord(call, started_ms=due_ms)
+                group.create_task(self._call(record, on_record))
         await self.client.close()
         return self.records
 
     async def _call(
         self,
-        call: calls.Call,
+        record: CallRecord,
         on_record: Callable[[CallRecord], None] | None,
     ) -> None:
-        record = CallRecord(call, started_ms=self.clock.now_ms())
-        limit_ms = call.deadline_ms + GIVE_UP_AFTER_DEADLINE_MS
+        limit_ms = record.call.deadline_ms + GIVE_UP_AFTER_DEADLINE_MS
         try:
             async with asyncio.timeout(limit_ms / clock.MS_PER_S):
                 await self._send_until_answered(record)
--- a/bench/stats.py
+++ b/bench/stats.py
@@ -142,7 +142,7 @@
         whole: Number of calls answered whole.
         on_time: Number of calls answered whole and on time.
         on_time_share_by_team: That, as a share, for each team.
-        first_token_ms: Time to first token of whole completions.
+        first_token_ms: Time to first token of whole streamed answers.
         gap_ms: Times between chunks.
         sends_per_call: Mean number of sendings.
     """
@@ -191,7 +191,7 @@
             team: ratio(on_time_by_team[team], total)
             for team, total in sorted(total_by_team.items())
         },
-        first_token_ms=[r.first_token_ms for r in whole if r.call.model],
+        first_token_ms=[r.first_token_ms for r in whole if r.gaps_ms],
         gap_ms=list(itertools.chain.from_iterable(r.gaps_ms for r in whole)),
         sends_per_call=ratio(
             sum(len(record.attempts) for record in records), len(records)
