--- a/src/lycheering/entry/callers.py
+++ b/src/lycheering/entry/callers.py
@@ -86,6 +86,11 @@
     return secrets.token_hex(12)
 
 
+def new_run_id(caller_request_id: str) -> str:
+    """Returns an id that no other request has, which shows the caller's."""
+    return f"{caller_request_id}.{secrets.token_hex(8)}"
+
+
 def _caller(scope: MutableMapping[str, Any], receive: Receive) -> Caller:
     given = [
         value.decode("latin-1")
@@ -106,4 +111,5 @@
     "EntryApplication",
     "caller_of",
     "new_request_id",
+    "new_run_id",
 ]
--- a/src/lycheering/entry/intake.py
+++ b/src/lycheering/entry/intake.py
@@ -150,7 +150,7 @@
         path = "/v1/chat/completions" if chat else "/v1/completions"
         key = self._key(request)
         return jobs.Job(
-            request_id=callers.new_request_id(),
+            request_id=callers.new_run_id(caller_request_id),
             caller_request_id=caller_request_id,
             team=team,
             priority_class=priority_class,
@@ -196,7 +196,7 @@
         content_type = header(request, b"content-type")
         method = request.method.upper()
         return jobs.Job(
-            request_id=callers.new_request_id(),
+            request_id=callers.new_run_id(caller_request_id),
             caller_request_id=caller_request_id,
             team=team,
             priority_class=priority_class,
