--- a/bench/measure_store.py
+++ b/bench/measure_store.py
@@ -6,6 +6,7 @@
 import concurrent.futures
 import dataclasses
 import pathlib
+import shutil
 import sqlite3
 import statistics
 import tempfile
@@ -22,6 +23,7 @@
 WRITER_COUNTS = (1, 16, 64)
 RECORD_BYTES = 300
 DURATION_S = 2.0
+DAMAGED_RECORDS = 100
 MS_PER_S = 1_000
 PERCENTILES = 100
 
@@ -149,8 +151,36 @@
     return found
 
 
+def read_after_damage(folder: pathlib.Path) -> str:
+    """Returns what sqlite3 makes of a changed byte amid its records."""
+    path = folder / "whole.db"
+    connection = sqlite3.connect(path)
+    connection.execute("PRAGMA journal_mode=WAL")
+    connection.execute("PRAGMA synchronous=FULL")
+    connection.execute("CREATE TABLE records (data BLOB)")
+    for _ in range(DAMAGED_RECORDS):
+        with connection:
+            connection.execute("INSERT INTO records VALUES (?)", (_RECORD,))
+    copy = folder / "damaged.db"
+    shutil.copy(path, copy)
+    data = bytearray(pathlib.Path(f"{path}-wal").read_bytes())
+    data[len(data) // 2] ^= 1
+    pathlib.Path(f"{copy}-wal").write_bytes(data)
+    connection.close()
+    damaged = sqlite3.connect(copy)
+    (left,) = damaged.execute("SELECT count(*) FROM records").fetchone()
+    (verdict,) = damaged.execute("PRAGMA integrity_check").fetchone()
+    damaged.close()
+    return (
+        f"measure=store_damage kind=sqlite3 committed={DAMAGED_RECORDS}"
+        f" read_back={left} integrity_check={verdict}"
+    )
+
+
 def main() -> None:
     """Prints one line for each run."""
+    with tempfile.TemporaryDirectory() as name:
+        print(read_after_damage(pathlib.Path(name)), flush=True)
     for figures in asyncio.run(run()):
         print(figures.line(), flush=True)
 
