Prove the group of control instances with real processes

Kill, freeze, restart, lost disk, operators' races and refusals, with three processes each. Two faults were found and mended:

- A follower of a killed leader went on naming it as the leader, said it was ready and answered writes with an unknown outcome for as long as no other could be elected.
A leader now counts only while it is heard, and a call that was not sent is told apart from one without a reply.
- The ready answer left out an empty leader.

--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -112,8 +112,13 @@
             transport.WireTransport(self._connections),
             self._clock,
             lambda: self.listener.port,
+            self._is_heard,
         )
 
+    def _is_heard(self, name: str) -> bool:
+        timeout_ms = self._store_settings.election_timeout_ms
+        return self._status.is_heard(name, timeout_ms)
+
     def _join_wire(self) -> None:
         self._status = fleet_status.FleetStatus(
             self.group, self._link, self._connections
--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -63,6 +63,16 @@
         """Names the server whose sessions are looked at."""
         self._server = listener
 
+    def is_heard(self, name: str, within_ms: float) -> bool:
+        """Returns whether a process spoke to this one of late."""
+        if self._server is None:
+            return False
+        oldest_ms = self._link.clock.now_ms() - within_ms
+        return any(
+            session.name == name and session.last_received_ms >= oldest_ms
+            for session in self._server.session_by_routing_id.values()
+        )
+
     def take_report(
         self, session: server.Session, report: messages.TargetReport
     ) -> None:
--- a/src/lycheering/control/operator_answers.py
+++ b/src/lycheering/control/operator_answers.py
@@ -387,18 +387,26 @@
     synced_index: int
 
 
-class HealthAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Answers the health endpoints.
+class LiveAnswer(msgspec.Struct, frozen=True):
+    """Answers GET /health/live.
+
+    Attributes:
+        live: Always true.
+    """
+
+    live: bool = True
+
+
+class ReadyAnswer(msgspec.Struct, frozen=True):
+    """Answers GET /health/ready.
 
     Attributes:
-        live: Set on the live endpoint.
         ready: Whether the instance takes part in a group that has a leader.
-        leader: The instance that leads.
+        leader: The instance that leads; empty if none is known.
     """
 
-    live: bool | None = None
-    ready: bool | None = None
-    leader: str = ""
+    ready: bool
+    leader: str
 
 
 class ErrorDetail(msgspec.Struct, frozen=True):
@@ -492,9 +500,9 @@
     "ErrorDetail",
     "ExceptionRow",
     "ExceptionsAnswer",
-    "HealthAnswer",
     "HistoryAnswer",
     "HistoryRow",
+    "LiveAnswer",
     "MemberRow",
     "MembersAnswer",
     "OrderAnswer",
@@ -502,6 +510,7 @@
     "OrdersAnswer",
     "OutcomeRow",
     "ProcessRow",
+    "ReadyAnswer",
     "ReplaceAnswer",
     "ReportRow",
     "ScopeRow",
--- a/src/lycheering/control/operator_http.py
+++ b/src/lycheering/control/operator_http.py
@@ -125,7 +125,7 @@
 
     def _respond(self, answer: msgspec.Struct) -> blacksheep.Response:
         is_unready = (
-            isinstance(answer, answers.HealthAnswer) and answer.ready is False
+            isinstance(answer, answers.ReadyAnswer) and not answer.ready
         )
         return operator_errors.json_response(answer, 503 if is_unready else 200)
 
@@ -159,7 +159,7 @@
     # reads
 
     async def _live(self, request: blacksheep.Request) -> msgspec.Struct:
-        return answers.HealthAnswer(live=True)
+        return answers.LiveAnswer()
 
     async def _ready(self, request: blacksheep.Request) -> msgspec.Struct:
         return self._reads.health()
--- a/src/lycheering/control/operator_reads.py
+++ b/src/lycheering/control/operator_reads.py
@@ -237,10 +237,10 @@
             dict(self._counters.gauge_by_name),
         )
 
-    def health(self) -> answers.HealthAnswer:
+    def health(self) -> answers.ReadyAnswer:
         """Returns whether this instance takes part in a group."""
         leader = self._group.leader_name()
-        return answers.HealthAnswer(ready=bool(leader), leader=leader)
+        return answers.ReadyAnswer(bool(leader), leader)
 
     def _member_change(self) -> str:
         change = self._group.log.status().change
--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -56,12 +56,24 @@
         carrier: transport.WireTransport,
         time: clock.Clock,
         listening_port: Callable[[], int],
+        is_heard: Callable[[str], bool],
     ) -> None:
+        """Prepares the member.
+
+        Args:
+            settings: The process's settings.
+            state: What the commands are applied to.
+            carrier: Carries messages to other members.
+            time: The clock.
+            listening_port: Returns the port that members reach this one by.
+            is_heard: Returns whether another instance was heard of late.
+        """
         self.machine = state
         self._settings = settings
         self._transport = carrier
         self._clock = time
         self._listening_port = listening_port
+        self._is_heard = is_heard
         self._log: log.ReplicatedLog | None = None
 
     @property
@@ -136,9 +148,16 @@
         status = self._log.status()
         if status.role == core.Role.LEADER:
             return status.id.instance
-        hint = self._log.leader_hint()
+        hint = self._live_hint()
         return hint.instance if hint is not None else ""
 
+    def _live_hint(self) -> members.PeerAddress | None:
+        hint = self.log.leader_hint()
+        # a leader sends all the time, so one that is silent leads no more
+        if hint is None or not self._is_heard(hint.instance):
+            return None
+        return hint
+
     def peers(self) -> list[members.PeerAddress]:
         """Returns where all members listen, this one included."""
         if self._log is None:
@@ -231,21 +250,39 @@
     async def replace(
         self, call: peer_calls.ReplaceCall
     ) -> peer_calls.Replaced:
-        """Replaces a member; only on the leader."""
+        """Replaces a member; only on the leader.
+
+        The newcomer may have the instance and address of the old member,
+        since identities are tied to the disk. Asked for again, it goes on.
+        """
         new = members.PeerAddress(call.new, call.address)
-        old = [
-            member
-            for member in self.log.status().members
-            if member.id.instance == call.old and member.address != call.address
+        newcomer = await self._identify(new)
+        status = self.log.status()
+        ids = [member.id for member in status.members]
+        leaving = [
+            member_id
+            for member_id in ids
+            if member_id.instance == call.old and member_id != newcomer
         ]
-        if not old:
+        if not leaving and newcomer in ids:
+            index = status.synced_index
+            return peer_calls.Replaced(str(newcomer), "", index)
+        if not leaving:
             raise errors.MemberChangeError(f"{call.old} is no member")
         async with asyncio.timeout(REPLACE_TIMEOUT_MS / 1_000):
-            report = await self.log.replace(old[0].id, new)
+            report = await self.log.replace(leaving[0], new)
         return peer_calls.Replaced(
             str(report.joined), str(report.left), report.synced_index
         )
 
+    async def _identify(self, peer: members.PeerAddress) -> members.MemberId:
+        reply = await self._transport.call(
+            peer, replication_messages.IdentifyRequest(), READ_TIMEOUT_MS
+        )
+        if not isinstance(reply, replication_messages.IdentifyReply):
+            raise errors.PeerUnreachableError(peer.address)
+        return reply.member_id
+
     async def find_leader(self) -> members.PeerAddress | None:
         """Returns another member that leads, or None if this one does.
 
@@ -256,7 +293,7 @@
         while True:
             if self.is_leader():
                 return None
-            hint = self.log.leader_hint()
+            hint = self._live_hint()
             if hint is not None:
                 return hint
             if self._clock.now_ms() >= deadline_ms:
@@ -282,10 +319,9 @@
             if failure.reason == messages.Reason.BAD_REQUEST:
                 raise errors.MemberChangeError(text) from error
             raise errors.OutcomeUnknownError(text) from error
-        except errors.PeerUnreachableError as error:
-            # the frame may have arrived all the same
-            if isinstance(call, peer_calls.ReadIndexCall):
-                raise errors.UnavailableError(str(error)) from error
+        except wire_errors.PeerUnreachableError as error:
+            raise errors.UnavailableError(str(error)) from error
+        except wire_errors.WireError as error:
             raise errors.OutcomeUnknownError(str(error)) from error
 
     async def _wait_applied(self, index: int) -> None:
--- a/src/lycheering/control/transport.py
+++ b/src/lycheering/control/transport.py
@@ -18,6 +18,8 @@
     from lycheering.replication import members
     from lycheering.wire import pool
 
+CONNECT_TIMEOUT_MS = 300
+
 
 def wire_address(peer: members.PeerAddress) -> wire_api.Address:
     """Returns where a member listens, in the inner protocol's form."""
@@ -39,15 +41,14 @@
     ) -> replication_messages.Message:
         """Sends a request of the replicated log and waits for its reply."""
         data = replication_messages.encode(message)
-        reply = await self.call_peer(
-            peer, peer_calls.ReplicationCall(data), timeout_ms
-        )
-        if not isinstance(reply, peer_calls.ReplicationCall):
-            raise replication_errors.PeerUnreachableError(peer.address)
+        call = peer_calls.ReplicationCall(data)
         try:
-            return replication_messages.decode(reply.data)
-        except msgspec.DecodeError as error:
+            reply = await self.call_peer(peer, call, timeout_ms)
+            if isinstance(reply, peer_calls.ReplicationCall):
+                return replication_messages.decode(reply.data)
+        except (wire_errors.WireError, msgspec.DecodeError) as error:
             raise replication_errors.PeerUnreachableError(str(error)) from error
+        raise replication_errors.PeerUnreachableError(peer.address)
 
     async def call_peer(
         self,
@@ -58,25 +59,21 @@
         """Sends any call to another control instance.
 
         Raises:
-            PeerUnreachableError: No reply came in time, or the frame could
-                not be read.
+            PeerUnreachableError: The call was not sent.
+            CallTimeoutError: It may have been acted on.
             CallFailedError: The peer could not do it.
+            MalformedFrameError: The reply can't be read.
         """
         connection = self._connections.get(wire_address(peer))
+        await connection.ready(min(timeout_ms, CONNECT_TIMEOUT_MS))
         frame = messages.LogCall(peer_calls.encode(call))
+        reply = await connection.call(frame, timeout_ms)
+        if not isinstance(reply, messages.LogReply):
+            raise wire_errors.MalformedFrameError(type(reply).__name__)
         try:
-            reply = await connection.call(frame, timeout_ms)
-            if not isinstance(reply, messages.LogReply):
-                raise replication_errors.PeerUnreachableError(peer.address)
             return peer_calls.decode(reply.payload)
-        except wire_errors.CallFailedError as error:
-            if isinstance(call, peer_calls.ReplicationCall):
-                raise replication_errors.PeerUnreachableError(
-                    str(error)
-                ) from error
-            raise
-        except (wire_errors.WireError, msgspec.DecodeError) as error:
-            raise replication_errors.PeerUnreachableError(str(error)) from error
+        except msgspec.DecodeError as error:
+            raise wire_errors.MalformedFrameError(str(error)) from error
 
 
-__all__ = ["WireTransport", "wire_address"]
+__all__ = ["CONNECT_TIMEOUT_MS", "WireTransport", "wire_address"]
--- /dev/null
+++ b/tests/control/group.feature
@@ -0,0 +1,109 @@
+Feature: Control instances as real processes
+
+  @cell.control_loss.config.propose @cell.control_loss.config.commit
+  Scenario: Writes go on after the leader was killed
+    Given a group of 3 control instances
+    When limits.max_running is set to 5 through "c1"
+    And the leader is killed
+    Then limits.max_running can be set to 6 through each that runs
+    And each that runs knows both changes
+
+  @cell.operator_race.config.propose @cell.operator_race.config.commit
+  Scenario: Operators race under equal numbers through different instances
+    Given a group of 3 control instances
+    When 10 times three operators race through three instances
+    Then each race had one winner, and both losers were told of it
+    And the history holds just the winners
+
+  @cell.operator_race.config.spread
+  Scenario: A resend through another instance gets the first outcome
+    Given a group of 3 control instances
+    When limits.max_running is set to 5 through "c1"
+    And the same change is sent again through "c2" after the leader was killed
+    Then it got its first outcome, marked as resent
+    And limits.max_running was changed once
+
+  @cell.restart_behind.config.propose @cell.restart_behind.config.commit
+  Scenario: A restart of all keeps everything
+    Given a group of 3 control instances with a snapshot every 50 entries
+    When 300 changes are made
+    And all control instances are killed and started again
+    Then each instance holds the last change and all 300 in its history
+    And the first change sent again gets its first outcome
+
+  @cell.restart_behind.config.spread @cell.restart_behind.config.in_force
+  Scenario: An instance that missed hundreds of changes catches up
+    Given a group of 3 control instances with a snapshot every 50 entries
+    When "c3" is killed
+    And 300 changes are made
+    And "c3" is started again
+    Then "c3" itself has the last change in force
+
+  Scenario: Without a quorum writes are refused at once
+    Given a group of 3 control instances
+    When limits.max_running is set to 5 through "c1"
+    And "c3" has learned that limits.max_running is 5
+    And "c1" and "c2" are killed
+    Then "c3" comes to refuse writes as "no_quorum" with a time to come back
+    And "c3" still shows limits.max_running as 5, not as current
+    When "c1" is started again
+    Then limits.max_running can be set to 7 through each that runs
+
+  @cell.process_freeze.config.propose @cell.process_freeze.config.commit
+  Scenario: A leader that wakes after its lease does not answer from the past
+    Given a group of 3 control instances
+    When limits.max_running is set to 5 through "c1"
+    And the leader is frozen
+    And limits.max_running is set to 6 through one that is not frozen
+    And the frozen one wakes and is asked at once for limits.max_running
+    Then it did not call 5 current
+    And a change with the old number through it loses against the new one
+
+  @cell.control_loss.config.spread @cell.control_loss.config.in_force
+  Scenario: Connected processes get each change without asking
+    Given a group of 3 control instances
+    And an entry on the inner protocol
+    When limits.max_running is set to 5 through "c1"
+    Then the entry has limits.max_running at 5 in force
+    When the leader is killed
+    And limits.max_running is set to 6 through one that runs
+    Then the entry has limits.max_running at 6 in force
+    And the status, waited for, says that all have it in force
+
+  Scenario: The status names who lacks a change
+    Given a group of 3 control instances
+    And an entry on the inner protocol
+    And a process that takes no views
+    When limits.max_running is set to 5 through "c1"
+    Then the status names only "deaf" as lacking it
+
+  @cell.disk_loss.repair.add @cell.disk_loss.repair.catch_up
+  @cell.disk_loss.repair.promote @cell.disk_loss.repair.remove
+  @cell.repair_then_loss.config.propose @cell.repair_then_loss.config.commit
+  Scenario: A lost disk is replaced, and another loss right then loses nothing
+    Given a group of 3 control instances with a snapshot every 50 entries
+    When 120 changes are made
+    And "c3" loses its disk and is started again
+    And the operator replaces "c3" by itself
+    Then the replacement is reported, with another identity that votes
+    When "c1" is killed
+    Then limits.max_running can be set to 7 through each that runs
+    And "c3" has all 121 changes in its history
+    When the operator replaces "c3" by itself
+    Then that changes nothing more
+
+  Scenario: Operators need a key where one is set
+    Given a group of 1 control instances with the operator key "open-sesame"
+    Then calls without a key or with another are refused as "unauthorized"
+    And calls with the key are answered, and health needs none
+
+  Scenario: Bad calls are refused with all findings
+    Given a group of 1 control instances
+    Then a default with 3 faults is refused with 3 findings
+    And a body that is no JSON, too long or of unknown members is refused
+    And unknown things are not found
+
+  Scenario: A planned stop hands leadership over and exits with 0
+    Given a group of 3 control instances
+    When the leader is asked to stop
+    Then it exits with 0 and another leads
--- /dev/null
+++ b/tests/steps/control_group_steps.py
@@ -0,0 +1,502 @@
+"""Steps for control instances as real processes."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import http.client
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering.wire import messages
+from tests.support import control_group
+from tests.support import processes
+from tests.support import wire_peers
+
+OPTION = "limits.max_running"
+
+
+def start_group(context, size, **options):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    running = context.stack.enter_context(processes.ProcessGroup(folder))
+    context.group = control_group.ControlGroup(running, size, **options)
+    context.group.start()
+    context.group.wait_ready()
+
+
+@given("a group of {size:d} control instances")
+def step_group(context, size):
+    start_group(context, size)
+
+
+@given(
+    "a group of {size:d} control instances with a snapshot every {count:d}"
+    " entries"
+)
+def step_group_snapshots(context, size, count):
+    start_group(context, size, snapshot_entries=count)
+
+
+@given('a group of {size:d} control instances with the operator key "{key}"')
+def step_group_key(context, size, key):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    path = f"{folder}/keys"
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(f"another-key\n{key}\n")
+    context.key = key
+    start_group(context, size, operator_key_file=path)
+
+
+@given("an entry on the inner protocol")
+def step_entry(context):
+    if not hasattr(context, "peers"):
+        context.peers = context.stack.enter_context(wire_peers.WirePeers())
+    role = messages.Role.ENTRY
+    context.entry = context.peers.join(context.group, "entry-1", role)
+
+
+@given("a process that takes no views")
+def step_deaf(context):
+    deaf = context.peers.join(context.group, "deaf", messages.Role.ENTRY)
+    deaf.view.take = lambda update: True
+
+
+@when('{option} is set to {value:d} through "{name}"')
+def step_set(context, option, value, name):
+    context.answer = context.group.set_default(name, option, value)
+    assert context.answer.status == 200, context.answer
+
+
+@when("the leader is killed")
+def step_kill_leader(context):
+    context.old_leader = context.group.leader()
+    context.group.kill(context.old_leader)
+
+
+@when("{option} is set to {value:d} through one that runs")
+def step_set_running(context, option, value):
+    name = context.group.running()[-1]
+    step_set(context, option, value, name)
+
+
+@then("{option} can be set to {value:d} through each that runs")
+def step_set_each(context, option, value):
+    for name in context.group.running():
+        step_set(context, option, value, name)
+
+
+@then("each that runs knows both changes")
+def step_knows_both(context):
+    for name in context.group.running():
+        rows = context.group.call(name, "GET", "/v1/history").json["changes"]
+        values = [row["value"] for row in reversed(rows)]
+        assert values[:2] == [5, 6], values
+
+
+@when("{count:d} times three operators race through three instances")
+def step_race(context, count):
+    group = context.group
+    context.races = []
+    with concurrent.futures.ThreadPoolExecutor(3) as pool:
+        for number in range(count):
+            revision = group.defaults("c1")["config_revision"]
+            bodies = {
+                name: group.new_change(
+                    operator=f"operator-{name}",
+                    option=OPTION,
+                    value=number + 1,
+                    expected_revision=revision,
+                )
+                for name in group.names
+            }
+            done = {
+                name: pool.submit(
+                    group.call, name, "POST", "/v1/defaults", body
+                )
+                for name, body in bodies.items()
+            }
+            answers = {name: future.result() for name, future in done.items()}
+            context.races.append((bodies, answers, revision))
+
+
+@then("each race had one winner, and both losers were told of it")
+def step_race_result(context):
+    context.winners = []
+    for bodies, answers, revision in context.races:
+        by_status = {}
+        for name, answer in answers.items():
+            by_status.setdefault(answer.status, []).append(name)
+        assert {k: len(v) for k, v in by_status.items()} == {200: 1, 409: 2}
+        winner = by_status[200][0]
+        told = {
+            "revision": revision + 1,
+            "operator": f"operator-{winner}",
+            "change_id": bodies[winner]["change_id"],
+        }
+        context.winners.append(told["change_id"])
+        for loser in by_status[409]:
+            error = answers[loser].json["error"]
+            assert error["reason"] == "conflict"
+            assert error["winner"] == told, error
+
+
+@then("the history holds just the winners")
+def step_race_history(context):
+    for name in context.group.names:
+        rows = context.group.call(name, "GET", "/v1/history").json["changes"]
+        ids = [row["change_id"] for row in reversed(rows)]
+        assert ids == context.winners
+
+
+@when(
+    'the same change is sent again through "{name}" after the leader was killed'
+)
+def step_resend(context, name):
+    group = context.group
+    rows = group.call("c1", "GET", "/v1/history").json["changes"]
+    context.body = {
+        "change_id": rows[0]["change_id"],
+        "expected_revision": 0,
+        "operator": rows[0]["operator"],
+        "reason": rows[0]["reason"],
+        "option": OPTION,
+        "value": rows[0]["value"],
+    }
+    context.first = context.answer.json
+    leader = group.leader()
+    group.kill(leader)
+    asked = name if leader != name else "c3"
+    context.answer = processes.wait_for(
+        lambda: decided(group, asked, context.body), "the resend to be decided"
+    )
+
+
+def decided(group, name, body):
+    answer = group.call(name, "POST", "/v1/defaults", body)
+    return answer if answer.status != 503 else None
+
+
+@then("it got its first outcome, marked as resent")
+def step_resent(context):
+    assert context.answer.json == {**context.first, "resent": True}
+
+
+@then("limits.max_running was changed once")
+def step_changed_once(context):
+    name = context.group.running()[0]
+    assert context.group.defaults(name)["config_revision"] == 1
+
+
+@when("{count:d} changes are made")
+def step_many(context, count):
+    group = context.group
+    leader = group.leader()
+    context.bodies = []
+    for number in range(count):
+        body = group.new_change(
+            option=OPTION, value=number + 1, expected_revision=number
+        )
+        context.bodies.append(body)
+        answer = processes.wait_for(
+            lambda body=body: decided(group, leader, body), "a change"
+        )
+        assert answer.status == 200, answer
+
+
+@when("all control instances are killed and started again")
+def step_restart_all(context):
+    context.group.kill(*context.group.names)
+    context.group.start()
+    context.group.wait_ready()
+
+
+@then("each instance holds the last change and all {count:d} in its history")
+def step_all_kept(context, count):
+    path = "/v1/history?limit=1000"
+    for name in context.group.names:
+        answer = processes.wait_for(
+            lambda name=name: current(context.group, name, path),
+            f"{name} to be current",
+        )
+        values = [row["value"] for row in reversed(answer["changes"])]
+        assert values == list(range(1, count + 1))
+        assert context.group.value(name, OPTION)[0] == count
+
+
+def current(group, name, path):
+    answer = group.call(name, "GET", path).json
+    return answer if answer["current"] else None
+
+
+@then("the first change sent again gets its first outcome")
+def step_first_resent(context):
+    body = context.bodies[0]
+    answer = context.group.call("c2", "POST", "/v1/defaults", body).json
+    assert answer["resent"] and answer["config_revision"] == 1, answer
+
+
+@when('"{name}" has learned that {option} is {value:d}')
+def step_learned(context, name, option, value):
+    processes.wait_for(
+        lambda: context.group.value(name, option) == (value, True),
+        f"{name} to learn of {option}",
+    )
+
+
+@when('"{name}" is killed')
+def step_kill(context, name):
+    context.group.kill(name)
+
+
+@when('"{first}" and "{second}" are killed')
+def step_kill_two(context, first, second):
+    context.group.kill(first, second)
+
+
+@when('"{name}" is started again')
+def step_start(context, name):
+    context.group.start(name)
+    context.group.wait_ready(name)
+
+
+@then('"{name}" itself has the last change in force')
+def step_caught_up(context, name):
+    last = context.bodies[-1]["value"]
+    processes.wait_for(
+        lambda: context.group.value(name, OPTION)[0] == last, "catching up"
+    )
+
+
+@then('"{name}" comes to refuse writes as "{reason}" with a time to come back')
+def step_refuses(context, name, reason):
+    def refusal():
+        body = context.group.new_change(
+            option=OPTION, value=9, expected_revision=1
+        )
+        answer = context.group.call(name, "POST", "/v1/defaults", body)
+        assert answer.status == 503, answer
+        return answer if answer.json["error"]["reason"] == reason else None
+
+    # at first the leader may not know yet that it has lost its quorum
+    answer = processes.wait_for(refusal, "a refusal")
+    assert answer.json["error"]["retry_after_ms"] > 0
+    assert int(answer.headers["retry-after"]) >= 1
+
+
+@then('"{name}" still shows {option} as {value:d}, not as current')
+def step_not_current(context, name, option, value):
+    assert context.group.value(name, option) == (value, False)
+
+
+@when("the leader is frozen")
+def step_freeze(context):
+    context.frozen = context.group.leader()
+    context.group.group[context.frozen].pause()
+    context.awake = [n for n in context.group.names if n != context.frozen]
+
+
+@when("{option} is set to {value:d} through one that is not frozen")
+def step_set_awake(context, option, value):
+    step_set(context, option, value, context.awake[0])
+
+
+@when("the frozen one wakes and is asked at once for {option}")
+def step_wake(context, option):
+    context.group.group[context.frozen].resume()
+    context.found = context.group.value(context.frozen, option)
+
+
+@then("it did not call {value:d} current")
+def step_not_past(context, value):
+    assert context.found != (value, True), context.found
+
+
+@then("a change with the old number through it loses against the new one")
+def step_old_number(context):
+    body = context.group.new_change(option=OPTION, value=9, expected_revision=1)
+    answer = processes.wait_for(
+        lambda: decided(context.group, context.frozen, body), "a decision"
+    )
+    assert answer.status == 409, answer
+    assert answer.json["error"]["winner"]["revision"] == 2
+
+
+@then("the entry has {option} at {value:d} in force")
+def step_entry_has(context, option, value):
+    processes.wait_for(
+        lambda: context.entry.view.fleet.value(option) == value,
+        f"the entry to have {option} at {value}",
+    )
+
+
+@then("the status, waited for, says that all have it in force")
+def step_in_force(context):
+    revision = context.answer.json["config_revision"]
+    name = context.group.running()[0]
+    path = f"/v1/status?wait_revision={revision}&timeout_ms=20000"
+    answer = context.group.call(name, "GET", path, timeout_s=30).json
+    assert answer["in_force"] and not answer["lacking"], answer
+    names = {row["name"] for row in answer["processes"]}
+    assert {"entry-1", *context.group.running()} <= names
+    assert answer["unreachable"] == [context.old_leader]
+
+
+@then('the status names only "{name}" as lacking it')
+def step_lacking(context, name):
+    def lacking():
+        path = "/v1/status?wait_revision=1&timeout_ms=100"
+        answer = context.group.call("c2", "GET", path).json
+        return answer if answer["lacking"] == [name] else None
+
+    answer = processes.wait_for(lacking, f"only {name} to lack it")
+    assert not answer["in_force"]
+
+
+@when('"{name}" loses its disk and is started again')
+def step_lose_disk(context, name):
+    context.group.lose_disk(name)
+    context.group.start(name)
+    processes.wait_for(
+        lambda: context.group.call(name, "GET", "/health/live").status == 200,
+        f"{name} to live",
+    )
+
+
+@when('the operator replaces "{name}" by itself')
+def step_replace(context, name):
+    rows = context.group.call("c2", "GET", "/v1/members").json["members"]
+    context.ids_before = {row["instance"]: row["id"] for row in rows}
+    body = {
+        "old": name,
+        "new": name,
+        "ip": processes.HOST,
+        "port": context.group.wire_port[name],
+    }
+
+    def replaced():
+        path = "/v1/members/replace"
+        answer = context.group.call("c2", "POST", path, body, timeout_s=70)
+        return answer if answer.status != 503 else None
+
+    context.answer = processes.wait_for(replaced, "the replacement")
+    context.replaced = name
+
+
+@then("the replacement is reported, with another identity that votes")
+def step_replaced(context):
+    answer = context.answer.json
+    before = context.ids_before[context.replaced]
+    assert answer["left"] == before, answer
+    rows = context.group.call("c2", "GET", "/v1/members").json["members"]
+    row = next(r for r in rows if r["instance"] == context.replaced)
+    assert row["id"] == answer["joined"] != before
+    assert row["votes"] and len(rows) == 3
+
+
+@then("that changes nothing more")
+def step_replaced_again(context):
+    assert context.answer.status == 200, context.answer
+    assert context.answer.json["left"] == ""
+    before = context.ids_before[context.replaced]
+    assert context.answer.json["joined"] == before
+
+
+@then('"{name}" has all {count:d} changes in its history')
+def step_has_all(context, name, count):
+    path = "/v1/history?limit=1000"
+    answer = processes.wait_for(
+        lambda: current(context.group, name, path), f"{name} to be current"
+    )
+    revisions = [row["revision"] for row in reversed(answer["changes"])]
+    assert revisions[:count] == list(range(1, count + 1))
+
+
+@then('calls without a key or with another are refused as "{reason}"')
+def step_unauthorized(context, reason):
+    for header in (None, "Bearer nonsense", "Basic x", f"bearer{context.key}"):
+        headers = {} if header is None else {"Authorization": header}
+        answer = context.group.call(
+            "c1", "GET", "/v1/defaults", headers=headers
+        )
+        assert answer.status == 401, answer
+        assert answer.json["error"]["reason"] == reason
+
+
+@then("calls with the key are answered, and health needs none")
+def step_authorized(context):
+    headers = {"Authorization": f"Bearer {context.key}"}
+    answer = context.group.call("c1", "GET", "/v1/defaults", headers=headers)
+    assert answer.status == 200
+    assert context.group.call("c1", "GET", "/health/live").status == 200
+
+
+@then("a default with {faults:d} faults is refused with {count:d} findings")
+def step_findings(context, faults, count):
+    body = context.group.new_change(
+        operator=" ",
+        reason="",
+        option="limits.nope",
+        value=1,
+        expected_revision=0,
+    )
+    answer = context.group.call("c1", "POST", "/v1/defaults", body)
+    assert answer.status == 400, answer
+    assert len(answer.json["error"]["findings"]) == count, answer
+
+
+@then("a body that is no JSON, too long or of unknown members is refused")
+def step_bad_bodies(context):
+    group = context.group
+    bodies = ["text", {"zz": 1}, {"pad": "x" * 2_000_000}, None, [], 7]
+    for body in bodies:
+        try:
+            answer = group.call("c1", "POST", "/v1/defaults", body)
+        except (OSError, http.client.HTTPException):
+            # the end of a body that is too long may not be read
+            continue
+        assert answer.status == 400, answer
+        assert answer.json["error"]["findings"], answer
+    assert group.defaults("c1")["config_revision"] == 0
+
+
+@then("unknown things are not found")
+def step_not_found(context):
+    group = context.group
+    change = group.new_change(expected_revision=0)
+    calls = [
+        ("GET", "/v1/orders/alpha/none", None),
+        ("POST", "/v1/targets/none/drain", change),
+        ("POST", "/v1/targets/none/undrain", change),
+        (
+            "POST",
+            "/v1/orders/o9/resolve",
+            {"operator": "a", "reason": "b", "resolution": "ran"},
+        ),
+        ("GET", "/v1/nothing", None),
+    ]
+    for method, path, body in calls:
+        answer = group.call("c1", method, path, body)
+        assert answer.status == 404, (path, answer)
+
+
+@when("the leader is asked to stop")
+def step_stop_leader(context):
+    context.old_leader = context.group.leader()
+    process = context.group.group[context.old_leader]
+    process.terminate()
+    context.exit_code = process.wait()
+
+
+@then("it exits with 0 and another leads")
+def step_stopped(context):
+    assert context.exit_code == 0
+    name = context.group.running()[0]
+    processes.wait_for(
+        lambda: (
+            context.group.call(name, "GET", "/health/ready").json["leader"]
+            not in ("", context.old_leader)
+        ),
+        "another leader",
+    )
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -1,4 +1,4 @@
-"""Real processes under test: start, stop, kill, freeze, ask over HTTP."""
+"""Real processes under test, and HTTP calls to them."""
 
 from __future__ import annotations
 
@@ -6,25 +6,16 @@
 import dataclasses
 import http.client
 import json
-import os
 import pathlib
-import signal
-import socket
-import subprocess
-import sys
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+from bench import processes
+
 GIVE_UP_S = 40.0
 POLL_S = 0.05
 STOP_S = 20.0
-
-
-def free_port():
-    """Returns a port that the system had free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+HOST = processes.HOST
+PORTS = processes.PortAllocator()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,10 +32,8 @@
 
 
 def call(port, method, path, body=None, headers=None, timeout_s=10.0):
-    """Does one HTTP call to 127.0.0.1; raises OSError if it can't."""
-    connection = http.client.HTTPConnection(
-        "127.0.0.1", port, timeout=timeout_s
-    )
+    """Does one HTTP call; raises OSError or HTTPException if it can't."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout_s)
     with contextlib.closing(connection):
         data = None if body is None else json.dumps(body).encode()
         connection.request(method, path, data, headers or {})
@@ -75,66 +64,11 @@
     raise AssertionError(f"gave up waiting for {what}; last: {last!r}")
 
 
-class Process:
-    """One process of the product, with its log in a file."""
-
-    def __init__(self, name, arguments, log_path, environment=None):
-        self.name = name
-        self.arguments = arguments
-        self.log_path = pathlib.Path(log_path)
-        self.environment = environment or {}
-        self.running = None
-
-    @property
-    def is_running(self):
-        return self.running is not None and self.running.poll() is None
-
-    def start(self):
-        assert not self.is_running, self.name
-        environment = os.environ | {
-            "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
-            **self.environment,
-        }
-        with self.log_path.open("ab") as log:
-            self.running = subprocess.Popen(
-                [sys.executable, *self.arguments],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-    def send_signal(self, number):
-        assert self.is_running, self.name
-        self.running.send_signal(number)
-
-    def kill(self):
-        """Ends it at once; it may be frozen."""
-        if self.is_running:
-            self.running.kill()
-            self.running.wait(STOP_S)
-
-    def terminate(self):
-        """Asks it to end and returns its exit code."""
-        if self.is_running:
-            self.running.terminate()
-        return self.running.wait(STOP_S)
-
-    def freeze(self):
-        self.send_signal(signal.SIGSTOP)
-
-    def thaw(self):
-        self.send_signal(signal.SIGCONT)
-
-    def log_text(self):
-        return self.log_path.read_text(errors="replace")
-
-
 class ProcessGroup:
     """The processes of one scenario; leaves none behind."""
 
-    def __init__(self):
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
         self.process_by_name = {}
 
     def __enter__(self):
@@ -147,7 +81,9 @@
     def __getitem__(self, name):
         return self.process_by_name[name]
 
-    def add(self, name, arguments, log_path, environment=None):
-        process = Process(name, arguments, log_path, environment)
+    def prepare(self, name, *command):
+        """Returns a process that is not started yet."""
+        log_path = self.folder / f"{name}.log"
+        process = processes.Process(name, list(command), log_path)
         self.process_by_name[name] = process
         return process
