--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -129,7 +129,9 @@
             self._clock,
             self._counters,
         )
-        self._registers = registrations.Registrations(self.group, self._clock)
+        self._registers = registrations.Registrations(
+            self.group, self._clock, self._counters
+        )
         self._handler = handler.ControlHandler(
             self.group,
             order_desk.OrderDesk(self.group, self._doubts, self._clock),
--- a/src/lycheering/control/registrations.py
+++ b/src/lycheering/control/registrations.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from lycheering import clock
     from lycheering.control import replica
+    from lycheering.telemetry import counters
     from lycheering.wire import messages
 
 BATCH_WAIT_MS = 20
@@ -37,9 +38,15 @@
 class Registrations(app_api.Part):
     """Collects registrations and proposes them together, one at a time."""
 
-    def __init__(self, group: replica.Replica, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        group: replica.Replica,
+        time: clock.Clock,
+        counts: counters.Counters,
+    ) -> None:
         self._group = group
         self._clock = time
+        self._counters = counts
         self._waiting: asyncio.Queue[_Waiting] = asyncio.Queue(MAX_WAITING)
         self._tasks = app_api.TaskOwner()
 
@@ -86,6 +93,8 @@
             await self._propose(batch)
 
     async def _propose(self, batch: list[_Waiting]) -> None:
+        self._counters.increment("control.registrations", len(batch))
+        self._counters.increment("control.registration_batches")
         targets = tuple(waiting.target for waiting in batch)
         command = commands.RegisterTargets(targets, self._clock.wall_ms())
         try:
--- /dev/null
+++ b/tests/control/wire_calls.feature
@@ -0,0 +1,100 @@
+Feature: What entries and agents ask of control instances
+
+  Background:
+    Given a group of 3 control instances
+    And an entry on the inner protocol
+
+  Scenario: An order is claimed, finished and answered to a resend
+    Given a scripted agent "t1"
+    When the entry claims order "k1" for "t1"
+    Then the order claim is granted
+    When the entry finishes order "k1" with "paid"
+    And the entry claims order "k1" for "t1"
+    Then the order is not granted and its answer is "paid"
+    When the entry claims order "k1" for "t1" with another body
+    Then the order is not granted, since the key was used otherwise
+
+  @cell.control_loss.order.claim @cell.control_loss.order.commit
+  @cell.control_loss.order.answer
+  Scenario: The leader is killed between claim, outcome and resend
+    Given a scripted agent "t1"
+    When the entry claims order "k1" for "t1"
+    And the leader is killed
+    And the entry finishes order "k1" with "paid"
+    And the killed one is started again
+    And the leader is killed
+    And the entry claims order "k1" for "t1"
+    Then the order is not granted and its answer is "paid"
+
+  @cell.entry_restart.order.claim @cell.entry_restart.order.send
+  Scenario: An entry dies before it sent a claimed order
+    Given an agent "t1" that is scripted to say "never_received"
+    When the entry claims order "k1" for "t1"
+    And another entry looks order "k1" up until it is released
+    And the entry claims order "k1" for "t1"
+    Then the order claim is granted
+    And the agent was asked for the first claim
+
+  @cell.entry_restart.order.run @cell.entry_restart.order.commit
+  Scenario: An entry dies before it told the outcome
+    Given an agent "t1" that is scripted to say "done"
+    When the entry claims order "k1" for "t1"
+    And another entry looks order "k1" up until it is finished
+    Then the order looked up has the agent's answer
+
+  @cell.agent_crash.order.send @cell.agent_crash.order.run
+  Scenario: An agent restarts under a claimed order
+    Given an agent "t1" that is scripted to say "never_received"
+    When the entry claims order "k1" for "t1"
+    And the agent is replaced by another incarnation
+    And another entry looks order "k1" up until it is unknown
+    And the entry claims order "k1" for "t1"
+    Then the order is not granted and it is unknown
+    And the operators find it among the unknown orders
+    When an operator says over HTTP that it did not run
+    And the entry claims order "k1" for "t1"
+    Then the order claim is granted
+
+  Scenario: Without asking back the order becomes unknown
+    Given an agent "t1" that is scripted to say "never_received"
+    And orders.ask_back is set to false
+    When the entry claims order "k1" for "t1"
+    And another entry looks order "k1" up until it is unknown
+    Then the agent was not asked
+
+  Scenario: A herd of agents registers in few batches
+    When 940 agents register at once
+    Then the entry sees 940 live targets
+    And the leader proposed them in at most 100 batches
+
+  Scenario: An agent that leaves is told to all
+    Given a scripted agent "t1"
+    When the agent deregisters
+    Then the entry sees target "t1" as leaving
+    When the agent registers again
+    Then the entry sees target "t1" as leaving
+    When the agent is replaced by another incarnation
+    Then the entry sees target "t1" as live
+
+  Scenario: Weights are loaded by at most two targets at once
+    Given 6 scripted agents that load weights
+    When weights.version is set to "v2" for all targets
+    Then all 6 agents come to serve "v2"
+    And at most 2 of them loaded at once
+    And all their fencing numbers differ and grow on each
+
+  @cell.control_loss.weights.fence @cell.control_loss.weights.send
+  Scenario: The leader is killed while weights are loaded
+    Given 4 scripted agents that load weights
+    When weights.version is set to "v2" for all targets
+    And the first load has begun
+    And the leader is killed
+    Then all 4 agents come to serve "v2"
+    And all their fencing numbers differ and grow on each
+
+  Scenario: A drained target keeps its exception until it is undrained
+    Given a scripted agent "t1"
+    When the operator drains "t1"
+    Then the entry sees "t1" as drained
+    When the operator undrains "t1"
+    Then the entry sees "t1" as not drained
--- /dev/null
+++ b/tests/steps/control_wire_steps.py
@@ -0,0 +1,474 @@
+"""Steps for what entries and agents ask of control instances."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import http.server
+import json
+import threading
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from lycheering.fleet import view
+from lycheering.wire import messages
+from tests.steps import control_group_steps
+from tests.support import processes
+from tests.support import wire_peers
+
+AGENT_ANSWER = messages.OrderOutcome(200, "text/plain", b"agent's", "r1")
+LOAD_S = 0.3
+
+
+def join_agent(context, name):
+    if not hasattr(context, "peers"):
+        context.peers = context.stack.enter_context(wire_peers.WirePeers())
+    agent = context.peers.join(
+        context.group, name, messages.Role.AGENT, listens=True
+    )
+    context.agent = agent
+    agent.call(messages.Register(agent.target()))
+    return agent
+
+
+def inquiries(agent):
+    kind = messages.OrderInquiry
+    return [m for m in agent.handler.received if isinstance(m, kind)]
+
+
+@given('a scripted agent "{name}"')
+def step_agent(context, name):
+    join_agent(context, name)
+
+
+@given('an agent "{name}" that is scripted to say "{result}"')
+def step_agent_says(context, name, result):
+    agent = join_agent(context, name)
+    found = messages.InquiryResult(result)
+    outcome = AGENT_ANSWER if result == "done" else None
+    agent.handler.reply_by_kind[messages.OrderInquiry] = (
+        messages.OrderInquiryReply(found, outcome)
+    )
+
+
+@given("{option} is set to false")
+def step_set_false(context, option):
+    answer = context.group.set_default("c1", option, False)
+    assert answer.status == 200, answer
+
+
+def claim(context, key, target, digest):
+    asked = messages.OrderClaim(
+        "alpha",
+        key,
+        digest,
+        "r1",
+        target,
+        context.agent.incarnation,
+        86_400_000,
+    )
+    context.claimed = context.entry.call(asked)
+
+
+@when('the entry claims order "{key}" for "{target}"')
+def step_claim(context, key, target):
+    claim(context, key, target, "d1")
+    if context.claimed.granted:
+        context.order = context.claimed
+
+
+@when('the entry claims order "{key}" for "{target}" with another body')
+def step_claim_other(context, key, target):
+    claim(context, key, target, "d2")
+
+
+@when('the entry finishes order "{key}" with "{text}"')
+def step_finish(context, key, text):
+    outcome = messages.OrderOutcome(200, "text/plain", text.encode(), "r1")
+    asked = messages.OrderFinish(context.order.order_id, outcome)
+    assert isinstance(context.entry.call(asked), messages.Done)
+
+
+@when("the killed one is started again")
+def step_start_killed(context):
+    context.group.start(context.old_leader)
+    context.group.wait_ready(context.old_leader)
+
+
+@when('another entry looks order "{key}" up until it is {state}')
+def step_look_up(context, key, state):
+    other = context.peers.join(context.group, "entry-2", messages.Role.ENTRY)
+
+    def found():
+        reply = other.call(messages.OrderLookup("alpha", key), 4_000)
+        return reply if reply.state == state else None
+
+    context.found = processes.wait_for(found, f"{key} to be {state}")
+
+
+@then("the order claim is granted")
+def step_granted(context):
+    assert context.claimed.granted, context.claimed
+    assert context.claimed.fence > 0
+
+
+@then('the order is not granted and its answer is "{text}"')
+def step_answer(context, text):
+    assert not context.claimed.granted
+    assert context.claimed.outcome.body == text.encode()
+
+
+@then("the order is not granted, since the key was used otherwise")
+def step_key_reused(context):
+    assert not context.claimed.granted
+    assert not context.claimed.same_digest
+    assert context.claimed.outcome is None
+
+
+@then("the order is not granted and it is unknown")
+def step_is_unknown(context):
+    assert not context.claimed.granted
+    assert context.claimed.state == messages.OrderState.UNKNOWN
+
+
+@then("the agent was asked for the first claim")
+def step_asked(context):
+    asked = [inquiry.order_id for inquiry in inquiries(context.agent)]
+    assert asked == [context.found.order_id]
+    assert context.order.order_id not in asked
+
+
+@then("the agent was not asked")
+def step_not_asked(context):
+    assert not inquiries(context.agent)
+
+
+@then("the order looked up has the agent's answer")
+def step_found_answer(context):
+    assert context.found.outcome == AGENT_ANSWER
+
+
+@when("the agent is replaced by another incarnation")
+def step_replace_agent(context):
+    context.peers.run(context.agent.close())
+    context.peers.peers.remove(context.agent)
+    join_agent(context, context.agent.name)
+
+
+@then("the operators find it among the unknown orders")
+def step_listed(context):
+    path = "/v1/orders?state=unknown"
+    rows = context.group.call("c2", "GET", path).json["orders"]
+    assert [row["order_id"] for row in rows] == [context.order.order_id]
+
+
+@when("an operator says over HTTP that it did not run")
+def step_resolve(context):
+    path = f"/v1/orders/{context.order.order_id}/resolve"
+    body = {
+        "operator": "ada",
+        "reason": "the bank says so",
+        "resolution": "not_run",
+    }
+    answer = context.group.call("c3", "POST", path, body)
+    assert answer.status == 200, answer
+    assert answer.json["order"]["state"] == "released"
+
+
+@when("{count:d} agents register at once")
+def step_herd(context, count):
+    base = join_agent(context, "t0").target()
+    targets = [
+        msgspec.structs.replace(base, name=f"t{number}")
+        for number in range(count)
+    ]
+
+    async def register(target):
+        message = messages.Register(target)
+        return await context.agent.call_leader(message, 10_000)
+
+    async def register_all():
+        return await asyncio.gather(*(register(t) for t in targets))
+
+    replies = context.peers.run(register_all())
+    assert all(isinstance(r, messages.Registered) for r in replies)
+
+
+@then("the entry sees {count:d} live targets")
+def step_sees_targets(context, count):
+    def seen():
+        return len(context.entry.view.fleet.target_by_name) == count
+
+    processes.wait_for(seen, f"{count} targets")
+
+
+@then("the leader proposed them in at most {count:d} batches")
+def step_batches(context, count):
+    leader = context.group.leader()
+    counts = context.group.call(leader, "GET", "/v1/counters").json["counters"]
+    assert counts["control.registrations"] >= 940
+    assert counts["control.registration_batches"] <= count, counts
+
+
+@when("the agent deregisters")
+def step_deregister(context):
+    agent = context.agent
+    message = messages.Deregister(agent.name, agent.incarnation)
+    assert isinstance(agent.call(message), messages.Done)
+
+
+@when("the agent registers again")
+def step_register_again(context):
+    context.agent.call(messages.Register(context.agent.target()))
+
+
+@when("the agent goes silent")
+def step_agent_silent(context):
+    context.peers.run(context.agent.close())
+    context.peers.peers.remove(context.agent)
+
+
+@then('the entry sees target "{name}" as {state}')
+def step_sees_state(context, name, state):
+    def seen():
+        target = context.entry.view.fleet.target_by_name.get(name)
+        is_new = target and target.agent_incarnation == (
+            context.agent.incarnation
+        )
+        return is_new and target.state == state
+
+    processes.wait_for(seen, f"{name} to be {state}")
+
+
+class LoadingAgent:
+    """An agent beside an engine that takes a while to load weights."""
+
+    def __init__(self, context, name, tally):
+        self.peer = join_agent(context, name)
+        self.version = "v1"
+        self.fences = []
+        self.tally = tally
+        self.peer.handler.handle = self.handle
+        self.peers = context.peers
+        self.reporting = asyncio.run_coroutine_threadsafe(
+            self.report(), self.peers.loop
+        )
+
+    async def handle(self, session, envelope):
+        order = envelope.message
+        if not isinstance(order, messages.TargetOrder):
+            return
+        self.fences.append(order.fence)
+        self.tally.begin()
+        await asyncio.sleep(LOAD_S)
+        self.tally.end()
+        self.version = order.version
+        session.send(
+            messages.TargetOrderReply(True, order.fence), envelope.call_id
+        )
+
+    async def report(self):
+        while True:
+            report = messages.TargetReport(
+                self.peer.name,
+                self.peer.incarnation,
+                "e1",
+                self.version,
+                (),
+                "general",
+                messages.LoadReport(),
+            )
+            for connection in self.peer.connection_by_name.values():
+                if connection.connected:
+                    connection.send(report)
+            await asyncio.sleep(0.1)
+
+    def close(self):
+        self.reporting.cancel()
+
+
+@dataclasses.dataclass
+class LoadTally:
+    """How many agents load now, and did at most."""
+
+    now: int = 0
+    most: int = 0
+
+    def begin(self):
+        self.now += 1
+        self.most = max(self.most, self.now)
+
+    def end(self):
+        self.now -= 1
+
+
+@given("{count:d} scripted agents that load weights")
+def step_loading(context, count):
+    context.tally = LoadTally()
+    context.loading = []
+    for number in range(count):
+        agent = LoadingAgent(context, f"t{number}", context.tally)
+        context.stack.callback(agent.close)
+        context.loading.append(agent)
+
+
+@when('weights.version is set to "{version}" for all targets')
+def step_set_version(context, version):
+    answer = context.group.set_default("c1", "weights.version", version)
+    assert answer.status == 200
+
+
+@when("the first load has begun")
+def step_first_load(context):
+    processes.wait_for(lambda: context.tally.most, "a load")
+
+
+@then('all {count:d} agents come to serve "{version}"')
+def step_all_serve(context, count, version):
+    def served():
+        versions = [agent.version for agent in context.loading]
+        return versions == [version] * count
+
+    processes.wait_for(served, "all agents to serve it", 60)
+
+
+@then("at most {count:d} of them loaded at once")
+def step_at_most(context, count):
+    assert context.tally.most <= count, context.tally
+
+
+@then("all their fencing numbers differ and grow on each")
+def step_fences(context):
+    fences = [agent.fences for agent in context.loading]
+    everything = sum(fences, [])
+    assert len(everything) == len(set(everything))
+    assert all(numbers == sorted(numbers) for numbers in fences)
+
+
+def drain(context, name, word):
+    leader = context.group.leader()
+    revision = context.group.defaults(leader)["config_revision"]
+    body = context.group.new_change(expected_revision=revision)
+    path = f"/v1/targets/{name}/{word}"
+    answer = context.group.call(leader, "POST", path, body)
+    assert answer.status == 200, answer
+    again = context.group.call(leader, "POST", path, body)
+    assert again.json == {**answer.json, "resent": True}, again
+
+
+@when('the operator drains "{name}"')
+def step_drain(context, name):
+    drain(context, name, "drain")
+
+
+@when('the operator undrains "{name}"')
+def step_undrain(context, name):
+    drain(context, name, "undrain")
+
+
+def wait_drained(context, name, wanted):
+    def seen():
+        fleet = context.entry.view.fleet
+        target = fleet.target_by_name[name]
+        subject = view.subject_of_target(target)
+        return fleet.flag("target.drained", subject) == wanted
+
+    processes.wait_for(seen, f"drained={wanted}")
+
+
+@then('the entry sees "{name}" as drained')
+def step_sees_drained(context, name):
+    wait_drained(context, name, True)
+
+
+@then('the entry sees "{name}" as not drained')
+def step_sees_undrained(context, name):
+    wait_drained(context, name, False)
+
+
+class PlatformList:
+    """Serves a list of instances as the platform does."""
+
+    def __init__(self):
+        self.state_by_instance = {}
+        self.nonsense = False
+        platform = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_GET(self):  # noqa: N802
+                body = platform.body()
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *_):
+                pass
+
+        self.server = http.server.ThreadingHTTPServer(
+            (processes.HOST, 0), Handler
+        )
+        self.thread = threading.Thread(target=self.server.serve_forever)
+        self.thread.start()
+
+    @property
+    def url(self):
+        return f"http://{processes.HOST}:{self.server.server_port}"
+
+    def body(self):
+        if self.nonsense:
+            return b'{"instances": [{"instance": 7, "state": "odd"}]}'
+        rows = [
+            {
+                "instance": name,
+                "ip": processes.HOST,
+                "state": state,
+                "failure_domain": "fd1",
+            }
+            for name, state in self.state_by_instance.items()
+        ]
+        return json.dumps({"instances": rows}).encode()
+
+    def close(self):
+        self.server.shutdown()
+        self.thread.join()
+        self.server.server_close()
+
+
+@given('a platform list with "{name}" live')
+def step_platform(context, name):
+    context.platform = PlatformList()
+    context.stack.callback(context.platform.close)
+    context.platform.state_by_instance[name] = "live"
+
+
+@given("a group of {size:d} control instances that read the list")
+def step_group_platform(context, size):
+    control_group_steps.start_group(
+        context, size, platform_url=context.platform.url, platform_poll_ms=200
+    )
+
+
+@when('the platform lists "{name}" as {state}')
+def step_list_state(context, name, state):
+    context.platform.state_by_instance[name] = state
+
+
+@when('the platform no longer lists "{name}"')
+def step_unlist(context, name):
+    del context.platform.state_by_instance[name]
+
+
+@when("the platform answers nonsense until the leader has counted it")
+def step_nonsense(context):
+    context.platform.nonsense = True
+    leader = context.group.leader()
+
+    def counted():
+        answer = context.group.call(leader, "GET", "/v1/counters").json
+        return answer["counters"].get("membership.list_failed")
+
+    processes.wait_for(counted, "the leader to count it")
