--- a/src/lycheering/orders/ledger.py
+++ b/src/lycheering/orders/ledger.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-MAX_ORDERS = 200_000
-MAX_KEPT_BYTES = 33_554_432
+MAX_ORDERS = 50_000
+MAX_KEPT_BYTES = 16_777_216
 MAX_OUTCOME_BYTES = 1_048_576
 MAX_NAME_CHARS = 512
 RELEASED_RETENTION_MS = 600_000
