--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -29,6 +29,7 @@
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
 from lycheering.wire import pool
+from lycheering.wire import security
 from lycheering.wire import server
 
 if TYPE_CHECKING:
@@ -50,16 +51,20 @@
 
 
 class _ContextPart(app_api.Part):
-    """Closes the ZeroMQ context after all that uses it."""
+    """Closes the keys and the ZeroMQ context after all that uses them."""
 
-    def __init__(self, context: zmq.asyncio.Context) -> None:
+    def __init__(
+        self, context: zmq.asyncio.Context, keys: wire_api.Security
+    ) -> None:
         self._context = context
+        self._keys = keys
 
     async def start(self) -> None:
         """Needs nothing."""
 
     async def stop(self) -> None:
         """Closes the context and any socket left in it."""
+        self._keys.close()
         self._context.destroy(linger=0)
 
 
@@ -104,6 +109,7 @@
             self._clock,
             publisher.LogView(machine),
             self._counters,
+            security.security_from(settings.wire, self._counters),
         )
         self._connections = pool.ConnectionPool(self._link)
         self.group = replica.Replica(
@@ -185,7 +191,7 @@
 
     def _add_parts(self) -> None:
         parts: list[app_api.Part] = [
-            _ContextPart(self._context),
+            _ContextPart(self._context, self._link.security),
             self._connections,
             self.listener,
             # started after the port is known, stopped before it closes
--- a/tests/steps/control_group_steps.py
+++ b/tests/steps/control_group_steps.py
@@ -13,7 +13,7 @@
 from lycheering.wire import messages
 from tests.support import control_group
 from tests.support import processes
-from tests.support import wire_peers
+from tests.support import control_peers
 
 OPTION = "limits.max_running"
 
@@ -52,7 +52,7 @@
 @given("an entry on the inner protocol")
 def step_entry(context):
     if not hasattr(context, "peers"):
-        context.peers = context.stack.enter_context(wire_peers.WirePeers())
+        context.peers = context.stack.enter_context(control_peers.ControlPeers())
     role = messages.Role.ENTRY
     context.entry = context.peers.join(context.group, "entry-1", role)
 
--- a/tests/steps/control_wire_steps.py
+++ b/tests/steps/control_wire_steps.py
@@ -17,7 +17,7 @@
 from lycheering.wire import messages
 from tests.steps import control_group_steps
 from tests.support import processes
-from tests.support import wire_peers
+from tests.support import control_peers
 
 AGENT_ANSWER = messages.OrderOutcome(200, "text/plain", b"agent's", "r1")
 LOAD_S = 0.3
@@ -25,7 +25,7 @@
 
 def join_agent(context, name):
     if not hasattr(context, "peers"):
-        context.peers = context.stack.enter_context(wire_peers.WirePeers())
+        context.peers = context.stack.enter_context(control_peers.ControlPeers())
     agent = context.peers.join(
         context.group, name, messages.Role.AGENT, listens=True
     )
