--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -1,8 +1,7 @@
-"""Puts a control instance together and runs it."""
+"""Puts a control instance together."""
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import zmq.asyncio
@@ -24,7 +23,6 @@
 from lycheering.membership import watcher
 from lycheering.orders import in_doubt
 from lycheering.telemetry import counters
-from lycheering.telemetry import logs
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
@@ -217,16 +215,4 @@
     return ControlDaemon(settings).application
 
 
-async def _run(settings: model.Settings) -> None:
-    await build(settings).run()
-
-
-def main(settings: model.Settings) -> None:
-    """Runs a control instance until it is asked to end."""
-    logs.install(
-        messages.Role.CONTROL, settings.instance.name, settings.log.level
-    )
-    asyncio.run(_run(settings))
-
-
-__all__ = ["ControlDaemon", "build", "main"]
+__all__ = ["ControlDaemon", "build"]
--- a/tests/steps/control_group_steps.py
+++ b/tests/steps/control_group_steps.py
@@ -12,8 +12,8 @@
 
 from lycheering.wire import messages
 from tests.support import control_group
-from tests.support import processes
 from tests.support import control_peers
+from tests.support import processes
 
 OPTION = "limits.max_running"
 
@@ -52,7 +52,9 @@
 @given("an entry on the inner protocol")
 def step_entry(context):
     if not hasattr(context, "peers"):
-        context.peers = context.stack.enter_context(control_peers.ControlPeers())
+        context.peers = context.stack.enter_context(
+            control_peers.ControlPeers()
+        )
     role = messages.Role.ENTRY
     context.entry = context.peers.join(context.group, "entry-1", role)
 
--- a/tests/steps/control_wire_steps.py
+++ b/tests/steps/control_wire_steps.py
@@ -16,8 +16,8 @@
 from lycheering.fleet import view
 from lycheering.wire import messages
 from tests.steps import control_group_steps
-from tests.support import processes
 from tests.support import control_peers
+from tests.support import processes
 
 AGENT_ANSWER = messages.OrderOutcome(200, "text/plain", b"agent's", "r1")
 LOAD_S = 0.3
@@ -25,7 +25,9 @@
 
 def join_agent(context, name):
     if not hasattr(context, "peers"):
-        context.peers = context.stack.enter_context(control_peers.ControlPeers())
+        context.peers = context.stack.enter_context(
+            control_peers.ControlPeers()
+        )
     agent = context.peers.join(
         context.group, name, messages.Role.AGENT, listens=True
     )
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -7,12 +7,6 @@
 
 from tests.support import processes
 
-RUNNER = (
-    "import sys; from lycheering.settings import load;"
-    " from lycheering.control import daemon;"
-    " daemon.main(load.load(sys.argv[1]))"
-)
-
 
 class ControlGroup:
     """Control instances c1, c2 and so on, on ports of their own."""
@@ -52,7 +46,8 @@
         ]
         lines += [f"{key} = {value}" for key, value in self.options.items()]
         settings.write_text("\n".join(lines) + "\n")
-        self.group.prepare(name, "-c", RUNNER, str(settings))
+        command = ("-m", "lycheering", "control", str(settings))
+        self.group.prepare(name, *command)
 
     def start(self, *names):
         for name in names or self.names:
