Keep replaced incarnations out, and ask other instances less

- A frozen agent that woke after its target had a new one registered again and took the target's record back.
An incarnation that another replaced is now refused; two scenarios hold it.
- A claim whose target was held for gone, which may only be cut off, became unknown at once; its agent is now asked like any silent one.
- The watcher fetched all sessions of all instances twice a second, some 300 KB each at full size; it asks only where silence would matter.
Reports are fetched every 5 s while nothing changes.
- A member's own address is the one that the settings give it, so that it may be reached through a proxy.

--- a/src/lycheering/control/failures.py
+++ b/src/lycheering/control/failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lycheering.control import registrations
 from lycheering.replication import errors
 from lycheering.wire import messages
 
@@ -32,6 +33,8 @@
             return messages.Failure(
                 messages.Reason.NO_QUORUM, detail, NO_QUORUM_RETRY_MS, leader
             )
+        case registrations.SupersededError():
+            return messages.Failure(messages.Reason.WRONG_INCARNATION, detail)
         case errors.MemberChangeError():
             return messages.Failure(messages.Reason.BAD_REQUEST, detail)
     return messages.Failure(messages.Reason.INTERNAL, type(error).__name__)
--- a/src/lycheering/control/operator_reads.py
+++ b/src/lycheering/control/operator_reads.py
@@ -22,7 +22,7 @@
     from lycheering.orders import records as order_records
     from lycheering.telemetry import counters
 
-WAIT_POLL_MS = 50
+WAIT_POLL_MS = 200
 MAX_WAIT_MS = 60_000
 
 
--- a/src/lycheering/control/order_desk.py
+++ b/src/lycheering/control/order_desk.py
@@ -7,7 +7,6 @@
 from lycheering.control import commands
 from lycheering.control import failures
 from lycheering.control import transport
-from lycheering.fleet import records as fleet_records
 from lycheering.orders import api as orders_api
 from lycheering.replication import errors
 from lycheering.replication import members
@@ -96,8 +95,6 @@
             raise orders_api.AgentGoneError("target is not known")
         if target.agent_incarnation != order.agent_incarnation:
             raise orders_api.AgentGoneError("agent was restarted")
-        if target.state == fleet_records.TargetState.GONE:
-            raise orders_api.AgentGoneError("target is gone")
         peer = members.PeerAddress(target.name, f"{target.ip}:{target.port}")
         connection = self._connections.get(transport.wire_address(peer))
         try:
--- a/src/lycheering/control/registrations.py
+++ b/src/lycheering/control/registrations.py
@@ -22,6 +22,10 @@
 MAX_WAITING = 4_000
 
 
+class SupersededError(Exception):
+    """Another incarnation of the agent speaks for the target now."""
+
+
 @dataclasses.dataclass(frozen=True)
 class _Waiting:
     """A registration that waits for its batch.
@@ -63,6 +67,7 @@
 
         Raises:
             ReplicationError: If it was not, or may not have been.
+            SupersededError: If another incarnation replaced this one.
         """
         self._group.log.check_lease()
         loop = asyncio.get_running_loop()
@@ -106,9 +111,24 @@
                 if not waiting.fence.done():
                     waiting.fence.set_exception(error)
             return
+        target_by_name = self._group.machine.fleet.target_by_name
         for waiting in batch:
-            if not waiting.fence.done():
+            if waiting.fence.done():
+                continue
+            known = target_by_name.get(waiting.target.name)
+            incarnation = waiting.target.agent_incarnation
+            if known is None or known.agent_incarnation != incarnation:
+                waiting.fence.set_exception(
+                    SupersededError(f"{incarnation} was replaced")
+                )
+            else:
                 waiting.fence.set_result(reply.highest_fence)
 
 
-__all__ = ["BATCH_WAIT_MS", "MAX_BATCH", "MAX_WAITING", "Registrations"]
+__all__ = [
+    "BATCH_WAIT_MS",
+    "MAX_BATCH",
+    "MAX_WAITING",
+    "Registrations",
+    "SupersededError",
+]
--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -88,12 +88,9 @@
         assert self._settings.log_store is not None
         folder = pathlib.Path(self._settings.log_store.data_folder)
         store = storage.Storage(folder)
-        instance = self._settings.instance
-        port = self._listening_port()
-        address = members.PeerAddress(instance.name, f"{instance.ip}:{port}")
         self._log = log.ReplicatedLog(
             store,
-            address,
+            self._own_address(),
             self._initial_members(),
             self.machine,
             self._transport,
@@ -113,6 +110,16 @@
         if self._log is not None:
             await self._log.stop()
 
+    def _own_address(self) -> members.PeerAddress:
+        instance = self._settings.instance
+        # others may reach this instance by another port than it listens on
+        for peer in self._settings.control.members:
+            if peer.instance == instance.name:
+                address = f"{peer.ip}:{peer.port}"
+                return members.PeerAddress(instance.name, address)
+        port = self._listening_port()
+        return members.PeerAddress(instance.name, f"{instance.ip}:{port}")
+
     def _initial_members(self) -> list[members.PeerAddress]:
         assert self._settings.log_store is not None
         if self._settings.log_store.join:
--- a/src/lycheering/control/target_book.py
+++ b/src/lycheering/control/target_book.py
@@ -9,6 +9,7 @@
 from lycheering.fleet import view
 
 MAX_TARGETS = 20_000
+MAX_SUPERSEDED = 8
 
 
 class Revival(msgspec.Struct, frozen=True, array_like=True):
@@ -35,16 +36,30 @@
     agent_incarnation: str
 
 
+class Succession(msgspec.Struct, frozen=True, array_like=True):
+    """Incarnations of a target's agent that another one replaced.
+
+    Attributes:
+        target: The target's name.
+        agent_incarnations: The incarnations, oldest first.
+    """
+
+    target: str
+    agent_incarnations: tuple[str, ...]
+
+
 class TargetBookSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """What is kept on targets beside the fleet view.
 
     Attributes:
         revivals: When targets last came back.
         departures: Which incarnations left by themselves.
+        successions: Which incarnations were replaced.
     """
 
     revivals: tuple[Revival, ...]
     departures: tuple[Departure, ...]
+    successions: tuple[Succession, ...]
 
 
 class TargetBook:
@@ -52,7 +67,9 @@
 
     An incarnation that said it leaves, or that the platform listed as
     leaving, never becomes live again; a new incarnation does. One that was
-    held for gone while it was cut off may register again.
+    held for gone while it was cut off may register again. An incarnation
+    that another one replaced is never registered again, so that an agent
+    that was frozen meanwhile takes nothing away from its successor.
 
     Attributes:
         revived_ms_by_target: When targets last came back.
@@ -61,6 +78,7 @@
     def __init__(self) -> None:
         self.revived_ms_by_target: dict[str, int] = {}
         self._departed_by_target: dict[str, str] = {}
+        self._superseded_by_target: dict[str, tuple[str, ...]] = {}
 
     def snapshot(self) -> TargetBookSnapshot:
         """Returns what is kept beside the fleet view."""
@@ -69,6 +87,10 @@
         return TargetBookSnapshot(
             tuple(Revival(name, at_ms) for name, at_ms in revivals),
             tuple(Departure(name, who) for name, who in departures),
+            tuple(
+                Succession(name, incarnations)
+                for name, incarnations in self._superseded_by_target.items()
+            ),
         )
 
     def restore(self, snapshot: TargetBookSnapshot) -> None:
@@ -79,6 +101,10 @@
         self._departed_by_target = {
             item.target: item.agent_incarnation for item in snapshot.departures
         }
+        self._superseded_by_target = {
+            item.target: item.agent_incarnations
+            for item in snapshot.successions
+        }
 
     def register(
         self, fleet: view.FleetView, target: records.Target, at_ms: int
@@ -87,6 +113,9 @@
         known = fleet.target_by_name.get(target.name)
         if known is None and len(fleet.target_by_name) >= MAX_TARGETS:
             return
+        superseded = self._superseded_by_target.get(target.name, ())
+        if target.agent_incarnation in superseded:
+            return
         state = self._state_of(known, target, at_ms)
         wanted = msgspec.structs.replace(target, state=state)
         if wanted != known:
@@ -102,6 +131,9 @@
             return records.TargetState.LIVE
         if known.agent_incarnation != target.agent_incarnation:
             self._departed_by_target.pop(target.name, None)
+            before = self._superseded_by_target.get(target.name, ())
+            now = (*before, known.agent_incarnation)
+            self._superseded_by_target[target.name] = now[-MAX_SUPERSEDED:]
             if known.state != records.TargetState.LIVE:
                 self.revived_ms_by_target[target.name] = at_ms
             return records.TargetState.LIVE
@@ -141,6 +173,7 @@
     "MAX_TARGETS",
     "Departure",
     "Revival",
+    "Succession",
     "TargetBook",
     "TargetBookSnapshot",
 ]
--- a/src/lycheering/control/target_membership.py
+++ b/src/lycheering/control/target_membership.py
@@ -9,6 +9,7 @@
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from lycheering.control import fleet_status
@@ -38,18 +39,22 @@
         """Returns when targets last came back."""
         return self._group.machine.targets.revived_ms_by_target
 
-    async def heard_incarnations(self) -> Mapping[str, str] | None:
-        """Returns the incarnation of each agent that is heard anywhere."""
+    async def heard_incarnations(
+        self, targets: Iterable[records.Target]
+    ) -> Mapping[str, str] | None:
+        """Returns which incarnations of some agents are heard anywhere."""
+        heard_here = _agents(self._status.own().peers)
+        if all(
+            heard_here.get(target.name) == target.agent_incarnation
+            for target in targets
+        ):
+            return heard_here
         picture = await self._status.collect()
         members = len(self._group.peers())
         answered = members - len(picture.unreachable)
         if answered <= members // 2:
             return None
-        return {
-            name: peer.incarnation
-            for name, peer in picture.peer_by_name.items()
-            if peer.role == messages.Role.AGENT
-        }
+        return _agents(picture.peer_by_name.values())
 
     async def mark(self, mark: reconcile.Mark) -> None:
         """Commits a mark."""
@@ -58,4 +63,12 @@
         )
 
 
+def _agents(peers: Iterable[messages.PeerStatus]) -> dict[str, str]:
+    return {
+        peer.name: peer.incarnation
+        for peer in peers
+        if peer.role == messages.Role.AGENT
+    }
+
+
 __all__ = ["LogMembership"]
--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -25,6 +25,8 @@
     from lycheering.wire import pool
 
 CHECK_INTERVAL_MS = 500
+IDLE_CHECKS = 10  # reports of all targets are fetched every 5 s when idle
+QUICK_CHECKS = 6  # and every 500 ms for 3 s after the view changed
 MAX_LOADS = 2
 ORDER_TIMEOUT_MS = 30_000
 CONNECT_TIMEOUT_MS = 1_000
@@ -134,6 +136,9 @@
         self._busy: set[str] = set()
         self._backoff_by_target: dict[str, _Backoff] = {}
         self._leading_since_ms: float | None = None
+        self._checked_revision = 0
+        self._idle_checks = 0
+        self._quick_checks = 0
 
     async def start(self) -> None:
         """Begins to compare what is wanted with what is reported."""
@@ -148,8 +153,25 @@
             await self._clock.sleep(CHECK_INTERVAL_MS)
             if not self._is_settled_leader():
                 continue
+            if not self._is_due():
+                continue
             picture = await self._status.collect()
-            self._check(picture.report_by_target)
+            if self._group.is_leader():
+                self._check(picture.report_by_target)
+
+    def _is_due(self) -> bool:
+        revision = self._group.machine.fleet.view_revision
+        if revision != self._checked_revision:
+            self._checked_revision = revision
+            self._quick_checks = QUICK_CHECKS
+        is_quick = self._quick_checks > 0
+        self._quick_checks = max(0, self._quick_checks - 1)
+        is_open = bool(self._busy or self._backoff_by_target)
+        self._idle_checks += 1
+        if is_quick or is_open or self._idle_checks >= IDLE_CHECKS:
+            self._idle_checks = 0
+            return True
+        return False
 
     def _is_settled_leader(self) -> bool:
         if not self._group.is_leader():
--- a/src/lycheering/membership/api.py
+++ b/src/lycheering/membership/api.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from lycheering.fleet import records
@@ -28,8 +29,13 @@
         """Returns when targets last came back."""
 
     @abc.abstractmethod
-    async def heard_incarnations(self) -> Mapping[str, str] | None:
-        """Returns the incarnation of each agent that is heard anywhere.
+    async def heard_incarnations(
+        self, targets: Iterable[records.Target]
+    ) -> Mapping[str, str] | None:
+        """Returns which incarnations of some agents are heard anywhere.
+
+        Args:
+            targets: The targets whose agents are meant.
 
         Returns:
             Incarnations by target, or None while too few control instances
--- a/src/lycheering/membership/reconcile.py
+++ b/src/lycheering/membership/reconcile.py
@@ -64,18 +64,29 @@
     return marks
 
 
+def depends_on_silence(
+    target: records.Target,
+    listed: Mapping[str, platform.ListedState] | None,
+) -> bool:
+    """Returns whether silence would make a target gone."""
+    if target.state == records.TargetState.GONE:
+        return False
+    if listed is None:
+        return target.state == records.TargetState.LEAVING
+    return target.instance not in listed
+
+
 def _state_of(
     target: records.Target, seen: Sighting
 ) -> records.TargetState | None:
     if target.state == records.TargetState.GONE:
         return None
-    is_silent = target.name in seen.silent_targets
     listed = seen.listed_by_instance
-    if listed is None:
-        is_leaving = target.state == records.TargetState.LEAVING
-        return records.TargetState.GONE if is_silent and is_leaving else None
-    if target.instance not in listed:
+    if depends_on_silence(target, listed):
+        is_silent = target.name in seen.silent_targets
         return records.TargetState.GONE if is_silent else None
+    if listed is None:
+        return None
     if listed[target.instance] != platform.ListedState.LEAVING:
         return None
     revived_ms = seen.revived_ms_by_target.get(target.name)
@@ -85,4 +96,10 @@
     return records.TargetState.LEAVING
 
 
-__all__ = ["LIST_LAG_MS", "Mark", "Sighting", "decide"]
+__all__ = [
+    "LIST_LAG_MS",
+    "Mark",
+    "Sighting",
+    "decide",
+    "depends_on_silence",
+]
--- a/src/lycheering/membership/watcher.py
+++ b/src/lycheering/membership/watcher.py
@@ -74,11 +74,16 @@
                 _LOG.warning("platform_list_failed", detail=str(error))
                 return
             listed = listing.state_by_instance()
-        heard = await self._membership.heard_incarnations()
         targets = self._membership.targets()
+        in_question = [
+            target
+            for target in targets
+            if reconcile.depends_on_silence(target, listed)
+        ]
+        heard = await self._membership.heard_incarnations(in_question)
         seen = reconcile.Sighting(
             listed,
-            self._silent(targets, heard),
+            self._silent(in_question, heard),
             self._membership.revived_ms_by_target(),
             self._clock.wall_ms(),
         )
--- a/tests/control/wire_calls.feature
+++ b/tests/control/wire_calls.feature
@@ -76,6 +76,12 @@
     When the agent is replaced by another incarnation
     Then the entry sees target "t1" as live
 
+  Scenario: An agent that was replaced is told so
+    Given a scripted agent "t1"
+    When another incarnation of the agent registers beside it
+    Then the entry sees target "t1" as live
+    And the first incarnation is refused as "wrong_incarnation"
+
   Scenario: Weights are loaded by at most two targets at once
     Given 6 scripted agents that load weights
     When weights.version is set to "v2" for all targets
--- a/tests/membership/reconcile.feature
+++ b/tests/membership/reconcile.feature
@@ -51,6 +51,14 @@
     Then target "t1" is live as "i2"
     And the return of target "t1" is remembered
 
+  Scenario: An agent that was frozen takes nothing from its successor
+    Given a control state machine
+    When target "t1" registers as "i1"
+    And target "t1" registers as "i2"
+    And the state machine is restored from its snapshot
+    And target "t1" registers as "i1"
+    Then target "t1" is live as "i2"
+
   Scenario: A late word of the incarnation before changes nothing
     Given a control state machine
     When target "t1" registers as "i1"
--- a/tests/steps/control_wire_steps.py
+++ b/tests/steps/control_wire_steps.py
@@ -227,6 +227,20 @@
     context.agent.call(messages.Register(context.agent.target()))
 
 
+@when("another incarnation of the agent registers beside it")
+def step_beside(context):
+    context.first = context.agent
+    join_agent(context, context.agent.name)
+
+
+@then('the first incarnation is refused as "{reason}"')
+def step_first_refused(context, reason):
+    first = context.first
+    answer = first.call(messages.Register(first.target()))
+    assert isinstance(answer, messages.Failure), answer
+    assert answer.reason == reason, answer
+
+
 @when("the agent goes silent")
 def step_agent_silent(context):
     context.peers.run(context.agent.close())
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -127,7 +127,7 @@
     def revived_ms_by_target(self):
         return {}
 
-    async def heard_incarnations(self):
+    async def heard_incarnations(self, targets):
         return self.heard
 
     async def mark(self, mark):
