--- a/src/lycheering/agent/context.py
+++ b/src/lycheering/agent/context.py
@@ -41,7 +41,7 @@
         admission: The queue.
         desk: Orders that run at most once.
         widths: The demand for each prefix.
-        importer: Brings kept KV cache in.
+        mover: Moves kept KV cache in and out.
         order_lock: Held while an order is in flight to a target that
             refuses old fencing numbers.
     """
@@ -59,7 +59,7 @@
     admission: admissions.Admission
     desk: orders.OrderDesk
     widths: widths.WidthMeter
-    importer: kept.KeptImporter | None = None
+    mover: kept.KeptMover | None = None
     order_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     @property
--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -11,6 +11,7 @@
 from lycheering.agent import context as contexts
 from lycheering.agent import control_link
 from lycheering.agent import departure
+from lycheering.agent import kept
 from lycheering.agent import orders
 from lycheering.agent import sessions
 from lycheering.agent import target_orders
@@ -25,6 +26,7 @@
 from lycheering.limits import cost as costs
 from lycheering.limits import width as widths
 from lycheering.targets import engine
+from lycheering.targets import kept as kept_api
 from lycheering.targets import service
 from lycheering.telemetry import counters as counting
 from lycheering.telemetry import logs
@@ -37,6 +39,23 @@
     from lycheering.settings import model
 
 
+LAST_FRAMES_MS = 200
+
+
+class ContextOwner(app_api.Part):
+    """Closes what is left of the inner protocol after all else stopped."""
+
+    def __init__(self, context: zmq.asyncio.Context) -> None:
+        self._context = context
+
+    async def start(self) -> None:
+        """Has nothing to do."""
+
+    async def stop(self) -> None:
+        """Closes all sockets; the last frames get a moment to leave."""
+        self._context.destroy(linger=LAST_FRAMES_MS)
+
+
 class LoadReporter:
     """Makes the load reports of one agent."""
 
@@ -98,11 +117,18 @@
     index = indexes.BlockIndex()
     driver: engine.EngineDriver | service.ServiceDriver
     application = app_api.Application(settings.instance.drain_timeout_ms)
+    application.add(ContextOwner(link.context))
     if agent.kind == records.TargetKind.ENGINE.value:
         driver = engine.EngineDriver(agent, settings.wire)
         application.add(feed.EventFeed(driver, index, clock, counters))
     else:
         driver = service.ServiceDriver(agent, settings.wire)
+    mover = None
+    if agent.kv_store_url and agent.kind == records.TargetKind.ENGINE.value:
+        mover = kept.KeptMover(
+            kept_api.HttpKeptStore(agent, settings.wire), clock
+        )
+        application.add(mover)
     context = contexts.Context(
         agent,
         settings.wire,
@@ -117,6 +143,7 @@
         admission.Admission(clock),
         orders.OrderDesk(clock, 0.0),
         widths.WidthMeter(clock),
+        mover,
     )
     _add_parts(settings, application, context, link)
     return application
@@ -151,6 +178,8 @@
     application.add(
         control_link.ControlLink(settings, context, pool, server, load)
     )
+    # added last, so that it is the first to drain
+    application.add(watch)
 
 
 def main(settings: model.Settings) -> None:
@@ -161,4 +190,4 @@
     asyncio.run(build(settings).run())
 
 
-__all__ = ["LoadReporter", "build", "main"]
+__all__ = ["ContextOwner", "LoadReporter", "build", "main"]
--- a/src/lycheering/agent/delivery.py
+++ b/src/lycheering/agent/delivery.py
@@ -26,12 +26,14 @@
         call_id: The call that the answer belongs to there.
         next_seq: The next chunk to be sent.
         told_started: Whether it was told that the target answers.
+        told_ending: Whether it was told the end.
     """
 
     session: server.Session
     call_id: int
     next_seq: int
     told_started: bool = False
+    told_ending: bool = False
 
 
 class Delivery:
@@ -126,14 +128,14 @@
         if reader is None:
             return
         if self.started is not None and not reader.told_started:
-            reader.told_started = True
-            if not self._send(reader, self.started):
+            reader.told_started = self._send(reader, self.started)
+            if not reader.told_started:
                 return
-        while reader.next_seq < self.tail.next_seq:
+        while reader.next_seq != self.tail.next_seq:
             if not self._send_chunks(reader):
                 return
-        if self.ending is not None:
-            self._send(reader, self.ending)
+        if self.ending is not None and not reader.told_ending:
+            reader.told_ending = self._send(reader, self.ending)
 
     def _send_chunks(self, reader: Reader) -> bool:
         try:
@@ -142,7 +144,8 @@
             broken = messages.Broken(
                 messages.Reason.NOT_FOUND, self.tail.next_seq, str(error)
             )
-            self._send(reader, broken)
+            if self._send(reader, broken):
+                self.detach(reader.session)
             return False
         chunks = messages.Chunks(reader.next_seq, items)
         if not self._send(reader, chunks):
@@ -154,7 +157,7 @@
         try:
             reader.session.send(message, reader.call_id)
         except errors.PeerUnreachableError:
-            self.detach(reader.session)
+            # a peer that only reads slowly gets it with a later flush
             return False
         return True
 
--- a/src/lycheering/agent/departure.py
+++ b/src/lycheering/agent/departure.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lycheering.app import api as app_api
 from lycheering.fleet import records
 from lycheering.telemetry import logs
 
@@ -16,7 +17,7 @@
 _LOG = logs.get("departure")
 
 
-class DepartureWatch:
+class DepartureWatch(app_api.Part):
     """Stops new work for a drained target, and ends for a leaving one."""
 
     def __init__(
@@ -29,6 +30,17 @@
         self._identity = identity
         self._stopping = stopping
 
+    async def start(self) -> None:
+        """Puts what the view says in force."""
+        self.view_changed()
+
+    async def drain(self) -> None:
+        """Hands all that waits back, before anything else is waited for."""
+        self._context.admission.hand_back()
+
+    async def stop(self) -> None:
+        """Has nothing to release."""
+
     def view_changed(self) -> None:
         """Puts what the view says of the target in force."""
         context = self._context
--- a/src/lycheering/agent/requests.py
+++ b/src/lycheering/agent/requests.py
@@ -36,12 +36,16 @@
     Attributes:
         keys: The keys of its pieces.
         cost: Its expected work.
+        shared: The leading pieces that teams share, with their keys.
         char_counts: The length of each piece.
+        max_tokens: The longest answer that may still come.
     """
 
     keys: tuple[bytes, ...]
     cost: costs.Cost
+    shared: tuple[pieces.ChainLink, ...] = ()
     char_counts: tuple[int, ...] = ()
+    max_tokens: int = 0
 
     def missing_after(self, cached_pieces: int, piece_chars: int) -> float:
         """Returns what is to be prefilled after some cached pieces."""
@@ -58,7 +62,10 @@
         return Plan((), context.cost.call())
     version = context.state.weights_version
     prompt = cut_prompt(context, submit)
-    keys = prompt.keys(submit.model, version)
+    links = prompt.links(submit.model, version)
+    keys = tuple(link.key for link in links)
+    salt = pieces.shared_salt(submit.model)
+    shared = tuple(link for link in links if link.salt == salt)
     cached = 0
     if context.index.weights_version == version:
         cached = context.index.matched_count(keys)
@@ -66,7 +73,8 @@
     tokens = _decode(submit.body, _TokenLimit).max_tokens
     left = max(1, tokens - submit.continue_from)
     cost = context.cost.completion(missing, left)
-    return Plan(keys, cost, tuple(len(piece) for piece in prompt.pieces))
+    counts = tuple(len(piece) for piece in prompt.pieces)
+    return Plan(keys, cost, shared, counts, left)
 
 
 def cut_prompt(
--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lycheering.agent import delivery as deliveries
+from lycheering.agent import kept_prompts
 from lycheering.agent import orders
 from lycheering.agent import requests
 from lycheering.limits import admission
@@ -46,6 +47,7 @@
 
     Attributes:
         submit: The request; its body is dropped once sent.
+        first_seq: The number of the answer's first chunk.
         delivery: The answer.
         sent: Whether a byte of it may have left for the target.
     """
@@ -55,14 +57,15 @@
     ) -> None:
         self.submit = submit
         self.sent = False
-        first_seq = submit.continue_from if context.is_engine else 0
-        self.delivery = deliveries.Delivery(first_seq, context.clock)
+        self.first_seq = submit.continue_from if context.is_engine else 0
+        self.delivery = deliveries.Delivery(self.first_seq, context.clock)
         self._context = context
         self._sent_ms = 0.0
         self._checked_ms = 0.0
         self._incarnation = ""
         self._hint: messages.WidthHint | None = None
         self._head_ms = 0.0
+        self._max_tokens = 0
         self._outcome = bytearray()
         self._received = False
 
@@ -101,6 +104,7 @@
             self._end(self._failed(messages.Reason.CANCELLED, "cancelled"))
 
     def _end(self, ending: deliveries.Ending) -> None:
+        self.submit = msgspec.structs.replace(self.submit, body=b"")
         self._settle(ending)
         self.delivery.end(ending)
         self._log(ending)
@@ -120,6 +124,7 @@
         context = self._context
         self._check_acceptable()
         plan = requests.make_plan(context, self.submit)
+        self._max_tokens = plan.max_tokens
         self._measure_width(plan)
         demand = requests.make_demand(context, self.submit, plan.cost)
         place = context.admission.enter(demand)
@@ -194,8 +199,7 @@
         async with contextlib.AsyncExitStack() as stack:
             if self._is_fenced():
                 await stack.enter_async_context(context.order_lock)
-            if context.importer is not None:
-                await context.importer.bring(self.submit, plan)
+            await kept_prompts.bring(context, self.submit)
             call = requests.make_call(context, self.submit)
             self._checked_ms = context.clock.now_ms()
             answer = await context.driver.send(call, self._before_send)
@@ -253,8 +257,9 @@
                         raise
                     self._context.counters.retry(reasons.TARGET_FAILED)
                 if answer.resumable:
-                    answer.close()
+                    silent = answer
                     answer = await self._renew()
+                    silent.close()
                     renewed = True
         finally:
             answer.close()
@@ -292,6 +297,7 @@
                 head.cached_pieces, context.settings.piece_chars
             )
             context.cost.learn_prefill(self._sent_ms, now_ms, missing)
+            kept_prompts.keep(context, plan, head)
         self._head_ms = now_ms
         context.admission.prefilled(place)
         self.delivery.start(
@@ -339,6 +345,9 @@
         if context.is_engine:
             tokens = self.delivery.tail.next_seq - first_seq - 1
             context.cost.learn_decode(spent_ms, tokens)
+            context.cost.learn_length(
+                self.delivery.tail.next_seq - self.first_seq, self._max_tokens
+            )
         else:
             context.cost.learn_call(context.clock.now_ms() - self._sent_ms)
 
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -137,8 +137,7 @@
         key = (submit.request_id, submit.attempt)
         run = self.run_by_key.get(key)
         if run is not None:
-            first_seq = run.delivery.tail.first_seq
-            run.delivery.attach(session, call_id, first_seq)
+            run.delivery.attach(session, call_id, run.first_seq)
             return
         if key in self._ended:
             broken = messages.Broken(
@@ -165,7 +164,7 @@
     ) -> None:
         run = runs.Run(submit, self._context)
         self.run_by_key[key] = run
-        run.delivery.attach(session, call_id, run.delivery.tail.first_seq)
+        run.delivery.attach(session, call_id, run.first_seq)
         earlier = self._task_by_key.get((submit.request_id, submit.attempt - 1))
         task = asyncio.create_task(
             self._work(run, earlier), name=f"run:{submit.request_id}"
@@ -261,6 +260,7 @@
             tail_ms = self._context.settings.stream_tail_ms
             for key, run in list(self.run_by_key.items()):
                 delivery = run.delivery
+                delivery.flush()
                 if delivery.ending is not None:
                     if now_ms - delivery.ended_ms >= tail_ms:
                         self._forget(key)
--- a/src/lycheering/cache/pieces.py
+++ b/src/lycheering/cache/pieces.py
@@ -65,10 +65,10 @@
         """Characters of the whole prompt."""
         return sum(len(piece) for piece in self.pieces)
 
-    def keys(self, model: str, weights_version: str) -> tuple[bytes, ...]:
+    def links(self, model: str, weights_version: str) -> tuple[ChainLink, ...]:
         """Returns the key of each piece that can be cached."""
         count = self.cacheable_count
-        return chain_keys(
+        return chain(
             model, weights_version, self.pieces[:count], self.salts[:count]
         )
 
@@ -137,34 +137,12 @@
     return PromptPlan(tuple(pieces), tuple(salts), cacheable_count)
 
 
-def chain_keys(
-    model: str,
-    weights_version: str,
-    pieces: Sequence[str],
-    salts: Sequence[str],
-) -> tuple[bytes, ...]:
-    """Returns one key for each piece, over it and all before it.
-
-    Args:
-        model: The model.
-        weights_version: The weights that compute the pieces.
-        pieces: The pieces, outermost first.
-        salts: The cache salt of each.
-
-    Returns:
-        Keys of 16 bytes.
-    """
-    return tuple(
-        link.key for link in chain(model, weights_version, pieces, salts)
-    )
-
-
 @dataclasses.dataclass(frozen=True)
 class ChainLink:
     """One key of a chain.
 
     Attributes:
-        key: The key of the piece.
+        key: The key of the piece, 16 bytes.
         parent: The key that it was derived from.
         salt: The cache salt.
     """
@@ -180,7 +158,17 @@
     pieces: Sequence[str],
     salts: Sequence[str],
 ) -> tuple[ChainLink, ...]:
-    """Returns the keys of a prompt with their parents."""
+    """Returns one key for each piece, over it and all before it.
+
+    Args:
+        model: The model.
+        weights_version: The weights that compute the pieces.
+        pieces: The pieces, outermost first.
+        salts: The cache salt of each.
+
+    Returns:
+        The keys with their parents.
+    """
     links: list[ChainLink] = []
     parent = b""
     before = ""
@@ -203,7 +191,6 @@
     "PromptBody",
     "PromptPlan",
     "chain",
-    "chain_keys",
     "plan_prompt",
     "shared_salt",
     "team_salt",
--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import dataclasses
+import heapq
+import math
 from typing import TYPE_CHECKING
 
 from lycheering.limits import cost as costs
@@ -222,28 +224,48 @@
         return self._expected_wait_ms(waiting)
 
     def _expected_wait_ms(self, waiting: queues.Waiting) -> float:
-        ahead = self.queue.ahead_of(waiting)
-        prefill_ms = self._running_prefill_ms()
-        prefill_ms += sum(other.cost.prefill_ms for other in ahead)
-        if not ahead and self.running < self.limits.max_running:
-            return prefill_ms
-        work_ms = self._running_work_ms()
-        work_ms += sum(other.cost.service_ms for other in ahead)
-        return max(prefill_ms, work_ms / max(1, self.limits.max_running))
+        return self._forecast(self.queue.ahead_of(waiting))[-1]
 
-    def _running_prefill_ms(self) -> float:
+    def _forecast(self, ahead: list[queues.Waiting]) -> list[float]:
+        """Plays the queue through on the target's slots.
+
+        Prompts are prefilled one at a time; answers share the slots.
+
+        Args:
+            ahead: The requests to be served, in order.
+
+        Returns:
+            When each of them starts, and when one after them would.
+        """
+        free_ms = self._slots_free_ms()
+        prefill_free_ms = self._running_prefill_ms()
+        starts_ms: list[float] = []
+        for other in ahead:
+            start_ms = max(heapq.heappop(free_ms), prefill_free_ms)
+            starts_ms.append(start_ms)
+            if other.cost.prefill_ms:
+                prefill_free_ms = start_ms + other.cost.prefill_ms
+            heapq.heappush(free_ms, start_ms + other.cost.service_ms)
+        starts_ms.append(max(free_ms[0], prefill_free_ms))
+        return starts_ms
+
+    def _slots_free_ms(self) -> list[float]:
         now_ms = self._clock.now_ms()
-        return sum(
-            max(0.0, place.waiting.cost.prefill_ms - now_ms + place.started_ms)
+        slots = max(1, self.limits.max_running)
+        free_ms = [
+            max(0.0, place.waiting.cost.service_ms - now_ms + place.started_ms)
             for place in self._running
-            if place.prefilling
-        )
+        ]
+        free_ms += [0.0] * (slots - len(free_ms))
+        # with more running than allowed, the last ones to end free a slot
+        return sorted(free_ms)[-slots:]
 
-    def _running_work_ms(self) -> float:
+    def _running_prefill_ms(self) -> float:
         now_ms = self._clock.now_ms()
         return sum(
-            max(0.0, place.waiting.cost.service_ms - now_ms + place.started_ms)
+            max(0.0, place.waiting.cost.prefill_ms - now_ms + place.started_ms)
             for place in self._running
+            if place.prefilling
         )
 
     def _check_deadline(
@@ -279,12 +301,11 @@
         several = self.queue.active_teams() > 1
         if several and self.queue.team_count(team) > fair_count:
             reason = messages.Reason.TEAM_LIMIT
-        work_ms = self._running_work_ms()
-        work_ms += sum(w.cost.service_ms for w in self.queue.everyone())
-        drain_ms = work_ms / max(1, self.limits.max_running)
+        # comes back once a part of the queue has been served
+        starts_ms = sorted(self._forecast(self.queue.everyone()))
         return RefusedError(
             reason,
-            self._retry_after(drain_ms * FULL_DRAIN_SHARE),
+            self._retry_after(starts_ms[math.ceil(count * FULL_DRAIN_SHARE)]),
             f"{count} requests wait",
         )
 
--- a/src/lycheering/limits/cost.py
+++ b/src/lycheering/limits/cost.py
@@ -45,6 +45,7 @@
         piece_ms: Time to prefill one missing piece.
         token_ms: Time between two tokens.
         call_ms: Time of a plain service's call.
+        length_share: How much of the tokens allowed answers use.
     """
 
     def __init__(self) -> None:
@@ -52,12 +53,14 @@
         self.piece_ms = FIRST_PIECE_MS
         self.token_ms = FIRST_TOKEN_MS
         self.call_ms = FIRST_CALL_MS
+        self.length_share = 1.0
         self._last_head_ms = 0.0
 
     def completion(self, missing_pieces: float, tokens: int) -> Cost:
         """Returns the expected cost of a completion."""
         prefill_ms = self.base_ms + missing_pieces * self.piece_ms
-        return Cost(prefill_ms, tokens * self.token_ms)
+        decode_ms = tokens * self.length_share * self.token_ms
+        return Cost(prefill_ms, decode_ms)
 
     def call(self) -> Cost:
         """Returns the expected cost of a plain service's call."""
@@ -91,6 +94,12 @@
                 self.token_ms, max(0.01, duration_ms / tokens)
             )
 
+    def learn_length(self, tokens: int, max_tokens: int) -> None:
+        """Learns how long an answer was, of the length allowed."""
+        if max_tokens > 0:
+            share = min(1.0, tokens / max_tokens)
+            self.length_share += SMOOTHING * (share - self.length_share)
+
     def learn_call(self, duration_ms: float) -> None:
         """Learns from a plain service's whole answer."""
         self.call_ms = _blend(self.call_ms, max(0.1, duration_ms))
--- a/src/lycheering/limits/queue.py
+++ b/src/lycheering/limits/queue.py
@@ -57,6 +57,7 @@
         self.ordered: list[Waiting] = []
         self.virtual_ms = 0.0
         self._finish_by_team: dict[str, float] = {}
+        self._forget_above = MAX_IDLE_TEAMS
 
     def tag(self, waiting: Waiting) -> None:
         last = self._finish_by_team.get(waiting.team, 0.0)
@@ -83,7 +84,12 @@
     def pop(self) -> Waiting:
         waiting = self.ordered.pop(0)
         self.virtual_ms = max(self.virtual_ms, waiting.start_tag)
-        if len(self._finish_by_team) > MAX_IDLE_TEAMS:
+        if not self.ordered:
+            # nobody is owed anything once nobody waits
+            last_ms = max(self._finish_by_team.values(), default=0.0)
+            self.virtual_ms = max(self.virtual_ms, last_ms)
+            self._finish_by_team.clear()
+        elif len(self._finish_by_team) > self._forget_above:
             self._forget_idle()
         return waiting
 
@@ -93,6 +99,8 @@
             for team, finish in self._finish_by_team.items()
             if finish > self.virtual_ms
         }
+        kept = len(self._finish_by_team)
+        self._forget_above = max(MAX_IDLE_TEAMS, 2 * kept)
 
     def oldest_ms(self) -> float:
         return min(waiting.arrival_ms for waiting in self.ordered)
@@ -182,7 +190,7 @@
     def ahead_of(self, waiting: Waiting) -> list[Waiting]:
         """Returns the requests to be served before a ranked one."""
         ahead: list[Waiting] = []
-        for priority, level in self._level_by_priority.items():
+        for priority, level in sorted(self._level_by_priority.items()):
             if priority < waiting.priority:
                 ahead += level.ordered
             elif priority == waiting.priority:
@@ -196,7 +204,7 @@
         """Returns all requests."""
         return [
             waiting
-            for level in self._level_by_priority.values()
+            for _, level in sorted(self._level_by_priority.items())
             for waiting in level.ordered
         ]
 
--- a/tests/agent/runs.feature
+++ b/tests/agent/runs.feature
@@ -5,3 +5,110 @@
     When an entry submits request "r1" for 20 tokens
     Then the entry has the whole answer
     And the engine ran 1 request
+
+  Scenario: An answer goes on where an earlier attempt stopped
+    Given an agent beside an engine
+    When an entry submits request "r1" for 20 tokens from token 8
+    Then the entry has the answer from token 8
+
+  Scenario: The same attempt sent twice runs once
+    Given an agent beside an engine
+    When an entry submits request "r1" for 20 tokens twice
+    Then both have the whole answer
+    And the engine ran 1 request
+
+  Scenario: An answer is picked up on a new connection
+    Given an agent beside an engine
+    When an entry loses its connection after some of 40 tokens
+    And it resumes on a new connection
+    Then the entry has the whole answer
+    And the engine ran 1 request
+
+  Scenario: A request that never arrived is not run, even if it comes late
+    Given an agent beside an engine
+    When an entry resumes request "r1" that was never submitted
+    Then it is not run because of "not_found"
+    When an entry submits request "r1" for 5 tokens
+    Then it is broken because of "not_found" after 0 chunks
+    And the engine ran 0 requests
+
+  Scenario: A cancelled request ends at the engine
+    Given an agent beside an engine
+    When an entry cancels a running request for 5000 tokens
+    Then it is broken because of "cancelled"
+    And the engine cancels the request
+
+  Scenario: A request cancelled with its arrival never runs
+    Given an agent beside an engine
+    When an entry submits and cancels a request at once
+    Then it is not run because of "cancelled"
+    And the engine ran 0 requests
+
+  Scenario: An answer that nobody waits for is cancelled at the engine
+    Given an agent beside an engine that keeps streams for 300 ms
+    When an entry loses its connection after some of 5000 tokens
+    Then the engine cancels the request
+
+  Scenario: A reader that acknowledges nothing pauses the stream
+    Given an agent beside an engine
+    When an entry reads 1500 tokens without acknowledging them
+    Then it is sent at least 1000 tokens but not all
+    When it acknowledges what it has
+    Then the entry has the whole answer
+
+  Scenario: A cut stream is picked up at the same engine
+    Given an agent beside a target that streams 2 of 3 events, then the rest
+    When an entry submits request "r1" for 3 tokens
+    Then the entry has 3 chunks and the answer is finished
+
+  Scenario: A cut stream that the engine lost is broken
+    Given an agent beside a target that streams 2 of 3 events, then nothing
+    When an entry submits request "r1" for 3 tokens
+    Then it is broken because of "target_failed" after 2 chunks
+
+  Scenario: A request that may have been received is never told as not run
+    Given an agent beside a target that hangs up on requests
+    When an entry submits request "r1" for 3 tokens
+    Then it is broken because of "target_failed" after 0 chunks
+
+  Scenario: A request that met no listener is not run
+    Given an agent beside a target that no longer listens
+    When an entry submits request "r1" for 3 tokens
+    Then it is not run because of "target_down"
+
+  Scenario: A silent target is given up
+    Given an agent beside a target that goes silent
+    When an entry submits request "r1" for 3 tokens
+    Then it is broken because of "silent" after 0 chunks
+
+  Scenario: Other weights than promised never answer
+    Given an agent beside a target whose answer has other weights
+    When an entry submits request "r1" for 3 tokens of weights "1"
+    Then it is broken because of "wrong_weights" after 0 chunks
+
+  Scenario Outline: A request for something else is not run
+    Given an agent beside an engine
+    When an entry submits request "r1" for <what>
+    Then it is not run because of "<reason>"
+    And the engine ran 0 requests
+
+    Examples:
+      | what                     | reason        |
+      | 3 tokens of model "x"    | wrong_model   |
+      | 3 tokens of weights "9"  | wrong_weights |
+      | 9000 tokens with 9000 ms left | deadline |
+      | 3 tokens with -1 ms left | expired       |
+      | 3 tokens of a bad body   | bad_request   |
+
+  Scenario: Teams share only the levels that are shared
+    Given an agent beside an engine
+    When teams "a" and "b" submit prompts that share 1 of 2 levels
+    Then team "b" finds 1 of its pieces cached
+    And the engine saw the salts "shared:model, team:a" and "shared:model, team:b"
+    When team "a" submits its prompt again
+    Then it finds 2 of its pieces cached
+
+  Scenario: What a caller says of the cache does not reach the engine
+    Given an agent beside an engine
+    When a caller names the cache salt "team:other" in its body
+    Then the engine saw only the salt "team:team-1"
--- /dev/null
+++ b/tests/agent/target_orders.feature
@@ -0,0 +1,25 @@
+Feature: Target orders load weights and roles, never older ones
+
+  Scenario: New weights are loaded and promised ones are served
+    Given an agent beside an engine
+    When control orders weights "2" with fence 5
+    Then the target order is done
+    When an entry submits request "r1" for 3 tokens of weights "2"
+    Then the entry has the whole answer
+    When an entry submits request "r2" for 3 tokens of weights "1"
+    Then it is not run because of "wrong_weights"
+
+  Scenario: An older order is refused
+    Given an agent beside an engine
+    When control orders weights "3" with fence 6
+    And control orders weights "2" with fence 5
+    Then the target order is refused by fence 6
+    When an entry submits request "r1" for 3 tokens of weights "3"
+    Then the entry has the whole answer
+
+  Scenario: Requests for weights that are being loaded come back in time
+    Given an agent beside an engine
+    When weights "2" are being loaded
+    And an entry submits request "r1" for 3 tokens of weights "2"
+    Then it is not run because of "wrong_weights"
+    And it is told when to come back
--- /dev/null
+++ b/tests/cache/pieces.feature
@@ -0,0 +1,27 @@
+Feature: Prompts are cut at their levels and keyed by their whole prefix
+
+  Scenario: Pieces end where levels end
+    Given a prompt of 9000 characters with levels ending at 4500 and 6000
+    Then its pieces have 4000, 500, 1500, 3000 characters
+    And 3 of its pieces can be cached
+
+  Scenario: Only shared levels have the shared salt
+    Given a prompt of 9000 characters with levels ending at 4500 and 6000
+    When 1 of its levels is shared
+    Then its salts are "shared:m, shared:m, team:t, team:t"
+
+  Scenario: Level ends outside the prompt or out of order are left out
+    Given a prompt of 5000 characters with levels ending at 3000 and 2000
+    Then its pieces have 3000, 2000 characters
+
+  Scenario: Teams share keys only as far as they share levels
+    Given a prompt of 12000 characters with levels ending at 4000 and 8000
+    When 1 of its levels is shared
+    Then teams "a" and "b" have 1 equal keys and then none
+
+  Scenario: Other weights have other keys
+    Given a prompt of 12000 characters with levels ending at 4000 and 8000
+    Then weights "1" and "2" have no key in common
+
+  Scenario: Keys are those that the engine computes
+    Then any prompt has the keys that the engine computes
--- a/tests/helpers/agent_bench.py
+++ b/tests/helpers/agent_bench.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import sys
 
 import msgspec
 import zmq.asyncio
@@ -13,14 +14,13 @@
 from lycheering.fleet import holder
 from lycheering.settings import model
 from lycheering.telemetry import counters
+from lycheering.web import client as web
 from lycheering.wire import api
 from lycheering.wire import client
 from lycheering.wire import messages
 from lycheering.wire import server
 from standins import answers
-from standins import serving
-from standins.engine import batch
-from standins.engine import server as engine_server
+from tests.helpers import scripted_target
 
 GIVE_UP_S = 20
 POLL_S = 0.01
@@ -109,6 +109,20 @@
     return answers.expected_answer(text, max_tokens, continue_from)
 
 
+class RecordingSession:
+    """A session that keeps what is said to it."""
+
+    def __init__(self):
+        self.said = []
+
+    def send(self, message, call_id=0):
+        self.said.append(message)
+
+    async def say(self, handler, message):
+        envelope = messages.Envelope(1, "e", "i", "a", 0, 1, 0.0, message)
+        await handler.handle(self, envelope)
+
+
 class Bench:
     """Everything that one scenario starts, and ends again."""
 
@@ -117,13 +131,13 @@
         self.clock = clock.Clock()
         self.zmq = None
         self.control = None
-        self.engine = None
+        self.target = None
         self.target_url = ""
         self.entry_by_name = {}
         self._tasks = []
         self._application = None
         self._agent_task = None
-        self._closers = []
+        self._processes = []
         self.run(self._open())
 
     def run(self, work):
@@ -139,29 +153,51 @@
         self._tasks.append(task)
         return task
 
-    async def start_engine(self, timing=None, **options):
-        settings = engine_server.EngineSettings(
-            timing=timing or batch.Timing(prefill_ms_per_piece=5, token_ms=2),
-            load_lag_ms=0,
-            **options,
+    async def start_engine(self, *options):
+        arguments = ("--prefill-ms-per-piece", "5", "--token-ms", "2")
+        self.target_url = await self.start_process(
+            "engine", *arguments, "--load-lag-ms", "0", *options
+        )
+
+    async def start_process(self, name, *arguments):
+        """Runs a stand-in as a process and returns its URL."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            f"standins.{name}",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._processes.append(process)
+        async with asyncio.timeout(GIVE_UP_S):
+            line = (await process.stdout.readline()).decode()
+        return f"http://127.0.0.1:{line.strip().rpartition('=')[2]}"
+
+    async def record(self, kind="runs"):
+        """Returns what the target recorded of its calls."""
+        origin = web.Origin.parse(self.target_url)
+        reply = await web.fetch(
+            origin, "GET", "/admin/record", timeout_ms=GIVE_UP_S * 1_000
         )
-        self.engine = engine_server.Engine(settings)
-        self.target_url = await self.serve(self.engine.app)
+        return msgspec.json.decode(reply.body)[kind]
 
-    async def serve(self, app):
-        web = serving.StandInServer(app)
-        task = self.spawn(web.run_until_stopped())
-        await until(lambda: web.started or task.done())
-        self._closers.append((web, task))
-        return f"http://127.0.0.1:{web.port}"
+    async def recorded(self, condition):
+        """Returns once the target's runs meet a condition."""
+        async with asyncio.timeout(GIVE_UP_S):
+            while not condition(await self.record()):
+                await asyncio.sleep(POLL_S)
+
+    async def start_script(self, script):
+        self.target = scripted_target.ScriptedTarget(script)
+        self.target_url = await self.target.start()
+
+    async def start_service(self, *options):
+        self.target_url = await self.start_process("service", *options)
 
     async def start_agent(self, **options):
+        values = {"model": "model", "load_poll_ms": 50}
         agent = model.AgentSettings(
-            target="target-1",
-            url=self.target_url,
-            model="" if options.get("kind") == "service" else "model",
-            load_poll_ms=50,
-            **options,
+            target="target-1", url=self.target_url, **(values | options)
         )
         control = model.PeerAddress(
             instance="control-1", ip="127.0.0.1", port=self.control.server.port
@@ -177,6 +213,7 @@
         application = daemon.build(settings)
         self._application = application
         self._agent_task = self.spawn(application.run())
+        await until(lambda: self.agent_address.port)
         if self.control.highest_fence is not None:
             await until(lambda: self.control.registered)
         self.handler = next(
@@ -216,13 +253,22 @@
         }
         return messages.Submit(request_id=request_id, **(values | fields))
 
-    async def ask(self, message, entry="entry-1"):
-        """Sends a request and reads its answer to the end."""
+    async def send(self, message, entry="entry-1"):
+        """Sends a message and returns the channel that answers it."""
         connection = await self.entry(entry)
         channel = connection.open()
         channel.send(message)
+        return channel
+
+    async def ask(self, message, entry="entry-1"):
+        """Sends a request and reads its answer to the end."""
+        channel = await self.send(message, entry)
         return await self.read(channel, message)
 
+    async def lose(self, entry):
+        """Ends an entry's connection."""
+        await self.entry_by_name.pop(entry).close()
+
     async def read(self, channel, message, outcome=None, *, acks=True):
         outcome = outcome or Outcome()
         while outcome.ending is None:
@@ -237,7 +283,8 @@
             case messages.Started():
                 outcome.started = event
             case messages.Chunks(first_seq, items):
-                assert first_seq == message.continue_from + len(outcome.items)
+                began = getattr(message, "continue_from", 0)
+                assert first_seq == began + len(outcome.items), event
                 outcome.items += items
                 if acks:
                     channel.send(
@@ -266,9 +313,11 @@
             self._application.stopping.set()
             await asyncio.gather(self._agent_task, return_exceptions=True)
         await self.control.server.stop()
-        for web, task in self._closers:
-            web.stop()
-            await asyncio.gather(task, return_exceptions=True)
+        for process in self._processes:
+            process.terminate()
+            await process.wait()
+        if self.target is not None:
+            await self.target.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/limits/admission.feature
@@ -0,0 +1,68 @@
+Feature: Admission answers at once
+
+  Background:
+    Given an admission with 2 running and 4 queued at most
+
+  Scenario: A request starts at once on an idle target
+    When team "a" enters with 100 ms of work and 10000 ms left
+    Then request 1 starts
+
+  Scenario: No more run at once than allowed
+    When team "a" enters 4 times with 100 ms of work and 10000 ms left
+    Then 2 requests run and 2 wait
+    When request 1 ends
+    Then 2 requests run and 1 wait
+
+  Scenario: A full queue refuses at once and says when to come back
+    When team "a" enters 6 times with 100 ms of work and 10000 ms left
+    And team "a" enters with 100 ms of work and 10000 ms left
+    Then request 7 is refused as "full" with a time to come back
+
+  Scenario: A team that fills the queue makes room for another one
+    When team "a" enters 6 times with 100 ms of work and 10000 ms left
+    And team "b" enters with 100 ms of work and 10000 ms left
+    Then 2 requests run and 4 wait
+    And request 6 is refused as "full" with a time to come back
+    When team "a" enters with 100 ms of work and 10000 ms left
+    Then request 8 is refused as "team_limit" with a time to come back
+
+  Scenario: A request that can't end in time is refused at once
+    When team "a" enters 4 times with 4000 ms of work and 60000 ms left
+    And team "a" enters with 4000 ms of work and 5000 ms left
+    Then request 5 is refused as "deadline" with a time to come back
+
+  Scenario: The time to come back follows the queue that must drain
+    When team "a" enters 3 times with 4000 ms of work and 60000 ms left
+    And team "a" enters with 4000 ms of work and 5000 ms left
+    And team "a" enters with 4000 ms of work and 60000 ms left
+    And team "a" enters with 4000 ms of work and 5000 ms left
+    Then request 6 is told to come back later than request 4
+
+  Scenario: A request that came back as told is then taken
+    When team "a" enters 3 times with 4000 ms of work and 60000 ms left
+    And team "a" enters with 4000 ms of work and 5000 ms left
+    And the time that request 4 was told passes
+    And team "a" enters with 4000 ms of work and 5000 ms left
+    Then request 5 waits
+
+  Scenario: A queued request is dropped once its deadline can't be met
+    When team "a" enters 2 times with 20 ms of work and 60000 ms left
+    And team "b" enters with 50 ms of work and 80 ms left
+    Then request 3 is refused as "deadline" before its deadline
+
+  Scenario: Refused requests leave nothing behind
+    When team "a" enters 6 times with 100 ms of work and 10000 ms left
+    And all requests are handed back
+    Then request 3 is refused as "draining"
+    When all requests end
+    Then 0 requests run and 0 wait
+    When team "a" enters with 100 ms of work and 10000 ms left
+    Then request 7 is refused as "draining"
+
+  Scenario: The queue before the first token is kept at the agent
+    Given an admission with 8 running and 8 queued at most
+    And a prefill window of 2
+    When team "a" enters 4 times with 100 ms of work and 10000 ms left
+    Then 2 requests run and 2 wait
+    When the first token of request 1 comes
+    Then 3 requests run and 1 wait
--- /dev/null
+++ b/tests/steps/admission_steps.py
@@ -0,0 +1,177 @@
+"""Steps for admission."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.limits import admission
+from lycheering.limits import cost
+
+GIVE_UP_S = 20
+
+
+class Requests:
+    """The requests of one scenario, by their number."""
+
+    def __init__(self):
+        self.runner = asyncio.Runner()
+        self.clock = clock.ManualClock(1_000)
+        self.gate = admission.Admission(self.clock)
+        self.place_by_number = {}
+        self.task_by_number = {}
+        self.error_by_number = {}
+        self.count = 0
+
+    async def enter(self, team, work_ms, left_ms):
+        self.count += 1
+        demand = admission.Demand(
+            team,
+            1.0,
+            10,
+            cost.Cost(0.0, work_ms),
+            self.clock.now_ms() + left_ms,
+        )
+        try:
+            place = self.gate.enter(demand)
+        except admission.RefusedError as error:
+            self.error_by_number[self.count] = error
+            return
+        self.place_by_number[self.count] = place
+        work = self._wait(self.count, place)
+        self.task_by_number[self.count] = asyncio.create_task(work)
+        await asyncio.sleep(0)
+
+    async def _wait(self, number, place):
+        try:
+            await self.gate.wait(place)
+        except admission.RefusedError as error:
+            self.error_by_number[number] = error
+            self.gate.leave(place)
+
+    async def refused(self, number):
+        task = self.task_by_number.get(number)
+        if task is not None:
+            async with asyncio.timeout(GIVE_UP_S):
+                await task
+        return self.error_by_number[number]
+
+    async def settle(self):
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    async def cancel(self):
+        for task in self.task_by_number.values():
+            task.cancel()
+        tasks = self.task_by_number.values()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def close(self):
+        self.runner.run(self.cancel())
+        self.runner.close()
+
+
+@given("an admission with {running:d} running and {queued:d} queued at most")
+def step_admission(context, running, queued):
+    if not hasattr(context, "entered"):
+        context.entered = Requests()
+        context.stack.callback(context.entered.close)
+    limits = admission.Limits(running, queued, running)
+    context.entered.gate.change_limits(limits)
+
+
+@given("a prefill window of {window:d}")
+def step_window(context, window):
+    gate = context.entered.gate
+    gate.change_limits(dataclasses.replace(gate.limits, prefill_window=window))
+
+
+@when('team "{team}" enters with {work:d} ms of work and {left:d} ms left')
+def step_enter(context, team, work, left):
+    entered = context.entered
+    entered.runner.run(entered.enter(team, work, left))
+
+
+@when(
+    'team "{team}" enters {count:d} times with {work:d} ms of work and'
+    " {left:d} ms left"
+)
+def step_enter_times(context, team, count, work, left):
+    for _ in range(count):
+        step_enter(context, team, work, left)
+
+
+@when("the time that request {number:d} was told passes")
+def step_told_passes(context, number):
+    error = context.entered.error_by_number[number]
+    context.entered.clock.advance(error.retry_after_ms)
+
+
+@when("request {number:d} ends")
+def step_ends(context, number):
+    entered = context.entered
+    entered.gate.leave(entered.place_by_number[number])
+    entered.runner.run(entered.settle())
+
+
+@when("all requests end")
+def step_all_end(context):
+    for number in context.entered.place_by_number:
+        step_ends(context, number)
+
+
+@when("all requests are handed back")
+def step_hand_back(context):
+    context.entered.gate.hand_back()
+    context.entered.runner.run(context.entered.settle())
+
+
+@when("the first token of request {number:d} comes")
+def step_first_token(context, number):
+    entered = context.entered
+    entered.gate.prefilled(entered.place_by_number[number])
+
+
+@then("request {number:d} starts")
+def step_starts(context, number):
+    entered = context.entered
+    entered.runner.run(entered.settle())
+    assert entered.task_by_number[number].done()
+    assert number not in entered.error_by_number
+
+
+@then("request {number:d} waits")
+def step_waits(context, number):
+    entered = context.entered
+    assert number not in entered.error_by_number, entered.error_by_number
+    assert not entered.task_by_number[number].done()
+
+
+@then("{running:d} requests run and {waiting:d} wait")
+def step_counts(context, running, waiting):
+    gate = context.entered.gate
+    found = (gate.running, len(gate.queue))
+    assert found == (running, waiting), found
+
+
+@then('request {number:d} is refused as "{reason}"')
+@then('request {number:d} is refused as "{reason}" with a time to come back')
+@then('request {number:d} is refused as "{reason}" before its deadline')
+def step_refused(context, number, reason):
+    entered = context.entered
+    error = entered.runner.run(entered.refused(number))
+    assert error.reason == reason, error
+    if reason != "draining":
+        assert error.retry_after_ms > 0
+
+
+@then("request {number:d} is told to come back later than request {earlier:d}")
+def step_later(context, number, earlier):
+    error_by_number = context.entered.error_by_number
+    later_ms = error_by_number[number].retry_after_ms
+    assert later_ms > error_by_number[earlier].retry_after_ms > 0
--- /dev/null
+++ b/tests/steps/agent_order_steps.py
@@ -0,0 +1,305 @@
+"""Steps for orders at the agent."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.agent import orders
+from lycheering.limits import admission
+from lycheering.wire import messages
+from tests.helpers import agent_bench
+
+HIGHEST_FENCE = 5
+RETENTION_MS = 60_000
+
+
+def begin(context, *arguments, script=None, highest_fence=HIGHEST_FENCE):
+    bench = agent_bench.Bench()
+    context.bench = bench
+    context.stack.callback(bench.close)
+    bench.control.highest_fence = highest_fence
+    if script is None:
+        bench.run(bench.start_service(*arguments))
+    else:
+        bench.run(bench.start_script(script))
+    bench.run(bench.start_agent(kind="service", service="orders", model=""))
+
+
+@given("a registered agent beside a service")
+def step_service(context):
+    begin(context)
+
+
+@given("a registered agent beside a service that takes {delay:d} ms")
+def step_slow_service(context, delay):
+    begin(context, "--delay-ms", str(delay))
+
+
+@given("an agent without a quorum beside a service")
+def step_no_quorum(context):
+    begin(context, highest_fence=None)
+
+
+@given("a registered agent beside a service that hangs up")
+def step_hangs_up(context):
+    begin(context, script=[b""])
+
+
+def order(context, order_id, fence, attempt=1):
+    return context.bench.submit(
+        "r1",
+        attempt=attempt,
+        path="/orders",
+        model="",
+        body=b"one page",
+        ticket=messages.OrderTicket(order_id, fence),
+    )
+
+
+@when('an entry submits order "{order_id}" with fence {fence:d}')
+@when(
+    'an entry submits order "{order_id}" with fence {fence:d} as attempt'
+    " {attempt:d}"
+)
+def step_submit(context, order_id, fence, attempt=1):
+    bench = context.bench
+    submit = order(context, order_id, fence, attempt)
+    context.outcome = bench.run(bench.ask(submit))
+
+
+@when('an entry goes away after order "{order_id}" with fence {fence:d}')
+def step_goes_away(context, order_id, fence):
+    bench = context.bench
+
+    async def go():
+        await bench.send(order(context, order_id, fence))
+        await bench.recorded(bool)
+        await bench.lose("entry-1")
+
+    bench.run(go())
+
+
+@when("it is cancelled")
+def step_cancelled(context):
+    bench = context.bench
+    bench.run(bench.send(messages.Cancel("r1", 1), "entry-2"))
+
+
+def inquire(context, order_id):
+    async def call():
+        connection = await context.bench.entry("control-1")
+        return await connection.call(messages.OrderInquiry(order_id))
+
+    context.reply = context.bench.run(call())
+    return context.reply
+
+
+@when('control inquires for order "{order_id}"')
+def step_inquire(context, order_id):
+    inquire(context, order_id)
+
+
+@then('the inquiry says "{result}"')
+def step_inquiry_says(context, result):
+    assert context.reply.result == result, context.reply
+
+
+@then('an inquiry for order "{order_id}" says "{result}"')
+def step_inquiry(context, order_id, result):
+    reply = inquire(context, order_id)
+    assert reply.result == result, reply
+
+
+@then('the inquiry for order "{order_id}" has the answer as "{result}"')
+def step_inquiry_answer(context, order_id, result):
+    step_inquiry(context, order_id, result)
+    answer = b"".join(context.outcome.items)
+    assert context.reply.outcome.body == answer
+    assert context.reply.outcome.status == 200
+
+
+@then('inquiries for order "{order_id}" say "{first}", later "{then_}"')
+def step_inquiry_later(context, order_id, first, then_):
+    result = inquire(context, order_id).result
+    assert result in (first, then_), result
+    while result != then_:
+        assert result == first, result
+        result = inquire(context, order_id).result
+
+
+@then("the order is finished")
+def step_finished(context):
+    assert isinstance(context.outcome.ending, messages.Finished)
+
+
+@then('the order is not run because of "{reason}"')
+def step_not_run(context, reason):
+    ending = context.outcome.ending
+    assert isinstance(ending, messages.NotRun), ending
+    assert ending.reason == reason, ending
+
+
+@then('the order is broken because of "{reason}"')
+def step_broken(context, reason):
+    ending = context.outcome.ending
+    assert isinstance(ending, messages.Broken), ending
+    assert ending.reason == reason, ending
+
+
+@then("the service ran {count:d} calls")
+def step_ran(context, count):
+    runs = context.bench.run(context.bench.record())
+    assert len(runs) == count, runs
+
+
+@then("the service ran 1 call with fence {fence:d}")
+def step_ran_once(context, fence):
+    (run,) = context.bench.run(context.bench.record())
+    assert run["fence"] == fence, run
+    assert run["outcome"] == "finished", run
+
+
+@then("the target received {count:d} request")
+def step_received(context, count):
+    assert len(context.bench.target.lines) == count
+
+
+def new_desk(context):
+    context.clock = clock.ManualClock(1_000)
+    context.desk = orders.OrderDesk(context.clock, RETENTION_MS)
+    context.desk.registered(0)
+
+
+def receive(context, order_id, fence):
+    context.desk.receive(messages.OrderTicket(order_id, fence))
+
+
+@given('an order desk that received order "{order_id}"')
+def step_desk(context, order_id):
+    new_desk(context)
+    receive(context, order_id, 1)
+
+
+@given("an order desk that received orders with fences {one:d} and {two:d}")
+def step_desk_fences(context, one, two):
+    new_desk(context)
+    receive(context, f"o{one}", one)
+    receive(context, f"o{two}", two)
+
+
+@given("an order desk with room for {count:d} orders")
+def step_desk_room(context, count):
+    before = orders.MAX_ORDERS
+    orders.MAX_ORDERS = count
+    context.stack.callback(setattr, orders, "MAX_ORDERS", before)
+    new_desk(context)
+
+
+@when('the desk is asked for order "{order_id}"')
+def step_desk_asked(context, order_id):
+    context.reply = context.desk.inquire(order_id)
+
+
+@then('the desk answers "{result}"')
+def step_desk_answers(context, result):
+    assert context.reply.result == result
+
+
+def reason_of(call, *arguments):
+    try:
+        call(*arguments)
+    except admission.RefusedError as error:
+        return error.reason
+    return ""
+
+
+@then('the desk does not let order "{order_id}" leave')
+def step_desk_blocked(context, order_id):
+    ticket = messages.OrderTicket(order_id, 1)
+    assert reason_of(context.desk.sending, ticket, False) == "blocked"
+
+
+@when("{count:d} orders come to the desk")
+def step_desk_orders(context, count):
+    context.reasons = [
+        reason_of(receive, context, f"o{number}", 1) for number in range(count)
+    ]
+
+
+@then('the desk refuses the last one as "{reason}"')
+def step_desk_refuses(context, reason):
+    assert context.reasons[-1] == reason
+    assert not any(context.reasons[:-1])
+
+
+@then("the desk remembers the first {count:d}")
+def step_desk_remembers(context, count):
+    for number in range(count):
+        ticket = messages.OrderTicket(f"o{number}", 1)
+        context.desk.sending(ticket, False)
+        context.desk.broken(ticket.order_id)
+        assert context.desk.inquire(ticket.order_id).result == "unknown"
+
+
+@when("the retention time passes at the desk")
+def step_desk_retention(context):
+    context.clock.advance(RETENTION_MS)
+
+
+@then("the desk takes another order")
+def step_desk_another(context):
+    receive(context, "another", 1)
+
+
+@when("the order with fence {fence:d} leaves")
+def step_desk_leaves(context, fence):
+    context.desk.sending(messages.OrderTicket(f"o{fence}", fence), True)
+
+
+@then(
+    "the order with fence {fence:d} may only leave if the target checks nothing"
+)
+def step_desk_in_order(context, fence):
+    ticket = messages.OrderTicket(f"o{fence}", fence)
+    assert reason_of(context.desk.sending, ticket, True) == "fenced"
+    assert reason_of(context.desk.sending, ticket, False) == ""
+
+
+@when('control orders weights "{version}" with fence {fence:d}')
+def step_order_weights(context, version, fence):
+    message = messages.TargetOrder(
+        fence,
+        messages.TargetOrderKind.LOAD_WEIGHTS,
+        model="model",
+        version=version,
+    )
+
+    async def call():
+        connection = await context.bench.entry("control-1")
+        return await connection.call(message, agent_bench.LONG_MS)
+
+    context.reply = context.bench.run(call())
+
+
+@then("the target order is done")
+def step_target_done(context):
+    assert context.reply.done, context.reply
+
+
+@then("the target order is refused by fence {fence:d}")
+def step_target_refused(context, fence):
+    assert not context.reply.done
+    assert context.reply.highest_fence == fence
+
+
+@when('weights "{version}" are being loaded')
+def step_loading(context, version):
+    context.bench.context.state.load_began(version)
+
+
+@then("it is told when to come back")
+def step_told(context):
+    assert context.outcome.ending.retry_after_ms > 0
--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -1,13 +1,23 @@
-"""Steps for the agent."""
+"""Steps for requests at the agent."""
 
 from __future__ import annotations
 
+import asyncio
+
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
+from lycheering.fleet import changes
+from lycheering.fleet import options
+from lycheering.fleet import records
 from lycheering.wire import messages
 from tests.helpers import agent_bench
+from tests.helpers import scripted_target as scripted
+
+REST = (scripted.event(2, last=True), scripted.DONE)
+PIECE_CHARS = 4_000
 
 
 def bench_of(context):
@@ -18,20 +28,141 @@
 
 
 @given("an agent beside an engine")
-def step_agent_and_engine(context):
+def step_agent_and_engine(context, *arguments, **options):
+    bench = bench_of(context)
+    bench.run(bench.start_engine(*arguments))
+    bench.run(bench.start_agent(**options))
+
+
+@given("an agent beside an engine that keeps streams for {tail:d} ms")
+def step_agent_tail(context, tail):
+    step_agent_and_engine(context, stream_tail_ms=tail)
+
+
+@given("an agent beside an engine with 1 slot")
+def step_agent_slot(context):
+    step_agent_and_engine(context, "--slots", "1")
+
+
+def start_scripted(context, *script):
     bench = bench_of(context)
-    bench.run(bench.start_engine())
+    bench.run(bench.start_script(script))
     bench.run(bench.start_agent())
 
 
+@given("an agent beside a target that streams 2 of 3 events, then {then}")
+def step_scripted(context, then):
+    start = scripted.stream(scripted.event(0), scripted.event(1))
+    rest = [scripted.stream(*REST)] if then == "the rest" else []
+    start_scripted(context, start, *rest)
+
+
+@given("an agent beside a target that hangs up on requests")
+def step_hangs_up(context):
+    start_scripted(context, b"")
+
+
+@given("an agent beside a target that no longer listens")
+def step_not_listening(context):
+    start_scripted(context)
+    bench = context.bench
+    bench.run(bench.target.stop())
+
+
+@given("an agent beside a target that goes silent")
+def step_goes_silent(context):
+    start_scripted(context, None)
+    context.bench.target.silent = True
+
+
+@given("an agent beside a target whose answer has other weights")
+def step_other_weights(context):
+    answer = scripted.stream(scripted.event(0), scripted.event(1), *REST)
+    other = answer.replace(b"X-Weights-Version: 1", b"X-Weights-Version: 2")
+    start_scripted(context, other)
+
+
+def is_first(runs, outcome):
+    return bool(runs) and runs[0]["outcome"] == outcome
+
+
+def ask(context, submit):
+    context.tokens = 0
+    context.outcome = context.bench.run(context.bench.ask(submit))
+
+
 @when('an entry submits request "{request_id}" for {tokens:d} tokens')
 def step_submit(context, request_id, tokens):
-    bench = bench_of(context)
+    submit = context.bench.submit(request_id, max_tokens=tokens)
+    ask(context, submit)
+    context.tokens = tokens
+
+
+@when(
+    'an entry submits request "{request_id}" for {tokens:d} tokens from token'
+    " {start:d}"
+)
+def step_submit_from(context, request_id, tokens, start):
+    ask(
+        context,
+        context.bench.submit(
+            request_id, max_tokens=tokens, continue_from=start
+        ),
+    )
     context.tokens = tokens
-    submit = bench.submit(request_id, max_tokens=tokens)
-    context.outcome = bench.run(bench.ask(submit))
 
 
+@when('an entry submits request "{request_id}" for 3 tokens of model "{name}"')
+def step_submit_model(context, request_id, name):
+    ask(context, context.bench.submit(request_id, model=name))
+
+
+@when(
+    'an entry submits request "{request_id}" for 3 tokens of weights'
+    ' "{version}"'
+)
+def step_submit_weights(context, request_id, version):
+    submit = context.bench.submit(
+        request_id, max_tokens=3, weights_version=version
+    )
+    ask(context, submit)
+    context.tokens = 3
+
+
+@when(
+    'an entry submits request "{request_id}" for {tokens:d} tokens with'
+    " {left:d} ms left"
+)
+def step_submit_left(context, request_id, tokens, left):
+    bench = context.bench
+    deadline_ms = bench.clock.now_ms() + left
+    ask(
+        context,
+        bench.submit(request_id, max_tokens=tokens, deadline_ms=deadline_ms),
+    )
+
+
+@when('an entry submits request "{request_id}" for 3 tokens of a bad body')
+def step_submit_bad(context, request_id):
+    ask(context, context.bench.submit(request_id, body=b'{"messages": 3}'))
+
+
+@when('an entry submits request "{request_id}" for {tokens:d} tokens twice')
+def step_submit_twice(context, request_id, tokens):
+    bench = context.bench
+    context.tokens = tokens
+
+    async def twice():
+        submit = bench.submit(request_id, max_tokens=tokens)
+        # the first one's frames go to the second one once it is there
+        channel = await bench.send(submit)
+        second = await bench.ask(submit)
+        return channel, second
+
+    _, context.outcome = bench.run(twice())
+
+
+@then("both have the whole answer")
 @then("the entry has the whole answer")
 def step_whole(context):
     ending = context.outcome.ending
@@ -41,8 +172,311 @@
     assert ending.next_seq == context.tokens
 
 
+@then("the entry has the answer from token {start:d}")
+def step_from(context, start):
+    wanted = agent_bench.expected_text("hello", context.tokens, start)
+    assert context.outcome.text == wanted, context.outcome
+    assert context.outcome.ending.next_seq == context.tokens
+
+
 @then("the engine ran {count:d} request")
 @then("the engine ran {count:d} requests")
 def step_engine_ran(context, count):
-    runs = context.bench.engine.batch.runs
+    runs = context.bench.run(context.bench.record())
     assert len(runs) == count, runs
+
+
+@when("an entry loses its connection after some of {tokens:d} tokens")
+def step_lose(context, tokens):
+    bench = context.bench
+    context.tokens = tokens
+    context.outcome = agent_bench.Outcome()
+    context.submit = bench.submit("r1", max_tokens=tokens)
+
+    async def lose():
+        channel = await bench.send(context.submit)
+        while len(context.outcome.items) < 3:
+            await bench.read_one(channel, context.submit, context.outcome)
+        await bench.lose("entry-1")
+
+    bench.run(lose())
+
+
+@when("it resumes on a new connection")
+def step_resume(context):
+    bench = context.bench
+
+    async def resume():
+        message = messages.Resume("r1", 1, len(context.outcome.items))
+        channel = await bench.send(message)
+        await bench.read(channel, context.submit, context.outcome)
+
+    bench.run(resume())
+
+
+@when('an entry resumes request "{request_id}" that was never submitted')
+def step_resume_unknown(context, request_id):
+    ask(context, messages.Resume(request_id, 1, 0))
+
+
+@then('it is not run because of "{reason}"')
+def step_not_run(context, reason):
+    ending = context.outcome.ending
+    assert isinstance(ending, messages.NotRun), ending
+    assert ending.reason == reason, ending
+    assert not context.outcome.items
+
+
+@then('it is broken because of "{reason}"')
+def step_broken(context, reason):
+    ending = context.outcome.ending
+    assert isinstance(ending, messages.Broken), ending
+    assert ending.reason == reason, ending
+
+
+@then('it is broken because of "{reason}" after {count:d} chunks')
+def step_broken_after(context, reason, count):
+    step_broken(context, reason)
+    assert context.outcome.ending.next_seq == count
+    assert len(context.outcome.items) == count
+
+
+@then("the entry has {count:d} chunks and the answer is finished")
+def step_chunks_finished(context, count):
+    assert len(context.outcome.items) == count, context.outcome
+    assert isinstance(context.outcome.ending, messages.Finished)
+
+
+@when("an entry cancels a running request for {tokens:d} tokens")
+def step_cancel(context, tokens):
+    bench = context.bench
+    context.outcome = agent_bench.Outcome()
+    submit = bench.submit("r1", max_tokens=tokens)
+
+    async def cancel():
+        channel = await bench.send(submit)
+        while not context.outcome.items:
+            await bench.read_one(channel, submit, context.outcome)
+        channel.send(messages.Cancel("r1", 1))
+        await bench.read(channel, submit, context.outcome)
+
+    bench.run(cancel())
+
+
+@when("an entry submits and cancels a request at once")
+def step_cancel_at_once(context):
+    bench = context.bench
+    session = agent_bench.RecordingSession()
+
+    async def cancel():
+        # both frames are handled before the request's task first runs
+        await session.say(bench.handler, bench.submit("r1"))
+        await session.say(bench.handler, messages.Cancel("r1", 1))
+        await agent_bench.until(lambda: session.said)
+
+    bench.run(cancel())
+    context.outcome = agent_bench.Outcome(ending=session.said[-1])
+
+
+@then("the engine cancels the request")
+def step_engine_cancels(context):
+    bench = context.bench
+    bench.run(bench.recorded(lambda runs: is_first(runs, "cancelled")))
+
+
+@when("an entry reads {tokens:d} tokens without acknowledging them")
+def step_no_acks(context, tokens):
+    bench = context.bench
+    context.tokens = tokens
+    context.outcome = agent_bench.Outcome()
+    context.submit = bench.submit("r1", max_tokens=tokens)
+
+    async def read():
+        context.channel = await bench.send(context.submit)
+        while len(context.outcome.items) < 1_024:
+            await bench.read_one(
+                context.channel, context.submit, context.outcome, acks=False
+            )
+        await bench.recorded(lambda runs: is_first(runs, "finished"))
+
+    bench.run(read())
+
+
+@then("it is sent at least {count:d} tokens but not all")
+def step_paused(context, count):
+    assert count <= len(context.outcome.items) < context.tokens
+    run = context.bench.handler.run_by_key[("r1", 1)]
+    assert not run.delivery.tail.has_room
+    assert run.delivery.ending is None
+
+
+@when("it acknowledges what it has")
+def step_ack(context):
+    bench = context.bench
+    have = len(context.outcome.items)
+    context.channel.send(messages.Ack("r1", 1, have))
+    bench.run(bench.read(context.channel, context.submit, context.outcome))
+
+
+@when('teams "{one}" and "{other}" submit prompts that share 1 of 2 levels')
+def step_two_teams(context, one, other):
+    for team in (one, other):
+        step_team_again(context, team)
+
+
+@when('team "{team}" submits its prompt again')
+def step_team_again(context, team):
+    # the archive is shared; the second level is equal, yet each team's own
+    prompt = "a" * (PIECE_CHARS - len("user\n")) + "b" * PIECE_CHARS
+    ends = (PIECE_CHARS, 2 * PIECE_CHARS)
+    context.count = getattr(context, "count", 0) + 1
+    submit = context.bench.submit(
+        f"r{context.count}", prompt, team=team, level_ends=ends, shared_levels=1
+    )
+    ask(context, submit)
+
+
+@then('team "{team}" finds {count:d} of its pieces cached')
+@then("it finds {count:d} of its pieces cached")
+def step_cached(context, count, team=""):
+    assert context.outcome.started.cached_pieces == count, context.outcome
+
+
+@then('the engine saw the salts "{one}" and "{other}"')
+def step_salts(context, one, other):
+    runs = context.bench.run(context.bench.record())
+    found = [", ".join(run["salts"]) for run in runs]
+    assert found == [one, other], found
+
+
+@when('a caller names the cache salt "{salt}" in its body')
+def step_caller_salt(context, salt):
+    body = msgspec.json.decode(agent_bench.chat_body("hello"))
+    body |= {"cache_salt": salt, "cache_salts": [salt], "priority": -5}
+    submit = context.bench.submit("r1", body=msgspec.json.encode(body))
+    ask(context, submit)
+
+
+@then('the engine saw only the salt "{salt}"')
+def step_only_salt(context, salt):
+    (run,) = context.bench.run(context.bench.record())
+    assert run["salts"] == [salt], run
+
+
+@when("{count:d} entries submit requests for {tokens:d} tokens")
+def step_several(context, count, tokens):
+    bench = context.bench
+
+    async def submit_all():
+        context.asked = [
+            bench.spawn(
+                bench.ask(
+                    bench.submit(f"r{number}", max_tokens=tokens),
+                    f"entry-{number}",
+                )
+            )
+            for number in range(count)
+        ]
+        gate = bench.context.admission
+        await agent_bench.until(lambda: len(gate.queue) == count - 1)
+        await bench.recorded(bool)
+
+    bench.run(submit_all())
+
+
+@when("the agent is asked to end")
+def step_ask_end(context):
+    context.bench._application.stopping.set()
+
+
+@when("the view marks the target as leaving")
+def step_leaving(context):
+    bench = context.bench
+    target = bench.control.registered[0]
+    leaving = msgspec.structs.replace(target, state=records.TargetState.LEAVING)
+
+    async def mark():
+        bench.control.change(changes.TargetPut(leaving))
+
+    bench.run(mark())
+
+
+@then(
+    "{whole:d} answer is whole and {refused:d} are not run because of"
+    ' "{reason}"'
+)
+def step_tally(context, whole, refused, reason):
+    bench = context.bench
+
+    async def collect():
+        return await asyncio.gather(*context.asked)
+
+    endings = [outcome.ending for outcome in bench.run(collect())]
+    finished = [e for e in endings if isinstance(e, messages.Finished)]
+    not_run = [e for e in endings if isinstance(e, messages.NotRun)]
+    assert (len(finished), len(not_run)) == (whole, refused), endings
+    assert {ending.reason for ending in not_run} == {reason}
+
+
+@then("the agent ends")
+def step_agent_ends(context):
+    async def end():
+        async with asyncio.timeout(agent_bench.GIVE_UP_S):
+            await context.bench._agent_task
+
+    context.bench.run(end())
+
+
+@then("control was told that the target leaves")
+def step_deregistered(context):
+    (message,) = context.bench.control.deregistered
+    assert message.target == "target-1"
+
+
+@when("an operator drains the target")
+def step_drain(context):
+    scope = records.Scope(options.ScopeKind.TARGET, "target-1")
+    record = records.ExceptionRecord(
+        "e1", scope, "target.drained", True, "a repair", "operator", 1
+    )
+
+    async def drain():
+        context.bench.control.change(changes.ExceptionAdded(record))
+
+    context.bench.run(drain())
+
+
+@when("the operator lets the target back")
+def step_let_back(context):
+    async def let_back():
+        context.bench.control.change(changes.ExceptionRemoved("e1"))
+
+    context.bench.run(let_back())
+
+
+@then('a request is not run because of "{reason}" before long')
+def step_refused_soon(context, reason):
+    def refused(ending):
+        return isinstance(ending, messages.NotRun) and ending.reason == reason
+
+    ask_until(context, refused)
+
+
+@then("a request is run before long")
+def step_run_soon(context):
+    ask_until(context, lambda ending: isinstance(ending, messages.Finished))
+
+
+def ask_until(context, accepts):
+    bench = context.bench
+
+    async def repeat():
+        async with asyncio.timeout(agent_bench.GIVE_UP_S):
+            for number in range(10_000):
+                submit = bench.submit(f"{id(accepts)}-{number}", max_tokens=1)
+                outcome = await bench.ask(submit)
+                if accepts(outcome.ending):
+                    return
+                await asyncio.sleep(agent_bench.POLL_S)
+
+    bench.run(repeat())
--- /dev/null
+++ b/tests/steps/cache_steps.py
@@ -0,0 +1,219 @@
+"""Steps for cache pieces and the block index."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from lycheering import clock
+from lycheering.cache import api
+from lycheering.cache import feed
+from lycheering.cache import index
+from lycheering.cache import pieces
+from lycheering.telemetry import counters
+from standins.engine import cache as engine_cache
+
+
+def plan(text, ends, shared=0, team="t", piece_chars=4_000):
+    return pieces.plan_prompt(
+        text, ends, shared, model="m", team=team, piece_chars=piece_chars
+    )
+
+
+def keys(prompt, version="1"):
+    return [link.key.hex() for link in prompt.links("m", version)]
+
+
+@given(
+    "a prompt of {chars:d} characters with levels ending at {first:d} and"
+    " {second:d}"
+)
+def step_prompt(context, chars, first, second):
+    context.prompt_text = "x" * chars
+    context.ends = (first, second)
+    context.plan = plan(context.prompt_text, context.ends)
+
+
+@when("{count:d} of its levels is shared")
+def step_shared(context, count):
+    context.shared_levels = count
+    context.plan = plan(context.prompt_text, context.ends, count)
+
+
+@then("its pieces have {lengths} characters")
+def step_lengths(context, lengths):
+    assert "".join(context.plan.pieces) == context.prompt_text
+    found = ", ".join(str(len(piece)) for piece in context.plan.pieces)
+    assert found == lengths, found
+
+
+@then("{count:d} of its pieces can be cached")
+def step_cacheable(context, count):
+    assert context.plan.cacheable_count == count
+
+
+@then('its salts are "{salts}"')
+def step_salts(context, salts):
+    assert ", ".join(context.plan.salts) == salts
+
+
+@then('teams "{one}" and "{other}" have {count:d} equal keys and then none')
+def step_team_keys(context, one, other, count):
+    plans = [
+        plan(context.prompt_text, context.ends, context.shared_levels, team)
+        for team in (one, other)
+    ]
+    first, second = map(keys, plans)
+    assert first[:count] == second[:count]
+    assert not set(first[count:]) & set(second[count:])
+
+
+@then('weights "{one}" and "{other}" have no key in common')
+def step_version_keys(context, one, other):
+    assert not set(keys(context.plan, one)) & set(keys(context.plan, other))
+
+
+@then("any prompt has the keys that the engine computes")
+def step_engine_keys(context):
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.text(max_size=80),
+        strategies.lists(strategies.integers(0, 80), max_size=4),
+        strategies.integers(0, 4),
+    )
+    def check(text, ends, shared):
+        made = plan(text, ends, shared, piece_chars=16)
+        assert "".join(made.pieces) == text
+        assert all(made.pieces)
+        count = made.cacheable_count
+        chain = engine_cache.block_chain(
+            "m", "1", made.pieces[:count], made.salts
+        )
+        assert keys(made) == [block.block for block in chain]
+
+    check()
+
+
+@given(
+    'an index in step with incarnation "{incarnation}" up to event {seq:d}'
+    ' holding "{block}"'
+)
+def step_index(context, incarnation, seq, block):
+    context.index = index.BlockIndex()
+    context.listing = api.BlockListing(
+        incarnation, seq, "1", (api.ListedBlock(block),)
+    )
+    context.index.restore(context.listing)
+
+
+def apply(context, seq, kind, block="", version="1", incarnation="i1"):
+    event = api.CacheEvent(seq, incarnation, kind, block, version)
+    context.index.apply(event)
+
+
+@when('event {seq:d} stores "{block}"')
+def step_stores(context, seq, block):
+    apply(context, seq, api.EventKind.STORED, block)
+
+
+@when('event {seq:d} stores "{block}" for weights "{version}"')
+def step_stores_for(context, seq, block, version):
+    apply(context, seq, api.EventKind.STORED, block, version)
+
+
+@when('event {seq:d} evicts "{block}"')
+def step_evicts(context, seq, block):
+    apply(context, seq, api.EventKind.EVICTED, block)
+
+
+@when('event {seq:d} clears the cache for weights "{version}"')
+def step_clears(context, seq, version):
+    apply(context, seq, api.EventKind.CLEARED, "", version)
+
+
+@when("a tick comes after event {seq:d}")
+def step_tick(context, seq):
+    apply(context, seq, api.EventKind.TICK)
+
+
+@when('incarnation "{name}" sends event {seq:d} that stores "{block}"')
+def step_incarnation(context, name, seq, block):
+    apply(context, seq, api.EventKind.STORED, block, incarnation=name)
+
+
+@then('the index holds "{wanted}"')
+@then('the index holds ""')
+def step_holds(context, wanted=""):
+    found = [
+        block
+        for block in ("aa", "bb", "cc")
+        if context.index.matched_count([bytes.fromhex(block)])
+    ]
+    assert context.index.synced
+    assert "".join(found) == wanted, found
+
+
+@then("the index counts as empty")
+def step_counts_empty(context):
+    assert not context.index.synced
+    assert not context.index.matched_count([bytes.fromhex("aa")])
+    assert not len(context.index)
+
+
+class ListedSource(api.EventSource):
+    """Lists the same blocks again and sends the same events."""
+
+    def __init__(self, listing, events):
+        self.listing = listing
+        self.events = events
+        self.listed = 0
+        self.asked_from = []
+        self.twice = asyncio.Event()
+
+    async def list_blocks(self):
+        self.listed += 1
+        if self.listed == 2:
+            self.twice.set()
+        return self.listing
+
+    async def cache_events(self, from_seq):
+        self.asked_from.append(from_seq)
+        for event in self.events:
+            yield event
+
+
+@given('a source whose events {one:d} and {two:d} store "{first}" and "{next}"')
+def step_source(context, one, two, first, next):  # noqa: A002
+    stored = api.EventKind.STORED
+    events = [
+        api.CacheEvent(one, "i1", stored, first, "1"),
+        api.CacheEvent(two, "i1", stored, next, "1"),
+    ]
+    context.source = ListedSource(context.listing, events)
+
+
+@when("the feed follows the source until it listed 2 times")
+def step_follow(context):
+    context.counted = counters.Counters()
+
+    async def follow():
+        part = feed.EventFeed(
+            context.source, context.index, clock.Clock(), context.counted
+        )
+        await part.start()
+        async with asyncio.timeout(20):
+            await context.source.twice.wait()
+        await part.stop()
+
+    asyncio.run(follow())
+
+
+@then("the first listing was followed by a gap")
+def step_gap(context):
+    assert context.source.asked_from[0] == context.listing.seq + 1
+    assert context.counted.value_by_name["cache.gap"] >= 1
