Ask longer for the outcome of a change that is in doubt

Change: a change that may have been made is sent again under its id for 10 s (--patience-ms), with the pause that the refusal asks for, and what surely was not made is given up after three rounds as before.

--- a/src/lycheering/commands/base.py
+++ b/src/lycheering/commands/base.py
@@ -109,6 +109,13 @@
             f"repeatable; else ${AT_VARIABLE}, comma-separated.",
         ),
     ] = dataclasses.field(default_factory=list)
+    patience_ms: Annotated[
+        int,
+        cappa.Arg(
+            long=True,
+            help="How long a change whose answer is lost is sent again.",
+        ),
+    ] = client.PATIENCE_MS
 
     def client(self) -> client.OperatorClient:
         """Returns a client of the endpoints given.
@@ -120,7 +127,8 @@
         origins = [parse_origin(text) for text in texts if text.strip()]
         if not origins:
             raise UsageError(f"give --at ip:port or set {AT_VARIABLE}")
-        return client.OperatorClient(origins, read_key(self.key_file))
+        key = read_key(self.key_file)
+        return client.OperatorClient(origins, key, self.patience_ms)
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/lycheering/commands/explain.py
+++ b/src/lycheering/commands/explain.py
@@ -10,6 +10,7 @@
 from lycheering.commands import base
 from lycheering.commands import exit_codes
 from lycheering.commands import output
+from lycheering.operator import answers
 from lycheering.operator import calls
 from lycheering.operator import client
 
@@ -34,8 +35,35 @@
         origin = base.parse_origin(self.entry)
         remote = client.OperatorClient([origin], base.read_key(self.key_file))
         path = f"/v1/explain/{calls.quote(self.request)}"
-        output.as_json(await remote.call(calls.read(path)))
+        content = await remote.call(calls.read(path))
+        if self.json:
+            output.as_json(content)
+            return exit_codes.ExitCode.OK
+        answer = client.decode(content, answers.ExplainAnswer)
+        for attempt in answer.attempts:
+            _print(attempt)
         return exit_codes.ExitCode.OK
 
 
+def _print(attempt: answers.AttemptItem) -> None:
+    reason = f" ({attempt.reason})" if attempt.reason else ""
+    print(f"attempt {attempt.attempt}: {attempt.chosen}{reason}")
+    print(
+        f"policy {attempt.policy}, prefix {attempt.level_key or '-'}"
+        f" over {attempt.width} targets"
+    )
+    rows = [
+        (
+            candidate.name,
+            f"{candidate.score:.3f}",
+            f"{candidate.queue_ms:.1f}",
+            f"{candidate.missing_pieces:g}",
+            candidate.reason,
+        )
+        for candidate in attempt.candidates
+    ]
+    headers = ("CANDIDATE", "SCORE", "QUEUE MS", "MISSING PIECES", "REASON")
+    output.table(headers, rows)
+
+
 __all__ = ["Explain"]
--- a/src/lycheering/commands/roles.py
+++ b/src/lycheering/commands/roles.py
@@ -56,7 +56,7 @@
         asyncio.run(_run(role, settings))
     except Exception as error:
         problem = "; ".join(str(line) for line in problems(error))
-        _LOG.error("failed", role=role, error=problem)
+        _LOG.error("failed", error=problem)
         return exit_codes.ExitCode.FAILED
     return exit_codes.ExitCode.OK
 
--- a/src/lycheering/operator/answers.py
+++ b/src/lycheering/operator/answers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lycheering.fleet import options
+from lycheering.fleet import records
 
 
 class Winner(msgspec.Struct, frozen=True):
@@ -25,7 +26,7 @@
     """Why a call failed.
 
     Attributes:
-        code: The HTTP status.
+        code: The HTTP status, or at an entry the kind of error.
         reason: A fixed word for the reason.
         message: Text for people.
         findings: Everything wrong with the call.
@@ -33,7 +34,7 @@
         winner: The change that was accepted instead, if that is why.
     """
 
-    code: int = 0
+    code: int | str = 0
     reason: str = ""
     message: str = ""
     findings: tuple[str, ...] = ()
@@ -323,6 +324,63 @@
     order: OrderItem | None = None
 
 
+class CandidateItem(msgspec.Struct, frozen=True):
+    """A target that was compared for a request.
+
+    Attributes:
+        target: The target, or its name.
+        score: Lower is better.
+        queue_ms: Expected wait before prefill.
+        missing_pieces: Pieces expected to be computed.
+        reason: What decided the score.
+    """
+
+    target: records.Target | str
+    score: float
+    queue_ms: float = 0.0
+    missing_pieces: float = 0.0
+    reason: str = ""
+
+    @property
+    def name(self) -> str:
+        """The target's name."""
+        if isinstance(self.target, str):
+            return self.target
+        return self.target.name
+
+
+class AttemptItem(msgspec.Struct, frozen=True):
+    """One choice of a target for a request.
+
+    Attributes:
+        attempt: The attempt's number.
+        policy: The policy that chose.
+        level_key: The key that targets were ranked by.
+        width: Over how many targets the prefix is spread.
+        chosen: The target taken.
+        reason: Why, where it is not the first candidate.
+        candidates: The first targets compared.
+    """
+
+    attempt: int
+    policy: str
+    level_key: str
+    width: int
+    chosen: str
+    reason: str
+    candidates: tuple[CandidateItem, ...]
+
+
+class ExplainAnswer(msgspec.Struct, frozen=True):
+    """Where a request went, and why.
+
+    Attributes:
+        attempts: The choices made, in order.
+    """
+
+    attempts: tuple[AttemptItem, ...] = ()
+
+
 class MembersAnswer(ReadAnswer, frozen=True):
     """The members of the replicated log.
 
--- a/src/lycheering/operator/client.py
+++ b/src/lycheering/operator/client.py
@@ -18,8 +18,10 @@
     from collections.abc import Sequence
 
 CALL_TIMEOUT_MS = 5_000
-MAX_ROUNDS = 3
+MIN_ROUNDS = 3
 ROUND_PAUSE_MS = 200
+MAX_ROUND_PAUSE_MS = 1_000
+PATIENCE_MS = 10_000
 MAX_ANSWER_BYTES = 64 * 1_024 * 1_024
 CLIENT_ERROR_STATUS = 400
 NO_QUORUM = "no_quorum"
@@ -55,6 +57,48 @@
     timeout_ms: float = CALL_TIMEOUT_MS
 
 
+class _Attempts:
+    """What the attempts at one call came to.
+
+    Attributes:
+        failures: What went wrong, by endpoint and in order.
+        refusal: The last refusal that may end by itself.
+        maybe_done: Whether an attempt may have been acted on.
+    """
+
+    def __init__(self, call: Call) -> None:
+        self.failures: list[str] = []
+        self.refusal: answers.ErrorBody | None = None
+        self.maybe_done = False
+        self._call = call
+
+    def add(
+        self, origin: web_client.Origin, error: Exception, *, done: bool
+    ) -> None:
+        """Adds a failed attempt, which may have been acted on."""
+        self.failures.append(f"{origin.host_header}: {error}")
+        if not done or self._call.kind is CallKind.READ:
+            return
+        self.maybe_done = True
+        if self._call.kind is CallKind.WRITE:
+            # sent again, it could be acted on twice
+            raise self.error()
+
+    def pause_ms(self) -> float:
+        """Returns the time until the next round."""
+        asked_ms = self.refusal.retry_after_ms if self.refusal else 0.0
+        return min(max(ROUND_PAUSE_MS, asked_ms), MAX_ROUND_PAUSE_MS)
+
+    def error(self) -> errors.OperatorError:
+        """Returns how the call ended."""
+        text = "; ".join(dict.fromkeys(self.failures))
+        if self.maybe_done:
+            return errors.OutcomeUnknownError(text)
+        if self.refusal is not None:
+            return errors.RefusedError(self.refusal)
+        return errors.UnreachableError(text)
+
+
 class OperatorClient:
     """Calls control instances, one after another until one answers.
 
@@ -66,9 +110,11 @@
         self,
         origins: Sequence[web_client.Origin],
         key: str = "",
+        patience_ms: float = PATIENCE_MS,
         clock: clocks.Clock | None = None,
     ) -> None:
         self._origins = origins
+        self._patience_ms = patience_ms
         self._header_by_name = {"Content-Type": "application/json"}
         if key:
             self._header_by_name["Authorization"] = f"Bearer {key}"
@@ -88,36 +134,38 @@
             UnreachableError: If no endpoint took it.
             OutcomeUnknownError: If it may have been acted on.
         """
-        maybe_done = False
-        failures: list[str] = []
-        refusal: answers.ErrorBody | None = None
-        for round_number in range(MAX_ROUNDS):
-            if round_number:
-                await self._clock.sleep(ROUND_PAUSE_MS)
+        attempts = _Attempts(call)
+        give_up_ms = self._clock.now_ms() + self._patience_ms
+        rounds = 0
+        while True:
             for origin in self._origins:
-                try:
-                    return await self._exchange(origin, call)
-                except web_client.ConnectFailedError as error:
-                    failures.append(str(error))
-                except web_client.ExchangeBrokenError as error:
-                    failures.append(f"{origin.host_header}: {error}")
-                    maybe_done = call.kind is not CallKind.READ
-                except errors.RefusedError as error:
-                    if error.body.reason == UNKNOWN_OUTCOME:
-                        failures.append(f"{origin.host_header}: {error}")
-                        maybe_done = True
-                    elif error.body.reason == NO_QUORUM:
-                        refusal = error.body
-                    else:
-                        raise
-                if maybe_done and call.kind is CallKind.WRITE:
-                    raise _unknown(failures)
-        if maybe_done:
-            raise _unknown(failures)
-        if refusal is not None:
-            raise errors.RefusedError(refusal)
-        tried = list(dict.fromkeys(failures))
-        raise errors.UnreachableError("; ".join(tried))
+                content = await self._try(origin, call, attempts)
+                if content is not None:
+                    return content
+            rounds += 1
+            in_time = self._clock.now_ms() < give_up_ms
+            # what is in doubt is asked for longer than what is not done
+            if rounds >= MIN_ROUNDS and not (attempts.maybe_done and in_time):
+                raise attempts.error()
+            await self._clock.sleep(attempts.pause_ms())
+
+    async def _try(
+        self, origin: web_client.Origin, call: Call, attempts: _Attempts
+    ) -> bytes | None:
+        """Returns the answer, or None if another endpoint may be asked."""
+        try:
+            return await self._exchange(origin, call)
+        except web_client.ConnectFailedError as error:
+            attempts.add(origin, error, done=False)
+        except web_client.ExchangeBrokenError as error:
+            attempts.add(origin, error, done=True)
+        except errors.RefusedError as error:
+            if error.body.reason not in (UNKNOWN_OUTCOME, NO_QUORUM):
+                raise
+            attempts.refusal = error.body
+            done = error.body.reason == UNKNOWN_OUTCOME
+            attempts.add(origin, error, done=done)
+        return None
 
     async def ask(self, call: Call, answer_type: type[AnswerT]) -> AnswerT:
         """Makes a call and returns its answer, as `call` does."""
@@ -156,13 +204,10 @@
         raise errors.MalformedAnswerError(str(error)) from error
 
 
-def _unknown(failures: list[str]) -> errors.OutcomeUnknownError:
-    return errors.OutcomeUnknownError("; ".join(dict.fromkeys(failures)))
-
-
 __all__ = [
     "CALL_TIMEOUT_MS",
-    "MAX_ROUNDS",
+    "MIN_ROUNDS",
+    "PATIENCE_MS",
     "Call",
     "CallKind",
     "OperatorClient",
--- /dev/null
+++ b/tests/steps/commands_steps.py
@@ -0,0 +1,204 @@
+"""Steps for the command line in processes of its own."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.support import processes
+
+GIVE_UP_S = 60
+HOST = "127.0.0.1"
+CONTROL_NAMES = ("c1", "c2", "c3")
+COMMON = """\
+[instance]
+name = b
+failure_domain = d
+[control]
+members = b@127.0.0.1:1
+"""
+SECTION_BY_ROLE = {
+    "entry": "[entry]\n",
+    "agent": "[agent]\ntarget = t\nmodel = m\nurl = http://127.0.0.1:1\n",
+}
+
+
+def folder_of(context):
+    if not hasattr(context, "command_folder"):
+        folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+        context.command_folder = pathlib.Path(folder)
+    return context.command_folder
+
+
+def run_command(arguments):
+    source = f"{processes.ROOT / 'src'}{os.pathsep}{processes.ROOT}"
+    return subprocess.run(
+        [sys.executable, *arguments],
+        env=os.environ | {"PYTHONPATH": source},
+        capture_output=True,
+        text=True,
+        timeout=GIVE_UP_S,
+        check=False,
+    )
+
+
+def write_role(context, role, extra=""):
+    context.role_file = folder_of(context) / "role.ini"
+    context.role_file.write_text(COMMON + SECTION_BY_ROLE[role] + extra)
+
+
+@given('a settings file of the role "{role}"')
+def step_role_file(context, role):
+    write_role(context, role)
+
+
+@given('a settings file of the role "{role}" with two faults')
+def step_faulty(context, role):
+    write_role(context, role, "http_port = x\nother = 1\n")
+
+
+@given('a settings file of the role "{role}" whose port is taken')
+def step_port_taken(context, role):
+    listener = context.stack.enter_context(socket.create_server((HOST, 0)))
+    port = listener.getsockname()[1]
+    write_role(context, role, f"http_port = {port}\n")
+
+
+@when('the role "{role}" is run in a process of its own')
+def step_run_role(context, role):
+    arguments = ["-m", "lycheering", role, str(context.role_file)]
+    context.command = run_command(arguments)
+
+
+@then("the role's process exits with {code:d}")
+def step_role_exits(context, code):
+    assert context.command.returncode == code, context.command
+
+
+@then('it says "{text}"')
+def step_says(context, text):
+    assert text in context.command.stderr, context.command.stderr
+
+
+@then("it says {count:d} findings")
+def step_says_findings(context, count):
+    lines = context.command.stderr.splitlines()
+    assert len(lines) == count, lines
+    assert all(str(context.role_file) in line for line in lines), lines
+
+
+@then('it says one line with "{one}" and "{other}"')
+def step_says_line(context, one, other):
+    lines = context.command.stderr.splitlines()
+    found = [line for line in lines if one in line]
+    assert len(found) == 1, lines
+    assert other in found[0], found
+    assert "Traceback" not in context.command.stderr
+
+
+@then('importing the role "{role}" leaves "{modules}" alone')
+def step_imports(context, role, modules):
+    code = (
+        "import sys, lycheering.run;"
+        f"import lycheering.{role}.daemon;"
+        f"print([m for m in {modules.split(',')!r} if m in sys.modules])"
+    )
+    done = run_command(["-c", code])
+    assert done.stdout.strip() == "[]", (done.stdout, done.stderr)
+
+
+# a group of control instances
+
+
+def control_text(name, ports, operator_port, folder):
+    members = ", ".join(f"{n}@{HOST}:{p}" for n, p in ports.items())
+    return (
+        f"[instance]\nname = {name}\nip = {HOST}\nfailure_domain = d-{name}\n"
+        f"[wire]\nport = {ports[name]}\n[control]\nmembers = {members}\n"
+        f"[log_store]\ndata_folder = {folder / name}\n"
+        f"operator_port = {operator_port}\n"
+    )
+
+
+@given("a fleet of 3 control processes")
+def step_fleet(context):
+    folder = folder_of(context)
+    ports = {name: processes.free_port() for name in CONTROL_NAMES}
+    group = context.stack.enter_context(processes.ProcessGroup())
+    context.group = group
+    context.operator_ports = {}
+    for name in CONTROL_NAMES:
+        port = processes.free_port()
+        context.operator_ports[name] = port
+        file = folder / f"{name}.ini"
+        file.write_text(control_text(name, ports, port, folder))
+        arguments = ["-m", "lycheering", "control", str(file)]
+        group.add(name, arguments, folder / f"{name}.log").start()
+    for port in context.operator_ports.values():
+        processes.wait_for(
+            lambda port=port: (
+                processes.call(port, "GET", "/health/ready").status == 200
+            ),
+            "the control processes",
+        )
+
+
+def operate(context, arguments):
+    at = []
+    for port in context.operator_ports.values():
+        at += ["--at", f"{HOST}:{port}"]
+    context.command = run_command(["-m", "lycheering", *arguments, *at])
+
+
+@when('the fleet\'s operator runs "{command}"')
+def step_operate(context, command):
+    operate(context, command.split())
+
+
+@when('the fleet\'s operator seeds it with "{file}"')
+def step_seed(context, file):
+    operate(context, ["seed", str(processes.ROOT / file)])
+
+
+@then("the fleet's command exits with {code:d}")
+def step_command_exits(context, code):
+    assert context.command.returncode == code, context.command
+
+
+@then('the fleet\'s command prints "{text}"')
+def step_command_prints(context, text):
+    assert text in context.command.stdout, context.command
+
+
+@then('the fleet\'s command complains of "{text}"')
+def step_command_complains(context, text):
+    assert text in context.command.stderr, context.command
+
+
+@when('control process "{name}" of the fleet is killed')
+def step_kill(context, name):
+    context.group[name].kill()
+
+
+@when('control process "{name}" of the fleet is no longer ready')
+def step_not_ready(context, name):
+    port = context.operator_ports[name]
+    processes.wait_for(
+        lambda: processes.call(port, "GET", "/health/ready").status != 200,
+        "the survivor to notice",
+    )
+
+
+@then("each control process of the fleet ends with exit code 0 when told to")
+def step_terminate(context):
+    for name in CONTROL_NAMES:
+        process = context.group[name]
+        assert process.terminate() == 0, process.log_text()
--- a/tests/steps/in_doubt_steps.py
+++ b/tests/steps/in_doubt_steps.py
@@ -111,7 +111,7 @@
     )
 
 
-@given('the asked agent finished it but dropped the answer')
+@given("the asked agent finished it but dropped the answer")
 def step_answers_empty(context):
     context.agent.answer = messages.OrderInquiryReply(
         messages.InquiryResult.DONE
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -55,7 +55,7 @@
 
 
 def at_arguments(context):
-    arguments = []
+    arguments = ["--patience-ms", "100"]
     for port in context.port_by_name.values():
         arguments += ["--at", f"{scripted_http.HOST}:{port}"]
     return arguments
