--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -13,11 +13,12 @@
 from behave import then
 from behave import when
 
+from tests.support import control_group
 from tests.support import processes
 
-GIVE_UP_S = 60
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = "127.0.0.1"
-CONTROL_NAMES = ("c1", "c2", "c3")
+GIVE_UP_S = 60
 COMMON = """\
 [instance]
 name = b
@@ -39,7 +40,7 @@
 
 
 def run_command(arguments):
-    source = f"{processes.ROOT / 'src'}{os.pathsep}{processes.ROOT}"
+    source = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
     return subprocess.run(
         [sys.executable, *arguments],
         env=os.environ | {"PYTHONPATH": source},
@@ -118,42 +119,21 @@
 # a group of control instances
 
 
-def control_text(name, ports, operator_port, folder):
-    members = ", ".join(f"{n}@{HOST}:{p}" for n, p in ports.items())
-    return (
-        f"[instance]\nname = {name}\nip = {HOST}\nfailure_domain = d-{name}\n"
-        f"[wire]\nport = {ports[name]}\n[control]\nmembers = {members}\n"
-        f"[log_store]\ndata_folder = {folder / name}\n"
-        f"operator_port = {operator_port}\n"
-    )
-
-
 @given("a fleet of 3 control processes")
 def step_fleet(context):
-    folder = folder_of(context)
-    ports = {name: processes.free_port() for name in CONTROL_NAMES}
-    group = context.stack.enter_context(processes.ProcessGroup())
-    context.group = group
-    context.operator_ports = {}
-    for name in CONTROL_NAMES:
-        port = processes.free_port()
-        context.operator_ports[name] = port
-        file = folder / f"{name}.ini"
-        file.write_text(control_text(name, ports, port, folder))
-        arguments = ["-m", "lycheering", "control", str(file)]
-        group.add(name, arguments, folder / f"{name}.log").start()
-    for port in context.operator_ports.values():
-        processes.wait_for(
-            lambda port=port: (
-                processes.call(port, "GET", "/health/ready").status == 200
-            ),
-            "the control processes",
-        )
+    group = processes.ProcessGroup(folder_of(context))
+    context.group = context.stack.enter_context(group)
+    context.fleet = control_group.ControlGroup(context.group)
+    for name in context.fleet.names:
+        file = str(folder_of(context) / f"{name}.ini")
+        context.group.prepare(name, "-m", "lycheering", "control", file)
+    context.fleet.start()
+    context.fleet.wait_ready()
 
 
 def operate(context, arguments):
     at = []
-    for port in context.operator_ports.values():
+    for port in context.fleet.http_port.values():
         at += ["--at", f"{HOST}:{port}"]
     context.command = run_command(["-m", "lycheering", *arguments, *at])
 
@@ -165,7 +145,7 @@
 
 @when('the fleet\'s operator seeds it with "{file}"')
 def step_seed(context, file):
-    operate(context, ["seed", str(processes.ROOT / file)])
+    operate(context, ["seed", str(ROOT / file)])
 
 
 @then("the fleet's command exits with {code:d}")
@@ -190,15 +170,15 @@
 
 @when('control process "{name}" of the fleet is no longer ready')
 def step_not_ready(context, name):
-    port = context.operator_ports[name]
     processes.wait_for(
-        lambda: processes.call(port, "GET", "/health/ready").status != 200,
+        lambda: not context.fleet.is_ready(name),
         "the survivor to notice",
     )
 
 
 @then("each control process of the fleet ends with exit code 0 when told to")
 def step_terminate(context):
-    for name in CONTROL_NAMES:
+    for name in context.fleet.names:
         process = context.group[name]
-        assert process.terminate() == 0, process.log_text()
+        process.terminate()
+        assert process.wait() == 0, process.log_text()
