--- a/tests/commands/roles.feature
+++ b/tests/commands/roles.feature
@@ -26,3 +26,6 @@
       | entry   | cappa,rich,lycheering.control          |
       | agent   | cappa,rich,lycheering.control,uvicorn  |
       | control | cappa,rich,lycheering.entry            |
+
+  Scenario: Each reason for a refusal is explained to operators
+    Then the page of refusals names every reason once
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import re
 import socket
 import subprocess
 import sys
@@ -13,6 +14,7 @@
 from behave import then
 from behave import when
 
+from lycheering.wire import messages
 from tests.support import control_group
 from tests.support import processes
 
@@ -116,6 +118,13 @@
     assert done.stdout.strip() == "[]", (done.stdout, done.stderr)
 
 
+@then("the page of refusals names every reason once")
+def step_refusals(context):
+    page = (ROOT / "docs" / "operators" / "refusals.md").read_text()
+    named = re.findall(r"^\| `(\w+)` \|", page, re.MULTILINE)
+    assert sorted(named) == sorted(reason.value for reason in messages.Reason)
+
+
 # a group of control instances
 
 
