--- a/src/lycheering/settings/cross_check.py
+++ b/src/lycheering/settings/cross_check.py
@@ -132,6 +132,9 @@
 
 def _check_entry(document: ini.Document, section: model.EntrySettings) -> None:
     _check_folder(document, "entry", "state_folder", section.state_folder)
+    _check_file(
+        document, "entry", "operator_key_file", section.operator_key_file
+    )
 
 
 def _check_agent(document: ini.Document, section: model.AgentSettings) -> None:
--- a/tests/settings/findings.feature
+++ b/tests/settings/findings.feature
@@ -55,6 +55,7 @@
       | log_store | platform_url        | http://platform:1 | expected http://ip    |
       | log_store | operator_key_file   | /dev/null/none    | can't be read         |
       | log_store | join                | perhaps           | boolean               |
+      | entry     | operator_key_file   | /dev/null/none    | can't be read         |
       | entry     | max_body_bytes      | 8388608           | over what a frame     |
       | wire      | idle_close_ms       | 1000              | below silence_ms      |
       | wire      | curve_peers_file    | /dev/null         | needs curve_secret    |
