--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -31,6 +31,7 @@
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
 from lycheering.wire import pool as pools
+from lycheering.wire import security
 from lycheering.wire import server as servers
 
 if TYPE_CHECKING:
@@ -93,6 +94,7 @@
         clock,
         holder,
         counters,
+        security.security_from(settings.wire, counters),
     )
     state = target_state.TargetState(agent, clock)
     index = indexes.BlockIndex()
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -44,7 +44,7 @@
 def run_command(arguments):
     source = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
     return subprocess.run(
-        [sys.executable, *arguments],
+        [sys.executable, *map(str, arguments)],
         env=os.environ | {"PYTHONPATH": source},
         capture_output=True,
         text=True,
@@ -140,6 +140,52 @@
     context.fleet.wait_ready()
 
 
+def add_wire_lines(context, name, key_file):
+    file = folder_of(context) / f"{name}.ini"
+    peers = folder_of(context) / "peers.ini"
+    lines = f"curve_secret_key_file = {key_file}\ncurve_peers_file = {peers}\n"
+    file.write_text(file.read_text().replace("[wire]\n", f"[wire]\n{lines}"))
+
+
+@given(
+    "a fleet of 3 control processes with keys, of which {stranger} has another"
+)
+def step_fleet_keys(context, stranger):
+    folder = folder_of(context)
+    group = processes.ProcessGroup(folder)
+    context.group = context.stack.enter_context(group)
+    context.fleet = control_group.ControlGroup(context.group)
+    names = context.fleet.names
+    made = run_command(["-m", "lycheering", "keys", "make", folder, *names])
+    assert made.returncode == 0, made
+    other = run_command(["-m", "lycheering", "keys", "make", folder / "other"])
+    assert other.returncode == 0, other
+    for name in names:
+        known = folder / f"{name}.key.ini"
+        unknown = folder / "other" / "fleet.key.ini"
+        add_wire_lines(context, name, unknown if name == stranger else known)
+        file = str(folder / f"{name}.ini")
+        context.group.prepare(name, "-m", "lycheering", "control", file)
+    context.fleet.start()
+    context.fleet.wait_ready(*[name for name in names if name != stranger])
+
+
+@then("control process {name} of the fleet is refused by its key and not ready")
+def step_refused(context, name):
+    others = [n for n in context.fleet.names if n != name]
+
+    def refused():
+        return any(
+            context.fleet.call(n, "GET", "/v1/counters")
+            .json["counters"]
+            .get("wire.refused_key")
+            for n in others
+        )
+
+    processes.wait_for(refused, "a refused key")
+    assert not context.fleet.is_ready(name)
+
+
 def operate(context, arguments):
     at = []
     for port in context.fleet.http_port.values():
