--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -321,8 +321,12 @@
         socket = self._link.context.socket(zmq.DEALER)
         sockets.configure(socket, self._link.settings, self.address.ip)
         socket.setsockopt(zmq.IMMEDIATE, 1)
-        self._link.security.secure_client(socket, self.address.name)
-        socket.connect(self.address.url)
+        try:
+            self._link.security.secure_client(socket, self.address.name)
+            socket.connect(self.address.url)
+        except (errors.WireError, zmq.ZMQError):
+            socket.close(linger=0)
+            raise
         return socket
 
     async def _greet(self, socket: zmq.asyncio.Socket) -> None:
--- a/src/lycheering/wire/security.py
+++ b/src/lycheering/wire/security.py
@@ -14,6 +14,7 @@
 from lycheering.settings import findings
 from lycheering.settings import ini
 from lycheering.telemetry import logs
+from lycheering.telemetry import repeats
 from lycheering.wire import api
 from lycheering.wire import errors
 
@@ -124,6 +125,7 @@
         self._key_by_peer = key_by_peer
         self._accepted = frozenset(key_by_peer.values())
         self._counters = process_counters
+        self._refused = repeats.RepeatedWarning(_LOG, "refused_key")
         self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
 
     def secure_client(self, socket: zmq.asyncio.Socket, peer: str) -> None:
@@ -161,7 +163,7 @@
             return True
         if self._counters is not None:
             self._counters.increment("wire.refused_key")
-        _LOG.warning("refused_key", public_key=text)
+        self._refused.warn(public_key=text)
         return False
 
     def close(self) -> None:
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -11,6 +11,7 @@
 
 from lycheering.app import api as app_api
 from lycheering.telemetry import logs
+from lycheering.telemetry import repeats
 from lycheering.wire import codec
 from lycheering.wire import errors
 from lycheering.wire import messages
@@ -109,6 +110,12 @@
         self._load = load
         self._socket: zmq.asyncio.Socket | None = None
         self._tasks = app_api.TaskOwner()
+        self._refused = repeats.RepeatedWarning(
+            _LOG, "refused_handshake", link.clock
+        )
+        self._malformed = repeats.RepeatedWarning(
+            _LOG, "malformed_frame", link.clock
+        )
 
     async def start(self) -> None:
         """Binds the port and begins to accept."""
@@ -158,7 +165,7 @@
                     self.link.counters.increment("wire.disconnected")
                     continue
                 self.link.counters.increment("wire.refused_handshake")
-                _LOG.warning("refused_handshake", port=self.port)
+                self._refused.warn(port=self.port)
         finally:
             socket.disable_monitor()
 
@@ -211,7 +218,7 @@
                 self._accept(socket, parts[0], envelope)
             except errors.MalformedFrameError as error:
                 self.link.counters.increment("wire.malformed")
-                _LOG.warning("malformed_frame", detail=str(error)[:200])
+                self._malformed.warn(detail=str(error)[:200])
             except errors.PeerUnreachableError as error:
                 self._drop(parts[0], str(error))
 
--- a/tests/steps/telemetry_steps.py
+++ b/tests/steps/telemetry_steps.py
@@ -15,9 +15,11 @@
 from hypothesis import strategies
 import logbook
 
+from lycheering import clock
 from lycheering.settings import model
 from lycheering.telemetry import counters
 from lycheering.telemetry import logs
+from lycheering.telemetry import repeats
 
 PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"]+)(?: |$)')
 GIVE_UP_S = 20
@@ -113,3 +115,24 @@
 @then('the statsd server receives "{text}"')
 def step_receives(context, text):
     assert context.statsd.recv(DATAGRAM_BYTES).decode() == text
+
+
+@when("a warning repeats {count:d} times within one second and once after it")
+def step_repeats(context, count):
+    time = clock.ManualClock(1.0)
+    context.handler = logbook.TestHandler()
+    with context.handler.applicationbound():
+        warning = repeats.RepeatedWarning(logs.get("test"), "odd", time)
+        for _ in range(count):
+            warning.warn(peer="p")
+        time.advance(repeats.REPEAT_INTERVAL_MS)
+        warning.warn(peer="p")
+
+
+@then("the log holds 2 lines and the second one counts {count:d} unlogged")
+def step_unlogged(context, count):
+    lines = [record.message for record in context.handler.records]
+    assert lines == [
+        "event=odd peer=p",
+        f"event=odd peer=p unlogged={count}",
+    ], lines
--- a/tests/telemetry/telemetry.feature
+++ b/tests/telemetry/telemetry.feature
@@ -36,3 +36,7 @@
     When a refusal for "full" and a retry for "silent" are counted
     Then the statsd server receives "x.refusal.full:1|c"
     And the statsd server receives "x.retry.silent:1|c"
+
+  Scenario: A warning that repeats does not fill the log
+    When a warning repeats 500 times within one second and once after it
+    Then the log holds 2 lines and the second one counts 499 unlogged
