--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -1,8 +1,7 @@
-"""Puts a control instance together and runs it."""
+"""Puts a control instance together."""
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import zmq.asyncio
@@ -24,11 +23,11 @@
 from lycheering.membership import watcher
 from lycheering.orders import in_doubt
 from lycheering.telemetry import counters
-from lycheering.telemetry import logs
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
 from lycheering.wire import pool
+from lycheering.wire import security
 from lycheering.wire import server
 
 if TYPE_CHECKING:
@@ -50,16 +49,20 @@
 
 
 class _ContextPart(app_api.Part):
-    """Closes the ZeroMQ context after all that uses it."""
+    """Closes the keys and the ZeroMQ context after all that uses them."""
 
-    def __init__(self, context: zmq.asyncio.Context) -> None:
+    def __init__(
+        self, context: zmq.asyncio.Context, keys: wire_api.Security
+    ) -> None:
         self._context = context
+        self._keys = keys
 
     async def start(self) -> None:
         """Needs nothing."""
 
     async def stop(self) -> None:
         """Closes the context and any socket left in it."""
+        self._keys.close()
         self._context.destroy(linger=0)
 
 
@@ -104,6 +107,7 @@
             self._clock,
             publisher.LogView(machine),
             self._counters,
+            security.security_from(settings.wire, self._counters),
         )
         self._connections = pool.ConnectionPool(self._link)
         self.group = replica.Replica(
@@ -112,8 +116,13 @@
             transport.WireTransport(self._connections),
             self._clock,
             lambda: self.listener.port,
+            self._is_heard,
         )
 
+    def _is_heard(self, name: str) -> bool:
+        timeout_ms = self._store_settings.election_timeout_ms
+        return self._status.is_heard(name, timeout_ms)
+
     def _join_wire(self) -> None:
         self._status = fleet_status.FleetStatus(
             self.group, self._link, self._connections
@@ -124,7 +133,9 @@
             self._clock,
             self._counters,
         )
-        self._registers = registrations.Registrations(self.group, self._clock)
+        self._registers = registrations.Registrations(
+            self.group, self._clock, self._counters
+        )
         self._handler = handler.ControlHandler(
             self.group,
             order_desk.OrderDesk(self.group, self._doubts, self._clock),
@@ -178,7 +189,7 @@
 
     def _add_parts(self) -> None:
         parts: list[app_api.Part] = [
-            _ContextPart(self._context),
+            _ContextPart(self._context, self._link.security),
             self._connections,
             self.listener,
             # started after the port is known, stopped before it closes
@@ -204,16 +215,4 @@
     return ControlDaemon(settings).application
 
 
-async def _run(settings: model.Settings) -> None:
-    await build(settings).run()
-
-
-def main(settings: model.Settings) -> None:
-    """Runs a control instance until it is asked to end."""
-    logs.install(
-        messages.Role.CONTROL, settings.instance.name, settings.log.level
-    )
-    asyncio.run(_run(settings))
-
-
-__all__ = ["ControlDaemon", "build", "main"]
+__all__ = ["ControlDaemon", "build"]
