--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -3,51 +3,28 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 from typing import TYPE_CHECKING
 
 from lycheering.entry import sinks
+from lycheering.entry import target_access
 from lycheering.telemetry import logs
-from lycheering.wire import api as wire_api
 from lycheering.wire import client
 from lycheering.wire import errors
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
-    from lycheering import clock
     from lycheering.entry import job as jobs
-    from lycheering.fleet import holder
-    from lycheering.retries import circuit
     from lycheering.routing import router as routers
-    from lycheering.telemetry import counters
-    from lycheering.wire import pool as wire_pool
 
-CONNECT_MS = 500.0
 ORDER_SEND_MS = 2_000.0
 POLL_MS = 250.0
-RECONNECT_MS = 500.0
+RECONNECT_MS = 1_000.0
 ACK_CHUNKS = 16
 MAX_RESUMES = 8
 
 _LOG = logs.get("attempt")
 
 
-class NotRunError(Exception):
-    """The request did not reach the target in this attempt, and won't.
-
-    Attributes:
-        reason: Why.
-        retry_after_ms: When the agent expects to take such a request.
-    """
-
-    def __init__(
-        self, reason: messages.Reason, detail: str, retry_after_ms: float = 0.0
-    ) -> None:
-        super().__init__(detail)
-        self.reason = reason
-        self.retry_after_ms = retry_after_ms
-
-
 class BrokenError(Exception):
     """The request may have run, and this attempt can't complete it.
 
@@ -64,70 +41,12 @@
     """The deadline passed while the request may have been running."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Targets:
-    """What attempts need to reach targets.
-
-    Attributes:
-        clock: The process's clock.
-        view: The fleet view in force.
-        router: Learns from what targets answer.
-        connections: The connections to agents.
-        circuits: The failing targets.
-        counters: The process's counters.
-        suspect_ms: Silence after which an agent gets no new request.
-    """
-
-    clock: clock.Clock
-    view: holder.ViewHolder
-    router: routers.Router
-    connections: wire_pool.ConnectionPool
-    circuits: circuit.Circuits
-    counters: counters.Counters
-    suspect_ms: float
-
-    def usable(self, name: str) -> bool:
-        """Returns whether a target is worth a try now."""
-        if not self.circuits.usable(name):
-            return False
-        target = self.view.fleet.target_by_name.get(name)
-        if target is None:
-            return False
-        address = wire_api.Address(target.name, target.ip, target.port)
-        connection = self.connections.known(address)
-        if connection is None:
-            return True
-        if connection.connected:
-            return connection.silent_ms < self.suspect_ms
-        # a new connection may yet come up, a lost one is being replaced
-        return not connection.peer_incarnation
-
-    async def connect(
-        self, choice: routers.Choice, timeout_ms: float = CONNECT_MS
-    ) -> client.Connection:
-        """Returns a live connection to the agent of a chosen target.
-
-        Raises:
-            NotRunError: If there is none.
-        """
-        target = choice.target
-        address = wire_api.Address(target.name, target.ip, target.port)
-        connection = self.connections.get(address)
-        try:
-            await connection.ready(timeout_ms)
-        except errors.PeerUnreachableError as error:
-            raise NotRunError(
-                messages.Reason.UNREACHABLE, f"{target.name}: no connection"
-            ) from error
-        return connection
-
-
 class Attempt:
     """Sends a request to one agent and passes its answer on."""
 
     def __init__(
         self,
-        targets: Targets,
+        targets: target_access.Targets,
         job: jobs.Job,
         number: int,
         choice: routers.Choice,
@@ -157,9 +76,11 @@
         """
         left_ms = self._job.deadline_at_ms - self._targets.clock.now_ms()
         if left_ms <= 0:
-            raise NotRunError(messages.Reason.DEADLINE, "past the deadline")
+            raise target_access.NotRunError(
+                messages.Reason.DEADLINE, "past the deadline"
+            )
         connection = await self._targets.connect(
-            self._choice, min(CONNECT_MS, left_ms)
+            self._choice, min(target_access.CONNECT_MS, left_ms)
         )
         name = self._choice.target.name
         loads = self._targets.router.loads
@@ -171,7 +92,7 @@
             self._submit(connection, channel)
             await self._follow(connection, channel, key)
             settled = True
-        except NotRunError:
+        except target_access.NotRunError:
             settled = True
             raise
         finally:
@@ -213,7 +134,7 @@
         try:
             channel.send(submit, ttl_ms)
         except errors.PeerUnreachableError as error:
-            raise NotRunError(
+            raise target_access.NotRunError(
                 messages.Reason.UNREACHABLE, "the connection takes no frame"
             ) from error
         self._targets.circuits.sent(self._choice.target.name)
@@ -253,7 +174,7 @@
         match event:
             case messages.NotRun():
                 self._targets.router.widths.note(event.hint)
-                raise NotRunError(
+                raise target_access.NotRunError(
                     event.reason, event.detail, event.retry_after_ms
                 )
             case messages.Broken():
@@ -261,7 +182,9 @@
             case messages.Failure(reason=messages.Reason.EXPIRED):
                 if self._accepted or self._resumes:
                     raise BrokenError(event.reason, "expired after accepting")
-                raise NotRunError(event.reason, "expired on its way")
+                raise target_access.NotRunError(
+                    event.reason, "expired on its way"
+                )
             case messages.Failure():
                 raise BrokenError(event.reason, event.detail)
             case client.Lost():
@@ -394,7 +317,5 @@
 __all__ = [
     "Attempt",
     "BrokenError",
-    "NotRunError",
     "OverdueError",
-    "Targets",
 ]
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -11,13 +11,13 @@
 from lycheering import clock
 from lycheering.app import api as app_api
 from lycheering.entry import admission as admissions
-from lycheering.entry import attempt as attempts
 from lycheering.entry import control_client
 from lycheering.entry import dispatch
 from lycheering.entry import exchange as exchanges
 from lycheering.entry import http
 from lycheering.entry import intake as intakes
 from lycheering.entry import orders
+from lycheering.entry import target_access
 from lycheering.entry import view_file
 from lycheering.fleet import holder
 from lycheering.fleet import records
@@ -93,7 +93,7 @@
         self.view.listen(self._view_changed)
 
     def _build_api(self, settings: model.Settings) -> None:
-        targets = attempts.Targets(
+        targets = target_access.Targets(
             self._clock,
             self.view,
             self._router,
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -7,6 +7,7 @@
 from lycheering.entry import attempt as attempts
 from lycheering.entry import refusals
 from lycheering.entry import sinks
+from lycheering.entry import target_access
 from lycheering.fleet import view as fleet_view
 from lycheering.retries import budget as budgets
 from lycheering.routing import api as routing_api
@@ -33,7 +34,7 @@
 
 
 def choose(
-    targets: attempts.Targets,
+    targets: target_access.Targets,
     job: jobs.Job,
     number: int,
     tried: Collection[str],
@@ -71,7 +72,7 @@
         ) from error
 
 
-def note_loads(targets: attempts.Targets, wanted: routers.Wanted) -> None:
+def note_loads(targets: target_access.Targets, wanted: routers.Wanted) -> None:
     """Takes over what agents reported since the last choice."""
     candidates = targets.router.targets(wanted)
     if len(candidates) > MAX_WARM_TARGETS:
@@ -89,7 +90,7 @@
     """Runs requests that may be repeated."""
 
     def __init__(
-        self, targets: attempts.Targets, budget: budgets.RetryBudget
+        self, targets: target_access.Targets, budget: budgets.RetryBudget
     ) -> None:
         self._targets = targets
         self._budget = budget
@@ -125,8 +126,10 @@
                     self._targets, job, number, choice, sink
                 ).run()
                 return
-            except attempts.NotRunError as error:
-                failure: attempts.NotRunError | attempts.BrokenError = error
+            except target_access.NotRunError as error:
+                failure: target_access.NotRunError | attempts.BrokenError = (
+                    error
+                )
                 if error.reason is messages.Reason.UNREACHABLE:
                     self._targets.circuits.failed(name)
             except attempts.BrokenError as error:
@@ -153,7 +156,7 @@
         self,
         job: jobs.Job,
         sink: sinks.Sink,
-        failure: attempts.NotRunError | attempts.BrokenError,
+        failure: target_access.NotRunError | attempts.BrokenError,
         may_have_run: bool,
     ) -> None:
         if sink.next_seq == 0 or (job.deterministic and sink.is_event_stream):
@@ -171,7 +174,7 @@
     def _check_budget(
         self,
         job: jobs.Job,
-        failure: attempts.NotRunError | attempts.BrokenError,
+        failure: target_access.NotRunError | attempts.BrokenError,
         may_have_run: bool,
         attempts_left: bool,
     ) -> None:
@@ -179,7 +182,7 @@
         if attempts_left and left_ms > 0 and self._budget.spend():
             return
         retry_after_ms = 0.0
-        if isinstance(failure, attempts.NotRunError):
+        if isinstance(failure, target_access.NotRunError):
             retry_after_ms = failure.retry_after_ms
         if attempts_left and left_ms > 0:
             self._targets.counters.increment("retry_budget.empty")
@@ -193,7 +196,7 @@
     def _count(
         self,
         job: jobs.Job,
-        failure: attempts.NotRunError | attempts.BrokenError,
+        failure: target_access.NotRunError | attempts.BrokenError,
         target: str,
         number: int,
     ) -> None:
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -12,6 +12,7 @@
 from lycheering.entry import job as jobs
 from lycheering.entry import refusals
 from lycheering.entry import sinks
+from lycheering.entry import target_access
 from lycheering.retries import budget as budgets
 from lycheering.telemetry import logs
 from lycheering.wire import errors
@@ -58,7 +59,7 @@
 
     def __init__(
         self,
-        targets: attempts.Targets,
+        targets: target_access.Targets,
         control: control_client.ControlClient,
         budget: budgets.RetryBudget,
     ) -> None:
@@ -126,7 +127,7 @@
         # the claim names the incarnation that will be sent to
         try:
             connection = await self._targets.connect(choice)
-        except attempts.NotRunError as error:
+        except target_access.NotRunError as error:
             self._targets.circuits.failed(choice.target.name)
             raise _TryAgainError(error.reason, str(error)) from error
         reply = await self._claim(job, choice, connection.peer_incarnation)
@@ -185,7 +186,7 @@
             ).run()
             chat = job.form is jobs.AnswerForm.CHAT
             answer = sink.answer(chat=chat, stream=job.stream)
-        except attempts.NotRunError as error:
+        except target_access.NotRunError as error:
             await self._release(job, claim, error.reason)
             raise _TryAgainError(
                 error.reason, str(error), error.retry_after_ms
