--- a/src/lycheering/routing/score.py
+++ b/src/lycheering/routing/score.py
@@ -40,11 +40,13 @@
     cached = knowledge.caches.expected_pieces(target.name, levels)
     if place == 0 and width == 1 and not cached:
         # every process sends this prefix there, so it is likely held
-        cached = float(levels.pieces[levels.rank_index]) / 2
+        cached = float(levels.pieces[levels.rank_index])
     missing = max(0.0, levels.prompt_pieces - cached)
     miss_ms = missing * estimate.piece_ms
     wait_ms = estimate.queue_ms + OPEN_REQUEST_MS * estimate.open_requests
-    total = (1.0 - query.reuse_weight) * wait_ms + miss_ms
+    weight = query.reuse_weight
+    # prefill elsewhere also displaces what that target holds
+    total = (1.0 - weight) * wait_ms + (1.0 + weight) * miss_ms
     total += PLACE_MS * place
     if target.failure_domain != knowledge.failure_domain:
         total += FAR_MS
