Bind a claim to the agent incarnation it names; wait for a first view

An agent that restarted between claim and call could have run an order that control would later ask its earlier incarnation about. The new scenario shows OrderClaim, OrderFinish without the check.

A restarted entry without a kept view answered its first request with stale_view; it now waits up to 500 ms for a view before it serves.

--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -52,6 +52,7 @@
         choice: routers.Choice,
         sink: sinks.Sink,
         ticket: messages.OrderTicket | None = None,
+        claimed_incarnation: str = "",
     ) -> None:
         self._targets = targets
         self._job = job
@@ -59,6 +60,7 @@
         self._choice = choice
         self._sink = sink
         self._ticket = ticket
+        self._claimed_incarnation = claimed_incarnation
         self._incarnation = ""
         self._lost_since_ms: float | None = None
         self._acked = sink.next_seq
@@ -108,6 +110,12 @@
         job = self._job
         now_ms = self._targets.clock.now_ms()
         self._incarnation = connection.peer_incarnation
+        claimed = self._claimed_incarnation
+        if claimed and claimed != self._incarnation:
+            raise target_access.NotRunError(
+                messages.Reason.WRONG_INCARNATION,
+                "the agent restarted after the claim",
+            )
         ttl_ms = max(1.0, job.deadline_at_ms - now_ms)
         if self._ticket is not None:
             ttl_ms = min(ttl_ms, ORDER_SEND_MS)
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 from typing import TYPE_CHECKING
 
@@ -37,6 +38,7 @@
 
 WARM_POLL_MS = 1_000
 DRAIN_POLL_MS = 20
+FIRST_VIEW_MS = 500
 SUSPECT_HEARTBEATS = 2
 
 _LOG = logs.get("entry")
@@ -138,6 +140,9 @@
         await self._connections.start()
         await self._control.start()
         self._tasks.spawn(self._keep_warm(), "entry:warm")
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_VIEW_MS / 1_000):
+                await self.view.wait_for(1)
         await self.web.start()
         # what lives as long as the process need not be traversed again
         gc.collect()
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -34,11 +34,13 @@
 
     Attributes:
         choice: The target.
+        incarnation: The incarnation of the agent beside it.
         order_id: The claim's id.
         fence: Its fencing number.
     """
 
     choice: routers.Choice
+    incarnation: str
     order_id: str
     fence: int
 
@@ -130,7 +132,8 @@
         except target_access.NotRunError as error:
             self._targets.circuits.failed(choice.target.name)
             raise _TryAgainError(error.reason, str(error)) from error
-        reply = await self._claim(job, choice, connection.peer_incarnation)
+        incarnation = connection.peer_incarnation
+        reply = await self._claim(job, choice, incarnation)
         if not reply.same_digest:
             raise refusals.RefusalError(
                 messages.Reason.KEY_REUSED,
@@ -139,7 +142,7 @@
             )
         if not reply.granted:
             return await self._stored(job, reply)
-        claim = _Claim(choice, reply.order_id, reply.fence)
+        claim = _Claim(choice, incarnation, reply.order_id, reply.fence)
         self._log("order_claimed", job, order_id=claim.order_id)
         return await self._send(job, number, claim)
 
@@ -182,7 +185,13 @@
         ticket = messages.OrderTicket(claim.order_id, claim.fence)
         try:
             await attempts.Attempt(
-                self._targets, job, number, claim.choice, sink, ticket
+                self._targets,
+                job,
+                number,
+                claim.choice,
+                sink,
+                ticket,
+                claim.incarnation,
             ).run()
             chat = job.form is jobs.AnswerForm.CHAT
             answer = sink.answer(chat=chat, stream=job.stream)
--- a/src/lycheering/entry/view_file.py
+++ b/src/lycheering/entry/view_file.py
@@ -62,10 +62,11 @@
 
     async def _keep_saved(self) -> None:
         while True:
-            await self._clock.sleep(SAVE_PAUSE_MS)
+            await self._view.wait_for(self._saved_revision + 1)
             snapshot = self._snapshot()
             if snapshot is not None:
                 await asyncio.to_thread(self._save, snapshot)
+            await self._clock.sleep(SAVE_PAUSE_MS)
 
     def _snapshot(self) -> fleet_view.ViewSnapshot | None:
         if self._view.revision() <= self._saved_revision:
--- a/tests/entry/orders.feature
+++ b/tests/entry/orders.feature
@@ -69,3 +69,9 @@
     When a caller asks for a streamed chat "hi" under key "k2"
     Then the caller gets the whole answer to "hi"
     And the agents got 1 request
+
+  Scenario: A claim is not used at an agent that restarted after it
+    Given the service's agent restarts when its order is claimed
+    When a caller calls the service with key "k1" and body "a"
+    Then the service's answer of run 1 comes back as "finished"
+    And control saw OrderClaim, OrderRelease, OrderClaim, OrderFinish
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -583,6 +583,23 @@
     script([context.fleet.service], mute_after=0)
 
 
+@given("the service's agent restarts when its order is claimed")
+def step_service_restarts(context):
+    fleet = context.fleet
+    claim = fleet.control.claim
+
+    def claim_and_restart(message):
+        fleet.control.claim = claim
+        connections = fleet.entry._connections.connection_by_address
+        for address, connection in connections.items():
+            if address.name == "s0":
+                connection.peer_incarnation = "s0-2"
+                fleet.service.link.identity.__dict__["incarnation"] = "s0-2"
+        return claim(message)
+
+    fleet.control.claim = claim_and_restart
+
+
 @given("the service's agent takes {pause_ms:d} ms")
 def step_service_pause(context, pause_ms):
     script([context.fleet.service], pause_ms=pause_ms)
