--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import configparser
 import dataclasses
 import json
@@ -118,6 +119,14 @@
         return False
 
 
+Route = Callable[[str, str, int], int]
+
+
+def direct(source: str, destination: str, port: int) -> int:
+    """Returns the port itself, with nothing in between."""
+    return port
+
+
 class Fleet:
     """A running fleet.
 
@@ -131,8 +140,21 @@
         platform_url: The platform stand-in.
     """
 
-    def __init__(self, plan: FleetPlan, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        plan: FleetPlan,
+        folder: pathlib.Path,
+        route: Route = direct,
+    ) -> None:
+        """Prepares a fleet that is not started.
+
+        Args:
+            plan: Which processes it has.
+            folder: Where their files go.
+            route: Returns the port by which one process reaches another.
+        """
         self.plan = plan
+        self._route = route
         self.group = processes.ProcessGroup(folder)
         self.entry_urls: list[str] = []
         self.operator_urls: list[str] = []
@@ -143,7 +165,7 @@
         self.platform_url = ""
         self._folder = folder
         self._ports = processes.PortAllocator()
-        self._members = ""
+        self._member_ports: dict[str, int] = {}
         self._stores: list[str] = []
         self._kv_url = ""
 
@@ -208,8 +230,7 @@
         domain: str,
         role_section: str,
         option_by_name: dict[str, str],
-        wire_port: int = 0,
-        members: str = "",
+        wire_port: int,
     ) -> pathlib.Path:
         """Writes one process's settings file and returns its path."""
         parser = configparser.ConfigParser(interpolation=None)
@@ -220,23 +241,27 @@
         }
         parser["wire"] = {
             "port": str(wire_port),
+            "advertised_port": str(self._route("*", name, wire_port)),
             "silence_ms": str(self.plan.agent_silence_ms),
         }
-        parser["control"] = {"members": members or self._members}
+        parser["control"] = {"members": self._members_for(name)}
         parser[role_section] = option_by_name
         path = self._folder / f"{name}.ini"
         with path.open("w") as file:
             parser.write(file)
         return path
 
-    def _start_controls(self) -> None:
-        ports = [self._ports.take() for _ in range(self.plan.controls)]
-        self._members = ", ".join(
-            f"control-{number}@{processes.HOST}:{port}"
-            for number, port in enumerate(ports)
+    def _members_for(self, name: str) -> str:
+        return ", ".join(
+            f"{member}@{processes.HOST}:{self._route(name, member, port)}"
+            for member, port in self._member_ports.items()
         )
-        for number, port in enumerate(ports):
-            self.start_control(f"control-{number}", port)
+
+    def _start_controls(self) -> None:
+        names = [f"control-{number}" for number in range(self.plan.controls)]
+        self._member_ports = {name: self._ports.take() for name in names}
+        for name, port in self._member_ports.items():
+            self.start_control(name, port)
         for url in self.operator_urls:
             processes.wait_until(
                 lambda url=url: answers(f"{url}/health/ready"),  # type: ignore[misc]
@@ -275,7 +300,7 @@
     def _start_agent(self, target: str, number: int, service: str) -> None:
         option_by_name = {
             "target": target,
-            "url": self.url_by_target[target],
+            "url": self._routed_url(f"agent-{target}", target),
             "slots": str(self.plan.engine.slots),
         }
         if service == "engine":
@@ -294,6 +319,10 @@
         )
         self.group.start(name, "-m", "lycheering", "agent", str(path))
 
+    def _routed_url(self, source: str, target: str) -> str:
+        port = int(self.url_by_target[target].rpartition(":")[2])
+        return f"http://{processes.HOST}:{self._route(source, target, port)}"
+
     def _start_entries(self) -> None:
         for number in range(self.plan.entries):
             port = self._ports.take()
@@ -307,8 +336,10 @@
                     "balancer_grace_ms": "200",
                     "state_folder": str(self._folder / f"{name}.state"),
                 },
+                self._ports.take(),
             )
-            self.entry_urls.append(f"http://{processes.HOST}:{port}")
+            routed = self._route("caller", name, port)
+            self.entry_urls.append(f"http://{processes.HOST}:{routed}")
             self.group.start(name, "-m", "lycheering", "entry", str(path))
 
     def operator(
--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -147,7 +147,7 @@
             kind=records.TargetKind(agent.kind),
             instance=instance.name,
             ip=instance.ip,
-            port=self._server.port,
+            port=self._settings.wire.advertised_port or self._server.port,
             agent_incarnation=self._server.link.identity.incarnation,
             failure_domain=instance.failure_domain,
             region=instance.region,
--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -113,7 +113,9 @@
         self.group = replica.Replica(
             settings,
             machine,
-            transport.WireTransport(self._connections),
+            transport.WireTransport(
+                self._connections, self._settings.control.members
+            ),
             self._clock,
             lambda: self.listener.port,
             self._is_heard,
--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -6,7 +6,6 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lycheering.control import transport
 from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
 
@@ -147,7 +146,7 @@
     async def _fetch(
         self, other: members.PeerAddress
     ) -> messages.StatusReply | None:
-        address = transport.wire_address(other)
+        address = self._group.wire_address(other)
         connection = self._connections.get(address)
         try:
             reply = await connection.call(
--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -28,6 +28,7 @@
 
     from lycheering import clock
     from lycheering.settings import model
+    from lycheering.wire import api as wire_api
 
 PROPOSE_TIMEOUT_MS = 2_000
 READ_TIMEOUT_MS = 1_000
@@ -165,6 +166,10 @@
             return None
         return hint
 
+    def wire_address(self, peer: members.PeerAddress) -> wire_api.Address:
+        """Returns where this instance reaches another control instance."""
+        return self._transport.address(peer)
+
     def peers(self) -> list[members.PeerAddress]:
         """Returns where all members listen, this one included."""
         if self._log is None:
--- a/src/lycheering/control/transport.py
+++ b/src/lycheering/control/transport.py
@@ -15,7 +15,10 @@
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lycheering.replication import members
+    from lycheering.settings import model
     from lycheering.wire import pool
 
 CONNECT_TIMEOUT_MS = 300
@@ -30,8 +33,28 @@
 class WireTransport(replication_api.Transport):
     """Sends requests over the process's connections."""
 
-    def __init__(self, connections: pool.ConnectionPool) -> None:
+    def __init__(
+        self,
+        connections: pool.ConnectionPool,
+        known: Iterable[model.PeerAddress],
+    ) -> None:
+        """Prepares the transport.
+
+        Args:
+            connections: The process's connections.
+            known: Addresses from this instance's own settings, which go
+                before those that the replicated log holds.
+        """
         self._connections = connections
+        self._known_by_instance = {
+            peer.instance: wire_api.Address(peer.instance, peer.ip, peer.port)
+            for peer in known
+        }
+
+    def address(self, peer: members.PeerAddress) -> wire_api.Address:
+        """Returns where this instance reaches another control instance."""
+        known = self._known_by_instance.get(peer.instance)
+        return known or wire_address(peer)
 
     async def call(
         self,
@@ -64,7 +87,7 @@
             CallFailedError: The peer could not do it.
             MalformedFrameError: The reply can't be read.
         """
-        connection = self._connections.get(wire_address(peer))
+        connection = self._connections.get(self.address(peer))
         await connection.ready(min(timeout_ms, CONNECT_TIMEOUT_MS))
         frame = messages.LogCall(peer_calls.encode(call))
         reply = await connection.call(frame, timeout_ms)
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -90,6 +90,8 @@
 
     Attributes:
         port: The port that peers connect to; 0 takes any free one.
+        advertised_port: The port told to peers where it is another, as
+            behind a port mapping; 0 tells them `port`.
         heartbeat_ms: Time between heartbeats on a connection that is idle.
         silence_ms: Silence after which a connection is replaced.
         call_timeout_ms: Time that a short call may take.
@@ -101,6 +103,7 @@
     """
 
     port: Port = 0
+    advertised_port: Port = 0
     heartbeat_ms: PositiveMs = 500
     silence_ms: PositiveMs = 2_000
     call_timeout_ms: PositiveMs = 2_000
