--- a/src/lycheering/commands/explain.py
+++ b/src/lycheering/commands/explain.py
@@ -13,6 +13,7 @@
 from lycheering.operator import answers
 from lycheering.operator import calls
 from lycheering.operator import client
+from lycheering.operator import items
 
 
 @cappa.command(name="explain", help="Explain where a request went, and why.")
@@ -45,7 +46,7 @@
         return exit_codes.ExitCode.OK
 
 
-def _print(attempt: answers.AttemptItem) -> None:
+def _print(attempt: items.AttemptItem) -> None:
     reason = f" ({attempt.reason})" if attempt.reason else ""
     print(f"attempt {attempt.attempt}: {attempt.chosen}{reason}")
     print(
--- a/src/lycheering/commands/orders.py
+++ b/src/lycheering/commands/orders.py
@@ -15,11 +15,12 @@
 from lycheering.operator import answers
 from lycheering.operator import calls
 from lycheering.operator import client
+from lycheering.operator import items
 
 HEADERS = ("ORDER", "TEAM", "KEY", "STATE", "TARGET", "CLAIMED AT", "REASON")
 
 
-def _print(orders: tuple[answers.OrderItem, ...]) -> None:
+def _print(orders: tuple[items.OrderItem, ...]) -> None:
     rows = [
         (
             order.order_id,
