Test the explain command against the entry's own explanation

Cause: the entry writes a target as an array in its explanation, and the command has to read it.

Change: two scenarios, of an explanation made by the entry's types and of a request that is not kept.

--- a/tests/operator/client.feature
+++ b/tests/operator/client.feature
@@ -94,3 +94,16 @@
     When the operator runs "status --wait 5 --timeout-ms 100"
     Then the operator command exits with 1
     And it prints "lacking: e1"
+
+  Scenario: An entry's explanation names candidates, scores and the choice
+    Given the operator endpoint "c1" explains request "r1" with two candidates
+    When the operator asks the entry "c1" to explain "r1"
+    Then the operator command exits with 0
+    And it prints "attempt 1: t2 (t1 was full)"
+    And it prints "t1         12.500  3.0       2               cached"
+
+  Scenario: A request that the entry does not know is refused
+    Given the operator endpoint "c1" does not know request "r1"
+    When the operator asks the entry "c1" to explain "r1"
+    Then the operator command exits with 3
+    And it complains of "not_found"
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -12,9 +12,13 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from lycheering import run
+from lycheering.fleet import records
 from lycheering.operator import seed
+from lycheering.routing import api as routing_api
+from lycheering.routing import explain
 from tests.support import scripted_http
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -317,3 +321,42 @@
         assert len(teams) == count
         for change in changes:
             assert change.reason.strip(), change
+
+
+# explanations
+
+
+@given(
+    'the operator endpoint "{name}" explains request "{request}"'
+    " with two candidates"
+)
+def step_explains(context, name, request):
+    targets = [
+        records.Target(
+            n, records.TargetKind.ENGINE, n, "127.0.0.1", 1, "i", "d"
+        )
+        for n in ("t1", "t2")
+    ]
+    candidates = (
+        routing_api.Candidate(targets[0], 12.5, 3.0, 2, 40.0, "cached"),
+        routing_api.Candidate(targets[1], 20.0, 0.0, 5, 40.0, "idle"),
+    )
+    explanation = explain.Explanation(
+        request, 1, "affinity", "k", 2, "t2", "t1 was full", candidates
+    )
+    body = json.loads(msgspec.json.encode({"attempts": [explanation]}))
+    endpoint = context.endpoint_by_name[name]
+    endpoint.answer_reads(f"/v1/explain/{request}", ok(body))
+
+
+@given('the operator endpoint "{name}" does not know request "{request}"')
+def step_not_known(context, name, request):
+    error = {"code": 404, "reason": "not_found", "message": "not kept"}
+    endpoint = context.endpoint_by_name[name]
+    endpoint.answer_reads(f"/v1/explain/{request}", refused(error))
+
+
+@when('the operator asks the entry "{name}" to explain "{request}"')
+def step_explain(context, name, request):
+    entry = f"{scripted_http.HOST}:{context.port_by_name[name]}"
+    run_command(context, ["explain", request, "--entry", entry])
