--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from typing import TYPE_CHECKING
 
 import zmq.asyncio
@@ -36,6 +37,7 @@
 
 WARM_POLL_MS = 1_000
 DRAIN_POLL_MS = 20
+SUSPECT_HEARTBEATS = 2
 
 _LOG = logs.get("entry")
 
@@ -98,6 +100,7 @@
             self._connections,
             self._circuits,
             self.counters,
+            SUSPECT_HEARTBEATS * settings.wire.heartbeat_ms,
         )
         budget = budgets.RetryBudget(self._clock)
         desk = orders.OrderDesk(targets, self._control, budget)
@@ -136,6 +139,9 @@
         await self._control.start()
         self._tasks.spawn(self._keep_warm(), "entry:warm")
         await self.web.start()
+        # what lives as long as the process need not be traversed again
+        gc.collect()
+        gc.freeze()
 
     async def drain(self) -> None:
         """Leaves the balancer first, then ends what runs."""
