Give leadership away when nobody can reach the leader

Cause: a leader whose messages got out while none came in kept its lease, since replication runs on connections that it opened itself. The others heard it, so they elected nobody, and no write could be brought to it.

Ruled out: refusing to follow such a leader, which would need the vote's rules to know of the other direction.

--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -10,6 +10,7 @@
 from lycheering.app import api as app_api
 from lycheering.control import fleet_status
 from lycheering.control import handler
+from lycheering.control import leader_reach
 from lycheering.control import operator_http
 from lycheering.control import operator_reads
 from lycheering.control import operator_writes
@@ -110,10 +111,11 @@
             security.security_from(settings.wire, self._counters),
         )
         self._connections = pool.ConnectionPool(self._link)
+        self._transport = transport.WireTransport(self._connections)
         self.group = replica.Replica(
             settings,
             machine,
-            transport.WireTransport(self._connections),
+            self._transport,
             self._clock,
             lambda: self.listener.port,
             self._is_heard,
@@ -166,6 +168,14 @@
             self._counters,
         )
 
+        self._reach = leader_reach.LeaderReach(
+            self.group,
+            self._transport,
+            self._status,
+            self._clock,
+            self._counters,
+        )
+
     def _join_web(self) -> None:
         reads = operator_reads.OperatorReads(
             self.group,
@@ -200,6 +210,7 @@
             self._doubts,
             self._watcher,
             self._target_orders,
+            self._reach,
             self.web,
         ]
         for part in parts:
--- a/tests/control/group.feature
+++ b/tests/control/group.feature
@@ -92,6 +92,27 @@
     When the operator replaces "c3" by itself
     Then that changes nothing more
 
+  @cell.control_partition.config.propose @cell.control_partition.config.commit
+  Scenario: A leader that nobody can reach gives its office away
+    Given a group of 3 control instances behind proxies
+    When limits.max_running is set to 5 through "c1"
+    And all that is sent to the leader is cut off
+    Then limits.max_running can be set to 6 through each of the others
+    And the one cut off never calls limits.max_running at 5 current again
+    When the cut is healed
+    Then the one cut off comes to have limits.max_running at 6, as current
+
+  @cell.silent_connection.config.propose @cell.silent_connection.config.commit
+  @cell.silent_connection.config.spread @cell.silent_connection.config.in_force
+  Scenario: All open connections go silent, while new ones work
+    Given a group of 3 control instances behind proxies
+    And an entry on the inner protocol
+    When limits.max_running is set to 5 through "c1"
+    Then the entry has limits.max_running at 5 in force
+    When all open connections go silent
+    Then limits.max_running can be set to 6 through each that runs
+    And the entry has limits.max_running at 6 in force
+
   Scenario: Operators need a key where one is set
     Given a group of 1 control instances with the operator key "open-sesame"
     Then calls without a key or with another are refused as "unauthorized"
--- a/tests/steps/control_group_steps.py
+++ b/tests/steps/control_group_steps.py
@@ -49,6 +49,54 @@
     start_group(context, size, operator_key_file=path)
 
 
+@given("a group of {size:d} control instances behind proxies")
+def step_group_proxies(context, size):
+    start_group(context, size, proxies=context.stack)
+
+
+@when("all that is sent to the leader is cut off")
+def step_cut_leader(context):
+    context.old_leader = context.group.leader()
+    context.group.proxy_by_name[context.old_leader].cut()
+    context.others = [
+        name for name in context.group.names if name != context.old_leader
+    ]
+
+
+@then("{option} can be set to {value:d} through each of the others")
+def step_set_others(context, option, value):
+    for name in context.others:
+        step_set(context, option, value, name)
+
+
+@then("the one cut off never calls {option} at {value:d} current again")
+def step_cut_off_reads(context, option, value):
+    for _ in range(10):
+        found = context.group.value(context.old_leader, option)
+        assert found != (value, True), found
+
+
+@when("the cut is healed")
+def step_heal(context):
+    context.group.proxy_by_name[context.old_leader].heal()
+
+
+@then("the one cut off comes to have {option} at {value:d}, as current")
+def step_healed(context, option, value):
+    processes.wait_for(
+        lambda: (
+            context.group.value(context.old_leader, option) == (value, True)
+        ),
+        f"{option} to be {value}",
+    )
+
+
+@when("all open connections go silent")
+def step_silence(context):
+    for proxy in context.group.proxy_by_name.values():
+        assert proxy.silence_open() > 0
+
+
 @given("an entry on the inner protocol")
 def step_entry(context):
     if not hasattr(context, "peers"):
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -5,21 +5,29 @@
 import itertools
 import shutil
 
+from tests.support import fault_proxy
 from tests.support import processes
 
 
 class ControlGroup:
     """Control instances c1, c2 and so on, on ports of their own."""
 
-    def __init__(self, group, size=3, **options):
+    def __init__(self, group, size=3, proxies=None, **options):
         self.group = group
         self.options = options
         self.names = [f"c{number + 1}" for number in range(size)]
         take = processes.PORTS.take
         self.wire_port = {name: take() for name in self.names}
         self.http_port = {name: take() for name in self.names}
+        self.member_port = dict(self.wire_port)
+        self.proxy_by_name = {}
+        if proxies is not None:
+            for name, port in self.wire_port.items():
+                proxy = proxies.enter_context(fault_proxy.FaultProxy(port))
+                self.proxy_by_name[name] = proxy
+                self.member_port[name] = proxy.port
         self.members = ",".join(
-            f"{name}@{processes.HOST}:{self.wire_port[name]}"
+            f"{name}@{processes.HOST}:{self.member_port[name]}"
             for name in self.names
         )
         self.change_ids = itertools.count(1)
--- a/tests/support/control_peers.py
+++ b/tests/support/control_peers.py
@@ -158,5 +158,5 @@
         if listens:
             await peer.listen()
         for control in group.names:
-            await peer.connect(control, group.wire_port[control])
+            await peer.connect(control, group.member_port[control])
         return peer
