--- a/src/lycheering/control/operator_errors.py
+++ b/src/lycheering/control/operator_errors.py
@@ -11,6 +11,7 @@
 
 from lycheering.control import failures
 from lycheering.control import operator_answers
+from lycheering.control import operator_rows
 from lycheering.replication import errors
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
             message,
             findings or [],
             retry_after_ms,
-            operator_answers.WinnerRow.of(winner) if winner else None,
+            operator_rows.WinnerRow.of(winner) if winner else None,
         )
 
 
--- a/src/lycheering/control/operator_reads.py
+++ b/src/lycheering/control/operator_reads.py
@@ -8,6 +8,7 @@
 from lycheering.control import commands
 from lycheering.control import operator_answers as answers
 from lycheering.control import operator_errors
+from lycheering.control import operator_rows
 from lycheering.fleet import options
 from lycheering.fleet import view
 from lycheering.replication import errors
@@ -59,7 +60,7 @@
         current = await self._is_current()
         fleet = self._fleet
         rows = [
-            answers.DefaultRow(
+            operator_rows.DefaultRow(
                 name,
                 fleet.value(name),
                 option.default,
@@ -84,7 +85,9 @@
             current=current,
             config_revision=fleet.config_revision,
             view_revision=fleet.view_revision,
-            exceptions=[answers.ExceptionRow.of(record) for record in found],
+            exceptions=[
+                operator_rows.ExceptionRow.of(record) for record in found
+            ],
         )
 
     async def teams(self) -> answers.TeamsAnswer:
@@ -92,7 +95,7 @@
         current = await self._is_current()
         fleet = self._fleet
         rows = [
-            answers.TeamRow(team.name, len(team.key_digests))
+            operator_rows.TeamRow(team.name, len(team.key_digests))
             for team in fleet.team_by_name.values()
         ]
         return answers.TeamsAnswer(
@@ -213,7 +216,7 @@
         lacking: list[str],
     ) -> answers.StatusAnswer:
         processes = [
-            answers.ProcessRow.of(peer)
+            operator_rows.ProcessRow.of(peer)
             for peer in picture.peer_by_name.values()
         ]
         return answers.StatusAnswer(
@@ -248,12 +251,12 @@
             return ""
         return f"{change.joining} joins, {change.leaving} leaves"
 
-    def _member_rows(self) -> list[answers.MemberRow]:
+    def _member_rows(self) -> list[operator_rows.MemberRow]:
         rows = []
         for member in self._group.log.status().members:
             ip, _, port = member.address.rpartition(":")
             rows.append(
-                answers.MemberRow(
+                operator_rows.MemberRow(
                     member.id.instance,
                     ip,
                     int(port),
@@ -264,16 +267,16 @@
         return rows
 
 
-def order_row(order: order_records.Order) -> answers.OrderRow:
+def order_row(order: order_records.Order) -> operator_rows.OrderRow:
     """Returns the row of an order."""
     outcome = None
     if order.outcome is not None:
-        outcome = answers.OutcomeRow(
+        outcome = operator_rows.OutcomeRow(
             order.outcome.status,
             order.outcome.content_type,
             len(order.outcome.body),
         )
-    return answers.OrderRow(
+    return operator_rows.OrderRow(
         order_id=order.order_id,
         team=order.team,
         key=order.key,
@@ -287,7 +290,7 @@
     )
 
 
-def _history_row(entry: history.HistoryEntry) -> answers.HistoryRow:
+def _history_row(entry: history.HistoryEntry) -> operator_rows.HistoryRow:
     command = entry.command
     subject = ""
     value: options.OptionValue | None = None
@@ -303,7 +306,7 @@
             kind, subject = "team_put", name
         case commands.RemoveTeam(name):
             kind, subject = "team_removed", name
-    return answers.HistoryRow(
+    return operator_rows.HistoryRow(
         entry.revision,
         command.change_id,
         command.operator,
@@ -319,12 +322,12 @@
     fleet: view.FleetView,
     target: records.Target,
     report_by_target: dict[str, messages.TargetReport],
-) -> answers.TargetRow:
+) -> operator_rows.TargetRow:
     subject = view.subject_of_target(target)
     report = report_by_target.get(target.name)
     row = None
     if report is not None:
-        row = answers.ReportRow(
+        row = operator_rows.ReportRow(
             report.engine_incarnation,
             report.weights_version,
             report.adapters,
@@ -333,7 +336,7 @@
             report.load.queued,
             report.load.draining,
         )
-    return answers.TargetRow(
+    return operator_rows.TargetRow(
         name=target.name,
         kind=target.kind,
         state=target.state,
--- /dev/null
+++ b/tests/steps/control_weights_steps.py
@@ -0,0 +1,121 @@
+"""Steps for orders to targets that load weights."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering.wire import messages
+from tests.steps import control_wire_steps
+from tests.support import processes
+
+LOAD_S = 0.3
+
+
+class LoadingAgent:
+    """An agent beside an engine that takes a while to load weights."""
+
+    def __init__(self, context, name, tally):
+        self.peer = control_wire_steps.join_agent(context, name)
+        self.version = "v1"
+        self.fences = []
+        self.tally = tally
+        self.peer.handler.handle = self.handle
+        self.peers = context.peers
+        self.reporting = asyncio.run_coroutine_threadsafe(
+            self.report(), self.peers.loop
+        )
+
+    async def handle(self, session, envelope):
+        order = envelope.message
+        if not isinstance(order, messages.TargetOrder):
+            return
+        self.fences.append(order.fence)
+        self.tally.begin()
+        await asyncio.sleep(LOAD_S)
+        self.tally.end()
+        self.version = order.version
+        session.send(
+            messages.TargetOrderReply(True, order.fence), envelope.call_id
+        )
+
+    async def report(self):
+        while True:
+            report = messages.TargetReport(
+                self.peer.name,
+                self.peer.incarnation,
+                "e1",
+                self.version,
+                (),
+                "general",
+                messages.LoadReport(),
+            )
+            for connection in self.peer.connection_by_name.values():
+                if connection.connected:
+                    connection.send(report)
+            await asyncio.sleep(0.1)
+
+    def close(self):
+        self.reporting.cancel()
+
+
+@dataclasses.dataclass
+class LoadTally:
+    """How many agents load now, and did at most."""
+
+    now: int = 0
+    most: int = 0
+
+    def begin(self):
+        self.now += 1
+        self.most = max(self.most, self.now)
+
+    def end(self):
+        self.now -= 1
+
+
+@given("{count:d} scripted agents that load weights")
+def step_loading(context, count):
+    context.tally = LoadTally()
+    context.loading = []
+    for number in range(count):
+        agent = LoadingAgent(context, f"t{number}", context.tally)
+        context.stack.callback(agent.close)
+        context.loading.append(agent)
+
+
+@when('weights.version is set to "{version}" for all targets')
+def step_set_version(context, version):
+    answer = context.group.set_default("c1", "weights.version", version)
+    assert answer.status == 200
+
+
+@when("the first load has begun")
+def step_first_load(context):
+    processes.wait_for(lambda: context.tally.most, "a load")
+
+
+@then('all {count:d} agents come to serve "{version}"')
+def step_all_serve(context, count, version):
+    def served():
+        versions = [agent.version for agent in context.loading]
+        return versions == [version] * count
+
+    processes.wait_for(served, "all agents to serve it", 60)
+
+
+@then("at most {count:d} of them loaded at once")
+def step_at_most(context, count):
+    assert context.tally.most <= count, context.tally
+
+
+@then("all their fencing numbers differ and grow on each")
+def step_fences(context):
+    fences = [agent.fences for agent in context.loading]
+    everything = sum(fences, [])
+    assert len(everything) == len(set(everything))
+    assert all(numbers == sorted(numbers) for numbers in fences)
--- a/tests/steps/control_wire_steps.py
+++ b/tests/steps/control_wire_steps.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import http.server
-import json
-import threading
 
 from behave import given
 from behave import then
@@ -15,12 +11,10 @@
 
 from lycheering.fleet import view
 from lycheering.wire import messages
-from tests.steps import control_group_steps
 from tests.support import control_peers
 from tests.support import processes
 
 AGENT_ANSWER = messages.OrderOutcome(200, "text/plain", b"agent's", "r1")
-LOAD_S = 0.3
 
 
 def join_agent(context, name):
@@ -259,111 +253,6 @@
     processes.wait_for(seen, f"{name} to be {state}")
 
 
-class LoadingAgent:
-    """An agent beside an engine that takes a while to load weights."""
-
-    def __init__(self, context, name, tally):
-        self.peer = join_agent(context, name)
-        self.version = "v1"
-        self.fences = []
-        self.tally = tally
-        self.peer.handler.handle = self.handle
-        self.peers = context.peers
-        self.reporting = asyncio.run_coroutine_threadsafe(
-            self.report(), self.peers.loop
-        )
-
-    async def handle(self, session, envelope):
-        order = envelope.message
-        if not isinstance(order, messages.TargetOrder):
-            return
-        self.fences.append(order.fence)
-        self.tally.begin()
-        await asyncio.sleep(LOAD_S)
-        self.tally.end()
-        self.version = order.version
-        session.send(
-            messages.TargetOrderReply(True, order.fence), envelope.call_id
-        )
-
-    async def report(self):
-        while True:
-            report = messages.TargetReport(
-                self.peer.name,
-                self.peer.incarnation,
-                "e1",
-                self.version,
-                (),
-                "general",
-                messages.LoadReport(),
-            )
-            for connection in self.peer.connection_by_name.values():
-                if connection.connected:
-                    connection.send(report)
-            await asyncio.sleep(0.1)
-
-    def close(self):
-        self.reporting.cancel()
-
-
-@dataclasses.dataclass
-class LoadTally:
-    """How many agents load now, and did at most."""
-
-    now: int = 0
-    most: int = 0
-
-    def begin(self):
-        self.now += 1
-        self.most = max(self.most, self.now)
-
-    def end(self):
-        self.now -= 1
-
-
-@given("{count:d} scripted agents that load weights")
-def step_loading(context, count):
-    context.tally = LoadTally()
-    context.loading = []
-    for number in range(count):
-        agent = LoadingAgent(context, f"t{number}", context.tally)
-        context.stack.callback(agent.close)
-        context.loading.append(agent)
-
-
-@when('weights.version is set to "{version}" for all targets')
-def step_set_version(context, version):
-    answer = context.group.set_default("c1", "weights.version", version)
-    assert answer.status == 200
-
-
-@when("the first load has begun")
-def step_first_load(context):
-    processes.wait_for(lambda: context.tally.most, "a load")
-
-
-@then('all {count:d} agents come to serve "{version}"')
-def step_all_serve(context, count, version):
-    def served():
-        versions = [agent.version for agent in context.loading]
-        return versions == [version] * count
-
-    processes.wait_for(served, "all agents to serve it", 60)
-
-
-@then("at most {count:d} of them loaded at once")
-def step_at_most(context, count):
-    assert context.tally.most <= count, context.tally
-
-
-@then("all their fencing numbers differ and grow on each")
-def step_fences(context):
-    fences = [agent.fences for agent in context.loading]
-    everything = sum(fences, [])
-    assert len(everything) == len(set(everything))
-    assert all(numbers == sorted(numbers) for numbers in fences)
-
-
 def drain(context, name, word):
     leader = context.group.leader()
     revision = context.group.defaults(leader)["config_revision"]
@@ -403,88 +292,3 @@
 @then('the entry sees "{name}" as not drained')
 def step_sees_undrained(context, name):
     wait_drained(context, name, False)
-
-
-class PlatformList:
-    """Serves a list of instances as the platform does."""
-
-    def __init__(self):
-        self.state_by_instance = {}
-        self.nonsense = False
-        platform = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            def do_GET(self):  # noqa: N802
-                body = platform.body()
-                self.send_response(200)
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-            def log_message(self, *_):
-                pass
-
-        self.server = http.server.ThreadingHTTPServer(
-            (processes.HOST, 0), Handler
-        )
-        self.thread = threading.Thread(target=self.server.serve_forever)
-        self.thread.start()
-
-    @property
-    def url(self):
-        return f"http://{processes.HOST}:{self.server.server_port}"
-
-    def body(self):
-        if self.nonsense:
-            return b'{"instances": [{"instance": 7, "state": "odd"}]}'
-        rows = [
-            {
-                "instance": name,
-                "ip": processes.HOST,
-                "state": state,
-                "failure_domain": "fd1",
-            }
-            for name, state in self.state_by_instance.items()
-        ]
-        return json.dumps({"instances": rows}).encode()
-
-    def close(self):
-        self.server.shutdown()
-        self.thread.join()
-        self.server.server_close()
-
-
-@given('a platform list with "{name}" live')
-def step_platform(context, name):
-    context.platform = PlatformList()
-    context.stack.callback(context.platform.close)
-    context.platform.state_by_instance[name] = "live"
-
-
-@given("a group of {size:d} control instances that read the list")
-def step_group_platform(context, size):
-    control_group_steps.start_group(
-        context, size, platform_url=context.platform.url, platform_poll_ms=200
-    )
-
-
-@when('the platform lists "{name}" as {state}')
-def step_list_state(context, name, state):
-    context.platform.state_by_instance[name] = state
-
-
-@when('the platform no longer lists "{name}"')
-def step_unlist(context, name):
-    del context.platform.state_by_instance[name]
-
-
-@when("the platform answers nonsense until the leader has counted it")
-def step_nonsense(context):
-    context.platform.nonsense = True
-    leader = context.group.leader()
-
-    def counted():
-        answer = context.group.call(leader, "GET", "/v1/counters").json
-        return answer["counters"].get("membership.list_failed")
-
-    processes.wait_for(counted, "the leader to count it")
