--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -179,8 +179,9 @@
         self.wait_serving()
 
     def close(self) -> None:
-        """Ends every process."""
-        self.group.close()
+        """Ends every process, those first that need the others to leave."""
+        for prefix in ("entry-", "agent-", "control-", ""):
+            self.group.close(prefix)
 
     def _stand_in(self, name: str, module: str, *options: str) -> str:
         process = self.group.start(
