Keep the last slots for other active teams and priorities

Ruled out: smaller slots per team at all times, which wastes a target that serves one team.

Change: a quarter of the slots is left to other teams and to more urgent priorities, while those sent something in the last 10 s. Also: keys of the inner protocol at the agent, health checks within 1 s.

--- a/src/lycheering/agent/context.py
+++ b/src/lycheering/agent/context.py
@@ -23,6 +23,9 @@
     from lycheering.telemetry import counters as counting
 
 
+RESERVED_SHARE = 4  # one slot of so many is kept for other teams
+
+
 @dataclasses.dataclass(frozen=True)
 class Context:
     """The parts that every request of an agent uses.
@@ -79,8 +82,11 @@
             max_running,
             fleet.integer("limits.max_queued", self.subject),
             window,
+            max_running // RESERVED_SHARE,
         )
-        if limits != self.admission.limits:
+        if limits == self.admission.limits:
+            self.admission.advance()
+        else:
             self.admission.change_limits(limits)
         self.desk.retention_ms = fleet.number(
             "orders.retention_ms", self.subject
--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -33,6 +33,7 @@
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
 from lycheering.wire import pool as pools
+from lycheering.wire import security
 from lycheering.wire import server as servers
 
 if TYPE_CHECKING:
@@ -45,15 +46,16 @@
 class ContextOwner(app_api.Part):
     """Closes what is left of the inner protocol after all else stopped."""
 
-    def __init__(self, context: zmq.asyncio.Context) -> None:
-        self._context = context
+    def __init__(self, link: wire_api.Link) -> None:
+        self._link = link
 
     async def start(self) -> None:
         """Has nothing to do."""
 
     async def stop(self) -> None:
         """Closes all sockets; the last frames get a moment to leave."""
-        self._context.destroy(linger=LAST_FRAMES_MS)
+        self._link.security.close()
+        self._link.context.destroy(linger=LAST_FRAMES_MS)
 
 
 class LoadReporter:
@@ -112,12 +114,13 @@
         clock,
         holder,
         counters,
+        security.security_from(settings.wire, counters),
     )
     state = target_state.TargetState(agent, clock)
     index = indexes.BlockIndex()
     driver: engine.EngineDriver | service.ServiceDriver
     application = app_api.Application(settings.instance.drain_timeout_ms)
-    application.add(ContextOwner(link.context))
+    application.add(ContextOwner(link))
     if agent.kind == records.TargetKind.ENGINE.value:
         driver = engine.EngineDriver(agent, settings.wire)
         application.add(feed.EventFeed(driver, index, clock, counters))
--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -10,6 +10,7 @@
 
 from lycheering.limits import cost as costs
 from lycheering.limits import queue as queues
+from lycheering.limits import reserve as reserves
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -50,11 +51,14 @@
         max_running: Requests sent to the target at once.
         max_queued: Requests that wait at the agent.
         prefill_window: Requests sent whose first token is awaited.
+        reserved: Slots that no team or priority takes while others are
+            active.
     """
 
     max_running: int = 8
     max_queued: int = 64
     prefill_window: int = PREFILL_WINDOW
+    reserved: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,6 +112,8 @@
         self.draining = False
         self._clock = clock
         self._running: set[Place] = set()
+        self._reserve = reserves.SlotReserve()
+        self._reserve.open_slots = self.limits.max_running
         self._place_by_waiting: dict[queues.Waiting, Place] = {}
         self._idle = asyncio.Event()
         self._idle.set()
@@ -141,6 +147,7 @@
             demand.deadline_ms,
             asyncio.get_running_loop().create_future(),
         )
+        self._reserve.entered(waiting)
         self.queue.rank(waiting)
         wait_ms = self._expected_wait_ms(waiting)
         self._check_deadline(waiting, now_ms, wait_ms)
@@ -184,7 +191,9 @@
         """Learns that a request ended, however it did."""
         self.queue.remove(place.waiting)
         self._place_by_waiting.pop(place.waiting, None)
-        self._running.discard(place)
+        if place in self._running:
+            self._running.remove(place)
+            self._reserve.ended(place.waiting)
         if not place.waiting.turn.done():
             place.waiting.turn.cancel()
         elif not place.waiting.turn.cancelled():
@@ -203,6 +212,11 @@
     def change_limits(self, limits: Limits) -> None:
         """Puts other limits in force."""
         self.limits = limits
+        self._reserve.open_slots = limits.max_running - limits.reserved
+        self.advance()
+
+    def advance(self) -> None:
+        """Lets through what may start by now."""
         self._advance()
 
     async def idle(self) -> None:
@@ -330,13 +344,16 @@
     def _advance(self) -> None:
         while self.queue and self._may_start():
             now_ms = self._clock.now_ms()
-            waiting = self.queue.pop(now_ms)
+            waiting = self.queue.pop(now_ms, self._reserve.holds)
+            if waiting is None:
+                return
             if waiting.turn.done():
                 continue
             place = self._place_by_waiting[waiting]
             place.started_ms = now_ms
             place.prefilling = True
             self._running.add(place)
+            self._reserve.started(waiting)
             waiting.turn.set_result(None)
 
 
--- a/src/lycheering/limits/queue.py
+++ b/src/lycheering/limits/queue.py
@@ -9,9 +9,12 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from lycheering.limits import cost as costs
 
+    HoldCheck = Callable[["Waiting", float], bool]
+
 AGING_MS_PER_PRIORITY = 250
 MAX_IDLE_TEAMS = 1_024
 
@@ -81,8 +84,14 @@
         if self._finish_by_team.get(waiting.team) == waiting.finish_tag:
             self._finish_by_team[waiting.team] = waiting.start_tag
 
-    def pop(self) -> Waiting:
-        waiting = self.ordered.pop(0)
+    def first(self, now_ms: float, is_held: HoldCheck) -> int | None:
+        for at, waiting in enumerate(self.ordered):
+            if not is_held(waiting, now_ms):
+                return at
+        return None
+
+    def pop(self, at: int) -> Waiting:
+        waiting = self.ordered.pop(at)
         self.virtual_ms = max(self.virtual_ms, waiting.start_tag)
         if not self.ordered:
             # nobody is owed anything once nobody waits
@@ -110,6 +119,10 @@
     return waiting.place
 
 
+def _never_held(waiting: Waiting, now_ms: float) -> bool:
+    return False
+
+
 class FairQueue:
     """Serves priorities in order, and teams fairly within each.
 
@@ -158,25 +171,34 @@
         self._uncount(waiting)
         return True
 
-    def pop(self, now_ms: float) -> Waiting:
+    def pop(
+        self, now_ms: float, is_held: HoldCheck = _never_held
+    ) -> Waiting | None:
         """Takes out the request to be served next.
 
-        Raises:
-            IndexError: If none waits.
+        Args:
+            now_ms: The time, by which waiting requests gain on others.
+            is_held: Tells which requests get nothing now.
+
+        Returns:
+            The request, or None if there is none to be served.
         """
         best: _Level | None = None
+        best_at = 0
         best_rank = 0.0
         for priority, level in self._level_by_priority.items():
-            if not level.ordered:
+            at = level.first(now_ms, is_held)
+            if at is None:
                 continue
             aged = (now_ms - level.oldest_ms()) / AGING_MS_PER_PRIORITY
             rank = priority - aged
             if best is None or rank < best_rank:
                 best = level
+                best_at = at
                 best_rank = rank
         if best is None:
-            raise IndexError("empty queue")
-        waiting = best.pop()
+            return None
+        waiting = best.pop(best_at)
         self._uncount(waiting)
         return waiting
 
--- a/src/lycheering/targets/engine.py
+++ b/src/lycheering/targets/engine.py
@@ -124,11 +124,7 @@
 
     async def healthy(self) -> bool:
         """Returns whether the engine answers on a new connection."""
-        try:
-            reply = await self._fetch("GET", "/health")
-        except api.TargetError:
-            return False
-        return reply.head.status == 200
+        return await exchanges.is_healthy(self._origin, self._wire)
 
     async def load(self) -> api.TargetLoad:
         """Returns what the engine reports of itself."""
--- a/src/lycheering/targets/exchange.py
+++ b/src/lycheering/targets/exchange.py
@@ -14,6 +14,7 @@
     from lycheering.settings import model
 
 MAX_REPLY_BYTES = 33_554_432
+HEALTH_TIMEOUT_MS = 1_000
 
 
 async def send(
@@ -113,6 +114,23 @@
         raise api.BrokenAnswerError(str(error)) from error
 
 
+async def is_healthy(
+    origin: client.Origin, settings: model.WireSettings
+) -> bool:
+    """Returns whether a target answers on a new connection."""
+    try:
+        reply = await fetch(
+            origin,
+            settings,
+            "GET",
+            "/health",
+            timeout_ms=HEALTH_TIMEOUT_MS,
+        )
+    except api.TargetError:
+        return False
+    return reply.head.status == 200
+
+
 class BodyAnswer(api.Answer):
     """An answer whose chunks are the parts of a plain HTTP body."""
 
@@ -138,9 +156,11 @@
 
 
 __all__ = [
+    "HEALTH_TIMEOUT_MS",
     "MAX_REPLY_BYTES",
     "BodyAnswer",
     "fetch",
+    "is_healthy",
     "read_head",
     "read_parts",
     "send",
--- a/src/lycheering/targets/service.py
+++ b/src/lycheering/targets/service.py
@@ -41,13 +41,7 @@
 
     async def healthy(self) -> bool:
         """Returns whether the service answers on a new connection."""
-        try:
-            reply = await exchanges.fetch(
-                self._origin, self._wire, "GET", "/health"
-            )
-        except api.TargetError:
-            return False
-        return reply.head.status == 200
+        return await exchanges.is_healthy(self._origin, self._wire)
 
     async def load(self) -> api.TargetLoad:
         """Returns the slots of the settings, if the service answers."""
--- /dev/null
+++ b/tests/limits/reserve.feature
@@ -0,0 +1,37 @@
+Feature: The last slots are left to others that are active
+
+  Background:
+    Given an admission with 4 running and 8 queued at most
+    And 1 of its slots reserved
+
+  Scenario: A team alone takes all slots
+    When team "a" enters 6 times with 100 ms of work and 10000 ms left
+    Then 4 requests run and 2 wait
+
+  Scenario: A team leaves the last slot to another one
+    When team "b" enters with 100 ms of work and 10000 ms left
+    And request 1 ends
+    And team "a" enters 6 times with 100 ms of work and 10000 ms left
+    Then 3 requests run and 3 wait
+    When team "b" enters with 100 ms of work and 10000 ms left
+    Then request 8 starts
+    And 4 requests run and 3 wait
+
+  Scenario: The last slot is not kept for teams that went away
+    When team "b" enters with 100 ms of work and 10000 ms left
+    And request 1 ends
+    And 11000 ms pass at the admission
+    And team "a" enters 6 times with 100 ms of work and 10000 ms left
+    Then 4 requests run and 2 wait
+
+  Scenario: A priority leaves nothing to its equals
+    When team "a" enters at priority 10 with 100 ms of work
+    And request 1 ends
+    And team "a" enters 5 times with 100 ms of work and 10000 ms left
+    Then 4 requests run and 1 wait
+
+  Scenario: A priority leaves the last slot to a more urgent one
+    When team "a" enters at priority 5 with 100 ms of work
+    And request 1 ends
+    And team "a" enters 5 times with 100 ms of work and 10000 ms left
+    Then 3 requests run and 2 wait
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -28,12 +28,12 @@
         self.error_by_number = {}
         self.count = 0
 
-    async def enter(self, team, work_ms, left_ms):
+    async def enter(self, team, work_ms, left_ms, priority=10):
         self.count += 1
         demand = admission.Demand(
             team,
             1.0,
-            10,
+            priority,
             cost.Cost(0.0, work_ms),
             self.clock.now_ms() + left_ms,
         )
--- /dev/null
+++ b/tests/steps/limits_steps.py
@@ -0,0 +1,138 @@
+"""Steps for widths, costs and reserved slots."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.limits import cost
+from lycheering.limits import width
+
+KEY = "level"
+
+
+@given("{count:d} of its slots reserved")
+def step_reserved(context, count):
+    gate = context.entered.gate
+    gate.change_limits(dataclasses.replace(gate.limits, reserved=count))
+
+
+@when("{duration:d} ms pass at the admission")
+def step_pass(context, duration):
+    context.entered.clock.advance(duration)
+
+
+@when('team "{team}" enters at priority {priority:d} with {work:d} ms of work')
+def step_enter_priority(context, team, priority, work):
+    entered = context.entered
+    entered.runner.run(entered.enter(team, work, 10_000, priority))
+
+
+@given("a width meter for at most {most:d} targets")
+def step_meter(context, most):
+    context.clock = clock.ManualClock(1_000)
+    context.meter = width.WidthMeter(context.clock)
+    context.most = most
+    context.width = 1
+
+
+def offer(context, work_ms, spread=1, key=KEY):
+    hint = context.meter.offer(key, work_ms, spread, context.most)
+    return hint.width
+
+
+@when(
+    "a prefix brings {work:d} ms of work each {interval:d} ms for"
+    " {duration:d} s"
+)
+def step_work(context, work, interval, duration):
+    for _ in range(duration * 1_000 // interval):
+        context.width = offer(context, work)
+        context.clock.advance(interval)
+
+
+@then("its width is {wanted:d}")
+def step_width(context, wanted):
+    assert context.width == wanted, context.width
+
+
+@then("its width is at least {wanted:d}")
+def step_width_at_least(context, wanted):
+    assert context.width >= wanted, context.width
+
+
+@when("a prefix spread over its width brings {work:d} ms of work each second")
+def step_spread(context, work):
+    context.work = work
+
+
+@then("its width changes at most {most:d} times in {duration:d} s")
+def step_steady(context, most, duration):
+    changed = 0
+    for _ in range(duration):
+        share = context.work / context.width
+        found = offer(context, share, context.width)
+        changed += found != context.width
+        context.width = found
+        context.clock.advance(1_000)
+    assert changed <= most, changed
+
+
+@when("{count:d} prefixes bring work")
+def step_prefixes(context, count):
+    for number in range(count):
+        offer(context, 10, key=f"level-{number}")
+
+
+@then("the meter remembers {count:d} of them")
+def step_remembers(context, count):
+    assert len(context.meter._demand_by_key) == count
+
+
+@given("a cost model")
+def step_cost(context):
+    context.cost = cost.CostModel()
+    context.now_ms = 1_000.0
+
+
+@when(
+    "{count:d} prompts with {missing:d} missing pieces take {spent:d} ms each"
+)
+def step_prompts(context, count, missing, spent):
+    for _ in range(count):
+        sent_ms = context.now_ms
+        context.now_ms += spent
+        context.cost.learn_prefill(sent_ms, context.now_ms, missing)
+
+
+@when(
+    "{count:d} pairs of prompts with {missing:d} missing pieces are sent"
+    " together"
+)
+def step_pairs(context, count, missing):
+    for _ in range(count):
+        sent_ms = context.now_ms
+        for _ in range(2):
+            context.now_ms += cost.FIRST_BASE_MS + 40 * missing
+            context.cost.learn_prefill(sent_ms, context.now_ms, missing)
+
+
+@then("a missing piece is expected to take {low:d} to {high:d} ms")
+def step_piece(context, low, high):
+    assert low <= context.cost.piece_ms <= high, context.cost.piece_ms
+
+
+@when("{count:d} answers use {used:d} of {allowed:d} tokens allowed")
+def step_lengths(context, count, used, allowed):
+    for _ in range(count):
+        context.cost.learn_length(used, allowed)
+
+
+@then("{tokens:d} tokens are expected to take {low:d} to {high:d} ms")
+def step_tokens(context, tokens, low, high):
+    decode_ms = context.cost.completion(0, tokens).decode_ms
+    assert low <= decode_ms <= high, decode_ms
