--- /dev/null
+++ b/tests/steps/kept_steps.py
@@ -0,0 +1,207 @@
+"""Steps for kept KV cache."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.agent import kept
+from lycheering.cache import pieces
+from lycheering.settings import model
+from lycheering.targets import api
+from lycheering.targets import kept as stores
+from lycheering.web import client as web
+from tests.helpers import agent_bench
+
+CHARS = 4_000
+HEAD_CHARS = len("user\n")
+
+
+def link(name, salt="shared:m"):
+    return pieces.ChainLink(bytes.fromhex(name), b"", salt)
+
+
+def prompt(letter, count):
+    return letter * (count * CHARS - HEAD_CHARS)
+
+
+@given("an agent beside an engine of {blocks:d} blocks with a store")
+def step_engine_store(context, blocks):
+    bench = agent_bench.Bench()
+    context.bench = bench
+    context.stack.callback(bench.close)
+    store = bench.run(bench.start_process("kv_store"))
+    context.store_url = store
+    arguments = ("--capacity-blocks", str(blocks), "--kv-store", store)
+    bench.run(bench.start_engine(*arguments, "--import-ms-per-piece", "1"))
+    bench.run(bench.start_agent(kv_store_url=store))
+
+
+def ask(bench, number, letter, count):
+    text = prompt(letter, count)
+    submit = bench.submit(
+        f"r{number}", text, level_ends=(count * CHARS,), shared_levels=1
+    )
+    return bench.run(bench.ask(submit))
+
+
+@when("a prompt of {count:d} shared pieces is answered and kept")
+def step_kept(context, count):
+    bench = context.bench
+    context.count = count
+    ask(bench, 1, "a", count)
+    origin = web.Origin.parse(context.store_url)
+
+    async def stored():
+        async with asyncio.timeout(agent_bench.GIVE_UP_S):
+            while True:
+                reply = await web.fetch(
+                    origin, "GET", "/health", timeout_ms=5_000
+                )
+                if reply.body == b'{"blocks":%d}' % count:
+                    return
+                await asyncio.sleep(agent_bench.POLL_S)
+
+    bench.run(stored())
+
+
+@when("other prompts evict it")
+def step_evict(context):
+    bench = context.bench
+    ask(bench, 2, "b", 4)
+    index = bench.context.index
+    text = f"user\n{prompt('a', context.count)}\n"
+    plan = pieces.plan_prompt(
+        text,
+        (context.count * CHARS,),
+        1,
+        model="model",
+        team="team-1",
+        piece_chars=CHARS,
+    )
+    keys = [item.key for item in plan.links("model", "1")]
+    bench.run(
+        agent_bench.until(
+            lambda: index.synced and not index.matched_count(keys)
+        )
+    )
+    # makes the decision independent of how fast this machine is
+    bench.context.cost.piece_ms = 500.0
+
+
+@then("the same prompt finds {count:d} pieces cached by an import")
+def step_imported(context, count):
+    outcome = ask(context.bench, 3, "a", context.count)
+    assert outcome.started.cached_pieces == count, outcome.started
+    counted = context.bench.context.counters.value_by_name
+    assert counted["kept.imported"] == count, counted
+
+
+@given(
+    'a store that keeps piece "{piece}" of weights "{version}" and scope'
+    ' "{scope}"'
+)
+def step_store(context, piece, version, scope):
+    bench = agent_bench.Bench()
+    context.bench = bench
+    context.stack.callback(bench.close)
+    url = bench.run(bench.start_process("kv_store"))
+    headers = {"X-Weights-Version": version, "X-Scope": scope}
+    bench.run(
+        web.fetch(
+            web.Origin.parse(url),
+            "PUT",
+            f"/kv/{piece}",
+            header_by_name=headers,
+            body=b"kept",
+            timeout_ms=5_000,
+        )
+    )
+    settings = model.AgentSettings(target="t", url=url, kv_store_url=url)
+    context.store = stores.HttpKeptStore(settings, model.WireSettings())
+
+
+def find(context, version, scope):
+    work = context.store.find([link("aa", scope)], version)
+    return context.bench.run(work)
+
+
+@then('weights "{version}" and scope "{scope}" find the piece')
+def step_found(context, version, scope):
+    assert len(find(context, version, scope)) == 1
+
+
+@then('weights "{version}" and scope "{scope}" do not find the piece')
+def step_not_found(context, version, scope):
+    assert not find(context, version, scope)
+
+
+class FullStore(stores.KeptStore):
+    """Has every piece, unless told to fail."""
+
+    def __init__(self):
+        self.failing = False
+        self.asked = 0
+        self.exported = []
+
+    async def find(self, links, weights_version):
+        self.asked += 1
+        if self.failing:
+            raise api.NotSentError("store is away")
+        return list(links)
+
+    async def fetch(self, links, weights_version):
+        return len(links)
+
+    async def export(self, keys):
+        self.exported += keys
+
+
+@given("a mover for a store that has everything")
+def step_mover(context):
+    context.store = FullStore()
+    context.mover = kept.KeptMover(context.store, clock.Clock())
+
+
+@given("the store fails")
+def step_fails(context):
+    context.store.failing = True
+
+
+@when("{count:d} pieces of {cost:d} ms each are missing")
+def step_missing(context, count, cost):
+    missing = [link(f"{number:02x}") for number in range(count)]
+    context.imported = asyncio.run(context.mover.bring(missing, "1", cost))
+
+
+@then("the store is not asked")
+def step_not_asked(context):
+    assert not context.store.asked
+
+
+@then("nothing is imported")
+def step_nothing(context):
+    assert context.store.asked
+    assert context.imported == 0
+
+
+@when("the same {count:d} pieces are computed twice")
+def step_computed(context, count):
+    computed = [link(f"{number:02x}") for number in range(count)]
+
+    async def keep_twice():
+        context.mover.keep(computed)
+        await asyncio.sleep(0)
+        context.mover.keep(computed)
+        await asyncio.sleep(0)
+
+    asyncio.run(keep_twice())
+
+
+@then("the store gets {count:d} pieces")
+def step_exported(context, count):
+    assert len(context.store.exported) == count
