--- a/src/lycheering/control/registrations.py
+++ b/src/lycheering/control/registrations.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from lycheering import clock
     from lycheering.control import replica
+    from lycheering.telemetry import counters
     from lycheering.wire import messages
 
 BATCH_WAIT_MS = 20
@@ -21,6 +22,10 @@
 MAX_WAITING = 4_000
 
 
+class SupersededError(Exception):
+    """Another incarnation of the agent speaks for the target now."""
+
+
 @dataclasses.dataclass(frozen=True)
 class _Waiting:
     """A registration that waits for its batch.
@@ -37,9 +42,15 @@
 class Registrations(app_api.Part):
     """Collects registrations and proposes them together, one at a time."""
 
-    def __init__(self, group: replica.Replica, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        group: replica.Replica,
+        time: clock.Clock,
+        counts: counters.Counters,
+    ) -> None:
         self._group = group
         self._clock = time
+        self._counters = counts
         self._waiting: asyncio.Queue[_Waiting] = asyncio.Queue(MAX_WAITING)
         self._tasks = app_api.TaskOwner()
 
@@ -56,6 +67,7 @@
 
         Raises:
             ReplicationError: If it was not, or may not have been.
+            SupersededError: If another incarnation replaced this one.
         """
         self._group.log.check_lease()
         loop = asyncio.get_running_loop()
@@ -86,6 +98,8 @@
             await self._propose(batch)
 
     async def _propose(self, batch: list[_Waiting]) -> None:
+        self._counters.increment("control.registrations", len(batch))
+        self._counters.increment("control.registration_batches")
         targets = tuple(waiting.target for waiting in batch)
         command = commands.RegisterTargets(targets, self._clock.wall_ms())
         try:
@@ -97,9 +111,24 @@
                 if not waiting.fence.done():
                     waiting.fence.set_exception(error)
             return
+        target_by_name = self._group.machine.fleet.target_by_name
         for waiting in batch:
-            if not waiting.fence.done():
+            if waiting.fence.done():
+                continue
+            known = target_by_name.get(waiting.target.name)
+            incarnation = waiting.target.agent_incarnation
+            if known is None or known.agent_incarnation != incarnation:
+                waiting.fence.set_exception(
+                    SupersededError(f"{incarnation} was replaced")
+                )
+            else:
                 waiting.fence.set_result(reply.highest_fence)
 
 
-__all__ = ["BATCH_WAIT_MS", "MAX_BATCH", "MAX_WAITING", "Registrations"]
+__all__ = [
+    "BATCH_WAIT_MS",
+    "MAX_BATCH",
+    "MAX_WAITING",
+    "Registrations",
+    "SupersededError",
+]
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -139,6 +139,11 @@
         """Whether the peer has answered on the present connection."""
         return self._ready.is_set()
 
+    @property
+    def silent_ms(self) -> float:
+        """Time since the peer's last frame."""
+        return self._link.clock.now_ms() - self._last_received_ms
+
     @property
     def busy(self) -> bool:
         """Whether calls are in flight."""
@@ -321,8 +326,12 @@
         socket = self._link.context.socket(zmq.DEALER)
         sockets.configure(socket, self._link.settings, self.address.ip)
         socket.setsockopt(zmq.IMMEDIATE, 1)
-        self._link.security.secure_client(socket, self.address.name)
-        socket.connect(self.address.url)
+        try:
+            self._link.security.secure_client(socket, self.address.name)
+            socket.connect(self.address.url)
+        except (errors.WireError, zmq.ZMQError):
+            socket.close(linger=0)
+            raise
         return socket
 
     async def _greet(self, socket: zmq.asyncio.Socket) -> None:
