--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -46,15 +46,16 @@
 class ContextOwner(app_api.Part):
     """Closes what is left of the inner protocol after all else stopped."""
 
-    def __init__(self, context: zmq.asyncio.Context) -> None:
-        self._context = context
+    def __init__(self, link: wire_api.Link) -> None:
+        self._link = link
 
     async def start(self) -> None:
         """Has nothing to do."""
 
     async def stop(self) -> None:
         """Closes all sockets; the last frames get a moment to leave."""
-        self._context.destroy(linger=LAST_FRAMES_MS)
+        self._link.security.close()
+        self._link.context.destroy(linger=LAST_FRAMES_MS)
 
 
 class LoadReporter:
@@ -119,7 +120,7 @@
     index = indexes.BlockIndex()
     driver: engine.EngineDriver | service.ServiceDriver
     application = app_api.Application(settings.instance.drain_timeout_ms)
-    application.add(ContextOwner(link.context))
+    application.add(ContextOwner(link))
     if agent.kind == records.TargetKind.ENGINE.value:
         driver = engine.EngineDriver(agent, settings.wire)
         application.add(feed.EventFeed(driver, index, clock, counters))
