--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -111,7 +111,9 @@
             security.security_from(settings.wire, self._counters),
         )
         self._connections = pool.ConnectionPool(self._link)
-        self._transport = transport.WireTransport(self._connections)
+        self._transport = transport.WireTransport(
+            self._connections, settings.control.members
+        )
         self.group = replica.Replica(
             settings,
             machine,
