--- a/bench/processes.py
+++ b/bench/processes.py
@@ -175,9 +175,13 @@
         process.start()
         return process
 
-    def close(self, grace_s: float = 10.0) -> None:
-        """Ends every process, at first by asking."""
-        running = [p for p in self.process_by_name.values() if p.running]
+    def close(self, prefix: str = "", grace_s: float = 10.0) -> None:
+        """Ends every process whose name starts so, at first by asking."""
+        running = [
+            process
+            for name, process in self.process_by_name.items()
+            if name.startswith(prefix) and process.running
+        ]
         for process in running:
             process.resume()
             process.terminate()
