Split the life of an order from the request's run

Also: look only shared pieces up in the kept-KV store, as no others are put there; check the agent's own standstill by tests.

--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -89,6 +89,27 @@
     )
 
 
+def _make_link(
+    settings: model.Settings,
+    agent: model.AgentSettings,
+    clock: clocks.Clock,
+    holder: holders.ViewHolder,
+    counters: counting.Counters,
+) -> wire_api.Link:
+    identity = wire_api.Identity(
+        agent.target, messages.Role.AGENT, settings.instance.failure_domain
+    )
+    return wire_api.Link(
+        zmq.asyncio.Context(),
+        identity,
+        settings.wire,
+        clock,
+        holder,
+        counters,
+        security.security_from(settings.wire, counters),
+    )
+
+
 def build(settings: model.Settings) -> app_api.Application:
     """Returns an agent that is ready to run.
 
@@ -104,18 +125,7 @@
     clock = clocks.Clock()
     counters = counting.Counters(settings.metrics)
     holder = holders.ViewHolder()
-    identity = wire_api.Identity(
-        agent.target, messages.Role.AGENT, settings.instance.failure_domain
-    )
-    link = wire_api.Link(
-        zmq.asyncio.Context(),
-        identity,
-        settings.wire,
-        clock,
-        holder,
-        counters,
-        security.security_from(settings.wire, counters),
-    )
+    link = _make_link(settings, agent, clock, holder, counters)
     state = target_state.TargetState(agent, clock)
     index = indexes.BlockIndex()
     driver: engine.EngineDriver | service.ServiceDriver
--- a/src/lycheering/agent/kept_prompts.py
+++ b/src/lycheering/agent/kept_prompts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lycheering.agent import requests
+from lycheering.cache import pieces
 
 if TYPE_CHECKING:
     from lycheering.agent import context as contexts
@@ -29,7 +30,10 @@
     prompt = requests.cut_prompt(context, submit)
     links = prompt.links(submit.model, version)
     cached = context.index.matched_count(link.key for link in links)
-    count = await mover.bring(links[cached:], version, context.cost.piece_ms)
+    # only shared pieces are ever put into the store
+    salt = pieces.shared_salt(submit.model)
+    missing = [link for link in links[cached:] if link.salt == salt]
+    count = await mover.bring(missing, version, context.cost.piece_ms)
     if count:
         context.counters.increment("kept.imported", count)
 
--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -12,6 +12,7 @@
 from lycheering.agent import kept_prompts
 from lycheering.agent import orders
 from lycheering.agent import requests
+from lycheering.agent import ticketed
 from lycheering.limits import admission
 from lycheering.targets import api as targets_api
 from lycheering.telemetry import logs
@@ -23,7 +24,6 @@
 MAX_RESUMES = 3
 RESUME_PAUSE_MS = 100
 DOWN_RETRY_AFTER_MS = 1_000
-MAX_OUTCOME_BYTES = 1_048_576
 OK_STATUS = 200
 FIRST_SERVER_ERROR = 500
 
@@ -66,8 +66,11 @@
         self._hint: messages.WidthHint | None = None
         self._head_ms = 0.0
         self._max_tokens = 0
-        self._outcome = bytearray()
-        self._received = False
+        self._order: ticketed.TicketedOrder | None = None
+        if submit.ticket is not None:
+            self._order = ticketed.TicketedOrder(
+                context, submit.ticket, submit.request_id
+            )
 
     async def work(self) -> None:
         """Runs the request; its delivery has an end afterwards."""
@@ -105,7 +108,8 @@
 
     def _end(self, ending: deliveries.Ending) -> None:
         self.submit = msgspec.structs.replace(self.submit, body=b"")
-        self._settle(ending)
+        if self._order is not None:
+            self._order.settle(ending, self.delivery.started)
         self.delivery.end(ending)
         self._log(ending)
 
@@ -129,11 +133,12 @@
         demand = requests.make_demand(context, self.submit, plan.cost)
         place = context.admission.enter(demand)
         try:
-            self._receive_order()
+            if self._order is not None:
+                self._order.receive()
             self.delivery.tell(messages.Accepted(place.expected_start_ms))
             await context.admission.wait(place)
             left_ms = self.submit.deadline_ms - context.clock.now_ms()
-            if self.submit.ticket is not None:
+            if self._order is not None:
                 # a late outcome is worth more to an order than none
                 left_ms += context.settings.stream_tail_ms
             async with asyncio.timeout(max(0.0, left_ms) / 1_000):
@@ -187,17 +192,12 @@
             self.submit.level_key, work_ms, self.submit.width, max_width
         )
 
-    def _receive_order(self) -> None:
-        if self.submit.ticket is not None:
-            self._context.desk.receive(self.submit.ticket)
-            self._received = True
-
     async def _run(
         self, place: admission.Place, plan: requests.Plan
     ) -> messages.Finished:
         context = self._context
         async with contextlib.AsyncExitStack() as stack:
-            if self._is_fenced():
+            if self._order is not None and self._order.in_order:
                 await stack.enter_async_context(context.order_lock)
             await kept_prompts.bring(context, self.submit)
             call = requests.make_call(context, self.submit)
@@ -207,12 +207,6 @@
             self.submit = msgspec.structs.replace(self.submit, body=b"")
             return await self._read(answer, place, plan)
 
-    def _is_fenced(self) -> bool:
-        context = self._context
-        return self.submit.ticket is not None and context.holder.fleet.flag(
-            "target.checks_fencing", context.subject
-        )
-
     def _before_send(self) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
@@ -224,8 +218,8 @@
             )
         if context.is_engine:
             self._check_weights()
-        if self.submit.ticket is not None:
-            context.desk.sending(self.submit.ticket, self._is_fenced())
+        if self._order is not None:
+            self._order.sending()
         self._incarnation = context.state.incarnation
         self._sent_ms = now_ms
         self.sent = True
@@ -337,8 +331,10 @@
         first_seq = self.delivery.tail.next_seq
         async for items in answer.batches(context.wire.silence_ms):
             self.delivery.add(items)
-            if self.submit.ticket is not None:
-                self._keep_outcome(items)
+            if self._order is not None:
+                # goes on without a reader, so that its outcome is known
+                self._order.keep(items)
+                self.delivery.tail.acknowledge(self.delivery.tail.next_seq)
             elif not await self.delivery.room(context.settings.stream_tail_ms):
                 raise SlowReaderError("nobody took the answer")
         spent_ms = context.clock.now_ms() - self._head_ms
@@ -351,36 +347,10 @@
         else:
             context.cost.learn_call(context.clock.now_ms() - self._sent_ms)
 
-    def _keep_outcome(self, items: tuple[bytes, ...]) -> None:
-        self._outcome += b"".join(items)
-        if len(self._outcome) > MAX_OUTCOME_BYTES:
-            raise targets_api.LostStreamError("the order's answer is too large")
-        # an order goes on without a reader, so that its outcome is known
-        self.delivery.tail.acknowledge(self.delivery.tail.next_seq)
-
     async def _cancel_at_target(self) -> None:
-        if self.sent and self.submit.ticket is None:
+        if self.sent and self._order is None:
             await self._context.driver.cancel(self.submit.request_id)
 
-    def _settle(self, ending: deliveries.Ending) -> None:
-        ticket = self.submit.ticket
-        if ticket is None or not self._received:
-            return
-        desk = self._context.desk
-        started = self.delivery.started
-        if isinstance(ending, messages.NotRun):
-            desk.not_run(ticket.order_id)
-        elif isinstance(ending, messages.Finished) and started is not None:
-            outcome = messages.OrderOutcome(
-                started.status,
-                started.content_type,
-                bytes(self._outcome),
-                self.submit.request_id,
-            )
-            desk.done(ticket.order_id, outcome)
-        else:
-            desk.broken(ticket.order_id)
-
     def _log(self, ending: deliveries.Ending) -> None:
         context = self._context
         if isinstance(ending, messages.Finished):
--- a/tests/agent/orders.feature
+++ b/tests/agent/orders.feature
@@ -34,6 +34,21 @@
     Then the order is not run because of "no_quorum"
     And the service ran 0 calls
 
+  Scenario: An agent that stood still just before sending sends no order
+    Given a registered agent beside a service
+    And the agent stands still for 5000 ms between connecting and sending
+    When an entry submits order "o1" with fence 7
+    Then the order is not run because of "expired"
+    And an inquiry for order "o1" says "never_received"
+    And the service ran 0 calls
+
+  Scenario: An order that ended is past its deadline when the agent wakes
+    Given a registered agent beside a service
+    And the agent stands still for 90000 ms between connecting and sending
+    When an entry submits order "o1" with fence 7
+    Then the order is not run because of "deadline"
+    And the service ran 0 calls
+
   Scenario: An order whose answer is lost is unknown and never sent again
     Given a registered agent beside a service that hangs up
     When an entry submits order "o1" with fence 7
--- a/tests/steps/agent_order_steps.py
+++ b/tests/steps/agent_order_steps.py
@@ -48,6 +48,25 @@
     begin(context, script=[b""])
 
 
+@given("the agent stands still for {pause:d} ms between connecting and sending")
+def step_stands_still(context, pause):
+    agent = context.bench.context
+    send = agent.driver.send
+    now_ms = agent.clock.now_ms
+
+    async def send_late(call, before_send):
+        def wake():
+            agent.clock.now_ms = lambda: now_ms() + pause
+            try:
+                before_send()
+            finally:
+                agent.clock.now_ms = now_ms
+
+        return await send(call, wake)
+
+    agent.driver.send = send_late
+
+
 def order(context, order_id, fence, attempt=1):
     return context.bench.submit(
         "r1",
