--- a/tests/support/proxied_fleet.py
+++ b/tests/support/proxied_fleet.py
@@ -64,6 +64,9 @@
         super().__init__(plan, folder, board.route)
         self.board = board
 
+    def member_port(self, name):
+        return self._member_ports[name]
+
     def kill(self, name):
         self.group.process_by_name[name].kill()
 
