Refuse a replacement by an instance that is a member already

Cause: beginning a change of members listed the newcomer as a learner without looking whether it was a member already. An operator who asked, right after the repair of control-1, to replace control-2 by control-1 got "joined control-1, left control-2": a healthy voter was gone and control-1 stood twice in the configuration, so that it counted twice in a quorum.

Ruled out: the check for a change under way (it refuses while the first repair runs, at catch_up and promote), and a resent repair (it is found to be over before the new check).

Change: such a change is refused as "is a member already".

--- a/src/lycheering/replication/changes.py
+++ b/src/lycheering/replication/changes.py
@@ -97,8 +97,7 @@
             raise errors.MemberChangeError("another change is under way")
         if _is_over(configuration, change):
             return change
-        if leaving is not None and configuration.find(leaving) is None:
-            raise errors.MemberChangeError(f"{leaving} is no member")
+        _check_new_change(configuration, change)
         started = members.Configuration(configuration.members, change)
         if newcomer is not None:
             started = configuration.with_learner(newcomer, change)
@@ -221,6 +220,18 @@
                 return
 
 
+def _check_new_change(
+    configuration: members.Configuration, change: members.MemberChange
+) -> None:
+    leaving = change.leaving
+    if leaving is not None and configuration.find(leaving) is None:
+        raise errors.MemberChangeError(f"{leaving} is no member")
+    joining = change.joining
+    # listed twice, it would count twice in a quorum
+    if joining is not None and configuration.find(joining) is not None:
+        raise errors.MemberChangeError(f"{joining} is a member already")
+
+
 def _is_over(
     configuration: members.Configuration, change: members.MemberChange
 ) -> bool:
