End a call in flight as soon as its connection is lost

Cause: a call whose connection was lost waited for a new connection to the same peer, and where the peer was dead for its whole timeout (2 s for a write forwarded to a killed leader), although it is never picked up on another connection.

Change: the calls of a connection learn of its loss at once. They report an unknown outcome, as they did when the connection was replaced.

Before: the new scenario waited until it was ended by hand after a minute. After: it passes.

--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -128,6 +128,7 @@
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
         self._channel_by_call_id: dict[int, Channel] = {}
+        self._short_calls: set[Channel] = set()
         self._call_ids = itertools.count(1)
         self._last_sent_ms = 0.0
         self._last_received_ms = 0.0
@@ -221,16 +222,18 @@
         deadline_ms = self._link.clock.now_ms() + timeout_ms
         await self.ready(timeout_ms)
         channel = self.open()
+        self._short_calls.add(channel)
         try:
             left_ms = max(1.0, deadline_ms - self._link.clock.now_ms())
             channel.send(message, ttl_ms=left_ms)
             event = await channel.receive(left_ms)
         finally:
+            self._short_calls.discard(channel)
             channel.close()
         if isinstance(event, messages.Failure):
             raise errors.CallFailedError(event)
         if isinstance(event, Replaced | Lost):
-            raise errors.CallTimeoutError(f"{self.address.name}: replaced")
+            raise errors.CallTimeoutError(f"{self.address.name}: lost")
         return event
 
     def send(
@@ -302,6 +305,9 @@
                 )
             was_ready = self._ready.is_set()
             self._ready.clear()
+            # a short call is not picked up on another connection
+            for channel in self._short_calls:
+                channel.put(Lost())
             if was_ready:
                 backoff_ms = FIRST_BACKOFF_MS
             pause_ms = backoff_ms * random.uniform(0.5, 1.5)
--- a/tests/steps/wire_steps.py
+++ b/tests/steps/wire_steps.py
@@ -28,6 +28,7 @@
 from tests.support import wire_ends
 
 SEED = 7
+LONG_CALL_MS = 600_000  # longer than any step may take
 GIVE_UP_MS = 20_000
 
 
@@ -445,6 +446,35 @@
         context.reply = error
 
 
+async def call_and_stop(context):
+    peer = context.server
+
+    async def handle(session, envelope):
+        peer.handler.handled.append(envelope.message)
+
+    peer.handler.handle = handle
+    call = asyncio.create_task(
+        context.connection.call(messages.StatusFetch(), LONG_CALL_MS)
+    )
+    await wire_ends.until(lambda: peer.handler.handled)
+    await peer.server.stop()
+    try:
+        async with asyncio.timeout(GIVE_UP_MS / 1_000):
+            return await call
+    except (errors.WireError, TimeoutError) as error:
+        return error
+
+
+@when("a wire call is in flight and the server stops for good")
+def step_call_and_stop(context):
+    context.reply = run(context, call_and_stop(context))
+
+
+@then("the wire call ends at once, with its outcome unknown")
+def step_call_lost(context):
+    assert isinstance(context.reply, errors.CallTimeoutError), context.reply
+
+
 @when("the wire server starts again")
 def step_start_again(context):
     run(context, restart(context))
--- a/tests/wire/silence.feature
+++ b/tests/wire/silence.feature
@@ -24,3 +24,9 @@
     When the wire server starts again
     Then the wire client can make a call
     And the wire server handled 1 frame
+
+  Scenario: A call in flight ends when its connection is lost
+    Given a wire server behind a fault proxy
+    And a connected wire client
+    When a wire call is in flight and the server stops for good
+    Then the wire call ends at once, with its outcome unknown
