End a connection that fails while it is being closed

Cause: a run of tests/agent/drain.feature hung for twenty minutes in an event loop that had nothing left to do. On Python 3.11 a task group whose child fails as it is cancelled raises the child's failure in place of the cancellation; the connection's loop took that for a lost connection, began anew, and close() waited for ever. Any process could hang so in a planned stop, when its peer says goodbye at that moment.

Ruled out: a blocked ZeroMQ context, since the hung main thread waited in the event loop and not in the library.

Change: a connection that is closing does not begin anew. Run: tests/wire/closing.feature fails without the change and passes with it. That this was the hang seen is likely, not proved: no stack of the hung process could be read.

--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -133,6 +133,7 @@
         self._last_received_ms = 0.0
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._closing = False
 
     @property
     def connected(self) -> bool:
@@ -162,6 +163,7 @@
 
     async def close(self) -> None:
         """Closes the connection; its channels get Lost."""
+        self._closing = True
         if self._ready.is_set():
             with contextlib.suppress(errors.PeerUnreachableError):
                 self.send(messages.Bye())
@@ -300,6 +302,9 @@
                     peer=self.address.name,
                     reason=reason,
                 )
+            if self._closing:
+                # a failure that comes with the cancellation replaces it
+                return
             was_ready = self._ready.is_set()
             self._ready.clear()
             if was_ready:
--- /dev/null
+++ b/tests/steps/wire_closing_steps.py
@@ -0,0 +1,61 @@
+"""Steps for closing a connection while it fails."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+
+from lycheering.wire import api
+from lycheering.wire import client
+from lycheering.wire import errors
+from lycheering.wire import messages
+from tests.helpers import agent_bench
+
+GIVE_UP_S = 20
+
+
+@given("a connection whose serving fails as it is cancelled")
+def step_failing(context):
+    link = agent_bench.new_link(None, "entry-1", messages.Role.ENTRY)
+    address = api.Address("target-1", "127.0.0.1", 1)
+    connection = client.Connection(address, link)
+
+    async def fail():
+        await asyncio.sleep(GIVE_UP_S)
+
+    async def fail_late():
+        try:
+            await asyncio.sleep(GIVE_UP_S)
+        finally:
+            raise errors.PeerUnreachableError("bye")
+
+    async def serve():
+        async with asyncio.TaskGroup() as group:
+            group.create_task(fail())
+            group.create_task(fail_late())
+
+    connection._serve = serve
+    context.connection = connection
+
+
+async def fail_quietly():
+    await asyncio.sleep(GIVE_UP_S)
+
+
+@then("closing the connection ends it")
+def step_closing(context):
+    async def close():
+        context.connection.start()
+        await asyncio.sleep(0.05)
+        closing = asyncio.create_task(context.connection.close())
+        done, _ = await asyncio.wait([closing], timeout=GIVE_UP_S)
+        if not done:
+            # lets the test fail rather than hang
+            context.connection._serve = fail_quietly
+            context.connection._task.cancel()
+            await asyncio.sleep(0.2)
+        return bool(done)
+
+    assert asyncio.run(close())
