Acknowledge a leader while term and vote are still being written

Candidates also gave up votes whose write took longer than a call. Change: a follower answers after one heartbeat and promises no entry until its term is durable; one write per state; votes are awaited for an election timeout.

--- a/src/lycheering/replication/elections.py
+++ b/src/lycheering/replication/elections.py
@@ -138,7 +138,7 @@
         core = self._core
         try:
             reply = await core.transport.call(
-                voter.peer, request, core.settings.call_timeout_ms
+                voter.peer, request, core.settings.election_timeout_ms
             )
         except errors.PeerUnreachableError:
             return 0
--- a/src/lycheering/replication/receiver.py
+++ b/src/lycheering/replication/receiver.py
@@ -123,19 +123,21 @@
         self._take_entries(request.entries)
         matching = previous.index + len(request.entries)
         core.set_commit(min(request.commit_index, matching))
-        await core.save_hard_state()
         await self._sync_for_a_while()
         if core.term != request.term:
             # what was synced may have been replaced since
             return self._mismatch(core.commit_index)
-        synced = min(matching, core.log.synced_index)
-        return messages.AppendReply(core.id, core.term, True, synced)
+        durable = 0
+        if core.store.hard_state.saved.term == core.term:
+            durable = min(matching, core.log.synced_index)
+        return messages.AppendReply(core.id, core.term, True, durable)
 
     async def _sync_for_a_while(self) -> None:
         # the leader's lease must not wait for a slow disk
         pause_s = self._core.settings.heartbeat_ms / clock.MS_PER_S
         try:
             async with asyncio.timeout(pause_s):
+                await self._core.save_hard_state()
                 await self._core.log.sync()
         except TimeoutError:
             return
--- a/src/lycheering/store/hard_state.py
+++ b/src/lycheering/store/hard_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 
 from lycheering.store import folder as folders
@@ -23,7 +25,11 @@
 
 
 class HardStateFile:
-    """Keeps the hard state in a file of its own."""
+    """Keeps the hard state in a file of its own.
+
+    Attributes:
+        saved: What is durable.
+    """
 
     def __init__(self, folder: folders.DataFolder) -> None:
         """Loads the hard state.
@@ -34,6 +40,8 @@
         self._folder = folder
         self._path = folder.path / _FILE
         self.saved = HardState()
+        self._asked = self.saved
+        self._write: asyncio.Task[None] | None = None
         if self._path.exists():
             body = frames.read_single(self._path)
             self.saved = msgspec.msgpack.decode(body, type=HardState)
@@ -42,12 +50,22 @@
         """Makes the state durable, unless it is already."""
         if state == self.saved:
             return
+        if self._write is None or self._asked != state:
+            self._asked = state
+            self._write = asyncio.create_task(self._save(state))
+        # a caller that stops waiting must not make the next one write again
+        await asyncio.shield(self._write)
+
+    async def close(self) -> None:
+        """Waits for the write asked for last."""
+        if self._write is not None:
+            await asyncio.gather(self._write, return_exceptions=True)
+
+    async def _save(self, state: HardState) -> None:
         data = frames.encode(msgspec.msgpack.encode(state))
-        await self._folder.run(lambda: self._write(data))
+        path = self._path
+        await self._folder.run(lambda: folders.write_durably(path, data))
         self.saved = state
 
-    def _write(self, data: bytes) -> None:
-        folders.write_durably(self._path, data)
-
 
 __all__ = ["HardState", "HardStateFile"]
--- a/src/lycheering/store/storage.py
+++ b/src/lycheering/store/storage.py
@@ -51,6 +51,7 @@
 
     async def close(self) -> None:
         """Finishes all writes and releases the folder."""
+        await self.hard_state.close()
         await self.log.close()
         self.folder.close()
 
--- a/tests/replication/members.feature
+++ b/tests/replication/members.feature
@@ -11,6 +11,12 @@
     And the restarted instance refuses requests to its old identity
     And it creates no group of its own
 
+  Scenario: The creator of the group creates no second one
+    When member a loses its disk and starts again
+    And it has asked the others whether a group exists
+    Then it creates no group of its own
+    And the command "one" is still taken
+
   Scenario Outline: A second loss right after a repair loses nothing
     When member c loses its disk for good
     And member d replaces it
