--- a/src/lycheering/agent/context.py
+++ b/src/lycheering/agent/context.py
@@ -23,6 +23,9 @@
     from lycheering.telemetry import counters as counting
 
 
+RESERVED_SHARE = 4  # one slot of so many is kept for other teams
+
+
 @dataclasses.dataclass(frozen=True)
 class Context:
     """The parts that every request of an agent uses.
@@ -41,7 +44,7 @@
         admission: The queue.
         desk: Orders that run at most once.
         widths: The demand for each prefix.
-        importer: Brings kept KV cache in.
+        mover: Moves kept KV cache in and out.
         order_lock: Held while an order is in flight to a target that
             refuses old fencing numbers.
     """
@@ -59,7 +62,7 @@
     admission: admissions.Admission
     desk: orders.OrderDesk
     widths: widths.WidthMeter
-    importer: kept.KeptImporter | None = None
+    mover: kept.KeptMover | None = None
     order_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     @property
@@ -79,8 +82,11 @@
             max_running,
             fleet.integer("limits.max_queued", self.subject),
             window,
+            max_running // RESERVED_SHARE,
         )
-        if limits != self.admission.limits:
+        if limits == self.admission.limits:
+            self.admission.advance()
+        else:
             self.admission.change_limits(limits)
         self.desk.retention_ms = fleet.number(
             "orders.retention_ms", self.subject
--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -11,6 +11,7 @@
 from lycheering.agent import context as contexts
 from lycheering.agent import control_link
 from lycheering.agent import departure
+from lycheering.agent import kept
 from lycheering.agent import orders
 from lycheering.agent import sessions
 from lycheering.agent import target_orders
@@ -25,18 +26,38 @@
 from lycheering.limits import cost as costs
 from lycheering.limits import width as widths
 from lycheering.targets import engine
+from lycheering.targets import kept as kept_api
 from lycheering.targets import service
 from lycheering.telemetry import counters as counting
 from lycheering.telemetry import logs
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
 from lycheering.wire import pool as pools
+from lycheering.wire import security
 from lycheering.wire import server as servers
 
 if TYPE_CHECKING:
     from lycheering.settings import model
 
 
+LAST_FRAMES_MS = 200
+
+
+class ContextOwner(app_api.Part):
+    """Closes what is left of the inner protocol after all else stopped."""
+
+    def __init__(self, link: wire_api.Link) -> None:
+        self._link = link
+
+    async def start(self) -> None:
+        """Has nothing to do."""
+
+    async def stop(self) -> None:
+        """Closes all sockets; the last frames get a moment to leave."""
+        self._link.security.close()
+        self._link.context.destroy(linger=LAST_FRAMES_MS)
+
+
 class LoadReporter:
     """Makes the load reports of one agent."""
 
@@ -68,6 +89,27 @@
     )
 
 
+def _make_link(
+    settings: model.Settings,
+    agent: model.AgentSettings,
+    clock: clocks.Clock,
+    holder: holders.ViewHolder,
+    counters: counting.Counters,
+) -> wire_api.Link:
+    identity = wire_api.Identity(
+        agent.target, messages.Role.AGENT, settings.instance.failure_domain
+    )
+    return wire_api.Link(
+        zmq.asyncio.Context(),
+        identity,
+        settings.wire,
+        clock,
+        holder,
+        counters,
+        security.security_from(settings.wire, counters),
+    )
+
+
 def build(settings: model.Settings) -> app_api.Application:
     """Returns an agent that is ready to run.
 
@@ -83,26 +125,23 @@
     clock = clocks.Clock()
     counters = counting.Counters(settings.metrics)
     holder = holders.ViewHolder()
-    identity = wire_api.Identity(
-        agent.target, messages.Role.AGENT, settings.instance.failure_domain
-    )
-    link = wire_api.Link(
-        zmq.asyncio.Context(),
-        identity,
-        settings.wire,
-        clock,
-        holder,
-        counters,
-    )
+    link = _make_link(settings, agent, clock, holder, counters)
     state = target_state.TargetState(agent, clock)
     index = indexes.BlockIndex()
     driver: engine.EngineDriver | service.ServiceDriver
     application = app_api.Application(settings.instance.drain_timeout_ms)
+    application.add(ContextOwner(link))
     if agent.kind == records.TargetKind.ENGINE.value:
         driver = engine.EngineDriver(agent, settings.wire)
         application.add(feed.EventFeed(driver, index, clock, counters))
     else:
         driver = service.ServiceDriver(agent, settings.wire)
+    mover = None
+    if agent.kv_store_url and agent.kind == records.TargetKind.ENGINE.value:
+        mover = kept.KeptMover(
+            kept_api.HttpKeptStore(agent, settings.wire), clock
+        )
+        application.add(mover)
     context = contexts.Context(
         agent,
         settings.wire,
@@ -117,6 +156,7 @@
         admission.Admission(clock),
         orders.OrderDesk(clock, 0.0),
         widths.WidthMeter(clock),
+        mover,
     )
     _add_parts(settings, application, context, link)
     return application
@@ -151,6 +191,8 @@
     application.add(
         control_link.ControlLink(settings, context, pool, server, load)
     )
+    # added last, so that it is the first to drain
+    application.add(watch)
 
 
 def main(settings: model.Settings) -> None:
@@ -161,4 +203,4 @@
     asyncio.run(build(settings).run())
 
 
-__all__ = ["LoadReporter", "build", "main"]
+__all__ = ["ContextOwner", "LoadReporter", "build", "main"]
--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -6,7 +6,6 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from lycheering.control import transport
 from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
 
@@ -63,6 +62,16 @@
         """Names the server whose sessions are looked at."""
         self._server = listener
 
+    def is_heard(self, name: str, within_ms: float) -> bool:
+        """Returns whether a process spoke to this one of late."""
+        if self._server is None:
+            return False
+        oldest_ms = self._link.clock.now_ms() - within_ms
+        return any(
+            session.name == name and session.last_received_ms >= oldest_ms
+            for session in self._server.session_by_routing_id.values()
+        )
+
     def take_report(
         self, session: server.Session, report: messages.TargetReport
     ) -> None:
@@ -137,7 +146,7 @@
     async def _fetch(
         self, other: members.PeerAddress
     ) -> messages.StatusReply | None:
-        address = transport.wire_address(other)
+        address = self._group.wire_address(other)
         connection = self._connections.get(address)
         try:
             reply = await connection.call(
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import gc
 from typing import TYPE_CHECKING
 
 import zmq.asyncio
@@ -10,13 +12,13 @@
 from lycheering import clock
 from lycheering.app import api as app_api
 from lycheering.entry import admission as admissions
-from lycheering.entry import attempt as attempts
 from lycheering.entry import control_client
 from lycheering.entry import dispatch
 from lycheering.entry import exchange as exchanges
 from lycheering.entry import http
 from lycheering.entry import intake as intakes
 from lycheering.entry import orders
+from lycheering.entry import target_access
 from lycheering.entry import view_file
 from lycheering.fleet import holder
 from lycheering.fleet import records
@@ -36,6 +38,8 @@
 
 WARM_POLL_MS = 1_000
 DRAIN_POLL_MS = 20
+FIRST_VIEW_MS = 500
+SUSPECT_HEARTBEATS = 2
 
 _LOG = logs.get("entry")
 
@@ -91,13 +95,14 @@
         self.view.listen(self._view_changed)
 
     def _build_api(self, settings: model.Settings) -> None:
-        targets = attempts.Targets(
+        targets = target_access.Targets(
             self._clock,
             self.view,
             self._router,
             self._connections,
             self._circuits,
             self.counters,
+            SUSPECT_HEARTBEATS * settings.wire.heartbeat_ms,
         )
         budget = budgets.RetryBudget(self._clock)
         desk = orders.OrderDesk(targets, self._control, budget)
@@ -135,7 +140,13 @@
         await self._connections.start()
         await self._control.start()
         self._tasks.spawn(self._keep_warm(), "entry:warm")
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_VIEW_MS / 1_000):
+                await self.view.wait_for(1)
         await self.web.start()
+        # what lives as long as the process need not be traversed again
+        gc.collect()
+        gc.freeze()
 
     async def drain(self) -> None:
         """Leaves the balancer first, then ends what runs."""
