Count suspended time, and let a test wait for its leader

A scenario on bad calls met an election on a busy machine (load 11) and was told 503, which is right but not what it asks about: it now repeats a call while the answer is 503 and checks the answer as before. The clock reads CLOCK_BOOTTIME, since a suspended machine would otherwise wake with its lease unspent.

--- a/src/lycheering/clock.py
+++ b/src/lycheering/clock.py
@@ -13,8 +13,8 @@
     """The clock of one process, in milliseconds."""
 
     def now_ms(self) -> float:
-        """Returns monotonic time, which never steps back."""
-        return time.monotonic_ns() / NS_PER_MS
+        """Returns time that never steps back and counts suspended machines."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NS_PER_MS
 
     def wall_ms(self) -> int:
         """Returns wall-clock time since the epoch, for people and logs."""
--- a/tests/support/control_group.py
+++ b/tests/support/control_group.py
@@ -86,6 +86,15 @@
             self.http_port[name], method, path, body, headers, timeout_s
         )
 
+    def settled(self, name, method, path, body=None):
+        """Calls until the instance has a leader to answer with."""
+
+        def answered():
+            answer = self.call(name, method, path, body)
+            return answer if answer.status != 503 else None
+
+        return processes.wait_for(answered, f"{name} to have a leader")
+
     def leader(self, *names):
         """Returns the leader that the named ones agree on."""
         asked = names or self.running()
