Show an agent's counters to operators

Agents serve no HTTP, so their refusals were seen by statsd alone. A control instance now asks the agent over the inner protocol. The address of a target's agent was put together in five places; wire.api.agent_address is the one left.

--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -117,6 +117,12 @@
                     self._target_orders.carry_out(session, call_id, message),
                     "agent:target_order",
                 )
+            case messages.CountersFetch():
+                counts = self._context.counters
+                reply = messages.CountersReply(
+                    dict(counts.value_by_name), dict(counts.gauge_by_name)
+                )
+                session.send(reply, call_id)
             case _:
                 self._context.counters.increment("wire.unexpected")
                 if call_id:
--- a/src/lycheering/commands/root.py
+++ b/src/lycheering/commands/root.py
@@ -10,6 +10,7 @@
 import cappa
 
 from lycheering.commands import check
+from lycheering.commands import counters
 from lycheering.commands import defaults
 from lycheering.commands import exceptions
 from lycheering.commands import explain
@@ -96,6 +97,7 @@
         | status.History
         | orders.Order
         | members.Members
+        | counters.Counters
         | explain.Explain
         | seed.Seed
         | keys.Keys
--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -184,6 +184,7 @@
             self._status,
             self._clock,
             self._counters,
+            self._connections,
             self._settings.instance.name,
         )
         writes = operator_writes.OperatorWrites(self.group, reads, self._clock)
--- a/src/lycheering/control/operator_http.py
+++ b/src/lycheering/control/operator_http.py
@@ -84,6 +84,7 @@
             "/v1/orders/{team}/{key}": self._order,
             "/v1/members": lambda _: self._reads.members(),
             "/v1/counters": self._counts,
+            "/v1/counters/{target}": self._target_counts,
         }
         for path, action in read_by_path.items():
             router.add_get(path, self._guarded(action))
@@ -167,6 +168,11 @@
     async def _counts(self, request: blacksheep.Request) -> msgspec.Struct:
         return self._reads.counters()
 
+    async def _target_counts(
+        self, request: blacksheep.Request
+    ) -> msgspec.Struct:
+        return await self._reads.target_counters(_path_part(request, "target"))
+
     async def _history(self, request: blacksheep.Request) -> msgspec.Struct:
         limit = _number(request, "limit", DEFAULT_LIMIT, MAX_LIMIT)
         return await self._reads.history(limit)
--- a/src/lycheering/control/operator_reads.py
+++ b/src/lycheering/control/operator_reads.py
@@ -12,6 +12,8 @@
 from lycheering.fleet import options
 from lycheering.fleet import view
 from lycheering.replication import errors
+from lycheering.wire import api as wire_api
+from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -22,7 +24,9 @@
     from lycheering.fleet import records
     from lycheering.orders import records as order_records
     from lycheering.telemetry import counters
+    from lycheering.wire import pool
 
+COUNTERS_TIMEOUT_MS = 2_000
 WAIT_POLL_MS = 200
 MAX_WAIT_MS = 60_000
 
@@ -36,12 +40,14 @@
         status: fleet_status.FleetStatus,
         time: clock.Clock,
         counts: counters.Counters,
+        connections: pool.ConnectionPool,
         instance: str,
     ) -> None:
         self._group = group
         self._status = status
         self._clock = time
         self._counters = counts
+        self._connections = connections
         self._instance = instance
 
     @property
@@ -240,6 +246,27 @@
             dict(self._counters.gauge_by_name),
         )
 
+    async def target_counters(self, name: str) -> answers.CountersAnswer:
+        """Returns the counters of the agent beside a target.
+
+        Raises:
+            OperatorError: If there is no such target or no answer.
+        """
+        target = self._fleet.target_by_name.get(name)
+        if target is None:
+            raise operator_errors.not_found(f"target {name!r}")
+        connection = self._connections.get(wire_api.agent_address(target))
+        try:
+            reply = await connection.call(
+                messages.CountersFetch(), COUNTERS_TIMEOUT_MS
+            )
+        except wire_errors.WireError as error:
+            raise operator_errors.OperatorError(
+                503, "unreachable", f"agent of {name!r}: {error}"
+            ) from error
+        assert isinstance(reply, messages.CountersReply)
+        return answers.CountersAnswer(reply.value_by_name, reply.gauge_by_name)
+
     def health(self) -> answers.ReadyAnswer:
         """Returns whether this instance takes part in a group."""
         leader = self._group.leader_name()
--- a/src/lycheering/control/order_desk.py
+++ b/src/lycheering/control/order_desk.py
@@ -6,10 +6,9 @@
 
 from lycheering.control import commands
 from lycheering.control import failures
-from lycheering.control import transport
 from lycheering.orders import api as orders_api
 from lycheering.replication import errors
-from lycheering.replication import members
+from lycheering.wire import api as wire_api
 from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
 
@@ -95,8 +94,7 @@
             raise orders_api.AgentGoneError("target is not known")
         if target.agent_incarnation != order.agent_incarnation:
             raise orders_api.AgentGoneError("agent was restarted")
-        peer = members.PeerAddress(target.name, f"{target.ip}:{target.port}")
-        connection = self._connections.get(transport.wire_address(peer))
+        connection = self._connections.get(wire_api.agent_address(target))
         try:
             await connection.ready(INQUIRY_TIMEOUT_MS)
             if connection.peer_incarnation != order.agent_incarnation:
--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -8,12 +8,11 @@
 
 from lycheering.app import api as app_api
 from lycheering.control import commands
-from lycheering.control import transport
 from lycheering.fleet import records
 from lycheering.fleet import view
 from lycheering.replication import errors
-from lycheering.replication import members
 from lycheering.telemetry import logs
+from lycheering.wire import api as wire_api
 from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
 
@@ -233,8 +232,7 @@
             self._busy.discard(target.name)
 
     async def _send(self, target: records.Target, wanted: WantedOrder) -> bool:
-        peer = members.PeerAddress(target.name, f"{target.ip}:{target.port}")
-        connection = self._connections.get(transport.wire_address(peer))
+        connection = self._connections.get(wire_api.agent_address(target))
         try:
             await connection.ready(CONNECT_TIMEOUT_MS)
             granted = await self._group.propose(commands.GrantFence())
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -181,9 +181,7 @@
             ]
             if len(live) <= dispatch.MAX_WARM_TARGETS:
                 for target in live:
-                    self._connections.get(
-                        wire_api.Address(target.name, target.ip, target.port)
-                    )
+                    self._connections.get(wire_api.agent_address(target))
             await self._clock.sleep(WARM_POLL_MS)
 
 
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -78,7 +78,7 @@
     if len(candidates) > MAX_WARM_TARGETS:
         return
     for target in candidates:
-        address = wire_api.Address(target.name, target.ip, target.port)
+        address = wire_api.agent_address(target)
         connection = targets.connections.known(address)
         if connection is not None:
             targets.router.loads.report(
--- a/src/lycheering/entry/target_access.py
+++ b/src/lycheering/entry/target_access.py
@@ -66,7 +66,7 @@
         target = self.view.fleet.target_by_name.get(name)
         if target is None:
             return False
-        address = wire_api.Address(target.name, target.ip, target.port)
+        address = wire_api.agent_address(target)
         connection = self.connections.known(address)
         if connection is None:
             return True
@@ -84,7 +84,7 @@
             NotRunError: If there is none.
         """
         target = choice.target
-        address = wire_api.Address(target.name, target.ip, target.port)
+        address = wire_api.agent_address(target)
         connection = self.connections.get(address)
         try:
             await connection.ready(timeout_ms)
--- a/src/lycheering/operator/answers.py
+++ b/src/lycheering/operator/answers.py
@@ -177,6 +177,18 @@
     change: str = ""
 
 
+class CountersAnswer(msgspec.Struct, frozen=True):
+    """The counters of one process.
+
+    Attributes:
+        counters: Every counter since the process started.
+        gauges: Every gauge's last value.
+    """
+
+    counters: dict[str, int] = {}
+    gauges: dict[str, float] = {}
+
+
 class ReplaceAnswer(msgspec.Struct, frozen=True):
     """The end of a replacement.
 
@@ -210,6 +222,7 @@
 
 
 __all__ = [
+    "CountersAnswer",
     "DefaultsAnswer",
     "ErrorAnswer",
     "ErrorBody",
--- a/src/lycheering/wire/api.py
+++ b/src/lycheering/wire/api.py
@@ -13,6 +13,7 @@
     import zmq.asyncio
 
     from lycheering import clock
+    from lycheering.fleet import records
     from lycheering.settings import model
     from lycheering.telemetry import counters
     from lycheering.wire import server
@@ -108,6 +109,11 @@
         return f"tcp://{host}:{self.port}"
 
 
+def agent_address(target: records.Target) -> Address:
+    """Returns where the agent beside a target listens."""
+    return Address(target.name, target.ip, target.port)
+
+
 @dataclasses.dataclass(frozen=True)
 class Link:
     """All that connections of one process share.
@@ -152,4 +158,5 @@
     "Security",
     "SessionHandler",
     "ViewExchange",
+    "agent_address",
 ]
--- a/src/lycheering/wire/messages.py
+++ b/src/lycheering/wire/messages.py
@@ -640,6 +640,22 @@
     reports: tuple[TargetReport, ...] = ()
 
 
+class CountersFetch(msgspec.Struct, frozen=True, array_like=True, tag=58):
+    """Asks a process for its counters."""
+
+
+class CountersReply(msgspec.Struct, frozen=True, array_like=True, tag=59):
+    """Answers CountersFetch.
+
+    Attributes:
+        value_by_name: Every counter.
+        gauge_by_name: Every gauge.
+    """
+
+    value_by_name: dict[str, int]
+    gauge_by_name: dict[str, float]
+
+
 # replicated log
 
 
@@ -699,6 +715,8 @@
     | TargetReport
     | StatusFetch
     | StatusReply
+    | CountersFetch
+    | CountersReply
     | LogCall
     | LogReply
 )
@@ -739,6 +757,8 @@
     "Bye",
     "Cancel",
     "Chunks",
+    "CountersFetch",
+    "CountersReply",
     "Deregister",
     "Done",
     "Envelope",
--- a/tests/agent/orders.feature
+++ b/tests/agent/orders.feature
@@ -14,6 +14,7 @@
     When an entry submits order "o1" with fence 7
     Then the order is not run because of "blocked"
     And the service ran 0 calls
+    And the agent counts 1 refusal as "blocked" when asked
 
   Scenario: An order sent under another attempt is not run again
     Given a registered agent beside a service
--- a/tests/steps/agent_order_steps.py
+++ b/tests/steps/agent_order_steps.py
@@ -107,15 +107,19 @@
     bench.run(bench.send(messages.Cancel("r1", 1), "entry-2"))
 
 
-def inquire(context, order_id):
+def ask(context, message):
     async def call():
         connection = await context.bench.entry("control-1")
-        return await connection.call(messages.OrderInquiry(order_id))
+        return await connection.call(message)
 
     context.reply = context.bench.run(call())
     return context.reply
 
 
+def inquire(context, order_id):
+    return ask(context, messages.OrderInquiry(order_id))
+
+
 @when('control inquires for order "{order_id}"')
 def step_inquire(context, order_id):
     inquire(context, order_id)
@@ -168,6 +172,12 @@
     assert ending.reason == reason, ending
 
 
+@then('the agent counts {count:d} refusal as "{reason}" when asked')
+def step_counters(context, count, reason):
+    reply = ask(context, messages.CountersFetch())
+    assert reply.value_by_name.get(f"refusal.{reason}") == count, reply
+
+
 @then("the service ran {count:d} calls")
 def step_ran(context, count):
     runs = context.bench.run(context.bench.record())
