Take messages in parts, and lose no part of a whole answer

Cause: whole answers are put together from the engine's stream, by its text alone. Found by reading. Ruled out: asking the engine for a whole answer, which could not be resumed. Change: tool calls and the other known texts are put together, a field that is not known is an error. Messages may come in parts, as label requests on images do; the text that stands for an image is shared by entry and agent. Before, a chat with an image was refused with 400.

--- a/src/lycheering/cache/pieces.py
+++ b/src/lycheering/cache/pieces.py
@@ -5,25 +5,65 @@
 import dataclasses
 import itertools
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgspec
 import xxhash
 
+from lycheering.cache import prompt_text
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
 
 
+class ImageUrl(msgspec.Struct, frozen=True):
+    """Where an image is, or the image itself as a data URL.
+
+    Attributes:
+        url: The URL.
+    """
+
+    url: str
+
+
+class ContentPart(msgspec.Struct, frozen=True):
+    """A part of a message: text or an image.
+
+    Attributes:
+        text: The text, if it is one.
+        image_url: The image, if it is one.
+    """
+
+    text: str = ""
+    image_url: ImageUrl | None = None
+
+    def as_text(self) -> str:
+        """Returns the text, or the text that stands for the image."""
+        if self.image_url is None:
+            return self.text
+        return prompt_text.image_text(self.image_url.url)
+
+
 class ChatMessage(msgspec.Struct, frozen=True):
     """One message of a chat.
 
     Attributes:
         role: Who speaks.
-        content: What is said.
+        content: What is said, whole or in parts.
+        tool_calls: The calls of tools in the message.
     """
 
     role: str
-    content: str
+    content: str | tuple[ContentPart, ...] | None = None
+    tool_calls: tuple[Any, ...] = ()
+
+    def text(self) -> str:
+        """Returns the message's text within the prompt."""
+        content = self.content or ""
+        if not isinstance(content, str):
+            content = "".join(part.as_text() for part in content)
+        return prompt_text.message_text(self.role, content, self.tool_calls)
 
 
 class PromptBody(msgspec.Struct, frozen=True):
@@ -41,9 +81,7 @@
         """Returns the text that the engine continues."""
         if not self.messages:
             return self.prompt
-        return "".join(
-            f"{message.role}\n{message.content}\n" for message in self.messages
-        )
+        return "".join(message.text() for message in self.messages)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lycheering/entry/border.py
+++ b/src/lycheering/entry/border.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import msgspec
 import pydantic
 
+from lycheering.cache import prompt_text
 from lycheering.entry import refusals
 from lycheering.routing import levels
 
@@ -72,18 +74,80 @@
         return self.prompt
 
 
+class ImageUrl(pydantic.BaseModel):
+    """Where an image is, or the image itself as a data URL.
+
+    Attributes:
+        url: The URL.
+    """
+
+    model_config = pydantic.ConfigDict(extra="allow", frozen=True)
+
+    url: Annotated[str, pydantic.Field(min_length=1)]
+
+
+class TextPart(pydantic.BaseModel):
+    """Text within a message.
+
+    Attributes:
+        type: Tells the kinds of parts apart.
+        text: The text.
+    """
+
+    model_config = pydantic.ConfigDict(extra="allow", frozen=True)
+
+    type: Literal["text"]
+    text: str
+
+    def as_text(self) -> str:
+        """Returns the text."""
+        return self.text
+
+
+class ImagePart(pydantic.BaseModel):
+    """An image within a message.
+
+    Attributes:
+        type: Tells the kinds of parts apart.
+        image_url: The image.
+    """
+
+    model_config = pydantic.ConfigDict(extra="allow", frozen=True)
+
+    type: Literal["image_url"]
+    image_url: ImageUrl
+
+    def as_text(self) -> str:
+        """Returns the text that stands for the image."""
+        return prompt_text.image_text(self.image_url.url)
+
+
+ContentPart = Annotated[
+    TextPart | ImagePart, pydantic.Field(discriminator="type")
+]
+
+
 class ChatMessage(pydantic.BaseModel):
     """One message of a chat.
 
     Attributes:
         role: Who speaks.
-        content: What is said.
+        content: What is said, whole or in parts.
+        tool_calls: The calls of tools in the message.
     """
 
     model_config = pydantic.ConfigDict(extra="allow", frozen=True)
 
     role: str
-    content: str
+    content: str | tuple[ContentPart, ...] | None
+    tool_calls: tuple[Any, ...] = ()
+
+    def text(self) -> str:
+        """Returns the message's text within the prompt."""
+        content = self.content or ""
+        if not isinstance(content, str):
+            content = "".join(part.as_text() for part in content)
+        return prompt_text.message_text(self.role, content, self.tool_calls)
 
 
 class ChatBody(_Body):
@@ -99,16 +163,14 @@
 
     def prompt_text(self) -> str:
         """Returns the messages as one text."""
-        return "".join(
-            f"{message.role}\n{message.content}\n" for message in self.messages
-        )
+        return "".join(message.text() for message in self.messages)
 
     def boundaries(self) -> tuple[int, ...]:
         """Returns where all messages but the last end."""
         ends = []
         end = 0
         for message in self.messages[:-1]:
-            end += len(message.role) + len(message.content) + 2
+            end += len(message.text())
             ends.append(end)
         return tuple(ends)
 
@@ -155,6 +217,9 @@
     "ChatBody",
     "ChatMessage",
     "CompletionBody",
+    "ImagePart",
+    "ImageUrl",
+    "TextPart",
     "for_target",
     "parse",
 ]
--- a/standins/engine/messages.py
+++ b/standins/engine/messages.py
@@ -3,16 +3,43 @@
 from __future__ import annotations
 
 import msgspec
+import xxhash
 
 from standins import answers
 from standins.engine import cache
 
 
+class ImageUrl(msgspec.Struct):
+    """Where an image is."""
+
+    url: str
+
+
+class Part(msgspec.Struct):
+    """Text or an image within a message."""
+
+    text: str = ""
+    image_url: ImageUrl | None = None
+
+    def as_text(self) -> str:
+        """Returns the text, or one that stands for the image."""
+        if self.image_url is None:
+            return self.text
+        digest = xxhash.xxh3_128(self.image_url.url.encode()).hexdigest()
+        return f"image:{digest}"
+
+
 class Message(msgspec.Struct):
     """One message of a chat."""
 
     role: str
-    content: str
+    content: str | list[Part]
+
+    def content_text(self) -> str:
+        """Returns the content as one text."""
+        if isinstance(self.content, str):
+            return self.content
+        return "".join(part.as_text() for part in self.content)
 
 
 class CompletionRequest(msgspec.Struct):
@@ -46,7 +73,9 @@
         """Returns the text that the engine continues."""
         if not self.messages:
             return self.prompt
-        return answers.chat_prompt((m.role, m.content) for m in self.messages)
+        return answers.chat_prompt(
+            (message.role, message.content_text()) for message in self.messages
+        )
 
     def finding(self) -> str:
         """Returns what is wrong with the request, or an empty string."""
--- a/tests/cache/pieces.feature
+++ b/tests/cache/pieces.feature
@@ -25,3 +25,7 @@
 
   Scenario: Keys are those that the engine computes
     Then any prompt has the keys that the engine computes
+
+  Scenario: Images and tool calls tell prompts apart as text does
+    Then a chat with an image has the prompt that the engine sees
+    And chats with other images or other tool calls have other prompts
--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -98,3 +98,14 @@
     And agent "t0" has stopped
     When the caller asks for 12 different chats
     Then all chats came whole without a retry
+
+  Scenario: Tool calls that come in parts make up a whole answer
+    Then an answer that calls a tool in 3 parts is put together whole
+
+  Scenario Outline: A part that can't be put together is an error
+    Then an answer with <part> in a choice is an error, not a shorter answer
+
+    Examples:
+      | part                          |
+      | {"delta":{"audio":{"id":"1"}}} |
+      | {"text":"a","logprobs":{}}    |
--- a/tests/entry/api.feature
+++ b/tests/entry/api.feature
@@ -31,6 +31,7 @@
       | {"model":"m"}                                                         | messages      |
       | {"model":"m","messages":[{"role":"user"}]}                            | content       |
       | {"model":"m","messages":[{"role":"u","content":"x"}],"n":2}           | n             |
+      | {"model":"m","messages":[{"role":"u","content":[{"type":"image_url"}]}]} | image_url  |
       | {"model":"m","messages":[{"role":"u","content":"x"}],"prefix_levels":[9]} | prefix_levels |
 
   Scenario Outline: A header that can't be understood gets a clear error
--- a/tests/steps/cache_steps.py
+++ b/tests/steps/cache_steps.py
@@ -9,14 +9,17 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from lycheering import clock
 from lycheering.cache import api
 from lycheering.cache import feed
 from lycheering.cache import index
 from lycheering.cache import pieces
+from lycheering.entry import border
 from lycheering.telemetry import counters
 from standins.engine import cache as engine_cache
+from standins.engine import messages as engine_messages
 
 
 def plan(text, ends, shared=0, team="t", piece_chars=4_000):
@@ -29,6 +32,33 @@
     return [link.key.hex() for link in prompt.links("m", version)]
 
 
+def chat(image="data:a", tool_calls=()):
+    part = {"type": "image_url", "image_url": {"url": image}}
+    text = {"type": "text", "text": "label"}
+    message = {"role": "user", "content": [text, part]}
+    if tool_calls:
+        message["tool_calls"] = tool_calls
+    return msgspec.json.encode({"model": "m", "messages": [message]})
+
+
+def prompt_of(body):
+    return msgspec.json.decode(body, type=pieces.PromptBody).text()
+
+
+@then("a chat with an image has the prompt that the engine sees")
+def step_image_prompt(context):
+    seen = msgspec.json.decode(chat(), type=engine_messages.CompletionRequest)
+    assert prompt_of(chat()) == seen.prompt_text()
+    entry_body = border.parse(chat(), chat=True)
+    assert prompt_of(chat()) == entry_body.prompt_text()
+
+
+@then("chats with other images or other tool calls have other prompts")
+def step_other_prompts(context):
+    bodies = [chat(), chat("data:b"), chat(tool_calls=[{"id": "1"}])]
+    assert len({prompt_of(body) for body in bodies}) == len(bodies)
+
+
 @given(
     "a prompt of {chars:d} characters with levels ending at {first:d} and"
     " {second:d}"
