--- /dev/null
+++ b/bench/measures/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of the measurements, one module each."""
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -56,6 +56,8 @@
         )
         self.sock = socket.socket()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # asyncio sets it only on sockets whose protocol number is not 0
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.bind((HOST, port))
         self.sock.listen(LISTEN_BACKLOG)
         self.on_ready = on_ready
