--- a/bench/traces/calls.py
+++ b/bench/traces/calls.py
@@ -91,6 +91,7 @@
         service_path: Path within the service.
         method: HTTP method.
         is_repeatable: Whether it may run more than once.
+        is_deterministic: Whether a second run gives the same answer.
     """
 
     call_id: str
@@ -108,6 +109,7 @@
     service_path: str = ""
     method: str = "POST"
     is_repeatable: bool = True
+    is_deterministic: bool = False
 
     def level_texts(self) -> list[str]:
         """Returns the text of each level, as it stands in the prompt."""
@@ -163,6 +165,8 @@
             "stream": self.is_streamed,
             "prefix_levels": self.prefix_levels(),
         }
+        if self.is_deterministic:
+            body["temperature"] = 0
         if self.is_chat:
             messages = [
                 {"role": "system", "content": text}
