Leave others the slots they use, tell waits that come true, move stuck requests

Changes: a team leaves the others as many slots as they lately had running at once (decayed peaks), but keeps its fair share; held-back requests do not count as ahead; expected waits are corrected by how they came out, and admission keeps a margin of 1.2; times to come back are booked one after the other. Ruled out: a fixed larger reserve (idles a target that one team alone may use).

An entry gives an agent up that has not accepted a request after two polls of 150 ms, or is silent before the answer began: it cancels there and tries the next, for calls that may run twice.

--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -18,6 +18,8 @@
 
 ORDER_SEND_MS = 2_000.0
 POLL_MS = 250.0
+ACCEPT_POLL_MS = 150.0
+MAX_ACCEPT_POLLS = 2
 RECONNECT_MS = 500.0
 ACK_CHUNKS = 16
 MAX_RESUMES = 8
@@ -66,6 +68,8 @@
         self._acked = sink.next_seq
         self._resumes = 0
         self._accepted = False
+        self._started = False
+        self._polls = 0
 
     async def run(self) -> None:
         """Returns once the answer is whole.
@@ -156,6 +160,7 @@
                 case messages.Chunks():
                     await self._take(channel, event)
                 case messages.Started():
+                    self._started = True
                     self._targets.router.loads.started(
                         self._choice.target.name, key
                     )
@@ -212,13 +217,34 @@
             if left_ms <= 0:
                 raise OverdueError(self._job.request_id)
             try:
-                event = await channel.receive(min(POLL_MS, left_ms))
+                event = await channel.receive(min(self._poll_ms(), left_ms))
             except errors.CallTimeoutError:
+                self._check_moving(connection)
                 self._check_alive(connection)
                 continue
             self._lost_since_ms = None
             return event
 
+    def _poll_ms(self) -> float:
+        return POLL_MS if self._accepted else ACCEPT_POLL_MS
+
+    def _check_moving(self, connection: client.Connection) -> None:
+        """Gives up an agent that stands still before the answer began.
+
+        Raises:
+            BrokenError: If the request is better tried elsewhere.
+        """
+        if self._ticket is not None or self._started:
+            return
+        self._polls += 1
+        # counted in polls, as a pause of this process makes up only one
+        if not self._accepted and self._polls >= MAX_ACCEPT_POLLS:
+            raise BrokenError(messages.Reason.SILENT, "not accepted in time")
+        if self._accepted and connection.silent_ms >= self._targets.suspect_ms:
+            raise BrokenError(
+                messages.Reason.SILENT, "silent before the answer began"
+            )
+
     def _check_alive(self, connection: client.Connection) -> None:
         if connection.connected:
             self._lost_since_ms = None
--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -11,13 +11,14 @@
 from lycheering.limits import cost as costs
 from lycheering.limits import queue as queues
 from lycheering.limits import reserve as reserves
+from lycheering.limits import waits
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
     from lycheering import clock as clocks
 
 PREFILL_WINDOW = 2
-MIN_RETRY_AFTER_MS = 10.0
+WAIT_MARGIN = 1.2
 MIDDLE_PRIORITY = 50
 FULL_DRAIN_SHARE = 0.25
 
@@ -113,7 +114,10 @@
         self._clock = clock
         self._running: set[Place] = set()
         self._reserve = reserves.SlotReserve()
+        self._reserve.slots = self.limits.max_running
         self._reserve.open_slots = self.limits.max_running
+        self._error = waits.WaitError()
+        self._booking = waits.Booking(clock)
         self._place_by_waiting: dict[queues.Waiting, Place] = {}
         self._idle = asyncio.Event()
         self._idle.set()
@@ -176,9 +180,11 @@
             if waiting.turn.done():
                 waiting.turn.result()
                 return
+            waited_ms = self._clock.now_ms() - waiting.arrival_ms
+            self._error.learn(place.expected_start_ms, waited_ms)
             raise RefusedError(
                 messages.Reason.DEADLINE,
-                self._retry_after(self._expected_wait_ms(waiting)),
+                self._book(self._expected_wait_ms(waiting), waiting),
                 "waited too long to end in time",
             ) from error
 
@@ -212,6 +218,7 @@
     def change_limits(self, limits: Limits) -> None:
         """Puts other limits in force."""
         self.limits = limits
+        self._reserve.slots = limits.max_running
         self._reserve.open_slots = limits.max_running - limits.reserved
         self.advance()
 
@@ -238,7 +245,16 @@
         return self._expected_wait_ms(waiting)
 
     def _expected_wait_ms(self, waiting: queues.Waiting) -> float:
-        return self._forecast(self.queue.ahead_of(waiting))[-1]
+        now_ms = self._clock.now_ms()
+        ahead = self.queue.ahead_of(waiting)
+        if not self._reserve.holds(waiting, now_ms):
+            # those held back leave their slots to this one
+            ahead = [
+                other
+                for other in ahead
+                if not self._reserve.holds(other, now_ms)
+            ]
+        return self._error.corrected(self._forecast(ahead)[-1])
 
     def _forecast(self, ahead: list[queues.Waiting]) -> list[float]:
         """Plays the queue through on the target's slots.
@@ -287,13 +303,13 @@
     ) -> None:
         left_ms = waiting.deadline_ms - now_ms
         service_ms = waiting.cost.service_ms
-        if wait_ms + service_ms <= left_ms:
+        if wait_ms * WAIT_MARGIN + service_ms <= left_ms:
             return
         # a later one with as much time fits once the queue is this short
-        bearable_ms = max(0.0, left_ms - service_ms)
+        bearable_ms = math.floor(max(0.0, left_ms - service_ms) / WAIT_MARGIN)
         raise RefusedError(
             messages.Reason.DEADLINE,
-            self._retry_after(wait_ms - bearable_ms),
+            self._book(wait_ms - bearable_ms, waiting),
             f"needs {wait_ms + service_ms:.0f} ms, has {left_ms:.0f} ms",
         )
 
@@ -305,29 +321,30 @@
         worst = self.queue.worst()
         place = (waiting.priority, *waiting.place)
         if worst is None or place >= (worst.priority, *worst.place):
-            raise self._refused_full(waiting.team)
-        self._refuse(worst, self._refused_full(worst.team))
+            raise self._refused_full(waiting)
+        self._refuse(worst, self._refused_full(worst))
 
-    def _refused_full(self, team: str) -> RefusedError:
+    def _refused_full(self, waiting: queues.Waiting) -> RefusedError:
         count = len(self.queue)
         fair_count = count / max(1, self.queue.active_teams())
         reason = messages.Reason.FULL
         several = self.queue.active_teams() > 1
-        if several and self.queue.team_count(team) > fair_count:
+        if several and self.queue.team_count(waiting.team) > fair_count:
             reason = messages.Reason.TEAM_LIMIT
         # comes back once a part of the queue has been served
         starts_ms = sorted(self._forecast(self.queue.everyone()))
         return RefusedError(
             reason,
-            self._retry_after(starts_ms[math.ceil(count * FULL_DRAIN_SHARE)]),
+            self._book(starts_ms[math.ceil(count * FULL_DRAIN_SHARE)], waiting),
             f"{count} requests wait",
         )
 
     def _refused_draining(self) -> RefusedError:
         return RefusedError(messages.Reason.DRAINING, 0.0, "target is leaving")
 
-    def _retry_after(self, wait_ms: float) -> float:
-        return max(MIN_RETRY_AFTER_MS, wait_ms)
+    def _book(self, wait_ms: float, waiting: queues.Waiting) -> float:
+        slots = max(1, self.limits.max_running)
+        return self._booking.book(wait_ms, waiting.cost.service_ms / slots)
 
     def _refuse(self, waiting: queues.Waiting, error: RefusedError) -> None:
         self.queue.remove(waiting)
@@ -354,6 +371,8 @@
             place.prefilling = True
             self._running.add(place)
             self._reserve.started(waiting)
+            waited_ms = now_ms - waiting.arrival_ms
+            self._error.learn(place.expected_start_ms, waited_ms)
             waiting.turn.set_result(None)
 
 
--- /dev/null
+++ b/src/lycheering/limits/waits.py
@@ -0,0 +1,72 @@
+"""What is told about waits: corrected estimates and times to come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lycheering import clock as clocks
+
+MIN_RETRY_AFTER_MS = 10.0
+MAX_RETRY_AFTER_MS = 30_000.0
+MIN_EXPECTED_MS = 20.0
+MAX_FACTOR = 4.0
+SMOOTHING = 0.05
+
+
+class WaitError:
+    """Learns by how much waits are longer than they were expected.
+
+    In a fair queue, later requests of small teams overtake those of a team
+    that has many waiting, which a look at the queue alone can't foresee.
+    """
+
+    def __init__(self) -> None:
+        self._factor = 1.0
+
+    def corrected(self, expected_ms: float) -> float:
+        """Returns the wait to count on."""
+        return expected_ms * self._factor
+
+    def learn(self, expected_ms: float, waited_ms: float) -> None:
+        """Learns from a wait that ended.
+
+        Args:
+            expected_ms: The corrected wait that was counted on.
+            waited_ms: The wait it became.
+        """
+        if expected_ms < MIN_EXPECTED_MS:
+            return
+        ratio = min(MAX_FACTOR, waited_ms / expected_ms)
+        moved = self._factor * (1 + SMOOTHING * (ratio - 1))
+        self._factor = min(MAX_FACTOR, max(1.0, moved))
+
+
+class Booking:
+    """Gives refused callers different times to come back.
+
+    Told the same time, all of them would come at once and be refused
+    again.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._booked_until_ms = 0.0
+
+    def book(self, wait_ms: float, work_ms: float) -> float:
+        """Returns in which time a caller shall come back.
+
+        Args:
+            wait_ms: When the target could take its request.
+            work_ms: How long the request keeps the target busy.
+        """
+        now_ms = self._clock.now_ms()
+        at_ms = max(
+            now_ms + max(MIN_RETRY_AFTER_MS, wait_ms), self._booked_until_ms
+        )
+        at_ms = min(at_ms, now_ms + MAX_RETRY_AFTER_MS)
+        self._booked_until_ms = at_ms + work_ms
+        return at_ms - now_ms
+
+
+__all__ = ["Booking", "WaitError"]
--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -98,3 +98,11 @@
     And agent "t0" has stopped
     When the caller asks for 12 different chats
     Then all chats came whole without a retry
+
+  Scenario: A request that its agent does not accept moves to another one
+    Given an entry among fakes
+    And agent "t0" accepts nothing
+    When the caller asks for 12 different chats
+    Then all chats came whole
+    And a retry was counted as "silent"
+    And agent "t0" was told to cancel each request
--- a/tests/limits/admission.feature
+++ b/tests/limits/admission.feature
@@ -66,3 +66,21 @@
     Then 2 requests run and 2 wait
     When the first token of request 1 comes
     Then 3 requests run and 1 wait
+
+  Scenario: Refused callers are not all told the same time
+    When team "a" enters 6 times with 100 ms of work and 10000 ms left
+    And team "a" enters 3 times with 100 ms of work and 10000 ms left
+    Then request 8 is told to come back later than request 7
+    And request 9 is told to come back later than request 8
+
+  Scenario: A wait that held-back requests do not cause is not told
+    Given an admission with 4 running and 20 queued at most
+    And 1 of its slots reserved
+    When team "b" enters with 100 ms of work and 10000 ms left
+    And request 1 ends
+    And team "a" enters 12 times with 1000 ms of work and 60000 ms left
+    And team "b" enters with 100 ms of work and 150 ms left
+    Then request 14 starts
+
+  Scenario: Waits that became longer than expected are expected longer
+    Then a wait expected of 100 ms grows with waits of 200 ms for 100 ms
--- a/tests/limits/reserve.feature
+++ b/tests/limits/reserve.feature
@@ -35,3 +35,21 @@
     And request 1 ends
     And team "a" enters 5 times with 100 ms of work and 10000 ms left
     Then 3 requests run and 2 wait
+
+  Scenario: A team leaves as many slots as others lately used at once
+    Given an admission with 8 running and 20 queued at most
+    And 2 of its slots reserved
+    When team "b" enters 4 times with 100 ms of work and 10000 ms left
+    And requests 1 to 4 end
+    And team "a" enters 10 times with 100 ms of work and 10000 ms left
+    Then 4 requests run and 6 wait
+    When team "b" enters 4 times with 100 ms of work and 10000 ms left
+    Then 8 requests run and 6 wait
+
+  Scenario: A team keeps its fair share of the slots
+    Given an admission with 8 running and 20 queued at most
+    And 2 of its slots reserved
+    When team "b" enters 8 times with 100 ms of work and 10000 ms left
+    And requests 1 to 8 end
+    And team "a" enters 10 times with 100 ms of work and 10000 ms left
+    Then 4 requests run and 6 wait
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -12,6 +12,7 @@
 from lycheering import clock
 from lycheering.limits import admission
 from lycheering.limits import cost
+from lycheering.limits import waits
 
 GIVE_UP_S = 20
 
@@ -175,3 +176,22 @@
     error_by_number = context.entered.error_by_number
     later_ms = error_by_number[number].retry_after_ms
     assert later_ms > error_by_number[earlier].retry_after_ms > 0
+
+
+@when("requests {first:d} to {last:d} end")
+def step_several_end(context, first, last):
+    for number in range(first, last + 1):
+        step_ends(context, number)
+
+
+@then(
+    "a wait expected of {expected:d} ms grows with waits of {waited:d} ms for"
+    " {foreseen:d} ms"
+)
+def step_wait_grows(context, expected, waited, foreseen):
+    error = waits.WaitError()
+    assert error.corrected(expected) == expected
+    for _ in range(100):
+        error.learn(error.corrected(foreseen), waited)
+    found = error.corrected(expected)
+    assert abs(found - expected * waited / foreseen) < expected / 10, found
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -388,6 +388,29 @@
     assert not [name for name in counted if name.startswith("retry.")]
 
 
+@given('agent "{name}" accepts nothing')
+def step_deaf(context, name):
+    script([context.fleet.agent_by_name[name]], deaf=True)
+
+
+@then("all chats came whole")
+def step_all_whole(context):
+    assert all(seen.whole for seen in context.answers), context.answers
+
+
+@then('agent "{name}" was told to cancel each request')
+def step_each_cancelled(context, name):
+    agent = context.fleet.agent_by_name[name]
+    context.fleet.run(
+        fake_fleet.until(
+            lambda: (
+                {c.request_id for c in agent.cancels}
+                == {s.request_id for s in agent.submits}
+            )
+        )
+    )
+
+
 @then('a retry was counted as "{reason}"')
 def step_retry_counted(context, reason):
     counted = context.fleet.entry.counters.value_by_name
--- a/tests/support/fake_fleet.py
+++ b/tests/support/fake_fleet.py
@@ -58,6 +58,7 @@
     not_run: str = ""
     break_after: int = -1
     mute_after: int = -1
+    deaf: bool = False
     repeat_frames: bool = False
     skip_once_at: int = -1
     crossed: bool = False
@@ -94,6 +95,8 @@
         match envelope.message:
             case messages.Submit() as submit:
                 self.submits.append(submit)
+                if self.script.deaf:
+                    return
                 self.spawn(self.answer(session, envelope.call_id, submit))
             case messages.Resume() as resume:
                 self.resumes.append(resume)
