Reserve slots by what other teams need

Now the others' need is their work of late, capped at a fair share each, plus 1.5 standard deviations.

--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -114,8 +114,7 @@
         self._clock = clock
         self._running: set[Place] = set()
         self._reserve = reserves.SlotReserve()
-        self._reserve.slots = self.limits.max_running
-        self._reserve.open_slots = self.limits.max_running
+        self._reserve.change(self.limits.max_running, self.limits.max_running)
         self._error = waits.WaitError()
         self._booking = waits.Booking(clock)
         self._place_by_waiting: dict[queues.Waiting, Place] = {}
@@ -218,8 +217,9 @@
     def change_limits(self, limits: Limits) -> None:
         """Puts other limits in force."""
         self.limits = limits
-        self._reserve.slots = limits.max_running
-        self._reserve.open_slots = limits.max_running - limits.reserved
+        self._reserve.change(
+            limits.max_running, limits.max_running - limits.reserved
+        )
         self.advance()
 
     def advance(self) -> None:
--- a/src/lycheering/limits/reserve.py
+++ b/src/lycheering/limits/reserve.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
@@ -11,58 +10,63 @@
     from lycheering.limits import queue as queues
 
 ACTIVE_MS = 10_000.0
-PEAK_HALF_LIFE_MS = 5_000.0
+HALF_LIFE_MS = 3_000.0
 DECAY_STEP_MS = 250.0
-MIN_PEAK = 0.1
+MIN_WORK_MS = 1.0
+SPREAD = 1.5  # of a Poisson number of requests, in standard deviations
 
 
-@dataclasses.dataclass(frozen=True)
-class Others:
-    """What the teams but one had running at once.
-
-    Attributes:
-        teams: Their number.
-        total: The sum of their peaks.
-    """
-
-    teams: int
-    total: float
-
-
-class _Peaks:
-    """The most that each team had running at once, halved with time."""
+class _Demand:
+    """How many slots each team's requests would keep busy, as of late."""
 
     def __init__(self) -> None:
-        self._peak_by_team: dict[str, float] = {}
-        self._total = 0.0
+        self.slots = 1
+        self._work_ms_by_team: dict[str, float] = {}
         self._decayed_ms = 0.0
+        self._fair = 0.0
+        self._total = 0.0
 
-    def note(self, team: str, running: int, now_ms: float) -> None:
-        self._decay(now_ms)
-        old = self._peak_by_team.get(team, 0.0)
-        if running > old:
-            self._peak_by_team[team] = running
-            self._total += running - old
+    def note(self, waiting: queues.Waiting) -> None:
+        """Adds a request's work."""
+        self._decay(waiting.arrival_ms)
+        old = self._work_ms_by_team.get(waiting.team, 0.0)
+        work_ms = old + waiting.cost.service_ms
+        self._work_ms_by_team[waiting.team] = work_ms
+        self._fair = self.slots / len(self._work_ms_by_team)
+        self._total += self._capped(work_ms) - self._capped(old)
 
-    def without(self, team: str, now_ms: float) -> Others:
+    def others(self, team: str, now_ms: float) -> float:
+        """Returns the slots that all teams but one need, on average.
+
+        A team that asks for more than its fair share counts with that.
+        """
         self._decay(now_ms)
-        own = self._peak_by_team.get(team, 0.0)
-        return Others(
-            len(self._peak_by_team) - (team in self._peak_by_team),
-            max(0.0, self._total - own),
-        )
+        own = self._capped(self._work_ms_by_team.get(team, 0.0))
+        return max(0.0, self._total - own)
+
+    def fair(self, team: str) -> int:
+        """Returns the whole slots that a team may always fill."""
+        others = len(self._work_ms_by_team) - (team in self._work_ms_by_team)
+        return max(1, self.slots // (others + 1))
+
+    def _capped(self, work_ms: float) -> float:
+        return min(work_ms * math.log(2) / HALF_LIFE_MS, self._fair)
 
     def _decay(self, now_ms: float) -> None:
-        if now_ms - self._decayed_ms < DECAY_STEP_MS:
+        passed_ms = now_ms - self._decayed_ms
+        if passed_ms < DECAY_STEP_MS:
             return
-        share = 0.5 ** ((now_ms - self._decayed_ms) / PEAK_HALF_LIFE_MS)
         self._decayed_ms = now_ms
-        self._peak_by_team = {
-            team: peak * share
-            for team, peak in self._peak_by_team.items()
-            if peak * share >= MIN_PEAK
+        share = 0.5 ** (passed_ms / HALF_LIFE_MS)
+        self._work_ms_by_team = {
+            team: work_ms * share
+            for team, work_ms in self._work_ms_by_team.items()
+            if work_ms * share >= MIN_WORK_MS
         }
-        self._total = sum(self._peak_by_team.values())
+        self._fair = self.slots / max(1, len(self._work_ms_by_team))
+        self._total = sum(
+            self._capped(work_ms) for work_ms in self._work_ms_by_team.values()
+        )
 
 
 class SlotReserve:
@@ -70,18 +74,16 @@
 
     A team leaves them to other teams, and a priority to more urgent
     ones, but only while those sent something lately. The other teams are
-    left as many as they lately had running at once, as long as the team
-    keeps its fair share.
+    left as many as their requests of late needed, with a margin for chance,
+    as long as the team keeps its fair share.
 
     Attributes:
-        slots: All slots.
         open_slots: Slots that one team or priority may fill at most.
     """
 
     def __init__(self) -> None:
-        self.slots = 1
         self.open_slots = 1
-        self._peaks = _Peaks()
+        self._demand = _Demand()
         self._running_by_team: collections.Counter[str] = collections.Counter()
         self._running_by_priority: collections.Counter[int] = (
             collections.Counter()
@@ -91,8 +93,19 @@
         self._last_ms = float("-inf")
         self._other_ms = float("-inf")
 
+    def change(self, slots: int, open_slots: int) -> None:
+        """Changes the number of slots.
+
+        Args:
+            slots: All slots.
+            open_slots: Those that one team or priority may fill at most.
+        """
+        self._demand.slots = slots
+        self.open_slots = open_slots
+
     def entered(self, waiting: queues.Waiting) -> None:
         """Learns that a request came."""
+        self._demand.note(waiting)
         if waiting.team != self._last_team:
             self._other_ms = self._last_ms
             self._last_team = waiting.team
@@ -102,11 +115,6 @@
     def started(self, waiting: queues.Waiting) -> None:
         """Learns that a request takes a slot."""
         self._running_by_team[waiting.team] += 1
-        self._peaks.note(
-            waiting.team,
-            self._running_by_team[waiting.team],
-            waiting.arrival_ms,
-        )
         self._running_by_priority[waiting.priority] += 1
 
     def ended(self, waiting: queues.Waiting) -> None:
@@ -130,12 +138,10 @@
         return self._running_by_team[team] >= self._team_slots(team, now_ms)
 
     def _team_slots(self, team: str, now_ms: float) -> int:
-        others = self._peaks.without(team, now_ms)
-        if not others.total:
-            return self.open_slots
-        fair = self.slots // (others.teams + 1)
-        left = self.slots - math.ceil(others.total)
-        return max(1, fair, min(self.open_slots, left))
+        others = self._demand.others(team, now_ms)
+        needed = math.ceil(others + SPREAD * math.sqrt(others))
+        left = min(self.open_slots, self._demand.slots - needed)
+        return max(self._demand.fair(team), left)
 
     def _holds_priority(self, priority: int, now_ms: float) -> bool:
         running = sum(
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -195,3 +195,10 @@
         error.learn(error.corrected(foreseen), waited)
     found = error.corrected(expected)
     assert abs(found - expected * waited / foreseen) < expected / 10, found
+
+
+@then("requests {first:d} to {last:d} run")
+def step_several_run(context, first, last):
+    for number in range(first, last + 1):
+        place = context.entered.place_by_number[number]
+        assert place.waiting.turn.done(), number
