Report the whole backlog as a target's load

Cause: a report gave the wait of an idle team's request, which passes the queue of a busy team, so a hot prefix's own queue never showed and no entry moved any of it. Ruled out: widths (agents did ask for 3 and 4; the score still charged a full miss at each further target) and too few candidates. Change: report the wait behind everything; take each target within a prefix's width to hold the prefix; weigh a miss by 1/(1 - reuse_weight).

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -10,7 +10,12 @@
 from bench.measures import api
 
 # each name is a module of bench.measures with run(settings)
-PARTS = ("routing",)
+PARTS = (
+    "routing",
+    "shifts",
+    "kept_kv",
+    "reuse_weight",
+)
 
 
 def main() -> int:
--- a/bench/measures/fleet_run.py
+++ b/bench/measures/fleet_run.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import concurrent.futures
 import dataclasses
+import enum
 import functools
 import multiprocessing
 import pathlib
@@ -31,6 +32,15 @@
 MODULE_BY_TRACE = {"mavazi": mavazi, "tahanan": tahanan, "hot": hot}
 
 
+class Action(enum.StrEnum):
+    """What can be done to a fleet during a run."""
+
+    KILL = "kill"
+    START = "start"
+    DRAIN = "drain"
+    WEIGHTS = "weights"
+
+
 @dataclasses.dataclass(frozen=True)
 class FaultPlan:
     """One thing that is done to one process during a run.
@@ -38,13 +48,12 @@
     Attributes:
         at_ms: When.
         process: The process.
-        action: `kill`, `start`, `engine` (start an engine empty) or
-            `weights` (new weights on every engine).
+        action: What is done to it.
     """
 
     at_ms: float
     process: str
-    action: str
+    action: Action
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +68,8 @@
         value_by_default: Options set in the fleet.
         faults: What is done to it.
         kv_store: Whether there is a store of kept KV cache.
+        shift_ms: How long a prefix stays hot; 0 for the trace's own time.
+        entries: Entry instances.
     """
 
     trace: str
@@ -68,6 +79,8 @@
     value_by_default: tuple[tuple[str, bool | int | float | str], ...] = ()
     faults: tuple[FaultPlan, ...] = ()
     kv_store: bool = False
+    shift_ms: float = 0.0
+    entries: int = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,7 +137,7 @@
         duration_ms=plan.duration_ms,
         rate_per_s=RATE_BY_TRACE[plan.trace],
         teams=TEAMS,
-        shift_ms=SHIFT_MS_BY_TRACE[plan.trace],
+        shift_ms=plan.shift_ms or SHIFT_MS_BY_TRACE[plan.trace],
         model=MODEL,
     )
     trace = MODULE_BY_TRACE[plan.trace].trace(settings)
@@ -134,6 +147,7 @@
 def fleet_plan(plan: RunPlan, trace: Sequence[calls.Call]) -> fleet.FleetPlan:
     """Returns the fleet that a run needs."""
     return fleet.FleetPlan(
+        entries=plan.entries,
         engines=ENGINES,
         teams=tuple(sorted({call.team for call in trace})),
         model=MODEL,
@@ -142,7 +156,7 @@
         ),
         value_by_default=dict(plan.value_by_default),
         kv_store=plan.kv_store,
-        weight_store=any(f.action == "weights" for f in plan.faults),
+        weight_store=any(f.action is Action.WEIGHTS for f in plan.faults),
     )
 
 
@@ -151,16 +165,19 @@
 ) -> None:
     """Does one thing to a fleet."""
     name = fault.process
-    if fault.action == "kill":
-        if name in running.url_by_target:
-            recorder.keep(name)
-        running.group.process_by_name[name].kill()
-    elif fault.action == "start":
-        running.group.process_by_name[name].start()
-    elif fault.action == "engine":
-        running.start_engine(name)
-    else:
-        raise ValueError(fault.action)
+    match fault.action:
+        case Action.KILL:
+            if name in running.url_by_target:
+                recorder.keep(name)
+            running.group.process_by_name[name].kill()
+        case Action.START:
+            running.group.process_by_name[name].start()
+        case Action.DRAIN:
+            running.add_exception(
+                "target", name, "target.drained", True, "leaves"
+            )
+        case Action.WEIGHTS:
+            running.set_default("weights.version", name)
 
 
 def run_one(plan: RunPlan) -> RunResult:
@@ -231,6 +248,7 @@
     "CAPACITY_BLOCKS",
     "ENGINES",
     "RATE_BY_TRACE",
+    "Action",
     "FaultPlan",
     "Lookup",
     "RunPlan",
--- /dev/null
+++ b/bench/measures/shifts.py
@@ -0,0 +1,162 @@
+"""How deep the hit rate dips after a shift, and how long until it is back."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from bench import stats
+from bench.measures import api
+from bench.measures import fleet_run
+from bench.measures import routing
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+WINDOW_CALLS = 40
+BACK_SHARE = 0.9
+AT_MS = 12_000.0
+DURATION_MS = 24_000.0
+WARM_MS = 4_000.0
+HOT_SHIFT_MS = 14_000.0
+KILL = fleet_run.Action.KILL
+START = fleet_run.Action.START
+
+
+@dataclasses.dataclass(frozen=True)
+class Shift:
+    """One kind of shift.
+
+    Attributes:
+        name: What it is called in the table.
+        trace: The trace during which it happens.
+        at_ms: When it happens.
+        faults: What is done to the fleet.
+    """
+
+    name: str
+    trace: str
+    at_ms: float
+    faults: tuple[fleet_run.FaultPlan, ...] = ()
+
+
+SHIFTS = (
+    Shift("prefix", "hot", HOT_SHIFT_MS),
+    Shift(
+        "target",
+        "mavazi",
+        AT_MS,
+        (
+            fleet_run.FaultPlan(AT_MS, "engine-2", KILL),
+            fleet_run.FaultPlan(AT_MS + 3_000, "engine-2", START),
+        ),
+    ),
+    Shift(
+        "herd",
+        "mavazi",
+        AT_MS,
+        tuple(
+            fleet_run.FaultPlan(at_ms, f"entry-{number}", action)
+            for number in (0, 1)
+            for at_ms, action in ((AT_MS, KILL), (AT_MS + 10, START))
+        ),
+    ),
+    Shift(
+        "weights",
+        "mavazi",
+        AT_MS,
+        (fleet_run.FaultPlan(AT_MS, "w2", fleet_run.Action.WEIGHTS),),
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Recovery:
+    """How the hit rate went after a shift.
+
+    Attributes:
+        before: The hit rate from the warm-up to the shift.
+        lowest: The lowest over a window of calls after it.
+        back_calls: Calls from the shift to the end of the first window
+            back at the share wanted; not a number if there is none.
+        back_ms: The same as a time.
+    """
+
+    before: float
+    lowest: float
+    back_calls: float
+    back_ms: float
+
+
+def hit_rate(lookups: Sequence[fleet_run.Lookup]) -> float:
+    """Returns the share of the pieces that were found."""
+    pieces = sum(lookup.pieces for lookup in lookups)
+    return stats.ratio(sum(lookup.cached for lookup in lookups), pieces)
+
+
+def recovery(lookups: Sequence[fleet_run.Lookup], at_ms: float) -> Recovery:
+    """Returns how the hit rate went after a shift."""
+    before = hit_rate([x for x in lookups if WARM_MS <= x.at_ms < at_ms])
+    after = [lookup for lookup in lookups if lookup.at_ms >= at_ms]
+    rates = [
+        hit_rate(after[start : start + WINDOW_CALLS])
+        for start in range(max(0, len(after) - WINDOW_CALLS + 1))
+    ]
+    if not rates:
+        return Recovery(before, math.nan, math.nan, math.nan)
+    lowest = min(range(len(rates)), key=rates.__getitem__)
+    if rates[lowest] >= BACK_SHARE * before:
+        return Recovery(before, rates[lowest], 0, 0.0)
+    for start in range(lowest, len(rates)):
+        if rates[start] >= BACK_SHARE * before:
+            end = start + WINDOW_CALLS - 1
+            return Recovery(
+                before, rates[lowest], end + 1, after[end].at_ms - at_ms
+            )
+    return Recovery(before, rates[lowest], math.nan, math.nan)
+
+
+def run(settings: api.Settings) -> None:
+    """Runs every shift with every seed and prints the table."""
+    plans = [
+        fleet_run.RunPlan(
+            shift.trace,
+            seed,
+            DURATION_MS,
+            shift.name,
+            tuple(settings.value_by_default.items()),
+            shift.faults,
+            shift_ms=shift.at_ms if shift.trace == "hot" else 0.0,
+            entries=4,
+        )
+        for shift in SHIFTS
+        for seed in settings.seeds
+    ]
+    shift_by_name = {shift.name: shift for shift in SHIFTS}
+    results = fleet_run.run_all(plans, settings.workers)
+    api.say(
+        f"rolling hit rate over {WINDOW_CALLS} calls; back means"
+        f" {BACK_SHARE:.0%} of before"
+    )
+    api.say(
+        f"{'shift':8s} {'seed':>4s} {'before':>6s} {'lowest':>6s}"
+        f" {'back calls':>10s} {'back ms':>8s} {'set calls':>9s}"
+    )
+    for result in results:
+        shift = shift_by_name[result.plan.label]
+        found = recovery(result.lookups, shift.at_ms)
+        set_calls = result.cache.distinct / stats.ratio(
+            result.cache.pieces, len(result.lookups)
+        )
+        api.say(
+            f"{shift.name:8s} {result.plan.seed:4d} {found.before:6.3f}"
+            f" {found.lowest:6.3f} {found.back_calls:10.0f}"
+            f" {found.back_ms:8.0f} {set_calls:9.0f}"
+        )
+    api.say(routing.HEADER)
+    for result in results:
+        api.say(routing.row(result))
+
+
+__all__ = ["Recovery", "recovery", "run"]
--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -72,7 +72,7 @@
             running=gate.running,
             queued=len(gate.queue),
             slots=gate.limits.max_running,
-            queue_ms=gate.expected_wait_ms(),
+            queue_ms=gate.backlog_ms(),
             piece_ms=context.cost.piece_ms if context.is_engine else 0.0,
             draining=gate.draining or not context.state.up,
         )
--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -237,6 +237,10 @@
         self.queue.rank(waiting)
         return self._expected_wait_ms(waiting)
 
+    def backlog_ms(self) -> float:
+        """Returns the wait of a request that starts after all others."""
+        return self._forecast(self.queue.everyone())[-1]
+
     def _expected_wait_ms(self, waiting: queues.Waiting) -> float:
         return self._forecast(self.queue.ahead_of(waiting))[-1]
 
--- a/src/lycheering/routing/score.py
+++ b/src/lycheering/routing/score.py
@@ -16,6 +16,7 @@
 PLACE_MS = 1.0
 OPEN_REQUEST_MS = 1.0
 DRAINING_MS = 1e6
+MIN_WAIT_WEIGHT = 0.001
 
 
 def of_target(
@@ -38,15 +39,14 @@
     levels = query.levels
     estimate = knowledge.loads.estimate(target.name)
     cached = knowledge.caches.expected_pieces(target.name, levels)
-    if place == 0 and width == 1 and not cached:
-        # every process sends this prefix there, so it is likely held
-        cached = float(levels.pieces[levels.rank_index])
+    if place < width:
+        # every process sends this prefix there, so it is held or soon is
+        cached = max(cached, float(levels.pieces[levels.rank_index]))
     missing = max(0.0, levels.prompt_pieces - cached)
     miss_ms = missing * estimate.piece_ms
     wait_ms = estimate.queue_ms + OPEN_REQUEST_MS * estimate.open_requests
-    weight = query.reuse_weight
-    # prefill elsewhere also displaces what that target holds
-    total = (1.0 - weight) * wait_ms + (1.0 + weight) * miss_ms
+    # prefill also delays others and displaces what the target holds
+    total = wait_ms + miss_ms * miss_factor(query.reuse_weight)
     total += PLACE_MS * place
     if target.failure_domain != knowledge.failure_domain:
         total += FAR_MS
@@ -58,6 +58,11 @@
     )
 
 
+def miss_factor(reuse_weight: float) -> float:
+    """Returns how many ms of waiting one ms of prefill outweighs."""
+    return 1.0 / max(MIN_WAIT_WEIGHT, 1.0 - reuse_weight)
+
+
 def by_load(
     knowledge: policies.Knowledge,
     query: api.Query,
--- a/src/lycheering/wire/messages.py
+++ b/src/lycheering/wire/messages.py
@@ -63,7 +63,7 @@
         running: Requests that run at the target.
         queued: Requests that wait at the agent.
         slots: Requests that the target runs at once.
-        queue_ms: Expected wait of a new request of middling priority.
+        queue_ms: Expected wait of a request that starts after all others.
         piece_ms: Time to prefill one missing piece.
         draining: Whether the agent takes nothing new.
     """
--- a/tests/limits/admission.feature
+++ b/tests/limits/admission.feature
@@ -66,3 +66,7 @@
     Then 2 requests run and 2 wait
     When the first token of request 1 comes
     Then 3 requests run and 1 wait
+
+  Scenario: A team that waits for itself shows as a backlog to others
+    When team "a" enters 6 times with 1000 ms of work and 60000 ms left
+    Then a request of an idle team waits less than the backlog
--- a/tests/routing/policies.feature
+++ b/tests/routing/policies.feature
@@ -55,6 +55,25 @@
     When the routing clock advances by 20000 ms
     Then 30 prompts under the prefix go first to 1 targets
 
+  Scenario: A widened prefix leaves a busy target though only that holds it
+    Given a hint of width 3 for the prompt
+    And the first ranked target started the prompt
+    And the first ranked target reports a queue of 900 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+
+  Scenario: A wait that outweighs the prefill moves a prefix of width 1
+    Given the first ranked target started the prompt
+    And the first ranked target reports a queue of 1500 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+
+  Scenario: A wait shorter than the prefill keeps a prefix where it is held
+    Given the first ranked target started the prompt
+    And the first ranked target reports a queue of 400 ms
+    When the affinity policy orders the targets
+    Then the first candidate is the first ranked target
+
   Scenario: A draining target is taken last
     Given the first ranked target reports that it drains
     When the affinity policy orders the targets
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -175,3 +175,14 @@
     error_by_number = context.entered.error_by_number
     later_ms = error_by_number[number].retry_after_ms
     assert later_ms > error_by_number[earlier].retry_after_ms > 0
+
+
+@then("a request of an idle team waits less than the backlog")
+def step_backlog(context):
+    gate = context.entered.gate
+
+    async def idle_team_wait_ms():
+        return gate.expected_wait_ms(priority=10)
+
+    wait_ms = context.entered.runner.run(idle_team_wait_ms())
+    assert wait_ms < gate.backlog_ms()
