Ask ranked targets what they hold before choosing one

Change: an entry asks the agents of the ranked targets (25 ms at most) what they hold or are about to compute of the prompt, their backlog and how long unused blocks live; a miss costs up to twice where they live under 3 s.

--- a/src/lycheering/agent/context.py
+++ b/src/lycheering/agent/context.py
@@ -14,7 +14,9 @@
     from lycheering.agent import kept
     from lycheering.agent import orders
     from lycheering.agent import target_state
+    from lycheering.cache import held as held_levels
     from lycheering.cache import index as indexes
+    from lycheering.cache import life
     from lycheering.fleet import holder as holders
     from lycheering.limits import cost as costs
     from lycheering.limits import width as widths
@@ -40,6 +42,8 @@
         driver: The way to the target.
         state: The target's state.
         index: What the target has cached.
+        ages: How long the target keeps it.
+        held: What the target has cached, by the levels of prompts.
         cost: What requests cost there.
         admission: The queue.
         desk: Orders that run at most once.
@@ -58,6 +62,8 @@
     driver: targets_api.TargetDriver
     state: target_state.TargetState
     index: indexes.BlockIndex
+    ages: life.EvictionAge
+    held: held_levels.HeldLevels
     cost: costs.CostModel
     admission: admissions.Admission
     desk: orders.OrderDesk
--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -18,7 +18,9 @@
 from lycheering.agent import target_state
 from lycheering.app import api as app_api
 from lycheering.cache import feed
+from lycheering.cache import held
 from lycheering.cache import index as indexes
+from lycheering.cache import life
 from lycheering.fleet import holder as holders
 from lycheering.fleet import records
 from lycheering.fleet import view
@@ -127,7 +129,8 @@
     holder = holders.ViewHolder()
     link = _make_link(settings, agent, clock, holder, counters)
     state = target_state.TargetState(agent, clock)
-    index = indexes.BlockIndex()
+    ages = life.EvictionAge(clock)
+    index = indexes.BlockIndex(ages)
     driver: engine.EngineDriver | service.ServiceDriver
     application = app_api.Application(settings.instance.drain_timeout_ms)
     application.add(ContextOwner(link))
@@ -152,6 +155,8 @@
         driver,
         state,
         index,
+        ages,
+        held.HeldLevels(index, clock),
         costs.CostModel(),
         admission.Admission(clock),
         orders.OrderDesk(clock, 0.0),
--- a/src/lycheering/agent/requests.py
+++ b/src/lycheering/agent/requests.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
 import msgspec
 
+from lycheering.cache import held
 from lycheering.cache import pieces
 from lycheering.fleet import view
 from lycheering.limits import admission
@@ -39,6 +41,7 @@
         shared: The leading pieces that teams share, with their keys.
         char_counts: The length of each piece.
         max_tokens: The longest answer that may still come.
+        levels: Its nested levels.
     """
 
     keys: tuple[bytes, ...]
@@ -46,6 +49,7 @@
     shared: tuple[pieces.ChainLink, ...] = ()
     char_counts: tuple[int, ...] = ()
     max_tokens: int = 0
+    levels: tuple[held.HeldLevel, ...] = ()
 
     def missing_after(self, cached_pieces: int, piece_chars: int) -> float:
         """Returns what is to be prefilled after some cached pieces."""
@@ -74,7 +78,27 @@
     left = max(1, tokens - submit.continue_from)
     cost = context.cost.completion(missing, left)
     counts = tuple(len(piece) for piece in prompt.pieces)
-    return Plan(keys, cost, shared, counts, left)
+    levels = _held_levels(submit.level_ends, counts, keys)
+    return Plan(keys, cost, shared, counts, left, levels)
+
+
+def _held_levels(
+    level_ends: tuple[int, ...],
+    char_counts: tuple[int, ...],
+    keys: tuple[bytes, ...],
+) -> tuple[held.HeldLevel, ...]:
+    pieces_by_end = {
+        end: count
+        for count, end in enumerate(itertools.accumulate(char_counts), 1)
+    }
+    levels: list[held.HeldLevel] = []
+    for end in level_ends:
+        # a level that ends in a piece too short to be kept holds those before
+        count = min(pieces_by_end.get(end, 0), len(keys))
+        if not count:
+            break
+        levels.append(held.HeldLevel(count, keys[count - 1]))
+    return tuple(levels)
 
 
 def cut_prompt(
--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -132,6 +132,8 @@
         self._measure_width(plan)
         demand = requests.make_demand(context, self.submit, plan.cost)
         place = context.admission.enter(demand)
+        level_keys = self.submit.level_keys
+        self._expect_levels(plan)
         try:
             if self._order is not None:
                 self._order.receive()
@@ -145,6 +147,8 @@
                 return await self._run(place, plan)
         finally:
             context.admission.leave(place)
+            if self.delivery.started is None:
+                context.held.not_computed(level_keys)
 
     def _check_acceptable(self) -> None:
         context = self._context
@@ -181,6 +185,11 @@
             f"serves {state.weights_version}",
         )
 
+    def _expect_levels(self, plan: requests.Plan) -> None:
+        for level in plan.levels:
+            level.expected_until_ms = self.submit.deadline_ms
+        self._context.held.expect(self.submit.level_keys, plan.levels)
+
     def _measure_width(self, plan: requests.Plan) -> None:
         context = self._context
         max_width = context.holder.fleet.integer(
@@ -292,6 +301,8 @@
             )
             context.cost.learn_prefill(self._sent_ms, now_ms, missing)
             kept_prompts.keep(context, plan, head)
+            context.ages.used(plan.keys)
+            context.held.computed(self.submit.level_keys)
         self._head_ms = now_ms
         context.admission.prefilled(place)
         self.delivery.start(
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -110,6 +110,8 @@
                 self._cancel(message)
             case messages.Ack():
                 self._acknowledge(session, message)
+            case messages.CacheInquiry():
+                session.send(self._cache_report(message), call_id)
             case messages.OrderInquiry():
                 self._inquire(session, call_id, message)
             case messages.TargetOrder():
@@ -233,6 +235,17 @@
         if run.delivery.taken:
             self._forget(key)
 
+    def _cache_report(
+        self, inquiry: messages.CacheInquiry
+    ) -> messages.CacheReport:
+        context = self._context
+        return messages.CacheReport(
+            context.held.held_pieces(inquiry.level_keys),
+            context.admission.backlog_ms(),
+            context.cost.piece_ms,
+            context.ages.life_ms,
+        )
+
     def _inquire(
         self,
         session: server.Session,
--- a/src/lycheering/cache/index.py
+++ b/src/lycheering/cache/index.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from lycheering.cache import life
+
 
 class BlockIndex:
     """Blocks of the present engine incarnation and weights version.
@@ -22,7 +24,13 @@
         weights_version: The weights that the blocks belong to.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ages: life.EvictionAge) -> None:
+        """Starts empty.
+
+        Args:
+            ages: Learns when blocks are stored and evicted.
+        """
+        self._ages = ages
         self.synced = False
         self.incarnation = ""
         self.weights_version = ""
@@ -74,11 +82,16 @@
     def _follow(self, event: api.CacheEvent) -> None:
         if event.kind is api.EventKind.CLEARED:
             self._keys = set()
+            self._ages.cleared()
             self.weights_version = event.weights_version
         elif event.kind is api.EventKind.EVICTED:
-            self._keys.discard(bytes.fromhex(event.block))
+            key = bytes.fromhex(event.block)
+            self._keys.discard(key)
+            self._ages.evicted(key)
         elif event.weights_version == self.weights_version:
-            self._keys.add(bytes.fromhex(event.block))
+            key = bytes.fromhex(event.block)
+            self._keys.add(key)
+            self._ages.used((key,))
 
     def matched_count(self, keys: Iterable[bytes]) -> int:
         """Returns how many leading keys are cached."""
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from lycheering.entry import attempt as attempts
+from lycheering.entry import cache_inquiries
 from lycheering.entry import refusals
 from lycheering.entry import sinks
 from lycheering.entry import target_access
@@ -33,7 +35,7 @@
     )
 
 
-def choose(
+async def choose(
     targets: target_access.Targets,
     job: jobs.Job,
     number: int,
@@ -55,11 +57,19 @@
         fleet.integer("routing.max_width", subject),
     )
     note_loads(targets, job.wanted)
+    policy = fleet.text("routing.policy", subject)
+    ask_ms = fleet.integer("routing.ask_ms", subject)
+    asked = targets.router.compared(job.wanted, query, policy)
+    if ask_ms and len(asked) > 1:
+        seen_by_target = await cache_inquiries.ask(
+            targets, asked, job.levels.keys, ask_ms
+        )
+        query = dataclasses.replace(query, seen_by_target=seen_by_target)
     try:
         return targets.router.choose(
             job.wanted,
             query,
-            policy=fleet.text("routing.policy", subject),
+            policy=policy,
             attempt=number,
             tried=tried,
             usable=targets.usable,
@@ -115,7 +125,7 @@
         number = 1
         while True:
             try:
-                choice = choose(self._targets, job, number, tried)
+                choice = await choose(self._targets, job, number, tried)
             except refusals.RefusalError as error:
                 error.not_run = not may_have_run
                 raise
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -124,7 +124,7 @@
     async def _run_once(
         self, job: jobs.Job, number: int, tried: list[str]
     ) -> refusals.Answer:
-        choice = dispatch.choose(self._targets, job, number, tried)
+        choice = await dispatch.choose(self._targets, job, number, tried)
         tried.append(choice.target.name)
         # the claim names the incarnation that will be sent to
         try:
--- a/src/lycheering/fleet/options.py
+++ b/src/lycheering/fleet/options.py
@@ -135,6 +135,14 @@
         choices=("affinity", "round_robin", "least_loaded", "prefix_hash"),
         scopes=_CALLERS,
     ),
+    Option(
+        "routing.ask_ms",
+        25,
+        "ms to ask ranked targets what they hold; 0 never asks",
+        0,
+        1_000,
+        scopes=_CALLERS,
+    ),
     Option("routing.max_width", 4, "targets one hot prefix may use", 1, 64),
     Option(
         "prefix.shared_levels",
--- a/src/lycheering/routing/api.py
+++ b/src/lycheering/routing/api.py
@@ -9,9 +9,28 @@
 from lycheering.routing import levels
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from lycheering.fleet import records
 
 
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """What an agent told of its target when asked for this request.
+
+    Attributes:
+        held_pieces: Leading pieces of the prompt that it holds.
+        queue_ms: Expected wait before prefill.
+        piece_ms: Time to prefill one missing piece.
+        life_ms: How long unused pieces stay cached; 0 if not known.
+    """
+
+    held_pieces: int
+    queue_ms: float
+    piece_ms: float
+    life_ms: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Query:
     """A request as routing sees it.
@@ -23,6 +42,7 @@
         reuse_weight: 0 weighs time only, 1 weighs reuse only.
         candidates: Ranked targets to compare.
         max_width: Most targets that one hot prefix may use.
+        seen_by_target: What agents told when asked.
     """
 
     request_id: str
@@ -31,6 +51,7 @@
     reuse_weight: float = 0.7
     candidates: int = 3
     max_width: int = 4
+    seen_by_target: Mapping[str, Seen] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,9 +91,15 @@
             targets: The targets that may serve it; never empty.
         """
 
+    def compared(
+        self, query: Query, targets: tuple[records.Target, ...]
+    ) -> tuple[records.Target, ...]:
+        """Returns the targets that are worth asking before `order`."""
+        return ()
+
     def width(self, query: Query) -> int:
         """Returns over how many targets the request's prefix is spread."""
         return 1
 
 
-__all__ = ["Candidate", "Policy", "Query"]
+__all__ = ["Candidate", "Policy", "Query", "Seen"]
--- a/src/lycheering/routing/policies.py
+++ b/src/lycheering/routing/policies.py
@@ -75,6 +75,15 @@
         width = self._knowledge.widths.width(query.levels.rank_key)
         return min(width, query.max_width)
 
+    def compared(
+        self, query: api.Query, targets: tuple[records.Target, ...]
+    ) -> tuple[records.Target, ...]:
+        """Returns the first ranked targets."""
+        if not query.levels.keys:
+            return ()
+        ranking = self._rankings.rank(query.levels.rank_key, targets)
+        return ranking[: max(query.candidates, self.width(query))]
+
     def order(
         self, query: api.Query, targets: tuple[records.Target, ...]
     ) -> list[api.Candidate]:
@@ -83,7 +92,7 @@
             return score.by_load(self._knowledge, query, targets)
         ranking = self._rankings.rank(query.levels.rank_key, targets)
         width = self.width(query)
-        compared = ranking[: max(query.candidates, width)]
+        compared = self.compared(query, targets)
         # requests under a wide prefix part by their innermost level
         order = rendezvous.rank(query.levels.deepest_key, compared[:width])
         found = [
--- a/src/lycheering/routing/router.py
+++ b/src/lycheering/routing/router.py
@@ -98,6 +98,15 @@
             self._targets_by_wanted[wanted] = found
         return found
 
+    def compared(
+        self, wanted: Wanted, query: api.Query, policy: str
+    ) -> tuple[records.Target, ...]:
+        """Returns the targets that are worth asking before a choice."""
+        targets = self.targets(wanted)
+        if not targets:
+            return ()
+        return self._policy_by_name[policy].compared(query, targets)
+
     def choose(
         self,
         wanted: Wanted,
--- a/src/lycheering/routing/score.py
+++ b/src/lycheering/routing/score.py
@@ -16,7 +16,7 @@
 PLACE_MS = 1.0
 OPEN_REQUEST_MS = 1.0
 DRAINING_MS = 1e6
-MIN_WAIT_WEIGHT = 0.001
+SCARCE_LIFE_MS = 3_000.0
 
 
 def of_target(
@@ -38,29 +38,45 @@
     """
     levels = query.levels
     estimate = knowledge.loads.estimate(target.name)
-    cached = knowledge.caches.expected_pieces(target.name, levels)
-    if place < width:
-        # every process sends this prefix there, so it is held or soon is
-        cached = max(cached, float(levels.pieces[levels.rank_index]))
+    queue_ms = estimate.queue_ms
+    piece_ms = estimate.piece_ms
+    scarcity = 0.0
+    seen = query.seen_by_target.get(target.name)
+    if seen is not None:
+        cached = float(seen.held_pieces)
+        queue_ms = seen.queue_ms
+        piece_ms = seen.piece_ms
+        scarcity = scarcity_of(seen.life_ms)
+    else:
+        cached = knowledge.caches.expected_pieces(target.name, levels)
+        if place < width:
+            # every process sends this prefix there, so it is likely held
+            cached = max(cached, float(levels.pieces[levels.rank_index]))
     missing = max(0.0, levels.prompt_pieces - cached)
-    miss_ms = missing * estimate.piece_ms
-    wait_ms = estimate.queue_ms + OPEN_REQUEST_MS * estimate.open_requests
+    miss_ms = missing * piece_ms
+    wait_ms = queue_ms + OPEN_REQUEST_MS * estimate.open_requests
+    weight = query.reuse_weight
     # prefill also delays others and displaces what the target holds
-    total = wait_ms + miss_ms * miss_factor(query.reuse_weight)
+    total = (1.0 - weight) * (wait_ms + miss_ms)
+    total += weight * miss_ms * (1.0 + scarcity)
     total += PLACE_MS * place
     if target.failure_domain != knowledge.failure_domain:
         total += FAR_MS
     if knowledge.loads.draining(target.name):
         total += DRAINING_MS
     reason = f"place={place} cached={cached:.1f} known={estimate.known}"
-    return api.Candidate(
-        target, total, wait_ms, missing, estimate.piece_ms, reason
-    )
+    if seen is not None:
+        reason = f"place={place} held={cached:.0f} life_ms={seen.life_ms:.0f}"
+    return api.Candidate(target, total, wait_ms, missing, piece_ms, reason)
+
 
+def scarcity_of(life_ms: float) -> float:
+    """Returns from 0 to 1 how soon what a target displaces is missed.
 
-def miss_factor(reuse_weight: float) -> float:
-    """Returns how many ms of waiting one ms of prefill outweighs."""
-    return 1.0 / max(MIN_WAIT_WEIGHT, 1.0 - reuse_weight)
+    Args:
+        life_ms: How long its unused pieces stay cached; 0 if not known.
+    """
+    return min(1.0, SCARCE_LIFE_MS / life_ms) if life_ms else 0.0
 
 
 def by_load(
--- a/src/lycheering/wire/messages.py
+++ b/src/lycheering/wire/messages.py
@@ -214,6 +214,7 @@
         shared_levels: How many outermost levels teams share.
         level_key: The key that the request was ranked by.
         width: The targets that the sender spreads this key over.
+        level_keys: The key of each prompt level, outermost first.
         continue_from: Tokens that an earlier attempt delivered.
         content_type: The body's content type.
         ticket: The claim, for a request that runs at most once.
@@ -234,6 +235,7 @@
     shared_levels: int = 0
     level_key: str = ""
     width: int = 1
+    level_keys: tuple[str, ...] = ()
     continue_from: int = 0
     content_type: str = "application/json"
     ticket: OrderTicket | None = None
@@ -282,6 +284,32 @@
 # requests, agent to entry
 
 
+class CacheInquiry(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """Asks an agent what its target holds of a prompt.
+
+    Attributes:
+        level_keys: The key of each prompt level, outermost first.
+    """
+
+    level_keys: tuple[str, ...]
+
+
+class CacheReport(msgspec.Struct, frozen=True, array_like=True, tag=36):
+    """An agent's answer to a cache inquiry.
+
+    Attributes:
+        held_pieces: Leading pieces that the target holds or is computing.
+        queue_ms: Expected wait of a request that starts after all others.
+        piece_ms: Time to prefill one missing piece.
+        life_ms: How long unused pieces stay cached; 0 if not known.
+    """
+
+    held_pieces: int
+    queue_ms: float
+    piece_ms: float
+    life_ms: float
+
+
 class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=30):
     """The request waits at the agent or runs.
 
@@ -678,6 +706,8 @@
     | Resume
     | Cancel
     | Ack
+    | CacheInquiry
+    | CacheReport
     | Accepted
     | Started
     | Chunks
@@ -737,6 +767,8 @@
     "Ack",
     "Broken",
     "Bye",
+    "CacheInquiry",
+    "CacheReport",
     "Cancel",
     "Chunks",
     "Deregister",
--- a/tests/routing/policies.feature
+++ b/tests/routing/policies.feature
@@ -89,3 +89,16 @@
       | least_loaded |
       | prefix_hash  |
       | affinity     |
+
+  Scenario: What an agent tells goes before what was learned earlier
+    Given the first ranked target started the prompt
+    And the first ranked target tells that it holds 0 pieces
+    And the second ranked target tells that it holds 15 pieces
+    When the affinity policy orders the targets
+    Then the first candidate is the second ranked target
+
+  Scenario: A new prefix goes where displacing others costs least
+    Given the first ranked target tells a cache life of 500 ms
+    And the second ranked target tells a cache life of 60000 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
--- a/tests/steps/cache_steps.py
+++ b/tests/steps/cache_steps.py
@@ -14,6 +14,7 @@
 from lycheering.cache import api
 from lycheering.cache import feed
 from lycheering.cache import index
+from lycheering.cache import life
 from lycheering.cache import pieces
 from lycheering.telemetry import counters
 from standins.engine import cache as engine_cache
@@ -104,7 +105,9 @@
     ' holding "{block}"'
 )
 def step_index(context, incarnation, seq, block):
-    context.index = index.BlockIndex()
+    context.index = index.BlockIndex(
+        life.EvictionAge(clock.ManualClock(1_000.0))
+    )
     context.listing = api.BlockListing(
         incarnation, seq, "1", (api.ListedBlock(block),)
     )
--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -252,7 +252,8 @@
 
 
 def order(context, policy, prompt, weight=0.7):
-    query = api.Query("r9", "", prompt, weight)
+    seen_by_target = getattr(context, "seen_by_target", {})
+    query = api.Query("r9", "", prompt, weight, seen_by_target=seen_by_target)
     chosen = policies.build_all(context.knowledge)[policy]
     return chosen.order(query, context.targets)
 
@@ -305,3 +306,28 @@
 def step_count(context, count):
     assert {c.target for c in context.candidates} == set(context.targets)
     assert len(context.candidates) == count
+
+
+PLACE_BY_WORD = {"first": 0, "second": 1}
+
+
+def tell(context, place, held=0, life_ms=0.0):
+    if "seen_by_target" not in context:
+        context.seen_by_target = {}
+    target = ranking(context)[PLACE_BY_WORD[place]]
+    context.seen_by_target[target.name] = api.Seen(held, 0.0, 20.0, life_ms)
+
+
+@given("the {place} ranked target tells that it holds {count:d} pieces")
+def step_tells_held(context, place, count):
+    tell(context, place, held=count)
+
+
+@given("the {place} ranked target tells a cache life of {life_ms:d} ms")
+def step_tells_life(context, place, life_ms):
+    tell(context, place, life_ms=float(life_ms))
+
+
+@then("the first candidate is the second ranked target")
+def step_second(context):
+    assert context.candidates[0].target == ranking(context)[1]
