Sum the use of a prefix over the agents asked into its width

Change: agents tell the share of their time that the prefix takes, the entry sums it; within a width above 1 the level ranked by is not waste; the work of a request is counted as if its levels were held.

Cause seen in the slowest calls: in the first 0.7 s after a shift all go to one target, since the use is smoothed over 3 s.

--- a/bench/measures/fleet_run.py
+++ b/bench/measures/fleet_run.py
@@ -112,6 +112,7 @@
         lookups: Cache lookups in order of time.
         verdict: Faults found, in one line.
         refused: Calls that ended in an explicit error.
+        findings: Each fault found.
     """
 
     plan: RunPlan
@@ -123,6 +124,7 @@
     lookups: tuple[Lookup, ...]
     verdict: str
     refused: int
+    findings: tuple[str, ...]
 
     @property
     def p99_ms(self) -> float:
@@ -232,6 +234,10 @@
         tuple(lookups),
         result.verdict.line(),
         result.verdict.refused,
+        tuple(
+            f"{finding.fault} {finding.call_id}: {finding.detail}"
+            for finding in result.verdict.findings
+        ),
     )
 
 
--- a/bench/measures/routing.py
+++ b/bench/measures/routing.py
@@ -62,6 +62,7 @@
         f" {summary.calls:5d} {summary.whole:5d} {summary.on_time:6d}"
         f" {f'{worst}={share:.3f}':>18s} {result.sends_per_run:5.3f}"
         f"  refused={result.refused} {result.verdict}"
+        + "".join(f"\n  {finding}" for finding in result.findings)
     )
 
 
--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -196,7 +196,11 @@
             "routing.max_width", context.subject
         )
         slots = max(1, context.admission.limits.max_running)
-        work_ms = plan.cost.prefill_ms + plan.cost.decode_ms / slots
+        # counted as if its levels were held, as they soon are
+        held = plan.levels[-1].pieces if plan.levels else 0
+        after = plan.missing_after(held, context.settings.piece_chars)
+        prefill_ms = context.cost.completion(after, 0).prefill_ms
+        work_ms = prefill_ms + plan.cost.decode_ms / slots
         self._hint = context.widths.offer(
             self.submit.level_key, work_ms, self.submit.width, max_width
         )
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -244,6 +244,7 @@
             context.admission.backlog_ms(),
             context.cost.piece_ms,
             context.ages.life_ms,
+            context.widths.own_use(inquiry.level_key),
         )
 
     def _inquire(
--- a/src/lycheering/entry/cache_inquiries.py
+++ b/src/lycheering/entry/cache_inquiries.py
@@ -15,13 +15,14 @@
 
     from lycheering.entry import target_access
     from lycheering.fleet import records
+    from lycheering.routing import levels
     from lycheering.wire import client
 
 
 async def ask(
     targets: target_access.Targets,
     asked: Iterable[records.Target],
-    level_keys: tuple[str, ...],
+    asked_levels: levels.Levels,
     timeout_ms: float,
 ) -> dict[str, routing_api.Seen]:
     """Returns what each agent tells that answers in time.
@@ -29,7 +30,7 @@
     Args:
         targets: The way to agents.
         asked: The targets to ask about.
-        level_keys: The key of each level of the prompt.
+        asked_levels: The levels of the prompt.
         timeout_ms: Time for the answers.
     """
     connection_by_name: dict[str, client.Connection] = {}
@@ -38,15 +39,28 @@
         connection = targets.connections.get(address)
         if connection.connected and targets.usable(target.name):
             connection_by_name[target.name] = connection
-    inquiry = messages.CacheInquiry(level_keys)
+    inquiry = messages.CacheInquiry(asked_levels.keys, asked_levels.rank_key)
     answers = await asyncio.gather(
         *(
             _ask_one(targets, connection, inquiry, timeout_ms)
             for connection in connection_by_name.values()
         )
     )
-    pairs = zip(connection_by_name, answers, strict=True)
-    return {name: seen for name, seen in pairs if seen is not None}
+    report_by_name = {
+        name: report
+        for name, report in zip(connection_by_name, answers, strict=True)
+        if report is not None
+    }
+    return {
+        name: routing_api.Seen(
+            report.held_pieces,
+            report.queue_ms,
+            report.piece_ms,
+            report.life_ms,
+            report.prefix_use,
+        )
+        for name, report in report_by_name.items()
+    }
 
 
 async def _ask_one(
@@ -54,17 +68,13 @@
     connection: client.Connection,
     inquiry: messages.CacheInquiry,
     timeout_ms: float,
-) -> routing_api.Seen | None:
+) -> messages.CacheReport | None:
     try:
         reply = await connection.call(inquiry, timeout_ms)
     except errors.WireError:
         targets.counters.increment("cache_inquiry.unanswered")
         return None
-    if not isinstance(reply, messages.CacheReport):
-        return None
-    return routing_api.Seen(
-        reply.held_pieces, reply.queue_ms, reply.piece_ms, reply.life_ms
-    )
+    return reply if isinstance(reply, messages.CacheReport) else None
 
 
 __all__ = ["ask"]
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -62,7 +62,7 @@
     asked = targets.router.compared(job.wanted, query, policy)
     if ask_ms and len(asked) > 1:
         seen_by_target = await cache_inquiries.ask(
-            targets, asked, job.levels.keys, ask_ms
+            targets, asked, job.levels, ask_ms
         )
         query = dataclasses.replace(query, seen_by_target=seen_by_target)
     try:
--- a/src/lycheering/fleet/options.py
+++ b/src/lycheering/fleet/options.py
@@ -122,7 +122,7 @@
     ),
     Option(
         "routing.candidates",
-        3,
+        6,
         "ranked targets compared per request",
         1,
         32,
--- a/src/lycheering/limits/width.py
+++ b/src/lycheering/limits/width.py
@@ -12,7 +12,8 @@
     from lycheering import clock as clocks
 
 MAX_KEYS = 512
-HALF_LIFE_MS = 5_000.0
+HALF_LIFE_MS = 3_000.0
+FIRST_SPAN_MS = 500.0
 TARGET_USE = 0.6
 SHRINK_USE = 0.4
 SHRINK_AFTER_MS = 10_000.0
@@ -23,18 +24,29 @@
     """The decayed work that one prefix brings.
 
     Attributes:
-        work_ms: Work offered here, decayed.
+        work_ms: Work offered to all targets, decayed.
+        own_ms: Work offered to this target, decayed.
         at_ms: When it was decayed last.
+        since_ms: When the prefix was first seen.
         width: The width that is asked for now.
         low_since_ms: Since when a smaller one would do; 0 if not.
     """
 
     work_ms: float = 0.0
+    own_ms: float = 0.0
     at_ms: float = 0.0
+    since_ms: float = 0.0
     width: int = 1
     low_since_ms: float = 0.0
 
 
+def _span_ms(age_ms: float) -> float:
+    """Returns the time that a decayed sum of steady work stands for."""
+    tau_ms = HALF_LIFE_MS / math.log(2)
+    age_ms = max(age_ms, FIRST_SPAN_MS)
+    return tau_ms * (1.0 - math.exp(-age_ms / tau_ms))
+
+
 class WidthMeter:
     """Measures the work offered for each prefix and asks for a width.
 
@@ -69,10 +81,11 @@
             return None
         now_ms = self._clock.now_ms()
         demand = self._find(level_key, now_ms, width)
-        demand.work_ms += work_ms
-        # the decayed sum of a steady rate r levels out at r * tau
-        tau_ms = HALF_LIFE_MS / math.log(2)
-        use = demand.work_ms / tau_ms * max(1, width)
+        # the request that ends the span counts only after it
+        use = demand.work_ms / _span_ms(now_ms - demand.since_ms)
+        # this target sees one part of what is spread over several
+        demand.work_ms += work_ms * max(1, width)
+        demand.own_ms += work_ms
         wanted = min(max_width, max(1, math.ceil(use / TARGET_USE)))
         if wanted > demand.width:
             demand.width = wanted
@@ -82,6 +95,15 @@
         demand.width = min(demand.width, max_width)
         return messages.WidthHint(level_key, demand.width)
 
+    def own_use(self, level_key: str) -> float:
+        """Returns the share of this target's time that a prefix takes."""
+        demand = self._demand_by_key.get(level_key)
+        if demand is None:
+            return 0.0
+        now_ms = self._clock.now_ms()
+        kept = math.pow(0.5, (now_ms - demand.at_ms) / HALF_LIFE_MS)
+        return demand.own_ms * kept / _span_ms(now_ms - demand.since_ms)
+
     def _shrink(self, demand: _Demand, use: float, now_ms: float) -> None:
         fits = use <= SHRINK_USE * (demand.width - 1)
         if demand.width == 1 or not fits:
@@ -96,12 +118,14 @@
         # the key used last stands last, so that idle ones go first
         demand = self._demand_by_key.pop(level_key, None)
         if demand is None:
-            demand = _Demand(0.0, now_ms, max(1, width))
+            demand = _Demand(at_ms=now_ms, since_ms=now_ms, width=max(1, width))
             while len(self._demand_by_key) >= MAX_KEYS:
                 del self._demand_by_key[next(iter(self._demand_by_key))]
         self._demand_by_key[level_key] = demand
         elapsed_ms = now_ms - demand.at_ms
-        demand.work_ms *= 0.5 ** (elapsed_ms / HALF_LIFE_MS)
+        kept = 0.5 ** (elapsed_ms / HALF_LIFE_MS)
+        demand.work_ms *= kept
+        demand.own_ms *= kept
         demand.at_ms = now_ms
         return demand
 
--- a/src/lycheering/routing/api.py
+++ b/src/lycheering/routing/api.py
@@ -23,12 +23,14 @@
         queue_ms: Expected wait before prefill.
         piece_ms: Time to prefill one missing piece.
         life_ms: How long unused pieces stay cached; 0 if not known.
+        prefix_use: Share of its time that the prefix ranked by takes.
     """
 
     held_pieces: int
     queue_ms: float
     piece_ms: float
     life_ms: float
+    prefix_use: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lycheering/routing/policies.py
+++ b/src/lycheering/routing/policies.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 from lycheering.routing import api
@@ -17,6 +18,7 @@
     from lycheering.routing import load
 
 MAX_RANKINGS = 5_000
+FULL_USE = 0.6  # more of a target's time makes its queue grow
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,8 +73,17 @@
         self._rankings = Rankings()
 
     def width(self, query: api.Query) -> int:
-        """Returns the width that agents last gave the prefix."""
-        width = self._knowledge.widths.width(query.levels.rank_key)
+        """Returns the width that the prefix needs now.
+
+        It follows from what agents told when asked for this request, or
+        else from the last hint.
+        """
+        seen_by_target = query.seen_by_target
+        if seen_by_target:
+            use = sum(seen.prefix_use for seen in seen_by_target.values())
+            width = max(1, math.ceil(use / FULL_USE))
+        else:
+            width = self._knowledge.widths.width(query.levels.rank_key)
         return min(width, query.max_width)
 
     def compared(
--- a/src/lycheering/routing/score.py
+++ b/src/lycheering/routing/score.py
@@ -54,11 +54,16 @@
             cached = max(cached, float(levels.pieces[levels.rank_index]))
     missing = max(0.0, levels.prompt_pieces - cached)
     miss_ms = missing * piece_ms
+    wasted = missing
+    if place < width and width > 1:
+        # what all requests under a wide prefix will reuse is not wasted
+        wasted -= max(0.0, levels.pieces[levels.rank_index] - cached)
+    wasted_ms = wasted * piece_ms
     wait_ms = queue_ms + OPEN_REQUEST_MS * estimate.open_requests
     weight = query.reuse_weight
     # prefill also delays others and displaces what the target holds
     total = (1.0 - weight) * (wait_ms + miss_ms)
-    total += weight * miss_ms * (1.0 + scarcity)
+    total += weight * wasted_ms * (1.0 + scarcity)
     total += PLACE_MS * place
     if target.failure_domain != knowledge.failure_domain:
         total += FAR_MS
--- a/src/lycheering/wire/messages.py
+++ b/src/lycheering/wire/messages.py
@@ -289,9 +289,11 @@
 
     Attributes:
         level_keys: The key of each prompt level, outermost first.
+        level_key: The key that the request is ranked by.
     """
 
     level_keys: tuple[str, ...]
+    level_key: str
 
 
 class CacheReport(msgspec.Struct, frozen=True, array_like=True, tag=36):
@@ -302,12 +304,14 @@
         queue_ms: Expected wait of a request that starts after all others.
         piece_ms: Time to prefill one missing piece.
         life_ms: How long unused pieces stay cached; 0 if not known.
+        prefix_use: Share of the target's time that the key ranked by takes.
     """
 
     held_pieces: int
     queue_ms: float
     piece_ms: float
     life_ms: float
+    prefix_use: float
 
 
 class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=30):
--- a/tests/agent/runs.feature
+++ b/tests/agent/runs.feature
@@ -112,3 +112,9 @@
     Given an agent beside an engine
     When a caller names the cache salt "team:other" in its body
     Then the engine saw only the salt "team:team-1"
+
+  Scenario: An agent tells what its engine holds of a prompt
+    Given an agent beside an engine
+    When teams "a" and "b" submit prompts that share 1 of 2 levels
+    Then the agent tells of 2 held pieces of the prompt of team "a"
+    And the agent tells of 1 held pieces of the prompt of team "c"
--- a/tests/limits/width.feature
+++ b/tests/limits/width.feature
@@ -32,3 +32,15 @@
     Given a width meter for at most 4 targets
     When 2000 prefixes bring work
     Then the meter remembers 512 of them
+
+  Scenario: A prefix that turned hot just now widens within its first second
+    Given a width meter for at most 4 targets
+    When a prefix brings 100 ms of work each 50 ms for 1 s
+    Then its width is at least 2
+
+  Scenario: The use by a prefix is what it brings to this target, and fades
+    Given a width meter for at most 4 targets
+    When a prefix brings 500 ms of work each 1000 ms for 30 s
+    Then it uses 40 to 60 percent of the target
+    When 20000 ms pass without work for the prefix
+    Then it uses 0 to 1 percent of the target
--- a/tests/routing/policies.feature
+++ b/tests/routing/policies.feature
@@ -97,6 +97,11 @@
     When the affinity policy orders the targets
     Then the first candidate is the second ranked target
 
+  Scenario: The uses that agents tell add up to the width
+    Given the first ranked target tells that its prefix uses 1.0 of it
+    And the second ranked target tells that its prefix uses 0.5 of it
+    Then the affinity policy spreads the prefix over 3 targets
+
   Scenario: A new prefix goes where displacing others costs least
     Given the first ranked target tells a cache life of 500 ms
     And the second ranked target tells a cache life of 60000 ms
--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -331,7 +331,12 @@
     ends = (PIECE_CHARS, 2 * PIECE_CHARS)
     context.count = getattr(context, "count", 0) + 1
     submit = context.bench.submit(
-        f"r{context.count}", prompt, team=team, level_ends=ends, shared_levels=1
+        f"r{context.count}",
+        prompt,
+        team=team,
+        level_ends=ends,
+        shared_levels=1,
+        level_keys=("archive", f"archive/{team}"),
     )
     ask(context, submit)
 
@@ -342,6 +347,18 @@
     assert context.outcome.started.cached_pieces == count, context.outcome
 
 
+@then('the agent tells of {count:d} held pieces of the prompt of team "{team}"')
+def step_held_pieces(context, count, team):
+    inquiry = messages.CacheInquiry(("archive", f"archive/{team}"), "archive")
+
+    async def inquire():
+        connection = await context.bench.entry()
+        return await connection.call(inquiry)
+
+    report = context.bench.run(inquire())
+    assert report.held_pieces == count, report
+
+
 @then('the engine saw the salts "{one}" and "{other}"')
 def step_salts(context, one, other):
     runs = context.bench.run(context.bench.record())
--- a/tests/steps/limits_steps.py
+++ b/tests/steps/limits_steps.py
@@ -136,3 +136,13 @@
 def step_tokens(context, tokens, low, high):
     decode_ms = context.cost.completion(0, tokens).decode_ms
     assert low <= decode_ms <= high, decode_ms
+
+
+@when("{duration:d} ms pass without work for the prefix")
+def step_no_work(context, duration):
+    context.clock.advance(duration)
+
+
+@then("it uses {low:d} to {high:d} percent of the target")
+def step_use(context, low, high):
+    assert low <= 100 * context.meter.own_use(KEY) <= high
--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -311,11 +311,13 @@
 PLACE_BY_WORD = {"first": 0, "second": 1}
 
 
-def tell(context, place, held=0, life_ms=0.0):
+def tell(context, place, held=0, life_ms=0.0, use=0.0):
     if "seen_by_target" not in context:
         context.seen_by_target = {}
     target = ranking(context)[PLACE_BY_WORD[place]]
-    context.seen_by_target[target.name] = api.Seen(held, 0.0, 20.0, life_ms)
+    context.seen_by_target[target.name] = api.Seen(
+        held, 0.0, 20.0, life_ms, use
+    )
 
 
 @given("the {place} ranked target tells that it holds {count:d} pieces")
@@ -331,3 +333,19 @@
 @then("the first candidate is the second ranked target")
 def step_second(context):
     assert context.candidates[0].target == ranking(context)[1]
+
+
+@given("the {place} ranked target tells that its prefix uses {use:f} of it")
+def step_tells_use(context, place, use):
+    tell(context, place, use=use)
+
+
+@then("the affinity policy spreads the prefix over {count:d} targets")
+def step_policy_width(context, count):
+    query = api.Query(
+        "r9",
+        levels=context.prompts[0],
+        seen_by_target=context.seen_by_target,
+    )
+    policy = policies.build_all(context.knowledge)["affinity"]
+    assert policy.width(query) == count
