--- a/src/lycheering/limits/width.py
+++ b/src/lycheering/limits/width.py
@@ -13,6 +13,7 @@
 
 MAX_KEYS = 512
 HALF_LIFE_MS = 3_000.0
+OWN_HALF_LIFE_MS = 500.0
 FIRST_SPAN_MS = 500.0
 TARGET_USE = 0.6
 SHRINK_USE = 0.4
@@ -40,9 +41,9 @@
     low_since_ms: float = 0.0
 
 
-def _span_ms(age_ms: float) -> float:
+def _span_ms(age_ms: float, half_life_ms: float) -> float:
     """Returns the time that a decayed sum of steady work stands for."""
-    tau_ms = HALF_LIFE_MS / math.log(2)
+    tau_ms = half_life_ms / math.log(2)
     age_ms = max(age_ms, FIRST_SPAN_MS)
     return tau_ms * (1.0 - math.exp(-age_ms / tau_ms))
 
@@ -82,7 +83,8 @@
         now_ms = self._clock.now_ms()
         demand = self._find(level_key, now_ms, width)
         # the request that ends the span counts only after it
-        use = demand.work_ms / _span_ms(now_ms - demand.since_ms)
+        span_ms = _span_ms(now_ms - demand.since_ms, HALF_LIFE_MS)
+        use = demand.work_ms / span_ms
         # this target sees one part of what is spread over several
         demand.work_ms += work_ms * max(1, width)
         demand.own_ms += work_ms
@@ -101,8 +103,9 @@
         if demand is None:
             return 0.0
         now_ms = self._clock.now_ms()
-        kept = math.pow(0.5, (now_ms - demand.at_ms) / HALF_LIFE_MS)
-        return demand.own_ms * kept / _span_ms(now_ms - demand.since_ms)
+        kept = math.pow(0.5, (now_ms - demand.at_ms) / OWN_HALF_LIFE_MS)
+        span_ms = _span_ms(now_ms - demand.since_ms, OWN_HALF_LIFE_MS)
+        return demand.own_ms * kept / span_ms
 
     def _shrink(self, demand: _Demand, use: float, now_ms: float) -> None:
         fits = use <= SHRINK_USE * (demand.width - 1)
@@ -123,9 +126,8 @@
                 del self._demand_by_key[next(iter(self._demand_by_key))]
         self._demand_by_key[level_key] = demand
         elapsed_ms = now_ms - demand.at_ms
-        kept = 0.5 ** (elapsed_ms / HALF_LIFE_MS)
-        demand.work_ms *= kept
-        demand.own_ms *= kept
+        demand.work_ms *= 0.5 ** (elapsed_ms / HALF_LIFE_MS)
+        demand.own_ms *= 0.5 ** (elapsed_ms / OWN_HALF_LIFE_MS)
         demand.at_ms = now_ms
         return demand
 
--- a/src/lycheering/routing/policies.py
+++ b/src/lycheering/routing/policies.py
@@ -18,7 +18,7 @@
     from lycheering.routing import load
 
 MAX_RANKINGS = 5_000
-FULL_USE = 0.6  # more of a target's time makes its queue grow
+FULL_USE = 0.8  # more of a target's time makes its queue grow
 
 
 @dataclasses.dataclass(frozen=True)
