--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -245,12 +245,13 @@
         self, inquiry: messages.CacheInquiry
     ) -> messages.CacheReport:
         context = self._context
+        ranked_by = inquiry.level_keys[inquiry.rank_index :][:1]
         return messages.CacheReport(
             context.held.held_pieces(inquiry.level_keys),
             context.admission.backlog_ms(),
             context.cost.piece_ms,
             context.ages.life_ms,
-            context.widths.own_use(inquiry.level_key),
+            sum(context.widths.own_use(key) for key in ranked_by),
         )
 
     def _inquire(
--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -135,7 +135,7 @@
             shared_levels=job.levels.shared,
             level_key=self._choice.level_key,
             width=self._choice.width,
-            level_keys=job.levels.keys,
+            level_keys=job.levels.short_keys,
             continue_from=self._sink.next_seq,
             content_type=job.content_type,
             ticket=self._ticket,
--- a/src/lycheering/entry/cache_inquiries.py
+++ b/src/lycheering/entry/cache_inquiries.py
@@ -39,7 +39,9 @@
         connection = targets.connections.get(address)
         if connection.connected and targets.usable(target.name):
             connection_by_name[target.name] = connection
-    inquiry = messages.CacheInquiry(asked_levels.keys, asked_levels.rank_key)
+    inquiry = messages.CacheInquiry(
+        asked_levels.short_keys, asked_levels.rank_index
+    )
     answers = await asyncio.gather(
         *(
             _ask_one(targets, connection, inquiry, timeout_ms)
--- a/src/lycheering/limits/width.py
+++ b/src/lycheering/limits/width.py
@@ -6,6 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from lycheering.routing import levels
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -99,7 +100,7 @@
 
     def own_use(self, level_key: str) -> float:
         """Returns the share of this target's time that a prefix takes."""
-        demand = self._demand_by_key.get(level_key)
+        demand = self._demand_by_key.get(level_key[: levels.SHORT_KEY_CHARS])
         if demand is None:
             return 0.0
         now_ms = self._clock.now_ms()
@@ -119,6 +120,7 @@
 
     def _find(self, level_key: str, now_ms: float, width: int) -> _Demand:
         # the key used last stands last, so that idle ones go first
+        level_key = level_key[: levels.SHORT_KEY_CHARS]
         demand = self._demand_by_key.pop(level_key, None)
         if demand is None:
             demand = _Demand(at_ms=now_ms, since_ms=now_ms, width=max(1, width))
--- a/src/lycheering/routing/levels.py
+++ b/src/lycheering/routing/levels.py
@@ -14,6 +14,7 @@
 PIECE_CHARS = 4_000
 MAX_LEVELS = 16
 SHARED_SCOPE = "shared"
+SHORT_KEY_CHARS = 16  # 64 bits; a clash only misleads one choice
 
 
 class LevelsError(ValueError):
@@ -50,6 +51,11 @@
         """The key of the innermost level; empty without levels."""
         return self.keys[-1] if self.keys else ""
 
+    @property
+    def short_keys(self) -> tuple[str, ...]:
+        """The keys as agents are asked for them."""
+        return tuple(key[:SHORT_KEY_CHARS] for key in self.keys)
+
 
 NO_LEVELS = Levels()
 
@@ -162,6 +168,7 @@
     "NO_LEVELS",
     "PIECE_CHARS",
     "SHARED_SCOPE",
+    "SHORT_KEY_CHARS",
     "Levels",
     "LevelsError",
     "check_ends",
--- a/src/lycheering/wire/messages.py
+++ b/src/lycheering/wire/messages.py
@@ -214,7 +214,7 @@
         shared_levels: How many outermost levels teams share.
         level_key: The key that the request was ranked by.
         width: The targets that the sender spreads this key over.
-        level_keys: The key of each prompt level, outermost first.
+        level_keys: The short key of each prompt level, outermost first.
         continue_from: Tokens that an earlier attempt delivered.
         content_type: The body's content type.
         ticket: The claim, for a request that runs at most once.
@@ -288,12 +288,12 @@
     """Asks an agent what its target holds of a prompt.
 
     Attributes:
-        level_keys: The key of each prompt level, outermost first.
-        level_key: The key that the request is ranked by.
+        level_keys: The short key of each prompt level, outermost first.
+        rank_index: The level that the request is ranked by.
     """
 
     level_keys: tuple[str, ...]
-    level_key: str
+    rank_index: int
 
 
 class CacheReport(msgspec.Struct, frozen=True, array_like=True, tag=36):
--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -349,7 +349,7 @@
 
 @then('the agent tells of {count:d} held pieces of the prompt of team "{team}"')
 def step_held_pieces(context, count, team):
-    inquiry = messages.CacheInquiry(("archive", f"archive/{team}"), "archive")
+    inquiry = messages.CacheInquiry(("archive", f"archive/{team}"), 0)
 
     async def inquire():
         connection = await context.bench.entry()
