Print each run as it ends, and start a fleet again that did not come up

Seen once in about 70 starts of fleets side by side: the control instances were not ready in 60 s, which ended the whole part without a table. The cause was not looked into; ports are drawn by each fleet on its own.

--- a/bench/measures/fleet_run.py
+++ b/bench/measures/fleet_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import concurrent.futures
 import dataclasses
@@ -15,13 +16,16 @@
 from bench import checker
 from bench import fleet
 from bench import judged
+from bench import processes
 from bench import stats
+from bench.measures import api
 from bench.traces import calls
 from bench.traces import hot
 from bench.traces import mavazi
 from bench.traces import tahanan
 
 MODEL = "drafting"
+MAX_STARTS = 3
 TEAMS = 8
 ENGINES = 6
 CAPACITY_BLOCKS = 40
@@ -184,6 +188,16 @@
 
 def run_one(plan: RunPlan) -> RunResult:
     """Starts a fleet, sends a trace through it and returns the figures."""
+    for _ in range(MAX_STARTS - 1):
+        try:
+            return _run_fleet(plan)
+        except processes.GiveUpError as error:
+            # fleets side by side may be given the same port
+            api.say(f"{plan.trace} {plan.seed} {plan.label} again: {error}")
+    return _run_fleet(plan)
+
+
+def _run_fleet(plan: RunPlan) -> RunResult:
     trace = trace_of(plan)
     with tempfile.TemporaryDirectory(prefix="lycheering-measure-") as folder:
         running = fleet.Fleet(fleet_plan(plan, trace), pathlib.Path(folder))
@@ -241,13 +255,37 @@
     )
 
 
-def run_all(plans: Sequence[RunPlan], workers: int) -> list[RunResult]:
-    """Makes runs, several side by side, and returns them in order."""
+def run_all(
+    plans: Sequence[RunPlan],
+    workers: int,
+    on_result: Callable[[RunResult], None],
+) -> list[RunResult]:
+    """Makes runs, several side by side.
+
+    Args:
+        plans: What to run.
+        workers: Fleets side by side.
+        on_result: Called with each result, in order.
+
+    Returns:
+        The results in order; a run that failed is left out and told.
+    """
     context = multiprocessing.get_context("spawn")
+    results = []
     with concurrent.futures.ProcessPoolExecutor(
         workers, mp_context=context, max_tasks_per_child=1
     ) as pool:
-        return list(pool.map(run_one, plans))
+        coming = [pool.submit(run_one, plan) for plan in plans]
+        for plan, future in zip(plans, coming, strict=True):
+            try:
+                results.append(future.result())
+            except (OSError, processes.GiveUpError) as error:
+                api.say(
+                    f"{plan.trace} {plan.seed} {plan.label}: no run: {error}"
+                )
+                continue
+            on_result(results[-1])
+    return results
 
 
 __all__ = [
--- a/bench/measures/routing.py
+++ b/bench/measures/routing.py
@@ -66,6 +66,11 @@
     )
 
 
+def say_row(result: fleet_run.RunResult) -> None:
+    """Prints one run as a line of the table."""
+    api.say(row(result))
+
+
 def spread(values: list[float]) -> str:
     """Returns the median of some ratios, with the least and the most."""
     known = [value for value in values if not math.isnan(value)]
@@ -94,6 +99,7 @@
                     figure(by_place[seed, OWN]), figure(by_place[seed, other])
                 )
                 for seed in seeds
+                if (seed, OWN) in by_place and (seed, other) in by_place
             ]
         )
 
@@ -110,6 +116,7 @@
             by_place[seed, OWN].cache.hit_rate, by_place[seed, OWN].bound
         )
         for seed in seeds
+        if (seed, OWN) in by_place
     ]
     lines.append(f"{trace:8s} affinity hit rate/bound {spread(of_bound)}")
     return lines
@@ -117,11 +124,10 @@
 
 def run(settings: api.Settings) -> None:
     """Runs every policy on every trace and prints the table."""
-    results = fleet_run.run_all(plans_of(settings), settings.workers)
     api.say(HEADER)
+    results = fleet_run.run_all(plans_of(settings), settings.workers, say_row)
     plots = []
     for result in results:
-        api.say(row(result))
         plots.append(row(result))
         plots.append(stats.histogram(result.summary.first_token_ms))
     api.say("ratios within one seed, median (least..most)")
@@ -131,4 +137,4 @@
     api.write_out("routing.txt", "\n".join([HEADER, *plots, ""]))
 
 
-__all__ = ["HEADER", "row", "run", "spread"]
+__all__ = ["HEADER", "run", "say_row", "spread"]
