--- a/tests/limits/admission.feature
+++ b/tests/limits/admission.feature
@@ -84,3 +84,7 @@
 
   Scenario: Waits that became longer than expected are expected longer
     Then a wait expected of 100 ms grows with waits of 200 ms for 100 ms
+
+  Scenario: A team that waits for itself shows as a backlog to others
+    When team "a" enters 6 times with 1000 ms of work and 60000 ms left
+    Then a request of an idle team waits less than the backlog
