--- a/bench/checker.py
+++ b/bench/checker.py
@@ -30,6 +30,7 @@
         outcome: How the run ended.
         key: The idempotency key, for a service.
         path: Path of the call, for a service.
+        body_digest: Hash of the body, for a service.
         salt: Cache salt of the innermost piece, for an engine.
         weights_version: Version that answered; empty if none has.
         cached_pieces: Pieces found in the cache.
@@ -41,6 +42,7 @@
     outcome: str
     key: str = ""
     path: str = ""
+    body_digest: str = ""
     salt: str = ""
     weights_version: str = ""
     cached_pieces: int = 0
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -51,6 +51,7 @@
         fencing: Engines and services that check fencing numbers.
         once_services: Services whose calls may not be repeated.
         value_by_default: Defaults that differ from the product's.
+        service_delay_ms: Time of one call of a plain service.
         agent_silence_ms: Silence after which connections are replaced.
         kv_store: Whether there is a store of kept KV cache.
         weight_store: Whether there is a weight store.
@@ -68,6 +69,7 @@
     value_by_default: dict[str, bool | int | float | str] = dataclasses.field(
         default_factory=dict
     )
+    service_delay_ms: int = 5
     agent_silence_ms: int = 2_000
     kv_store: bool = False
     weight_store: bool = False
@@ -203,7 +205,9 @@
         for service, count in self.plan.services.items():
             for number in range(count):
                 name = f"{service}-{number}"
-                options = []
+                # a fixed port, so that it can be started again behind it
+                options = ["--port", str(self._ports.take())]
+                options += ["--delay-ms", str(self.plan.service_delay_ms)]
                 if service in self.plan.fencing:
                     options.append("--check-fencing")
                 url = self._stand_in(name, "service", *options)
--- a/bench/measure_ask_back.py
+++ b/bench/measure_ask_back.py
@@ -140,13 +140,16 @@
 
 
 def run_twice(running: fleet.Fleet) -> int:
-    """Returns how many orders the targets ran more than once."""
-    count_by_key: collections.Counter[str] = collections.Counter()
+    """Returns how many orders the targets ran more than once.
+
+    Targets see the id of a claim, so an order is known by its body.
+    """
+    count_by_body: collections.Counter[str] = collections.Counter()
     for url in running.url_by_target.values():
         record = fleet.call_json(f"{url}/admin/record")
         assert isinstance(record, dict)
-        count_by_key.update(run["key"] for run in record["runs"])
-    return sum(count > 1 for count in count_by_key.values())
+        count_by_body.update(run["body_digest"] for run in record["runs"])
+    return sum(count > 1 for count in count_by_body.values())
 
 
 def measure(asks_back: bool) -> Tally:
