--- /dev/null
+++ b/tests/steps/struck_fleet_steps.py
@@ -0,0 +1,68 @@
+"""Steps for faults that strike a whole fleet at one step of its calls."""
+
+from __future__ import annotations
+
+import contextlib
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.support import struck_fleet
+
+STATE = {}
+
+
+@given("a fleet of real processes with a fault proxy on every connection")
+def step_fleet(context):
+    if "fleet" not in STATE:
+        stack = contextlib.ExitStack()
+        STATE["fleet"] = stack.enter_context(struck_fleet.running())
+        context.add_cleanup(close, stack, layer="feature")
+    context.struck = STATE["fleet"]
+    context.struck.restore()
+
+
+def close(stack):
+    STATE.clear()
+    stack.close()
+
+
+@when("{fault} strikes the fleet while calls are at {step}")
+def step_strike(context, fault, step):
+    struck = context.struck
+    if fault == "restart_behind":
+        struck.pile_up_changes()
+    release = struck.bring_to(step)
+    end = struck.strike(fault)
+    release()
+    end()
+
+
+@then("every call of the fleet is answered whole")
+def step_whole(context):
+    context.judged = context.struck.finish()
+    verdict = context.judged.verdict
+    total = len(context.judged.records)
+    assert verdict.is_clean, verdict.findings
+    assert verdict.whole == total > 0, (
+        verdict.line(),
+        [r.attempts for r in context.judged.records if not r.looks_whole],
+    )
+
+
+@then("no caller of the fleet saw the fault")
+def step_unseen(context):
+    again = [r.attempts for r in context.judged.records if len(r.attempts) > 1]
+    assert not again, again
+
+
+@then("the restarted entry serves by the newest change at once")
+def step_newest(context):
+    answer = context.struck.first_answer("entry-1")
+    assert answer.status == 200, answer
+
+
+@then("every index of the fleet is synced again")
+def step_synced(context):
+    context.struck.sync_indexes()
--- /dev/null
+++ b/tests/support/struck_fleet.py
@@ -0,0 +1,403 @@
+"""A fleet with calls brought to one step, and faults that strike there."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+import time
+
+from bench import checker
+from bench import fleet
+from bench import judged
+from bench import processes
+from tests.support import fault_proxy
+from tests.support import held_callers
+from tests.support import processes as test_processes
+from tests.support import proxied_fleet
+
+SERVICE = "orders"
+CALLS = 9
+SLOTS = 2
+ENGINES = 3
+PIECES = 4
+TOKENS = 40
+PILED_CHANGES = 200
+FROZEN_S = 2.5
+GIVE_UP_S = 15
+PROMPT_BYTES = 8_000
+PLAN = fleet.FleetPlan(
+    engines=ENGINES,
+    engine=fleet.EnginePlan(
+        slots=SLOTS, prefill_ms_per_piece=100, token_ms=15
+    ),
+    services={SERVICE: 2},
+    once_services=frozenset({SERVICE}),
+    agent_silence_ms=1_000,
+)
+TO_TARGET = fault_proxy.Direction.TO_TARGET
+TO_CALLER = fault_proxy.Direction.TO_CALLER
+
+
+class StruckFleet:
+    """One fleet, used by scenario after scenario.
+
+    Attributes:
+        fleet: The fleet.
+        board: Its proxies.
+        recorder: Keeps the records of killed targets.
+        rounds: How often calls were started.
+        callers: All callers of the scenario.
+        gate: Opens to let callers send the second half of their requests.
+    """
+
+    def __init__(self, running):
+        self.fleet = running
+        self.board = running.board
+        self.recorder = judged.Recorder(running)
+        self.rounds = 0
+        self.callers = []
+        self.gate = None
+
+    # what is seen
+
+    def process(self, name):
+        return self.fleet.group.process_by_name[name]
+
+    def names(self, prefix):
+        names = self.fleet.group.process_by_name
+        return [name for name in names if name.startswith(prefix)]
+
+    def engines(self):
+        return [n for n in self.names("engine-") if self.process(n).running]
+
+    def runs(self, target):
+        """Returns what a target recorded of this scenario's calls."""
+        ids = set().union(*(callers.ids for callers in self.callers))
+        url = self.fleet.url_by_target[target]
+        return [
+            run
+            for run in checker.fetch_runs([url])
+            if checker.call_id_of(run.request_id) in ids or run.key in ids
+        ]
+
+    def open_runs(self, target):
+        return [run for run in self.runs(target) if run.outcome == "running"]
+
+    def some_run(self, condition):
+        return any(
+            condition(run)
+            for target in self.engines()
+            for run in self.runs(target)
+        )
+
+    def busiest(self):
+        """Returns the engine with most of the calls."""
+        held = {n: self.held(f"agent-{n}") for n in self.engines()}
+        if max(held.values()) >= PROMPT_BYTES:
+            return max(held, key=held.get)
+        return max(self.engines(), key=lambda n: len(self.open_runs(n)))
+
+    def held(self, name):
+        return sum(proxy.held_bytes for proxy in self.board.to(name))
+
+    def leader(self):
+        reply = self.fleet.operator("/v1/members")
+        return reply["leader"]
+
+    def wait(self, condition, what):
+        def met():
+            with contextlib.suppress(OSError, fleet.OperatorError):
+                return condition()
+            return False
+
+        processes.wait_until(met, what, GIVE_UP_S)
+
+    # bringing calls to a step
+
+    def start(self, trace, gate=None):
+        callers = held_callers.Callers(self.fleet, trace, gate)
+        self.callers.append(callers)
+        return callers.start()
+
+    def trace(self, count=CALLS, level="", tokens=TOKENS):
+        self.rounds += 1
+        teams = self.fleet.plan.teams
+        return held_callers.completions(
+            f"r{self.rounds}", count, teams, tokens, PIECES, level
+        )
+
+    def order_trace(self, count):
+        self.rounds += 1
+        teams = self.fleet.plan.teams
+        return held_callers.orders(f"o{self.rounds}", count, teams, SERVICE)
+
+    def agent_links(self):
+        return [p for n in self.names("agent-") for p in self.board.to(n)]
+
+    def bring_to(self, step):
+        """Starts calls and returns once some are at a step.
+
+        Returns:
+            What ends the hold of the calls there.
+        """
+        return getattr(self, f"_at_{step}")()
+
+    def _at_accept(self):
+        gate = threading.Event()
+        before = self.caller_connections()
+        self.start(self.trace(), gate)
+        self.wait(
+            lambda: self.caller_connections() >= before + CALLS,
+            "the halves of the requests",
+        )
+        return gate.set
+
+    def caller_connections(self):
+        return sum(
+            proxy.open_count
+            for name in self.names("entry-")
+            for link, proxy in self.board.proxy_by_link.items()
+            if link == ("caller", name)
+        )
+
+    def _at_choose(self):
+        for proxy in self.agent_links():
+            proxy.cut(TO_TARGET)
+        self.start(self.trace())
+        self.wait(
+            lambda: (
+                max(self.held(f"agent-{n}") for n in self.engines())
+                >= PROMPT_BYTES
+            ),
+            "a chosen target",
+        )
+        return self.heal_agents
+
+    def heal_agents(self):
+        for proxy in self.agent_links():
+            proxy.heal(TO_TARGET, TO_CALLER)
+
+    def _at_queue(self):
+        self.start(self.trace())
+        self.wait(
+            lambda: (
+                len(self.open_runs(self.busiest())) >= SLOTS
+                and self.some_run(lambda run: not run.weights_version)
+            ),
+            "a queue",
+        )
+        return do_nothing
+
+    def _at_first_token(self):
+        self.start(self.trace())
+        self.wait(
+            lambda: self.some_run(
+                lambda run: run.weights_version and not run.tokens_sent
+            ),
+            "a prefill",
+        )
+        return do_nothing
+
+    def _at_stream(self):
+        self.start(self.trace())
+        self.wait(
+            lambda: self.some_run(lambda run: run.tokens_sent > TOKENS / 4),
+            "a stream",
+        )
+        return do_nothing
+
+    def _at_finish(self):
+        self.start(self.trace())
+        self.wait(
+            lambda: self.some_run(lambda run: run.tokens_sent > TOKENS / 2),
+            "a long stream",
+        )
+        for proxy in self.agent_links():
+            proxy.cut(TO_CALLER)
+        self.wait(
+            lambda: self.some_run(lambda run: run.outcome == "finished"),
+            "an answer that ended on its way",
+        )
+        return self.heal_agents
+
+    # faults; each returns what ends it
+
+    def strike(self, fault):
+        return getattr(self, f"_{fault}")()
+
+    def kill(self, name):
+        if name in self.fleet.url_by_target:
+            self.recorder.keep(name)
+        self.process(name).kill()
+
+    def start_again(self, name):
+        if name in self.engines_of_plan():
+            self.fleet.start_engine(name)
+        else:
+            self.process(name).start()
+
+    def engines_of_plan(self):
+        return [f"engine-{number}" for number in range(ENGINES)]
+
+    def _kill_until_ended(self, *names):
+        for name in names:
+            self.kill(name)
+        return lambda: [self.start_again(name) for name in names]
+
+    def _engine_crash(self):
+        return self._kill_until_ended(self.busiest())
+
+    def _agent_crash(self):
+        return self._kill_until_ended(f"agent-{self.busiest()}")
+
+    def _entry_restart(self):
+        self._kill_until_ended(*self.names("entry-"))()
+        return do_nothing
+
+    def _control_loss(self):
+        return self._kill_until_ended(self.leader())
+
+    def _control_partition(self):
+        leader = self.leader()
+        self.board.isolate(leader)
+        return lambda: self.board.rejoin(leader)
+
+    def _fault_twice(self):
+        """Kills the agent of a call, and the next one as it comes back."""
+        for _ in range(2):
+            self._agent_crash()()
+        return do_nothing
+
+    def _process_freeze(self):
+        """Freezes one process of each kind past its leases."""
+        frozen = self.busiest()
+        others = [name for name in self.engines() if name != frozen]
+        names = ["entry-0", self.leader(), f"agent-{frozen}", others[0]]
+        for name in names:
+            self.process(name).pause()
+        time.sleep(FROZEN_S)
+        return lambda: [self.process(name).resume() for name in names]
+
+    def _partition_then_restart(self):
+        """Cuts off an entry and the leader and restarts both meanwhile."""
+        names = ["entry-1", self.leader()]
+        for name in names:
+            self.board.isolate(name)
+        self._kill_until_ended(*names)()
+        return lambda: [self.board.rejoin(name) for name in names]
+
+    def _silent_inner(self):
+        """Silences all open connections but those of callers."""
+        for (source, _), proxy in self.board.proxy_by_link.items():
+            if source != "caller":
+                proxy.silence_open()
+        return do_nothing
+
+    def _silent_callers(self):
+        for name in self.names("entry-"):
+            self.board.proxy_by_link["caller", name].silence_open()
+        return do_nothing
+
+    def _event_loss(self):
+        self.set_faults(events_loss=1.0, events_lag_ms=300, seed=1)
+        return lambda: self.set_faults(events_loss=0.0, events_lag_ms=0)
+
+    def _hot_shift(self):
+        level = f"hot-{self.rounds}"
+        self.start(self.trace(2 * CALLS, level, TOKENS // 4))
+        return do_nothing
+
+    def _restart_behind(self):
+        self.start_again("entry-1")
+        return do_nothing
+
+    def set_faults(self, **faults):
+        for name in self.engines():
+            url = f"{self.fleet.url_by_target[name]}/admin/faults"
+            fleet.call_json(url, "POST", faults)
+
+    # changes
+
+    def pile_up_changes(self):
+        """Kills an entry, and makes hundreds of changes while it is down."""
+        self.kill("entry-1")
+        for number in range(PILED_CHANGES - 1):
+            self.fleet.set_default("retry.max_attempts", 3 + number % 2)
+        self.newest_team = f"newest-{self.rounds}"
+        key = f"key-{self.newest_team}"
+        self.fleet.operator(
+            f"/v1/teams/{self.newest_team}",
+            "PUT",
+            self.fleet._change("newest", keys=[key]),
+        )
+        self.fleet.key_by_team[self.newest_team] = key
+
+    def first_answer(self, name):
+        """Returns what an entry first answers to the newest team."""
+        url = self.fleet.entry_urls[int(name.rpartition("-")[2])]
+        port = int(url.rpartition(":")[2])
+        key = self.fleet.key_by_team[self.newest_team]
+        body = {"model": self.fleet.plan.model, "prompt": "x", "max_tokens": 2}
+        return test_processes.wait_for(
+            lambda: test_processes.call(
+                port,
+                "POST",
+                "/v1/completions",
+                body,
+                {
+                    "Authorization": f"Bearer {key}",
+                    "Content-Type": "application/json",
+                },
+            ),
+            f"an answer of {name}",
+        )
+
+    def sync_indexes(self):
+        """Returns once all agents have listed their engine's blocks anew."""
+        self.set_faults(events_loss=0.0, events_lag_ms=0)
+        before = {n: self.synced(n) for n in self.names("agent-engine-")}
+        # what is lost shows with the next event that is not
+        for number in range(ENGINES):
+            self.fill_cache(f"engine-{number}")
+        for name, count in before.items():
+            self.wait(
+                lambda name=name, count=count: self.synced(name) > count,
+                f"{name} to sync",
+            )
+
+    # judging and mending
+
+    def finish(self):
+        """Returns the judgement once all callers have ended."""
+        records = [r for callers in self.callers for r in callers.finish()]
+        return judged.judge(self.fleet, records, self.recorder)
+
+    def restore(self):
+        """Ends all faults and waits until the whole fleet serves."""
+        if self.gate is not None:
+            self.gate.set()
+        for proxy in self.board.proxy_by_link.values():
+            proxy.heal(*fault_proxy.BOTH)
+            proxy.delay(0)
+        for name, process in self.fleet.group.process_by_name.items():
+            if process.running:
+                process.resume()
+            else:
+                self.start_again(name)
+        self.fleet.wait_serving()
+        self.callers = []
+        self.recorder.runs.clear()
+
+
+def do_nothing():
+    """Ends what has ended by itself."""
+
+
+@contextlib.contextmanager
+def running():
+    """Yields a started fleet for a feature's scenarios."""
+    with proxied_fleet.running(PLAN) as started:
+        yield StruckFleet(started)
+
+
+__all__ = ["StruckFleet", "running"]
