--- a/tests/steps/struck_fleet_steps.py
+++ b/tests/steps/struck_fleet_steps.py
@@ -66,3 +66,27 @@
 @then("every index of the fleet is synced again")
 def step_synced(context):
     context.struck.sync_indexes()
+
+
+@when("{fault} strikes the fleet while an agent's drain is at {step}")
+def step_strike_drain(context, fault, step):
+    struck = context.struck
+    if fault == "restart_behind":
+        struck.pile_up_changes()
+    orders = fault == "silence_once_call"
+    release = struck.drain_at(step, orders)
+    end = struck.strike("silent_inner" if orders else fault)
+    release()
+    end()
+
+
+@then("the agent of the fleet ends with {code:d}")
+def step_agent_ends(context, code):
+    agent = context.struck.process(f"agent-{context.struck.draining}")
+    assert agent.wait() == code, agent.log_text()[-2_000:]
+
+
+@then("no order of the fleet ran twice or was told a falsehood")
+def step_orders(context):
+    verdict = context.struck.finish().verdict
+    assert verdict.is_clean, verdict.findings
--- a/tests/support/held_callers.py
+++ b/tests/support/held_callers.py
@@ -32,10 +32,11 @@
 class HalfWriter:
     """Sends half of the first request, and the rest once a gate opens."""
 
-    def __init__(self, writer, gate):
+    def __init__(self, writer, gate, count_half):
         self._writer = writer
         self._gate = gate
-        self._rest = None
+        self._count_half = count_half
+        self._rest = b""
 
     def __getattr__(self, name):
         return getattr(self._writer, name)
@@ -47,6 +48,7 @@
 
     async def drain(self):
         await self._writer.drain()
+        self._count_half()
         while not self._gate.is_set():
             await asyncio.sleep(POLL_S)
         self._writer.write(self._rest)
@@ -70,24 +72,25 @@
 class IdleClient(client.Client):
     """Gives up connections that are silent."""
 
-    def __init__(self, gate):
+    def __init__(self, gate, count_half):
         super().__init__()
         self._gate = gate
+        self._count_half = count_half
 
     async def _connect(self, address):
         connection = await super()._connect(address)
         writer = connection.writer
         if self._gate is not None and not self._gate.is_set():
-            writer = HalfWriter(writer, self._gate)
+            writer = HalfWriter(writer, self._gate, self._count_half)
         return client.Connection(IdleReader(connection.reader), writer)
 
 
 class PatientDriver(driver.Driver):
     """Resends to the next entry until an answer comes or time is up."""
 
-    def __init__(self, entries, key_by_team, gate):
+    def __init__(self, entries, key_by_team, held_client):
         super().__init__(entries, key_by_team)
-        self.client = IdleClient(gate)
+        self.client = held_client
 
     async def _send_until_answered(self, record):
         first = self._calls
@@ -123,11 +126,13 @@
     Attributes:
         records: What they saw, once they have ended.
         ids: The ids of their calls.
+        halves: Number of requests of which half was sent.
     """
 
     def __init__(self, fleet, trace, gate=None):
         self.trace = trace
         self.records = []
+        self.halves = 0
         self.ids = {call.call_id for call in trace}
         self._fleet = fleet
         self._gate = gate
@@ -147,12 +152,16 @@
         assert not self.running, "callers still wait"
         return self.records
 
+    def _count_half(self):
+        self.halves += 1
+
     def _run(self):
         entries = []
         for url in self._fleet.entry_urls:
             parts = urllib.parse.urlsplit(url)
             entries.append(client.Address(parts.hostname, parts.port))
-        callers = PatientDriver(entries, self._fleet.key_by_team, self._gate)
+        held_client = IdleClient(self._gate, self._count_half)
+        callers = PatientDriver(entries, self._fleet.key_by_team, held_client)
         self.records = asyncio.run(callers.run(self.trace))
 
 
--- a/tests/support/struck_fleet.py
+++ b/tests/support/struck_fleet.py
@@ -21,6 +21,7 @@
 ENGINES = 3
 PIECES = 4
 TOKENS = 40
+DRAINED_CALLS = 14
 PILED_CHANGES = 200
 FROZEN_S = 2.5
 GIVE_UP_S = 15
@@ -47,7 +48,7 @@
         recorder: Keeps the records of killed targets.
         rounds: How often calls were started.
         callers: All callers of the scenario.
-        gate: Opens to let callers send the second half of their requests.
+        draining: The target whose agent is being stopped.
     """
 
     def __init__(self, running):
@@ -56,7 +57,7 @@
         self.recorder = judged.Recorder(running)
         self.rounds = 0
         self.callers = []
-        self.gate = None
+        self.draining = ""
 
     # what is seen
 
@@ -91,7 +92,9 @@
         )
 
     def busiest(self):
-        """Returns the engine with most of the calls."""
+        """Returns the draining target, or the engine with most calls."""
+        if self.draining:
+            return self.draining
         held = {n: self.held(f"agent-{n}") for n in self.engines()}
         if max(held.values()) >= PROMPT_BYTES:
             return max(held, key=held.get)
@@ -144,21 +147,19 @@
 
     def _at_accept(self):
         gate = threading.Event()
-        before = self.caller_connections()
-        self.start(self.trace(), gate)
+        callers = self.start(self.trace(), gate)
         self.wait(
-            lambda: self.caller_connections() >= before + CALLS,
+            lambda: callers.halves == CALLS and not self.held_from_callers(),
             "the halves of the requests",
         )
         return gate.set
 
-    def caller_connections(self):
-        return sum(
-            proxy.open_count
-            for name in self.names("entry-")
-            for link, proxy in self.board.proxy_by_link.items()
-            if link == ("caller", name)
-        )
+    def held_from_callers(self):
+        return sum(proxy.held_bytes for proxy in self.caller_links())
+
+    def caller_links(self):
+        links = self.board.proxy_by_link
+        return [links["caller", name] for name in self.names("entry-")]
 
     def _at_choose(self):
         for proxy in self.agent_links():
@@ -220,6 +221,83 @@
         )
         return self.heal_agents
 
+    # draining an agent; each returns what ends the hold there
+
+    def drain_at(self, step, orders):
+        """Stops a busy agent and returns once its drain is at a step."""
+        if orders:
+            self._hold_orders()
+        else:
+            self.start(self.trace(DRAINED_CALLS))
+            self.wait(self._is_streaming, "streams before the drain")
+            self.draining = self.busiest()
+        return getattr(self, f"_drain_{step}")()
+
+    def _is_streaming(self):
+        runs = self.open_runs(self.busiest())
+        return sum(run.tokens_sent > TOKENS / 4 for run in runs) == SLOTS
+
+    def _hold_orders(self):
+        services = list(self.names(f"{SERVICE}-"))
+        for name in services:
+            for proxy in self.board.to(name):
+                proxy.cut(TO_CALLER)
+        self.start(self.order_trace(DRAINED_CALLS))
+        self.wait(
+            lambda: max(len(self.runs(name)) for name in services) >= SLOTS,
+            "orders that ran",
+        )
+        self.draining = max(services, key=lambda name: len(self.runs(name)))
+
+    def _stop_agent(self):
+        agent = self.process(f"agent-{self.draining}")
+        before = agent.log_text().count("event=draining")
+        agent.terminate()
+        self.wait(
+            lambda: agent.log_text().count("event=draining") > before,
+            "the drain to begin",
+        )
+
+    def _drain_announce(self):
+        links = [
+            self.board.proxy_by_link[f"agent-{self.draining}", name]
+            for name in self.names("control-")
+            if (f"agent-{self.draining}", name) in self.board.proxy_by_link
+        ]
+        for proxy in links:
+            proxy.cut(TO_TARGET)
+        self._stop_agent()
+        self.wait(lambda: any(p.held_bytes for p in links), "the announcement")
+        return self.heal_all
+
+    def _drain_hand_back(self):
+        links = self.board.to(f"agent-{self.draining}")
+        for proxy in links:
+            proxy.cut(TO_CALLER)
+        self._stop_agent()
+        self.wait(lambda: any(p.held_bytes for p in links), "what is refused")
+        return self.heal_all
+
+    def _drain_finish(self):
+        self._stop_agent()
+        return self.heal_all
+
+    def _drain_exit(self):
+        for proxy in self.board.to(f"agent-{self.draining}"):
+            proxy.cut(TO_CALLER)
+        self._stop_agent()
+        for proxy in self.board.to(self.draining):
+            proxy.heal(TO_CALLER)
+        self.wait(
+            lambda: not self.open_runs(self.draining),
+            "the last answer to be whole",
+        )
+        return self.heal_all
+
+    def heal_all(self):
+        for proxy in self.board.proxy_by_link.values():
+            proxy.heal(*fault_proxy.BOTH)
+
     # faults; each returns what ends it
 
     def strike(self, fault):
@@ -294,8 +372,8 @@
         return do_nothing
 
     def _silent_callers(self):
-        for name in self.names("entry-"):
-            self.board.proxy_by_link["caller", name].silence_open()
+        for proxy in self.caller_links():
+            proxy.silence_open()
         return do_nothing
 
     def _event_loss(self):
@@ -311,6 +389,31 @@
         self.start_again("entry-1")
         return do_nothing
 
+    def _leader_twice(self):
+        for _ in range(2):
+            self.wait(self.leader, "a leader")
+            self._control_loss()()
+        return do_nothing
+
+    def _operator_race(self):
+        """Has operators drain and undrain under equal revisions."""
+        revision = self.fleet.revision()
+        paths = [
+            f"/v1/targets/{self.draining}/{act}" for act in ("drain", "undrain")
+        ]
+        answers = [self._race(path, revision) for path in paths * 2]
+        assert answers == [True, False, False, False], answers
+        return lambda: self._race(paths[1], self.fleet.revision())
+
+    def _race(self, path, revision):
+        body = self.fleet._change("race") | {"expected_revision": revision}
+        try:
+            self.fleet.operator(path, "POST", body)
+        except fleet.OperatorError as error:
+            assert error.status == 409, error
+            return False
+        return True
+
     def set_faults(self, **faults):
         for name in self.engines():
             url = f"{self.fleet.url_by_target[name]}/admin/faults"
@@ -365,6 +468,20 @@
                 f"{name} to sync",
             )
 
+    def synced(self, agent):
+        return self.process(agent).log_text().count("index_synced")
+
+    def fill_cache(self, engine):
+        """Has an engine cache blocks of its own, which makes events."""
+        self.rounds += 1
+        prompt = f"filler {self.rounds} " * 1_000
+        body = {"model": self.fleet.plan.model, "prompt": prompt}
+        port = int(self.fleet.url_by_target[engine].rpartition(":")[2])
+        headers = {"X-Request-Id": f"filler-{self.rounds}"}
+        path = "/v1/completions"
+        answer = test_processes.call(port, "POST", path, body, headers)
+        assert answer.status == 200, answer
+
     # judging and mending
 
     def finish(self):
@@ -374,17 +491,23 @@
 
     def restore(self):
         """Ends all faults and waits until the whole fleet serves."""
-        if self.gate is not None:
-            self.gate.set()
-        for proxy in self.board.proxy_by_link.values():
-            proxy.heal(*fault_proxy.BOTH)
-            proxy.delay(0)
+        self.heal_all()
+        self.draining = ""
         for name, process in self.fleet.group.process_by_name.items():
             if process.running:
                 process.resume()
             else:
                 self.start_again(name)
+        for callers in self.callers:
+            callers.finish()
         self.fleet.wait_serving()
+        self.wait(
+            lambda: all(
+                proxy.open_count >= len(self.names("entry-"))
+                for proxy in self.agent_links()
+            ),
+            "connections from the entries to the agents",
+        )
         self.callers = []
         self.recorder.runs.clear()
 
