--- a/tests/support/struck_fleet.py
+++ b/tests/support/struck_fleet.py
@@ -28,9 +28,7 @@
 PROMPT_BYTES = 8_000
 PLAN = fleet.FleetPlan(
     engines=ENGINES,
-    engine=fleet.EnginePlan(
-        slots=SLOTS, prefill_ms_per_piece=100, token_ms=15
-    ),
+    engine=fleet.EnginePlan(slots=SLOTS, prefill_ms_per_piece=100, token_ms=15),
     services={SERVICE: 2},
     once_services=frozenset({SERVICE}),
     agent_silence_ms=1_000,
