--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 import zmq
-import zmq.asyncio
 
 from lycheering.telemetry import logs
 from lycheering.wire import codec
@@ -124,7 +123,7 @@
         self.peer_load_at_ms = 0.0
         self.last_used_ms = link.clock.now_ms()
         self._link = link
-        self._socket: zmq.asyncio.Socket | None = None
+        self._socket: sockets.FrameSocket | None = None
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
         self._channel_by_call_id: dict[int, Channel] = {}
@@ -134,6 +133,7 @@
         self._last_received_ms = 0.0
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._closing = False
 
     @property
     def connected(self) -> bool:
@@ -163,6 +163,7 @@
 
     async def close(self) -> None:
         """Closes the connection; its channels get Lost."""
+        self._closing = True
         if self._ready.is_set():
             with contextlib.suppress(errors.PeerUnreachableError):
                 self.send(messages.Bye())
@@ -273,7 +274,7 @@
         now_ms = self._link.clock.now_ms()
         expires_ms = self.peer_time_ms(now_ms + ttl_ms) if ttl_ms else 0.0
         data = codec.encode(self._envelope(message, call_id, expires_ms))
-        sockets.send_now(socket, [data], self.address.name)
+        socket.send([data], self.address.name)
         self._last_sent_ms = now_ms
 
     def _envelope(
@@ -303,6 +304,9 @@
                     peer=self.address.name,
                     reason=reason,
                 )
+            if self._closing:
+                # a failure that comes with the cancellation replaces it
+                return
             was_ready = self._ready.is_set()
             self._ready.clear()
             # a short call is not picked up on another connection
@@ -326,10 +330,10 @@
                 group.create_task(self._watch())
         finally:
             self._socket = None
-            socket.close(linger=0)
+            socket.close()
 
-    def _make_socket(self) -> zmq.asyncio.Socket:
-        socket = self._link.context.socket(zmq.DEALER)
+    def _make_socket(self) -> sockets.FrameSocket:
+        socket = zmq.Socket(self._link.context, zmq.DEALER)
         sockets.configure(socket, self._link.settings, self.address.ip)
         socket.setsockopt(zmq.IMMEDIATE, 1)
         try:
@@ -338,9 +342,9 @@
         except (errors.WireError, zmq.ZMQError):
             socket.close(linger=0)
             raise
-        return socket
+        return sockets.FrameSocket(socket)
 
-    async def _greet(self, socket: zmq.asyncio.Socket) -> None:
+    async def _greet(self, socket: sockets.FrameSocket) -> None:
         identity = self._link.identity
         hello = messages.Hello(identity.role, identity.failure_domain)
         before = self.peer_incarnation
@@ -349,13 +353,16 @@
         self.peer_incarnation = before
         try:
             async with asyncio.timeout(self._link.settings.silence_ms / 1_000):
-                await socket.send(data)
-                envelope = self._decode(await socket.recv())
+                await socket.send_when_connected([data])
+                first, *others = await socket.receive()
         except TimeoutError as error:
             raise _SilenceError(self.address.name) from error
+        envelope = self._decode(first)
         if not isinstance(envelope.message, messages.Welcome):
             raise errors.MalformedFrameError("no welcome")
         self._welcomed(envelope, envelope.message)
+        for frame in others:
+            self._received(frame)
 
     def _welcomed(
         self, envelope: messages.Envelope, welcome: messages.Welcome
@@ -371,18 +378,24 @@
         for channel in list(self._channel_by_call_id.values()):
             channel.put(replaced)
 
-    async def _read(self, socket: zmq.asyncio.Socket) -> None:
+    async def _read(self, socket: sockets.FrameSocket) -> None:
         while True:
-            envelope = self._decode(await socket.recv())
-            if envelope.sender_incarnation != self.peer_incarnation:
-                raise errors.PeerRestartedError(self.address.name)
-            self._last_received_ms = self._link.clock.now_ms()
-            self._accept(envelope)
+            for frame in await socket.receive():
+                self._received(frame)
+
+    def _received(self, frame: sockets.Frame) -> None:
+        envelope = self._decode(frame)
+        if envelope.sender_incarnation != self.peer_incarnation:
+            raise errors.PeerRestartedError(self.address.name)
+        self._last_received_ms = self._link.clock.now_ms()
+        self._accept(envelope)
 
-    def _decode(self, data: bytes) -> messages.Envelope:
+    def _decode(self, frame: sockets.Frame) -> messages.Envelope:
         try:
-            sockets.check_size(data, self._link.settings)
-            return codec.decode(data)
+            if len(frame) != 1:
+                raise errors.MalformedFrameError(f"{len(frame)} parts")
+            sockets.check_size(frame[0], self._link.settings)
+            return codec.decode(frame[0])
         except errors.MalformedFrameError:
             self._link.counters.increment("wire.malformed")
             raise
@@ -409,12 +422,12 @@
                 return
             channel.put(message)
 
-    async def _monitor(self, socket: zmq.asyncio.Socket) -> None:
-        events = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+    async def _monitor(self, socket: sockets.FrameSocket) -> None:
+        events = socket.monitor(zmq.EVENT_DISCONNECTED)
         try:
             await events.recv_multipart()
         finally:
-            socket.disable_monitor()
+            socket.socket.disable_monitor()
         raise errors.PeerUnreachableError(self.address.name)
 
     async def _watch(self) -> None:
--- a/src/lycheering/wire/messages.py
+++ b/src/lycheering/wire/messages.py
@@ -63,7 +63,7 @@
         running: Requests that run at the target.
         queued: Requests that wait at the agent.
         slots: Requests that the target runs at once.
-        queue_ms: Expected wait of a new request of middling priority.
+        queue_ms: Expected wait of a request that starts after all others.
         piece_ms: Time to prefill one missing piece.
         draining: Whether the agent takes nothing new.
     """
@@ -214,6 +214,7 @@
         shared_levels: How many outermost levels teams share.
         level_key: The key that the request was ranked by.
         width: The targets that the sender spreads this key over.
+        level_keys: The short key of each prompt level, outermost first.
         continue_from: Tokens that an earlier attempt delivered.
         content_type: The body's content type.
         ticket: The claim, for a request that runs at most once.
@@ -234,6 +235,7 @@
     shared_levels: int = 0
     level_key: str = ""
     width: int = 1
+    level_keys: tuple[str, ...] = ()
     continue_from: int = 0
     content_type: str = "application/json"
     ticket: OrderTicket | None = None
@@ -282,6 +284,36 @@
 # requests, agent to entry
 
 
+class CacheInquiry(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """Asks an agent what its target holds of a prompt.
+
+    Attributes:
+        level_keys: The short key of each prompt level, outermost first.
+        rank_index: The level that the request is ranked by.
+    """
+
+    level_keys: tuple[str, ...]
+    rank_index: int
+
+
+class CacheReport(msgspec.Struct, frozen=True, array_like=True, tag=36):
+    """An agent's answer to a cache inquiry.
+
+    Attributes:
+        held_pieces: Leading pieces that the target holds or is computing.
+        queue_ms: Expected wait of a request that starts after all others.
+        piece_ms: Time to prefill one missing piece.
+        life_ms: How long unused pieces stay cached; 0 if not known.
+        prefix_use: Share of the target's time that the key ranked by takes.
+    """
+
+    held_pieces: int
+    queue_ms: float
+    piece_ms: float
+    life_ms: float
+    prefix_use: float
+
+
 class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=30):
     """The request waits at the agent or runs.
 
@@ -640,6 +672,22 @@
     reports: tuple[TargetReport, ...] = ()
 
 
+class CountersFetch(msgspec.Struct, frozen=True, array_like=True, tag=58):
+    """Asks a process for its counters."""
+
+
+class CountersReply(msgspec.Struct, frozen=True, array_like=True, tag=59):
+    """Answers CountersFetch.
+
+    Attributes:
+        value_by_name: Every counter.
+        gauge_by_name: Every gauge.
+    """
+
+    value_by_name: dict[str, int]
+    gauge_by_name: dict[str, float]
+
+
 # replicated log
 
 
@@ -678,6 +726,8 @@
     | Resume
     | Cancel
     | Ack
+    | CacheInquiry
+    | CacheReport
     | Accepted
     | Started
     | Chunks
@@ -699,6 +749,8 @@
     | TargetReport
     | StatusFetch
     | StatusReply
+    | CountersFetch
+    | CountersReply
     | LogCall
     | LogReply
 )
@@ -737,8 +789,12 @@
     "Ack",
     "Broken",
     "Bye",
+    "CacheInquiry",
+    "CacheReport",
     "Cancel",
     "Chunks",
+    "CountersFetch",
+    "CountersReply",
     "Deregister",
     "Done",
     "Envelope",
