--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -14,6 +14,17 @@
       | lose one frame               | streamed |
       | lose one frame               | whole    |
 
+  Scenario: A request goes where an agent tells that its prompt is held
+    Given an entry among fakes
+    And only the second agent tells that it holds prompts
+    When the caller asks for 10 different chats
+    Then the second agent ran 10 requests
+
+  Scenario: Agents that do not tell what they hold still get requests
+    Given an entry among fakes
+    When the caller asks for 3 different chats
+    Then the agents ran 3 requests
+
   Scenario: Many callers at once each get their own answer
     Given an entry among fakes
     And agents whose fault it is to send frames of another call
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -692,3 +692,19 @@
 def step_given_back(context):
     calls = [type(call).__name__ for call in context.fleet.control.calls]
     assert calls.count("OrderClaim") == calls.count("OrderRelease") > 0, calls
+
+
+@given("only the second agent tells that it holds prompts")
+def step_holds(context):
+    for number, agent in enumerate(context.fleet.engines):
+        agent.script.held_pieces = number
+
+
+@then("the second agent ran {count:d} requests")
+def step_second_ran(context, count):
+    assert context.fleet.engines[1].runs == count
+
+
+@then("the agents ran {count:d} requests")
+def step_all_ran(context, count):
+    assert sum(agent.runs for agent in context.fleet.engines) == count
--- a/tests/support/fake_fleet.py
+++ b/tests/support/fake_fleet.py
@@ -65,6 +65,7 @@
     weights_version: str = "w1"
     cut_short: bool = False
     padding: int = 0
+    held_pieces: int = -1
 
 
 class FakeAgent(api.SessionHandler):
@@ -107,6 +108,11 @@
                 )
             case messages.Cancel() as cancel:
                 self.cancels.append(cancel)
+            case messages.CacheInquiry() if self.script.held_pieces >= 0:
+                report = messages.CacheReport(
+                    self.script.held_pieces, 0.0, 40.0, 0.0, 0.0
+                )
+                session.send(report, envelope.call_id)
 
     def spawn(self, work):
         task = asyncio.get_running_loop().create_task(work)
