Use no connection again that the server closed while idle

Ruled out: the entry (the failed sends reached it never; each call that got a fresh connection was answered whole).

--- a/bench/load/client.py
+++ b/bench/load/client.py
@@ -105,7 +105,7 @@
             ConnectionError: The connection ended before the response did.
         """
         idle = self.idle_by_address.setdefault(address, [])
-        connection = idle.pop() if idle else await self._connect(address)
+        connection = _take_open(idle) or await self._connect(address)
         is_reusable = False
         try:
             connection.writer.write(request)
@@ -139,6 +139,16 @@
             idle.clear()
 
 
+def _take_open(idle: list[Connection]) -> Connection | None:
+    """Takes a connection that the server has not closed meanwhile."""
+    while idle:
+        connection = idle.pop()
+        if not connection.reader.at_eof():
+            return connection
+        connection.writer.transport.abort()
+    return None
+
+
 def encode_request(
     method: str, path: str, headers: Mapping[str, str], body: bytes
 ) -> bytes:
--- a/tests/bench/load.feature
+++ b/tests/bench/load.feature
@@ -43,3 +43,7 @@
     When the bench drives the trace
     Then every bench call is whole and none has a finding
     And some bench calls were sent twice
+
+  Scenario: A connection that the server closed while idle is not used again
+    Given a bench server that closes each connection after its answer
+    Then 3 bench exchanges one after another are answered
