--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -120,3 +120,11 @@
       | part                          |
       | {"delta":{"audio":{"id":"1"}}} |
       | {"text":"a","logprobs":{}}    |
+
+  Scenario: A request that its agent does not accept moves to another one
+    Given an entry among fakes
+    And agent "t0" accepts nothing
+    When the caller asks for 12 different chats
+    Then all chats came whole
+    And a retry was counted as "silent"
+    And agent "t0" was told to cancel each request
