--- a/src/lycheering/limits/reserve.py
+++ b/src/lycheering/limits/reserve.py
@@ -13,7 +13,7 @@
 HALF_LIFE_MS = 3_000.0
 DECAY_STEP_MS = 250.0
 MIN_WORK_MS = 1.0
-SPREAD = 1.5  # of a Poisson number of requests, in standard deviations
+SPREAD = 2.0  # of a Poisson number of requests, in standard deviations
 
 
 class _Demand:
