Hold a team back only where it alone overloads a target

Now it applies to a team beside which the others need at most half of the slots, while all together need 0.8 of them.

--- a/src/lycheering/limits/reserve.py
+++ b/src/lycheering/limits/reserve.py
@@ -13,6 +13,8 @@
 HALF_LIFE_MS = 3_000.0
 DECAY_STEP_MS = 250.0
 MIN_WORK_MS = 1.0
+BUSY_SHARE = 0.8
+LIGHT_SHARE = 0.5
 SPREAD = 2.0  # of a Poisson number of requests, in standard deviations
 
 
@@ -22,36 +24,32 @@
     def __init__(self) -> None:
         self.slots = 1
         self._work_ms_by_team: dict[str, float] = {}
+        self._total_ms = 0.0
         self._decayed_ms = 0.0
-        self._fair = 0.0
-        self._total = 0.0
 
     def note(self, waiting: queues.Waiting) -> None:
         """Adds a request's work."""
         self._decay(waiting.arrival_ms)
-        old = self._work_ms_by_team.get(waiting.team, 0.0)
-        work_ms = old + waiting.cost.service_ms
-        self._work_ms_by_team[waiting.team] = work_ms
-        self._fair = self.slots / len(self._work_ms_by_team)
-        self._total += self._capped(work_ms) - self._capped(old)
+        work_ms = waiting.cost.service_ms
+        old_ms = self._work_ms_by_team.get(waiting.team, 0.0)
+        self._work_ms_by_team[waiting.team] = old_ms + work_ms
+        self._total_ms += work_ms
 
-    def others(self, team: str, now_ms: float) -> float:
-        """Returns the slots that all teams but one need, on average.
-
-        A team that asks for more than its fair share counts with that.
-        """
+    def total(self, now_ms: float) -> float:
+        """Returns the slots that all teams need, on average."""
         self._decay(now_ms)
-        own = self._capped(self._work_ms_by_team.get(team, 0.0))
-        return max(0.0, self._total - own)
+        return self._total_ms * math.log(2) / HALF_LIFE_MS
+
+    def own(self, team: str) -> float:
+        """Returns the slots that a team needs, on average."""
+        work_ms = self._work_ms_by_team.get(team, 0.0)
+        return work_ms * math.log(2) / HALF_LIFE_MS
 
     def fair(self, team: str) -> int:
         """Returns the whole slots that a team may always fill."""
         others = len(self._work_ms_by_team) - (team in self._work_ms_by_team)
         return max(1, self.slots // (others + 1))
 
-    def _capped(self, work_ms: float) -> float:
-        return min(work_ms * math.log(2) / HALF_LIFE_MS, self._fair)
-
     def _decay(self, now_ms: float) -> None:
         passed_ms = now_ms - self._decayed_ms
         if passed_ms < DECAY_STEP_MS:
@@ -63,19 +61,16 @@
             for team, work_ms in self._work_ms_by_team.items()
             if work_ms * share >= MIN_WORK_MS
         }
-        self._fair = self.slots / max(1, len(self._work_ms_by_team))
-        self._total = sum(
-            self._capped(work_ms) for work_ms in self._work_ms_by_team.values()
-        )
+        self._total_ms = sum(self._work_ms_by_team.values())
 
 
 class SlotReserve:
     """Holds requests back that would take the last slots from others.
 
     A team leaves them to other teams, and a priority to more urgent
-    ones, but only while those sent something lately. The other teams are
-    left as many as their requests of late needed, with a margin for chance,
-    as long as the team keeps its fair share.
+    ones, but only while those sent something lately. A team that alone
+    overloads the target leaves the others as many as their requests of
+    late needed, with a margin for chance, but keeps its fair share.
 
     Attributes:
         open_slots: Slots that one team or priority may fill at most.
@@ -138,10 +133,15 @@
         return self._running_by_team[team] >= self._team_slots(team, now_ms)
 
     def _team_slots(self, team: str, now_ms: float) -> int:
-        others = self._demand.others(team, now_ms)
+        demand = self._demand
+        total = demand.total(now_ms)
+        others = max(0.0, total - demand.own(team))
+        is_busy = total >= BUSY_SHARE * demand.slots
+        if not is_busy or others > LIGHT_SHARE * demand.slots:
+            return self.open_slots
         needed = math.ceil(others + SPREAD * math.sqrt(others))
-        left = min(self.open_slots, self._demand.slots - needed)
-        return max(self._demand.fair(team), left)
+        left = min(self.open_slots, demand.slots - needed)
+        return max(demand.fair(team), left)
 
     def _holds_priority(self, priority: int, now_ms: float) -> bool:
         running = sum(
