--- a/bench/measures/__init__.py
+++ b/bench/measures/__init__.py
@@ -1,1 +1,1 @@
-"""The parts of the measurements, one module each."""
+"""Parts of the measurement that can be run one by one."""
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -110,6 +110,8 @@
                 self._cancel(message)
             case messages.Ack():
                 self._acknowledge(session, message)
+            case messages.CacheInquiry():
+                session.send(self._cache_report(message), call_id)
             case messages.OrderInquiry():
                 self._inquire(session, call_id, message)
             case messages.TargetOrder():
@@ -117,6 +119,12 @@
                     self._target_orders.carry_out(session, call_id, message),
                     "agent:target_order",
                 )
+            case messages.CountersFetch():
+                counts = self._context.counters
+                reply = messages.CountersReply(
+                    dict(counts.value_by_name), dict(counts.gauge_by_name)
+                )
+                session.send(reply, call_id)
             case _:
                 self._context.counters.increment("wire.unexpected")
                 if call_id:
@@ -233,6 +241,19 @@
         if run.delivery.taken:
             self._forget(key)
 
+    def _cache_report(
+        self, inquiry: messages.CacheInquiry
+    ) -> messages.CacheReport:
+        context = self._context
+        ranked_by = inquiry.level_keys[inquiry.rank_index :][:1]
+        return messages.CacheReport(
+            context.held.held_pieces(inquiry.level_keys),
+            context.admission.backlog_ms(),
+            context.cost.piece_ms,
+            context.ages.life_ms,
+            sum(context.widths.own_use(key) for key in ranked_by),
+        )
+
     def _inquire(
         self,
         session: server.Session,
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -132,6 +132,7 @@
         self._last_received_ms = 0.0
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._closing = False
 
     @property
     def connected(self) -> bool:
@@ -161,6 +162,7 @@
 
     async def close(self) -> None:
         """Closes the connection; its channels get Lost."""
+        self._closing = True
         if self._ready.is_set():
             with contextlib.suppress(errors.PeerUnreachableError):
                 self.send(messages.Bye())
@@ -299,6 +301,9 @@
                     peer=self.address.name,
                     reason=reason,
                 )
+            if self._closing:
+                # a failure that comes with the cancellation replaces it
+                return
             was_ready = self._ready.is_set()
             self._ready.clear()
             if was_ready:
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -202,3 +202,14 @@
     for number in range(first, last + 1):
         place = context.entered.place_by_number[number]
         assert place.waiting.turn.done(), number
+
+
+@then("a request of an idle team waits less than the backlog")
+def step_backlog(context):
+    gate = context.entered.gate
+
+    async def idle_team_wait_ms():
+        return gate.expected_wait_ms(priority=10)
+
+    wait_ms = context.entered.runner.run(idle_team_wait_ms())
+    assert wait_ms < gate.backlog_ms()
