--- a/bench/measure.py
+++ b/bench/measure.py
@@ -15,6 +15,10 @@
     "shifts",
     "kept_kv",
     "reuse_weight",
+    "overhead",
+    "limits",
+    "retries",
+    "capacity",
 )
 
 
--- a/bench/measures/capacity.py
+++ b/bench/measures/capacity.py
@@ -38,6 +38,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from bench.measures import api as measures_api
+
 HOST = "127.0.0.1"
 BLOCK_SIZES = (5_000, 10_000, 22_000)
 TEAM_SIZES = (1_000, 5_000, 17_000)
@@ -320,7 +322,12 @@
     return 0
 
 
-__all__ = ["main"]
+def run(settings: measures_api.Settings) -> None:
+    """Runs the measurement as a part of all of them."""
+    main([])
+
+
+__all__ = ["main", "run"]
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/bench/measures/limits.py
+++ b/bench/measures/limits.py
@@ -26,6 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from bench.measures import api as measures_api
+
 MODEL = "letters"
 ENGINES = 2
 ENGINE = fleet.EnginePlan(slots=8, prefill_ms_per_piece=10.0, token_ms=10.0)
@@ -326,7 +328,12 @@
     return 0
 
 
-__all__ = ["main"]
+def run(settings: measures_api.Settings) -> None:
+    """Runs the measurement as a part of all of them."""
+    main(["--seeds", *map(str, settings.seeds)])
+
+
+__all__ = ["main", "run"]
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/bench/measures/overhead.py
+++ b/bench/measures/overhead.py
@@ -23,6 +23,8 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
+    from bench.measures import api as measures_api
+
 TEAM = "team-1"
 MODEL = "drafting"
 ENGINES = 3
@@ -308,7 +310,12 @@
     return 0
 
 
-__all__ = ["main"]
+def run(settings: measures_api.Settings) -> None:
+    """Runs the measurement as a part of all of them."""
+    main(["--seeds", *map(str, settings.seeds)])
+
+
+__all__ = ["main", "run"]
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/bench/measures/retries.py
+++ b/bench/measures/retries.py
@@ -22,6 +22,7 @@
     from collections.abc import Sequence
 
     from bench.load import driver
+    from bench.measures import api as measures_api
 
 MODEL = "letters"
 ENGINES = 6
@@ -175,7 +176,12 @@
     return 0
 
 
-__all__ = ["main"]
+def run(settings: measures_api.Settings) -> None:
+    """Runs the measurement as a part of all of them."""
+    main(["--seeds", *map(str, settings.seeds)])
+
+
+__all__ = ["main", "run"]
 
 if __name__ == "__main__":
     sys.exit(main())
