Answer look-ups while an agent is silent; strike control under orders

Cause: a look-up or a resend waited for the inquiry to the agent, up to 3 s, and longer behind 32 others, while an entry gives each try 1 s. A burst of orders in doubt beside one silent agent so came to no_quorum, though control had one. An entry also gave up after 5 s to commit an outcome that it held.

Ruled out: orders that stay in_progress after their agent was killed are no fault. Until the next incarnation has registered nobody can tell a dead agent from one cut off; that takes as long as the agent takes to start.

Change: a look-up waits at most 600 ms; the inquiry goes on beside it. An entry tries for 15 s to commit an outcome.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -256,6 +256,10 @@
             parser.write(file)
         return path
 
+    def members(self) -> str:
+        """Returns the control instances as settings name them."""
+        return self._members_for("*")
+
     def _members_for(self, name: str) -> str:
         return ", ".join(
             f"{member}@{processes.HOST}:{self._route(name, member, port)}"
--- /dev/null
+++ b/bench/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the measurement that can be run one by one."""
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -22,6 +22,7 @@
     from lycheering.routing import router as routers
 
 CALL_MS = 5_000.0
+FINISH_MS = 15_000.0
 ASK_PAUSE_MS = 250.0
 STATE_HEADER = "X-Order-State"
 
@@ -219,7 +220,7 @@
         )
         finish = messages.OrderFinish(claim.order_id, outcome)
         try:
-            await self._control.call(finish, CALL_MS)
+            await self._control.call(finish, FINISH_MS)
         except (
             control_client.ControlUnavailableError,
             errors.CallFailedError,
--- a/src/lycheering/orders/in_doubt.py
+++ b/src/lycheering/orders/in_doubt.py
@@ -22,6 +22,7 @@
 SWEEP_INTERVAL_MS = 500
 SWEEP_AGE_MS = 5_000
 LOOKUP_AGE_MS = 300
+LOOKUP_WAIT_MS = 600  # less than an entry waits for one try of a call
 SILENT_LIMIT_MS = 120_000
 RETRY_MS = 2_000
 MAX_RETRY_MS = 30_000
@@ -77,6 +78,9 @@
     async def settle(self, order: records.Order) -> None:
         """Settles an order that a caller asks for, if it is in doubt.
 
+        An agent that is slow to answer is not waited for; the inquiry goes
+        on, and its result is there when the caller asks again.
+
         Args:
             order: The order, as the ledger has it now.
         """
@@ -84,7 +88,19 @@
         if order.state == messages.OrderState.CLAIMED and (
             age_ms >= LOOKUP_AGE_MS
         ):
+            await self._inquire_briefly(order)
+
+    async def _inquire_briefly(self, order: records.Order) -> None:
+        ended = asyncio.Event()
+
+        async def inquire() -> None:
             await self._inquire(order)
+            ended.set()
+
+        self._tasks.spawn(inquire(), f"orders:{order.order_id}")
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LOOKUP_WAIT_MS / 1_000):
+                await ended.wait()
 
     async def sweep(self) -> None:
         """Inquires once for each order that is due."""
@@ -203,6 +219,7 @@
 
 __all__ = [
     "LOOKUP_AGE_MS",
+    "LOOKUP_WAIT_MS",
     "MAX_OPEN_INQUIRIES",
     "SILENT_LIMIT_MS",
     "SWEEP_AGE_MS",
--- a/tests/orders/in_doubt.feature
+++ b/tests/orders/in_doubt.feature
@@ -61,6 +61,11 @@
     When a caller looks up a claim that is 1000 ms old
     Then the doubtful order is released
 
+  Scenario: A look-up does not wait for an agent that does not answer
+    When callers look up a claim whose agent does not answer at all
+    Then the doubtful order is claimed
+    And the asked agent was called 1 times
+
   Scenario: The sweep backs off
     Given the asked agent says "running"
     When the sweep runs 5 times on a claim that is 6000 ms old
--- a/tests/steps/in_doubt_steps.py
+++ b/tests/steps/in_doubt_steps.py
@@ -15,6 +15,8 @@
 from lycheering.telemetry import counters
 from lycheering.wire import messages
 
+GIVE_UP_S = 20
+
 
 class LocalBook(api.OrderBook):
     """A ledger that needs no quorum."""
@@ -69,6 +71,8 @@
 
     async def ask(self, order):
         self.asked += 1
+        if self.answer is None:
+            await asyncio.Event().wait()
         if isinstance(self.answer, Exception):
             raise self.answer
         return self.answer
@@ -169,6 +173,20 @@
     asyncio.run(context.task.settle(order))
 
 
+@when("callers look up a claim whose agent does not answer at all")
+def step_look_up_stuck(context):
+    context.agent.answer = None
+    age(context, 400)
+    order = context.book.find_id(context.order_id)
+
+    async def look_up():
+        await asyncio.wait_for(context.task.settle(order), GIVE_UP_S)
+        await asyncio.wait_for(context.task.settle(order), GIVE_UP_S)
+        await context.task.stop()
+
+    asyncio.run(look_up())
+
+
 @then("the doubtful order is {state}")
 def step_state(context, state):
     assert context.book.find_id(context.order_id).state == state
--- a/tests/steps/order_fault_steps.py
+++ b/tests/steps/order_fault_steps.py
@@ -20,7 +20,7 @@
 TO_CALLER = fault_proxy.Direction.TO_CALLER
 FIRST = "entry-0"
 KEYS = itertools.count(1)
-FROZEN_MS = 3_500  # longer than a Submit lives and a leader's lease lasts
+FROZEN_MS = 2_500  # longer than a Submit lives and a leader's lease lasts
 PILED_UP = 200
 
 
@@ -59,9 +59,14 @@
 
     def wait_held(self, proxies, what):
         size = len(order_callers.PADDING)
-        processes.wait_for(
-            lambda: any(proxy.held_bytes >= size for proxy in proxies), what
-        )
+        try:
+            processes.wait_for(
+                lambda: any(proxy.held_bytes >= size for proxy in proxies),
+                what,
+            )
+        except AssertionError as error:
+            self.heal()
+            raise AssertionError(self.first.result(60)) from error
 
     def wait_run(self, outcome):
         def found():
@@ -152,20 +157,22 @@
 
 
 def leader(running):
-    """Returns the name of the control instance that leads."""
+    """Returns the control instance that says itself that it leads."""
 
     def found():
-        reply = running.operator("/v1/members")
-        name = reply["leader"]
-        return name if running.group.process_by_name[name].running else None
-
-    def try_found():
-        try:
-            return found()
-        except (fleet.OperatorError, KeyError):
-            return None
-
-    return processes.wait_for(try_found, "a leader")
+        names = control_names(running)
+        for name, url in zip(names, running.operator_urls, strict=True):
+            if not running.group.process_by_name[name].running:
+                continue
+            try:
+                reply = fleet.call_json(f"{url}/v1/members", timeout_s=2)
+            except (OSError, fleet.OperatorError):
+                continue
+            if reply["current"] and reply["leader"] == name:
+                return name
+        return None
+
+    return processes.wait_for(found, "a leader")
 
 
 @given("a fleet of services whose calls may not be repeated")
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -39,7 +39,7 @@
     Attributes:
         is_silent: Whether all bytes are swallowed for good.
         swallowed_bytes: Number of bytes swallowed.
-        held_bytes: Number of bytes that a cut holds back in the proxy.
+        held_bytes: Number of bytes read that have not gone on yet.
         writers: The open ends.
     """
 
@@ -135,7 +135,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Number of bytes that cuts hold back in the proxy."""
+        """Number of bytes that cuts and delays hold back now."""
         return sum(c.held_bytes for c in list(self._connections))
 
     def _run(self) -> None:
@@ -213,12 +213,14 @@
                 (Direction.TO_CALLER, target_reader, writer),
             ):
                 queue = asyncio.Queue(QUEUED_READS)
-                group.create_task(self._read(direction, source, queue))
+                group.create_task(
+                    self._read(connection, direction, source, queue)
+                )
                 group.create_task(
                     self._write(connection, direction, queue, sink)
                 )
 
-    async def _read(self, direction, source, queue) -> None:
+    async def _read(self, connection, direction, source, queue) -> None:
         data = b"-"
         while data:
             try:
@@ -226,13 +228,13 @@
             except OSError:
                 data = b""
             due_s = self._loop.time() + self._delay_s[direction]
+            connection.held_bytes += len(data)
             await queue.put(Delayed(data, due_s))
 
     async def _write(self, connection, direction, queue, sink) -> None:
         while True:
             delayed = await queue.get()
             await asyncio.sleep(delayed.due_s - self._loop.time())
-            connection.held_bytes += len(delayed.data)
             await self._open_by_direction[direction].wait()
             connection.held_bytes -= len(delayed.data)
             if connection.is_silent:
--- a/tests/support/order_callers.py
+++ b/tests/support/order_callers.py
@@ -19,7 +19,7 @@
 from tests.support import processes
 
 TEAM = "team-1"
-CALL_TIMEOUT_S = 25.0
+CALL_TIMEOUT_S = 12.0
 SETTLE_S = 40.0
 PAUSE_S = 0.1
 PADDING = "p" * 1_500  # makes an order's frames larger than any heartbeat
@@ -107,7 +107,12 @@
             if reply.answered or reply.unknown:
                 return reply
             time.sleep(PAUSE_S)
-        raise AssertionError(f"{key} is not settled; last: {reply}")
+        process = self.fleet.group.process_by_name[f"entry-{entry}"]
+        log = process.log_text()[-2_000:]
+        raise AssertionError(
+            f"{key} is not settled by entry {entry}, running:"
+            f" {process.running}; last: {reply}\n{log}"
+        )
 
     def keep_runs(self, target):
         """Copies the record of a target that is about to be killed."""
