--- a/src/lycheering/wire/api.py
+++ b/src/lycheering/wire/api.py
@@ -13,6 +13,7 @@
     import zmq.asyncio
 
     from lycheering import clock
+    from lycheering.fleet import records
     from lycheering.settings import model
     from lycheering.telemetry import counters
     from lycheering.wire import server
@@ -47,11 +48,11 @@
     """Keys of the inner protocol."""
 
     @abc.abstractmethod
-    def secure_client(self, socket: zmq.asyncio.Socket, peer: str) -> None:
+    def secure_client(self, socket: zmq.Socket[bytes], peer: str) -> None:
         """Sets up a socket that connects to a peer."""
 
     @abc.abstractmethod
-    def secure_server(self, socket: zmq.asyncio.Socket) -> None:
+    def secure_server(self, socket: zmq.Socket[bytes]) -> None:
         """Sets up a socket that listens."""
 
     def close(self) -> None:  # noqa: B027
@@ -61,10 +62,10 @@
 class NoSecurity(Security):
     """A network that is trusted."""
 
-    def secure_client(self, socket: zmq.asyncio.Socket, peer: str) -> None:
+    def secure_client(self, socket: zmq.Socket[bytes], peer: str) -> None:
         """Leaves the socket open."""
 
-    def secure_server(self, socket: zmq.asyncio.Socket) -> None:
+    def secure_server(self, socket: zmq.Socket[bytes]) -> None:
         """Leaves the socket open."""
 
 
@@ -108,6 +109,11 @@
         return f"tcp://{host}:{self.port}"
 
 
+def agent_address(target: records.Target) -> Address:
+    """Returns where the agent beside a target listens."""
+    return Address(target.name, target.ip, target.port)
+
+
 @dataclasses.dataclass(frozen=True)
 class Link:
     """All that connections of one process share.
@@ -152,4 +158,5 @@
     "Security",
     "SessionHandler",
     "ViewExchange",
+    "agent_address",
 ]
