Wait for a known leader before a fault strikes it

Cause: two rows of "Cut-off processes restart" ended with KeyError '': the instance asked knew no leader right after the scenario before. Change: the step waits until a leader is known.

Conclusion: no fault of src/ was found.

--- a/tests/support/struck_fleet.py
+++ b/tests/support/struck_fleet.py
@@ -99,8 +99,15 @@
         return sum(proxy.held_bytes for proxy in self.board.to(name))
 
     def leader(self):
-        reply = self.fleet.operator("/v1/members")
-        return reply["leader"]
+        """Returns the leader, once the instance that answers knows it."""
+        found = []
+
+        def known():
+            found.append(self.fleet.operator("/v1/members")["leader"])
+            return found[-1] and self.process(found[-1]).running
+
+        self.wait(known, "a leader")
+        return found[-1]
 
     def wait(self, condition, what):
         def met():
@@ -365,7 +372,6 @@
 
     def _leader_twice(self):
         for _ in range(2):
-            self.wait(self.leader, "a leader")
             self._control_loss()()
         return do_nothing
 
