--- a/tests/steps/struck_fleet_steps.py
+++ b/tests/steps/held_fleet_steps.py
@@ -8,7 +8,7 @@
 from behave import then
 from behave import when
 
-from tests.support import struck_fleet
+from tests.support import held_fleet
 
 STATE = {}
 # what lasts until all callers have their answers
@@ -25,10 +25,10 @@
 def step_fleet(context):
     if "fleet" not in STATE:
         stack = contextlib.ExitStack()
-        STATE["fleet"] = stack.enter_context(struck_fleet.running())
+        STATE["fleet"] = stack.enter_context(held_fleet.running())
         context.add_cleanup(close, stack, layer="feature")
     context.struck = STATE["fleet"]
-    context.end = struck_fleet.do_nothing
+    context.end = held_fleet.do_nothing
     context.struck.restore()
 
 
