--- a/tests/routing/policies.feature
+++ b/tests/routing/policies.feature
@@ -55,6 +55,25 @@
     When the routing clock advances by 20000 ms
     Then 30 prompts under the prefix go first to 1 targets
 
+  Scenario: A widened prefix leaves a busy target though only that holds it
+    Given a hint of width 3 for the prompt
+    And the first ranked target started the prompt
+    And the first ranked target reports a queue of 900 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+
+  Scenario: A wait that outweighs the prefill moves a prefix of width 1
+    Given the first ranked target started the prompt
+    And the first ranked target reports a queue of 1500 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+
+  Scenario: A wait shorter than the prefill keeps a prefix where it is held
+    Given the first ranked target started the prompt
+    And the first ranked target reports a queue of 400 ms
+    When the affinity policy orders the targets
+    Then the first candidate is the first ranked target
+
   Scenario: A draining target is taken last
     Given the first ranked target reports that it drains
     When the affinity policy orders the targets
@@ -70,3 +89,21 @@
       | least_loaded |
       | prefix_hash  |
       | affinity     |
+
+  Scenario: What an agent tells goes before what was learned earlier
+    Given the first ranked target started the prompt
+    And the first ranked target tells that it holds 0 pieces
+    And the second ranked target tells that it holds 15 pieces
+    When the affinity policy orders the targets
+    Then the first candidate is the second ranked target
+
+  Scenario: The uses that agents tell add up to the width
+    Given the first ranked target tells that its prefix uses 1.0 of it
+    And the second ranked target tells that its prefix uses 0.7 of it
+    Then the affinity policy spreads the prefix over 3 targets
+
+  Scenario: A new prefix goes where displacing others costs least
+    Given the first ranked target tells a cache life of 500 ms
+    And the second ranked target tells a cache life of 60000 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -28,6 +28,11 @@
 PLAN = fleet.FleetPlan(
     engines=ENGINES,
     engine=fleet.EnginePlan(slots=SLOTS, prefill_ms_per_piece=100, token_ms=15),
+<<<<<<< HEAD:tests/support/held_fleet.py
+=======
+    services={SERVICE: 2},
+    once_services=frozenset({SERVICE}),
+>>>>>>> main:tests/support/struck_fleet.py
     agent_silence_ms=1_000,
 )
 TO_TARGET = fault_proxy.Direction.TO_TARGET
