Say "not run" of an order only where no sending of its key ran

Cause: a refusal before the claim (no quorum, no target, an entry that drains) said not_run of the sending at hand. A caller that resends an order whose answer was lost met it after the first sending had run, and would take a new key: the order would run twice. Found by reading. Ruled out: asking the ledger first, which needs the quorum that is missing. Change: with an Idempotency-Key, not_run is said only where the claim was given back, the key is another request's, or the request can't be read.

--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -31,7 +31,7 @@
 CONNECT_TIMEOUT_MS = 1_000
 FIRST_BACKOFF_MS = 500
 MAX_BACKOFF_MS = 30_000
-# loads that the leader before had begun may still run
+# a load of which nothing is heard any more may still run for so long
 SETTLE_MS = 3_000
 
 _LOG = logs.get("targets")
@@ -219,7 +219,7 @@
         try:
             if wanted.is_load:
                 async with self._loads:
-                    done = await self._send(target, wanted)
+                    done = await self._load(target, wanted)
             else:
                 done = await self._send(target, wanted)
             if done:
@@ -231,6 +231,15 @@
         finally:
             self._busy.discard(target.name)
 
+    async def _load(self, target: records.Target, wanted: WantedOrder) -> bool:
+        started_ms = self._clock.now_ms()
+        done = await self._send(target, wanted)
+        if not done:
+            # the engine may be loading though its agent is gone
+            end_ms = started_ms + SETTLE_MS
+            await self._clock.sleep(max(0.0, end_ms - self._clock.now_ms()))
+        return done
+
     async def _send(self, target: records.Target, wanted: WantedOrder) -> bool:
         connection = self._connections.get(wire_api.agent_address(target))
         try:
--- a/src/lycheering/entry/http.py
+++ b/src/lycheering/entry/http.py
@@ -103,6 +103,9 @@
                     )
                 return await handler(request)
             except refusals.RefusalError as error:
+                # an earlier sending under the same key may have run
+                if request.has_header(b"idempotency-key"):
+                    error.not_run &= error.settles_order
                 self._exchange.refused(caller.request_id, "", error)
                 return _response(error.answer())
             except callers.CallerGoneError:
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -47,14 +47,26 @@
 
 
 class _TryAgainError(Exception):
-    """The order certainly did not run; another claim may be made."""
+    """This sending did not run the order; another claim may be made.
+
+    Attributes:
+        reason: Why.
+        retry_after_ms: When to try again.
+        settled: Whether no earlier sending ran it either.
+    """
 
     def __init__(
-        self, reason: messages.Reason, detail: str, retry_after_ms: float = 0.0
+        self,
+        reason: messages.Reason,
+        detail: str,
+        retry_after_ms: float = 0.0,
+        *,
+        settled: bool = True,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.retry_after_ms = retry_after_ms
+        self.settled = settled
 
 
 class OrderDesk:
@@ -81,11 +93,13 @@
         self._budget.earn(fleet.number("retry.budget_ratio", subject))
         limit = fleet.integer("retry.max_attempts", subject)
         tried: list[str] = []
+        settled = False
         number = 1
         while True:
             try:
                 return await self._run_once(job, number, tried)
             except _TryAgainError as error:
+                settled = settled or error.settled
                 left_ms = job.deadline_at_ms - self._targets.clock.now_ms()
                 spent = number >= limit or left_ms <= 0
                 if spent or not self._budget.spend():
@@ -94,6 +108,7 @@
                         str(error) or error.reason.value,
                         not_run=True,
                         retry_after_ms=error.retry_after_ms,
+                        settles_order=settled,
                     ) from error
                 self._targets.counters.retry(error.reason)
                 self._log("order_retry", job, reason=error.reason.value)
@@ -132,7 +147,9 @@
             connection = await self._targets.connect(choice)
         except target_access.NotRunError as error:
             self._targets.circuits.failed(choice.target.name)
-            raise _TryAgainError(error.reason, str(error)) from error
+            raise _TryAgainError(
+                error.reason, str(error), settled=False
+            ) from error
         incarnation = connection.peer_incarnation
         reply = await self._claim(job, choice, incarnation)
         if not reply.same_digest:
@@ -140,6 +157,7 @@
                 messages.Reason.KEY_REUSED,
                 "the key belongs to another request",
                 not_run=True,
+                settles_order=True,
             )
         if not reply.granted:
             return await self._stored(job, reply)
@@ -251,6 +269,7 @@
                 reason,
                 f"not run, but the claim is not given back yet: {error}",
                 not_run=True,
+                settles_order=True,
             ) from error
         self._log("order_released", job, reason=reason.value)
 
@@ -279,6 +298,7 @@
                 messages.Reason.KEY_REUSED,
                 "the key belongs to another request",
                 not_run=True,
+                settles_order=True,
             )
         match reply.state:
             case messages.OrderState.FINISHED if reply.outcome is not None:
--- a/src/lycheering/entry/refusals.py
+++ b/src/lycheering/entry/refusals.py
@@ -65,6 +65,8 @@
         message: Text for people.
         not_run: True only if no target ran or will run the request.
         retry_after_ms: When to try again; 0 where that is no use.
+        settles_order: Whether `not_run` is true of every sending under the
+            same idempotency key, and not of this sending alone.
     """
 
     def __init__(
@@ -74,11 +76,13 @@
         *,
         not_run: bool,
         retry_after_ms: float = 0.0,
+        settles_order: bool = False,
     ) -> None:
         super().__init__(f"{reason}: {message}")
         self.reason = reason
         self.message = message
         self.not_run = not_run
+        self.settles_order = settles_order
         if not retry_after_ms and reason not in _NEVER_RETRY:
             retry_after_ms = DEFAULT_RETRY_MS
         self.retry_after_ms = retry_after_ms
@@ -122,7 +126,10 @@
 
 def bad_request(message: str) -> RefusalError:
     """Returns the refusal of a request that can't be understood."""
-    return RefusalError(messages.Reason.BAD_REQUEST, message, not_run=True)
+    # whatever was sent before in the same words was refused as well
+    return RefusalError(
+        messages.Reason.BAD_REQUEST, message, not_run=True, settles_order=True
+    )
 
 
 __all__ = ["DEFAULT_RETRY_MS", "Answer", "RefusalError", "bad_request"]
