Count chunks and acknowledgements as signs of life

Cause: a client sent a heartbeat whenever it had sent nothing for heartbeat_ms, though its peer was sending all the time and would take it for silent only after silence_ms. Ruled out: longer heartbeats for all, which would notice a silent connection later than 3 s. Change: with frames coming in, a heartbeat is due only after half of silence_ms without sending. Connections to targets get TCP keepalive as callers' have, so that one that a middlebox has forgotten ends.

--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import dataclasses
-import socket as sockets
 from typing import TYPE_CHECKING
 import urllib.parse
 
 import httptools
 
+from lycheering.web import keepalive
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Mapping
@@ -161,7 +162,7 @@
                 error
             )
         socket = writer.get_extra_info("socket")
-        socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        keepalive.notice_dead_peers(socket)
         return cls(reader, writer, origin)
 
     def send(
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -10,15 +10,12 @@
 
 from lycheering.app import api as app_api
 from lycheering.telemetry import logs
+from lycheering.web import keepalive
 
 if TYPE_CHECKING:
     import blacksheep
 
 BACKLOG = 2_048
-KEEP_ALIVE_IDLE_S = 15
-KEEP_ALIVE_INTERVAL_S = 5
-KEEP_ALIVE_COUNT = 3
-UNACKNOWLEDGED_TIMEOUT_MS = 20_000
 START_POLL_MS = 5
 STOP_TIMEOUT_S = 5
 
@@ -29,15 +26,7 @@
     """Returns a listening socket whose connections notice dead peers."""
     family = sockets.AF_INET6 if ":" in ip else sockets.AF_INET
     listener = sockets.create_server((ip, port), family=family, backlog=BACKLOG)
-    level = sockets.IPPROTO_TCP
-    listener.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
-    listener.setsockopt(level, sockets.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    listener.setsockopt(level, sockets.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-    listener.setsockopt(level, sockets.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
-    listener.setsockopt(
-        level, sockets.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-    )
-    listener.setsockopt(level, sockets.TCP_NODELAY, 1)
+    keepalive.notice_dead_peers(listener)
     return listener
 
 
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -440,7 +440,10 @@
                 self._link.counters.increment("wire.silent")
                 raise _SilenceError(self.address.name)
             unsent_ms = now_ms - self._last_sent_ms
-            if max(silent_ms, unsent_ms) >= settings.heartbeat_ms:
+            # while the peer sends, it is asked for no sign of life, and
+            # needs ours just before it would take us for silent
+            due = silent_ms >= settings.heartbeat_ms
+            if due or unsent_ms >= settings.silence_ms / 2:
                 self._send(messages.Heartbeat())
             assert self._gate is not None
             self._gate.offer()
