--- /dev/null
+++ b/src/lycheering/wire/messages/__init__.py
@@ -0,0 +1,115 @@
+"""The messages of the inner protocol."""
+
+from __future__ import annotations
+
+from lycheering.wire.messages.common import LoadReport
+from lycheering.wire.messages.common import Reason
+from lycheering.wire.messages.common import Role
+from lycheering.wire.messages.common import WidthHint
+from lycheering.wire.messages.envelope import PROTOCOL_VERSION
+from lycheering.wire.messages.envelope import Envelope
+from lycheering.wire.messages.envelope import Message
+from lycheering.wire.messages.members import CountersFetch
+from lycheering.wire.messages.members import CountersReply
+from lycheering.wire.messages.members import Deregister
+from lycheering.wire.messages.members import LogCall
+from lycheering.wire.messages.members import LogReply
+from lycheering.wire.messages.members import PeerStatus
+from lycheering.wire.messages.members import Register
+from lycheering.wire.messages.members import Registered
+from lycheering.wire.messages.members import StatusFetch
+from lycheering.wire.messages.members import StatusReply
+from lycheering.wire.messages.members import TargetOrder
+from lycheering.wire.messages.members import TargetOrderKind
+from lycheering.wire.messages.members import TargetOrderReply
+from lycheering.wire.messages.members import TargetReport
+from lycheering.wire.messages.orders import InquiryResult
+from lycheering.wire.messages.orders import OrderClaim
+from lycheering.wire.messages.orders import OrderFinish
+from lycheering.wire.messages.orders import OrderInquiry
+from lycheering.wire.messages.orders import OrderInquiryReply
+from lycheering.wire.messages.orders import OrderLookup
+from lycheering.wire.messages.orders import OrderOutcome
+from lycheering.wire.messages.orders import OrderRelease
+from lycheering.wire.messages.orders import OrderReply
+from lycheering.wire.messages.orders import OrderState
+from lycheering.wire.messages.requests import Accepted
+from lycheering.wire.messages.requests import Ack
+from lycheering.wire.messages.requests import Broken
+from lycheering.wire.messages.requests import CacheInquiry
+from lycheering.wire.messages.requests import CacheReport
+from lycheering.wire.messages.requests import Cancel
+from lycheering.wire.messages.requests import Chunks
+from lycheering.wire.messages.requests import Finished
+from lycheering.wire.messages.requests import NotRun
+from lycheering.wire.messages.requests import OrderTicket
+from lycheering.wire.messages.requests import Resume
+from lycheering.wire.messages.requests import Started
+from lycheering.wire.messages.requests import Submit
+from lycheering.wire.messages.session import Bye
+from lycheering.wire.messages.session import Done
+from lycheering.wire.messages.session import Failure
+from lycheering.wire.messages.session import Heartbeat
+from lycheering.wire.messages.session import HeartbeatReply
+from lycheering.wire.messages.session import Hello
+from lycheering.wire.messages.session import HelloRequired
+from lycheering.wire.messages.session import ViewFetch
+from lycheering.wire.messages.session import ViewUpdate
+from lycheering.wire.messages.session import Welcome
+
+__all__ = [
+    "Accepted",
+    "Ack",
+    "Broken",
+    "Bye",
+    "CacheInquiry",
+    "CacheReport",
+    "Cancel",
+    "Chunks",
+    "CountersFetch",
+    "CountersReply",
+    "Deregister",
+    "Done",
+    "Envelope",
+    "Failure",
+    "Finished",
+    "Heartbeat",
+    "HeartbeatReply",
+    "Hello",
+    "HelloRequired",
+    "InquiryResult",
+    "LoadReport",
+    "LogCall",
+    "LogReply",
+    "Message",
+    "NotRun",
+    "OrderClaim",
+    "OrderFinish",
+    "OrderInquiry",
+    "OrderInquiryReply",
+    "OrderLookup",
+    "OrderOutcome",
+    "OrderRelease",
+    "OrderReply",
+    "OrderState",
+    "OrderTicket",
+    "PROTOCOL_VERSION",
+    "PeerStatus",
+    "Reason",
+    "Register",
+    "Registered",
+    "Resume",
+    "Role",
+    "Started",
+    "StatusFetch",
+    "StatusReply",
+    "Submit",
+    "TargetOrder",
+    "TargetOrderKind",
+    "TargetOrderReply",
+    "TargetReport",
+    "ViewFetch",
+    "ViewUpdate",
+    "Welcome",
+    "WidthHint",
+]
--- /dev/null
+++ b/src/lycheering/wire/messages/session.py
@@ -0,0 +1,109 @@
+"""The messages that open, keep and end a session."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lycheering.fleet import changes
+from lycheering.fleet import view
+from lycheering.wire.messages import common
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Opens a session; the first frame on each connection.
+
+    Attributes:
+        role: The sender's role.
+        failure_domain: The failure domain it is in.
+    """
+
+    role: common.Role
+    failure_domain: str
+
+
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answers Hello.
+
+    Attributes:
+        now_ms: The sender's clock, by which frames to it expire.
+    """
+
+    now_ms: float
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Asks a peer for a sign of life."""
+
+
+class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Answers Heartbeat.
+
+    Attributes:
+        now_ms: The sender's clock, by which frames to it expire.
+    """
+
+    now_ms: float
+
+
+class HelloRequired(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Tells a peer that its session is not known here."""
+
+
+class Failure(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Answers a call that could not be done.
+
+    Attributes:
+        reason: Why.
+        detail: Text for people.
+        retry_after_ms: When to try again; 0 where that is no use.
+        leader: The control instance to ask instead, if one is known.
+    """
+
+    reason: common.Reason
+    detail: str = ""
+    retry_after_ms: float = 0.0
+    leader: str = ""
+
+
+class Done(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Answers a call that has nothing more to say."""
+
+
+class Bye(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Closes a session on purpose."""
+
+
+class ViewFetch(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Asks for the fleet view that the receiver holds.
+
+    Attributes:
+        since: The sender's own view revision.
+    """
+
+    since: int
+
+
+class ViewUpdate(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Hands over the fleet view.
+
+    Attributes:
+        numbered: The changes after the receiver's revision.
+        snapshot: The whole view where changes no longer reach back.
+    """
+
+    numbered: tuple[changes.NumberedChange, ...] = ()
+    snapshot: view.ViewSnapshot | None = None
+
+
+__all__ = [
+    "Bye",
+    "Done",
+    "Failure",
+    "Heartbeat",
+    "HeartbeatReply",
+    "Hello",
+    "HelloRequired",
+    "ViewFetch",
+    "ViewUpdate",
+    "Welcome",
+]
