--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -8,6 +8,7 @@
 from lycheering.entry import sinks
 from lycheering.entry import target_access
 from lycheering.telemetry import logs
+from lycheering.wire import channels
 from lycheering.wire import client
 from lycheering.wire import errors
 from lycheering.wire import messages
@@ -109,7 +110,7 @@
             channel.close()
 
     def _submit(
-        self, connection: client.Connection, channel: client.Channel
+        self, connection: client.Connection, channel: channels.Channel
     ) -> None:
         job = self._job
         now_ms = self._targets.clock.now_ms()
@@ -153,7 +154,7 @@
         self._targets.circuits.sent(self._choice.target.name)
 
     async def _follow(
-        self, connection: client.Connection, channel: client.Channel, key: str
+        self, connection: client.Connection, channel: channels.Channel, key: str
     ) -> None:
         while True:
             event = await self._next(connection, channel)
@@ -179,12 +180,12 @@
                         await self._sink.finish()
                         return
                     self._resume(channel, f"{event.next_seq} chunks announced")
-                case client.Replaced(incarnation):
+                case channels.Replaced(incarnation):
                     self._replaced(channel, incarnation)
                 case _:
                     self._end(event)
 
-    def _end(self, event: client.Event) -> None:
+    def _end(self, event: channels.Event) -> None:
         match event:
             case messages.NotRun():
                 self._targets.router.widths.note(event.hint)
@@ -201,7 +202,7 @@
                 )
             case messages.Failure():
                 raise BrokenError(event.reason, event.detail)
-            case client.Lost():
+            case channels.Lost():
                 raise BrokenError(messages.Reason.UNREACHABLE, "closed")
             case _:
                 kind = type(event).__name__
@@ -210,8 +211,8 @@
                 )
 
     async def _next(
-        self, connection: client.Connection, channel: client.Channel
-    ) -> client.Event:
+        self, connection: client.Connection, channel: channels.Channel
+    ) -> channels.Event:
         clock = self._targets.clock
         while True:
             left_ms = self._job.deadline_at_ms - clock.now_ms()
@@ -286,7 +287,7 @@
         sink.begin(started)
 
     async def _take(
-        self, channel: client.Channel, chunks: messages.Chunks
+        self, channel: channels.Channel, chunks: messages.Chunks
     ) -> None:
         sink = self._sink
         if sink.head is None:
@@ -302,7 +303,7 @@
         if sink.next_seq - self._acked >= ACK_CHUNKS:
             self._ack(channel)
 
-    def _ack(self, channel: client.Channel) -> None:
+    def _ack(self, channel: channels.Channel) -> None:
         next_seq = self._sink.next_seq
         self._acked = next_seq
         ack = messages.Ack(self._job.request_id, self._number, next_seq)
@@ -310,14 +311,14 @@
         with contextlib.suppress(errors.PeerUnreachableError):
             channel.send(ack)
 
-    def _replaced(self, channel: client.Channel, incarnation: str) -> None:
+    def _replaced(self, channel: channels.Channel, incarnation: str) -> None:
         if incarnation != self._incarnation:
             raise BrokenError(
                 messages.Reason.WRONG_INCARNATION, "the agent restarted"
             )
         self._resume(channel, "connection replaced")
 
-    def _resume(self, channel: client.Channel, detail: str) -> None:
+    def _resume(self, channel: channels.Channel, detail: str) -> None:
         self._resumes += 1
         if self._resumes > MAX_RESUMES:
             raise BrokenError(messages.Reason.SILENT, f"gaps remain: {detail}")
@@ -336,7 +337,7 @@
         with contextlib.suppress(errors.PeerUnreachableError):
             channel.send(resume)
 
-    def _cancel(self, channel: client.Channel) -> None:
+    def _cancel(self, channel: channels.Channel) -> None:
         cancel = messages.Cancel(self._job.request_id, self._number)
         with contextlib.suppress(errors.PeerUnreachableError):
             channel.send(cancel)
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import itertools
 import random
 from typing import TYPE_CHECKING
@@ -12,6 +11,7 @@
 import zmq
 
 from lycheering.telemetry import logs
+from lycheering.wire import channels
 from lycheering.wire import codec
 from lycheering.wire import errors
 from lycheering.wire import messages
@@ -23,87 +23,14 @@
 
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
-MAX_CHANNEL_FRAMES = 4_096
 
 _LOG = logs.get("wire")
 
 
-@dataclasses.dataclass(frozen=True)
-class Replaced:
-    """Put into a channel when its connection was replaced.
-
-    Attributes:
-        incarnation: The incarnation of the peer now spoken to.
-    """
-
-    incarnation: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Lost:
-    """Put into a channel when its connection is closed for good."""
-
-
-Event = messages.Message | Replaced | Lost
-
-
 class _SilenceError(errors.WireError):
     """Nothing came for longer than a live peer may be silent."""
 
 
-class Channel:
-    """The frames that belong to one call on a connection.
-
-    A channel outlives the connection's replacement: its reader gets a
-    Replaced event and picks the call up again.
-    """
-
-    def __init__(self, connection: Connection, call_id: int) -> None:
-        self._connection = connection
-        self._call_id = call_id
-        self._events: asyncio.Queue[Event] = asyncio.Queue(MAX_CHANNEL_FRAMES)
-
-    def send(self, message: messages.Message, ttl_ms: float = 0.0) -> None:
-        """Hands a frame to the connection.
-
-        Args:
-            message: What to say.
-            ttl_ms: Time after which the peer must not act on it; 0 for
-                no limit.
-
-        Raises:
-            PeerUnreachableError: If there is no live connection.
-        """
-        self._connection.send(message, self._call_id, ttl_ms)
-
-    async def receive(self, timeout_ms: float) -> Event:
-        """Returns the next event.
-
-        Raises:
-            CallTimeoutError: If none came in time.
-        """
-        if not self._events.empty():
-            return self._events.get_nowait()
-        try:
-            async with asyncio.timeout(timeout_ms / 1_000):
-                return await self._events.get()
-        except TimeoutError as error:
-            raise errors.CallTimeoutError(
-                f"no frame within {timeout_ms:.0f} ms"
-            ) from error
-
-    def put(self, event: Event) -> None:
-        """Adds an event; the channel is closed if too many wait."""
-        try:
-            self._events.put_nowait(event)
-        except asyncio.QueueFull:
-            self.close()
-
-    def close(self) -> None:
-        """Forgets the call: later frames of it go nowhere."""
-        self._connection.forget(self._call_id)
-
-
 class Connection:
     """A connection to one peer.
 
@@ -126,8 +53,8 @@
         self._socket: sockets.FrameSocket | None = None
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
-        self._channel_by_call_id: dict[int, Channel] = {}
-        self._short_calls: set[Channel] = set()
+        self._channel_by_call_id: dict[int, channels.Channel] = {}
+        self._short_calls: set[channels.Channel] = set()
         self._call_ids = itertools.count(1)
         self._last_sent_ms = 0.0
         self._last_received_ms = 0.0
@@ -186,10 +113,10 @@
         except TimeoutError as error:
             raise errors.PeerUnreachableError(self.address.name) from error
 
-    def open(self) -> Channel:
+    def open(self) -> channels.Channel:
         """Returns a channel for a new call."""
         call_id = next(self._call_ids)
-        channel = Channel(self, call_id)
+        channel = channels.Channel(self, call_id)
         self._channel_by_call_id[call_id] = channel
         self.last_used_ms = self._link.clock.now_ms()
         return channel
@@ -233,7 +160,7 @@
             channel.close()
         if isinstance(event, messages.Failure):
             raise errors.CallFailedError(event)
-        if isinstance(event, Replaced | Lost):
+        if isinstance(event, channels.Replaced | channels.Lost):
             raise errors.CallTimeoutError(f"{self.address.name}: lost")
         return event
 
@@ -311,7 +238,7 @@
             self._ready.clear()
             # a short call is not picked up on another connection
             for channel in self._short_calls:
-                channel.put(Lost())
+                channel.put(channels.Lost())
             if was_ready:
                 backoff_ms = FIRST_BACKOFF_MS
             pause_ms = backoff_ms * random.uniform(0.5, 1.5)
@@ -374,7 +301,7 @@
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
         self._accept(envelope)
-        replaced = Replaced(self.peer_incarnation)
+        replaced = channels.Replaced(self.peer_incarnation)
         for channel in list(self._channel_by_call_id.values()):
             channel.put(replaced)
 
@@ -450,8 +377,8 @@
 
     def _end_channels(self) -> None:
         for channel in list(self._channel_by_call_id.values()):
-            channel.put(Lost())
+            channel.put(channels.Lost())
         self._channel_by_call_id.clear()
 
 
-__all__ = ["Channel", "Connection", "Event", "Lost", "Replaced"]
+__all__ = ["Connection"]
--- a/tests/steps/wire_steps.py
+++ b/tests/steps/wire_steps.py
@@ -19,7 +19,7 @@
 
 from lycheering.fleet import view
 from lycheering.settings import findings
-from lycheering.wire import client as wire_client
+from lycheering.wire import channels
 from lycheering.wire import codec
 from lycheering.wire import errors
 from lycheering.wire import messages
@@ -401,7 +401,7 @@
 @then("the wire channel learns that its connection was replaced")
 def step_replaced(context):
     event = run(context, context.channel.receive(GIVE_UP_MS))
-    assert event == wire_client.Replaced(context.incarnation), event
+    assert event == channels.Replaced(context.incarnation), event
 
 
 @then("the wire server forgets the muted session")
@@ -431,7 +431,7 @@
 @then("the wire channel learns of the new incarnation")
 def step_new_incarnation(context):
     event = run(context, context.channel.receive(GIVE_UP_MS))
-    assert event == wire_client.Replaced("second"), event
+    assert event == channels.Replaced("second"), event
 
 
 @when("the wire server stops and a call is made meanwhile")
