Give each bench run a block of ports of its own

Whether the ports were the reason is not shown; the clash was possible. Change: an allocator holds the first port of a block and hands out the rest.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -22,6 +22,7 @@
 POLL_S = 0.02
 LOWEST_PORT = 10_000  # below the range that the system hands out by itself
 HIGHEST_PORT = 32_000
+PORT_BLOCK = 400
 
 
 class GiveUpError(Exception):
@@ -29,25 +30,41 @@
 
 
 class PortAllocator:
-    """Hands out ports that were free when asked for."""
+    """Hands out ports that no other bench run on this machine is given.
+
+    Each allocator holds the first port of a block for as long as it lives,
+    so that a process that is down for a moment finds its port free again.
+    """
 
     def __init__(self) -> None:
-        self._given: set[int] = set()
-        self._random = random.Random(os.getpid() * 7_919 + time.time_ns())
+        self._guard = socket.socket()
+        self._next_port = self._take_block()
+        self._end_port = self._next_port + PORT_BLOCK - 1
+
+    def _take_block(self) -> int:
+        blocks = list(range(LOWEST_PORT, HIGHEST_PORT, PORT_BLOCK))
+        random.Random(os.getpid()).shuffle(blocks)
+        for first in blocks:
+            try:
+                self._guard.bind((HOST, first))
+            except OSError:
+                continue
+            return first + 1
+        raise GiveUpError("every block of ports is taken")
 
     def take(self) -> int:
         """Returns a free port, never the same one twice."""
-        while True:
-            port = self._random.randrange(LOWEST_PORT, HIGHEST_PORT)
-            if port in self._given:
-                continue
+        while self._next_port < self._end_port:
+            port = self._next_port
+            self._next_port += 1
             with contextlib.closing(socket.socket()) as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 try:
                     probe.bind((HOST, port))
                 except OSError:
                     continue
-            self._given.add(port)
             return port
+        raise GiveUpError("the block of ports is used up")
 
 
 def wait_until(
