Answer a request whose frame was lost as unreachable, not as not found

Cause: a request that the agent never received is told NotRun(NOT_FOUND) when the entry resumes it; where the retries were spent the caller got 404 and was told that its request is invalid. Change: such a reason becomes unreachable, 503, which also opens the target's circuit.

--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -189,8 +189,12 @@
         match event:
             case messages.NotRun():
                 self._targets.router.widths.note(event.hint)
+                reason = event.reason
+                if reason is messages.Reason.NOT_FOUND:
+                    # the frame was lost on its way to the agent
+                    reason = messages.Reason.UNREACHABLE
                 raise target_access.NotRunError(
-                    event.reason, event.detail, event.retry_after_ms
+                    reason, event.detail, event.retry_after_ms
                 )
             case messages.Broken():
                 raise BrokenError(event.reason, event.detail)
--- a/tests/support/held_callers.py
+++ b/tests/support/held_callers.py
@@ -61,6 +61,9 @@
     def __init__(self, reader):
         self._reader = reader
 
+    def at_eof(self):
+        return self._reader.at_eof()
+
     async def read(self, count):
         try:
             async with asyncio.timeout(IDLE_S):
