--- a/tests/control/weights_faults.feature
+++ b/tests/control/weights_faults.feature
@@ -3,8 +3,7 @@
   Background:
     Given a fleet of engines that load weights
 
-  @cell.engine_crash.weights.send
-  @cell.engine_crash.weights.load
+  @cell.engine_crash.weights.send @cell.engine_crash.weights.load
   @cell.engine_crash.weights.serve
   Scenario Outline: An engine is killed at the <step> of weights
     When new weights are held at their <step>
@@ -21,8 +20,7 @@
       | load  |
       | serve |
 
-  @cell.agent_crash.weights.send
-  @cell.agent_crash.weights.load
+  @cell.agent_crash.weights.send @cell.agent_crash.weights.load
   @cell.agent_crash.weights.serve
   Scenario Outline: An agent is killed at the <step> of weights
     When new weights are held at their <step>
@@ -39,8 +37,7 @@
       | load  |
       | serve |
 
-  @cell.control_loss.weights.send
-  @cell.control_loss.weights.load
+  @cell.control_loss.weights.send @cell.control_loss.weights.load
   @cell.control_loss.weights.serve
   Scenario Outline: The leader is killed at the <step> of weights
     When new weights are held at their <step>
--- a/tests/control/weights_silence.feature
+++ b/tests/control/weights_silence.feature
@@ -3,8 +3,7 @@
   Background:
     Given a fleet of engines that load weights
 
-  @cell.control_partition.weights.send
-  @cell.control_partition.weights.load
+  @cell.control_partition.weights.send @cell.control_partition.weights.load
   @cell.control_partition.weights.serve
   Scenario Outline: The leader is cut off at the <step> of weights
     When new weights are held at their <step>
@@ -22,8 +21,7 @@
       | load  |
       | serve |
 
-  @cell.process_freeze.weights.send
-  @cell.process_freeze.weights.load
+  @cell.process_freeze.weights.send @cell.process_freeze.weights.load
   @cell.process_freeze.weights.serve
   Scenario Outline: The leader freezes at the <step> of weights
     When new weights are held at their <step>
@@ -41,8 +39,7 @@
       | load  |
       | serve |
 
-  @cell.silent_connection.weights.send
-  @cell.silent_connection.weights.load
+  @cell.silent_connection.weights.send @cell.silent_connection.weights.load
   @cell.silent_connection.weights.serve
   Scenario Outline: Connections go silent at the <step> of weights
     When new weights are held at their <step>
--- a/tests/faults/drain_cuts.feature
+++ b/tests/faults/drain_cuts.feature
@@ -4,10 +4,8 @@
   Background:
     Given a fleet of real processes with a fault proxy on every connection
 
-  @cell.control_partition.drain.announce
-  @cell.control_partition.drain.hand_back
-  @cell.control_partition.drain.finish
-  @cell.control_partition.drain.exit
+  @cell.control_partition.drain.announce @cell.control_partition.drain.hand_back
+  @cell.control_partition.drain.finish @cell.control_partition.drain.exit
   Scenario Outline: The leader is cut off while a drain is at <step>
     When control_partition strikes the fleet while an agent's drain is at <step>
     Then every call of the fleet is answered whole
@@ -37,10 +35,8 @@
       | finish    |
       | exit      |
 
-  @cell.silent_connection.drain.announce
-  @cell.silent_connection.drain.hand_back
-  @cell.silent_connection.drain.finish
-  @cell.silent_connection.drain.exit
+  @cell.silent_connection.drain.announce @cell.silent_connection.drain.hand_back
+  @cell.silent_connection.drain.finish @cell.silent_connection.drain.exit
   Scenario Outline: Connections between processes go silent while a drain is at <step>
     When silent_inner strikes the fleet while an agent's drain is at <step>
     Then every call of the fleet is answered whole
--- a/tests/faults/drain_races.feature
+++ b/tests/faults/drain_races.feature
@@ -4,10 +4,8 @@
   Background:
     Given a fleet of real processes with a fault proxy on every connection
 
-  @cell.process_freeze.drain.announce
-  @cell.process_freeze.drain.hand_back
-  @cell.process_freeze.drain.finish
-  @cell.process_freeze.drain.exit
+  @cell.process_freeze.drain.announce @cell.process_freeze.drain.hand_back
+  @cell.process_freeze.drain.finish @cell.process_freeze.drain.exit
   Scenario Outline: Processes freeze past their leases while a drain is at <step>
     When process_freeze strikes the fleet while an agent's drain is at <step>
     Then every call of the fleet is answered whole
@@ -20,10 +18,8 @@
       | finish    |
       | exit      |
 
-  @cell.operator_race.drain.announce
-  @cell.operator_race.drain.hand_back
-  @cell.operator_race.drain.finish
-  @cell.operator_race.drain.exit
+  @cell.operator_race.drain.announce @cell.operator_race.drain.hand_back
+  @cell.operator_race.drain.finish @cell.operator_race.drain.exit
   Scenario Outline: Operators race while a drain is at <step>
     When operator_race strikes the fleet while an agent's drain is at <step>
     Then every call of the fleet is answered whole
--- a/tests/orders/fleet_freezes.feature
+++ b/tests/orders/fleet_freezes.feature
@@ -4,8 +4,7 @@
     Given a fleet of services whose calls may not be repeated
 
   @cell.process_freeze.order.claim @cell.process_freeze.order.send
-  @cell.process_freeze.order.commit
-  @cell.process_freeze.order.answer
+  @cell.process_freeze.order.commit @cell.process_freeze.order.answer
   Scenario Outline: The entry freezes at the <step> and wakes too late
     When an order to <service> is held at its <step>
     And the order's entry freezes
--- a/tests/orders/fleet_partition_faults.feature
+++ b/tests/orders/fleet_partition_faults.feature
@@ -4,8 +4,7 @@
     Given a fleet of services whose calls may not be repeated
 
   @cell.control_partition.order.claim @cell.control_partition.order.send
-  @cell.control_partition.order.run
-  @cell.control_partition.order.commit
+  @cell.control_partition.order.run @cell.control_partition.order.commit
   @cell.control_partition.order.answer
   Scenario Outline: The leader is cut off at the <step> of an order
     When an order to <service> is held at its <step>
--- a/tests/steps/cache_steps.py
+++ b/tests/steps/cache_steps.py
@@ -154,11 +154,6 @@
     apply(context, seq, api.EventKind.STORED, block)
 
 
-@when('event {seq:d} stores "{block}" for weights "{version}"')
-def step_stores_for(context, seq, block, version):
-    apply(context, seq, api.EventKind.STORED, block, version)
-
-
 @when('event {seq:d} evicts "{block}"')
 def step_evicts(context, seq, block):
     apply(context, seq, api.EventKind.EVICTED, block)
--- a/tests/steps/order_fault_steps.py
+++ b/tests/steps/order_fault_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import shutil
 import threading
 
 from behave import given
@@ -21,7 +20,6 @@
 FIRST = "entry-0"
 KEYS = itertools.count(1)
 FROZEN_MS = 2_500  # longer than a Submit lives and a leader's lease lasts
-PILED_UP = 200
 
 
 class Strike:
@@ -296,11 +294,6 @@
     context.strike.frozen.resume()
 
 
-@when("it wakes")
-def step_wake_now(context):
-    context.strike.frozen.resume()
-
-
 @when("the order goes on")
 def step_go_on(context):
     context.strike.heal()
@@ -328,59 +321,3 @@
     replies = strike.callers.replies_by_key[strike.key]
     assert replies[-1].answered, replies[-1]
     assert len(strike.callers.runs_under(strike.key)) == 1
-
-
-@when("the leader of control loses its disk")
-def step_lose_disk(context):
-    running = context.strike.fleet
-    context.lost = leader(running)
-    running.kill(context.lost)
-    shutil.rmtree(running._folder / f"{context.lost}.data")
-    running.group.process_by_name[context.lost].start()
-
-
-@when("the lost instance is replaced by itself")
-def step_replace(context):
-    running = context.strike.fleet
-    port = running._member_ports[context.lost]
-    body = {
-        "old": context.lost,
-        "new": context.lost,
-        "ip": "127.0.0.1",
-        "port": running._route("*", context.lost, port),
-    }
-
-    def replaced():
-        try:
-            return running.operator("/v1/members/replace", "POST", body)
-        except fleet.OperatorError as error:
-            if error.status != 503:
-                raise
-            return None
-
-    processes.wait_for(replaced, "the replacement")
-
-
-@when("a second instance of control is lost")
-def step_second_lost(context):
-    running = context.strike.fleet
-    others = [n for n in control_names(running) if n != context.lost]
-    running.kill(others[0])
-
-
-@when("an instance of control misses hundreds of changes")
-def step_fall_behind(context):
-    running = context.feature.order_fleet
-    names = control_names(running)
-    context.behind = next(n for n in names if n != leader(running))
-    running.kill(context.behind)
-    for number in range(PILED_UP):
-        running.set_default("retry.max_attempts", 3 + number % 2)
-
-
-@when("the instance that fell behind starts and the leader is killed")
-def step_start_behind(context):
-    running = context.strike.fleet
-    old = leader(running)
-    running.group.process_by_name[context.behind].start()
-    running.kill(old)
