Ask control about orders in one place

A claim and a look-up mapped control's failures to refusals each by itself. A claim's refusal no longer says not_run either, which the endpoint took back for every request with a key since an earlier sending may have run.

--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -121,9 +121,13 @@
         Raises:
             RefusalError: If control can't tell.
         """
-        message = messages.OrderLookup(team, key)
+        return await self._ask(messages.OrderLookup(team, key), CALL_MS)
+
+    async def _ask(
+        self, message: messages.Message, timeout_ms: float
+    ) -> messages.OrderReply:
         try:
-            reply = await self._control.call(message, CALL_MS)
+            reply = await self._control.call(message, timeout_ms)
         except control_client.ControlUnavailableError as error:
             raise refusals.RefusalError(
                 messages.Reason.NO_QUORUM, str(error), not_run=False
@@ -181,21 +185,7 @@
             retention_ms,
         )
         left_ms = job.deadline_at_ms - self._targets.clock.now_ms()
-        try:
-            reply = await self._control.call(claim, min(CALL_MS, left_ms))
-        except control_client.ControlUnavailableError as error:
-            # nothing was sent under it, and nothing will be
-            raise refusals.RefusalError(
-                messages.Reason.NO_QUORUM, str(error), not_run=True
-            ) from error
-        except errors.CallFailedError as error:
-            raise refusals.RefusalError(
-                error.failure.reason,
-                error.failure.detail,
-                not_run=True,
-                retry_after_ms=error.failure.retry_after_ms,
-            ) from error
-        return _order_reply(reply)
+        return await self._ask(claim, min(CALL_MS, left_ms))
 
     async def _send(
         self, job: jobs.Job, number: int, claim: _Claim
