--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,6 +15,7 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 PARALLEL_RUNS = 3
 RUN_TIMEOUT_S = 420
+PLAIN_FILE = "plain.txt"
 
 
 @dataclasses.dataclass
@@ -49,7 +50,7 @@
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-capture"]
-        command += ["--format", "plain", "--outfile", f"{folder}/plain.txt"]
+        command += ["--format", "plain", "--outfile", f"{folder}/{PLAIN_FILE}"]
         command += ["--format", "json", "--outfile", str(report), name]
         try:
             done = subprocess.run(
@@ -61,10 +62,11 @@
                 timeout=RUN_TIMEOUT_S,
                 check=False,
             )
-        except subprocess.TimeoutExpired:
-            return Outcome(name, [], [f"{name}: timed out"], "")
-        plain = pathlib.Path(folder) / "plain.txt"
-        printed = plain.read_text() if plain.exists() else ""
+        except subprocess.TimeoutExpired as error:
+            output = read_plain(folder) + decoded(error.stdout)
+            output += decoded(error.stderr)
+            return Outcome(name, [], [f"{name}: timed out"], output)
+        printed = read_plain(folder)
         output = printed + done.stdout + done.stderr
         if not report.exists() or not report.read_text().strip():
             return Outcome(name, [], [f"{name}: not loaded"], output)
@@ -75,6 +77,19 @@
         return outcome
 
 
+def read_plain(folder: str) -> str:
+    """Returns what behave's plain formatter has written so far."""
+    plain = pathlib.Path(folder) / PLAIN_FILE
+    return plain.read_text() if plain.exists() else ""
+
+
+def decoded(output: bytes | str | None) -> str:
+    """Returns captured output as text; a timeout yields it as bytes."""
+    if isinstance(output, bytes):
+        return output.decode(errors="replace")
+    return output or ""
+
+
 def read_report(features: list[dict[str, object]], outcome: Outcome) -> None:
     """Adds the scenarios of a behave report to the outcome."""
     for feature in features:
