Let a repair survive the loss of its newcomer

Cause: between a newcomer's promotion and the leaving of the member that it replaces, four members voted and one of them was gone already. Losing the newcomer's disk then left two of four voters and no way out; losing it earlier left a change under way that nobody could end. Ruled out: promoting and removing in one entry. Two majorities of {a,b,c} and {a,b,d} need not meet. Change: while both vote, a quorum is a majority of the voters before and of the voters after the change. A newcomer that comes again with a new disk takes the place of its lost identity. Before: the two new scenarios of tests/replication/members.feature fail (the command is not taken; 'another change is under way'). After: 24 of 24 and the elections' 9 of 9 pass.

--- a/src/lycheering/replication/changes.py
+++ b/src/lycheering/replication/changes.py
@@ -93,6 +93,10 @@
         configuration = core.configuration
         if configuration.change == change:
             return change
+        if _lost_newcomer(configuration.change, change):
+            await self.cancel()
+            led = core.require_leadership()
+            configuration = core.configuration
         if configuration.change is not None:
             raise errors.MemberChangeError("another change is under way")
         if _is_over(configuration, change):
@@ -220,6 +224,16 @@
                 return
 
 
+def _lost_newcomer(
+    current: members.MemberChange | None, wanted: members.MemberChange
+) -> bool:
+    """Returns whether the newcomer of a change comes again with a new disk."""
+    if current is None or current.joining is None or wanted.joining is None:
+        return False
+    is_same = current.leaving == wanted.leaving
+    return is_same and current.joining.instance == wanted.joining.instance
+
+
 def _check_new_change(
     configuration: members.Configuration, change: members.MemberChange
 ) -> None:
--- a/src/lycheering/replication/elections.py
+++ b/src/lycheering/replication/elections.py
@@ -103,8 +103,8 @@
         configuration = core.configuration
         term = core.term + 1 if is_trial else core.term
         others = [v for v in configuration.voters() if v.id != core.id]
-        votes = 1
-        if votes >= configuration.quorum():
+        granted = {core.id}
+        if configuration.has_quorum(granted):
             return True
         asked = [
             asyncio.create_task(
@@ -124,8 +124,8 @@
         ]
         try:
             for reply in asyncio.as_completed(asked):
-                votes += await reply
-                if votes >= configuration.quorum():
+                granted |= await reply
+                if configuration.has_quorum(granted):
                     return True
         finally:
             for task in asked:
@@ -134,20 +134,21 @@
 
     async def _ask(
         self, voter: members.Member, request: messages.VoteRequest
-    ) -> int:
+    ) -> set[members.MemberId]:
+        """Returns the voter if it grants its vote, or nobody."""
         core = self._core
         try:
             reply = await core.transport.call(
                 voter.peer, request, core.settings.election_timeout_ms
             )
         except errors.PeerUnreachableError:
-            return 0
+            return set()
         if not isinstance(reply, messages.VoteReply):
-            return 0
+            return set()
         if reply.sender != voter.id:
-            return 0
+            return set()
         core.adopt_term(reply.term)
-        return int(reply.is_granted)
+        return {voter.id} if reply.is_granted else set()
 
 
 __all__ = ["Elections"]
--- a/src/lycheering/replication/leadership.py
+++ b/src/lycheering/replication/leadership.py
@@ -226,16 +226,13 @@
 
     def _quorum_value(self, own: float, read: _Reader) -> float:
         """Returns the highest value that a quorum of voters has reached."""
-        values: list[float] = []
-        configuration = self._core.configuration
-        for voter in configuration.voters():
-            if voter.id == self._core.id:
-                values.append(own)
-                continue
+        core = self._core
+        value_by_id: dict[members.MemberId, float] = {}
+        for voter in core.configuration.voters():
             peer = self._peer_by_id.get(voter.id)
-            values.append(read(peer.progress) if peer else float("-inf"))
-        values.sort(reverse=True)
-        return values[configuration.quorum() - 1]
+            known = read(peer.progress) if peer else float("-inf")
+            value_by_id[voter.id] = own if voter.id == core.id else known
+        return core.configuration.quorum_value(value_by_id)
 
 
 if TYPE_CHECKING:
--- a/src/lycheering/replication/members.py
+++ b/src/lycheering/replication/members.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from lycheering.store import entries
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
 
 @dataclasses.dataclass(frozen=True)
 class PeerAddress:
@@ -95,9 +100,35 @@
         """Returns the members that vote."""
         return [member for member in self.members if member.is_voter]
 
-    def quorum(self) -> int:
-        """Returns how many voters make a majority."""
-        return len(self.voters()) // 2 + 1
+    def has_quorum(self, ids: Collection[MemberId]) -> bool:
+        """Returns whether members make a majority of each group of voters."""
+        return all(
+            len(group.intersection(ids)) >= _majority(group)
+            for group in self._voter_groups()
+        )
+
+    def quorum_value(self, value_by_id: Mapping[MemberId, float]) -> float:
+        """Returns the highest value that a quorum has reached."""
+        reached = []
+        for group in self._voter_groups():
+            values = sorted(
+                (value_by_id[member_id] for member_id in group), reverse=True
+            )
+            reached.append(values[_majority(group) - 1])
+        return min(reached)
+
+    def _voter_groups(self) -> list[set[MemberId]]:
+        """Returns the groups of voters, each of which must agree.
+
+        While a newcomer and the member that it replaces both vote, these are
+        the voters before and after the change. Counted as one group of four,
+        any loss besides the replaced member would leave no majority.
+        """
+        voters = {member.id for member in self.voters()}
+        change = self.change
+        if change is None or not {change.joining, change.leaving} <= voters:
+            return [voters]
+        return [voters - {change.joining}, voters - {change.leaving}]
 
     def with_learner(
         self, learner: Member, change: MemberChange
@@ -130,6 +161,10 @@
         return msgspec.msgpack.decode(data, type=Configuration)
 
 
+def _majority(group: set[MemberId]) -> int:
+    return len(group) // 2 + 1
+
+
 @dataclasses.dataclass(frozen=True)
 class IndexedConfiguration:
     """A configuration and the entry that brought it.
--- a/tests/replication/members.feature
+++ b/tests/replication/members.feature
@@ -76,6 +76,34 @@
     And the repair is reported as cancelled
     And the command "one" is still taken
 
+  Scenario Outline: A newcomer that loses its disk during a repair is replaced
+    When member c loses its disk for good
+    And member d begins to replace it and loses its disk as a <role>
+    Then the command "one" is still taken
+    When member d replaces it
+    Then the members are a, b, d and all vote
+    And the command "two" is still taken
+
+    Examples:
+      | role    |
+      | learner |
+      | voter   |
+
+  Scenario Outline: Both sides of a change of voters count
+    Then with change <change> the members <alive> are <a_or_no> quorum
+
+    Examples:
+      | change          | alive | a_or_no |
+      | c to d          | ab    | a       |
+      | c to d          | bd    | no      |
+      | c to d          | ac    | no      |
+      | c to d          | abd   | a       |
+      | c to d          | acd   | a       |
+      | d joins         | ab    | no      |
+      | d joins         | abd   | a       |
+      | no change       | ab    | a       |
+      | no change       | ad    | no      |
+
   Scenario: A newcomer catches up while commands keep coming
     When commands keep coming while member d replaces a follower
     Then the repair is reported as finished
--- a/tests/steps/member_steps.py
+++ b/tests/steps/member_steps.py
@@ -204,6 +204,48 @@
     )
 
 
+@when("member {name} begins to replace it and loses its disk as a {role}")
+def step_lose_newcomer(context, name, role):
+    leader = current(context)
+    start(context, name)
+
+    async def begun():
+        work = leader.replace(context.old_id, fakes.address(name))
+        context.repair = asyncio.create_task(work)
+        # taken now, as nothing may wait for it any more
+        context.repair.add_done_callback(lambda task: task.exception())
+        while not has_role():
+            await asyncio.sleep(0)
+        await context.group.stop(name)
+        context.group.lose_disk(name)
+
+    def has_role():
+        found = leader.status().members
+        wanted = role == "voter"
+        return any(
+            item.id.instance == name and item.is_voter == wanted
+            for item in found
+        )
+
+    run(context, begun())
+
+
+@then("with change {change} the members {alive} are {a_or_no} quorum")
+def step_quorum(context, change, alive, a_or_no):
+    ids = {name: members.MemberId(name, "disk") for name in "abcd"}
+    changes = {
+        "c to d": members.MemberChange(ids["d"], ids["c"]),
+        "d joins": members.MemberChange(ids["d"], None),
+        "no change": None,
+    }
+    voting = [members.Member(i, "", True) for i in ids.values()]
+    if change == "no change":
+        voting.pop()
+    configuration = members.Configuration(voting, changes[change])
+    expected = a_or_no == "a"
+    assert configuration.has_quorum({ids[name] for name in alive}) == expected
+
+
 @when("member {name} has been sent the whole log")
 def step_sent(context, name):
     newcomer = context.group.log_by_instance[name]
