Wait for the term's first entry before changing members

The test's operator took it as final, the repair never began, and each later scenario waited for a member that was none. Ruled out: lost messages of the repair (the log shows the change was never proposed). Change: a change of members waits until the term's first entry and the configuration in use are committed.

--- a/src/lycheering/replication/changes.py
+++ b/src/lycheering/replication/changes.py
@@ -86,7 +86,7 @@
         core = self._core
         core.require_leadership()
         newcomer = await self._newcomer(joining)
-        led = core.require_leadership()
+        led = await self._settled()
         change = members.MemberChange(
             newcomer.id if newcomer else None, leaving
         )
@@ -95,7 +95,7 @@
             return change
         if _lost_newcomer(configuration.change, change):
             await self.cancel()
-            led = core.require_leadership()
+            led = await self._settled()
             configuration = core.configuration
         if configuration.change is not None:
             raise errors.MemberChangeError("another change is under way")
@@ -149,10 +149,7 @@
             NotLeaderError: This member does not lead.
         """
         core = self._core
-        led = core.require_leadership()
-        while core.history.latest.index > core.commit_index:
-            await core.clock.sleep(core.settings.heartbeat_ms / 2)
-            led = core.require_leadership()
+        led = await self._settled()
         change = core.configuration.change
         if change is None:
             return
@@ -160,6 +157,19 @@
         rest = core.configuration.without(change.joining)
         await led.propose_configuration(rest)
 
+    async def _settled(self) -> leadership.Leadership:
+        """Returns the leadership once it may propose another configuration.
+
+        Raises:
+            NotLeaderError: This member does not lead (any more).
+        """
+        core = self._core
+        led = core.require_leadership()
+        while not led.is_settled():
+            await core.clock.sleep(core.settings.heartbeat_ms / 2)
+            led = core.require_leadership()
+        return led
+
     async def _newcomer(
         self, joining: members.PeerAddress | None
     ) -> members.Member | None:
@@ -178,7 +188,7 @@
     ) -> None:
         core = self._core
         configuration = core.configuration
-        if core.history.latest.index > core.commit_index:
+        if not led.is_settled():
             return
         if change.leaving == core.id:
             await self._hand_over(led)
--- a/src/lycheering/replication/leadership.py
+++ b/src/lycheering/replication/leadership.py
@@ -73,6 +73,15 @@
             raise errors.UnavailableError("too many proposals wait")
         return self._append(entries.EntryKind.COMMAND, command)
 
+    def is_settled(self) -> bool:
+        """Returns whether the configuration in use and the term are committed.
+
+        Only then may another configuration follow.
+        """
+        core = self._core
+        needed = max(core.history.latest.index, self.first_index)
+        return core.commit_index >= needed
+
     def propose_configuration(
         self, configuration: members.Configuration
     ) -> asyncio.Future[bytes]:
@@ -81,9 +90,7 @@
         Raises:
             MemberChangeError: The change before it is not committed yet.
         """
-        core = self._core
-        settled = max(core.history.latest.index, self.first_index)
-        if core.commit_index < settled:
+        if not self.is_settled():
             message = "the change before is not committed"
             raise errors.MemberChangeError(message)
         data = configuration.encode()
--- a/tests/replication/members.feature
+++ b/tests/replication/members.feature
@@ -52,6 +52,11 @@
     Then the repair is reported as finished
     And the old member is no member
 
+  Scenario: A repair is asked of a leader that has committed nothing yet
+    When member d is to replace a lost member as soon as another leads
+    Then the repair is reported as finished
+    And the old member is no member
+
   Scenario: A leader that is replaced hands over first
     When member d replaces the leader
     Then the repair is reported as finished
--- a/tests/steps/member_steps.py
+++ b/tests/steps/member_steps.py
@@ -246,6 +246,24 @@
     assert configuration.has_quorum({ids[name] for name in alive}) == expected
 
 
+@when("member {name} is to replace a lost member as soon as another leads")
+def step_replace_at_once(context, name):
+    lost = run(context, context.group.leader())
+    context.old_id = id_of(context, lost)
+    lose(context, lost)
+    start(context, name)
+    rest = list(context.group.log_by_instance.values())
+
+    async def begun():
+        while not (leads := [m for m in rest if m._core.leadership]):
+            await asyncio.sleep(0)
+        assert leads[0].status().commit_index < leads[0].status().last_index
+        work = leads[0].replace(context.old_id, fakes.address(name))
+        context.repair = asyncio.create_task(work)
+
+    run(context, begun())
+
+
 @when("member {name} has been sent the whole log")
 def step_sent(context, name):
     newcomer = context.group.log_by_instance[name]
