Show where a hanging feature stood, and end what it started

Cause: a feature that timed out left its processes running, which slowed the features after it, and behave's outcome file was not flushed. Change: each run is its own process group; on a timeout the threads' stacks are printed and the group is ended. Run times are printed. Shown with a limit of 8 s on repair_races.feature: the steps so far and the stacks are printed and no process is left.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -3,19 +3,27 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
 import dataclasses
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 PARALLEL_RUNS = 3
 RUN_TIMEOUT_S = 420
-PLAIN_FILE = "plain.txt"
+ABORT_GRACE_S = 5
+ENVIRONMENT = {
+    "PYTHONHASHSEED": "0",
+    "PYTHONUNBUFFERED": "1",
+    "PYTHONFAULTHANDLER": "1",
+}
 
 
 @dataclasses.dataclass
@@ -27,12 +35,14 @@
         passed: Locations of the scenarios that passed.
         failed: Locations of the scenarios that failed.
         output: What behave printed.
+        duration_s: How long it took.
     """
 
     feature: str
     passed: list[str]
     failed: list[str]
     output: str
+    duration_s: float = 0.0
 
 
 def known_red() -> set[str]:
@@ -44,50 +54,58 @@
     return names
 
 
+def run_timed(feature: pathlib.Path) -> Outcome:
+    """Runs one feature file and takes the time."""
+    began_s = time.monotonic()
+    outcome = run_feature(feature)
+    outcome.duration_s = time.monotonic() - began_s
+    return outcome
+
+
 def run_feature(feature: pathlib.Path) -> Outcome:
     """Runs one feature file in a process of its own."""
     name = str(feature.relative_to(ROOT))
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-capture"]
-        command += ["--format", "plain", "--outfile", f"{folder}/{PLAIN_FILE}"]
-        command += ["--format", "json", "--outfile", str(report), name]
+        command += ["--format", "json", "--outfile", str(report)]
+        command += ["--format", "plain", name]
+        run = subprocess.Popen(
+            command,
+            cwd=ROOT,
+            env=os.environ | ENVIRONMENT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            start_new_session=True,
+        )
         try:
-            done = subprocess.run(
-                command,
-                cwd=ROOT,
-                env=os.environ | {"PYTHONHASHSEED": "0"},
-                capture_output=True,
-                text=True,
-                timeout=RUN_TIMEOUT_S,
-                check=False,
-            )
-        except subprocess.TimeoutExpired as error:
-            output = read_plain(folder) + decoded(error.stdout)
-            output += decoded(error.stderr)
+            output, _ = run.communicate(timeout=RUN_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            output = end(run)
             return Outcome(name, [], [f"{name}: timed out"], output)
-        printed = read_plain(folder)
-        output = printed + done.stdout + done.stderr
         if not report.exists() or not report.read_text().strip():
             return Outcome(name, [], [f"{name}: not loaded"], output)
         outcome = Outcome(name, [], [], output)
         read_report(json.loads(report.read_text()), outcome)
-        if done.returncode != 0 and not outcome.failed:
-            outcome.failed.append(f"{name}: exit {done.returncode}")
+        if run.returncode != 0 and not outcome.failed:
+            outcome.failed.append(f"{name}: exit {run.returncode}")
         return outcome
 
 
-def read_plain(folder: str) -> str:
-    """Returns what behave's plain formatter has written so far."""
-    plain = pathlib.Path(folder) / PLAIN_FILE
-    return plain.read_text() if plain.exists() else ""
+def end(run: subprocess.Popen[str]) -> str:
+    """Ends a run that hangs, with the processes that it started.
 
-
-def decoded(output: bytes | str | None) -> str:
-    """Returns captured output as text; a timeout yields it as bytes."""
-    if isinstance(output, bytes):
-        return output.decode(errors="replace")
-    return output or ""
+    Returns:
+        What it printed, and where each of its threads stood.
+    """
+    run.send_signal(signal.SIGABRT)
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        run.wait(ABORT_GRACE_S)
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(run.pid, signal.SIGKILL)
+    output, _ = run.communicate()
+    return output
 
 
 def read_report(features: list[dict[str, object]], outcome: Outcome) -> None:
@@ -117,13 +135,13 @@
     red = known_red()
     passed = failed = 0
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_RUNS) as pool:
-        for outcome in pool.map(run_feature, features):
+        for outcome in pool.map(run_timed, features):
             passed += len(outcome.passed)
             unexpected = [place for place in outcome.failed if place not in red]
             failed += len(unexpected)
             print(
                 f"{outcome.feature}: {len(outcome.passed)} passed,"
-                f" {len(outcome.failed)} failed",
+                f" {len(outcome.failed)} failed in {outcome.duration_s:.0f} s",
                 flush=True,
             )
             for place in outcome.failed:
