--- a/src/lycheering/replication/elections.py
+++ b/src/lycheering/replication/elections.py
@@ -47,24 +47,14 @@
             waited_ms = core.clock.now_ms() - core.election_timer_ms
             may_stand = core.configuration.is_voter(core.id)
             if may_stand and waited_ms >= timeout_ms:
-                heard_ms = core.leader_contact_ms
                 await self._campaign(is_transfer=False)
-                timeout_ms = self._draw_timeout_ms()
                 core.election_timer_ms = core.clock.now_ms()
-                if core.leader_contact_ms == heard_ms:
-                    # still no leader, so no whole timeout to wait again
-                    core.election_timer_ms -= timeout_ms - self._draw_retry_ms()
+                timeout_ms = self._draw_timeout_ms()
 
     def _draw_timeout_ms(self) -> float:
         least_ms = self._core.settings.election_timeout_ms
         return self._random.uniform(least_ms, 2 * least_ms)
 
-    def _draw_retry_ms(self) -> float:
-        options = self._core.settings
-        return self._random.uniform(
-            options.heartbeat_ms, options.election_timeout_ms
-        )
-
     async def _is_transfer_requested(self) -> bool:
         pause_ms = self._core.settings.heartbeat_ms / 2
         try:
