--- a/tests/support/proxied_fleet.py
+++ b/tests/support/proxied_fleet.py
@@ -18,11 +18,11 @@
             entries have one for all sources, named `*`.
     """
 
-    def __init__(self, stack):
-        self.proxy_by_link = {}
+    def __init__(self, stack: contextlib.ExitStack) -> None:
+        self.proxy_by_link: dict[tuple[str, str], fault_proxy.FaultProxy] = {}
         self._stack = stack
 
-    def route(self, source, destination, port):
+    def route(self, source: str, destination: str, port: int) -> int:
         """Returns the port of the proxy between two processes."""
         if source == destination or port == 0:
             return port
@@ -30,7 +30,7 @@
         if link not in self.proxy_by_link:
             proxy = fault_proxy.FaultProxy(port)
             self.proxy_by_link[link] = self._stack.enter_context(proxy)
-        return self.proxy_by_link[link].port
+        return int(self.proxy_by_link[link].port)
 
     def to(self, destination):
         """Returns the proxies in front of a process."""
@@ -40,18 +40,18 @@
             if name == destination
         ]
 
-    def around(self, name):
+    def around(self, name: str) -> list[fault_proxy.FaultProxy]:
         """Returns the proxies on either side of a process."""
         return [
             proxy for link, proxy in self.proxy_by_link.items() if name in link
         ]
 
-    def isolate(self, name):
+    def isolate(self, name: str) -> None:
         """Cuts a process off from all others, closing nothing."""
         for proxy in self.around(name):
             proxy.cut(*fault_proxy.BOTH)
 
-    def rejoin(self, name):
+    def rejoin(self, name: str) -> None:
         """Ends what isolate began."""
         for proxy in self.around(name):
             proxy.heal(*fault_proxy.BOTH)
