Refuse a transfer to a member that is not replicated to

Cause: in one full run the leader had changed to the very member that the test was to hand leadership to; the transfer to itself raised KeyError inside the leader's task. Change: such a transfer is refused, and the test transfers only if that member does not lead already.

--- a/src/lycheering/replication/leadership.py
+++ b/src/lycheering/replication/leadership.py
@@ -182,7 +182,9 @@
         """Waits until nothing is pending and a voter has the whole log."""
         core = self._core
         deadline_ms = core.clock.now_ms() + core.settings.election_timeout_ms
-        progress = self._peer_by_id[voter.id].progress
+        progress = self.progress(voter.id)
+        if progress is None:
+            return False
         while core.clock.now_ms() < deadline_ms:
             if core.leadership is not self:
                 return False
--- a/tests/steps/member_steps.py
+++ b/tests/steps/member_steps.py
@@ -332,7 +332,8 @@
     async def transferred():
         voters = leader._core.configuration.voters()
         voter = next(v for v in voters if v.id.instance == rest)
-        await leader._core.leadership.transfer_to(voter)
+        if leader is not context.group.log_by_instance[rest]:
+            await leader._core.leadership.transfer_to(voter)
         await asyncio.gather(context.repair, return_exceptions=True)
 
     run(context, transferred())
