Ask the agent on a new connection before a request is moved

Cause: when all connections fall silent at once, a request's frame is lost at its first agent, moves after 300 ms to a second one whose connection is just as silent, and to a third; each move spent a token of the retry budget (10 at the start) and one of the 4 attempts. Nine calls spent more than the two entries had, so the last were told 502 silent.

Ruled out: a lost frame that the agent ran after all (it said not found), the 300 ms as such (the agent never got the frames).

Change: an attempt that is not accepted within two polls on a connection that carried nothing has the connection replaced at once and asks the agent by request id. A lost frame is a true "not run": the same agent may be chosen again. A usable target that was tried before goes before a fresh one that is unusable, and one that says it is draining is not usable. The fake agent that accepts nothing also answers no Resume, as a real one that never got the request would not.

--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -19,8 +19,9 @@
 
 ORDER_SEND_MS = 2_000.0
 POLL_MS = 250.0
-ACCEPT_POLL_MS = 150.0
-MAX_ACCEPT_POLLS = 2
+ACCEPT_POLL_MS = 100.0
+RENEW_POLLS = 2
+MAX_ACCEPT_POLLS = 3
 RECONNECT_MS = 500.0
 ACK_CHUNKS = 16
 MAX_RESUMES = 8
@@ -71,6 +72,7 @@
         self._accepted = False
         self._started = False
         self._polls = 0
+        self._renewed = False
 
     async def run(self) -> None:
         """Returns once the answer is whole.
@@ -191,8 +193,7 @@
                 self._targets.router.widths.note(event.hint)
                 reason = event.reason
                 if reason is messages.Reason.NOT_FOUND:
-                    # the frame was lost on its way to the agent
-                    reason = messages.Reason.UNREACHABLE
+                    raise target_access.LostFrameError(event.detail)
                 raise target_access.NotRunError(
                     reason, event.detail, event.retry_after_ms
                 )
@@ -232,21 +233,37 @@
             return event
 
     def _poll_ms(self) -> float:
-        return POLL_MS if self._accepted else ACCEPT_POLL_MS
+        waits = self._accepted and not self._renewed
+        return POLL_MS if waits else ACCEPT_POLL_MS
 
     def _check_moving(self, connection: client.Connection) -> None:
         """Gives up an agent that stands still before the answer began.
 
+        A silent connection is replaced first: the agent then tells whether
+        the request reached it.
+
         Raises:
             BrokenError: If the request is better tried elsewhere.
         """
-        if self._ticket is not None or self._started:
+        if self._started:
             return
-        self._polls += 1
         # counted in polls, as a pause of this process makes up only one
+        self._polls += 1
+        suspect = connection.silent_ms >= self._targets.suspect_ms
+        if not self._accepted and self._ticket is None:
+            waited_ms = self._polls * ACCEPT_POLL_MS
+            suspect = (
+                self._polls >= RENEW_POLLS and connection.silent_ms >= waited_ms
+            )
+        if suspect and not self._renewed:
+            self._renewed = True
+            connection.renew()
+            return
+        if self._ticket is not None:
+            return
         if not self._accepted and self._polls >= MAX_ACCEPT_POLLS:
             raise BrokenError(messages.Reason.SILENT, "not accepted in time")
-        if self._accepted and connection.silent_ms >= self._targets.suspect_ms:
+        if self._accepted and suspect:
             raise BrokenError(
                 messages.Reason.SILENT, "silent before the answer began"
             )
@@ -320,6 +337,7 @@
             raise BrokenError(
                 messages.Reason.WRONG_INCARNATION, "the agent restarted"
             )
+        self._polls = 0
         self._resume(channel, "connection replaced")
 
     def _resume(self, channel: channels.Channel, detail: str) -> None:
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -11,6 +11,7 @@
 from lycheering.entry import sinks
 from lycheering.entry import target_access
 from lycheering.fleet import view as fleet_view
+from lycheering.retries import allowance as allowances
 from lycheering.retries import budget as budgets
 from lycheering.routing import api as routing_api
 from lycheering.routing import router as routers
@@ -119,7 +120,9 @@
         fleet = self._targets.view.fleet
         subject = subject_of(job)
         self._budget.earn(fleet.number("retry.budget_ratio", subject))
-        limit = fleet.integer("retry.max_attempts", subject)
+        allowance = allowances.Allowance(
+            self._budget, fleet.integer("retry.max_attempts", subject)
+        )
         tried: list[str] = []
         may_have_run = False
         number = 1
@@ -140,7 +143,10 @@
                 failure: target_access.NotRunError | attempts.BrokenError = (
                     error
                 )
-                if error.reason is messages.Reason.UNREACHABLE:
+                if isinstance(error, target_access.LostFrameError):
+                    # its agent answers again, and is as good as before
+                    tried.remove(name)
+                elif error.reason is messages.Reason.UNREACHABLE:
                     self._targets.circuits.failed(name)
             except attempts.BrokenError as error:
                 failure = error
@@ -157,7 +163,7 @@
                     messages.Reason.TOO_LARGE, str(error), not_run=False
                 ) from error
             self._check_repeat(job, sink, failure, may_have_run)
-            self._check_budget(job, failure, may_have_run, number < limit)
+            self._check_allowed(job, failure, may_have_run, allowance)
             await self._targets.clock.sleep(budgets.pause_ms(number))
             self._count(job, failure, name, number)
             number += 1
@@ -181,20 +187,21 @@
             not_run=not may_have_run,
         )
 
-    def _check_budget(
+    def _check_allowed(
         self,
         job: jobs.Job,
         failure: target_access.NotRunError | attempts.BrokenError,
         may_have_run: bool,
-        attempts_left: bool,
+        allowance: allowances.Allowance,
     ) -> None:
+        not_run = isinstance(failure, target_access.NotRunError)
         left_ms = job.deadline_at_ms - self._targets.clock.now_ms()
-        if attempts_left and left_ms > 0 and self._budget.spend():
+        if left_ms > 0 and allowance.take(failure.reason, not_run=not_run):
             return
         retry_after_ms = 0.0
         if isinstance(failure, target_access.NotRunError):
             retry_after_ms = failure.retry_after_ms
-        if attempts_left and left_ms > 0:
+        if allowance.budget_empty:
             self._targets.counters.increment("retry_budget.empty")
         raise refusals.RefusalError(
             failure.reason,
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -13,6 +13,7 @@
 from lycheering.entry import refusals
 from lycheering.entry import sinks
 from lycheering.entry import target_access
+from lycheering.retries import allowance as allowances
 from lycheering.retries import budget as budgets
 from lycheering.telemetry import logs
 from lycheering.wire import errors
@@ -91,7 +92,9 @@
         fleet = self._targets.view.fleet
         subject = dispatch.subject_of(job)
         self._budget.earn(fleet.number("retry.budget_ratio", subject))
-        limit = fleet.integer("retry.max_attempts", subject)
+        allowance = allowances.Allowance(
+            self._budget, fleet.integer("retry.max_attempts", subject)
+        )
         tried: list[str] = []
         settled = False
         number = 1
@@ -101,8 +104,9 @@
             except _TryAgainError as error:
                 settled = settled or error.settled
                 left_ms = job.deadline_at_ms - self._targets.clock.now_ms()
-                spent = number >= limit or left_ms <= 0
-                if spent or not self._budget.spend():
+                if left_ms <= 0 or not allowance.take(
+                    error.reason, not_run=True
+                ):
                     raise refusals.RefusalError(
                         error.reason,
                         str(error) or error.reason.value,
--- a/src/lycheering/entry/target_access.py
+++ b/src/lycheering/entry/target_access.py
@@ -37,6 +37,15 @@
         self.retry_after_ms = retry_after_ms
 
 
+class LostFrameError(NotRunError):
+    """The request was lost on its way to an agent that answers again."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(
+            messages.Reason.UNREACHABLE, detail or "lost on its way"
+        )
+
+
 @dataclasses.dataclass(frozen=True)
 class Targets:
     """What attempts need to reach targets.
@@ -63,6 +72,8 @@
         """Returns whether a target is worth a try now."""
         if not self.circuits.usable(name):
             return False
+        if self.router.loads.draining(name):
+            return False
         target = self.view.fleet.target_by_name.get(name)
         if target is None:
             return False
@@ -95,4 +106,4 @@
         return connection
 
 
-__all__ = ["CONNECT_MS", "NotRunError", "Targets"]
+__all__ = ["CONNECT_MS", "LostFrameError", "NotRunError", "Targets"]
--- a/src/lycheering/routing/router.py
+++ b/src/lycheering/routing/router.py
@@ -124,7 +124,8 @@
             query: The request.
             policy: The policy's name.
             attempt: The attempt's number.
-            tried: Targets of earlier attempts, taken last.
+            tried: Targets of earlier attempts, taken before unusable ones
+                only.
             usable: Whether a target is worth a try now.
 
         Returns:
@@ -139,8 +140,9 @@
         chosen_by = self._policy_by_name[policy]
         ordered = chosen_by.order(query, targets)
         fresh = [c for c in ordered if c.target.name not in tried]
+        again = [c for c in ordered if c.target.name in tried]
         taken = next(
-            (c for c in fresh if usable(c.target.name)),
+            (c for c in (*fresh, *again) if usable(c.target.name)),
             fresh[0] if fresh else ordered[0],
         )
         width = chosen_by.width(query)
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -53,6 +53,7 @@
         self._socket: sockets.FrameSocket | None = None
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
+        self._renewal = asyncio.Event()
         self._channel_by_call_id: dict[int, channels.Channel] = {}
         self._short_calls: set[channels.Channel] = set()
         self._call_ids = itertools.count(1)
@@ -113,6 +114,15 @@
         except TimeoutError as error:
             raise errors.PeerUnreachableError(self.address.name) from error
 
+    def renew(self) -> None:
+        """Has a connection that seems silent replaced at once.
+
+        Its channels get Replaced once the peer answers on the new one.
+        """
+        if self._ready.is_set():
+            self._ready.clear()
+            self._renewal.set()
+
     def open(self) -> channels.Channel:
         """Returns a channel for a new call."""
         call_id = next(self._call_ids)
@@ -241,6 +251,9 @@
                 channel.put(channels.Lost())
             if was_ready:
                 backoff_ms = FIRST_BACKOFF_MS
+            if self._renewal.is_set():
+                self._renewal.clear()
+                continue
             pause_ms = backoff_ms * random.uniform(0.5, 1.5)
             await self._link.clock.sleep(pause_ms)
             backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
@@ -255,6 +268,7 @@
                 group.create_task(self._read(socket))
                 group.create_task(self._monitor(socket))
                 group.create_task(self._watch())
+                group.create_task(self._await_renewal())
         finally:
             self._socket = None
             socket.close()
@@ -375,6 +389,11 @@
             assert self._gate is not None
             self._gate.offer()
 
+    async def _await_renewal(self) -> None:
+        await self._renewal.wait()
+        self._link.counters.increment("wire.renewed")
+        raise _SilenceError(self.address.name)
+
     def _end_channels(self) -> None:
         for channel in list(self._channel_by_call_id.values()):
             channel.put(channels.Lost())
--- a/tests/support/fake_fleet.py
+++ b/tests/support/fake_fleet.py
@@ -101,6 +101,8 @@
                 self.spawn(self.answer(session, envelope.call_id, submit))
             case messages.Resume() as resume:
                 self.resumes.append(resume)
+                if self.script.deaf:
+                    return
                 submit = next(
                     s for s in self.submits if s.request_id == resume.request_id
                 )
