Give up a plain service that sends nothing in bounded time

Cause: an order waited on a silent connection to a plain service to its deadline and 15 s beyond (40 s), since the service answered its health probe on new connections. The slots were full meanwhile, the orders behind got no answer in time and the agent's drain lasted as long. At the end of a drain the server closed before the runs were cancelled, so that entries were told nothing.

Ruled out: telling slow from silent by HTTP (no byte comes either way), by the health probe alone (the service is well), by TCP keepalive alone (it is answered by a proxy in between).

Change: [agent] reply_timeout_ms (10 s) bounds the time without a byte; the call is then broken as silent, an order unknown, the connection closed and its slot free. Connections to targets are probed after 3 s idle, three times at 1 s (set, not measured). A drain cuts what runs after nine tenths of its timeout, while entries can still be told.

Tests: a row for a service that goes silent and a scenario for a request that outlasts the drain; both failed with the code before (no frame within 20 s) and pass now. The scenario of lost answers became an outline with the same steps.

--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -175,11 +175,13 @@
 ) -> None:
     load = LoadReporter(context).report
     desk = target_orders.TargetOrderDesk(context)
-    handler = sessions.AgentSessions(context, desk)
+    handler = sessions.AgentSessions(
+        context, desk, settings.instance.drain_timeout_ms
+    )
     pool = pools.ConnectionPool(link)
     server = servers.Server(link, settings.instance.ip, handler, load)
     watch = departure.DepartureWatch(
-        context, link.identity, application.stopping
+        context, link.identity, application.stopping, handler.begin_drain
     )
     context.refresh_limits()
     context.holder.listen(watch.view_changed)
--- a/src/lycheering/agent/departure.py
+++ b/src/lycheering/agent/departure.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from lycheering.agent import context as contexts
     from lycheering.wire import api as wire_api
@@ -25,10 +26,12 @@
         context: contexts.Context,
         identity: wire_api.Identity,
         stopping: asyncio.Event,
+        begin_drain: Callable[[], None],
     ) -> None:
         self._context = context
         self._identity = identity
         self._stopping = stopping
+        self._begin_drain = begin_drain
 
     async def start(self) -> None:
         """Puts what the view says in force."""
@@ -36,7 +39,7 @@
 
     async def drain(self) -> None:
         """Hands all that waits back, before anything else is waited for."""
-        self._context.admission.hand_back()
+        self._begin_drain()
 
     async def stop(self) -> None:
         """Has nothing to release."""
--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -62,6 +62,7 @@
         self._context = context
         self._sent_ms = 0.0
         self._checked_ms = 0.0
+        self._heard_ms = 0.0
         self._incarnation = ""
         self._hint: messages.WidthHint | None = None
         self._head_ms = 0.0
@@ -235,6 +236,7 @@
             self._order.sending()
         self._incarnation = context.state.incarnation
         self._sent_ms = now_ms
+        self._heard_ms = now_ms
         self.sent = True
 
     async def _read(
@@ -258,6 +260,9 @@
                     self._context.counters.retry(reasons.SILENT)
                     if not await self._context.driver.healthy():
                         raise
+                    if not answer.resumable and self._is_overdue():
+                        # slow or lost can't be told apart from here
+                        raise
                 except targets_api.BrokenAnswerError:
                     failures += 1
                     if not answer.resumable or failures > MAX_RESUMES:
@@ -271,6 +276,10 @@
         finally:
             answer.close()
 
+    def _is_overdue(self) -> bool:
+        silent_ms = self._context.clock.now_ms() - self._heard_ms
+        return silent_ms >= self._context.settings.reply_timeout_ms
+
     async def _renew(self) -> targets_api.Answer:
         context = self._context
         request_id = self.submit.request_id
@@ -308,6 +317,7 @@
             context.ages.used(plan.keys)
             context.held.computed(self.submit.level_keys)
         self._head_ms = now_ms
+        self._heard_ms = now_ms
         context.admission.prefilled(place)
         self.delivery.start(
             messages.Started(
@@ -345,6 +355,7 @@
         context = self._context
         first_seq = self.delivery.tail.next_seq
         async for items in answer.batches(context.wire.silence_ms):
+            self._heard_ms = context.clock.now_ms()
             self.delivery.add(items)
             if self._order is not None:
                 # goes on without a reader, so that its outcome is known
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -22,6 +22,7 @@
 ENDED_KEPT_MS = 600_000
 MAX_ENDED = 20_000
 MAX_OPEN_RUNS = 4_096
+DRAIN_SHARE = 0.9
 
 _LOG = logs.get("sessions")
 
@@ -68,10 +69,13 @@
         self,
         context: contexts.Context,
         target_order_desk: target_orders.TargetOrderDesk,
+        drain_timeout_ms: float,
     ) -> None:
         self.run_by_key: dict[RunKey, runs.Run] = {}
         self._context = context
         self._target_orders = target_order_desk
+        self._drain_timeout_ms = drain_timeout_ms
+        self._drain_ends_ms = 0.0
         self._task_by_key: dict[RunKey, asyncio.Task[None]] = {}
         self._ended = _EndedRuns()
         self._tasks = app_api.TaskOwner()
@@ -80,21 +84,36 @@
         """Begins to look after answers that nobody takes."""
         self._tasks.spawn(self._sweep(), "agent:sweep")
 
-    async def drain(self) -> None:
-        """Hands queued requests back and lets running ones end."""
+    def begin_drain(self) -> None:
+        """Hands queued requests back, and sets when running ones are cut."""
+        clock = self._context.clock
+        cut_ms = DRAIN_SHARE * self._drain_timeout_ms
+        self._drain_ends_ms = clock.now_ms() + cut_ms
         self._context.admission.hand_back()
-        await self._context.admission.idle()
+
+    async def drain(self) -> None:
+        """Lets running requests end, and cuts those that do not in time."""
+        left_ms = self._drain_ends_ms - self._context.clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / 1_000):
+                await self._context.admission.idle()
+        except TimeoutError:
+            # entries are told while the server can still tell them
+            _LOG.warning("drain_cut", requests=len(self._task_by_key))
+            await self._cancel_all()
         await self._delivered()
 
     async def stop(self) -> None:
         """Ends all requests."""
-        for task in self._task_by_key.values():
-            task.cancel()
-        await asyncio.gather(
-            *self._task_by_key.values(), return_exceptions=True
-        )
+        await self._cancel_all()
         await self._tasks.cancel_all()
 
+    async def _cancel_all(self) -> None:
+        tasks = list(self._task_by_key.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def handle(
         self, session: server.Session, envelope: messages.Envelope
     ) -> None:
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -212,6 +212,8 @@
         piece_chars: Characters in one cached piece of a prompt.
         load_poll_ms: Time between two readings of the target's load.
         stream_tail_ms: Time that a stream's end is kept to be resumed.
+        reply_timeout_ms: Time without a byte after which a plain service's
+            answer is given up, though the service answers others.
         kv_store_url: The kept-KV store, if there is one.
     """
 
@@ -224,6 +226,7 @@
     piece_chars: Annotated[int, pydantic.Field(ge=16)] = 4_000
     load_poll_ms: PositiveMs = 200
     stream_tail_ms: PositiveMs = 15_000
+    reply_timeout_ms: PositiveMs = 10_000
     kv_store_url: str = ""
 
 
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -162,7 +162,7 @@
                 error
             )
         socket = writer.get_extra_info("socket")
-        keepalive.notice_dead_peers(socket)
+        keepalive.notice_dead_peers(socket, keepalive.TARGET_PROBES)
         return cls(reader, writer, origin)
 
     def send(
--- a/src/lycheering/web/keepalive.py
+++ b/src/lycheering/web/keepalive.py
@@ -2,25 +2,40 @@
 
 from __future__ import annotations
 
+import dataclasses
 import socket as sockets
 
-KEEP_ALIVE_IDLE_S = 15
-KEEP_ALIVE_INTERVAL_S = 5
-KEEP_ALIVE_COUNT = 3
-UNACKNOWLEDGED_TIMEOUT_MS = 20_000
 
+@dataclasses.dataclass(frozen=True)
+class Probes:
+    """When a connection is probed and given up.
 
-def notice_dead_peers(socket: sockets.socket) -> None:
+    Attributes:
+        idle_s: Idle time before the first probe.
+        interval_s: Time between probes.
+        count: Probes without an answer before it is given up.
+        unacknowledged_ms: How long sent bytes may stay unacknowledged.
+    """
+
+    idle_s: int
+    interval_s: int
+    count: int
+    unacknowledged_ms: int
+
+
+CALLER_PROBES = Probes(15, 5, 3, 20_000)
+TARGET_PROBES = Probes(3, 1, 3, 6_000)
+
+
+def notice_dead_peers(socket: sockets.socket, probes: Probes) -> None:
     """Sets a connection, or all that a listener accepts, to be probed."""
     level = sockets.IPPROTO_TCP
     socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
-    socket.setsockopt(level, sockets.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    socket.setsockopt(level, sockets.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-    socket.setsockopt(level, sockets.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
-    socket.setsockopt(
-        level, sockets.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-    )
+    socket.setsockopt(level, sockets.TCP_KEEPIDLE, probes.idle_s)
+    socket.setsockopt(level, sockets.TCP_KEEPINTVL, probes.interval_s)
+    socket.setsockopt(level, sockets.TCP_KEEPCNT, probes.count)
+    socket.setsockopt(level, sockets.TCP_USER_TIMEOUT, probes.unacknowledged_ms)
     socket.setsockopt(level, sockets.TCP_NODELAY, 1)
 
 
-__all__ = ["notice_dead_peers"]
+__all__ = ["CALLER_PROBES", "TARGET_PROBES", "Probes", "notice_dead_peers"]
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -26,7 +26,7 @@
     """Returns a listening socket whose connections notice dead peers."""
     family = sockets.AF_INET6 if ":" in ip else sockets.AF_INET
     listener = sockets.create_server((ip, port), family=family, backlog=BACKLOG)
-    keepalive.notice_dead_peers(listener)
+    keepalive.notice_dead_peers(listener, keepalive.CALLER_PROBES)
     return listener
 
 
--- a/tests/agent/drain.feature
+++ b/tests/agent/drain.feature
@@ -14,6 +14,13 @@
       | the agent is asked to end             |
       | the view marks the target as leaving  |
 
+  Scenario: A request that outlasts the drain is told so
+    Given an agent beside an engine with 1 slot
+    When 2 entries submit requests for 1500 tokens
+    And the agent is asked to end within 1000 ms
+    Then 1 answer is broken because of "cancelled"
+    And the agent ends
+
   Scenario: A drained target takes no request until it is let back
     Given an agent beside an engine
     When an operator drains the target
--- a/tests/agent/orders.feature
+++ b/tests/agent/orders.feature
@@ -50,15 +50,20 @@
     Then the order is not run because of "deadline"
     And the service ran 0 calls
 
-  Scenario: An order whose answer is lost is unknown and never sent again
-    Given a registered agent beside a service that hangs up
+  Scenario Outline: An order whose answer is lost is unknown, never sent again
+    Given a registered agent beside a service that <fails>
     When an entry submits order "o1" with fence 7
-    Then the order is broken because of "target_failed"
+    Then the order is broken because of "<reason>"
     And an inquiry for order "o1" says "unknown"
     When an entry submits order "o1" with fence 7 as attempt 2
     Then the order is broken because of "blocked"
     And the target received 1 request
 
+    Examples:
+      | fails               | reason        |
+      | hangs up            | target_failed |
+      | goes silent at once | silent        |
+
   Scenario: An order's outcome is known though its entry went away
     Given a registered agent beside a service that takes 300 ms
     When an entry goes away after order "o1" with fence 7
--- a/tests/steps/agent_order_steps.py
+++ b/tests/steps/agent_order_steps.py
@@ -14,9 +14,12 @@
 
 HIGHEST_FENCE = 5
 RETENTION_MS = 60_000
+REPLY_TIMEOUT_MS = 1_500
 
 
-def begin(context, *arguments, script=None, highest_fence=HIGHEST_FENCE):
+def begin(
+    context, *arguments, script=None, highest_fence=HIGHEST_FENCE, **options
+):
     bench = agent_bench.Bench()
     context.bench = bench
     context.stack.callback(bench.close)
@@ -25,7 +28,8 @@
         bench.run(bench.start_service(*arguments))
     else:
         bench.run(bench.start_script(script))
-    bench.run(bench.start_agent(kind="service", service="orders", model=""))
+    values = {"kind": "service", "service": "orders", "model": ""}
+    bench.run(bench.start_agent(**values, **options))
 
 
 @given("a registered agent beside a service")
@@ -48,6 +52,11 @@
     begin(context, script=[b""])
 
 
+@given("a registered agent beside a service that goes silent at once")
+def step_goes_silent(context):
+    begin(context, script=[None], reply_timeout_ms=REPLY_TIMEOUT_MS)
+
+
 @given("the agent stands still for {pause:d} ms between connecting and sending")
 def step_stands_still(context, pause):
     agent = context.bench.context
--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -406,6 +406,13 @@
     context.bench._application.stopping.set()
 
 
+@when("the agent is asked to end within {timeout:d} ms")
+def step_end_within(context, timeout):
+    context.bench.handler._drain_timeout_ms = timeout
+    context.bench._application._drain_timeout_ms = timeout
+    step_ask_end(context)
+
+
 @when("the view marks the target as leaving")
 def step_leaving(context):
     bench = context.bench
@@ -418,17 +425,26 @@
     bench.run(mark())
 
 
+def collect_endings(context):
+    async def collect():
+        return await asyncio.gather(*context.asked)
+
+    return [outcome.ending for outcome in context.bench.run(collect())]
+
+
+@then('{count:d} answer is broken because of "{reason}"')
+def step_broken_count(context, count, reason):
+    endings = collect_endings(context)
+    broken = [e for e in endings if isinstance(e, messages.Broken)]
+    assert [ending.reason for ending in broken] == [reason] * count, endings
+
+
 @then(
     "{whole:d} answer is whole and {refused:d} are not run because of"
     ' "{reason}"'
 )
 def step_tally(context, whole, refused, reason):
-    bench = context.bench
-
-    async def collect():
-        return await asyncio.gather(*context.asked)
-
-    endings = [outcome.ending for outcome in bench.run(collect())]
+    endings = collect_endings(context)
     finished = [e for e in endings if isinstance(e, messages.Finished)]
     not_run = [e for e in endings if isinstance(e, messages.NotRun)]
     assert (len(finished), len(not_run)) == (whole, refused), endings
