Test that retries without load on a target are free

The allowance of one request: 6 free retries, then those of its attempts, each of which takes a token.

--- a/tests/retries/budget.feature
+++ b/tests/retries/budget.feature
@@ -28,3 +28,17 @@
     Then the circuit's target is not usable
     When the circuit's clock advances by 200 ms
     Then the circuit's target is usable
+
+  Scenario Outline: A retry is free if no target worked for the attempt
+    Given a retry budget
+    When a request of at most 3 attempts fails again and again as <how>
+    Then at most <most> retries were granted
+    And at least <most> retries were granted
+    And <spent> retries were taken out of the budget
+
+    Examples:
+      | how                  | most | spent |
+      | not run: unreachable | 8    | 2     |
+      | not run: draining    | 8    | 2     |
+      | not run: full        | 2    | 2     |
+      | broken: unreachable  | 2    | 2     |
--- a/tests/steps/retries_steps.py
+++ b/tests/steps/retries_steps.py
@@ -7,8 +7,10 @@
 from behave import when
 
 from lycheering import clock
+from lycheering.retries import allowance
 from lycheering.retries import budget
 from lycheering.retries import circuit
+from lycheering.wire import messages
 
 
 @given("a retry budget")
@@ -40,6 +42,30 @@
     assert context.granted >= count, context.granted
 
 
+@when(
+    "a request of at most {attempts:d} attempts fails again and again as"
+    " {outcome}: {reason}"
+)
+def step_fails_again(context, attempts, outcome, reason):
+    spend = context.budget.spend
+    context.spent = 0
+
+    def counted():
+        context.spent += 1
+        return spend()
+
+    context.budget.spend = counted
+    allowed = allowance.Allowance(context.budget, attempts)
+    context.granted = 0
+    while allowed.take(messages.Reason(reason), not_run=outcome == "not run"):
+        context.granted += 1
+
+
+@then("{count:d} retries were taken out of the budget")
+def step_spent(context, count):
+    assert context.spent == count, context.spent
+
+
 @given("a circuit whose target failed once")
 def step_circuit(context):
     context.clock = clock.ManualClock()
