Have the streams of a finishing drain outlast a silence

A drain at finish began with answers of 40 tokens (0.6 s), which could end before the fault was noticed. They have 150 now (2.25 s), with 6 calls in place of 10, since a caller takes a connection without a byte for 6 s for reset and the queued ones would wait as long.

--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -22,6 +22,8 @@
 PIECES = 4
 TOKENS = 40
 DRAINED_CALLS = 10
+LONG_CALLS = 6
+LONG_TOKENS = 150  # streamed for longer than a silence goes unnoticed
 PILED_CHANGES = 200
 FROZEN_S = 2.5
 GIVE_UP_S = 15
@@ -232,8 +234,11 @@
         """Stops a busy agent and returns once its drain is at a step."""
         if orders:
             self._hold_orders()
+        elif step == "finish":
+            self.start(self.trace(LONG_CALLS, tokens=LONG_TOKENS))
         else:
             self.start(self.trace(DRAINED_CALLS))
+        if not orders:
             self.wait(self._is_streaming, "streams before the drain")
             self.draining = self.busiest()
         return getattr(self, f"_drain_{step}")()
