Prove that planned stops cut no request

New: an entry told to stop with calls at queue, first token, stream and finish cuts none of them, and a target on the platform's list of leaving instances gets no request from 3 s on after the list tells of it.

--- a/tests/steps/held_fleet_steps.py
+++ b/tests/steps/held_fleet_steps.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+import time
 
 from behave import given
 from behave import then
 from behave import when
 
+from bench import checker
 from tests.support import held_fleet
 
 STATE = {}
@@ -102,6 +104,35 @@
     assert agent.wait() == code, agent.log_text()[-2_000:]
 
 
+@then("the stopped entry of the fleet ends with {code:d}")
+def step_entry_ends(context, code):
+    entry = context.struck.process("entry-0")
+    assert entry.wait() == code, entry.log_text()[-2_000:]
+
+
+@when("the platform lists a busy target of the fleet as leaving")
+def step_leaving(context):
+    context.struck.list_as_leaving()
+
+
+@when("{bound:d} ms pass since the platform's list says so")
+def step_bound_passes(context, bound):
+    time.sleep(held_fleet.PLATFORM_LAG_S + bound / 1_000)
+
+
+@then("calls of the fleet that come now are answered without that target")
+def step_without_target(context):
+    struck = context.struck
+    late = struck.start(struck.trace())
+    step_whole(context)
+    runs = struck.runs(struck.draining)
+    assert runs, "the target ran nothing before it left"
+    late_runs = [
+        r for r in runs if checker.call_id_of(r.request_id) in late.ids
+    ]
+    assert not late_runs, late_runs
+
+
 @then("no order of the fleet ran twice or was told a falsehood")
 def step_orders(context):
     found = context.struck.finish()
--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -28,6 +28,7 @@
 FROZEN_S = 2.5
 GIVE_UP_S = 15
 PROMPT_BYTES = 8_000
+PLATFORM_LAG_S = 1.0
 PLAN = fleet.FleetPlan(
     engines=ENGINES,
     engine=fleet.EnginePlan(slots=SLOTS, prefill_ms_per_piece=100, token_ms=15),
@@ -342,6 +343,18 @@
         self._kill_until_ended(*self.names("entry-"))()
         return do_nothing
 
+    def _entry_stop(self):
+        self.process("entry-0").terminate()
+        return do_nothing
+
+    def list_as_leaving(self):
+        """Has the platform list the instance of a streaming target."""
+        self._at_stream()
+        self.draining = self.busiest()
+        body = {"instance": f"agent-{self.draining}", "state": "leaving"}
+        url = f"{self.fleet.platform_url}/admin/set"
+        fleet.call_json(url, "POST", body)
+
     def _control_loss(self):
         return self._kill_until_ended(self.leader())
 
@@ -519,4 +532,4 @@
         yield StruckFleet(started)
 
 
-__all__ = ["StruckFleet", "running"]
+__all__ = ["PLATFORM_LAG_S", "StruckFleet", "running"]
