Ask the engine on a new connection when a target order is silent

Cause: an agent's POST /orders to its engine waited on a silent connection for 60 s while it held the desk's lock, and control waited 30 s for the reply, so that a swallowed order held up every order behind it. Seen in tests/control/weights_silence.feature at the send of weights.

Ruled out: sending the order again on the time alone, which makes engines that ignore fencing numbers load twice, and ending the exchange at the first silence, since an engine answers only when the load is over.

Change: the agent asks for the engine's load on a new connection after each silence and takes the order as done, lost or in progress by what that shows; an order under the same number gets the same reply; control waits 3 s for a reply and sends the order again under its number. The stand-in engine tells what it loads.

--- /dev/null
+++ b/src/lycheering/agent/order_watch.py
@@ -0,0 +1,125 @@
+"""Finds out what became of a target order whose exchange is silent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from lycheering.targets import api as targets_api
+from lycheering.telemetry import logs
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from lycheering.agent import context as contexts
+
+MAX_FAILED_PROBES = 3
+# a load report this much younger than the order would show it, as a share
+# of the silence after which the target is asked
+SHOWN_SHARE = 0.5
+
+_LOG = logs.get("target_orders")
+
+
+class LostOrderError(targets_api.BrokenAnswerError):
+    """The target neither has nor loads what it was ordered to."""
+
+    reason = messages.Reason.SILENT
+
+
+def has(load: targets_api.TargetLoad, order: messages.TargetOrder) -> bool:
+    """Returns whether a target has what an order asks for."""
+    if load.loading:
+        return False
+    match order.kind:
+        case messages.TargetOrderKind.LOAD_WEIGHTS:
+            return load.weights_version == order.version
+        case messages.TargetOrderKind.LOAD_ADAPTER:
+            return order.adapter in load.adapters
+        case messages.TargetOrderKind.SET_ROLE:
+            return load.role == order.role
+
+
+class OrderWatch:
+    """Hands one order to the target and watches over the exchange.
+
+    An answer comes only once the order is carried out, so that a silent
+    exchange may be a long load or a dead connection. The target is asked
+    on a new connection which of the two it is.
+    """
+
+    def __init__(
+        self, context: contexts.Context, order: messages.TargetOrder
+    ) -> None:
+        self._driver = context.driver
+        self._clock = context.clock
+        self._counters = context.counters
+        self._silence_ms = context.wire.silence_ms
+        self._order = order
+        self._sent_ms = 0.0
+        self._failed_probes = 0
+
+    async def run(self) -> messages.TargetOrderReply:
+        """Returns the target's answer, or what it shows to have.
+
+        Raises:
+            NotSentError: If no byte of the order left.
+            BrokenAnswerError: If it may have been carried out.
+        """
+        self._sent_ms = self._clock.now_ms()
+        exchange = asyncio.create_task(
+            self._driver.give_order(self._order), name="agent:order_exchange"
+        )
+        try:
+            while not await self._answered(exchange):
+                self._counters.retry("target_order_silent")
+                if await self._is_carried_out():
+                    return messages.TargetOrderReply(
+                        True, self._order.fence, "seen on a new connection"
+                    )
+            return exchange.result()
+        finally:
+            await self._end(exchange)
+
+    async def _answered(
+        self, exchange: asyncio.Task[messages.TargetOrderReply]
+    ) -> bool:
+        done, _ = await asyncio.wait(
+            [exchange], timeout=self._silence_ms / 1_000
+        )
+        return bool(done)
+
+    async def _end(
+        self, exchange: asyncio.Task[messages.TargetOrderReply]
+    ) -> None:
+        exchange.cancel()
+        await asyncio.gather(exchange, return_exceptions=True)
+
+    async def _is_carried_out(self) -> bool:
+        try:
+            load = await self._driver.load()
+        except targets_api.TargetError as error:
+            self._failed_probes += 1
+            if self._failed_probes >= MAX_FAILED_PROBES:
+                raise
+            _LOG.warning("target_order_probe_failed", error=repr(error))
+            return False
+        self._failed_probes = 0
+        if self._is_lost(load):
+            raise LostOrderError("the target does not know of the order")
+        return self._shows_order(load) and has(load, self._order)
+
+    def _is_lost(self, load: targets_api.TargetLoad) -> bool:
+        """Whether the target shows that the order did not reach it.
+
+        One that does not tell what it loads may be loading it.
+        """
+        if load.loading is None or load.loading:
+            return False
+        return self._shows_order(load) and not has(load, self._order)
+
+    def _shows_order(self, load: targets_api.TargetLoad) -> bool:
+        sampled_ms = self._clock.now_ms() - load.age_ms
+        return sampled_ms >= self._sent_ms + self._silence_ms * SHOWN_SHARE
+
+
+__all__ = ["LostOrderError", "OrderWatch", "has"]
--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -21,6 +21,7 @@
     from lycheering.control import fleet_status
     from lycheering.control import replica
     from lycheering.telemetry import counters
+    from lycheering.wire import client
     from lycheering.wire import pool
 
 CHECK_INTERVAL_MS = 500
@@ -28,7 +29,8 @@
 IDLE_CHECKS = 10  # reports of all targets are fetched every 5 s when idle
 QUICK_CHECKS = 6  # and every 500 ms for 3 s after the view changed
 MAX_LOADS = 2
-ORDER_TIMEOUT_MS = 30_000
+ORDER_TIMEOUT_MS = 90_000  # more than an agent waits for its target
+REPLY_WAIT_MS = 3_000
 CONNECT_TIMEOUT_MS = 1_000
 FIRST_BACKOFF_MS = 500
 MAX_BACKOFF_MS = 30_000
@@ -249,12 +251,7 @@
             if not isinstance(granted, commands.FenceGranted):
                 return False
             order = wanted.numbered(granted.highest_fence)
-            await connection.ready(CONNECT_TIMEOUT_MS)
-            if connection.peer_incarnation != target.agent_incarnation:
-                return False
-            # the last thing before the send, with no await in between
-            self._group.log.check_lease()
-            reply = await connection.call(order, ORDER_TIMEOUT_MS)
+            reply = await self._ask(connection, target, order)
         except (wire_errors.WireError, errors.ReplicationError) as error:
             self._counters.retry("target_order")
             _LOG.warning(
@@ -263,6 +260,27 @@
             return False
         return self._take(target, order, reply)
 
+    async def _ask(
+        self,
+        connection: client.Connection,
+        target: records.Target,
+        order: messages.TargetOrder,
+    ) -> messages.Message:
+        """Sends an order until it is answered, always under its number."""
+        end_ms = self._clock.now_ms() + ORDER_TIMEOUT_MS
+        while True:
+            await connection.ready(CONNECT_TIMEOUT_MS)
+            if connection.peer_incarnation != target.agent_incarnation:
+                raise wire_errors.PeerRestartedError(target.name)
+            # the last thing before the send, with no await in between
+            self._group.log.check_lease()
+            try:
+                return await connection.call(order, REPLY_WAIT_MS)
+            except wire_errors.CallTimeoutError:
+                if self._clock.now_ms() >= end_ms:
+                    raise
+                self._counters.retry("target_order_unanswered")
+
     def _take(
         self,
         target: records.Target,
--- a/src/lycheering/targets/api.py
+++ b/src/lycheering/targets/api.py
@@ -134,6 +134,8 @@
         weights_version: The weights it serves.
         adapters: The adapters it holds.
         role: Its role.
+        loading: The weights or adapter being loaded; empty for nothing,
+            None where it does not say.
         running: Requests in work.
         queued: Requests that wait inside it.
         slots: Requests it runs at once; 0 where it does not say.
@@ -147,6 +149,7 @@
     weights_version: str = ""
     adapters: tuple[str, ...] = ()
     role: str = ""
+    loading: str | None = None
     running: int = 0
     queued: int = 0
     slots: int = 0
--- a/standins/engine/messages.py
+++ b/standins/engine/messages.py
@@ -157,6 +157,7 @@
     weights_version: str
     adapters: list[str]
     role: str
+    loading: str
     running: int
     queued: int
     slots: int
--- a/standins/engine/orders.py
+++ b/standins/engine/orders.py
@@ -24,12 +24,14 @@
         adapters: Names of the loaded adapters.
         role: The current role.
         highest_fence: The highest fencing number seen.
+        loading: The weights or adapter being loaded; empty for nothing.
     """
 
     model: str
     adapters: list[str] = dataclasses.field(default_factory=list)
     role: str = "mixed"
     highest_fence: int = 0
+    loading: str = ""
 
 
 class OrderDesk:
@@ -95,7 +97,11 @@
         if order.kind == "set_role":
             self.state.role = order.role
             return
-        await self._fetch(order, session)
+        self.state.loading = order.adapter or order.version
+        try:
+            await self._fetch(order, session)
+        finally:
+            self.state.loading = ""
         if order.kind == "load_adapter":
             if order.adapter not in self.state.adapters:
                 self.state.adapters.append(order.adapter)
--- a/standins/engine/server.py
+++ b/standins/engine/server.py
@@ -236,6 +236,7 @@
             weights_version=self.prefix_cache.weights_version,
             adapters=list(self.desk.state.adapters),
             role=self.desk.state.role,
+            loading=self.desk.state.loading,
             running=self.batch.in_work,
             queued=len(self.batch.queue),
             slots=self.settings.timing.slots,
--- a/tests/agent/target_orders.feature
+++ b/tests/agent/target_orders.feature
@@ -23,3 +23,30 @@
     And an entry submits request "r1" for 3 tokens of weights "2"
     Then it is not run because of "wrong_weights"
     And it is told when to come back
+
+  Scenario: An order that a silent connection swallowed is told as not done
+    Given an agent beside an engine whose connections can go silent
+    When weights "2" with fence 5 are ordered and lost on the way
+    Then the target order is refused by fence 5
+    When control orders weights "2" with fence 5
+    Then the target order is refused by fence 5
+    And the engine was given orders with fences ""
+    When control orders weights "2" with fence 6
+    Then the target order is done
+    And the engine was given orders with fences "6"
+
+  Scenario: An order whose answer was swallowed is seen to be done
+    Given an agent beside an engine whose connections can go silent
+    When weights "2" with fence 5 are ordered, the answer lost
+    Then the target order is done
+    When control orders weights "2" with fence 5
+    Then the target order is done
+    And the engine was given orders with fences "5"
+    When control orders weights "3" with fence 6
+    Then the target order is done
+
+  Scenario: A long load is waited for, and taken up again by its number
+    Given an agent beside an engine whose weights take 2500 ms to load
+    When weights "2" with fence 5 are ordered twice at once
+    Then the target order is done
+    And the engine was given orders with fences "5"
--- a/tests/steps/agent_order_steps.py
+++ b/tests/steps/agent_order_steps.py
@@ -297,15 +297,19 @@
     assert reason_of(context.desk.sending, ticket, False) == ""
 
 
-@when('control orders weights "{version}" with fence {fence:d}')
-def step_order_weights(context, version, fence):
-    message = messages.TargetOrder(
+def weights_order(version, fence):
+    return messages.TargetOrder(
         fence,
         messages.TargetOrderKind.LOAD_WEIGHTS,
         model="model",
         version=version,
     )
 
+
+@when('control orders weights "{version}" with fence {fence:d}')
+def step_order_weights(context, version, fence):
+    message = weights_order(version, fence)
+
     async def call():
         connection = await context.bench.entry("control-1")
         return await connection.call(message, agent_bench.LONG_MS)
