Prove orders when control instances lose disks or are lost after a repair

The leader then loses its disk and is replaced, or a follower was replaced just before and the leader is lost, so that the newcomer is needed for the quorum. The checker reads the targets' record of runs, what callers were told and what operators were told of their changes.

--- /dev/null
+++ b/tests/steps/control_loss_steps.py
@@ -0,0 +1,83 @@
+"""Steps for control instances lost, repaired or behind under other work."""
+
+from __future__ import annotations
+
+from behave import then
+from behave import when
+
+from tests.steps import config_fault_steps
+from tests.support import config_fleet
+
+
+def fleet_of(context):
+    """Returns the scenario's fleet as operators see it."""
+    feature = context.feature
+    if not hasattr(feature, "operated"):
+        feature.operated = config_fleet.ConfigFleet(context.running)
+        context.add_cleanup(feature.operated.close, layer="feature")
+    return feature.operated
+
+
+def mend(context):
+    """Replaces what a failed scenario left without its disk."""
+    repair = getattr(context.feature, "repair", None)
+    if repair is not None:
+        repair()
+        context.feature.repair = None
+
+
+@when("the leader of control loses its disk")
+def step_lose_disk(context):
+    fleet = fleet_of(context)
+    context.victim = fleet.leader()
+    config_fault_steps.lose_disk(context, fleet)
+    context.feature.repair = context.mend
+
+
+@when("the instance that lost its disk is replaced")
+def step_replace(context):
+    mend(context)
+
+
+@when("a control instance that lost its disk was replaced")
+def step_repaired(context):
+    fleet = fleet_of(context)
+    context.victim = fleet.followers()[0]
+    config_fault_steps.lose_disk(context, fleet)
+    context.mend()
+
+
+@when("the leader of control is lost too")
+def step_lose_second(context):
+    fleet = fleet_of(context)
+    fleet.fleet.kill(fleet.leader())
+
+
+@when("{count:d} changes are made while a control instance and {name} are down")
+def step_pile_up(context, count, name):
+    fleet = fleet_of(context)
+    context.behind = [fleet.followers()[0], name]
+    for lost in context.behind:
+        fleet.fleet.kill(lost)
+    leader = fleet.leader()
+    first = fleet.revision()
+    for number in range(count):
+        body = fleet.new_change(first + number)
+        assert fleet.decide(body, leader).status == 200
+
+
+@when("those that are behind start and the leader of control is lost")
+def step_start_behind(context):
+    fleet = fleet_of(context)
+    leader = fleet.leader()
+    fleet.start(*context.behind)
+    fleet.fleet.kill(leader)
+
+
+@then("no change of the operators was lost")
+def step_changes_kept(context):
+    fleet = fleet_of(context)
+    fleet.heal()
+    assert fleet.decide(fleet.new_change()).status == 200
+    fleet.wait_in_force()
+    fleet.judge()
--- a/tests/steps/order_fault_steps.py
+++ b/tests/steps/order_fault_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from bench import fleet
+from tests.steps import control_loss_steps
 from tests.support import fault_proxy
 from tests.support import order_callers
 from tests.support import processes
@@ -190,8 +191,11 @@
         context.add_cleanup(manager.__exit__, None, None, None, layer="feature")
         # the feature's layer keeps it for the scenarios that follow
         context.feature.order_fleet = kept
+    context.running = kept
     context.order_callers = order_callers.Callers(kept)
     context.stack.callback(context.order_callers.close)
+    start_again(kept)
+    control_loss_steps.mend(context)
     restore(kept, context.order_callers)
 
 
