Leave others their slots from the start of a flood

A played queue shows why: averages started from zero with a half-life of 3 s, so a flood was seen after 1 s and what others need known after 3 s. Ruled out: queue order, evicted prefixes (missing pieces 1 in all but one call), the engine's prefill (p95 12 ms without, 13 to 15 with the flood). Change: work is averaged over 0.5 s for floods and 10 s for needs, right from the first second; a team is taken for the cause if it asks for more than all others together; before that it fills at most half the slots beyond what it used and others leave; margin for others 3 instead of 2 standard deviations.

Tests of the three causes failed before with 6 running where 2 or 4 are now.

--- /dev/null
+++ b/src/lycheering/limits/recent.py
@@ -0,0 +1,127 @@
+"""The work that teams brought as of late."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lycheering.limits import queue as queues
+
+DECAY_STEP_MS = 250.0
+MIN_WORK_MS = 1.0
+MIN_SPAN_MS = 500.0
+
+
+@dataclasses.dataclass
+class _TeamWork:
+    work_ms: float
+    share: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Rate:
+    """How fast a team brings work.
+
+    Attributes:
+        team: The team.
+        share: The team's weight.
+        slots: The slots that its requests keep busy, on average.
+    """
+
+    team: str
+    share: float
+    slots: float
+
+
+class RecentWork:
+    """Adds up each team's work and forgets it with time.
+
+    The first requests stand for a shorter time than later ones, so that
+    the averages are right from the start.
+    """
+
+    def __init__(self, half_life_ms: float) -> None:
+        self._half_life_ms = half_life_ms
+        self._tau_ms = half_life_ms / math.log(2)
+        self._work_by_team: dict[str, _TeamWork] = {}
+        self._total_ms = 0.0
+        self._decayed_ms = 0.0
+        self._since_ms: float | None = None
+        self._span_ms = MIN_SPAN_MS
+
+    def note(self, waiting: queues.Waiting) -> None:
+        """Adds a request's work."""
+        if self._since_ms is None:
+            self._since_ms = waiting.arrival_ms
+        self.decay(waiting.arrival_ms)
+        work_ms = waiting.cost.service_ms
+        self._total_ms += work_ms
+        known = self._work_by_team.get(waiting.team)
+        if known is None:
+            known = _TeamWork(0.0, waiting.share)
+            self._work_by_team[waiting.team] = known
+        known.work_ms += work_ms
+        known.share = waiting.share
+
+    def total(self) -> float:
+        """Returns the slots that all teams need, on average."""
+        return self._total_ms / self._span_ms
+
+    def own(self, team: str) -> float:
+        """Returns the slots that a team needs, on average."""
+        known = self._work_by_team.get(team)
+        return known.work_ms / self._span_ms if known is not None else 0.0
+
+    def others(self, team: str) -> int:
+        """Returns the number of other teams that brought work."""
+        return len(self._work_by_team) - (team in self._work_by_team)
+
+    def rates(self) -> list[Rate]:
+        """Returns how fast each team brings work."""
+        return [
+            Rate(team, known.share, known.work_ms / self._span_ms)
+            for team, known in self._work_by_team.items()
+        ]
+
+    def level(self, slots: float) -> float:
+        """Returns the slots per weight that a team gets that wants more.
+
+        Args:
+            slots: The slots to be shared.
+        """
+        left = slots
+        shares = sum(known.share for known in self._work_by_team.values())
+        per_share = sorted(
+            (known.work_ms / self._span_ms / known.share, known.share)
+            for known in self._work_by_team.values()
+        )
+        for wanted, share in per_share:
+            if wanted * shares >= left:
+                return left / shares
+            left -= wanted * share
+            shares -= share
+        return left
+
+    def decay(self, now_ms: float) -> None:
+        """Forgets a part of what was noted before."""
+        passed_ms = now_ms - self._decayed_ms
+        if passed_ms < DECAY_STEP_MS:
+            return
+        self._decayed_ms = now_ms
+        kept = 0.5 ** (passed_ms / self._half_life_ms)
+        self._total_ms = 0.0
+        for team, known in list(self._work_by_team.items()):
+            known.work_ms *= kept
+            if known.work_ms < MIN_WORK_MS:
+                del self._work_by_team[team]
+            else:
+                self._total_ms += known.work_ms
+        if self._since_ms is not None:
+            age_ms = now_ms - self._since_ms
+            span_ms = self._tau_ms * (1 - math.exp(-age_ms / self._tau_ms))
+            self._span_ms = max(MIN_SPAN_MS, span_ms)
+
+
+__all__ = ["Rate", "RecentWork"]
--- a/src/lycheering/limits/reserve.py
+++ b/src/lycheering/limits/reserve.py
@@ -6,62 +6,21 @@
 import math
 from typing import TYPE_CHECKING
 
+from lycheering.limits import recent
+
 if TYPE_CHECKING:
     from lycheering.limits import queue as queues
 
 ACTIVE_MS = 10_000.0
-HALF_LIFE_MS = 3_000.0
-DECAY_STEP_MS = 250.0
-MIN_WORK_MS = 1.0
+BURST_HALF_LIFE_MS = 500.0
+NEED_HALF_LIFE_MS = 10_000.0
 BUSY_SHARE = 0.8
-LIGHT_SHARE = 0.5
-SPREAD = 2.0  # of a Poisson number of requests, in standard deviations
-
+SPREAD = 3.0  # of a Poisson number of requests, in standard deviations
+OWN_SPREAD = 1.0
 
-class _Demand:
-    """How many slots each team's requests would keep busy, as of late."""
 
-    def __init__(self) -> None:
-        self.slots = 1
-        self._work_ms_by_team: dict[str, float] = {}
-        self._total_ms = 0.0
-        self._decayed_ms = 0.0
-
-    def note(self, waiting: queues.Waiting) -> None:
-        """Adds a request's work."""
-        self._decay(waiting.arrival_ms)
-        work_ms = waiting.cost.service_ms
-        old_ms = self._work_ms_by_team.get(waiting.team, 0.0)
-        self._work_ms_by_team[waiting.team] = old_ms + work_ms
-        self._total_ms += work_ms
-
-    def total(self, now_ms: float) -> float:
-        """Returns the slots that all teams need, on average."""
-        self._decay(now_ms)
-        return self._total_ms * math.log(2) / HALF_LIFE_MS
-
-    def own(self, team: str) -> float:
-        """Returns the slots that a team needs, on average."""
-        work_ms = self._work_ms_by_team.get(team, 0.0)
-        return work_ms * math.log(2) / HALF_LIFE_MS
-
-    def fair(self, team: str) -> int:
-        """Returns the whole slots that a team may always fill."""
-        others = len(self._work_ms_by_team) - (team in self._work_ms_by_team)
-        return max(1, self.slots // (others + 1))
-
-    def _decay(self, now_ms: float) -> None:
-        passed_ms = now_ms - self._decayed_ms
-        if passed_ms < DECAY_STEP_MS:
-            return
-        self._decayed_ms = now_ms
-        share = 0.5 ** (passed_ms / HALF_LIFE_MS)
-        self._work_ms_by_team = {
-            team: work_ms * share
-            for team, work_ms in self._work_ms_by_team.items()
-            if work_ms * share >= MIN_WORK_MS
-        }
-        self._total_ms = sum(self._work_ms_by_team.values())
+def _with_margin(slots: float, spread: float = SPREAD) -> int:
+    return math.ceil(slots + spread * math.sqrt(slots))
 
 
 class SlotReserve:
@@ -78,7 +37,9 @@
 
     def __init__(self) -> None:
         self.open_slots = 1
-        self._demand = _Demand()
+        self._slots = 1
+        self._burst = recent.RecentWork(BURST_HALF_LIFE_MS)
+        self._need = recent.RecentWork(NEED_HALF_LIFE_MS)
         self._running_by_team: collections.Counter[str] = collections.Counter()
         self._running_by_priority: collections.Counter[int] = (
             collections.Counter()
@@ -95,12 +56,13 @@
             slots: All slots.
             open_slots: Those that one team or priority may fill at most.
         """
-        self._demand.slots = slots
+        self._slots = slots
         self.open_slots = open_slots
 
     def entered(self, waiting: queues.Waiting) -> None:
         """Learns that a request came."""
-        self._demand.note(waiting)
+        self._burst.note(waiting)
+        self._need.note(waiting)
         if waiting.team != self._last_team:
             self._other_ms = self._last_ms
             self._last_team = waiting.team
@@ -121,27 +83,39 @@
 
     def holds(self, waiting: queues.Waiting, now_ms: float) -> bool:
         """Returns whether a request must leave a free slot to others."""
-        return self._holds_team(waiting.team, now_ms) or self._holds_priority(
-            waiting.priority, now_ms
-        )
+        slots = self.team_slots(waiting.team, now_ms)
+        if self._running_by_team[waiting.team] >= slots:
+            return True
+        return self._holds_priority(waiting.priority, now_ms)
 
-    def _holds_team(self, team: str, now_ms: float) -> bool:
+    def team_slots(self, team: str, now_ms: float) -> int:
+        """Returns the slots that a team may fill for now."""
         same = team == self._last_team
         other_ms = self._other_ms if same else self._last_ms
         if now_ms - other_ms >= ACTIVE_MS:
-            return False
-        return self._running_by_team[team] >= self._team_slots(team, now_ms)
-
-    def _team_slots(self, team: str, now_ms: float) -> int:
-        demand = self._demand
-        total = demand.total(now_ms)
-        others = max(0.0, total - demand.own(team))
-        is_busy = total >= BUSY_SHARE * demand.slots
-        if not is_busy or others > LIGHT_SHARE * demand.slots:
-            return self.open_slots
-        needed = math.ceil(others + SPREAD * math.sqrt(others))
-        left = min(self.open_slots, demand.slots - needed)
-        return max(demand.fair(team), left)
+            return self._slots
+        self._burst.decay(now_ms)
+        self._need.decay(now_ms)
+        usual = self._need.own(team)
+        others = max(0.0, self._need.total() - usual)
+        left = self._slots - _with_margin(others)
+        # a flood shows at once, what others need only over some time
+        own = max(self._burst.own(team), usual)
+        if own < others or own + others < BUSY_SHARE * self._slots:
+            wanted = max(
+                left, _with_margin(usual, OWN_SPREAD), self._slots // 2
+            )
+            return min(self.open_slots, wanted)
+        fair = self._slots // (self._need.others(team) + 1)
+        return max(1, fair, min(self.open_slots, left))
+
+    def share_slots(self, waiting: queues.Waiting) -> float:
+        """Returns the slots that a request's team gets if it wants more."""
+        return waiting.share * self._need.level(self._slots)
+
+    def rates(self) -> list[recent.Rate]:
+        """Returns how fast each team brought work as of late."""
+        return self._need.rates()
 
     def _holds_priority(self, priority: int, now_ms: float) -> bool:
         running = sum(
--- a/tests/limits/reserve.feature
+++ b/tests/limits/reserve.feature
@@ -65,3 +65,29 @@
     And team "b" enters 4 times with 1000 ms of work and 60000 ms left
     And requests 1 to 8 end
     Then requests 61 to 64 run
+
+  Scenario: A flood is met before it has filled what others need
+    Given an admission with 8 running and 40 queued at most
+    And 2 of its slots reserved
+    When teams "b c d" keep 4 slots busy for 6000 ms
+    And team "a" enters 12 times with 1000 ms of work and 60000 ms left
+    Then 2 requests run and 10 wait
+    When 300 ms pass at the admission
+    And requests 25 to 26 end
+    Then 2 requests run and 8 wait
+
+  Scenario: A burst beyond what a team did of late fills half the slots
+    Given an admission with 8 running and 40 queued at most
+    And 2 of its slots reserved
+    When teams "b c d" keep 4 slots busy for 6000 ms
+    And team "a" enters 6 times with 100 ms of work and 60000 ms left
+    Then 4 requests run and 2 wait
+
+  Scenario: What teams need is known from their first second on
+    Given an admission with 8 running and 40 queued at most
+    And 2 of its slots reserved
+    When teams "b c d" keep 4 slots busy for 1500 ms
+    And team "a" enters 12 times with 1000 ms of work and 60000 ms left
+    And 300 ms pass at the admission
+    And requests 7 to 8 end
+    Then 2 requests run and 8 wait
--- a/tests/steps/limits_steps.py
+++ b/tests/steps/limits_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 
 from behave import given
 from behave import then
@@ -11,8 +12,10 @@
 from lycheering import clock
 from lycheering.limits import cost
 from lycheering.limits import width
+from tests.steps.admission_steps import step_ends
 
 KEY = "level"
+BUSY_WORK_MS = 1_000
 
 
 @given("{count:d} of its slots reserved")
@@ -32,6 +35,20 @@
     entered.runner.run(entered.enter(team, work, 10_000, priority))
 
 
+@when('teams "{teams}" keep {slots:d} slots busy for {duration:d} ms')
+def step_keep_busy(context, teams, slots, duration):
+    entered = context.entered
+    first = entered.count + 1
+    names = itertools.cycle(teams.split())
+    for _ in range(duration * slots // BUSY_WORK_MS):
+        entered.runner.run(entered.enter(next(names), BUSY_WORK_MS, 60_000))
+        entered.clock.advance(BUSY_WORK_MS / slots)
+        if entered.count - first >= slots - 1:
+            step_ends(context, entered.count - slots + 1)
+    for number in range(entered.count - slots + 2, entered.count + 1):
+        step_ends(context, number)
+
+
 @given("a width meter for at most {most:d} targets")
 def step_meter(context, most):
     context.clock = clock.ManualClock(1_000)
