Hold a flooding team back only while it floods

The largest team's p95 was 363 ms, as its flood a second before still counted in the average over 10 s and kept it to few slots of a target that was nearly idle. Change: what a team asks for is what it brought in the last half second, a single request counted as half a second at most, or a slot for each four requests that it has running and waiting.

The test failed before with 4 running and 2 waiting.

--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -115,7 +115,7 @@
         self.draining = False
         self._clock = clock
         self._running: set[Place] = set()
-        self._reserve = reserves.SlotReserve()
+        self._reserve = reserves.SlotReserve(self.queue)
         self._reserve.change(self.limits.max_running, self.limits.max_running)
         self._outlook = outlooks.Outlook(
             clock, self.queue, self._reserve, self._running
--- a/src/lycheering/limits/recent.py
+++ b/src/lycheering/limits/recent.py
@@ -39,10 +39,14 @@
     """Adds up each team's work and forgets it with time.
 
     The first requests stand for a shorter time than later ones, so that
-    the averages are right from the start.
+    the averages are right from the start. Of a single request no more
+    than `longest_ms` are counted.
     """
 
-    def __init__(self, half_life_ms: float) -> None:
+    def __init__(
+        self, half_life_ms: float, longest_ms: float = math.inf
+    ) -> None:
+        self._longest_ms = longest_ms
         self._half_life_ms = half_life_ms
         self._tau_ms = half_life_ms / math.log(2)
         self._work_by_team: dict[str, _TeamWork] = {}
@@ -56,7 +60,7 @@
         if self._since_ms is None:
             self._since_ms = waiting.arrival_ms
         self.decay(waiting.arrival_ms)
-        work_ms = waiting.cost.service_ms
+        work_ms = min(self._longest_ms, waiting.cost.service_ms)
         self._total_ms += work_ms
         known = self._work_by_team.get(waiting.team)
         if known is None:
--- a/src/lycheering/limits/reserve.py
+++ b/src/lycheering/limits/reserve.py
@@ -17,6 +17,7 @@
 BUSY_SHARE = 0.8
 SPREAD = 3.0  # of a Poisson number of requests, in standard deviations
 OWN_SPREAD = 1.0
+FLOOD_ROUNDS = 4  # requests per slot that make a flood
 
 
 def _with_margin(slots: float, spread: float = SPREAD) -> int:
@@ -35,10 +36,11 @@
         open_slots: Slots that one team or priority may fill at most.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, queue: queues.FairQueue) -> None:
         self.open_slots = 1
         self._slots = 1
-        self._burst = recent.RecentWork(BURST_HALF_LIFE_MS)
+        self._queue = queue
+        self._burst = recent.RecentWork(BURST_HALF_LIFE_MS, BURST_HALF_LIFE_MS)
         self._need = recent.RecentWork(NEED_HALF_LIFE_MS)
         self._running_by_team: collections.Counter[str] = collections.Counter()
         self._running_by_priority: collections.Counter[int] = (
@@ -100,7 +102,8 @@
         others = max(0.0, self._need.total() - usual)
         left = self._slots - _with_margin(others)
         # a flood shows at once, what others need only over some time
-        own = max(self._burst.own(team), usual)
+        open_count = self._queue.team_count(team) + self._running_by_team[team]
+        own = max(self._burst.own(team), open_count / FLOOD_ROUNDS)
         if own < others or own + others < BUSY_SHARE * self._slots:
             wanted = max(
                 left, _with_margin(usual, OWN_SPREAD), self._slots // 2
