Keep an arrival's cost flat with the number of teams

Cause: each arrival at a busy agent looked at every team's recent work, 161 us with 8 teams, 1.7 ms with 1,000 and 13.6 ms with 5,000 (new part of the limits measurement, trial). Then the times to come back were swept at each refusal once more than 1,024 teams had one, 2.7 ms with 17,000.

--- a/bench/measures/limits.py
+++ b/bench/measures/limits.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import pathlib
 import random
@@ -20,6 +21,8 @@
 from bench.load import driver
 from bench.measures import overhead
 from bench.traces import calls
+from lycheering import clock
+from lycheering.limits import admission
 from lycheering.limits import cost as costs
 from lycheering.limits import queue as queues
 
@@ -291,6 +294,33 @@
     )
 
 
+async def measure_arrivals(teams: int, timed: int = 500) -> None:
+    """Prints the cost of an arrival at a busy agent that many teams use."""
+    gate = admission.Admission(clock.Clock())
+    places: list[admission.Place] = []
+
+    def enter(number: int) -> None:
+        demand = admission.Demand(
+            f"team-{number % teams}",
+            1.0,
+            10,
+            costs.Cost(10.0, 100.0),
+            clock.Clock().now_ms() + FAIR_DEADLINE_MS,
+        )
+        with contextlib.suppress(admission.RefusedError):
+            places.append(gate.enter(demand))
+
+    for number in range(teams):
+        enter(number)
+    start_s = time.perf_counter()
+    for number in range(timed):
+        enter(number)
+    spent_us = (time.perf_counter() - start_s) * 1e6 / timed
+    for place in places:
+        gate.leave(place)
+    print(f"arrival teams={teams} us_per_request={spent_us:.1f}")
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Runs the measurement and returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -300,6 +330,7 @@
     parsed = parser.parse_args(arguments)
     for teams in (8, 1_000, 5_000, 17_000):
         measure_queue(teams)
+        asyncio.run(measure_arrivals(teams))
     with tempfile.TemporaryDirectory(prefix="lycheering-limits-") as folder:
         running = fleet.Fleet(plan(), pathlib.Path(folder))
         try:
--- a/src/lycheering/limits/recent.py
+++ b/src/lycheering/limits/recent.py
@@ -12,6 +12,7 @@
 DECAY_STEP_MS = 250.0
 MIN_WORK_MS = 1.0
 MIN_SPAN_MS = 500.0
+MAX_RATES = 64
 
 
 @dataclasses.dataclass
@@ -54,6 +55,8 @@
         self._decayed_ms = 0.0
         self._since_ms: float | None = None
         self._span_ms = MIN_SPAN_MS
+        self._rates: list[Rate] | None = None
+        self._level_by_slots: dict[float, float] = {}
 
     def note(self, waiting: queues.Waiting) -> None:
         """Adds a request's work."""
@@ -83,18 +86,38 @@
         return len(self._work_by_team) - (team in self._work_by_team)
 
     def rates(self) -> list[Rate]:
-        """Returns how fast each team brings work."""
-        return [
-            Rate(team, known.share, known.work_ms / self._span_ms)
-            for team, known in self._work_by_team.items()
-        ]
+        """Returns how fast the busiest teams bring work, and all others.
+
+        The others are counted together, as a team without a name. The
+        figures are up to `DECAY_STEP_MS` old.
+        """
+        if self._rates is None:
+            every = [
+                Rate(team, known.share, known.work_ms / self._span_ms)
+                for team, known in self._work_by_team.items()
+            ]
+            every.sort(key=lambda rate: rate.slots, reverse=True)
+            self._rates = every[:MAX_RATES]
+            rest = every[MAX_RATES:]
+            if rest:
+                share = sum(rate.share for rate in rest)
+                slots = sum(rate.slots for rate in rest)
+                self._rates.append(Rate("", share, slots))
+        return self._rates
 
     def level(self, slots: float) -> float:
         """Returns the slots per weight that a team gets that wants more.
 
+        The figure is up to `DECAY_STEP_MS` old.
+
         Args:
             slots: The slots to be shared.
         """
+        if slots not in self._level_by_slots:
+            self._level_by_slots = {slots: self._find_level(slots)}
+        return self._level_by_slots[slots]
+
+    def _find_level(self, slots: float) -> float:
         left = slots
         shares = sum(known.share for known in self._work_by_team.values())
         per_share = sorted(
@@ -114,6 +137,8 @@
         if passed_ms < DECAY_STEP_MS:
             return
         self._decayed_ms = now_ms
+        self._rates = None
+        self._level_by_slots.clear()
         kept = 0.5 ** (passed_ms / self._half_life_ms)
         self._total_ms = 0.0
         for team, known in list(self._work_by_team.items()):
--- a/src/lycheering/limits/waits.py
+++ b/src/lycheering/limits/waits.py
@@ -12,7 +12,7 @@
 MIN_EXPECTED_MS = 20.0
 MAX_FACTOR = 4.0
 SMOOTHING = 0.05
-MAX_TEAMS = 1_024
+MAX_IDLE_TEAMS = 1_024
 
 
 class WaitError:
@@ -53,6 +53,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._until_ms_by_team: dict[str, float] = {}
+        self._forget_above = MAX_IDLE_TEAMS
 
     def book(self, team: str, wait_ms: float, work_ms: float) -> float:
         """Returns in which time a caller shall come back.
@@ -64,7 +65,7 @@
                 target busy.
         """
         now_ms = self._clock.now_ms()
-        if len(self._until_ms_by_team) > MAX_TEAMS:
+        if len(self._until_ms_by_team) > self._forget_above:
             self._forget_past(now_ms)
         at_ms = max(
             now_ms + max(MIN_RETRY_AFTER_MS, wait_ms),
@@ -80,6 +81,8 @@
             for team, until_ms in self._until_ms_by_team.items()
             if until_ms > now_ms
         }
+        kept = len(self._until_ms_by_team)
+        self._forget_above = max(MAX_IDLE_TEAMS, 2 * kept)
 
 
 __all__ = ["Booking", "WaitError"]
