--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -171,6 +171,13 @@
         assert error.retry_after_ms > 0
 
 
+@then('request {number:d} has been refused as "{reason}"')
+def step_has_been_refused(context, number, reason):
+    entered = context.entered
+    entered.runner.run(entered.settle())
+    assert entered.error_by_number[number].reason == reason
+
+
 @then("request {number:d} is told to come back later than request {earlier:d}")
 def step_later(context, number, earlier):
     error_by_number = context.entered.error_by_number
@@ -178,6 +185,17 @@
     assert later_ms > error_by_number[earlier].retry_after_ms > 0
 
 
+@then(
+    "request {number:d} is told to come back {gap:d} ms after request"
+    " {earlier:d}"
+)
+def step_later_by(context, number, gap, earlier):
+    error_by_number = context.entered.error_by_number
+    first_ms = error_by_number[earlier].retry_after_ms
+    found = error_by_number[number].retry_after_ms - first_ms
+    assert abs(found - gap) < 1, found
+
+
 @when("requests {first:d} to {last:d} end")
 def step_several_end(context, first, last):
     for number in range(first, last + 1):
@@ -204,12 +222,20 @@
         assert place.waiting.turn.done(), number
 
 
+def wait_ms_of(context, team):
+    async def wait_ms():
+        return context.entered.gate.expected_wait_ms(10, team)
+
+    return context.entered.runner.run(wait_ms())
+
+
 @then("a request of an idle team waits less than the backlog")
 def step_backlog(context):
-    gate = context.entered.gate
+    wait_ms = wait_ms_of(context, "")
+    assert wait_ms < context.entered.gate.backlog_ms()
 
-    async def idle_team_wait_ms():
-        return gate.expected_wait_ms(priority=10)
 
-    wait_ms = context.entered.runner.run(idle_team_wait_ms())
-    assert wait_ms < gate.backlog_ms()
+@then('a request of team "{team}" waits at least as long as the backlog')
+def step_own_backlog(context, team):
+    wait_ms = wait_ms_of(context, team)
+    assert wait_ms >= context.entered.gate.backlog_ms()
