--- a/src/lycheering/operator/client.py
+++ b/src/lycheering/operator/client.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-CALL_TIMEOUT_MS = 5_000
+CALL_TIMEOUT_MS = 3_000
 MIN_ROUNDS = 3
 ROUND_PAUSE_MS = 200
 MAX_ROUND_PAUSE_MS = 1_000
--- a/tests/operator/client.feature
+++ b/tests/operator/client.feature
@@ -23,6 +23,17 @@
     And both operator endpoints received the same change
     And it complains of "resend with --change-id"
 
+  Scenario Outline: The next endpoint is asked when a connection is silent
+    Given the operator endpoint "c1" falls silent
+    When the operator runs "<command>"
+    Then the operator command exits with 0
+    And both operator endpoints received the same <what>
+
+    Examples:
+      | command                                           | what   |
+      | defaults show                                     | read   |
+      | defaults set limits.max_running 4 --reason tuning | change |
+
   Scenario: A change that is answered nowhere is in doubt
     Given the operator endpoint "c1" loses the answers to "/v1/defaults" writes
     And the operator endpoint "c2" loses the answers to "/v1/defaults" writes
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -99,6 +99,13 @@
     endpoint.answer_writes(path, scripted_http.LOST)
 
 
+@given('the operator endpoint "{name}" falls silent')
+def step_silent(context, name):
+    endpoint = context.endpoint_by_name[name]
+    endpoint.answer_reads("/v1/defaults", scripted_http.SILENT)
+    endpoint.answer_writes("/v1/defaults", scripted_http.SILENT)
+
+
 @given('the operator endpoint "{name}" loses the answers to "{path}"')
 def step_loses(context, name, path):
     context.endpoint_by_name[name].answer_writes(path, scripted_http.LOST)
@@ -190,6 +197,15 @@
     assert bodies[0]["change_id"]
 
 
+@then("both operator endpoints received the same read")
+def step_same_read(context):
+    found = [
+        [(r.method, r.path) for r in endpoint.requests]
+        for endpoint in context.endpoint_by_name.values()
+    ]
+    assert found[0] == found[1] and len(found[0]) == 1, found
+
+
 @then('the operator endpoint "{name}" received "{path}" once')
 def step_received_once(context, name, path):
     assert len(context.endpoint_by_name[name].received(path)) == 1
--- a/tests/support/scripted_http.py
+++ b/tests/support/scripted_http.py
@@ -30,6 +30,7 @@
 
 
 LOST = Answer(0)
+SILENT = Answer(-1)
 
 
 class Endpoint:
@@ -40,6 +41,7 @@
         self.reads_by_path = {}
         self.writes_by_path = {}
         self.port = 0
+        self.ended = threading.Event()
 
     def answer_reads(self, path, *answers):
         """Sets the answers to a path's reads, without its query."""
@@ -75,7 +77,9 @@
             request = Request(self.command, self.path, body, self.headers)
             answer = endpoint.next_answer(request)
             self.close_connection = True
-            if not answer.status:
+            if answer is SILENT:
+                endpoint.ended.wait()
+            if answer.status <= 0:
                 return
             content = json.dumps(answer.body).encode()
             self.send_response(answer.status)
@@ -95,9 +99,10 @@
     try:
         yield endpoint
     finally:
+        endpoint.ended.set()
         server.shutdown()
         server.server_close()
         thread.join()
 
 
-__all__ = ["HOST", "LOST", "Answer", "Endpoint", "Request", "serving"]
+__all__ = ["HOST", "LOST", "SILENT", "Answer", "Endpoint", "Request", "serving"]
