Keep the shapes of operators' answers in one place

The control instances and the command line each had a copy of them, so that a change had to be made twice. Both use operator/answers.py and operator/items.py now; control/operator_rows.py fills them from the state.

--- a/src/lycheering/control/operator_errors.py
+++ b/src/lycheering/control/operator_errors.py
@@ -10,8 +10,8 @@
 import pydantic
 
 from lycheering.control import failures
-from lycheering.control import operator_answers
 from lycheering.control import operator_rows
+from lycheering.operator import answers
 from lycheering.replication import errors
 
 if TYPE_CHECKING:
@@ -24,6 +24,7 @@
     """A call that was not done, or may not have been.
 
     Attributes:
+        status: The HTTP status.
         detail: What the operator is told.
     """
 
@@ -38,13 +39,14 @@
         winner: commands.Winner | None = None,
     ) -> None:
         super().__init__(message)
-        self.detail = operator_answers.ErrorDetail(
+        self.status = code
+        self.detail = answers.ErrorBody(
             code,
             reason,
             message,
-            findings or [],
+            tuple(findings or ()),
             retry_after_ms,
-            operator_rows.WinnerRow.of(winner) if winner else None,
+            operator_rows.winner(winner) if winner else None,
         )
 
 
@@ -105,8 +107,8 @@
 def error_response(error: OperatorError) -> blacksheep.Response:
     """Returns the response that tells an error."""
     detail = error.detail
-    answer = operator_answers.ErrorAnswer(detail)
-    response = json_response(answer, detail.code)
+    answer = answers.ErrorAnswer(detail)
+    response = json_response(answer, error.status)
     if detail.retry_after_ms:
         seconds = math.ceil(detail.retry_after_ms / 1_000)
         response.add_header(b"Retry-After", str(seconds).encode())
--- a/src/lycheering/control/operator_http.py
+++ b/src/lycheering/control/operator_http.py
@@ -12,9 +12,9 @@
 import pydantic
 
 from lycheering.control import commands
-from lycheering.control import operator_answers as answers
 from lycheering.control import operator_errors
 from lycheering.control import operator_models as models
+from lycheering.operator import answers
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
--- a/src/lycheering/control/operator_reads.py
+++ b/src/lycheering/control/operator_reads.py
@@ -5,12 +5,11 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from lycheering.control import commands
-from lycheering.control import operator_answers as answers
 from lycheering.control import operator_errors
 from lycheering.control import operator_rows
 from lycheering.fleet import options
-from lycheering.fleet import view
+from lycheering.operator import answers
+from lycheering.operator import items
 from lycheering.replication import errors
 from lycheering.wire import api as wire_api
 from lycheering.wire import errors as wire_errors
@@ -19,9 +18,8 @@
 if TYPE_CHECKING:
     from lycheering import clock
     from lycheering.control import fleet_status
-    from lycheering.control import history
     from lycheering.control import replica
-    from lycheering.fleet import records
+    from lycheering.fleet import view
     from lycheering.orders import records as order_records
     from lycheering.telemetry import counters
     from lycheering.wire import pool
@@ -66,20 +64,14 @@
         current = await self._is_current()
         fleet = self._fleet
         rows = [
-            operator_rows.DefaultRow(
-                name,
-                fleet.value(name),
-                option.default,
-                name in fleet.value_by_option,
-                option.help,
-            )
-            for name, option in options.OPTION_BY_NAME.items()
+            operator_rows.default(fleet, name)
+            for name in options.OPTION_BY_NAME
         ]
         return answers.DefaultsAnswer(
             current=current,
             config_revision=fleet.config_revision,
             view_revision=fleet.view_revision,
-            defaults=rows,
+            defaults=tuple(rows),
         )
 
     async def exceptions(self) -> answers.ExceptionsAnswer:
@@ -91,9 +83,9 @@
             current=current,
             config_revision=fleet.config_revision,
             view_revision=fleet.view_revision,
-            exceptions=[
-                operator_rows.ExceptionRow.of(record) for record in found
-            ],
+            exceptions=tuple(
+                operator_rows.exception(record) for record in found
+            ),
         )
 
     async def teams(self) -> answers.TeamsAnswer:
@@ -101,14 +93,14 @@
         current = await self._is_current()
         fleet = self._fleet
         rows = [
-            operator_rows.TeamRow(team.name, len(team.key_digests))
+            items.TeamItem(team.name, len(team.key_digests))
             for team in fleet.team_by_name.values()
         ]
         return answers.TeamsAnswer(
             current=current,
             config_revision=fleet.config_revision,
             view_revision=fleet.view_revision,
-            teams=rows,
+            teams=tuple(rows),
         )
 
     async def history(self, limit: int) -> answers.HistoryAnswer:
@@ -116,12 +108,15 @@
         current = await self._is_current()
         fleet = self._fleet
         newest = reversed(self._group.machine.history.entries)
-        rows = [_history_row(e) for e in itertools.islice(newest, limit)]
+        rows = [
+            operator_rows.change(entry)
+            for entry in itertools.islice(newest, limit)
+        ]
         return answers.HistoryAnswer(
             current=current,
             config_revision=fleet.config_revision,
             view_revision=fleet.view_revision,
-            changes=rows,
+            changes=tuple(rows),
         )
 
     async def targets(self) -> answers.TargetsAnswer:
@@ -130,14 +125,16 @@
         picture = await self._status.collect()
         fleet = self._fleet
         rows = [
-            _target_row(fleet, target, picture.report_by_target)
+            operator_rows.target(
+                fleet, target, picture.report_by_target.get(target.name)
+            )
             for target in fleet.target_by_name.values()
         ]
         return answers.TargetsAnswer(
             current=current,
             config_revision=fleet.config_revision,
             view_revision=fleet.view_revision,
-            targets=rows,
+            targets=tuple(rows),
         )
 
     async def orders(self, state: str, limit: int) -> answers.OrdersAnswer:
@@ -150,13 +147,15 @@
         else:
             found = ledger.open_orders()
         rows = [
-            order_row(order) for order in found if state in ("", order.state)
+            operator_rows.order(order)
+            for order in found
+            if state in ("", order.state)
         ]
         return answers.OrdersAnswer(
             current=current,
             config_revision=fleet.config_revision,
             view_revision=fleet.view_revision,
-            orders=rows[:limit],
+            orders=tuple(rows[:limit]),
         )
 
     async def order(self, team: str, key: str) -> answers.OrderAnswer:
@@ -175,7 +174,7 @@
             current=current,
             config_revision=self._fleet.config_revision,
             view_revision=self._fleet.view_revision,
-            order=order_row(order),
+            order=operator_rows.order(order),
         )
 
     async def members(self) -> answers.MembersAnswer:
@@ -188,7 +187,7 @@
             instance=self._instance,
             leader=self._group.leader_name(),
             change=self._member_change(),
-            members=self._member_rows(),
+            members=self._members(),
         )
 
     async def status(
@@ -222,7 +221,7 @@
         lacking: list[str],
     ) -> answers.StatusAnswer:
         processes = [
-            operator_rows.ProcessRow.of(peer)
+            operator_rows.process(peer)
             for peer in picture.peer_by_name.values()
         ]
         return answers.StatusAnswer(
@@ -232,10 +231,10 @@
             instance=self._instance,
             leader=self._group.leader_name(),
             change=self._member_change(),
-            members=self._member_rows(),
-            processes=processes,
-            unreachable=list(picture.unreachable),
-            lacking=lacking,
+            members=self._members(),
+            processes=tuple(processes),
+            unreachable=tuple(picture.unreachable),
+            lacking=tuple(lacking),
             in_force=not lacking,
         )
 
@@ -278,106 +277,9 @@
             return ""
         return f"{change.joining} joins, {change.leaving} leaves"
 
-    def _member_rows(self) -> list[operator_rows.MemberRow]:
-        rows = []
-        for member in self._group.log.status().members:
-            ip, _, port = member.address.rpartition(":")
-            rows.append(
-                operator_rows.MemberRow(
-                    member.id.instance,
-                    ip,
-                    int(port),
-                    str(member.id),
-                    member.is_voter,
-                )
-            )
-        return rows
-
-
-def order_row(order: order_records.Order) -> operator_rows.OrderRow:
-    """Returns the row of an order."""
-    outcome = None
-    if order.outcome is not None:
-        outcome = operator_rows.OutcomeRow(
-            order.outcome.status,
-            order.outcome.content_type,
-            len(order.outcome.body),
-        )
-    return operator_rows.OrderRow(
-        order_id=order.order_id,
-        team=order.team,
-        key=order.key,
-        state=order.state,
-        target=order.target,
-        request_id=order.request_id,
-        reason=order.reason,
-        claimed_at_ms=order.claimed_ms,
-        changed_at_ms=order.changed_ms,
-        outcome=outcome,
-    )
-
-
-def _history_row(entry: history.HistoryEntry) -> operator_rows.HistoryRow:
-    command = entry.command
-    subject = ""
-    value: options.OptionValue | None = None
-    match command.edit:
-        case commands.SetDefault(option, set_value):
-            kind, subject, value = "default_set", option, set_value
-        case commands.AddException(scope, option, set_value):
-            kind, value = "exception_added", set_value
-            subject = f"{option} for {scope.kind} {scope.name}"
-        case commands.RemoveException(exception_id):
-            kind, subject = "exception_removed", exception_id
-        case commands.PutTeam(name):
-            kind, subject = "team_put", name
-        case commands.RemoveTeam(name):
-            kind, subject = "team_removed", name
-    return operator_rows.HistoryRow(
-        entry.revision,
-        command.change_id,
-        command.operator,
-        command.at_ms,
-        command.reason,
-        kind,
-        subject,
-        value,
-    )
-
-
-def _target_row(
-    fleet: view.FleetView,
-    target: records.Target,
-    report_by_target: dict[str, messages.TargetReport],
-) -> operator_rows.TargetRow:
-    subject = view.subject_of_target(target)
-    report = report_by_target.get(target.name)
-    row = None
-    if report is not None:
-        row = operator_rows.ReportRow(
-            report.engine_incarnation,
-            report.weights_version,
-            report.adapters,
-            report.role,
-            report.load.running,
-            report.load.queued,
-            report.load.draining,
-        )
-    return operator_rows.TargetRow(
-        name=target.name,
-        kind=target.kind,
-        state=target.state,
-        instance=target.instance,
-        ip=target.ip,
-        port=target.port,
-        failure_domain=target.failure_domain,
-        model=target.model,
-        service=target.service,
-        agent_incarnation=target.agent_incarnation,
-        drained=fleet.flag("target.drained", subject),
-        weights_wanted=fleet.text("weights.version", subject),
-        report=row,
-    )
+    def _members(self) -> tuple[items.MemberItem, ...]:
+        found = self._group.log.status().members
+        return tuple(operator_rows.member(status) for status in found)
 
 
-__all__ = ["MAX_WAIT_MS", "OperatorReads", "order_row"]
+__all__ = ["MAX_WAIT_MS", "OperatorReads"]
--- a/src/lycheering/control/operator_rows.py
+++ b/src/lycheering/control/operator_rows.py
@@ -1,294 +1,172 @@
-"""The rows of what operators are answered."""
+"""What the answers to operators list, made from the state."""
 
 from __future__ import annotations
 
-import msgspec
+from typing import TYPE_CHECKING
 
 from lycheering.control import commands
 from lycheering.fleet import options
-from lycheering.fleet import records
-from lycheering.wire import messages
-
-
-class DefaultRow(msgspec.Struct, frozen=True):
-    """One option.
-
-    Attributes:
-        option: Its name.
-        value: Its default in force.
-        built_in: Its value where operators set none.
-        is_set: Whether an operator set it.
-        help: What it does.
-    """
-
-    option: str
-    value: options.OptionValue
-    built_in: options.OptionValue
-    is_set: bool
-    help: str
-
-
-class ScopeRow(msgspec.Struct, frozen=True):
-    """What an exception applies to.
-
-    Attributes:
-        kind: The kind of thing.
-        name: Its name.
-    """
-
-    kind: str
-    name: str
-
-
-class ExceptionRow(msgspec.Struct, frozen=True):
-    """One exception.
-
-    Attributes:
-        exception_id: Its id.
-        scope: What it applies to.
-        option: The option's name.
-        value: Its value within the scope.
-        reason: The operator's written reason.
-        operator: Who added it.
-        revision: The config revision that it came with.
-    """
-
-    exception_id: str
-    scope: ScopeRow
-    option: str
-    value: options.OptionValue
-    reason: str
-    operator: str
-    revision: int
-
-    @classmethod
-    def of(cls, record: records.ExceptionRecord) -> ExceptionRow:
-        """Returns the row of an exception."""
-        return cls(
-            record.exception_id,
-            ScopeRow(record.scope.kind, record.scope.name),
-            record.option,
-            record.value,
-            record.reason,
-            record.operator,
-            record.revision,
-        )
-
-
-class TeamRow(msgspec.Struct, frozen=True):
-    """One team.
-
-    Attributes:
-        name: Its name.
-        keys: How many bearer keys name it.
-    """
-
-    name: str
-    keys: int
-
-
-class HistoryRow(msgspec.Struct, frozen=True):
-    """One accepted change.
-
-    Attributes:
-        revision: The config revision that it made.
-        change_id: Its id.
-        operator: Who made it.
-        at_ms: When, in wall-clock time.
-        reason: Why.
-        kind: What was done.
-        subject: To what.
-        value: The value set, if any.
-    """
-
-    revision: int
-    change_id: str
-    operator: str
-    at_ms: int
-    reason: str
-    kind: str
-    subject: str
-    value: options.OptionValue | None
-
-
-class MemberRow(msgspec.Struct, frozen=True):
-    """One member of the group of control instances.
-
-    Attributes:
-        instance: Its instance.
-        ip: Its IP number.
-        port: Its port of the inner protocol.
-        id: Its identity, which is tied to its disk.
-        votes: Whether it votes.
-    """
-
-    instance: str
-    ip: str
-    port: int
-    id: str
-    votes: bool
-
-
-class ReportRow(msgspec.Struct, frozen=True):
-    """What an agent reported last.
-
-    Attributes:
-        engine_incarnation: The engine's incarnation.
-        weights_version: The weights it serves.
-        adapters: The adapters it holds.
-        role: Its role.
-        running: Requests that run at the target.
-        queued: Requests that wait at the agent.
-        draining: Whether the agent takes nothing new.
-    """
-
-    engine_incarnation: str
-    weights_version: str
-    adapters: tuple[str, ...]
-    role: str
-    running: int
-    queued: int
-    draining: bool
-
-
-class TargetRow(msgspec.Struct, frozen=True, kw_only=True):
-    """One target.
-
-    Attributes:
-        name: Its name.
-        kind: What it is.
-        state: Whether it may get new work.
-        instance: The instance it is on.
-        ip: The IP number of its agent.
-        port: The port of its agent.
-        failure_domain: The failure domain it is in.
-        model: The model that an engine serves.
-        service: The name that a plain service is routed under.
-        agent_incarnation: The agent's incarnation.
-        drained: Whether operators keep new work from it.
-        weights_wanted: The weights that it shall serve.
-        report: What its agent reported last.
-    """
-
-    name: str
-    kind: str
-    state: str
-    instance: str
-    ip: str
-    port: int
-    failure_domain: str
-    model: str
-    service: str
-    agent_incarnation: str
-    drained: bool
-    weights_wanted: str
-    report: ReportRow | None
-
-
-class OutcomeRow(msgspec.Struct, frozen=True):
-    """The answer kept for an order, without its body.
-
-    Attributes:
-        status: The HTTP status.
-        content_type: The content type.
-        bytes: The body's size.
-    """
-
-    status: int
-    content_type: str
-    bytes: int
-
-
-class OrderRow(msgspec.Struct, frozen=True, kw_only=True):
-    """One order.
-
-    Attributes:
-        order_id: The claim's id.
-        team: The team.
-        key: The caller's idempotency key.
-        state: Where it stands.
-        target: The target claimed for.
-        request_id: The request that claimed it.
-        reason: Why it was released or is unknown, or who settled it.
-        claimed_at_ms: When it was claimed.
-        changed_at_ms: When its state changed last.
-        outcome: The answer kept.
-    """
-
-    order_id: str
-    team: str
-    key: str
-    state: str
-    target: str
-    request_id: str
-    reason: str
-    claimed_at_ms: int
-    changed_at_ms: int
-    outcome: OutcomeRow | None
-
-
-class WinnerRow(msgspec.Struct, frozen=True):
-    """The change that came first.
-
-    Attributes:
-        revision: The config revision that it made.
-        operator: Who made it.
-        change_id: Its id.
-    """
-
-    revision: int
-    operator: str
-    change_id: str
-
-    @classmethod
-    def of(cls, winner: commands.Winner) -> WinnerRow:
-        """Returns the row of a winner."""
-        return cls(winner.revision, winner.operator, winner.change_id)
-
-
-class ProcessRow(msgspec.Struct, frozen=True):
-    """One live process.
-
-    Attributes:
-        name: Its instance, or its target's name.
-        role: Its role.
-        incarnation: Its incarnation.
-        failure_domain: The failure domain it is in.
-        view_revision: The view revision it has in force.
-        last_heard_ms: Time since its last frame.
-    """
-
-    name: str
-    role: str
-    incarnation: str
-    failure_domain: str
-    view_revision: int
-    last_heard_ms: float
-
-    @classmethod
-    def of(cls, peer: messages.PeerStatus) -> ProcessRow:
-        """Returns the row of a process."""
-        return cls(
-            peer.name,
-            peer.role,
-            peer.incarnation,
-            peer.failure_domain,
-            peer.view_revision,
-            peer.last_heard_ms,
+from lycheering.fleet import view
+from lycheering.operator import answers
+from lycheering.operator import items
+
+if TYPE_CHECKING:
+    from lycheering.control import history
+    from lycheering.fleet import records
+    from lycheering.orders import records as order_records
+    from lycheering.replication import log
+    from lycheering.wire import messages
+
+
+def default(fleet: view.FleetView, name: str) -> items.DefaultItem:
+    """Returns an option with its default in force."""
+    option = options.OPTION_BY_NAME[name]
+    return items.DefaultItem(
+        option=name,
+        value=fleet.value(name),
+        is_set=name in fleet.value_by_option,
+        built_in=option.default,
+        help=option.help,
+    )
+
+
+def exception(record: records.ExceptionRecord) -> items.ExceptionItem:
+    """Returns an exception."""
+    return items.ExceptionItem(
+        exception_id=record.exception_id,
+        scope=items.Scope(record.scope.kind, record.scope.name),
+        option=record.option,
+        value=record.value,
+        reason=record.reason,
+        operator=record.operator,
+        revision=record.revision,
+    )
+
+
+def change(entry: history.HistoryEntry) -> items.ChangeItem:
+    """Returns an accepted change."""
+    command = entry.command
+    subject = ""
+    value: options.OptionValue | None = None
+    match command.edit:
+        case commands.SetDefault(option, set_value):
+            kind, subject, value = "default_set", option, set_value
+        case commands.AddException(scope, option, set_value):
+            kind, value = "exception_added", set_value
+            subject = f"{option} for {scope.kind} {scope.name}"
+        case commands.RemoveException(exception_id):
+            kind, subject = "exception_removed", exception_id
+        case commands.PutTeam(name):
+            kind, subject = "team_put", name
+        case commands.RemoveTeam(name):
+            kind, subject = "team_removed", name
+    return items.ChangeItem(
+        revision=entry.revision,
+        at_ms=command.at_ms,
+        operator=command.operator,
+        kind=kind,
+        subject=subject,
+        reason=command.reason,
+        change_id=command.change_id,
+        value=value,
+    )
+
+
+def target(
+    fleet: view.FleetView,
+    record: records.Target,
+    report: messages.TargetReport | None,
+) -> items.TargetItem:
+    """Returns a target with what its agent reported last."""
+    subject = view.subject_of_target(record)
+    return items.TargetItem(
+        name=record.name,
+        kind=record.kind,
+        state=record.state,
+        drained=fleet.flag("target.drained", subject),
+        failure_domain=record.failure_domain,
+        ip=record.ip,
+        port=record.port,
+        model=record.model,
+        service=record.service,
+        instance=record.instance,
+        agent_incarnation=record.agent_incarnation,
+        weights_wanted=fleet.text("weights.version", subject),
+        report=None if report is None else _report(report),
+    )
+
+
+def _report(report: messages.TargetReport) -> items.ReportItem:
+    return items.ReportItem(
+        engine_incarnation=report.engine_incarnation,
+        weights_version=report.weights_version,
+        adapters=report.adapters,
+        role=report.role,
+        running=report.load.running,
+        queued=report.load.queued,
+        draining=report.load.draining,
+    )
+
+
+def order(record: order_records.Order) -> items.OrderItem:
+    """Returns an order, without the body of its answer."""
+    outcome = None
+    if record.outcome is not None:
+        outcome = items.OutcomeItem(
+            record.outcome.status,
+            record.outcome.content_type,
+            len(record.outcome.body),
         )
+    return items.OrderItem(
+        order_id=record.order_id,
+        team=record.team,
+        key=record.key,
+        state=record.state,
+        target=record.target,
+        request_id=record.request_id,
+        reason=record.reason,
+        claimed_at_ms=record.claimed_ms,
+        changed_at_ms=record.changed_ms,
+        outcome=outcome,
+    )
+
+
+def member(status: log.MemberStatus) -> items.MemberItem:
+    """Returns a member of the group."""
+    ip, _, port = status.address.rpartition(":")
+    return items.MemberItem(
+        instance=status.id.instance,
+        ip=ip,
+        port=int(port),
+        id=str(status.id),
+        votes=status.is_voter,
+    )
+
+
+def process(peer: messages.PeerStatus) -> items.ProcessItem:
+    """Returns a live process."""
+    return items.ProcessItem(
+        name=peer.name,
+        role=peer.role,
+        failure_domain=peer.failure_domain,
+        view_revision=peer.view_revision,
+        last_heard_ms=peer.last_heard_ms,
+        incarnation=peer.incarnation,
+    )
+
+
+def winner(found: commands.Winner) -> answers.Winner:
+    """Returns the change that came first."""
+    return answers.Winner(found.revision, found.operator, found.change_id)
 
 
 __all__ = [
-    "DefaultRow",
-    "ExceptionRow",
-    "HistoryRow",
-    "MemberRow",
-    "OrderRow",
-    "OutcomeRow",
-    "ProcessRow",
-    "ReportRow",
-    "ScopeRow",
-    "TargetRow",
-    "TeamRow",
-    "WinnerRow",
+    "change",
+    "default",
+    "exception",
+    "member",
+    "order",
+    "process",
+    "target",
+    "winner",
 ]
--- a/src/lycheering/control/operator_writes.py
+++ b/src/lycheering/control/operator_writes.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from lycheering.control import commands
-from lycheering.control import operator_answers as answers
 from lycheering.control import operator_errors
 from lycheering.control import peer_calls
 from lycheering.fleet import options
 from lycheering.fleet import records
 from lycheering.fleet import view
+from lycheering.operator import answers
 from lycheering.replication import errors
 
 if TYPE_CHECKING:
@@ -37,14 +37,14 @@
 
     async def set_default(
         self, body: models.DefaultBody
-    ) -> answers.ChangeAnswer:
+    ) -> answers.WriteAnswer:
         """Sets a default."""
         edit = commands.SetDefault(body.option, body.value)
         return await self.change(body, edit)
 
     async def add_exception(
         self, body: models.ExceptionBody
-    ) -> answers.ChangeAnswer:
+    ) -> answers.WriteAnswer:
         """Adds an exception."""
         scope = records.Scope(body.scope.kind, body.scope.name)
         edit = commands.AddException(scope, body.option, body.value)
@@ -52,7 +52,7 @@
 
     async def put_team(
         self, name: str, body: models.TeamBody
-    ) -> answers.ChangeAnswer:
+    ) -> answers.WriteAnswer:
         """Adds or replaces a team."""
         digests = [view.key_digest(key) for key in body.keys]
         digests += body.key_digests
@@ -61,7 +61,7 @@
 
     async def drain(
         self, name: str, body: models.ChangeBody
-    ) -> answers.ChangeAnswer:
+    ) -> answers.WriteAnswer:
         """Keeps new work from a target."""
         if name not in self._group.machine.fleet.target_by_name:
             raise operator_errors.not_found(f"no target {name!r}")
@@ -71,7 +71,7 @@
 
     async def undrain(
         self, name: str, body: models.ChangeBody
-    ) -> answers.ChangeAnswer:
+    ) -> answers.WriteAnswer:
         """Lets a target have new work again."""
         kept = self._group.machine.history.outcome_by_change_id
         known = kept.get(body.change_id)
@@ -87,7 +87,7 @@
 
     async def change(
         self, body: models.ChangeBody, edit: commands.Edit
-    ) -> answers.ChangeAnswer:
+    ) -> answers.WriteAnswer:
         """Commits a change of the configuration.
 
         Raises:
@@ -114,7 +114,7 @@
                 f" found {outcome.config_revision}",
                 winner=outcome.winner,
             )
-        return answers.ChangeAnswer(
+        return answers.WriteAnswer(
             outcome.change_id,
             outcome.config_revision,
             outcome.view_revision,
--- a/src/lycheering/operator/answers.py
+++ b/src/lycheering/operator/answers.py
@@ -1,4 +1,4 @@
-"""What the operators' HTTP interface answers."""
+"""What the operators' HTTP interface answers, as both ends know it."""
 
 from __future__ import annotations
 
@@ -168,13 +168,15 @@
 
     Attributes:
         members: The members.
-        leader: The leading one, if it is known.
-        change: The change under way, if there is one.
+        leader: The leading one; empty if none is known.
+        change: The change of members under way; empty if none.
+        instance: The instance that answers.
     """
 
     members: tuple[items.MemberItem, ...] = ()
-    leader: str | None = None
+    leader: str = ""
     change: str = ""
+    instance: str = ""
 
 
 class CountersAnswer(msgspec.Struct, frozen=True):
@@ -213,24 +215,44 @@
     joining: str
 
 
-class StatusAnswer(ReadAnswer, frozen=True):
+class StatusAnswer(MembersAnswer, frozen=True):
     """Who has which configuration in force.
 
     Attributes:
-        leader: The leading control instance, if one is known.
         processes: The live processes.
         in_force: Whether all of them have the revision asked for.
         lacking: Those that do not.
         unreachable: Control instances that could not be asked.
     """
 
-    leader: str | None = None
     processes: tuple[items.ProcessItem, ...] = ()
     in_force: bool = True
     lacking: tuple[str, ...] = ()
     unreachable: tuple[str, ...] = ()
 
 
+class LiveAnswer(msgspec.Struct, frozen=True):
+    """Whether the process runs.
+
+    Attributes:
+        live: Always true.
+    """
+
+    live: bool = True
+
+
+class ReadyAnswer(msgspec.Struct, frozen=True):
+    """Whether a control instance takes part in a group that has a leader.
+
+    Attributes:
+        ready: Whether it does.
+        leader: The instance that leads; empty if none is known.
+    """
+
+    ready: bool
+    leader: str
+
+
 __all__ = [
     "CancelChangeAnswer",
     "CountersAnswer",
@@ -240,10 +262,12 @@
     "ExceptionsAnswer",
     "ExplainAnswer",
     "HistoryAnswer",
+    "LiveAnswer",
     "MembersAnswer",
     "OrderAnswer",
     "OrdersAnswer",
     "ReadAnswer",
+    "ReadyAnswer",
     "ReplaceAnswer",
     "StatusAnswer",
     "TargetsAnswer",
--- a/src/lycheering/operator/items.py
+++ b/src/lycheering/operator/items.py
@@ -1,4 +1,4 @@
-"""What the answers to operators list."""
+"""What the answers to operators list, as both ends know it."""
 
 from __future__ import annotations
 
@@ -27,11 +27,15 @@
         option: The option's name.
         value: Its value.
         is_set: Whether an operator set it.
+        built_in: Its value where operators set none.
+        help: What it does.
     """
 
     option: str
     value: options.OptionValue
     is_set: bool = False
+    built_in: options.OptionValue | None = None
+    help: str = ""
 
 
 class ExceptionItem(msgspec.Struct, frozen=True):
@@ -92,6 +96,28 @@
     value: options.OptionValue | None = None
 
 
+class ReportItem(msgspec.Struct, frozen=True):
+    """What the agent of a target reported last.
+
+    Attributes:
+        engine_incarnation: The engine's incarnation.
+        weights_version: The weights it serves.
+        adapters: The adapters it holds.
+        role: Its role.
+        running: Requests that run at the target.
+        queued: Requests that wait at the agent.
+        draining: Whether the agent takes nothing new.
+    """
+
+    engine_incarnation: str
+    weights_version: str
+    adapters: tuple[str, ...]
+    role: str
+    running: int
+    queued: int
+    draining: bool
+
+
 class TargetItem(msgspec.Struct, frozen=True):
     """A target in the fleet view.
 
@@ -105,6 +131,10 @@
         port: The port of its agent.
         model: The model that an engine serves.
         service: The name that a plain service is routed under.
+        instance: The instance it is on.
+        agent_incarnation: The agent's incarnation.
+        weights_wanted: The weights that it shall serve.
+        report: What its agent reported last.
     """
 
     name: str
@@ -116,6 +146,24 @@
     port: int
     model: str
     service: str
+    instance: str = ""
+    agent_incarnation: str = ""
+    weights_wanted: str = ""
+    report: ReportItem | None = None
+
+
+class OutcomeItem(msgspec.Struct, frozen=True):
+    """The kept answer of an order, without its body.
+
+    Attributes:
+        status: The HTTP status.
+        content_type: The content type.
+        bytes: The body's size.
+    """
+
+    status: int
+    content_type: str
+    bytes: int
 
 
 class OrderItem(msgspec.Struct, frozen=True):
@@ -130,6 +178,8 @@
         request_id: The request that holds or held the claim.
         reason: Why it stands there, if that needs a reason.
         claimed_at_ms: When it was claimed, since the epoch.
+        changed_at_ms: When its state changed last.
+        outcome: The answer kept.
     """
 
     order_id: str
@@ -140,6 +190,8 @@
     request_id: str
     reason: str = ""
     claimed_at_ms: float = 0.0
+    changed_at_ms: float = 0.0
+    outcome: OutcomeItem | None = None
 
 
 class MemberItem(msgspec.Struct, frozen=True):
@@ -169,6 +221,7 @@
         failure_domain: The failure domain it is in.
         view_revision: The view revision it has in force.
         last_heard_ms: Time since its last frame.
+        incarnation: Its incarnation.
     """
 
     name: str
@@ -176,6 +229,7 @@
     failure_domain: str
     view_revision: int
     last_heard_ms: float
+    incarnation: str = ""
 
 
 class CandidateItem(msgspec.Struct, frozen=True):
@@ -233,7 +287,9 @@
     "ExceptionItem",
     "MemberItem",
     "OrderItem",
+    "OutcomeItem",
     "ProcessItem",
+    "ReportItem",
     "Scope",
     "TargetItem",
     "TeamItem",
