Hand whole fleet views over in parts, and without teams to agents

Cause: a whole view went out in one frame, encoded anew for each receiver. It went out twice, since the server pushed it after the welcome while the receiver, told of the newer revision by the welcome, also asked for it: 2,664 KB a process at 17,000 teams, of which agents use no team at all.

Ruled out: pushing the parts. The receiver would set no pace, and a herd would fill the queues of all its connections at once.

Change: the receiver asks for a whole view part by part (60 KiB). Parts name the revision and a digest of the whole; nothing is in force before all of them are there and the digest fits, and a transfer that broke off goes on at any instance whose view has that digest. Both forms, with and without teams, are encoded once and shared, and kept while at most 500 changes follow. 16 transfers run at once; others are told when to come back (wire.view_later). A push that does not reach back is a notice. Changes go out 200 to a frame. An agent that an entry asks for teams fetches them first, so that an entry cut off from control still takes a newer view from agents.

The scenario of a transfer that broke off failed first: a source that had not encoded its view yet began anew with part 0.

--- a/bench/measures/capacity.py
+++ b/bench/measures/capacity.py
@@ -27,6 +27,7 @@
 from lycheering.fleet import holder
 from lycheering.fleet import records
 from lycheering.fleet import view
+from lycheering.fleet import whole
 from lycheering.settings import model
 from lycheering.telemetry import counters
 from lycheering.wire import api
@@ -123,10 +124,12 @@
         made.make(team_change(number), by_operator=True)
     held = resident_bytes() - before
     start_s = time.process_time()
-    frame = codec.encode(frame_of(holder.update_of(made, -1)))
+    encoded = whole.encode(made, with_teams=True)
+    frame = b"".join(encoded.pieces)
     encode_ms = (time.process_time() - start_s) * 1e3
+    without = sum(map(len, whole.encode(made, with_teams=False).pieces))
     start_s = time.process_time()
-    codec.decode(frame)
+    msgspec.msgpack.decode(frame, type=view.ViewSnapshot)
     decode_ms = (time.process_time() - start_s) * 1e3
     start_s = time.process_time()
     other = view.FleetView()
@@ -136,12 +139,14 @@
     for number in range(CHANGES):
         made.make(team_change(number, 1), by_operator=True)
     change_us = (time.process_time() - start_s) / CHANGES * 1e6
-    update = holder.update_of(made, made.view_revision - 1)
+    last = made.changes_since(made.view_revision - 1)
+    update = messages.ViewUpdate(numbered=tuple(last or ()))
     one = len(codec.encode(frame_of(update)))
     print(
         f"teams={teams} view_bytes_per_team={held / teams:.0f}"
-        f" frame_bytes={len(frame)}"
-        f" frame_bytes_per_team={len(frame) / teams:.0f}"
+        f" whole_bytes={len(frame)} parts={len(encoded.pieces)}"
+        f" whole_bytes_per_team={len(frame) / teams:.0f}"
+        f" whole_bytes_without_teams={without}"
         f" encode_ms={encode_ms:.1f} decode_ms={decode_ms:.1f}"
         f" restore_ms={restore_ms:.1f} us_per_change={change_us:.0f}"
         f" change_frame_bytes={one}"
--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -126,7 +126,7 @@
         raise ValueError("settings without an agent section")
     clock = clocks.Clock()
     counters = counting.Counters(settings.metrics)
-    holder = holders.ViewHolder()
+    holder = holders.ViewHolder(with_teams=False)
     link = _make_link(settings, agent, clock, holder, counters)
     state = target_state.TargetState(agent, clock)
     ages = life.EvictionAge(clock)
--- a/src/lycheering/control/publisher.py
+++ b/src/lycheering/control/publisher.py
@@ -6,12 +6,13 @@
 from typing import TYPE_CHECKING
 
 from lycheering.app import api as app_api
-from lycheering.fleet import holder
+from lycheering.fleet import source
 from lycheering.wire import api as wire_api
 
 if TYPE_CHECKING:
     from lycheering import clock
     from lycheering.control import machine
+    from lycheering.fleet import changes
     from lycheering.wire import messages
     from lycheering.wire import server
 
@@ -30,14 +31,27 @@
 
     def __init__(self, state: machine.ControlMachine) -> None:
         self._state = state
+        self._source = source.ViewSource()
 
     def revision(self) -> int:
         """Returns the view revision in force in this process."""
         return self._state.fleet.view_revision
 
-    def update_since(self, revision: int) -> messages.ViewUpdate:
-        """Returns what a peer at a lower revision lacks."""
-        return holder.update_of(self._state.fleet, revision)
+    def changes_since(
+        self, revision: int
+    ) -> list[changes.NumberedChange] | None:
+        """Returns the changes after a revision, or None if too old."""
+        return self._state.fleet.changes_since(revision)
+
+    def answer(
+        self, fetch: messages.ViewFetch, peer: object, now_ms: float
+    ) -> messages.Message:
+        """Returns what a peer that asks for the view is sent."""
+        return self._source.answer(self._state.fleet, fetch, peer, now_ms)
+
+    def release(self, peer: object) -> None:
+        """Forgets a peer whose connection ended."""
+        self._source.release(peer)
 
     def take(self, update: messages.ViewUpdate) -> bool:
         """Leaves the view as it is."""
--- a/src/lycheering/fleet/changes.py
+++ b/src/lycheering/fleet/changes.py
@@ -7,6 +7,8 @@
 from lycheering.fleet import options
 from lycheering.fleet import records
 
+MAX_CHANGES_PER_FRAME = 200
+
 
 class DefaultSet(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A default was set.
@@ -110,6 +112,7 @@
 
 
 __all__ = [
+    "MAX_CHANGES_PER_FRAME",
     "Change",
     "ConfigChange",
     "DefaultSet",
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -57,6 +57,7 @@
         exceptions: All exceptions.
         teams: All teams.
         targets: All targets.
+        has_teams: Whether teams are in it at all.
     """
 
     view_revision: int
@@ -65,6 +66,7 @@
     exceptions: tuple[records.ExceptionRecord, ...]
     teams: tuple[records.Team, ...]
     targets: tuple[records.Target, ...]
+    has_teams: bool = True
 
 
 class ViewGapError(Exception):
@@ -86,9 +88,11 @@
         exception_by_id: Exceptions.
         team_by_name: Teams.
         target_by_name: Targets and their agents.
+        has_teams: Whether all teams are held, as only some roles need.
     """
 
     def __init__(self) -> None:
+        self.has_teams = True
         self.view_revision = 0
         self.config_revision = 0
         self.value_by_option: dict[str, options.OptionValue] = {}
@@ -103,15 +107,21 @@
             collections.deque(maxlen=RECENT_CHANGES)
         )
 
-    def snapshot(self) -> ViewSnapshot:
-        """Returns the whole view, for a peer that holds too old a one."""
+    def snapshot(self, *, with_teams: bool = True) -> ViewSnapshot:
+        """Returns the whole view, for a peer that holds too old a one.
+
+        Args:
+            with_teams: Whether the peer uses the teams.
+        """
+        has_teams = with_teams and self.has_teams
         return ViewSnapshot(
             self.view_revision,
             self.config_revision,
             dict(self.value_by_option),
             tuple(self.exception_by_id.values()),
-            tuple(self.team_by_name.values()),
+            tuple(self.team_by_name.values()) if has_teams else (),
             tuple(self.target_by_name.values()),
+            has_teams,
         )
 
     def restore(self, snapshot: ViewSnapshot) -> bool:
@@ -135,11 +145,32 @@
         self.target_by_name = {
             target.name: target for target in snapshot.targets
         }
+        self.has_teams = snapshot.has_teams
         self._recent.clear()
         self._index_teams()
         self._index_exceptions()
         return True
 
+    def adopt_teams(self, snapshot: ViewSnapshot) -> bool:
+        """Takes teams over that are not held, at the present revision.
+
+        Args:
+            snapshot: A whole view with teams, at this revision or earlier.
+
+        Returns:
+            False if changes after the snapshot are no longer known.
+        """
+        later = self.changes_since(snapshot.view_revision)
+        if later is None or not snapshot.has_teams:
+            return False
+        other = FleetView()
+        other.restore(snapshot)
+        other.apply_all(later)
+        self.team_by_name = other.team_by_name
+        self.has_teams = True
+        self._index_teams()
+        return True
+
     def changes_since(
         self, view_revision: int
     ) -> list[changes.NumberedChange] | None:
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -108,7 +108,7 @@
     silence_ms: PositiveMs = 2_000
     call_timeout_ms: PositiveMs = 2_000
     idle_close_ms: PositiveMs = 30_000
-    max_frame_bytes: Annotated[int, pydantic.Field(ge=4_096)] = 8_388_608
+    max_frame_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 8_388_608
     high_water_mark: Annotated[int, pydantic.Field(ge=10)] = 1_000
     curve_secret_key_file: str = ""
     curve_peers_file: str = ""
--- a/src/lycheering/wire/api.py
+++ b/src/lycheering/wire/api.py
@@ -13,6 +13,7 @@
     import zmq.asyncio
 
     from lycheering import clock
+    from lycheering.fleet import changes
     from lycheering.fleet import records
     from lycheering.settings import model
     from lycheering.telemetry import counters
@@ -29,8 +30,41 @@
         """Returns the view revision in force in this process."""
 
     @abc.abstractmethod
-    def update_since(self, revision: int) -> messages.ViewUpdate:
-        """Returns what a peer at a lower revision lacks."""
+    def changes_since(
+        self, revision: int
+    ) -> list[changes.NumberedChange] | None:
+        """Returns the changes after a revision, or None if too old."""
+
+    @abc.abstractmethod
+    def answer(
+        self, fetch: messages.ViewFetch, peer: object, now_ms: float
+    ) -> messages.Message:
+        """Returns what a peer that asks for the view is sent.
+
+        Args:
+            fetch: What it asks for.
+            peer: The peer's connection.
+            now_ms: The time.
+        """
+
+    @abc.abstractmethod
+    def release(self, peer: object) -> None:
+        """Forgets a peer whose connection ended."""
+
+    def next_fetch(
+        self, peer: object, now_ms: float, *, whole: bool
+    ) -> messages.ViewFetch | None:
+        """Returns what to ask a peer for, whose view is newer.
+
+        Args:
+            peer: The peer's connection.
+            now_ms: The time.
+            whole: Whether changes are of no use.
+
+        Returns:
+            None if nothing is taken from this peer now.
+        """
+        return None
 
     @abc.abstractmethod
     def take(self, update: messages.ViewUpdate) -> bool:
@@ -43,6 +77,24 @@
             False if changes are missing in between.
         """
 
+    def take_part(self, part: messages.ViewPart) -> bool:
+        """Takes a part of a whole view in, and the view after the last.
+
+        Args:
+            part: The part.
+
+        Returns:
+            Whether there are more.
+
+        Raises:
+            MalformedFrameError: If the parts make no view.
+        """
+        return False
+
+    def lacks_teams(self) -> bool:
+        """Returns whether a peer waits for teams that are not held here."""
+        return False
+
 
 class Security(abc.ABC):
     """Keys of the inner protocol."""
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -261,7 +261,7 @@
     async def _serve(self) -> None:
         socket = self._make_socket()
         self._socket = socket
-        self._gate = view_gate.ViewGate(self._link.view, self._send)
+        self._gate = view_gate.ViewGate(self._link, self._send, asks_teams=True)
         try:
             await self._greet(socket)
             async with asyncio.TaskGroup() as group:
@@ -271,6 +271,7 @@
                 group.create_task(self._await_renewal())
         finally:
             self._socket = None
+            self._gate.close()
             socket.close()
 
     def _make_socket(self) -> sockets.FrameSocket:
@@ -387,7 +388,8 @@
             if due or unsent_ms >= settings.silence_ms / 2:
                 self._send(messages.Heartbeat())
             assert self._gate is not None
-            self._gate.offer()
+            for admitted in self._gate.tick():
+                self._dispatch(admitted)
 
     async def _await_renewal(self) -> None:
         await self._renewal.wait()
--- a/src/lycheering/wire/messages/__init__.py
+++ b/src/lycheering/wire/messages/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lycheering.fleet.whole import ViewPart
 from lycheering.wire.messages.common import LoadReport
 from lycheering.wire.messages.common import Reason
 from lycheering.wire.messages.common import Role
@@ -54,6 +55,8 @@
 from lycheering.wire.messages.session import Hello
 from lycheering.wire.messages.session import HelloRequired
 from lycheering.wire.messages.session import ViewFetch
+from lycheering.wire.messages.session import ViewLater
+from lycheering.wire.messages.session import ViewNotice
 from lycheering.wire.messages.session import ViewUpdate
 from lycheering.wire.messages.session import Welcome
 
@@ -109,6 +112,9 @@
     "TargetOrderReply",
     "TargetReport",
     "ViewFetch",
+    "ViewLater",
+    "ViewNotice",
+    "ViewPart",
     "ViewUpdate",
     "Welcome",
     "WidthHint",
--- a/src/lycheering/wire/messages/envelope.py
+++ b/src/lycheering/wire/messages/envelope.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lycheering.fleet import whole
 from lycheering.wire.messages import common
 from lycheering.wire.messages import members
 from lycheering.wire.messages import orders
@@ -23,6 +24,9 @@
     | session.Bye
     | session.ViewFetch
     | session.ViewUpdate
+    | whole.ViewPart
+    | session.ViewLater
+    | session.ViewNotice
     | requests.Submit
     | requests.Resume
     | requests.Cancel
--- a/src/lycheering/wire/messages/session.py
+++ b/src/lycheering/wire/messages/session.py
@@ -78,23 +78,45 @@
 
     Attributes:
         since: The sender's own view revision.
+        whole: Whether changes after it are of no use.
+        with_teams: Whether the sender uses the teams.
+        digest: Digest of the whole view that it holds parts of.
+        part: The part of that view wanted next.
     """
 
     since: int
+    whole: bool = False
+    with_teams: bool = True
+    digest: str = ""
+    part: int = 0
 
 
 class ViewUpdate(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Hands over the fleet view.
+    """Hands over changes of the fleet view.
 
     Attributes:
-        numbered: The changes after the receiver's revision.
-        snapshot: The whole view where changes no longer reach back.
+        numbered: Some or all changes after the receiver's revision.
+        snapshot: A whole view that is at hand; peers get it in parts.
     """
 
     numbered: tuple[changes.NumberedChange, ...] = ()
     snapshot: view.ViewSnapshot | None = None
 
 
+class ViewLater(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Tells a peer to ask for the whole view later.
+
+    Attributes:
+        retry_after_ms: When to ask again.
+    """
+
+    retry_after_ms: float
+
+
+class ViewNotice(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Tells a peer that there is a newer view, by the frame's revision."""
+
+
 __all__ = [
     "Bye",
     "Done",
@@ -104,6 +126,8 @@
     "Hello",
     "HelloRequired",
     "ViewFetch",
+    "ViewLater",
+    "ViewNotice",
     "ViewUpdate",
     "Welcome",
 ]
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -56,7 +56,7 @@
         self.inbox: asyncio.Queue[messages.Envelope] = asyncio.Queue(
             MAX_SESSION_FRAMES
         )
-        self.gate = view_gate.ViewGate(server.link.view, self.send)
+        self.gate = view_gate.ViewGate(server.link, self.send)
         self._server = server
         self._routing_id = routing_id
         self._load_sent_ms = 0.0
@@ -279,8 +279,7 @@
         session.last_received_ms = self.link.clock.now_ms()
         self.session_by_routing_id[routing_id] = session
         session.send(messages.Welcome(self.link.clock.now_ms()))
-        session.gate.peer_revision = envelope.view_revision
-        session.gate.offer()
+        session.gate.greeted(envelope.view_revision)
         self._tasks.spawn(
             self._serve(routing_id, session), f"wire:{session.name}"
         )
@@ -315,6 +314,7 @@
             self._drop(routing_id, str(error))
         finally:
             self.session_by_routing_id.pop(routing_id, None)
+            session.gate.close()
             await self._handler.closed(session)
 
     async def _handle(
@@ -366,12 +366,20 @@
         settings = self.link.settings
         while True:
             await self.link.clock.sleep(settings.heartbeat_ms)
-            self.offer_view()
             now_ms = self.link.clock.now_ms()
             for routing_id, session in list(self.session_by_routing_id.items()):
                 if now_ms - session.last_received_ms >= settings.silence_ms:
                     self.link.counters.increment("wire.silent_session")
                     self._drop(routing_id, "silent")
+                else:
+                    self._tick(routing_id, session)
+
+    def _tick(self, routing_id: bytes, session: Session) -> None:
+        try:
+            for admitted in session.gate.tick():
+                self._enqueue(routing_id, session, admitted)
+        except errors.PeerUnreachableError as error:
+            self._drop(routing_id, str(error))
 
 
 __all__ = ["Server", "Session"]
--- a/tests/fleet/view.feature
+++ b/tests/fleet/view.feature
@@ -47,3 +47,30 @@
     When somebody waits for fleet revision 2 and two changes come
     Then the wait for the fleet revision ends
     And the fleet listeners were called twice
+
+  Scenario: A transfer that broke off goes on at another source
+    Given a fleet view of many parts and two sources of it
+    When a fleet receiver takes 2 parts from one source and the rest from the other
+    Then the fleet receiver has the view and got each part once
+
+  Scenario: A view that is replaced on the way is begun anew, not mixed
+    Given a fleet view of many parts and two sources of it
+    When a fleet receiver takes 2 parts and the view is replaced twice
+    Then the fleet receiver has the newer view in the end
+
+  Scenario: Parts that were damaged on the way make no view
+    Given a fleet view of many parts and two sources of it
+    When a fleet receiver gets a part that was damaged
+    Then the fleet receiver reports a malformed view and holds none
+
+  Scenario: All receivers share one encoded view
+    Given a fleet view of many parts and two sources of it
+    When many fleet receivers with and without teams take the view
+    Then it was encoded once for those with teams and once for the others
+    And the whole view without teams is one part
+
+  Scenario: Whole views leave a few at once, the rest is told when to come back
+    Given a fleet view of many parts and two sources of it
+    When a herd of fleet receivers asks for the view at once
+    Then a few fleet receivers get parts and the rest come back one by one
+    And fleet receivers that go silent give their places up
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -4,16 +4,21 @@
 
 import asyncio
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from lycheering.fleet import changes
 from lycheering.fleet import holder
 from lycheering.fleet import options
 from lycheering.fleet import records
+from lycheering.fleet import transfers
 from lycheering.fleet import view
+from lycheering.fleet import whole
+from lycheering.wire import errors
 from lycheering.wire import messages
 
 OPTION = "limits.max_running"
@@ -24,6 +29,8 @@
     kind.value: 10 + place for place, kind in enumerate(options.ScopeKind)
 } | {"default": options.OPTION_BY_NAME[OPTION].default}
 KEY = "secret"
+MANY_TEAMS = 3_000
+HERD = 100
 
 
 def exception(kind, name, value):
@@ -188,3 +195,152 @@
 @then("the fleet listeners were called twice")
 def step_listeners(context):
     assert context.calls == [1, 1]
+
+
+# whole views
+
+
+def add_teams(fleet, count, prefix="team"):
+    for number in range(count):
+        digest = view.key_digest(f"{prefix}-{number}")
+        team = records.Team(f"{prefix}-{number}", (digest,))
+        fleet.make(changes.TeamPut(team), by_operator=True)
+
+
+def fetch(source, receiver, now_ms=0.0):
+    wanted = receiver.next_fetch(source, now_ms, whole=False)
+    return source.answer(wanted, receiver, now_ms)
+
+
+def take_all(source, receiver):
+    asked = 1
+    while receiver.take_part(fetch(source, receiver)):
+        asked += 1
+    return asked
+
+
+def in_loop(work):
+    async def call():
+        return work()
+
+    return asyncio.run(call())
+
+
+@given("a fleet view of many parts and two sources of it")
+def step_sources(context):
+    context.sources = [holder.ViewHolder(), holder.ViewHolder()]
+    for source in context.sources:
+        add_teams(source.fleet, MANY_TEAMS)
+    context.receiver = holder.ViewHolder()
+
+
+def take_some(context, count):
+    for _ in range(count):
+        part = fetch(context.sources[0], context.receiver)
+        assert context.receiver.take_part(part)
+    context.count = part.count
+    context.receiver.release(context.sources[0])
+
+
+@when(
+    "a fleet receiver takes 2 parts from one source and the rest from the other"
+)
+def step_resume(context):
+    take_some(context, 2)
+    context.asked = 2 + in_loop(
+        lambda: take_all(context.sources[1], context.receiver)
+    )
+
+
+@then("the fleet receiver has the view and got each part once")
+def step_resumed(context):
+    assert context.asked == context.count > 2
+    wanted = context.sources[1].fleet.snapshot()
+    assert context.receiver.fleet.snapshot() == wanted
+
+
+@when("a fleet receiver takes 2 parts and the view is replaced twice")
+def step_replaced(context):
+    take_some(context, 2)
+    source = context.sources[0]
+    for prefix in ("more", "most"):
+        add_teams(source.fleet, whole.RENEW_CHANGES + 1, prefix)
+        fetch(source, holder.ViewHolder())
+    in_loop(lambda: take_all(source, context.receiver))
+
+
+@then("the fleet receiver has the newer view in the end")
+def step_newer(context):
+    wanted = context.sources[0].fleet.snapshot()
+    assert context.receiver.fleet.snapshot() == wanted
+
+
+@when("a fleet receiver gets a part that was damaged")
+def step_damaged(context):
+    source = context.sources[0]
+    part = fetch(source, context.receiver)
+    context.receiver.take_part(
+        msgspec.structs.replace(part, data=part.data[::-1])
+    )
+    try:
+        take_all(source, context.receiver)
+    except errors.MalformedFrameError as error:
+        context.error = error
+
+
+@then("the fleet receiver reports a malformed view and holds none")
+def step_malformed(context):
+    assert context.error is not None
+    assert context.receiver.revision() == 0
+
+
+@when("many fleet receivers with and without teams take the view")
+def step_many(context):
+    source = context.sources[0]
+    context.asked = []
+
+    def work():
+        for number in range(HERD):
+            receiver = holder.ViewHolder(with_teams=number % 2 == 0)
+            context.asked.append(take_all(source, receiver))
+            assert receiver.revision() == source.revision()
+            assert receiver.fleet.has_teams == (number % 2 == 0)
+
+    with mock.patch.object(whole, "encode", wraps=whole.encode) as encode:
+        in_loop(work)
+    context.encoded = [call.kwargs for call in encode.call_args_list]
+
+
+@then("it was encoded once for those with teams and once for the others")
+def step_encoded(context):
+    assert context.encoded == [{"with_teams": True}, {"with_teams": False}]
+
+
+@then("the whole view without teams is one part")
+def step_one_part(context):
+    assert set(context.asked[1::2]) == {1}
+    assert min(context.asked[::2]) > 1
+
+
+@when("a herd of fleet receivers asks for the view at once")
+def step_herd(context):
+    source = context.sources[0]
+    receivers = [holder.ViewHolder() for _ in range(HERD)]
+    context.answers = [fetch(source, receiver) for receiver in receivers]
+
+
+@then("a few fleet receivers get parts and the rest come back one by one")
+def step_few(context):
+    parts = [a for a in context.answers if isinstance(a, messages.ViewPart)]
+    later = [a for a in context.answers if isinstance(a, messages.ViewLater)]
+    assert len(parts) == transfers.MAX_TRANSFERS
+    assert len(later) == HERD - transfers.MAX_TRANSFERS
+    waits = [answer.retry_after_ms for answer in later]
+    assert waits == sorted(waits)
+    assert waits[-1] > waits[0] > 0
+
+
+@then("fleet receivers that go silent give their places up")
+def step_stale(context):
+    late = fetch(context.sources[0], holder.ViewHolder(), transfers.STALE_MS)
+    assert isinstance(late, messages.ViewPart)
--- a/tests/steps/wire_steps.py
+++ b/tests/steps/wire_steps.py
@@ -525,6 +525,38 @@
     assert context.server.handler.revisions == [revision]
 
 
+@given("a wire agent without teams that is connected to it")
+def step_agent(context):
+    context.server.add_team("a")
+    connect(context, with_teams=False)
+    holder = context.client.view
+    revision = context.server.view.revision()
+    run(context, wire_ends.until(lambda: holder.revision() == revision))
+    assert not holder.fleet.has_teams
+    assert not holder.fleet.team_by_name
+    run(context, context.client.server.start())
+
+
+@given("an entry that is connected to the wire agent alone")
+def step_entry(context):
+    context.entry = make_peer(context, "entry")
+    port = context.client.server.port
+
+    async def dial_agent():
+        context.entry.connect("client", port)
+
+    run(context, dial_agent())
+
+
+@then("the entry gets the whole view, with its teams")
+def step_entry_view(context):
+    holder = context.entry.view
+    revision = context.server.view.revision()
+    run(context, wire_ends.until(lambda: holder.revision() == revision))
+    assert holder.fleet.snapshot() == context.server.view.fleet.snapshot()
+    assert set(holder.fleet.team_by_name) == {"a"}
+
+
 @when("a raw wire peer hands over a whole view of revision {revision:d}")
 def step_hand_old(context, revision):
     peer = make_peer(context, "raw")
--- a/tests/support/wire_ends.py
+++ b/tests/support/wire_ends.py
@@ -9,6 +9,8 @@
 from lycheering import clock
 from lycheering.fleet import changes
 from lycheering.fleet import holder
+from lycheering.fleet import records
+from lycheering.fleet import view
 from lycheering.settings import model
 from lycheering.telemetry import counters
 from lycheering.wire import api
@@ -62,10 +64,10 @@
     `security` makes the keys of the end from its counters.
     """
 
-    def __init__(self, name, security=None, view_revision=0):
+    def __init__(self, name, security=None, view_revision=0, with_teams=True):
         self.context = zmq.asyncio.Context()
         self.counters = counters.Counters()
-        self.view = holder.ViewHolder()
+        self.view = holder.ViewHolder(with_teams=with_teams)
         for number in range(view_revision):
             self.change(number)
         self.link = api.Link(
@@ -87,6 +89,11 @@
         change = changes.DefaultSet("limits.max_running", number + 1)
         self.view.fleet.make(change, by_operator=True)
 
+    def add_team(self, name):
+        """Adds a team to the view."""
+        team = records.Team(name, (view.key_digest(name),))
+        self.view.fleet.make(changes.TeamPut(team), by_operator=True)
+
     def connect(self, name, port):
         """Returns a connection to a port."""
         connection = client.Connection(api.Address(name, HOST, port), self.link)
--- a/tests/wire/view.feature
+++ b/tests/wire/view.feature
@@ -33,3 +33,9 @@
     When a raw wire peer hands over a whole view of revision 3
     Then the wire server stays at view revision 5
     And the wire client can make a call
+
+  Scenario: An entry gets the teams through an agent that held none
+    Given a wire server at view revision 1500
+    And a wire agent without teams that is connected to it
+    And an entry that is connected to the wire agent alone
+    Then the entry gets the whole view, with its teams
