Spread agents over all control instances, with fewer idle heartbeats

Cause: agents registered with the leader and went on reporting there, since a follower refused a registration and named the leader. All connections shared one heartbeat interval of 500 ms.

Ruled out: agents that register at the leader and report to a follower. A herd would then make 940 connections to the leader for the registration alone. A longer heartbeat for all connections: a request in flight needs the short silence.

Change: each process prefers the control instances in an order of its own (hash of its name and theirs), moves on when one fails and goes back after 30 to 60 s. Followers collect registrations like the leader and hand each batch on to it in one call; deregistrations are handed on too, since both may be said twice. Agents report when their state changed, else once a heartbeat interval of control. An entry or agent wishes a heartbeat interval in its hello, and the welcome agrees on the smaller of both ends' `control_heartbeat_ms`. Silence on such a connection counts from the first heartbeat or call that is not answered; with a call in flight the old intervals hold.

--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import itertools
 import random
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from lycheering.app import api as app_api
 from lycheering.fleet import records
 from lycheering.telemetry import logs
-from lycheering.wire import api as wire_api
 from lycheering.wire import errors
+from lycheering.wire import homes
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
 
     from lycheering.agent import context as contexts
     from lycheering.settings import model
+    from lycheering.wire import api as wire_api
     from lycheering.wire import pool as pools
     from lycheering.wire import server as servers
 
@@ -27,6 +29,7 @@
 MAX_BACKOFF_MS = 2_000
 DEREGISTER_TRIES = 6
 
+_NO_LOAD = messages.LoadReport()
 _LOG = logs.get("control_link")
 
 
@@ -47,16 +50,9 @@
         self._server = server
         self._load = load
         self._tasks = app_api.TaskOwner()
-        self._address_by_name = {
-            member.instance: wire_api.Address(
-                member.instance, member.ip, member.port
-            )
-            for member in settings.control.members
-        }
-        names = list(self._address_by_name)
-        random.shuffle(names)
-        self._turns = itertools.cycle(names)
-        self._member = next(self._turns)
+        self._home = homes.ControlHome(
+            settings.control.members, context.settings.target, context.clock
+        )
         self._registered_ms = 0.0
 
     async def start(self) -> None:
@@ -96,36 +92,58 @@
         self._registered_ms = self._context.clock.now_ms()
         _LOG.event(
             "registered",
-            control=self._member,
+            control=self._home.address.name,
             highest_fence=reply.highest_fence,
         )
         return True
 
     async def _ask(self, message: messages.Message) -> messages.Message | None:
-        connection = self._pool.get(self._address_by_name[self._member])
         try:
-            return await connection.call(message)
+            return await self._pool.get(self._home.address).call(message)
         except errors.CallFailedError as error:
-            leader = error.failure.leader
-            if leader in self._address_by_name and leader != self._member:
-                self._member = leader
-            else:
-                self._member = next(self._turns)
             _LOG.debug("control_refused", reason=error.failure.reason)
+            leader = self._home.find(error.failure.leader)
+            if error.failure.reason == messages.Reason.NOT_LEADER and leader:
+                return await self._ask_leader(leader, message)
         except errors.WireError as error:
-            self._member = next(self._turns)
             _LOG.debug("control_unreachable", error=repr(error))
+        self._home.move_on()
+        return None
+
+    async def _ask_leader(
+        self, leader: wire_api.Address, message: messages.Message
+    ) -> messages.Message | None:
+        try:
+            return await self._pool.get(leader).call(message)
+        except errors.WireError as error:
+            _LOG.debug("leader_unreachable", error=repr(error))
         return None
 
     async def _report_until_lost(self) -> None:
+        settings = self._settings.wire
+        interval_ms = max(REPORT_INTERVAL_MS, settings.control_heartbeat_ms)
+        reported = None
+        reported_ms = 0.0
         while self._is_in_view():
-            connection = self._pool.get(self._address_by_name[self._member])
+            connection = self._pool.get(self._home.address)
+            report = self._report()
+            state = msgspec.structs.replace(report, load=_NO_LOAD)
+            now_ms = self._context.clock.now_ms()
             try:
-                connection.send(self._report())
+                if state != reported or now_ms - reported_ms >= interval_ms:
+                    connection.send(report)
+                    reported, reported_ms = state, now_ms
             except errors.PeerUnreachableError:
-                self._member = next(self._turns)
+                self._home.move_on()
                 return
             await self._context.clock.sleep(REPORT_INTERVAL_MS)
+            self._go_back()
+
+    def _go_back(self) -> None:
+        """Returns to the preferred instance once it answers again."""
+        first = self._home.returning_to()
+        if first is not None and self._pool.get(first).connected:
+            self._home.go_back()
 
     def _is_in_view(self) -> bool:
         identity = self._server.link.identity
--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -25,9 +25,10 @@
 class ControlHandler(wire_api.SessionHandler):
     """Runs each call in a task of its own, so that none waits for another.
 
-    Entries and agents are told who leads instead of having their calls
-    forwarded: the caller then knows that nothing was done, and its next
-    call takes one hop.
+    Entries are told who leads instead of having their calls forwarded: the
+    caller then knows that nothing was done, and its next call takes one
+    hop. What agents say of their targets is handed on to the leader, since
+    it may be said twice and they stay with the instance they have.
     """
 
     def __init__(
@@ -135,6 +136,8 @@
                 answer = await self._group.replace(call)
             case peer_calls.CancelChangeCall():
                 answer = await self._group.cancel_change(call)
+            case peer_calls.RegisterCall(targets):
+                answer = await self._registers.register_all(targets)
             case _:
                 return messages.Failure(messages.Reason.BAD_REQUEST)
         return messages.LogReply(peer_calls.encode(answer))
--- a/src/lycheering/control/peer_calls.py
+++ b/src/lycheering/control/peer_calls.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from lycheering.fleet import records
+
 
 class ReplicationCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Carries a message of the replicated log, or its reply.
@@ -53,6 +55,16 @@
     joining: str
 
 
+class RegisterCall(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Hands registrations on to the leader.
+
+    Attributes:
+        targets: The targets, with their agents.
+    """
+
+    targets: tuple[records.Target, ...]
+
+
 class Proposed(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Answers ProposeCall.
 
@@ -97,16 +109,30 @@
     joining: str
 
 
+class RegisteredAll(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Answers RegisterCall.
+
+    Attributes:
+        highest_fence: The highest fencing number granted so far.
+        superseded: The agents' incarnations that others have replaced.
+    """
+
+    highest_fence: int
+    superseded: tuple[str, ...]
+
+
 PeerMessage = (
     ReplicationCall
     | ProposeCall
     | ReadIndexCall
     | ReplaceCall
     | CancelChangeCall
+    | RegisterCall
     | Proposed
     | ReadIndex
     | Replaced
     | ChangeCancelled
+    | RegisteredAll
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -137,6 +163,8 @@
     "Proposed",
     "ReadIndex",
     "ReadIndexCall",
+    "RegisterCall",
+    "RegisteredAll",
     "ReplaceCall",
     "Replaced",
     "ReplicationCall",
--- a/src/lycheering/control/registrations.py
+++ b/src/lycheering/control/registrations.py
@@ -1,4 +1,8 @@
-"""Registers targets in batches, so that a herd costs few commands."""
+"""Registers targets in batches, so that a herd costs few commands.
+
+Any control instance takes registrations; the leader proposes them, and the
+others hand their batches on to it.
+"""
 
 from __future__ import annotations
 
@@ -8,12 +12,16 @@
 
 from lycheering.app import api as app_api
 from lycheering.control import commands
+from lycheering.control import peer_calls
 from lycheering.fleet import records
 from lycheering.replication import errors
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lycheering import clock
     from lycheering.control import replica
+    from lycheering.replication import members
     from lycheering.telemetry import counters
     from lycheering.wire import messages
 
@@ -69,7 +77,6 @@
             ReplicationError: If it was not, or may not have been.
             SupersededError: If another incarnation replaced this one.
         """
-        self._group.log.check_lease()
         loop = asyncio.get_running_loop()
         waiting = _Waiting(target, loop.create_future())
         try:
@@ -78,9 +85,34 @@
             raise errors.UnavailableError("too many registrations") from error
         return await waiting.fence
 
+    async def register_all(
+        self, targets: Iterable[records.Target]
+    ) -> peer_calls.RegisteredAll:
+        """Registers targets that another instance took; only on the leader.
+
+        Raises:
+            ReplicationError: If one was not, or may not have been.
+        """
+        self._group.log.check_lease()
+        some = list(targets)
+        found = await asyncio.gather(
+            *(self.register(target) for target in some),
+            return_exceptions=True,
+        )
+        fences = [0]
+        superseded = []
+        for target, result in zip(some, found, strict=True):
+            if isinstance(result, SupersededError):
+                superseded.append(target.agent_incarnation)
+            elif isinstance(result, BaseException):
+                raise result
+            else:
+                fences.append(result)
+        return peer_calls.RegisteredAll(max(fences), tuple(superseded))
+
     async def deregister(self, asked: messages.Deregister) -> None:
         """Marks a target as leaving, by its agent's word."""
-        await self._group.propose(
+        await self._group.propose_anywhere(
             commands.MarkTarget(
                 asked.target,
                 asked.agent_incarnation,
@@ -98,31 +130,58 @@
             await self._propose(batch)
 
     async def _propose(self, batch: list[_Waiting]) -> None:
-        self._counters.increment("control.registrations", len(batch))
-        self._counters.increment("control.registration_batches")
         targets = tuple(waiting.target for waiting in batch)
-        command = commands.RegisterTargets(targets, self._clock.wall_ms())
         try:
-            reply = await self._group.propose(command)
-            if not isinstance(reply, commands.FenceGranted):
-                raise errors.UnavailableError(type(reply).__name__)
+            leader = await self._group.find_leader()
+            if leader is None:
+                done = await self._propose_here(targets)
+            else:
+                done = await self._hand_on(leader, targets)
         except errors.ReplicationError as error:
             for waiting in batch:
                 if not waiting.fence.done():
                     waiting.fence.set_exception(error)
             return
-        target_by_name = self._group.machine.fleet.target_by_name
         for waiting in batch:
             if waiting.fence.done():
                 continue
-            known = target_by_name.get(waiting.target.name)
             incarnation = waiting.target.agent_incarnation
-            if known is None or known.agent_incarnation != incarnation:
+            if incarnation in done.superseded:
                 waiting.fence.set_exception(
                     SupersededError(f"{incarnation} was replaced")
                 )
             else:
-                waiting.fence.set_result(reply.highest_fence)
+                waiting.fence.set_result(done.highest_fence)
+
+    async def _hand_on(
+        self, leader: members.PeerAddress, targets: tuple[records.Target, ...]
+    ) -> peer_calls.RegisteredAll:
+        self._counters.increment(
+            "control.registrations_handed_on", len(targets)
+        )
+        call = peer_calls.RegisterCall(targets)
+        reply = await self._group.call_leader(leader, call)
+        if not isinstance(reply, peer_calls.RegisteredAll):
+            raise errors.OutcomeUnknownError(type(reply).__name__)
+        return reply
+
+    async def _propose_here(
+        self, targets: tuple[records.Target, ...]
+    ) -> peer_calls.RegisteredAll:
+        self._counters.increment("control.registrations", len(targets))
+        self._counters.increment("control.registration_batches")
+        command = commands.RegisterTargets(targets, self._clock.wall_ms())
+        reply = await self._group.propose(command)
+        if not isinstance(reply, commands.FenceGranted):
+            raise errors.UnavailableError(type(reply).__name__)
+        known_by_name = self._group.machine.fleet.target_by_name
+        superseded = []
+        for target in targets:
+            known = known_by_name.get(target.name)
+            incarnation = target.agent_incarnation
+            if known is None or known.agent_incarnation != incarnation:
+                superseded.append(incarnation)
+        return peer_calls.RegisteredAll(reply.highest_fence, tuple(superseded))
 
 
 __all__ = [
--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -217,7 +217,7 @@
         if leader is None:
             reply = await self.propose_encoded(data)
             return commands.decode_reply(reply)
-        answer = await self._call_leader(leader, peer_calls.ProposeCall(data))
+        answer = await self.call_leader(leader, peer_calls.ProposeCall(data))
         if not isinstance(answer, peer_calls.Proposed):
             raise errors.OutcomeUnknownError("no reply to a proposal")
         return commands.decode_reply(answer.reply)
@@ -232,7 +232,7 @@
         if leader is None:
             await self.log.read_barrier(READ_TIMEOUT_MS)
             return
-        answer = await self._call_leader(leader, peer_calls.ReadIndexCall())
+        answer = await self.call_leader(leader, peer_calls.ReadIndexCall())
         if not isinstance(answer, peer_calls.ReadIndex):
             raise errors.UnavailableError("no read index")
         await self._wait_applied(answer.index)
@@ -254,7 +254,7 @@
         leader = await self.find_leader()
         if leader is None:
             return await self.replace(call)
-        answer = await self._call_leader(leader, call, REPLACE_TIMEOUT_MS)
+        answer = await self.call_leader(leader, call, REPLACE_TIMEOUT_MS)
         if not isinstance(answer, peer_calls.Replaced):
             raise errors.OutcomeUnknownError("no reply to a replacement")
         return answer
@@ -356,12 +356,19 @@
                 raise errors.UnavailableError("no leader")
             await self._clock.sleep(APPLY_POLL_MS)
 
-    async def _call_leader(
+    async def call_leader(
         self,
         leader: members.PeerAddress,
         call: peer_calls.PeerMessage,
         timeout_ms: float = PROPOSE_TIMEOUT_MS,
     ) -> peer_calls.PeerMessage:
+        """Calls another member that leads.
+
+        Raises:
+            UnavailableError: Nothing was done.
+            MemberChangeError: The call was refused.
+            OutcomeUnknownError: It may have been acted on.
+        """
         try:
             return await self._transport.call_peer(leader, call, timeout_ms)
         except wire_errors.CallFailedError as error:
--- a/src/lycheering/entry/control_client.py
+++ b/src/lycheering/entry/control_client.py
@@ -7,14 +7,15 @@
 
 from lycheering.app import api as app_api
 from lycheering.telemetry import logs
-from lycheering.wire import api as wire_api
 from lycheering.wire import client
 from lycheering.wire import errors
+from lycheering.wire import homes
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
     from lycheering.fleet import holder
     from lycheering.settings import model
+    from lycheering.wire import api as wire_api
     from lycheering.wire import pool as wire_pool
 
 POLL_MS = 200
@@ -54,10 +55,10 @@
         view: holder.ViewHolder,
     ) -> None:
         self.last_contact_ms = link.clock.now_ms()
-        self._addresses = [
-            wire_api.Address(peer.instance, peer.ip, peer.port)
-            for peer in settings.members
-        ]
+        self._home = homes.ControlHome(
+            settings.members, link.identity.name, link.clock
+        )
+        self._addresses = self._home.addresses
         self._link = link
         self._connections = connections
         self._leader = ""
@@ -78,19 +79,22 @@
 
     async def _follow(self) -> None:
         clock = self._link.clock
-        address = random.choice(self._addresses)
         since_ms = clock.now_ms()
         while True:
-            connection = self._connections.get(address)
+            connection = self._connections.get(self._home.address)
             if connection.connected:
                 since_ms = clock.now_ms()
                 self.last_contact_ms = since_ms
             elif clock.now_ms() - since_ms > UNREACHABLE_MS:
-                others = [a for a in self._addresses if a != address]
-                address = random.choice(others or [address])
+                self._home.move_on()
                 since_ms = clock.now_ms()
                 self._link.counters.increment("control.replaced")
-                _LOG.warning("control_replaced", instance=address.name)
+                _LOG.warning(
+                    "control_replaced", instance=self._home.address.name
+                )
+            first = self._home.returning_to()
+            if first is not None and self._connections.get(first).connected:
+                self._home.go_back()
             await clock.sleep(POLL_MS * random.uniform(0.8, 1.2))
 
     async def wait_current(self) -> None:
--- a/src/lycheering/settings/cross_check.py
+++ b/src/lycheering/settings/cross_check.py
@@ -74,6 +74,9 @@
     if section.silence_ms < least_ms:
         problem = f"below {MIN_SILENCE_HEARTBEATS} heartbeats ({least_ms} ms)"
         document.add("wire", "silence_ms", problem)
+    paced_ms = section.control_heartbeat_ms
+    if 0 < paced_ms < section.heartbeat_ms:
+        document.add("wire", "control_heartbeat_ms", "below heartbeat_ms")
     if section.idle_close_ms < section.silence_ms:
         document.add("wire", "idle_close_ms", "below silence_ms")
     key_file = section.curve_secret_key_file
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -94,6 +94,9 @@
             behind a port mapping; 0 tells them `port`.
         heartbeat_ms: Time between heartbeats on a connection that is idle.
         silence_ms: Silence after which a connection is replaced.
+        control_heartbeat_ms: Time between heartbeats on an idle connection
+            between control and an entry or agent; 0 takes `heartbeat_ms`.
+            The smaller of both ends' values is used.
         call_timeout_ms: Time that a short call may take.
         idle_close_ms: Time after which an unused connection is closed.
         max_frame_bytes: The largest frame accepted.
@@ -106,6 +109,7 @@
     advertised_port: Port = 0
     heartbeat_ms: PositiveMs = 500
     silence_ms: PositiveMs = 2_000
+    control_heartbeat_ms: Annotated[int, pydantic.Field(ge=0, le=4_000)] = 0
     call_timeout_ms: PositiveMs = 2_000
     idle_close_ms: PositiveMs = 30_000
     max_frame_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 8_388_608
--- a/src/lycheering/wire/api.py
+++ b/src/lycheering/wire/api.py
@@ -148,11 +148,14 @@
         name: The peer's name.
         ip: Its IP number.
         port: Its port.
+        is_control: Whether it is a control instance, as an entry or an
+            agent speaks to it.
     """
 
     name: str
     ip: str
     port: int
+    is_control: bool = False
 
     @property
     def url(self) -> str:
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -41,6 +41,8 @@
         peer_load: The load that the peer reported last.
         peer_load_at_ms: When it did, by this process's clock.
         last_used_ms: When it was last sent a request.
+        idle_heartbeat_ms: Time between heartbeats while nothing is in
+            flight, as agreed with the peer.
     """
 
     def __init__(self, address: api.Address, link: api.Link) -> None:
@@ -59,6 +61,8 @@
         self._call_ids = itertools.count(1)
         self._last_sent_ms = 0.0
         self._last_received_ms = 0.0
+        self._asked_ms: float | None = None
+        self.idle_heartbeat_ms: float = link.settings.heartbeat_ms
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
         self._closing = False
@@ -127,6 +131,8 @@
         """Returns a channel for a new call."""
         call_id = next(self._call_ids)
         channel = channels.Channel(self, call_id)
+        if not self._channel_by_call_id:
+            self._expect_answer()
         self._channel_by_call_id[call_id] = channel
         self.last_used_ms = self._link.clock.now_ms()
         return channel
@@ -288,7 +294,12 @@
 
     async def _greet(self, socket: sockets.FrameSocket) -> None:
         identity = self._link.identity
-        hello = messages.Hello(identity.role, identity.failure_domain)
+        wished_ms = 0
+        if self.address.is_control:
+            wished_ms = self._link.settings.control_heartbeat_ms
+        hello = messages.Hello(
+            identity.role, identity.failure_domain, wished_ms
+        )
         before = self.peer_incarnation
         self.peer_incarnation = ""
         data = codec.encode(self._envelope(hello, 0, 0.0))
@@ -312,6 +323,11 @@
         now_ms = self._link.clock.now_ms()
         self._last_received_ms = now_ms
         self._last_sent_ms = now_ms
+        self._asked_ms = None
+        agreed_ms = welcome.heartbeat_ms if self.address.is_control else 0.0
+        self.idle_heartbeat_ms = max(
+            agreed_ms, self._link.settings.heartbeat_ms
+        )
         self._peer_clock_offset_ms = welcome.now_ms - now_ms
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
@@ -330,6 +346,7 @@
         if envelope.sender_incarnation != self.peer_incarnation:
             raise errors.PeerRestartedError(self.address.name)
         self._last_received_ms = self._link.clock.now_ms()
+        self._asked_ms = None
         self._accept(envelope)
 
     def _decode(self, frame: sockets.Frame) -> messages.Envelope:
@@ -377,15 +394,11 @@
         while True:
             await self._link.clock.sleep(settings.heartbeat_ms / 2)
             now_ms = self._link.clock.now_ms()
-            silent_ms = now_ms - self._last_received_ms
-            if silent_ms >= settings.silence_ms:
+            if now_ms - self._silent_since_ms(now_ms) >= settings.silence_ms:
                 self._link.counters.increment("wire.silent")
                 raise _SilenceError(self.address.name)
-            unsent_ms = now_ms - self._last_sent_ms
-            # while the peer sends, it is asked for no sign of life, and
-            # needs ours just before it would take us for silent
-            due = silent_ms >= settings.heartbeat_ms
-            if due or unsent_ms >= settings.silence_ms / 2:
+            if self._heartbeat_due(now_ms):
+                self._expect_answer()
                 self._send(messages.Heartbeat())
             assert self._gate is not None
             for admitted in self._gate.tick():
@@ -396,6 +409,38 @@
         self._link.counters.increment("wire.renewed")
         raise _SilenceError(self.address.name)
 
+    def _expect_answer(self) -> None:
+        if self._asked_ms is None:
+            self._asked_ms = self._link.clock.now_ms()
+
+    def _silent_since_ms(self, now_ms: float) -> float:
+        """Returns since when the peer's silence counts.
+
+        A peer that was agreed to be asked for few signs of life is silent
+        only once it is asked for one, by a heartbeat or a call.
+        """
+        heartbeat_ms = self._link.settings.heartbeat_ms
+        if self.idle_heartbeat_ms <= heartbeat_ms:
+            return self._last_received_ms
+        if self._asked_ms is None:
+            return now_ms
+        return max(self._last_received_ms, self._asked_ms - heartbeat_ms)
+
+    def _heartbeat_due(self, now_ms: float) -> bool:
+        """Returns whether the peer is asked for a sign of life now.
+
+        While the peer sends, it is asked for none, and needs ours just
+        before it would take us for silent.
+        """
+        settings = self._link.settings
+        period_ms = self.idle_heartbeat_ms
+        if self.busy or self._asked_ms is not None:
+            period_ms = settings.heartbeat_ms
+        silent_ms = now_ms - self._last_received_ms
+        unsent_ms = now_ms - self._last_sent_ms
+        longest_ms = max(settings.silence_ms / 2, self.idle_heartbeat_ms)
+        return silent_ms >= period_ms or unsent_ms >= longest_ms
+
     def _end_channels(self) -> None:
         for channel in list(self._channel_by_call_id.values()):
             channel.put(channels.Lost())
--- a/src/lycheering/wire/messages/session.py
+++ b/src/lycheering/wire/messages/session.py
@@ -15,10 +15,13 @@
     Attributes:
         role: The sender's role.
         failure_domain: The failure domain it is in.
+        heartbeat_ms: Wished time between heartbeats while nothing is in
+            flight; 0 for the receiver's own.
     """
 
     role: common.Role
     failure_domain: str
+    heartbeat_ms: float = 0.0
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -26,9 +29,12 @@
 
     Attributes:
         now_ms: The sender's clock, by which frames to it expire.
+        heartbeat_ms: Time between heartbeats while nothing is in flight,
+            not above the wish; 0 for the receiver's own.
     """
 
     now_ms: float
+    heartbeat_ms: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -39,6 +39,8 @@
         incarnation: Its incarnation.
         failure_domain: The failure domain it is in.
         last_received_ms: When its last frame came.
+        heartbeat_ms: Time between its heartbeats while it is idle, where
+            that was agreed; 0 elsewhere.
     """
 
     def __init__(
@@ -53,6 +55,9 @@
         self.incarnation = envelope.sender_incarnation
         self.failure_domain = hello.failure_domain
         self.last_received_ms = 0.0
+        self.heartbeat_ms = min(
+            hello.heartbeat_ms, server.link.settings.control_heartbeat_ms
+        )
         self.inbox: asyncio.Queue[messages.Envelope] = asyncio.Queue(
             MAX_SESSION_FRAMES
         )
@@ -78,6 +83,13 @@
         """
         self._server.send(self, self._routing_id, message, call_id)
 
+    def is_silent(self, now_ms: float) -> bool:
+        """Returns whether the peer is taken for gone."""
+        settings = self._server.link.settings
+        slower_ms = max(0.0, self.heartbeat_ms - settings.heartbeat_ms)
+        silent_ms = now_ms - self.last_received_ms
+        return silent_ms >= settings.silence_ms + slower_ms
+
     def load_due(self, now_ms: float) -> bool:
         """Returns whether the next frame should carry the load."""
         due = now_ms - self._load_sent_ms >= LOAD_INTERVAL_MS
@@ -278,7 +290,8 @@
         session = Session(self, routing_id, envelope, hello)
         session.last_received_ms = self.link.clock.now_ms()
         self.session_by_routing_id[routing_id] = session
-        session.send(messages.Welcome(self.link.clock.now_ms()))
+        now_ms = self.link.clock.now_ms()
+        session.send(messages.Welcome(now_ms, session.heartbeat_ms))
         session.gate.greeted(envelope.view_revision)
         self._tasks.spawn(
             self._serve(routing_id, session), f"wire:{session.name}"
@@ -368,7 +381,7 @@
             await self.link.clock.sleep(settings.heartbeat_ms)
             now_ms = self.link.clock.now_ms()
             for routing_id, session in list(self.session_by_routing_id.items()):
-                if now_ms - session.last_received_ms >= settings.silence_ms:
+                if session.is_silent(now_ms):
                     self.link.counters.increment("wire.silent_session")
                     self._drop(routing_id, "silent")
                 else:
--- a/tests/control/wire_calls.feature
+++ b/tests/control/wire_calls.feature
@@ -67,6 +67,12 @@
     Then the entry sees 940 live targets
     And the leader proposed them in at most 100 batches
 
+  Scenario: Any control instance takes what an agent says of its target
+    Given a scripted agent "t1"
+    When the agent registers and deregisters at each control instance
+    Then each of them took it, and the followers handed it on
+    And the entry sees target "t1" as leaving
+
   Scenario: An agent that leaves is told to all
     Given a scripted agent "t1"
     When the agent deregisters
--- a/tests/steps/control_wire_steps.py
+++ b/tests/steps/control_wire_steps.py
@@ -216,6 +216,31 @@
     assert isinstance(agent.call(message), messages.Done)
 
 
+@when("the agent registers and deregisters at each control instance")
+def step_each_instance(context):
+    agent = context.agent
+    leaves = messages.Deregister(agent.name, agent.incarnation)
+    context.replies = []
+    for message in (messages.Register(agent.target()), leaves):
+        for connection in agent.connection_by_name.values():
+            reply = context.peers.run(connection.call(message))
+            context.replies.append(reply)
+
+
+@then("each of them took it, and the followers handed it on")
+def step_handed_on(context):
+    count = len(context.agent.connection_by_name)
+    kinds = [type(reply) for reply in context.replies]
+    taken = [messages.Registered] * count + [messages.Done] * count
+    assert kinds == taken, kinds
+    name = "control.registrations_handed_on"
+    handed_on = [
+        context.group.call(instance, "GET", "/v1/counters").json["counters"]
+        for instance in context.group.names
+    ]
+    assert sum(found.get(name, 0) for found in handed_on) >= count - 1
+
+
 @when("the agent registers again")
 def step_register_again(context):
     context.agent.call(messages.Register(context.agent.target()))
--- a/tests/steps/wire_steps.py
+++ b/tests/steps/wire_steps.py
@@ -28,6 +28,7 @@
 from tests.support import wire_ends
 
 SEED = 7
+HOUR_MS = 3_600_000
 LONG_CALL_MS = 600_000  # longer than any step may take
 GIVE_UP_MS = 20_000
 
@@ -53,6 +54,10 @@
     return peer
 
 
+def milliseconds(text):
+    return HOUR_MS if text == "an hour" else int(text.removesuffix(" ms"))
+
+
 def start_server(context, **options):
     context.server = make_peer(context, "server", **options)
     run(context, context.server.server.start())
@@ -386,6 +391,47 @@
     context.port = context.proxy.port
 
 
+@given("a wire server that allows {paced} between control heartbeats")
+def step_server_paced(context, paced):
+    start_server(context, control_heartbeat_ms=milliseconds(paced))
+
+
+@given("a fault proxy before the wire server")
+def step_proxy_before(context):
+    proxy = fault_proxy.FaultProxy(context.port)
+    context.proxy = context.stack.enter_context(proxy)
+    context.port = context.proxy.port
+
+
+@given("a wire client of control that wishes {paced} between heartbeats")
+def step_client_paced(context, paced):
+    context.client = make_peer(
+        context, "client", control_heartbeat_ms=milliseconds(paced)
+    )
+
+    async def dial_control():
+        context.connection = context.client.connect(
+            "server", context.port, is_control=True
+        )
+        await context.connection.ready(GIVE_UP_MS)
+
+    run(context, dial_control())
+
+
+@then("both wire ends agreed on {agreed:d} ms between heartbeats")
+def step_agreed(context, agreed):
+    [session] = context.server.server.session_by_routing_id.values()
+    assert session.heartbeat_ms == agreed
+    own_ms = max(agreed, wire_ends.HEARTBEAT_MS)
+    assert context.connection.idle_heartbeat_ms == own_ms
+
+
+@then("the wire client counts a silent connection")
+def step_counts_silent(context):
+    counted = context.client.counters.value_by_name
+    run(context, wire_ends.until(lambda: counted["wire.silent"] == 1))
+
+
 @given("an open wire channel")
 def step_channel(context):
     context.channel = context.connection.open()
--- a/tests/support/wire_ends.py
+++ b/tests/support/wire_ends.py
@@ -28,7 +28,8 @@
 
 def wire_settings(**options):
     """Returns settings whose silence is short enough for tests."""
-    return model.WireSettings(
+    # longer pauses between heartbeats than a fleet may have, for some tests
+    return model.WireSettings.model_construct(
         **{
             "heartbeat_ms": HEARTBEAT_MS,
             "silence_ms": SILENCE_MS,
@@ -64,7 +65,14 @@
     `security` makes the keys of the end from its counters.
     """
 
-    def __init__(self, name, security=None, view_revision=0, with_teams=True):
+    def __init__(
+        self,
+        name,
+        security=None,
+        view_revision=0,
+        with_teams=True,
+        control_heartbeat_ms=0,
+    ):
         self.context = zmq.asyncio.Context()
         self.counters = counters.Counters()
         self.view = holder.ViewHolder(with_teams=with_teams)
@@ -73,7 +81,7 @@
         self.link = api.Link(
             self.context,
             api.Identity(name, messages.Role.CONTROL, "d1"),
-            wire_settings(),
+            wire_settings(control_heartbeat_ms=control_heartbeat_ms),
             clock.Clock(),
             self.view,
             self.counters,
@@ -94,9 +102,10 @@
         team = records.Team(name, (view.key_digest(name),))
         self.view.fleet.make(changes.TeamPut(team), by_operator=True)
 
-    def connect(self, name, port):
+    def connect(self, name, port, *, is_control=False):
         """Returns a connection to a port."""
-        connection = client.Connection(api.Address(name, HOST, port), self.link)
+        address = api.Address(name, HOST, port, is_control)
+        connection = client.Connection(address, self.link)
         connection.start()
         self.connections.append(connection)
         return connection
--- a/tests/wire/silence.feature
+++ b/tests/wire/silence.feature
@@ -30,3 +30,32 @@
     And a connected wire client
     When a wire call is in flight and the server stops for good
     Then the wire call ends at once, with its outcome unknown
+
+  Scenario Outline: A peer's wish for few heartbeats is agreed: <wish> of <allowed>
+    Given a wire server that allows <allowed> ms between control heartbeats
+    And a wire client of control that wishes <wish> ms between heartbeats
+    Then both wire ends agreed on <agreed> ms between heartbeats
+
+    Examples:
+      | wish | allowed | agreed |
+      | 3000 | 2000    | 2000   |
+      | 2000 | 3000    | 2000   |
+      | 2000 | 0       | 0      |
+      | 0    | 2000    | 0      |
+
+  Scenario: A call in flight brings the short silence back
+    Given a wire server that allows an hour between control heartbeats
+    And a fault proxy before the wire server
+    And a wire client of control that wishes an hour between heartbeats
+    And an open wire channel
+    When the wire connection is muted for good
+    Then the wire channel learns that its connection was replaced
+
+  Scenario: An idle connection of control that went silent is replaced
+    Given a wire server that allows 300 ms between control heartbeats
+    And a fault proxy before the wire server
+    And a wire client of control that wishes 300 ms between heartbeats
+    When the wire connection is muted for good
+    Then the wire client counts a silent connection
+    And the wire client can make a call
+    And the wire server forgets the muted session
