--- a/bench/measure.py
+++ b/bench/measure.py
@@ -20,6 +20,7 @@
     "retries",
     "capacity",
     "herd",
+    "link_bytes",
 )
 
 
--- a/tests/settings/findings.feature
+++ b/tests/settings/findings.feature
@@ -58,6 +58,7 @@
       | entry     | operator_key_file   | /dev/null/none    | can't be read         |
       | entry     | max_body_bytes      | 8388608           | over what a frame     |
       | wire      | idle_close_ms       | 1000              | below silence_ms      |
+      | wire      | control_heartbeat_ms | 400              | below heartbeat_ms    |
       | wire      | curve_peers_file    | /dev/null         | needs curve_secret    |
       | instance  | ip                  | 0.0.0.0           | can't reach           |
       | metrics   | statsd_ip           | statsd            | not an IP number      |
