--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -307,7 +307,7 @@
         leader = await self.find_leader()
         if leader is None:
             return await self.cancel_change(call)
-        answer = await self._call_leader(leader, call)
+        answer = await self.call_leader(leader, call)
         if not isinstance(answer, peer_calls.ChangeCancelled):
             raise errors.OutcomeUnknownError("no reply to a cancellation")
         return answer
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -15,6 +15,7 @@
 from lycheering.wire import codec
 from lycheering.wire import errors
 from lycheering.wire import messages
+from lycheering.wire import pace
 from lycheering.wire import sockets
 from lycheering.wire import view_gate
 
@@ -41,8 +42,6 @@
         peer_load: The load that the peer reported last.
         peer_load_at_ms: When it did, by this process's clock.
         last_used_ms: When it was last sent a request.
-        idle_heartbeat_ms: Time between heartbeats while nothing is in
-            flight, as agreed with the peer.
     """
 
     def __init__(self, address: api.Address, link: api.Link) -> None:
@@ -59,10 +58,7 @@
         self._channel_by_call_id: dict[int, channels.Channel] = {}
         self._short_calls: set[channels.Channel] = set()
         self._call_ids = itertools.count(1)
-        self._last_sent_ms = 0.0
-        self._last_received_ms = 0.0
-        self._asked_ms: float | None = None
-        self.idle_heartbeat_ms: float = link.settings.heartbeat_ms
+        self._pace = pace.Pace(link.settings, link.clock)
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
         self._closing = False
@@ -75,7 +71,12 @@
     @property
     def silent_ms(self) -> float:
         """Time since the peer's last frame."""
-        return self._link.clock.now_ms() - self._last_received_ms
+        return self._link.clock.now_ms() - self._pace.received_ms
+
+    @property
+    def idle_heartbeat_ms(self) -> float:
+        """Time between heartbeats while no call is in flight, as agreed."""
+        return self._pace.idle_heartbeat_ms
 
     @property
     def busy(self) -> bool:
@@ -132,7 +133,7 @@
         call_id = next(self._call_ids)
         channel = channels.Channel(self, call_id)
         if not self._channel_by_call_id:
-            self._expect_answer()
+            self._pace.expect_answer()
         self._channel_by_call_id[call_id] = channel
         self.last_used_ms = self._link.clock.now_ms()
         return channel
@@ -218,7 +219,7 @@
         expires_ms = self.peer_time_ms(now_ms + ttl_ms) if ttl_ms else 0.0
         data = codec.encode(self._envelope(message, call_id, expires_ms))
         socket.send([data], self.address.name)
-        self._last_sent_ms = now_ms
+        self._pace.sent()
 
     def _envelope(
         self, message: messages.Message, call_id: int, expires_ms: float
@@ -324,13 +325,8 @@
         self, envelope: messages.Envelope, welcome: messages.Welcome
     ) -> None:
         now_ms = self._link.clock.now_ms()
-        self._last_received_ms = now_ms
-        self._last_sent_ms = now_ms
-        self._asked_ms = None
         agreed_ms = welcome.heartbeat_ms if self.address.is_control else 0.0
-        self.idle_heartbeat_ms = max(
-            agreed_ms, self._link.settings.heartbeat_ms
-        )
+        self._pace.welcomed(agreed_ms)
         self._peer_clock_offset_ms = welcome.now_ms - now_ms
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
@@ -348,8 +344,7 @@
         envelope = self._decode(frame)
         if envelope.sender_incarnation != self.peer_incarnation:
             raise errors.PeerRestartedError(self.address.name)
-        self._last_received_ms = self._link.clock.now_ms()
-        self._asked_ms = None
+        self._pace.received()
         self._accept(envelope)
 
     def _decode(self, frame: sockets.Frame) -> messages.Envelope:
@@ -396,12 +391,11 @@
         settings = self._link.settings
         while True:
             await self._link.clock.sleep(settings.heartbeat_ms / 2)
-            now_ms = self._link.clock.now_ms()
-            if now_ms - self._silent_since_ms(now_ms) >= settings.silence_ms:
+            if self._pace.is_silent():
                 self._link.counters.increment("wire.silent")
                 raise _SilenceError(self.address.name)
-            if self._heartbeat_due(now_ms):
-                self._expect_answer()
+            if self._pace.heartbeat_due(busy=self.busy):
+                self._pace.expect_answer()
                 self._send(messages.Heartbeat())
             assert self._gate is not None
             for admitted in self._gate.tick():
@@ -412,38 +406,6 @@
         self._link.counters.increment("wire.renewed")
         raise _SilenceError(self.address.name)
 
-    def _expect_answer(self) -> None:
-        if self._asked_ms is None:
-            self._asked_ms = self._link.clock.now_ms()
-
-    def _silent_since_ms(self, now_ms: float) -> float:
-        """Returns since when the peer's silence counts.
-
-        A peer that was agreed to be asked for few signs of life is silent
-        only once it is asked for one, by a heartbeat or a call.
-        """
-        heartbeat_ms = self._link.settings.heartbeat_ms
-        if self.idle_heartbeat_ms <= heartbeat_ms:
-            return self._last_received_ms
-        if self._asked_ms is None:
-            return now_ms
-        return max(self._last_received_ms, self._asked_ms - heartbeat_ms)
-
-    def _heartbeat_due(self, now_ms: float) -> bool:
-        """Returns whether the peer is asked for a sign of life now.
-
-        While the peer sends, it is asked for none, and needs ours just
-        before it would take us for silent.
-        """
-        settings = self._link.settings
-        period_ms = self.idle_heartbeat_ms
-        if self.busy or self._asked_ms is not None:
-            period_ms = settings.heartbeat_ms
-        silent_ms = now_ms - self._last_received_ms
-        unsent_ms = now_ms - self._last_sent_ms
-        longest_ms = max(settings.silence_ms / 2, self.idle_heartbeat_ms)
-        return silent_ms >= period_ms or unsent_ms >= longest_ms
-
     def _end_channels(self) -> None:
         for channel in list(self._channel_by_call_id.values()):
             channel.put(channels.Lost())
--- /dev/null
+++ b/src/lycheering/wire/pace.py
@@ -0,0 +1,80 @@
+"""When a connection asks for signs of life, and when it is silent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lycheering import clock
+    from lycheering.settings import model
+
+
+class Pace:
+    """The times of the frames of one connection.
+
+    Attributes:
+        received_ms: When the peer's last frame came.
+        idle_heartbeat_ms: Time between heartbeats while nothing is in
+            flight, as agreed with the peer.
+    """
+
+    def __init__(self, settings: model.WireSettings, time: clock.Clock) -> None:
+        self.received_ms = 0.0
+        self.idle_heartbeat_ms: float = settings.heartbeat_ms
+        self._settings = settings
+        self._clock = time
+        self._sent_ms = 0.0
+        self._asked_ms: float | None = None
+
+    def welcomed(self, agreed_ms: float) -> None:
+        """Begins anew, with what was agreed for idle times; 0 for nothing."""
+        self.received()
+        self.sent()
+        self.idle_heartbeat_ms = max(agreed_ms, self._settings.heartbeat_ms)
+
+    def received(self) -> None:
+        """Notes a frame of the peer."""
+        self.received_ms = self._clock.now_ms()
+        self._asked_ms = None
+
+    def sent(self) -> None:
+        """Notes a frame to the peer."""
+        self._sent_ms = self._clock.now_ms()
+
+    def expect_answer(self) -> None:
+        """Notes that a live peer would send something from now on."""
+        if self._asked_ms is None:
+            self._asked_ms = self._clock.now_ms()
+
+    def is_silent(self) -> bool:
+        """Returns whether the peer is taken for gone.
+
+        A peer that was agreed to be asked for few signs of life is silent
+        only once it is asked for one, by a heartbeat or a call.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms = self.received_ms
+        if self.idle_heartbeat_ms > self._settings.heartbeat_ms:
+            asked_ms = now_ms if self._asked_ms is None else self._asked_ms
+            since_ms = max(since_ms, asked_ms - self._settings.heartbeat_ms)
+        return now_ms - since_ms >= self._settings.silence_ms
+
+    def heartbeat_due(self, *, busy: bool) -> bool:
+        """Returns whether the peer is asked for a sign of life now.
+
+        While the peer sends, it is asked for none, and needs ours just
+        before it would take us for silent.
+
+        Args:
+            busy: Whether calls are in flight.
+        """
+        now_ms = self._clock.now_ms()
+        period_ms = self.idle_heartbeat_ms
+        if busy or self._asked_ms is not None:
+            period_ms = self._settings.heartbeat_ms
+        longest_ms = max(self._settings.silence_ms / 2, self.idle_heartbeat_ms)
+        is_quiet = now_ms - self.received_ms >= period_ms
+        return is_quiet or now_ms - self._sent_ms >= longest_ms
+
+
+__all__ = ["Pace"]
