--- a/bench/measure.py
+++ b/bench/measure.py
@@ -19,6 +19,8 @@
     "limits",
     "retries",
     "capacity",
+    "herd",
+    "link_bytes",
 )
 
 
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -15,6 +15,7 @@
 from lycheering.wire import codec
 from lycheering.wire import errors
 from lycheering.wire import messages
+from lycheering.wire import pace
 from lycheering.wire import sockets
 from lycheering.wire import view_gate
 
@@ -57,8 +58,7 @@
         self._channel_by_call_id: dict[int, channels.Channel] = {}
         self._short_calls: set[channels.Channel] = set()
         self._call_ids = itertools.count(1)
-        self._last_sent_ms = 0.0
-        self._last_received_ms = 0.0
+        self._pace = pace.Pace(link.settings, link.clock)
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
         self._closing = False
@@ -71,7 +71,12 @@
     @property
     def silent_ms(self) -> float:
         """Time since the peer's last frame."""
-        return self._link.clock.now_ms() - self._last_received_ms
+        return self._link.clock.now_ms() - self._pace.received_ms
+
+    @property
+    def idle_heartbeat_ms(self) -> float:
+        """Time between heartbeats while no call is in flight, as agreed."""
+        return self._pace.idle_heartbeat_ms
 
     @property
     def busy(self) -> bool:
@@ -127,6 +132,8 @@
         """Returns a channel for a new call."""
         call_id = next(self._call_ids)
         channel = channels.Channel(self, call_id)
+        if not self._channel_by_call_id:
+            self._pace.expect_answer()
         self._channel_by_call_id[call_id] = channel
         self.last_used_ms = self._link.clock.now_ms()
         return channel
@@ -212,15 +219,18 @@
         expires_ms = self.peer_time_ms(now_ms + ttl_ms) if ttl_ms else 0.0
         data = codec.encode(self._envelope(message, call_id, expires_ms))
         socket.send([data], self.address.name)
-        self._last_sent_ms = now_ms
+        self._pace.sent()
 
     def _envelope(
         self, message: messages.Message, call_id: int, expires_ms: float
     ) -> messages.Envelope:
+        # the session knows who sends after the hello
+        identity = self._link.identity
+        is_hello = isinstance(message, messages.Hello)
         return messages.Envelope(
             messages.PROTOCOL_VERSION,
-            self._link.identity.name,
-            self._link.identity.incarnation,
+            identity.name if is_hello else "",
+            identity.incarnation if is_hello else "",
             self.peer_incarnation,
             self._link.view.revision(),
             call_id,
@@ -261,7 +271,7 @@
     async def _serve(self) -> None:
         socket = self._make_socket()
         self._socket = socket
-        self._gate = view_gate.ViewGate(self._link.view, self._send)
+        self._gate = view_gate.ViewGate(self._link, self._send, asks_teams=True)
         try:
             await self._greet(socket)
             async with asyncio.TaskGroup() as group:
@@ -271,6 +281,7 @@
                 group.create_task(self._await_renewal())
         finally:
             self._socket = None
+            self._gate.close()
             socket.close()
 
     def _make_socket(self) -> sockets.FrameSocket:
@@ -287,7 +298,12 @@
 
     async def _greet(self, socket: sockets.FrameSocket) -> None:
         identity = self._link.identity
-        hello = messages.Hello(identity.role, identity.failure_domain)
+        wished_ms = 0
+        if self.address.is_control:
+            wished_ms = self._link.settings.control_heartbeat_ms
+        hello = messages.Hello(
+            identity.role, identity.failure_domain, wished_ms
+        )
         before = self.peer_incarnation
         self.peer_incarnation = ""
         data = codec.encode(self._envelope(hello, 0, 0.0))
@@ -309,8 +325,8 @@
         self, envelope: messages.Envelope, welcome: messages.Welcome
     ) -> None:
         now_ms = self._link.clock.now_ms()
-        self._last_received_ms = now_ms
-        self._last_sent_ms = now_ms
+        agreed_ms = welcome.heartbeat_ms if self.address.is_control else 0.0
+        self._pace.welcomed(agreed_ms)
         self._peer_clock_offset_ms = welcome.now_ms - now_ms
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
@@ -328,7 +344,7 @@
         envelope = self._decode(frame)
         if envelope.sender_incarnation != self.peer_incarnation:
             raise errors.PeerRestartedError(self.address.name)
-        self._last_received_ms = self._link.clock.now_ms()
+        self._pace.received()
         self._accept(envelope)
 
     def _decode(self, frame: sockets.Frame) -> messages.Envelope:
@@ -375,19 +391,15 @@
         settings = self._link.settings
         while True:
             await self._link.clock.sleep(settings.heartbeat_ms / 2)
-            now_ms = self._link.clock.now_ms()
-            silent_ms = now_ms - self._last_received_ms
-            if silent_ms >= settings.silence_ms:
+            if self._pace.is_silent():
                 self._link.counters.increment("wire.silent")
                 raise _SilenceError(self.address.name)
-            unsent_ms = now_ms - self._last_sent_ms
-            # while the peer sends, it is asked for no sign of life, and
-            # needs ours just before it would take us for silent
-            due = silent_ms >= settings.heartbeat_ms
-            if due or unsent_ms >= settings.silence_ms / 2:
+            if self._pace.heartbeat_due(busy=self.busy):
+                self._pace.expect_answer()
                 self._send(messages.Heartbeat())
             assert self._gate is not None
-            self._gate.offer()
+            for admitted in self._gate.tick():
+                self._dispatch(admitted)
 
     async def _await_renewal(self) -> None:
         await self._renewal.wait()
--- a/src/lycheering/wire/messages/envelope.py
+++ b/src/lycheering/wire/messages/envelope.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lycheering.fleet import whole
 from lycheering.wire.messages import common
 from lycheering.wire.messages import members
 from lycheering.wire.messages import orders
@@ -23,6 +24,9 @@
     | session.Bye
     | session.ViewFetch
     | session.ViewUpdate
+    | whole.ViewPart
+    | session.ViewLater
+    | session.ViewNotice
     | requests.Submit
     | requests.Resume
     | requests.Cancel
@@ -62,9 +66,11 @@
 
     Attributes:
         version: The protocol's version.
-        sender: The sender's instance.
-        sender_incarnation: The sender's incarnation.
-        receiver_incarnation: Whom the frame is for; empty only in Hello.
+        sender: The sender's instance; only in Hello and Welcome.
+        sender_incarnation: The sender's incarnation; in Hello, and in all
+            that a server sends.
+        receiver_incarnation: Whom the frame is for; in Welcome, and in all
+            that a client sends but Hello.
         view_revision: The view revision that the sender has in force.
         call_id: Pairs replies with calls on a connection; 0 for neither.
         expires_ms: When the frame must no longer be acted on, by the
--- a/src/lycheering/wire/messages/session.py
+++ b/src/lycheering/wire/messages/session.py
@@ -15,10 +15,13 @@
     Attributes:
         role: The sender's role.
         failure_domain: The failure domain it is in.
+        heartbeat_ms: Wished time between heartbeats while nothing is in
+            flight; 0 for the receiver's own.
     """
 
     role: common.Role
     failure_domain: str
+    heartbeat_ms: float = 0.0
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -26,9 +29,12 @@
 
     Attributes:
         now_ms: The sender's clock, by which frames to it expire.
+        heartbeat_ms: Time between heartbeats while nothing is in flight,
+            not above the wish; 0 for the receiver's own.
     """
 
     now_ms: float
+    heartbeat_ms: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -78,23 +84,45 @@
 
     Attributes:
         since: The sender's own view revision.
+        whole: Whether changes after it are of no use.
+        with_teams: Whether the sender uses the teams.
+        digest: Digest of the whole view that it holds parts of.
+        part: The part of that view wanted next.
     """
 
     since: int
+    whole: bool = False
+    with_teams: bool = True
+    digest: str = ""
+    part: int = 0
 
 
 class ViewUpdate(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Hands over the fleet view.
+    """Hands over changes of the fleet view.
 
     Attributes:
-        numbered: The changes after the receiver's revision.
-        snapshot: The whole view where changes no longer reach back.
+        numbered: Some or all changes after the receiver's revision.
+        snapshot: A whole view that is at hand; peers get it in parts.
     """
 
     numbered: tuple[changes.NumberedChange, ...] = ()
     snapshot: view.ViewSnapshot | None = None
 
 
+class ViewLater(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Tells a peer to ask for the whole view later.
+
+    Attributes:
+        retry_after_ms: When to ask again.
+    """
+
+    retry_after_ms: float
+
+
+class ViewNotice(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Tells a peer that there is a newer view, by the frame's revision."""
+
+
 __all__ = [
     "Bye",
     "Done",
@@ -104,6 +132,8 @@
     "Hello",
     "HelloRequired",
     "ViewFetch",
+    "ViewLater",
+    "ViewNotice",
     "ViewUpdate",
     "Welcome",
 ]
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -39,6 +39,8 @@
         incarnation: Its incarnation.
         failure_domain: The failure domain it is in.
         last_received_ms: When its last frame came.
+        heartbeat_ms: Time between its heartbeats while it is idle, where
+            that was agreed; 0 elsewhere.
     """
 
     def __init__(
@@ -53,10 +55,13 @@
         self.incarnation = envelope.sender_incarnation
         self.failure_domain = hello.failure_domain
         self.last_received_ms = 0.0
+        self.heartbeat_ms = min(
+            hello.heartbeat_ms, server.link.settings.control_heartbeat_ms
+        )
         self.inbox: asyncio.Queue[messages.Envelope] = asyncio.Queue(
             MAX_SESSION_FRAMES
         )
-        self.gate = view_gate.ViewGate(server.link.view, self.send)
+        self.gate = view_gate.ViewGate(server.link, self.send)
         self._server = server
         self._routing_id = routing_id
         self._load_sent_ms = 0.0
@@ -78,6 +83,13 @@
         """
         self._server.send(self, self._routing_id, message, call_id)
 
+    def is_silent(self, now_ms: float) -> bool:
+        """Returns whether the peer is taken for gone."""
+        settings = self._server.link.settings
+        slower_ms = max(0.0, self.heartbeat_ms - settings.heartbeat_ms)
+        silent_ms = now_ms - self.last_received_ms
+        return silent_ms >= settings.silence_ms + slower_ms
+
     def load_due(self, now_ms: float) -> bool:
         """Returns whether the next frame should carry the load."""
         due = now_ms - self._load_sent_ms >= LOAD_INTERVAL_MS
@@ -193,11 +205,13 @@
             self.link.clock.now_ms()
         ):
             load = self._load()
+        # the client knows whom it is connected to after the welcome
+        is_welcome = isinstance(message, messages.Welcome)
         envelope = messages.Envelope(
             messages.PROTOCOL_VERSION,
-            self.link.identity.name,
+            self.link.identity.name if is_welcome else "",
             self.link.identity.incarnation,
-            session.incarnation,
+            session.incarnation if is_welcome else "",
             self.link.view.revision(),
             call_id,
             0.0,
@@ -278,9 +292,9 @@
         session = Session(self, routing_id, envelope, hello)
         session.last_received_ms = self.link.clock.now_ms()
         self.session_by_routing_id[routing_id] = session
-        session.send(messages.Welcome(self.link.clock.now_ms()))
-        session.gate.peer_revision = envelope.view_revision
-        session.gate.offer()
+        now_ms = self.link.clock.now_ms()
+        session.send(messages.Welcome(now_ms, session.heartbeat_ms))
+        session.gate.greeted(envelope.view_revision)
         self._tasks.spawn(
             self._serve(routing_id, session), f"wire:{session.name}"
         )
@@ -315,6 +329,7 @@
             self._drop(routing_id, str(error))
         finally:
             self.session_by_routing_id.pop(routing_id, None)
+            session.gate.close()
             await self._handler.closed(session)
 
     async def _handle(
@@ -366,12 +381,20 @@
         settings = self.link.settings
         while True:
             await self.link.clock.sleep(settings.heartbeat_ms)
-            self.offer_view()
             now_ms = self.link.clock.now_ms()
             for routing_id, session in list(self.session_by_routing_id.items()):
-                if now_ms - session.last_received_ms >= settings.silence_ms:
+                if session.is_silent(now_ms):
                     self.link.counters.increment("wire.silent_session")
                     self._drop(routing_id, "silent")
+                else:
+                    self._tick(routing_id, session)
+
+    def _tick(self, routing_id: bytes, session: Session) -> None:
+        try:
+            for admitted in session.gate.tick():
+                self._enqueue(routing_id, session, admitted)
+        except errors.PeerUnreachableError as error:
+            self._drop(routing_id, str(error))
 
 
 __all__ = ["Server", "Session"]
