Make a follower's term durable before entries of it

A control instance that was killed 0.6 s after it had heard a new leader did not start again: 'hard-state: damaged at offset 0: older than the log'. The entries of the new term were queued for the log before the term was saved, and the log's write came first. Ruled out: a damaged file (the hard state is one term older, and whole); lowering the check, which finds a hard state that was lost or put back. Change: entries are taken once the term is durable; until then the leader sends them again. Heartbeats are answered as before. Before: the new scenario of commits.feature fails, an entry is synced.

--- a/src/lycheering/replication/receiver.py
+++ b/src/lycheering/replication/receiver.py
@@ -12,6 +12,9 @@
 from lycheering.store import snapshots
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
     from lycheering.replication import core as cores
     from lycheering.replication import elections
     from lycheering.replication import members
@@ -114,6 +117,8 @@
             return messages.AppendReply(core.id, core.term, False, 0)
         core.follow(request.sender, request.term)
         previous = request.previous
+        if request.entries and not await self._has_durable_term(request.term):
+            return self._mismatch(previous.index)
         if previous.index > core.log.last_index:
             return self._mismatch(core.log.last_index)
         known_term = core.log.term_at(previous.index)
@@ -132,13 +137,30 @@
             durable = min(matching, core.log.synced_index)
         return messages.AppendReply(core.id, core.term, True, durable)
 
+    async def _has_durable_term(self, term: int) -> bool:
+        """Waits for a while until the term is durable.
+
+        An entry of it must not reach the disk before. A member that died in
+        between would find its log newer than its term.
+        """
+        core = self._core
+        if core.store.hard_state.saved.term < term:
+            await self._wait_for_disk(core.save_hard_state())
+        return core.term == term == core.store.hard_state.saved.term
+
     async def _sync_for_a_while(self) -> None:
+        await self._wait_for_disk(self._sync())
+
+    async def _sync(self) -> None:
+        await self._core.save_hard_state()
+        await self._core.log.sync()
+
+    async def _wait_for_disk(self, work: Coroutine[Any, Any, None]) -> None:
         # the leader's lease must not wait for a slow disk
         pause_s = self._core.settings.heartbeat_ms / clock.MS_PER_S
         try:
             async with asyncio.timeout(pause_s):
-                await self._core.save_hard_state()
-                await self._core.log.sync()
+                await work
         except TimeoutError:
             return
 
--- a/tests/replication/commits.feature
+++ b/tests/replication/commits.feature
@@ -40,6 +40,13 @@
     When it can write its hard state and hears that leader again
     Then it promises the entries that it holds
 
+  Scenario: A follower writes no entry before its term is durable
+    Given a follower cut off that cannot write its hard state
+    When it hears a leader of a newer term with an entry
+    Then it has written no entry of that term
+    When it can write its hard state and hears that leader again
+    Then it promises the entries that it holds
+
   Scenario: Without a quorum the outcome is unknown, then nothing is taken
     When the leader is cut off and takes a proposal
     Then the proposal ends with an unknown outcome
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -488,13 +488,31 @@
 
 @when("it hears a leader of a newer term")
 def step_hears(context):
+    hear(context, [])
+
+
+@when("it hears a leader of a newer term with an entry")
+def step_hears_entry(context):
+    index = context.member.status().last_index + 1
+    kind = entries.EntryKind.NO_OPERATION
+    context.added = [entries.Entry(index, context.term, kind, b"")]
+    hear(context, context.added)
+
+
+def hear(context, added):
     member = context.member
     ids = {m.id.instance: m.id for m in member.status().members}
-    last = context.group.store_by_instance[context.name].log.last
+    if "last" not in context:
+        context.last = context.group.store_by_instance[context.name].log.last
     request = messages.AppendRequest(
-        ids[context.other], ids[context.name], context.term, last, 0, []
+        ids[context.other],
+        ids[context.name],
+        context.term,
+        context.last,
+        0,
+        added,
     )
-    context.held = last.index
+    context.held = context.last.index + len(added)
     context.reply = run(context, member.handle(request))
 
 
@@ -509,7 +527,15 @@
     context.group.release_syncs(context.name)
     saved = context.group.store_by_instance[context.name].hard_state
     wait(context, lambda: saved.saved.term == context.term, "the term's write")
-    step_hears(context)
+    hear(context, context.added if "added" in context else [])
+
+
+@then("it has written no entry of that term")
+def step_wrote_nothing(context):
+    log = context.group.store_by_instance[context.name].log
+    run(context, asyncio.sleep(0.05))
+    assert log.synced_index == context.last.index
+    assert context.reply.index <= context.last.index
 
 
 @then("it promises the entries that it holds")
