Count time beyond computing the whole prompt as late

The weight on reuse accepts a wait of up to 3.3 times the prefill.

Change: wait and miss beyond the time for the whole prompt count six times.

The new scenario of tests/routing/policies.feature was red before (20 passed, 1 failed) and is green (21 passed).

--- a/src/lycheering/routing/score.py
+++ b/src/lycheering/routing/score.py
@@ -17,6 +17,7 @@
 OPEN_REQUEST_MS = 1.0
 DRAINING_MS = 1e6
 SCARCE_LIFE_MS = 3_000.0
+LATE_FACTOR = 5.0
 
 
 def of_target(
@@ -63,6 +64,9 @@
     weight = query.reuse_weight
     # prefill also delays others and displaces what the target holds
     total = (1.0 - weight) * (wait_ms + miss_ms)
+    # reuse that takes longer than computing the whole prompt saves no time
+    late_ms = wait_ms + miss_ms - levels.prompt_pieces * piece_ms
+    total += (1.0 - weight) * LATE_FACTOR * max(0.0, late_ms)
     total += weight * wasted_ms * (1.0 + scarcity)
     total += PLACE_MS * place
     if target.failure_domain != knowledge.failure_domain:
--- a/tests/routing/policies.feature
+++ b/tests/routing/policies.feature
@@ -68,6 +68,12 @@
     When the affinity policy orders the targets
     Then the first candidate is not the first ranked target
 
+  Scenario: A wait much longer than the prefill is not worth reuse
+    Given the first ranked target started the prompt
+    And the first ranked target reports a queue of 600 ms
+    When the affinity policy orders the targets
+    Then the first candidate is not the first ranked target
+
   Scenario: A wait shorter than the prefill keeps a prefix where it is held
     Given the first ranked target started the prompt
     And the first ranked target reports a queue of 400 ms
