Send all cache inquiries before reading the first answer

Change: the inquiries go out one after the other and their answers are read in the request's own task. A connection that is lost ends them as before.

tests/wire, tests/entry without config_faults, tests/routing: green.

--- a/src/lycheering/entry/cache_inquiries.py
+++ b/src/lycheering/entry/cache_inquiries.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from lycheering.routing import api as routing_api
 from lycheering.wire import api as wire_api
+from lycheering.wire import channels
 from lycheering.wire import errors
 from lycheering.wire import messages
 
@@ -16,7 +16,6 @@
     from lycheering.entry import job as jobs
     from lycheering.entry import target_access
     from lycheering.fleet import records
-    from lycheering.wire import client
 
 
 async def ask(
@@ -33,26 +32,26 @@
         job: The request.
         timeout_ms: Time for the answers.
     """
-    connection_by_name: dict[str, client.Connection] = {}
-    for target in asked:
-        address = wire_api.Address(target.name, target.ip, target.port)
-        connection = targets.connections.get(address)
-        if connection.connected and targets.usable(target.name):
-            connection_by_name[target.name] = connection
     inquiry = messages.CacheInquiry(
         job.levels.short_keys, job.levels.rank_index, job.team, job.priority
     )
-    answers = await asyncio.gather(
-        *(
-            _ask_one(targets, connection, inquiry, timeout_ms)
-            for connection in connection_by_name.values()
-        )
-    )
-    report_by_name = {
-        name: report
-        for name, report in zip(connection_by_name, answers, strict=True)
-        if report is not None
-    }
+    deadline_ms = targets.clock.now_ms() + timeout_ms
+    # all are sent before the first answer is read, which needs no tasks
+    channel_by_name: dict[str, channels.Channel] = {}
+    report_by_name: dict[str, messages.CacheReport] = {}
+    try:
+        for target in asked:
+            channel = _send(targets, target, inquiry, timeout_ms)
+            if channel is not None:
+                channel_by_name[target.name] = channel
+        for name, channel in channel_by_name.items():
+            left_ms = deadline_ms - targets.clock.now_ms()
+            report = await _read(targets, channel, max(0.0, left_ms))
+            if report is not None:
+                report_by_name[name] = report
+    finally:
+        for channel in channel_by_name.values():
+            channel.close()
     return {
         name: routing_api.Seen(
             report.held_pieces,
@@ -65,18 +64,36 @@
     }
 
 
-async def _ask_one(
+def _send(
     targets: target_access.Targets,
-    connection: client.Connection,
+    target: records.Target,
     inquiry: messages.CacheInquiry,
     timeout_ms: float,
-) -> messages.CacheReport | None:
+) -> channels.Channel | None:
+    address = wire_api.Address(target.name, target.ip, target.port)
+    connection = targets.connections.get(address)
+    if not connection.connected or not targets.usable(target.name):
+        return None
     try:
-        reply = await connection.call(inquiry, timeout_ms)
-    except errors.WireError:
+        return connection.ask(inquiry, timeout_ms)
+    except errors.PeerUnreachableError:
         targets.counters.increment("cache_inquiry.unanswered")
         return None
-    return reply if isinstance(reply, messages.CacheReport) else None
+
+
+async def _read(
+    targets: target_access.Targets,
+    channel: channels.Channel,
+    timeout_ms: float,
+) -> messages.CacheReport | None:
+    try:
+        reply = await channel.receive(timeout_ms)
+    except errors.CallTimeoutError:
+        reply = channels.Lost()
+    if isinstance(reply, messages.CacheReport):
+        return reply
+    targets.counters.increment("cache_inquiry.unanswered")
+    return None
 
 
 __all__ = ["ask"]
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -140,7 +140,9 @@
 
     def forget(self, call_id: int) -> None:
         """Drops a channel."""
-        self._channel_by_call_id.pop(call_id, None)
+        channel = self._channel_by_call_id.pop(call_id, None)
+        if channel is not None:
+            self._short_calls.discard(channel)
 
     async def call(
         self,
@@ -166,14 +168,11 @@
             timeout_ms = self._link.settings.call_timeout_ms
         deadline_ms = self._link.clock.now_ms() + timeout_ms
         await self.ready(timeout_ms)
-        channel = self.open()
-        self._short_calls.add(channel)
+        left_ms = max(1.0, deadline_ms - self._link.clock.now_ms())
+        channel = self.ask(message, left_ms)
         try:
-            left_ms = max(1.0, deadline_ms - self._link.clock.now_ms())
-            channel.send(message, ttl_ms=left_ms)
             event = await channel.receive(left_ms)
         finally:
-            self._short_calls.discard(channel)
             channel.close()
         if isinstance(event, messages.Failure):
             raise errors.CallFailedError(event)
@@ -181,6 +180,28 @@
             raise errors.CallTimeoutError(f"{self.address.name}: lost")
         return event
 
+    def ask(self, message: messages.Message, ttl_ms: float) -> channels.Channel:
+        """Sends a message and returns the channel that its reply comes on.
+
+        The channel gets Lost as soon as the present connection is. The
+        caller closes it.
+
+        Args:
+            message: The message.
+            ttl_ms: Time after which the peer must not act on it.
+
+        Raises:
+            PeerUnreachableError: If the message was not sent.
+        """
+        channel = self.open()
+        self._short_calls.add(channel)
+        try:
+            channel.send(message, ttl_ms)
+        except errors.PeerUnreachableError:
+            channel.close()
+            raise
+        return channel
+
     def send(
         self,
         message: messages.Message,
@@ -257,7 +278,7 @@
             was_ready = self._ready.is_set()
             self._ready.clear()
             # a short call is not picked up on another connection
-            for channel in self._short_calls:
+            for channel in list(self._short_calls):
                 channel.put(channels.Lost())
             if was_ready:
                 backoff_ms = FIRST_BACKOFF_MS
