--- a/bench/measure.py
+++ b/bench/measure.py
@@ -33,6 +33,7 @@
     parser.add_argument("--duration-ms", type=float, default=20_000)
     parser.add_argument("--traces", default="")
     parser.add_argument("--policies", default="")
+    parser.add_argument("--shifts", default="")
     parser.add_argument(
         "--set", action="append", default=[], help="option=JSON value"
     )
@@ -44,6 +45,7 @@
         duration_ms=parsed.duration_ms,
         traces=tuple(filter(None, parsed.traces.split(","))),
         policies=tuple(filter(None, parsed.policies.split(","))),
+        shifts=tuple(filter(None, parsed.shifts.split(","))),
         value_by_default={name: json.loads(text) for name, _, text in pairs},
     )
     for name in parsed.parts or PARTS:
--- a/bench/measures/api.py
+++ b/bench/measures/api.py
@@ -19,6 +19,7 @@
         duration_ms: Length of each trace.
         traces: Names of the traces; every one if empty.
         policies: Names of the policies; every one if empty.
+        shifts: Names of the shifts; every one if empty.
         value_by_default: Options set in every fleet.
     """
 
@@ -27,6 +28,7 @@
     duration_ms: float = 20_000
     traces: tuple[str, ...] = ()
     policies: tuple[str, ...] = ()
+    shifts: tuple[str, ...] = ()
     value_by_default: dict[str, bool | int | float | str] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/bench/shifts.feature
+++ b/tests/bench/shifts.feature
@@ -17,3 +17,10 @@
     And 100 shift lookups that find 2 of 10 pieces
     When the shift recovery is read at lookup 100
     Then the shift dip does not end
+
+  Scenario: A dip that the same calls have without the shift as well is none
+    Given 100 shift lookups that find 10 of 10 pieces
+    And 20 shift lookups that find 0 of 10 pieces
+    And 100 shift lookups that find 10 of 10 pieces
+    When the shift recovery is read at lookup 100 against the same calls
+    Then the shift dip ends after 0 lookups
--- a/tests/steps/bench_shifts_steps.py
+++ b/tests/steps/bench_shifts_steps.py
@@ -29,6 +29,12 @@
     context.recovery = shifts.recovery(context.shift_lookups, number * STEP_MS)
 
 
+@when("the shift recovery is read at lookup {number:d} against the same calls")
+def step_read_same(context, number):
+    lookups = context.shift_lookups
+    context.recovery = shifts.recovery(lookups, number * STEP_MS, lookups)
+
+
 @then("the shift dip ends after {count:d} lookups")
 def step_ends(context, count):
     assert context.recovery.back_calls == count, context.recovery
