Expect a slot to be free when the answer in it ends

A request let through behind one that computes a cold prompt begins up to 412 ms later than it was let through, but its end was reckoned from then, so slots counted as free that were not.

Change: at the first token the start is moved to when the prefill must have begun.

--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -90,7 +90,8 @@
     Attributes:
         waiting: Its place in the queue.
         expected_start_ms: The wait expected when it came.
-        started_ms: When it was let through; 0 before.
+        started_ms: When it was let through, or, once its first token came,
+            when it must have begun; 0 before.
         prefilling: Whether its first token is awaited.
     """
 
@@ -193,6 +194,8 @@
     def prefilled(self, place: Place) -> None:
         """Learns that a request's first token came."""
         place.prefilling = False
+        # its prompt had to wait for those that were sent before it
+        place.started_ms = self._clock.now_ms() - place.waiting.cost.prefill_ms
         self._advance()
 
     def leave(self, place: Place) -> None:
--- a/tests/limits/admission.feature
+++ b/tests/limits/admission.feature
@@ -128,3 +128,9 @@
     And team "b" enters 3 times with 1000 ms of work and 90000 ms left
     And team "a" enters 2 times with 1000 ms of work and 90000 ms left
     Then request 11 is told to come back 1000 ms after request 10
+
+  Scenario: An answer that began late is not expected to end early
+    Given a prefill window of 2
+    When team "a" enters 2 times with 600 ms of work and 10000 ms left
+    And 400 ms pass until the first tokens of requests 1 to 2 come
+    Then the backlog is 600 ms
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -239,3 +239,18 @@
 def step_own_backlog(context, team):
     wait_ms = wait_ms_of(context, team)
     assert wait_ms >= context.entered.gate.backlog_ms()
+
+
+@when(
+    "{passed:d} ms pass until the first tokens of requests {first:d} to"
+    " {last:d} come"
+)
+def step_late_tokens(context, passed, first, last):
+    context.entered.clock.advance(passed)
+    for number in range(first, last + 1):
+        step_first_token(context, number)
+
+
+@then("the backlog is {expected:d} ms")
+def step_backlog_is(context, expected):
+    assert context.entered.gate.backlog_ms() == expected
