Count no prefill twice that another request does

Change: a request's expected prefill leaves out the levels that the engine is computing or about to compute for others, as the answer to an inquiry does.

--- a/src/lycheering/agent/requests.py
+++ b/src/lycheering/agent/requests.py
@@ -73,6 +73,8 @@
     cached = 0
     if context.index.weights_version == version:
         cached = context.index.matched_count(keys)
+        # what is being computed for others is there once this one's turn comes
+        cached = max(cached, context.held.held_pieces(submit.level_keys))
     missing = prompt.missing_pieces(cached, context.settings.piece_chars)
     tokens = _decode(submit.body, _TokenLimit).max_tokens
     left = max(1, tokens - submit.continue_from)
--- a/tests/agent/runs.feature
+++ b/tests/agent/runs.feature
@@ -123,3 +123,8 @@
     Given an agent beside an engine with 2 slots
     When 8 entries submit requests for 300 tokens
     Then a request of team "team-1" is told over twice the wait of one of team "c"
+
+  Scenario: A prompt that is being computed is not expected to be computed again
+    Given an agent beside an engine that takes 2000 ms for a piece
+    When team "a" sends its prompt
+    Then the prompt of team "a" is expected to find its pieces cached
--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 import msgspec
 
+from lycheering.agent import requests
 from lycheering.fleet import changes
 from lycheering.fleet import options
 from lycheering.fleet import records
@@ -39,6 +40,11 @@
     step_agent_and_engine(context, stream_tail_ms=tail)
 
 
+@given("an agent beside an engine that takes {piece:d} ms for a piece")
+def step_agent_slow_prefill(context, piece):
+    step_agent_and_engine(context, "--prefill-ms-per-piece", str(piece))
+
+
 @given("an agent beside an engine with {slots:d} slot")
 @given("an agent beside an engine with {slots:d} slots")
 def step_agent_slot(context, slots):
@@ -327,11 +333,15 @@
 
 @when('team "{team}" submits its prompt again')
 def step_team_again(context, team):
+    ask(context, team_submit(context, team))
+
+
+def team_submit(context, team):
     # the archive is shared; the second level is equal, yet each team's own
     prompt = "a" * (PIECE_CHARS - len("user\n")) + "b" * PIECE_CHARS
     ends = (PIECE_CHARS, 2 * PIECE_CHARS)
     context.count = getattr(context, "count", 0) + 1
-    submit = context.bench.submit(
+    return context.bench.submit(
         f"r{context.count}",
         prompt,
         team=team,
@@ -339,7 +349,23 @@
         shared_levels=1,
         level_keys=("archive", f"archive/{team}"),
     )
-    ask(context, submit)
+
+
+@when('team "{team}" sends its prompt')
+def step_team_sends(context, team):
+    bench = context.bench
+    bench.run(bench.send(team_submit(context, team)))
+    bench.run(
+        agent_bench.until(
+            lambda: any(run.sent for run in bench.handler.run_by_key.values())
+        )
+    )
+
+
+@then('the prompt of team "{team}" is expected to find its pieces cached')
+def step_expected_cached(context, team):
+    plan = requests.make_plan(context.bench.context, team_submit(context, team))
+    assert plan.cost.prefill_ms < context.bench.context.cost.piece_ms, plan
 
 
 @then('team "{team}" finds {count:d} of its pieces cached')
