--- a/tests/orders/fleet_freezes.feature
+++ b/tests/orders/fleet_freezes.feature
@@ -36,6 +36,7 @@
       | send  | booking |
       | run   | billing |
 
+  @cell.process_freeze.order.run
   Scenario Outline: The leader freezes at the <step> and wakes too late
     When an order to <service> is held at its <step>
     And the leader of control freezes
@@ -48,4 +49,5 @@
     Examples:
       | step   | service |
       | claim  | billing |
+      | run    | billing |
       | commit | booking |
