--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -6,6 +6,7 @@
 
 from lycheering.app import api as app_api
 from lycheering.control import failures
+from lycheering.control import member_repairs
 from lycheering.control import peer_calls
 from lycheering.wire import api as wire_api
 from lycheering.wire import errors as wire_errors
@@ -40,6 +41,7 @@
         counts: counters.Counters,
     ) -> None:
         self._group = group
+        self._repairs = member_repairs.MemberRepairs(group)
         self._desk = desk
         self._registers = registers
         self._status = status
@@ -133,9 +135,9 @@
             case peer_calls.ReadIndexCall():
                 answer = peer_calls.ReadIndex(await self._group.read_index())
             case peer_calls.ReplaceCall():
-                answer = await self._group.replace(call)
+                answer = await self._repairs.replace(call)
             case peer_calls.CancelChangeCall():
-                answer = await self._group.cancel_change(call)
+                answer = await self._repairs.cancel_change(call)
             case peer_calls.RegisterCall(targets):
                 answer = await self._registers.register_all(targets)
             case _:
--- a/src/lycheering/control/operator_writes.py
+++ b/src/lycheering/control/operator_writes.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lycheering.control import commands
+from lycheering.control import member_repairs
 from lycheering.control import operator_errors
 from lycheering.control import peer_calls
 from lycheering.fleet import options
@@ -32,6 +33,7 @@
         time: clock.Clock,
     ) -> None:
         self._group = group
+        self._repairs = member_repairs.MemberRepairs(group)
         self._reads = reads
         self._clock = time
 
@@ -146,7 +148,7 @@
             body.old, body.new, f"{body.ip}:{body.port}"
         )
         try:
-            done = await self._group.replace_anywhere(call)
+            done = await self._repairs.replace_anywhere(call)
         except (errors.ReplicationError, TimeoutError) as error:
             raise operator_errors.of_replication(error) from error
         return answers.ReplaceAnswer(done.joined, done.left, done.synced_index)
@@ -157,7 +159,7 @@
         """Gives up the replacement of a member."""
         call = peer_calls.CancelChangeCall(body.joining)
         try:
-            done = await self._group.cancel_change_anywhere(call)
+            done = await self._repairs.cancel_change_anywhere(call)
         except (errors.ReplicationError, TimeoutError) as error:
             raise operator_errors.of_replication(error) from error
         return answers.CancelChangeAnswer(done.joining)
--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 from typing import TYPE_CHECKING
 
@@ -32,7 +31,6 @@
 
 PROPOSE_TIMEOUT_MS = 2_000
 READ_TIMEOUT_MS = 1_000
-REPLACE_TIMEOUT_MS = 60_000
 APPLY_POLL_MS = 5
 LEADER_WAIT_MS = 100
 
@@ -242,96 +240,12 @@
         await self.log.read_barrier(READ_TIMEOUT_MS)
         return self.log.status().applied_index
 
-    async def replace_anywhere(
-        self, call: peer_calls.ReplaceCall
-    ) -> peer_calls.Replaced:
-        """Replaces a member, through the leader if that is another.
+    async def identify(self, peer: members.PeerAddress) -> members.MemberId:
+        """Returns who listens at an address.
 
         Raises:
-            ReplicationError: If the repair is not over; it may be asked
-                for again.
+            PeerUnreachableError: Nobody answered.
         """
-        leader = await self.find_leader()
-        if leader is None:
-            return await self.replace(call)
-        answer = await self.call_leader(leader, call, REPLACE_TIMEOUT_MS)
-        if not isinstance(answer, peer_calls.Replaced):
-            raise errors.OutcomeUnknownError("no reply to a replacement")
-        return answer
-
-    async def replace(
-        self, call: peer_calls.ReplaceCall
-    ) -> peer_calls.Replaced:
-        """Replaces a member; only on the leader.
-
-        The newcomer may have the instance and address of the old member,
-        since identities are tied to the disk. Asked for again, it goes on.
-        """
-        async with asyncio.timeout(REPLACE_TIMEOUT_MS / 1_000):
-            while True:
-                try:
-                    return await self._replace_once(call)
-                except errors.NewcomerLostError as error:
-                    _LOG.event("newcomer_lost", id=error)
-
-    async def _replace_once(
-        self, call: peer_calls.ReplaceCall
-    ) -> peer_calls.Replaced:
-        new = members.PeerAddress(call.new, call.address)
-        newcomer = await self._identify(new)
-        status = self.log.status()
-        ids = [member.id for member in status.members]
-        leaving = [
-            member_id
-            for member_id in ids
-            if member_id.instance == call.old and member_id != newcomer
-        ]
-        if not leaving and newcomer in ids:
-            index = status.synced_index
-            return peer_calls.Replaced(str(newcomer), "", index)
-        if not leaving:
-            raise errors.MemberChangeError(f"{call.old} is no member")
-        report = await self.log.replace(leaving[0], new)
-        return peer_calls.Replaced(
-            str(report.joined), str(report.left), report.synced_index
-        )
-
-    async def cancel_change_anywhere(
-        self, call: peer_calls.CancelChangeCall
-    ) -> peer_calls.ChangeCancelled:
-        """Gives up a change of members, through the leader if another.
-
-        Raises:
-            ReplicationError: If it is not given up; it may be asked for again.
-        """
-        leader = await self.find_leader()
-        if leader is None:
-            return await self.cancel_change(call)
-        answer = await self.call_leader(leader, call)
-        if not isinstance(answer, peer_calls.ChangeCancelled):
-            raise errors.OutcomeUnknownError("no reply to a cancellation")
-        return answer
-
-    async def cancel_change(
-        self, call: peer_calls.CancelChangeCall
-    ) -> peer_calls.ChangeCancelled:
-        """Gives up a change of members; only on the leader.
-
-        Asked for again, it finds the newcomer gone and says the same.
-        """
-        status = self.log.status()
-        change = status.change
-        is_known = any(str(item.id) == call.joining for item in status.members)
-        if change is not None and str(change.joining) == call.joining:
-            await self.log.cancel_change()
-        elif is_known:
-            message = f"{call.joining} joins by no change under way"
-            raise errors.MemberChangeError(message)
-        else:
-            self.log.check_lease()
-        return peer_calls.ChangeCancelled(call.joining)
-
-    async def _identify(self, peer: members.PeerAddress) -> members.MemberId:
         reply = await self._transport.call(
             peer, replication_messages.IdentifyRequest(), READ_TIMEOUT_MS
         )
@@ -398,7 +312,6 @@
 __all__ = [
     "PROPOSE_TIMEOUT_MS",
     "READ_TIMEOUT_MS",
-    "REPLACE_TIMEOUT_MS",
     "LoggedMachine",
     "Replica",
 ]
