--- a/src/lycheering/wire/messages/envelope.py
+++ b/src/lycheering/wire/messages/envelope.py
@@ -11,7 +11,7 @@
 from lycheering.wire.messages import requests
 from lycheering.wire.messages import session
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 Message = (
     session.Hello
