Have an agent leave an instance that it gets no answer through

Cause: an agent whose instance named a leader that could not be reached asked both again and again and stayed. With the longer report interval a lost connection was noticed only when the next report was due.

Change: it goes on to the next instance, and looks at the connection every 2 s as before. Found by reading; no scenario provokes it yet.

--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -104,7 +104,9 @@
             _LOG.debug("control_refused", reason=error.failure.reason)
             leader = self._home.find(error.failure.leader)
             if error.failure.reason == messages.Reason.NOT_LEADER and leader:
-                return await self._ask_leader(leader, message)
+                reply = await self._ask_leader(leader, message)
+                if reply is not None:
+                    return reply
         except errors.WireError as error:
             _LOG.debug("control_unreachable", error=repr(error))
         self._home.move_on()
@@ -129,8 +131,10 @@
             report = self._report()
             state = msgspec.structs.replace(report, load=_NO_LOAD)
             now_ms = self._context.clock.now_ms()
+            due = state != reported or now_ms - reported_ms >= interval_ms
             try:
-                if state != reported or now_ms - reported_ms >= interval_ms:
+                await connection.ready(0)
+                if due:
                     connection.send(report)
                     reported, reported_ms = state, now_ms
             except errors.PeerUnreachableError:
