End all runs of features when the runner is told to end

Each run is a process group of its own since it can be ended after a timeout, so an interrupt no longer reached it.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,12 +13,19 @@
 import sys
 import tempfile
 import time
+from typing import TYPE_CHECKING
+from typing import NoReturn
+
+if TYPE_CHECKING:
+    import types
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
-PARALLEL_RUNS = 3
+PARALLEL_RUNS = 4
 RUN_TIMEOUT_S = 420
 ABORT_GRACE_S = 5
+SIGNAL_EXIT_BASE = 128
+RUNNING: set[subprocess.Popen[str]] = set()
 ENVIRONMENT = {
     "PYTHONHASHSEED": "0",
     "PYTHONUNBUFFERED": "1",
@@ -79,11 +86,14 @@
             text=True,
             start_new_session=True,
         )
+        RUNNING.add(run)
         try:
             output, _ = run.communicate(timeout=RUN_TIMEOUT_S)
         except subprocess.TimeoutExpired:
             output = end(run)
             return Outcome(name, [], [f"{name}: timed out"], output)
+        finally:
+            RUNNING.discard(run)
         if not report.exists() or not report.read_text().strip():
             return Outcome(name, [], [f"{name}: not loaded"], output)
         outcome = Outcome(name, [], [], output)
@@ -93,6 +103,14 @@
         return outcome
 
 
+def stop(number: int, _: types.FrameType | None) -> NoReturn:
+    """Ends all runs with their processes when this one is told to end."""
+    for run in list(RUNNING):
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(run.pid, signal.SIGKILL)
+    os._exit(SIGNAL_EXIT_BASE + number)
+
+
 def end(run: subprocess.Popen[str]) -> str:
     """Ends a run that hangs, with the processes that it started.
 
@@ -130,6 +148,8 @@
     Returns:
         The exit code: 0 when no scenario outside KNOWN-RED.txt failed.
     """
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, stop)
     wanted = [pathlib.Path(name).resolve() for name in sys.argv[1:]]
     features = wanted or sorted((ROOT / "tests").rglob("*.feature"))
     red = known_red()
