Read targets' records only once they listen

Cause of the unidentified error in tests/orders/fleet_faults.feature (1 in about 4 runs): the judge read the record of the target that had just been killed and started again before it listened: URLError, connection refused, in "The target is killed at the send of an order -- @1.1". The order itself was settled by then; no fault of the product.

Change: reading the records waits until every target that runs answers. What is judged is the same.

--- a/tests/support/order_callers.py
+++ b/tests/support/order_callers.py
@@ -120,13 +120,16 @@
         self.kept_runs += checker.fetch_runs([url])
 
     def runs(self):
-        """Returns every run that any target has recorded."""
+        """Returns every run recorded, once all targets that run listen."""
         urls = [
             url
             for name, url in self.fleet.url_by_target.items()
             if self.fleet.group.process_by_name[name].running
         ]
-        return self.kept_runs + checker.fetch_runs(urls)
+        (found,) = processes.wait_for(
+            lambda: (checker.fetch_runs(urls),), "the targets' records"
+        )
+        return self.kept_runs + found
 
     def runs_of(self, attempt_id):
         """Returns the runs that an attempt caused."""
