--- a/tests/steps/wire_steps.py
+++ b/tests/steps/wire_steps.py
@@ -444,6 +444,14 @@
     [context.muted] = context.server.server.session_by_routing_id.values()
 
 
+@when("the wire client has its connection renewed")
+def step_renew(context):
+    async def renew():
+        context.connection.renew()
+
+    run(context, renew())
+
+
 @then("the wire channel learns that its connection was replaced")
 def step_replaced(context):
     event = run(context, context.channel.receive(GIVE_UP_MS))
--- a/tests/wire/silence.feature
+++ b/tests/wire/silence.feature
@@ -9,6 +9,14 @@
     And the wire client can make a call
     And the wire server forgets the muted session
 
+  Scenario: A connection is replaced when its owner finds it silent
+    Given a wire server behind a fault proxy
+    And a connected wire client
+    And an open wire channel
+    When the wire client has its connection renewed
+    Then the wire channel learns that its connection was replaced
+    And the wire client can make a call
+
   Scenario: A restarted peer is another incarnation
     Given a wire server behind a fault proxy
     And a connected wire client
