Notice a process of the bench that ended before it was ready

A process that could not bind its port ended, while another fleet may have answered the ready check at its address; that this happened is not proved. Change: the ready check fails when the fleet's own process has ended.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import configparser
 import dataclasses
+import functools
 import json
 import pathlib
 import secrets
@@ -271,12 +272,7 @@
         self._member_ports = {name: self._ports.take() for name in names}
         for name, port in self._member_ports.items():
             self.start_control(name, port)
-        for url in self.operator_urls:
-            processes.wait_until(
-                lambda url=url: answers(f"{url}/health/ready"),  # type: ignore[misc]
-                "the control instances",
-                READY_TIMEOUT_S,
-            )
+        self._wait_ready("control", self.operator_urls)
 
     def start_control(
         self, name: str, wire_port: int, *, join: bool = False
@@ -440,14 +436,26 @@
             return len(live) == expected
 
         processes.wait_until(registered, "the agents", READY_TIMEOUT_S)
-        for url in self.entry_urls:
+        self._wait_ready("entry", self.entry_urls)
+
+    def _wait_ready(self, role: str, urls: list[str]) -> None:
+        for number, url in enumerate(urls):
+            process = self.group.process_by_name[f"{role}-{number}"]
             processes.wait_until(
-                lambda url=url: answers(f"{url}/health/ready"),  # type: ignore[misc]
-                "the entries",
+                functools.partial(_is_ready, process, url),
+                process.name,
                 READY_TIMEOUT_S,
             )
 
 
+def _is_ready(process: processes.Process, url: str) -> bool:
+    if not process.running:
+        # another process may answer at its address
+        text = process.log_text()
+        raise processes.GiveUpError(f"{process.name} ended: {text[-2_000:]}")
+    return answers(f"{url}/health/ready")
+
+
 __all__ = [
     "DOMAINS",
     "EnginePlan",
