Count the loads of weights that a leader before began

Cause: a new leader waited 3 s and then knew nothing of loads still going on, so that with longer loads more than two ran at once, and an engine could be told to load twice. Change: an agent's report says what its engine is loading; no other load is begun while one runs that this leader did not order. Before (without the change in control): the new scenario of wire_calls.feature fails, 13 passed, 1 failed. After: 14 of 14.

--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -189,6 +189,7 @@
             state.adapters,
             state.role,
             self._load(),
+            state.loading_version or state.target_loading,
         )
 
 
--- a/src/lycheering/agent/target_state.py
+++ b/src/lycheering/agent/target_state.py
@@ -32,6 +32,7 @@
         model: The model it serves.
         slots: Requests it runs at once.
         loading_version: The weights being loaded; empty for none.
+        target_loading: What the target says that it loads; empty for nothing.
         load_order_ms: How long loading weights takes.
     """
 
@@ -46,6 +47,7 @@
         self.model = settings.model
         self.slots = settings.slots
         self.loading_version = ""
+        self.target_loading = ""
         self.load_order_ms = FIRST_LOAD_ORDER_MS
         self._clock = clock
         self._loading_since_ms = 0.0
@@ -55,6 +57,7 @@
         """Takes over a target's own report, unless it is outdated."""
         self.up = True
         self.slots = load.slots or self.slots
+        self.target_loading = load.loading or ""
         sampled_ms = self._clock.now_ms() - load.age_ms
         same = load.incarnation == self.incarnation
         if same and sampled_ms <= self._changed_ms:
--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -191,16 +191,27 @@
         for name in list(self._backoff_by_target):
             if name not in fleet.target_by_name:
                 del self._backoff_by_target[name]
+        may_load = not self._is_loading_for_another(report_by_target)
         for target in fleet.target_by_name.values():
             report = report_by_target.get(target.name)
             if report is None or not self._may_order(target, report):
                 continue
             wanted = next_order(fleet, target, report)
-            if wanted is not None:
-                self._busy.add(target.name)
-                self._tasks.spawn(
-                    self._carry_out(target, wanted), f"order:{target.name}"
-                )
+            if wanted is None or (wanted.is_load and not may_load):
+                continue
+            self._busy.add(target.name)
+            self._tasks.spawn(
+                self._carry_out(target, wanted), f"order:{target.name}"
+            )
+
+    def _is_loading_for_another(
+        self, report_by_target: dict[str, messages.TargetReport]
+    ) -> bool:
+        """Returns whether loads run that a leader before this one began."""
+        return any(
+            report.loading and name not in self._busy
+            for name, report in report_by_target.items()
+        )
 
     def _may_order(
         self, target: records.Target, report: messages.TargetReport
@@ -211,6 +222,8 @@
             return False
         if not report.engine_incarnation or target.name in self._busy:
             return False
+        if report.loading:
+            return False
         if report.agent_incarnation != target.agent_incarnation:
             return False
         backoff = self._backoff_by_target.get(target.name)
--- a/src/lycheering/wire/messages/members.py
+++ b/src/lycheering/wire/messages/members.py
@@ -95,6 +95,7 @@
         adapters: The adapters it holds.
         role: Its role.
         load: Its load.
+        loading: The weights or adapter it is loading; empty for nothing.
     """
 
     target: str
@@ -104,6 +105,7 @@
     adapters: tuple[str, ...]
     role: str
     load: common.LoadReport
+    loading: str = ""
 
 
 class StatusFetch(msgspec.Struct, frozen=True, array_like=True, tag=56):
--- a/tests/control/wire_calls.feature
+++ b/tests/control/wire_calls.feature
@@ -104,6 +104,15 @@
     Then all 4 agents come to serve "v2"
     And all their fencing numbers differ and grow on each
 
+  Scenario: A new leader counts the loads that the one before began
+    Given 4 scripted agents that load weights in 8000 ms
+    When weights.version is set to "v2" for all targets
+    And the first load has begun
+    And the leader is killed
+    Then all 4 agents come to serve "v2"
+    And at most 2 of them loaded at once
+    And each of them loaded once
+
   Scenario: A drained target keeps its exception until it is undrained
     Given a scripted agent "t1"
     When the operator drains "t1"
--- a/tests/steps/control_weights_steps.py
+++ b/tests/steps/control_weights_steps.py
@@ -14,14 +14,17 @@
 from tests.support import processes
 
 LOAD_S = 0.3
+MS_PER_S = 1_000
 
 
 class LoadingAgent:
     """An agent beside an engine that takes a while to load weights."""
 
-    def __init__(self, context, name, tally):
+    def __init__(self, context, name, tally, load_s):
         self.peer = control_wire_steps.join_agent(context, name)
         self.version = "v1"
+        self.loading = ""
+        self.load_s = load_s
         self.fences = []
         self.tally = tally
         self.peer.handler.handle = self.handle
@@ -34,15 +37,23 @@
         order = envelope.message
         if not isinstance(order, messages.TargetOrder):
             return
-        self.fences.append(order.fence)
-        self.tally.begin()
-        await asyncio.sleep(LOAD_S)
-        self.tally.end()
-        self.version = order.version
+        if order.fence not in self.fences:
+            self.fences.append(order.fence)
+            self.load = asyncio.ensure_future(self.load_weights(order.version))
+        # one sent again under its number is answered when the load is over
+        await self.load
         session.send(
             messages.TargetOrderReply(True, order.fence), envelope.call_id
         )
 
+    async def load_weights(self, version):
+        self.tally.begin()
+        self.loading = version
+        await asyncio.sleep(self.load_s)
+        self.tally.end()
+        self.version = version
+        self.loading = ""
+
     async def report(self):
         while True:
             report = messages.TargetReport(
@@ -53,6 +64,7 @@
                 (),
                 "general",
                 messages.LoadReport(),
+                self.loading,
             )
             for connection in self.peer.connection_by_name.values():
                 if connection.connected:
@@ -79,11 +91,14 @@
 
 
 @given("{count:d} scripted agents that load weights")
-def step_loading(context, count):
+@given("{count:d} scripted agents that load weights in {load_ms:d} ms")
+def step_loading(context, count, load_ms=LOAD_S * MS_PER_S):
     context.tally = LoadTally()
     context.loading = []
     for number in range(count):
-        agent = LoadingAgent(context, f"t{number}", context.tally)
+        agent = LoadingAgent(
+            context, f"t{number}", context.tally, load_ms / MS_PER_S
+        )
         context.stack.callback(agent.close)
         context.loading.append(agent)
 
@@ -113,6 +128,12 @@
     assert context.tally.most <= count, context.tally
 
 
+@then("each of them loaded once")
+def step_once(context):
+    counts = [len(agent.fences) for agent in context.loading]
+    assert counts == [1] * len(counts), counts
+
+
 @then("all their fencing numbers differ and grow on each")
 def step_fences(context):
     fences = [agent.fences for agent in context.loading]
