Have the drain scenarios wait for records and for streams

Change: the records are asked for until all targets answer, and further calls are sent if all ended before that moment. What is judged is the same.

--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -93,6 +93,12 @@
         )
 
     def busiest(self):
+        """Returns the busiest target, once all of them tell their calls."""
+        found = []
+        self.wait(lambda: found.append(self._busiest()) or True, "records")
+        return found[-1]
+
+    def _busiest(self):
         """Returns the draining target, or the engine with most calls."""
         if self.draining:
             return self.draining
@@ -190,7 +196,7 @@
         self.start(self.trace())
         self.wait(
             lambda: (
-                len(self.open_runs(self.busiest())) >= SLOTS
+                len(self.open_runs(self._busiest())) >= SLOTS
                 and self.some_run(lambda run: not run.weights_version)
             ),
             "a queue",
@@ -235,17 +241,25 @@
         """Stops a busy agent and returns once its drain is at a step."""
         if orders:
             self._hold_orders()
-        elif step == "finish":
-            self.start(self.trace(LONG_CALLS, tokens=LONG_TOKENS))
         else:
-            self.start(self.trace(DRAINED_CALLS))
-        if not orders:
-            self.wait(self._is_streaming, "streams before the drain")
+            self._start_drained(step)
+            self.wait(
+                lambda: self._is_streaming(step), "streams before the drain"
+            )
             self.draining = self.busiest()
         return getattr(self, f"_drain_{step}")()
 
-    def _is_streaming(self):
-        runs = self.open_runs(self.busiest())
+    def _start_drained(self, step):
+        if step == "finish":
+            self.start(self.trace(LONG_CALLS, tokens=LONG_TOKENS))
+        else:
+            self.start(self.trace(DRAINED_CALLS))
+
+    def _is_streaming(self, step):
+        if not any(callers.running for callers in self.callers):
+            # all ended before two were seen to stream at one engine
+            self._start_drained(step)
+        runs = self.open_runs(self._busiest())
         return sum(run.tokens_sent > TOKENS / 4 for run in runs) == SLOTS
 
     def _hold_orders(self):
