Draw the arrivals of all traces in one place

The three traces had the same loop over arrivals, ids and teams, and each kind of call took the same three arguments.

--- a/bench/traces/calls.py
+++ b/bench/traces/calls.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,8 +14,8 @@
 from standins.engine import cache
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
-    import random
 
 CHAT_OVERHEAD_CHARS = len("system\n") + len("\n")
 LARGE_TEAM_WEIGHTS = (8.0, 5.0, 3.0)
@@ -202,6 +203,44 @@
     return rng.choices(names, weights)[0]
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One call to come, before it is drawn what it asks for.
+
+    Attributes:
+        call_id: Its id.
+        at_ms: When it arrives.
+        team: Who sends it.
+    """
+
+    call_id: str
+    at_ms: float
+    team: str
+
+
+def draw_trace(
+    name: str,
+    settings: TraceSettings,
+    teams: Sequence[str],
+    draw: Callable[[random.Random, Arrival], Call],
+) -> list[Call]:
+    """Draws the calls of a trace in order of time.
+
+    Args:
+        name: Name of the trace, which its ids begin with.
+        settings: What it is drawn from.
+        teams: Names of the teams, the large ones first.
+        draw: Returns what one arrival asks for.
+    """
+    rng = random.Random(f"{name}/{settings.seed}")
+    drawn = []
+    for index, at_ms in enumerate(arrivals(settings, rng)):
+        call_id = f"{name}-{settings.seed}-{index}"
+        team = draw_team(settings, rng, teams)
+        drawn.append(draw(rng, Arrival(call_id, at_ms, team)))
+    return drawn
+
+
 def draw_hot(
     settings: TraceSettings, rng: random.Random, at_ms: float, count: int
 ) -> int:
@@ -212,11 +251,13 @@
 
 
 __all__ = [
+    "Arrival",
     "Call",
     "Level",
     "TraceSettings",
     "arrivals",
     "draw_hot",
     "draw_team",
+    "draw_trace",
     "filler_text",
 ]
--- a/bench/traces/hot.py
+++ b/bench/traces/hot.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 
 from bench.traces import calls
@@ -16,37 +17,37 @@
 DEADLINE_MS = 10_000
 
 
+def brief(
+    settings: calls.TraceSettings, rng: random.Random, arrival: calls.Arrival
+) -> calls.Call:
+    """Returns a Forecast Brief, most often under the season that is hot."""
+    number = int(arrival.at_ms // settings.shift_ms) % SEASONS
+    if rng.random() >= HOT_SHARE:
+        number = rng.randrange(SEASONS)
+    archive = f"archive-{number % mavazi.ARCHIVES}"
+    season = f"{archive}/season-{number}"
+    return calls.Call(
+        call_id=arrival.call_id,
+        at_ms=arrival.at_ms,
+        team=arrival.team,
+        priority_class="brief",
+        deadline_ms=DEADLINE_MS,
+        model=settings.model,
+        levels=(
+            calls.Level(archive, ARCHIVE_PIECES),
+            calls.Level(season, SEASON_PIECES),
+        ),
+        tail=calls.filler_text(arrival.call_id, TAIL_CHARS),
+        is_chat=True,
+        max_tokens=MAX_TOKENS,
+    )
+
+
 def trace(settings: calls.TraceSettings) -> list[calls.Call]:
     """Returns the calls of the trace in order of time."""
-    rng = random.Random(f"hot/{settings.seed}")
+    draw = functools.partial(brief, settings)
     teams = mavazi.team_names(settings)
-    drawn = []
-    for index, at_ms in enumerate(calls.arrivals(settings, rng)):
-        call_id = f"hot-{settings.seed}-{index}"
-        team = calls.draw_team(settings, rng, teams)
-        number = int(at_ms // settings.shift_ms) % SEASONS
-        if rng.random() >= HOT_SHARE:
-            number = rng.randrange(SEASONS)
-        archive = f"archive-{number % mavazi.ARCHIVES}"
-        season = f"{archive}/season-{number}"
-        drawn.append(
-            calls.Call(
-                call_id=call_id,
-                at_ms=at_ms,
-                team=team,
-                priority_class="brief",
-                deadline_ms=DEADLINE_MS,
-                model=settings.model,
-                levels=(
-                    calls.Level(archive, ARCHIVE_PIECES),
-                    calls.Level(season, SEASON_PIECES),
-                ),
-                tail=calls.filler_text(call_id, TAIL_CHARS),
-                is_chat=True,
-                max_tokens=MAX_TOKENS,
-            )
-        )
-    return drawn
+    return calls.draw_trace("hot", settings, teams, draw)
 
 
 __all__ = ["trace"]
--- a/bench/traces/mavazi.py
+++ b/bench/traces/mavazi.py
@@ -32,27 +32,29 @@
 def brief(
     settings: calls.TraceSettings,
     rng: random.Random,
-    call_id: str,
-    at_ms: float,
-    team: str,
+    arrival: calls.Arrival,
 ) -> calls.Call:
     """Returns a Forecast Brief over an archive, a season and a Member."""
-    archive = f"archive-{calls.draw_hot(settings, rng, at_ms, ARCHIVES)}"
-    number = calls.draw_hot(settings, rng, at_ms, SEASONS)
+    archive = (
+        f"archive-{calls.draw_hot(settings, rng, arrival.at_ms, ARCHIVES)}"
+    )
+    number = calls.draw_hot(settings, rng, arrival.at_ms, SEASONS)
     season = f"{archive}/season-{number}"
     return calls.Call(
-        call_id=call_id,
-        at_ms=at_ms,
-        team=team,
+        call_id=arrival.call_id,
+        at_ms=arrival.at_ms,
+        team=arrival.team,
         priority_class="brief",
         deadline_ms=BRIEF_DEADLINE_MS,
         model=settings.model,
         levels=(
             calls.Level(archive, ARCHIVE_PIECES),
             calls.Level(season, SEASON_PIECES),
-            calls.Level(f"{season}/{team}", MEMBER_PIECES, team),
+            calls.Level(
+                f"{season}/{arrival.team}", MEMBER_PIECES, arrival.team
+            ),
         ),
-        tail=calls.filler_text(call_id, BRIEF_TAIL_CHARS),
+        tail=calls.filler_text(arrival.call_id, BRIEF_TAIL_CHARS),
         is_chat=True,
         max_tokens=BRIEF_TOKENS,
     )
@@ -61,20 +63,20 @@
 def tag_query(
     settings: calls.TraceSettings,
     rng: random.Random,
-    call_id: str,
-    at_ms: float,
-    team: str,
+    arrival: calls.Arrival,
 ) -> calls.Call:
     """Returns a Tag Query under the Member's labelling guide."""
     return calls.Call(
-        call_id=call_id,
-        at_ms=at_ms,
-        team=team,
+        call_id=arrival.call_id,
+        at_ms=arrival.at_ms,
+        team=arrival.team,
         priority_class="tag_query",
         deadline_ms=TAG_DEADLINE_MS,
         model=settings.model,
-        levels=(calls.Level(f"guide/{team}", GUIDE_PIECES, team),),
-        tail=calls.filler_text(call_id, TAG_TAIL_CHARS),
+        levels=(
+            calls.Level(f"guide/{arrival.team}", GUIDE_PIECES, arrival.team),
+        ),
+        tail=calls.filler_text(arrival.call_id, TAG_TAIL_CHARS),
         max_tokens=TAG_TOKENS,
         is_streamed=rng.random() < 0.5,
     )
@@ -83,51 +85,45 @@
 def service_call(
     settings: calls.TraceSettings,
     kind: str,
-    call_id: str,
-    at_ms: float,
-    team: str,
+    arrival: calls.Arrival,
 ) -> calls.Call:
     """Returns a Commission Order or a Catalogue Read."""
     if kind == "lookup":
         return calls.Call(
-            call_id=call_id,
-            at_ms=at_ms,
-            team=team,
+            call_id=arrival.call_id,
+            at_ms=arrival.at_ms,
+            team=arrival.team,
             priority_class=kind,
             deadline_ms=READ_DEADLINE_MS,
             service=settings.service,
-            service_path=f"/catalogue/{call_id}",
+            service_path=f"/catalogue/{arrival.call_id}",
             method="GET",
         )
     return calls.Call(
-        call_id=call_id,
-        at_ms=at_ms,
-        team=team,
+        call_id=arrival.call_id,
+        at_ms=arrival.at_ms,
+        team=arrival.team,
         priority_class=kind,
         deadline_ms=ORDER_DEADLINE_MS,
         service=settings.service,
         service_path="/orders",
-        tail=f"{kind} {call_id} of {team}",
+        tail=f"{kind} {arrival.call_id} of {arrival.team}",
         is_repeatable=False,
     )
 
 
 def trace(settings: calls.TraceSettings) -> list[calls.Call]:
     """Returns the calls of the trace in order of time."""
-    rng = random.Random(f"mavazi/{settings.seed}")
-    teams = team_names(settings)
-    drawn = []
-    for index, at_ms in enumerate(calls.arrivals(settings, rng)):
-        call_id = f"mavazi-{settings.seed}-{index}"
-        team = calls.draw_team(settings, rng, teams)
+
+    def draw(rng: random.Random, arrival: calls.Arrival) -> calls.Call:
         kind = rng.choices(KINDS, KIND_WEIGHTS)[0]
         if kind == "brief":
-            drawn.append(brief(settings, rng, call_id, at_ms, team))
-        elif kind == "tag_query":
-            drawn.append(tag_query(settings, rng, call_id, at_ms, team))
-        else:
-            drawn.append(service_call(settings, kind, call_id, at_ms, team))
-    return drawn
+            return brief(settings, rng, arrival)
+        if kind == "tag_query":
+            return tag_query(settings, rng, arrival)
+        return service_call(settings, kind, arrival)
+
+    return calls.draw_trace("mavazi", settings, team_names(settings), draw)
 
 
 __all__ = ["team_names", "trace"]
--- a/bench/traces/tahanan.py
+++ b/bench/traces/tahanan.py
@@ -43,19 +43,18 @@
     settings: calls.TraceSettings,
     rng: random.Random,
     kind: str,
-    call_id: str,
-    at_ms: float,
-    team: str,
+    arrival: calls.Arrival,
 ) -> calls.Call:
     """Returns a letter, a check or a match within a school's class."""
-    number = calls.draw_hot(settings, rng, at_ms, CLASSES)
+    team = arrival.team
+    number = calls.draw_hot(settings, rng, arrival.at_ms, CLASSES)
     school_class = f"{team}/class-{number}"
     letter = f"{school_class}/letter-{rng.randrange(OPEN_LETTERS)}"
     shape = SHAPE_BY_KIND[kind]
     return calls.Call(
-        call_id=call_id,
-        at_ms=at_ms,
-        team=team,
+        call_id=arrival.call_id,
+        at_ms=arrival.at_ms,
+        team=arrival.team,
         priority_class=shape.priority_class,
         deadline_ms=shape.deadline_ms,
         model=settings.model,
@@ -64,43 +63,39 @@
             calls.Level(school_class, CLASS_PIECES, team),
             calls.Level(letter, LETTER_PIECES, team),
         ),
-        tail=calls.filler_text(call_id, shape.tail_chars),
+        tail=calls.filler_text(arrival.call_id, shape.tail_chars),
         max_tokens=shape.max_tokens,
         is_streamed=kind != "check" or rng.random() < 0.7,
     )
 
 
 def confirmation(
-    settings: calls.TraceSettings, call_id: str, at_ms: float, team: str
+    settings: calls.TraceSettings, arrival: calls.Arrival
 ) -> calls.Call:
     """Returns a pairing confirmation, which may not be repeated."""
     return calls.Call(
-        call_id=call_id,
-        at_ms=at_ms,
-        team=team,
+        call_id=arrival.call_id,
+        at_ms=arrival.at_ms,
+        team=arrival.team,
         priority_class="order",
         deadline_ms=CONFIRMATION_DEADLINE_MS,
         service=settings.service,
         service_path="/confirmations",
-        tail=f"confirmation {call_id} of {team}",
+        tail=f"confirmation {arrival.call_id} of {arrival.team}",
         is_repeatable=False,
     )
 
 
 def trace(settings: calls.TraceSettings) -> list[calls.Call]:
     """Returns the calls of the trace in order of time."""
-    rng = random.Random(f"tahanan/{settings.seed}")
-    teams = team_names(settings)
-    drawn = []
-    for index, at_ms in enumerate(calls.arrivals(settings, rng)):
-        call_id = f"tahanan-{settings.seed}-{index}"
-        team = calls.draw_team(settings, rng, teams)
+
+    def draw(rng: random.Random, arrival: calls.Arrival) -> calls.Call:
         kind = rng.choices(KINDS, KIND_WEIGHTS)[0]
         if kind == "confirmation":
-            drawn.append(confirmation(settings, call_id, at_ms, team))
-        else:
-            drawn.append(completion(settings, rng, kind, call_id, at_ms, team))
-    return drawn
+            return confirmation(settings, arrival)
+        return completion(settings, rng, kind, arrival)
+
+    return calls.draw_trace("tahanan", settings, team_names(settings), draw)
 
 
 __all__ = ["team_names", "trace"]
