Part one attempt of a request from what follows its failure

Dispatcher.run chose, tried, mapped six kinds of errors and decided on the next attempt in 61 lines. One attempt is a method of its own now, and a target goes on the list of tried ones only if it stays there. Requests and orders begin their retries by the same function.

--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 
 from lycheering.entry import attempt as attempts
@@ -24,6 +25,8 @@
 
     from lycheering.entry import job as jobs
 
+    _Failure = target_access.NotRunError | attempts.BrokenError
+
 MAX_WARM_TARGETS = 64
 
 _LOG = logs.get("dispatch")
@@ -36,6 +39,19 @@
     )
 
 
+def allow_retries(
+    targets: target_access.Targets,
+    job: jobs.Job,
+    budget: budgets.RetryBudget,
+) -> allowances.Allowance:
+    """Returns the retries of a new request, which earns for the budget."""
+    fleet = targets.view.fleet
+    subject = subject_of(job)
+    budget.earn(fleet.number("retry.budget_ratio", subject))
+    max_attempts = fleet.integer("retry.max_attempts", subject)
+    return allowances.Allowance(budget, max_attempts)
+
+
 async def choose(
     targets: target_access.Targets,
     job: jobs.Job,
@@ -115,62 +131,74 @@
             RefusalError: If it can't be had.
             StalledError: If the caller reads nothing.
         """
-        fleet = self._targets.view.fleet
-        subject = subject_of(job)
-        self._budget.earn(fleet.number("retry.budget_ratio", subject))
-        allowance = allowances.Allowance(
-            self._budget, fleet.integer("retry.max_attempts", subject)
-        )
+        allowance = allow_retries(self._targets, job, self._budget)
         tried: list[str] = []
         may_have_run = False
-        number = 1
-        while True:
+        for number in itertools.count(1):
             try:
                 choice = await choose(self._targets, job, number, tried)
             except refusals.RefusalError as error:
                 error.not_run = not may_have_run
                 raise
             name = choice.target.name
-            tried.append(name)
-            try:
-                await attempts.Attempt(
-                    self._targets, job, number, choice, sink
-                ).run()
+            failure = await self._try(job, number, choice, sink)
+            if failure is None:
                 return
-            except target_access.NotRunError as error:
-                failure: target_access.NotRunError | attempts.BrokenError = (
-                    error
-                )
-                if isinstance(error, target_access.LostFrameError):
-                    # its agent answers again, and is as good as before
-                    tried.remove(name)
-                elif error.reason is messages.Reason.UNREACHABLE:
-                    self._targets.circuits.failed(name)
-            except attempts.BrokenError as error:
-                failure = error
-                may_have_run = True
-                self._targets.circuits.failed(name)
-            except attempts.OverdueError as error:
-                raise refusals.RefusalError(
-                    messages.Reason.DEADLINE,
-                    "the answer was not whole by the deadline",
-                    not_run=False,
-                ) from error
-            except sinks.AnswerTooLargeError as error:
-                raise refusals.RefusalError(
-                    messages.Reason.TOO_LARGE, str(error), not_run=False
-                ) from error
+            # an agent that lost a frame answers again, and is as good as before
+            if not isinstance(failure, target_access.LostFrameError):
+                tried.append(name)
+            may_have_run |= isinstance(failure, attempts.BrokenError)
             self._check_repeat(job, sink, failure, may_have_run)
             self._check_allowed(job, failure, may_have_run, allowance)
             await self._targets.clock.sleep(budgets.pause_ms(number))
             self._count(job, failure, name, number)
-            number += 1
+
+    async def _try(
+        self,
+        job: jobs.Job,
+        number: int,
+        choice: routers.Choice,
+        sink: sinks.Sink,
+    ) -> _Failure | None:
+        """Makes one attempt.
+
+        Returns:
+            Why it failed, if another one may be made.
+
+        Raises:
+            RefusalError: If no other one may be made.
+        """
+        name = choice.target.name
+        try:
+            await attempts.Attempt(
+                self._targets, job, number, choice, sink
+            ).run()
+        except target_access.LostFrameError as error:
+            return error
+        except target_access.NotRunError as error:
+            if error.reason is messages.Reason.UNREACHABLE:
+                self._targets.circuits.failed(name)
+            return error
+        except attempts.BrokenError as error:
+            self._targets.circuits.failed(name)
+            return error
+        except attempts.OverdueError as error:
+            raise refusals.RefusalError(
+                messages.Reason.DEADLINE,
+                "the answer was not whole by the deadline",
+                not_run=False,
+            ) from error
+        except sinks.AnswerTooLargeError as error:
+            raise refusals.RefusalError(
+                messages.Reason.TOO_LARGE, str(error), not_run=False
+            ) from error
+        return None
 
     def _check_repeat(
         self,
         job: jobs.Job,
         sink: sinks.Sink,
-        failure: target_access.NotRunError | attempts.BrokenError,
+        failure: _Failure,
         may_have_run: bool,
     ) -> None:
         if sink.next_seq == 0 or (job.deterministic and sink.is_event_stream):
@@ -188,7 +216,7 @@
     def _check_allowed(
         self,
         job: jobs.Job,
-        failure: target_access.NotRunError | attempts.BrokenError,
+        failure: _Failure,
         may_have_run: bool,
         allowance: allowances.Allowance,
     ) -> None:
@@ -211,7 +239,7 @@
     def _count(
         self,
         job: jobs.Job,
-        failure: target_access.NotRunError | attempts.BrokenError,
+        failure: _Failure,
         target: str,
         number: int,
     ) -> None:
@@ -228,4 +256,10 @@
         )
 
 
-__all__ = ["MAX_WARM_TARGETS", "Dispatcher", "choose", "note_loads"]
+__all__ = [
+    "MAX_WARM_TARGETS",
+    "Dispatcher",
+    "allow_retries",
+    "choose",
+    "note_loads",
+]
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -13,7 +13,6 @@
 from lycheering.entry import refusals
 from lycheering.entry import sinks
 from lycheering.entry import target_access
-from lycheering.retries import allowance as allowances
 from lycheering.retries import budget as budgets
 from lycheering.telemetry import logs
 from lycheering.wire import errors
@@ -89,12 +88,7 @@
         Raises:
             RefusalError: If there is none.
         """
-        fleet = self._targets.view.fleet
-        subject = dispatch.subject_of(job)
-        self._budget.earn(fleet.number("retry.budget_ratio", subject))
-        allowance = allowances.Allowance(
-            self._budget, fleet.integer("retry.max_attempts", subject)
-        )
+        allowance = dispatch.allow_retries(self._targets, job, self._budget)
         tried: list[str] = []
         settled = False
         number = 1
