--- a/src/lycheering/orders/ledger.py
+++ b/src/lycheering/orders/ledger.py
@@ -150,20 +150,14 @@
         An outcome that is too large, or for which there is no room, is not
         kept; the order is finished all the same.
         """
-        self._advance(at_ms)
-        order = self.find_id(order_id)
-        if order is None:
-            return Verdict(False, messages.Reason.NOT_FOUND)
-        if order.state == messages.OrderState.FINISHED:
-            return Verdict(True, order=order)
-        # the holder's own word settles what had become unknown
-        if order.state not in _OPEN_STATES:
-            return Verdict(False, order.state.value, order=order)
         size = len(outcome.body)
         fits = size <= MAX_OUTCOME_BYTES
         kept = fits and self.kept_bytes + size <= MAX_KEPT_BYTES
-        return self._settle(
-            order,
+        # the holder's own word settles what had become unknown
+        return self._move(
+            order_id,
+            at_ms,
+            _OPEN_STATES,
             messages.OrderState.FINISHED,
             "" if kept else "answer too large to keep",
             outcome if kept else None,
@@ -171,27 +165,16 @@
 
     def release(self, order_id: str, reason: str, at_ms: int) -> Verdict:
         """Gives a claim back that was never run and never will be."""
-        self._advance(at_ms)
-        order = self.find_id(order_id)
-        if order is None:
-            return Verdict(False, messages.Reason.NOT_FOUND)
-        if order.state == messages.OrderState.RELEASED:
-            return Verdict(True, order=order)
-        if order.state not in _OPEN_STATES:
-            return Verdict(False, order.state.value, order=order)
-        return self._settle(order, messages.OrderState.RELEASED, reason)
+        return self._move(
+            order_id, at_ms, _OPEN_STATES, messages.OrderState.RELEASED, reason
+        )
 
     def mark_unknown(self, order_id: str, reason: str, at_ms: int) -> Verdict:
         """Records that nobody can tell whether a claim ran."""
-        self._advance(at_ms)
-        order = self.find_id(order_id)
-        if order is None:
-            return Verdict(False, messages.Reason.NOT_FOUND)
-        if order.state == messages.OrderState.UNKNOWN:
-            return Verdict(True, order=order)
-        if order.state != messages.OrderState.CLAIMED:
-            return Verdict(False, order.state.value, order=order)
-        return self._settle(order, messages.OrderState.UNKNOWN, reason)
+        claimed = (messages.OrderState.CLAIMED,)
+        return self._move(
+            order_id, at_ms, claimed, messages.OrderState.UNKNOWN, reason
+        )
 
     def resolve(
         self, order_id: str, ran: bool, reason: str, at_ms: int
@@ -230,6 +213,26 @@
     def _is_full(self) -> bool:
         return len(self.order_by_key) >= self._max_orders
 
+    def _move(
+        self,
+        order_id: str,
+        at_ms: int,
+        sources: tuple[messages.OrderState, ...],
+        state: messages.OrderState,
+        reason: str,
+        outcome: messages.OrderOutcome | None = None,
+    ) -> Verdict:
+        """Moves a claim to a state; one that is there already stays."""
+        self._advance(at_ms)
+        order = self.find_id(order_id)
+        if order is None:
+            return Verdict(False, messages.Reason.NOT_FOUND)
+        if order.state == state:
+            return Verdict(True, order=order)
+        if order.state not in sources:
+            return Verdict(False, order.state.value, order=order)
+        return self._settle(order, state, reason, outcome)
+
     def _settle(
         self,
         order: records.Order,
