--- a/src/lycheering/control/operator_reads.py
+++ b/src/lycheering/control/operator_reads.py
@@ -4,6 +4,9 @@
 
 import itertools
 from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
 
 from lycheering.control import operator_errors
 from lycheering.control import operator_rows
@@ -28,6 +31,8 @@
 WAIT_POLL_MS = 200
 MAX_WAIT_MS = 60_000
 
+AnswerT = TypeVar("AnswerT", bound=answers.ReadAnswer)
+
 
 class OperatorReads:
     """Reads the state, current where a quorum can be asked."""
@@ -52,6 +57,15 @@
     def _fleet(self) -> view.FleetView:
         return self._group.machine.fleet
 
+    def _stamped(self, answer: AnswerT, current: bool) -> AnswerT:
+        """Returns an answer with the revisions that it was read at."""
+        return msgspec.structs.replace(
+            answer,
+            current=current,
+            config_revision=self._fleet.config_revision,
+            view_revision=self._fleet.view_revision,
+        )
+
     async def _is_current(self) -> bool:
         try:
             await self._group.read_anywhere()
@@ -67,26 +81,20 @@
             operator_rows.default(fleet, name)
             for name in options.OPTION_BY_NAME
         ]
-        return answers.DefaultsAnswer(
-            current=current,
-            config_revision=fleet.config_revision,
-            view_revision=fleet.view_revision,
-            defaults=tuple(rows),
-        )
+        answer = answers.DefaultsAnswer(defaults=tuple(rows))
+        return self._stamped(answer, current)
 
     async def exceptions(self) -> answers.ExceptionsAnswer:
         """Returns all exceptions."""
         current = await self._is_current()
         fleet = self._fleet
         found = fleet.exception_by_id.values()
-        return answers.ExceptionsAnswer(
-            current=current,
-            config_revision=fleet.config_revision,
-            view_revision=fleet.view_revision,
+        answer = answers.ExceptionsAnswer(
             exceptions=tuple(
                 operator_rows.exception(record) for record in found
             ),
         )
+        return self._stamped(answer, current)
 
     async def teams(self) -> answers.TeamsAnswer:
         """Returns all teams, without their keys."""
@@ -96,28 +104,19 @@
             items.TeamItem(team.name, len(team.key_digests))
             for team in fleet.team_by_name.values()
         ]
-        return answers.TeamsAnswer(
-            current=current,
-            config_revision=fleet.config_revision,
-            view_revision=fleet.view_revision,
-            teams=tuple(rows),
-        )
+        answer = answers.TeamsAnswer(teams=tuple(rows))
+        return self._stamped(answer, current)
 
     async def history(self, limit: int) -> answers.HistoryAnswer:
         """Returns the newest accepted changes."""
         current = await self._is_current()
-        fleet = self._fleet
         newest = reversed(self._group.machine.history.entries)
         rows = [
             operator_rows.change(entry)
             for entry in itertools.islice(newest, limit)
         ]
-        return answers.HistoryAnswer(
-            current=current,
-            config_revision=fleet.config_revision,
-            view_revision=fleet.view_revision,
-            changes=tuple(rows),
-        )
+        answer = answers.HistoryAnswer(changes=tuple(rows))
+        return self._stamped(answer, current)
 
     async def targets(self) -> answers.TargetsAnswer:
         """Returns all targets with their last reports."""
@@ -130,17 +129,12 @@
             )
             for target in fleet.target_by_name.values()
         ]
-        return answers.TargetsAnswer(
-            current=current,
-            config_revision=fleet.config_revision,
-            view_revision=fleet.view_revision,
-            targets=tuple(rows),
-        )
+        answer = answers.TargetsAnswer(targets=tuple(rows))
+        return self._stamped(answer, current)
 
     async def orders(self, state: str, limit: int) -> answers.OrdersAnswer:
         """Returns orders, only those of one state if it is not empty."""
         current = await self._is_current()
-        fleet = self._fleet
         ledger = self._group.machine.orders
         if state in ("", messages.OrderState.FINISHED, "released"):
             found = iter(ledger.order_by_key.values())
@@ -151,12 +145,8 @@
             for order in found
             if state in ("", order.state)
         ]
-        return answers.OrdersAnswer(
-            current=current,
-            config_revision=fleet.config_revision,
-            view_revision=fleet.view_revision,
-            orders=tuple(rows[:limit]),
-        )
+        answer = answers.OrdersAnswer(orders=tuple(rows[:limit]))
+        return self._stamped(answer, current)
 
     async def order(self, team: str, key: str) -> answers.OrderAnswer:
         """Returns one order."""
@@ -170,25 +160,19 @@
         self, order: order_records.Order, current: bool
     ) -> answers.OrderAnswer:
         """Returns the answer that shows an order."""
-        return answers.OrderAnswer(
-            current=current,
-            config_revision=self._fleet.config_revision,
-            view_revision=self._fleet.view_revision,
-            order=operator_rows.order(order),
-        )
+        answer = answers.OrderAnswer(order=operator_rows.order(order))
+        return self._stamped(answer, current)
 
     async def members(self) -> answers.MembersAnswer:
         """Returns the group of control instances."""
         current = await self._is_current()
-        return answers.MembersAnswer(
-            current=current,
-            config_revision=self._fleet.config_revision,
-            view_revision=self._fleet.view_revision,
+        answer = answers.MembersAnswer(
             instance=self._instance,
             leader=self._group.leader_name(),
             change=self._member_change(),
             members=self._members(),
         )
+        return self._stamped(answer, current)
 
     async def status(
         self, wait_revision: int, timeout_ms: float
@@ -224,10 +208,7 @@
             operator_rows.process(peer)
             for peer in picture.peer_by_name.values()
         ]
-        return answers.StatusAnswer(
-            current=current,
-            config_revision=self._fleet.config_revision,
-            view_revision=self._fleet.view_revision,
+        answer = answers.StatusAnswer(
             instance=self._instance,
             leader=self._group.leader_name(),
             change=self._member_change(),
@@ -237,6 +218,7 @@
             lacking=tuple(lacking),
             in_force=not lacking,
         )
+        return self._stamped(answer, current)
 
     def counters(self) -> answers.CountersAnswer:
         """Returns the counters of this instance."""
