Drop small repetitions in a command, the runner and test steps

Showing one order, ending a run's processes, and piling up changes stood two and three times. Assertions are the same, in ConfigFleet.pile_up.

--- a/src/lycheering/commands/orders.py
+++ b/src/lycheering/commands/orders.py
@@ -36,6 +36,17 @@
     output.table(HEADERS, rows)
 
 
+def _show_one(content: bytes, *, as_json: bool) -> int:
+    """Shows the answer to a call on one order."""
+    if as_json:
+        output.as_json(content)
+        return exit_codes.ExitCode.OK
+    answer = client.decode(content, answers.OrderAnswer)
+    if answer.order is not None:
+        _print((answer.order,))
+    return exit_codes.ExitCode.OK
+
+
 @cappa.command(name="show", help="Show where one order stands.")
 @dataclasses.dataclass(kw_only=True)
 class Show(base.OperatorCommand):
@@ -48,13 +59,7 @@
         """Runs the command."""
         path = f"/v1/orders/{calls.quote(self.team)}/{calls.quote(self.key)}"
         content = await self.client().call(calls.read(path))
-        if self.json:
-            output.as_json(content)
-            return exit_codes.ExitCode.OK
-        answer = client.decode(content, answers.OrderAnswer)
-        if answer.order is not None:
-            _print((answer.order,))
-        return exit_codes.ExitCode.OK
+        return _show_one(content, as_json=self.json)
 
 
 @cappa.command(name="list", help="List orders, those unknown by default.")
@@ -107,13 +112,7 @@
         body = calls.ResolveBody(operator, self.reason, self.resolution)
         call = calls.resolve_order(self.order_id, body)
         content = await self.client().call(call)
-        if self.json:
-            output.as_json(content)
-            return exit_codes.ExitCode.OK
-        answer = client.decode(content, answers.OrderAnswer)
-        if answer.order is not None:
-            _print((answer.order,))
-        return exit_codes.ExitCode.OK
+        return _show_one(content, as_json=self.json)
 
 
 @cappa.command(name="order", help="Show orders and settle them by hand.")
--- a/tests/steps/config_fault_steps.py
+++ b/tests/steps/config_fault_steps.py
@@ -235,11 +235,7 @@
     fleet = context.fleet
     for name in fleet.entries:
         fleet.fleet.kill(name)
-    first = fleet.revision()
-    leader = fleet.leader()
-    for number in range(count):
-        body = fleet.new_change(first + number)
-        assert fleet.decide(body, leader).status == 200
+    fleet.pile_up(count, fleet.leader())
 
 
 @then("a restarted entry is ready only with the last of them in force")
--- a/tests/steps/control_loss_steps.py
+++ b/tests/steps/control_loss_steps.py
@@ -59,11 +59,7 @@
     context.behind = [fleet.followers()[0], name]
     for lost in context.behind:
         fleet.fleet.kill(lost)
-    leader = fleet.leader()
-    first = fleet.revision()
-    for number in range(count):
-        body = fleet.new_change(first + number)
-        assert fleet.decide(body, leader).status == 200
+    fleet.pile_up(count, fleet.leader())
 
 
 @when("those that are behind start and the leader of control is lost")
--- a/tests/steps/repair_fault_steps.py
+++ b/tests/steps/repair_fault_steps.py
@@ -38,11 +38,7 @@
 
 @given("{count:d} changes were made meanwhile")
 def step_piled_up(context, count):
-    fleet = context.fleet
-    first = fleet.revision()
-    for number in range(count):
-        body = fleet.new_change(first + number)
-        assert fleet.decide(body, context.leader).status == 200
+    context.fleet.pile_up(count, context.leader)
 
 
 @when("its repair has come to {step}")
--- a/tests/support/config_fleet.py
+++ b/tests/support/config_fleet.py
@@ -137,6 +137,13 @@
 
         return processes.wait_for(decided, "a change to be decided")
 
+    def pile_up(self, count, through):
+        """Makes many changes, one after another, through one instance."""
+        first = self.revision()
+        for number in range(count):
+            body = self.new_change(first + number)
+            assert self.decide(body, through).status == 200
+
     def in_background(self, function, *args):
         return self.pool.submit(function, *args)
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -106,11 +106,16 @@
 def stop(number: int, _: types.FrameType | None) -> NoReturn:
     """Ends all runs with their processes when this one is told to end."""
     for run in list(RUNNING):
-        with contextlib.suppress(ProcessLookupError):
-            os.killpg(run.pid, signal.SIGKILL)
+        kill_group(run)
     os._exit(SIGNAL_EXIT_BASE + number)
 
 
+def kill_group(run: subprocess.Popen[str]) -> None:
+    """Kills a run and all processes that it started."""
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(run.pid, signal.SIGKILL)
+
+
 def end(run: subprocess.Popen[str]) -> str:
     """Ends a run that hangs, with the processes that it started.
 
@@ -120,8 +125,7 @@
     run.send_signal(signal.SIGABRT)
     with contextlib.suppress(subprocess.TimeoutExpired):
         run.wait(ABORT_GRACE_S)
-    with contextlib.suppress(ProcessLookupError):
-        os.killpg(run.pid, signal.SIGKILL)
+    kill_group(run)
     output, _ = run.communicate()
     return output
 
