--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,17 +6,14 @@
 import configparser
 import dataclasses
 import functools
-import json
 import pathlib
 import secrets
-import urllib.error
-import urllib.request
 
+from bench import json_calls
 from bench import processes
 
 DOMAINS = ("domain-a", "domain-b", "domain-c")
 READY_TIMEOUT_S = 60.0
-HTTP_TIMEOUT_S = 10.0
 OPERATOR = "bench"
 
 
@@ -76,52 +73,6 @@
     weight_store: bool = False
 
 
-class OperatorError(Exception):
-    """The operator endpoint refused.
-
-    Attributes:
-        status: The HTTP status.
-        body: What it answered.
-    """
-
-    def __init__(self, status: int, body: str) -> None:
-        super().__init__(f"{status}: {body}")
-        self.status = status
-        self.body = body
-
-
-def call_json(
-    url: str,
-    method: str = "GET",
-    body: object = None,
-    timeout_s: float = HTTP_TIMEOUT_S,
-) -> object:
-    """Does one exchange in JSON.
-
-    Raises:
-        OperatorError: If the answer is an error.
-        OSError: If there is no answer.
-    """
-    data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(url, data=data, method=method)
-    request.add_header("Content-Type", "application/json")
-    try:
-        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
-            text = reply.read()
-    except urllib.error.HTTPError as error:
-        raise OperatorError(error.code, error.read().decode()) from error
-    return json.loads(text) if text else None
-
-
-def answers(url: str) -> bool:
-    """Returns whether a URL answers with success."""
-    try:
-        with urllib.request.urlopen(url, timeout=2):
-            return True
-    except OSError:
-        return False
-
-
 Route = Callable[[str, str, int], int]
 
 
@@ -353,14 +304,14 @@
         """Calls the operator endpoint of the first instance that answers.
 
         Raises:
-            OperatorError: If it refuses.
+            json_calls.OperatorError: If it refuses.
             OSError: If no instance answers.
         """
         failure: Exception = OSError("no control instance")
         for url in self.operator_urls:
             try:
-                return call_json(url + path, method, body)
-            except OperatorError as error:
+                return json_calls.call_json(url + path, method, body)
+            except json_calls.OperatorError as error:
                 if error.status != 503:
                     raise
                 failure = error
@@ -453,7 +404,7 @@
         # another process may answer at its address
         text = process.log_text()
         raise processes.GiveUpError(f"{process.name} ended: {text[-2_000:]}")
-    return answers(f"{url}/health/ready")
+    return json_calls.answers(f"{url}/health/ready")
 
 
 __all__ = [
@@ -461,7 +412,4 @@
     "EnginePlan",
     "Fleet",
     "FleetPlan",
-    "OperatorError",
-    "answers",
-    "call_json",
 ]
--- a/bench/measure_ask_back.py
+++ b/bench/measure_ask_back.py
@@ -11,6 +11,7 @@
 import tempfile
 
 from bench import fleet
+from bench import json_calls
 from bench import processes
 from lycheering.web import client
 
@@ -134,7 +135,7 @@
     tally.unsettled += found["unsettled"]
     entry.start()
     processes.wait_until(
-        lambda: fleet.answers(f"{running.entry_urls[0]}/health/ready"),
+        lambda: json_calls.answers(f"{running.entry_urls[0]}/health/ready"),
         "the entry to be back",
     )
 
@@ -146,7 +147,7 @@
     """
     count_by_body: collections.Counter[str] = collections.Counter()
     for url in running.url_by_target.values():
-        record = fleet.call_json(f"{url}/admin/record")
+        record = json_calls.call_json(f"{url}/admin/record")
         assert isinstance(record, dict)
         count_by_body.update(run["body_digest"] for run in record["runs"])
     return sum(count > 1 for count in count_by_body.values())
--- a/bench/measures/recovery.py
+++ b/bench/measures/recovery.py
@@ -11,7 +11,7 @@
 import threading
 import time
 
-from bench import fleet as fleets
+from bench import json_calls
 from bench import processes
 from bench.measures import recovery_fleet
 
@@ -214,7 +214,9 @@
         shutil.rmtree(bench.folder / f"{lost}.data")
         process.start()
         live = f"{bench.url_by_name[lost]}/health/live"
-        recovery_fleet.wait_until(functools.partial(fleets.answers, live), lost)
+        recovery_fleet.wait_until(
+            functools.partial(json_calls.answers, live), lost
+        )
         found.append(
             recovery_fleet.timed(
                 functools.partial(_replace, bench, leader, lost)
@@ -232,8 +234,8 @@
 
     def over() -> bool:
         try:
-            fleets.call_json(url, "POST", body, recovery_fleet.GIVE_UP_S)
-        except fleets.OperatorError as error:
+            json_calls.call_json(url, "POST", body, recovery_fleet.GIVE_UP_S)
+        except json_calls.OperatorError as error:
             if error.status != 503:
                 raise
             return False
--- a/bench/measures/recovery_fleet.py
+++ b/bench/measures/recovery_fleet.py
@@ -15,6 +15,7 @@
 import urllib.request
 
 from bench import fleet as fleets
+from bench import json_calls
 from bench import processes
 from tests.support import proxied_fleet
 
@@ -101,7 +102,7 @@
 
     def get(self, name: str, path: str) -> dict[str, object]:
         """Returns what a process answers."""
-        answer = fleets.call_json(
+        answer = json_calls.call_json(
             self.url_by_name[name] + path, timeout_s=CALL_TIMEOUT_S
         )
         assert isinstance(answer, dict)
@@ -113,7 +114,7 @@
 
         def agreed() -> bool:
             found.clear()
-            with contextlib.suppress(OSError, fleets.OperatorError):
+            with contextlib.suppress(OSError, json_calls.OperatorError):
                 for name in self.controls:
                     answer = self.get(name, "/health/ready")
                     found.add(str(answer["leader"]))
@@ -134,9 +135,9 @@
             "expected_revision": revision,
         }
         for name in itertools.cycle(names):
-            with contextlib.suppress(OSError, fleets.OperatorError):
+            with contextlib.suppress(OSError, json_calls.OperatorError):
                 url = self.url_by_name[name] + "/v1/defaults"
-                answer = fleets.call_json(url, "POST", body, CALL_TIMEOUT_S)
+                answer = json_calls.call_json(url, "POST", body, CALL_TIMEOUT_S)
                 assert isinstance(answer, dict)
                 return int(answer["config_revision"])
             time.sleep(processes.POLL_S)
--- a/bench/measures/retries.py
+++ b/bench/measures/retries.py
@@ -13,6 +13,7 @@
 
 from bench import checker
 from bench import fleet
+from bench import json_calls
 from bench import judged
 from bench import stats
 from bench.traces import calls
@@ -94,7 +95,7 @@
     """Returns the counters of all entries, added up."""
     total: collections.Counter[str] = collections.Counter()
     for url in running.entry_urls:
-        reply = fleet.call_json(f"{url}/v1/counters")
+        reply = json_calls.call_json(f"{url}/v1/counters")
         assert isinstance(reply, dict)
         total.update(reply["counters"])
     return total
--- a/tests/steps/order_fault_steps.py
+++ b/tests/steps/order_fault_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from bench import fleet
+from bench import json_calls
 from tests.steps import control_loss_steps
 from tests.support import fault_proxy
 from tests.support import order_callers
@@ -137,7 +138,7 @@
 
 def is_healthy(running):
     urls = running.entry_urls + running.operator_urls
-    return all(fleet.answers(f"{url}/health/ready") for url in urls)
+    return all(json_calls.answers(f"{url}/health/ready") for url in urls)
 
 
 def restore(running, callers):
@@ -164,8 +165,8 @@
             if not running.group.process_by_name[name].running:
                 continue
             try:
-                reply = fleet.call_json(f"{url}/v1/members", timeout_s=2)
-            except (OSError, fleet.OperatorError):
+                reply = json_calls.call_json(f"{url}/v1/members", timeout_s=2)
+            except (OSError, json_calls.OperatorError):
                 continue
             if reply["current"] and reply["leader"] == name:
                 return name
--- a/tests/steps/weight_fault_steps.py
+++ b/tests/steps/weight_fault_steps.py
@@ -14,6 +14,7 @@
 from behave import when
 
 from bench import fleet
+from bench import json_calls
 from tests.steps import control_loss_steps
 from tests.steps import order_fault_steps
 from tests.support import fault_proxy
@@ -78,7 +79,9 @@
 def record(running, name):
     url = running.url_by_target[name]
     try:
-        return fleet.call_json(f"{url}/admin/record", timeout_s=2)["orders"]
+        return json_calls.call_json(f"{url}/admin/record", timeout_s=2)[
+            "orders"
+        ]
     except OSError:
         return []
 
@@ -115,7 +118,7 @@
     """Returns the weights that each engine's runs met, in order."""
     runs = []
     for url in running.url_by_target.values():
-        found = fleet.call_json(f"{url}/admin/record")["runs"]
+        found = json_calls.call_json(f"{url}/admin/record")["runs"]
         runs += [(run["request_id"], run["weights_version"]) for run in found]
     return runs
 
@@ -240,7 +243,7 @@
     def set_default():
         try:
             running.set_default("weights.version", context.version)
-        except (OSError, fleet.OperatorError):
+        except (OSError, json_calls.OperatorError):
             return False
         return True
 
@@ -273,7 +276,7 @@
 def step_bounds(context):
     running = context.weights_fleet
     log = running.group.process_by_name["weight-store"].ready_port()
-    store = fleet.call_json(f"http://{processes.HOST}:{log}/admin/record")
+    store = json_calls.call_json(f"http://{processes.HOST}:{log}/admin/record")
     assert store["most_at_once"] <= 2, store
     for name in running.url_by_target:
         fences = [
--- a/tests/steps/weight_strike_steps.py
+++ b/tests/steps/weight_strike_steps.py
@@ -6,7 +6,7 @@
 from behave import then
 from behave import when
 
-from bench import fleet
+from bench import json_calls
 from tests.steps import control_loss_steps
 from tests.steps import order_fault_steps
 from tests.steps import weight_fault_steps
@@ -126,7 +126,7 @@
 def set_events_loss(context, share):
     for url in context.running.url_by_target.values():
         faults = {"events_loss": share, "seed": 1}
-        fleet.call_json(f"{url}/admin/faults", "POST", faults)
+        json_calls.call_json(f"{url}/admin/faults", "POST", faults)
 
 
 @then("the engines of all steps serve the weights wanted last")
--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -8,6 +8,7 @@
 
 from bench import checker
 from bench import fleet
+from bench import json_calls
 from bench import judged
 from bench import processes
 from tests.support import fault_proxy
@@ -123,7 +124,7 @@
 
     def wait(self, condition, what):
         def met():
-            with contextlib.suppress(OSError, fleet.OperatorError):
+            with contextlib.suppress(OSError, json_calls.OperatorError):
                 return condition()
             return False
 
@@ -367,7 +368,7 @@
         self.draining = self.busiest()
         body = {"instance": f"agent-{self.draining}", "state": "leaving"}
         url = f"{self.fleet.platform_url}/admin/set"
-        fleet.call_json(url, "POST", body)
+        json_calls.call_json(url, "POST", body)
 
     def _control_loss(self):
         return self._kill_until_ended(self.leader())
@@ -446,7 +447,7 @@
         body = self.fleet._change("race") | {"expected_revision": revision}
         try:
             self.fleet.operator(path, "POST", body)
-        except fleet.OperatorError as error:
+        except json_calls.OperatorError as error:
             assert error.status == 409, error
             return False
         return True
@@ -454,7 +455,7 @@
     def set_faults(self, **faults):
         for name in self.engines():
             url = f"{self.fleet.url_by_target[name]}/admin/faults"
-            fleet.call_json(url, "POST", faults)
+            json_calls.call_json(url, "POST", faults)
 
     # changes
 
--- a/tests/support/order_callers.py
+++ b/tests/support/order_callers.py
@@ -15,7 +15,7 @@
 import xxhash
 
 from bench import checker
-from bench import fleet
+from bench import json_calls
 from tests.support import processes
 
 TEAM = "team-1"
@@ -152,10 +152,10 @@
         """Returns where an order stands, from whoever is current."""
         for url in self.fleet.operator_urls:
             try:
-                found = fleet.call_json(
+                found = json_calls.call_json(
                     f"{url}/v1/orders/{TEAM}/{key}", timeout_s=2
                 )
-            except (OSError, fleet.OperatorError):
+            except (OSError, json_calls.OperatorError):
                 continue
             if found["current"]:
                 return found["order"]
