Refuse a newcomer whose instance is to be replaced itself

Only equal disks were compared. Change: an instance that is a member joins only in its own place. Before: the new scenario of members.feature fails.

--- a/src/lycheering/replication/changes.py
+++ b/src/lycheering/replication/changes.py
@@ -262,9 +262,14 @@
     if leaving is not None and configuration.find(leaving) is None:
         raise errors.MemberChangeError(f"{leaving} is no member")
     joining = change.joining
-    # listed twice, it would count twice in a quorum
-    if joining is not None and configuration.find(joining) is not None:
-        raise errors.MemberChangeError(f"{joining} is a member already")
+    if joining is None:
+        return
+    # listed twice, an instance would count twice in a quorum
+    for member in configuration.members:
+        is_same = member.id.instance == joining.instance
+        if member.id == joining or (is_same and member.id != leaving):
+            message = f"{joining.instance} is a member already, as {member.id}"
+            raise errors.MemberChangeError(message)
 
 
 def _is_over(
--- a/tests/replication/members.feature
+++ b/tests/replication/members.feature
@@ -35,6 +35,10 @@
     Then the members are a, b, c and all vote
     And all members have the same log and the 50 commands proposed
 
+  Scenario: An instance that is to be replaced replaces no other member
+    When member c loses its disk and starts again
+    Then replacing another member by it is refused
+
   Scenario: A repair is not over while the newcomer lacks anything
     When member d, which cannot sync, is to replace a follower
     And member d has been sent the whole log
--- a/tests/steps/member_steps.py
+++ b/tests/steps/member_steps.py
@@ -394,6 +394,18 @@
     assert isinstance(error, errors.MemberChangeError)
 
 
+@then("replacing another member by it is refused")
+def step_refuse_other(context):
+    other = next(
+        member.status().id
+        for name, member in context.group.log_by_instance.items()
+        if name not in (context.name, run(context, context.group.leader()))
+    )
+    work = current(context).replace(other, fakes.address(context.name))
+    error = replication_steps.refusal(context, work)
+    assert isinstance(error, errors.MemberChangeError)
+
+
 @then("replacing a member under an unknown identity is refused")
 def step_refuse_unknown(context):
     start(context, "d")
