Take the last report of an agent wherever it was sent

No engine was given an order any more. The leader merges the reports that all control instances hold and took the one of the instance asked last. An agent whose home was cut off reports to the next instance, but its session with the old home stays open after the cut heals, and with it the old report there: "loading v3". The leader took this for a load begun by the leader before and held all others back, for as long as the session stayed, and again each time the agent went home and left a report behind at the other instance.

Ruled out: a fleet that is not healthy (all /health/ready answered, requests were served), an order stuck in the old leader (it checks its lease before each send), a lock held in the agent (bounded by the order watch).

Change: agents count their reports; the merge takes the report of the agent's newest incarnation with the highest number, and an instance does not let an older one replace a newer one either.

The new scenario in wire_calls.feature fails with the old merge ("gave up waiting for all agents to serve it") and passes with the new one.

--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -20,6 +20,7 @@
     from lycheering.agent import context as contexts
     from lycheering.settings import model
     from lycheering.wire import api as wire_api
+    from lycheering.wire import client
     from lycheering.wire import pool as pools
     from lycheering.wire import server as servers
 
@@ -54,6 +55,7 @@
             settings.control.members, context.settings.target, context.clock
         )
         self._registered_ms = 0.0
+        self._reports = 0
 
     async def start(self) -> None:
         """Begins to register."""
@@ -135,7 +137,7 @@
             try:
                 await connection.ready(0)
                 if due:
-                    connection.send(report)
+                    self._send(connection, report)
                     reported, reported_ms = state, now_ms
             except errors.PeerUnreachableError:
                 self._home.move_on()
@@ -143,6 +145,12 @@
             await self._context.clock.sleep(REPORT_INTERVAL_MS)
             self._go_back()
 
+    def _send(
+        self, connection: client.Connection, report: messages.TargetReport
+    ) -> None:
+        self._reports += 1
+        connection.send(msgspec.structs.replace(report, number=self._reports))
+
     def _go_back(self) -> None:
         """Returns to the preferred instance once it answers again."""
         first = self._home.returning_to()
--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -76,10 +76,12 @@
         self, session: server.Session, report: messages.TargetReport
     ) -> None:
         """Keeps the last report of a target, from its own agent only."""
-        is_own = session.name == report.target
-        known = report.target in self._report_by_target
-        if is_own and (known or len(self._report_by_target) < MAX_REPORTS):
-            self._report_by_target[report.target] = report
+        if session.name != report.target:
+            return
+        known = self._report_by_target.get(report.target)
+        if known is None and len(self._report_by_target) >= MAX_REPORTS:
+            return
+        self._report_by_target[report.target] = _last(known, report)
 
     def own(self) -> messages.StatusReply:
         """Returns what this instance sees, itself included."""
@@ -131,16 +133,9 @@
             for other, reply in zip(others, replies, strict=True)
             if reply is None
         )
-        peer_by_name: dict[str, messages.PeerStatus] = {}
-        report_by_target: dict[str, messages.TargetReport] = {}
-        for reply in [self.own(), *replies]:
-            if reply is None:
-                continue
-            for peer in reply.peers:
-                known = peer_by_name.get(peer.name)
-                peer_by_name[peer.name] = _newer(known, peer)
-            for report in reply.reports:
-                report_by_target[report.target] = report
+        answers = [self.own(), *(reply for reply in replies if reply)]
+        peer_by_name = _newest_peers(answers)
+        report_by_target = _last_reports(answers, peer_by_name)
         return FleetPicture(peer_by_name, report_by_target, unreachable)
 
     async def _fetch(
@@ -157,6 +152,45 @@
         return reply if isinstance(reply, messages.StatusReply) else None
 
 
+def _newest_peers(
+    answers: list[messages.StatusReply],
+) -> dict[str, messages.PeerStatus]:
+    peer_by_name: dict[str, messages.PeerStatus] = {}
+    for answer in answers:
+        for peer in answer.peers:
+            known = peer_by_name.get(peer.name)
+            peer_by_name[peer.name] = _newer(known, peer)
+    return peer_by_name
+
+
+def _last_reports(
+    answers: list[messages.StatusReply],
+    peer_by_name: dict[str, messages.PeerStatus],
+) -> dict[str, messages.TargetReport]:
+    """Returns what each target's present agent reported last, anywhere.
+
+    An agent that moved to another control instance keeps its session with
+    the one before for a while, and so does its last report there.
+    """
+    report_by_target: dict[str, messages.TargetReport] = {}
+    for answer in answers:
+        for report in answer.reports:
+            agent = peer_by_name[report.target]
+            if report.agent_incarnation != agent.incarnation:
+                continue
+            known = report_by_target.get(report.target)
+            report_by_target[report.target] = _last(known, report)
+    return report_by_target
+
+
+def _last(
+    known: messages.TargetReport | None, report: messages.TargetReport
+) -> messages.TargetReport:
+    if known is None or known.agent_incarnation != report.agent_incarnation:
+        return report
+    return known if known.number > report.number else report
+
+
 def _newer(
     known: messages.PeerStatus | None, peer: messages.PeerStatus
 ) -> messages.PeerStatus:
--- a/src/lycheering/wire/messages/members.py
+++ b/src/lycheering/wire/messages/members.py
@@ -96,6 +96,8 @@
         role: Its role.
         load: Its load.
         loading: The weights or adapter it is loading; empty for nothing.
+        number: Counts the reports of this incarnation of the agent, so that
+            the last one is known wherever it was sent.
     """
 
     target: str
@@ -106,6 +108,7 @@
     role: str
     load: common.LoadReport
     loading: str = ""
+    number: int = 0
 
 
 class StatusFetch(msgspec.Struct, frozen=True, array_like=True, tag=56):
--- a/tests/control/wire_calls.feature
+++ b/tests/control/wire_calls.feature
@@ -113,6 +113,14 @@
     And at most 2 of them loaded at once
     And each of them loaded once
 
+  Scenario: Agents that moved away left reports of loads behind
+    Given 4 scripted agents that load weights
+    And each of them reported a load to "c2" before it moved to "c1"
+    And each of them reported a load to "c3" before it moved to "c1"
+    When weights.version is set to "v2" for all targets
+    Then all 4 agents come to serve "v2"
+    And each of them loaded once
+
   Scenario: A drained target keeps its exception until it is undrained
     Given a scripted agent "t1"
     When the operator drains "t1"
--- a/tests/steps/control_weights_steps.py
+++ b/tests/steps/control_weights_steps.py
@@ -27,6 +27,8 @@
         self.load_s = load_s
         self.fences = []
         self.tally = tally
+        self.reports = 0
+        self.homes = list(self.peer.connection_by_name)
         self.peer.handler.handle = self.handle
         self.peers = context.peers
         self.reporting = asyncio.run_coroutine_threadsafe(
@@ -56,21 +58,37 @@
 
     async def report(self):
         while True:
-            report = messages.TargetReport(
-                self.peer.name,
-                self.peer.incarnation,
-                "e1",
-                self.version,
-                (),
-                "general",
-                messages.LoadReport(),
-                self.loading,
-            )
-            for connection in self.peer.connection_by_name.values():
-                if connection.connected:
-                    connection.send(report)
+            for home in self.homes:
+                self.report_to(home, self.loading)
             await asyncio.sleep(0.1)
 
+    def report_to(self, home, loading):
+        """Sends one report, unless there is no connection; says if it did."""
+        connection = self.peer.connection_by_name[home]
+        if not connection.connected:
+            return False
+        self.reports += 1
+        report = messages.TargetReport(
+            self.peer.name,
+            self.peer.incarnation,
+            "e1",
+            self.version,
+            (),
+            "general",
+            messages.LoadReport(),
+            loading,
+            self.reports,
+        )
+        connection.send(report)
+        return True
+
+    async def leave(self, old, new):
+        """Reports a load to one instance and all that follows to another."""
+        self.homes = []
+        while not self.report_to(old, "v0"):
+            await asyncio.sleep(0.02)
+        self.homes = [new]
+
     def close(self):
         self.reporting.cancel()
 
@@ -103,6 +121,12 @@
         context.loading.append(agent)
 
 
+@given('each of them reported a load to "{old}" before it moved to "{new}"')
+def step_moved(context, old, new):
+    for agent in context.loading:
+        context.peers.run(agent.leave(old, new))
+
+
 @when('weights.version is set to "{version}" for all targets')
 def step_set_version(context, version):
     answer = context.group.set_default("c1", "weights.version", version)
