Show what the processes said when a step fails, and start a new fleet

Cause: features that keep one fleet for all their scenarios went on with it after a failure, so that one fault was reported six times, and the output had no word of the processes: the logs went with their folder.

Change: a failing step prints for every process of the fleets and groups in use whether it runs, is frozen or has ended, and its last 12 log lines. After a failed scenario all that the feature keeps is closed, and the next one starts a fleet of its own.

--- a/tests/steps/control_loss_steps.py
+++ b/tests/steps/control_loss_steps.py
@@ -11,19 +11,18 @@
 
 def fleet_of(context):
     """Returns the scenario's fleet as operators see it."""
-    feature = context.feature
-    if not hasattr(feature, "operated"):
-        feature.operated = config_fleet.ConfigFleet(context.running)
-        context.add_cleanup(feature.operated.close, layer="feature")
-    return feature.operated
+    if not hasattr(context.kept, "operated"):
+        context.kept.operated = config_fleet.ConfigFleet(context.running)
+        context.feature_stack.callback(context.kept.operated.close)
+    return context.kept.operated
 
 
 def mend(context):
-    """Replaces what a failed scenario left without its disk."""
-    repair = getattr(context.feature, "repair", None)
+    """Replaces what the scenario left without its disk."""
+    repair = getattr(context.kept, "mend", None)
     if repair is not None:
         repair()
-        context.feature.repair = None
+        context.kept.mend = None
 
 
 @when("the leader of control loses its disk")
@@ -31,7 +30,7 @@
     fleet = fleet_of(context)
     context.victim = fleet.leader()
     config_fault_steps.lose_disk(context, fleet)
-    context.feature.repair = context.mend
+    context.kept.mend = context.mend
 
 
 @when("the instance that lost its disk is replaced")
--- a/tests/steps/held_fleet_steps.py
+++ b/tests/steps/held_fleet_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import time
 
 from behave import given
@@ -12,7 +11,6 @@
 from bench import checker
 from tests.support import held_fleet
 
-STATE = {}
 # what lasts until all callers have their answers
 LASTING = (
     "agent_crash",
@@ -25,20 +23,15 @@
 
 @given("a fleet of real processes with a fault proxy on every connection")
 def step_fleet(context):
-    if "fleet" not in STATE:
-        stack = contextlib.ExitStack()
-        STATE["fleet"] = stack.enter_context(held_fleet.running())
-        context.add_cleanup(close, stack, layer="feature")
-    context.struck = STATE["fleet"]
+    if not hasattr(context.kept, "struck"):
+        context.kept.struck = context.feature_stack.enter_context(
+            held_fleet.running()
+        )
+    context.struck = context.kept.struck
     context.end = held_fleet.do_nothing
     context.struck.restore()
 
 
-def close(stack):
-    STATE.clear()
-    stack.close()
-
-
 @when("{fault} strikes the fleet while calls are at {step}")
 def step_strike(context, fault, step):
     struck = context.struck
--- a/tests/steps/order_fault_steps.py
+++ b/tests/steps/order_fault_steps.py
@@ -177,8 +177,7 @@
 
 @given("a fleet of services whose calls may not be repeated")
 def step_fleet(context):
-    kept = getattr(context.feature, "order_fleet", None)
-    if kept is None:
+    if not hasattr(context.kept, "fleet"):
         plan = fleet.FleetPlan(
             engines=0,
             services={"billing": 2, "booking": 1},
@@ -187,12 +186,10 @@
             teams=(order_callers.TEAM,),
             service_delay_ms=400,
         )
-        manager = proxied_fleet.running(plan)
-        kept = manager.__enter__()
-        context.add_cleanup(manager.__exit__, None, None, None, layer="feature")
-        # the feature's layer keeps it for the scenarios that follow
-        context.feature.order_fleet = kept
-    context.running = kept
+        context.kept.fleet = context.feature_stack.enter_context(
+            proxied_fleet.running(plan)
+        )
+    context.running = kept = context.kept.fleet
     context.order_callers = order_callers.Callers(kept)
     context.stack.callback(context.order_callers.close)
     start_again(kept)
@@ -201,8 +198,7 @@
 
 
 def strike_of(context, service):
-    running = context.feature.order_fleet
-    context.strike = Strike(running, context.order_callers, service)
+    context.strike = Strike(context.running, context.order_callers, service)
     return context.strike
 
 
--- a/tests/steps/weight_fault_steps.py
+++ b/tests/steps/weight_fault_steps.py
@@ -125,19 +125,17 @@
 
 @given("a fleet of engines that load weights")
 def step_fleet(context, engines=ENGINES):
-    kept = getattr(context.feature, "weights_fleet", None)
-    if kept is None:
+    if not hasattr(context.kept, "fleet"):
         plan = fleet.FleetPlan(
             engines=engines,
             teams=(TEAM,),
             fencing=frozenset({"engine"}),
             weight_store=True,
         )
-        manager = proxied_fleet.running(plan)
-        kept = manager.__enter__()
-        context.add_cleanup(manager.__exit__, None, None, None, layer="feature")
-        context.feature.weights_fleet = kept
-    context.running = kept
+        context.kept.fleet = context.feature_stack.enter_context(
+            proxied_fleet.running(plan)
+        )
+    context.running = kept = context.kept.fleet
     order_fault_steps.start_again(kept)
     control_loss_steps.mend(context)
     processes.wait_for(lambda: order_fault_steps.is_healthy(kept), "the fleet")
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -10,6 +10,7 @@
 import time
 
 from bench import processes
+from tests.support import process_logs
 
 GIVE_UP_S = 40.0
 POLL_S = 0.05
@@ -70,11 +71,14 @@
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
         self.process_by_name = {}
+        self._stack = contextlib.ExitStack()
 
     def __enter__(self):
+        self._stack.enter_context(process_logs.watched(self))
         return self
 
     def __exit__(self, *_):
+        self._stack.close()
         for process in self.process_by_name.values():
             process.kill()
 
--- a/tests/support/proxied_fleet.py
+++ b/tests/support/proxied_fleet.py
@@ -8,6 +8,7 @@
 
 from bench import fleet
 from tests.support import fault_proxy
+from tests.support import process_logs
 
 
 class ProxyBoard:
@@ -85,6 +86,7 @@
         board = ProxyBoard(stack)
         started = ProxiedFleet(plan, pathlib.Path(folder), board)
         stack.callback(started.close)
+        stack.enter_context(process_logs.watched(started.group))
         started.start()
         yield started
 
