Have lost events and silent once calls checked while weights change

The scenario of lost cache events looked at what engines load and serve, which no cache event decides, so nothing in it could fail from a lost event. silence_once_call.weights took the order to the engine, under its fencing number, for the call that runs once, while the fault is a caller's call that may not be repeated.

Change: before the events are lost, twelve prompts are computed and entries are shown (by explain) to know them held; after the new weights none of the agents may tell entries that any piece of them is still held. A service whose calls may not be repeated stands beside the engines, and an order to it runs while all connections go silent at every step of the weights; it has to have run at most once, with every resend told the same.

--- a/tests/control/weights_strikes.feature
+++ b/tests/control/weights_strikes.feature
@@ -49,6 +49,7 @@
   @cell.silence_once_call.weights.load @cell.silence_once_call.weights.serve
   Scenario: Connections go silent under the orders of every step
     When engines are held at every step of new weights
+    And an order to billing is held at its run
     And all connections between processes go silent
     And the weights go on
     Then the engines of all steps serve the weights wanted last
@@ -56,6 +57,7 @@
     And no engine was told to load under the same number twice
     And requests that follow meet them
     And requests were answered whole meanwhile
+    And it ran at most once and every resend is told the same
 
   @cell.agent_crash.weights.fence
   Scenario: All agents are killed at every step of weights
@@ -70,6 +72,7 @@
 
   @cell.event_loss.weights.load @cell.event_loss.weights.serve
   Scenario: Cache events are lost at every step of weights
+    Given prompts that entries know to be held by engines
     When engines are held at every step of new weights
     And the engines' cache events are lost from then on
     And the weights go on
@@ -78,3 +81,4 @@
     And no engine was told to load under the same number twice
     And requests that follow meet them
     And requests were answered whole meanwhile
+    And what engines held under older weights is counted on no more
--- a/tests/steps/weight_fault_steps.py
+++ b/tests/steps/weight_fault_steps.py
@@ -18,6 +18,7 @@
 from tests.steps import control_loss_steps
 from tests.steps import order_fault_steps
 from tests.support import fault_proxy
+from tests.support import order_callers
 from tests.support import processes
 from tests.support import proxied_fleet
 
@@ -26,6 +27,8 @@
 PADDING = "0" * 950  # makes an order larger than the probes beside it
 HELD_MS = 4_000  # a cut would not even take the connection
 VERSIONS = itertools.count(2)
+ONCE_SERVICE = "billing"
+ONCE_CALL_MS = 2_000  # so that connections can go silent under a call
 TO_TARGET = fault_proxy.Direction.TO_TARGET
 
 
@@ -76,6 +79,10 @@
     return f"v{next(VERSIONS)}-{PADDING}"
 
 
+def engines(running):
+    return [n for n in running.url_by_target if n.startswith("engine-")]
+
+
 def record(running, name):
     url = running.url_by_target[name]
     try:
@@ -90,7 +97,7 @@
     """Returns the orders for a version as the engines recorded them."""
     return {
         name: found
-        for name in running.url_by_target
+        for name in engines(running)
         if (
             found := [
                 order
@@ -104,7 +111,7 @@
 def served(running):
     """Returns the version of each engine's last load that was done."""
     version_by_name = {}
-    for name in running.url_by_target:
+    for name in engines(running):
         done = [
             order
             for order in record(running, name)
@@ -117,7 +124,8 @@
 def run_versions(running):
     """Returns the weights that each engine's runs met, in order."""
     runs = []
-    for url in running.url_by_target.values():
+    for name in engines(running):
+        url = running.url_by_target[name]
         found = json_calls.call_json(f"{url}/admin/record")["runs"]
         runs += [(run["request_id"], run["weights_version"]) for run in found]
     return runs
@@ -131,6 +139,9 @@
             teams=(TEAM,),
             fencing=frozenset({"engine"}),
             weight_store=True,
+            services={ONCE_SERVICE: 1},
+            once_services=frozenset({ONCE_SERVICE}),
+            service_delay_ms=ONCE_CALL_MS,
         )
         context.kept.fleet = context.feature_stack.enter_context(
             proxied_fleet.running(plan)
@@ -141,6 +152,8 @@
     processes.wait_for(lambda: order_fault_steps.is_healthy(kept), "the fleet")
     kept.wait_serving()
     context.weights_fleet = kept
+    context.order_callers = order_callers.Callers(kept)
+    context.stack.callback(context.order_callers.close)
 
 
 @when("new weights are held at their {step}")
@@ -229,7 +242,7 @@
 def step_go_on(context):
     running = context.weights_fleet
     for (_, name), proxy in running.board.proxy_by_link.items():
-        if name in running.url_by_target:
+        if name in engines(running):
             proxy.delay(0, TO_TARGET)
 
 
@@ -276,7 +289,7 @@
     log = running.group.process_by_name["weight-store"].ready_port()
     store = json_calls.call_json(f"http://{processes.HOST}:{log}/admin/record")
     assert store["most_at_once"] <= 2, store
-    for name in running.url_by_target:
+    for name in engines(running):
         fences = [
             order["fence"]
             for order in record(running, name)
--- a/tests/steps/weight_strike_steps.py
+++ b/tests/steps/weight_strike_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
+import re
+
 from behave import given
 from behave import then
 from behave import when
@@ -14,6 +17,11 @@
 from tests.support import processes
 
 HELD_MS = 8_000
+PROMPTS = 12  # each tells only once what is held of it
+LEVEL_CHARS = 4_000
+LEVELS = 3
+PROBES = itertools.count(1)
+SEEN = re.compile(r"\bheld=(\d+)")
 STEPS = ("fence", "send", "load", "serve")
 
 
@@ -32,7 +40,9 @@
     running = context.running
     context.version = weight_fault_steps.new_version()
     links = running.board.proxy_by_link
-    proxies = {n: links[f"agent-{n}", n] for n in running.url_by_target}
+    proxies = {
+        n: links[f"agent-{n}", n] for n in weight_fault_steps.engines(running)
+    }
     for proxy in proxies.values():
         proxy.delay(HELD_MS, fault_proxy.Direction.TO_TARGET)
     context.requests = weight_fault_steps.Requests(running)
@@ -66,7 +76,11 @@
         return None
     step_by_outcome = {"done": "serve", "running": "load"}
     found = {step_by_outcome[o]: n for n, o in outcomes.items()}
-    rest = set(context.running.url_by_target) - set(outcomes) - {held}
+    rest = (
+        set(weight_fault_steps.engines(context.running))
+        - set(outcomes)
+        - {held}
+    )
     return found | {"send": held, "fence": rest.pop()}
 
 
@@ -113,7 +127,7 @@
 
 @when("the agents of the weights are killed and started again")
 def step_kill_agents(context):
-    for name in context.running.url_by_target:
+    for name in weight_fault_steps.engines(context.running):
         context.running.restart(f"agent-{name}")
 
 
@@ -124,11 +138,56 @@
 
 
 def set_events_loss(context, share):
-    for url in context.running.url_by_target.values():
+    for name in weight_fault_steps.engines(context.running):
+        url = context.running.url_by_target[name]
         faults = {"events_loss": share, "seed": 1}
         json_calls.call_json(f"{url}/admin/faults", "POST", faults)
 
 
+def seen_pieces(context, prompt):
+    """Sends a prompt; returns the pieces that agents said were held of it."""
+    running = context.running
+    length = LEVEL_CHARS * LEVELS
+    body = {
+        "model": running.plan.model,
+        "prompt": f"{prompt} ".ljust(length, "x") + " the question",
+        "prefix_levels": [length - LEVEL_CHARS, length],
+        "max_tokens": 2,
+    }
+    url = running.entry_urls[0]
+    port = int(url.rpartition(":")[2])
+    key = running.key_by_team[weight_fault_steps.TEAM]
+    headers = {
+        "Authorization": f"Bearer {key}",
+        "X-Request-Id": f"seen-{next(PROBES)}",
+    }
+    answer = processes.call(port, "POST", "/v1/completions", body, headers)
+    assert answer.status == 200, answer
+    request_id = headers["X-Request-Id"]
+    found = json_calls.call_json(f"{url}/v1/explain/{request_id}")
+    reasons = [c["reason"] for c in found["attempts"][-1]["candidates"]]
+    return [int(match[1]) for r in reasons if (match := SEEN.search(r))]
+
+
+@given("prompts that entries know to be held by engines")
+def step_held_prompts(context):
+    context.prompts = [f"prompt {number}" for number in range(PROMPTS)]
+    for prompt in context.prompts:
+        seen_pieces(context, prompt)
+        processes.wait_for(
+            lambda prompt=prompt: LEVELS in seen_pieces(context, prompt),
+            f"{prompt} to be held",
+        )
+
+
+@then("what engines held under older weights is counted on no more")
+def step_counted_no_more(context):
+    seen = [seen_pieces(context, prompt) for prompt in context.prompts]
+    # agents learn of a cleared cache from the next tick of the events
+    assert any(held and not any(held) for held in seen), seen
+    assert not any(seen[-1]), seen
+
+
 @then("the engines of all steps serve the weights wanted last")
 def step_all_serve(context):
     weight_fault_steps.step_all_serve(context)
@@ -142,7 +201,7 @@
     running = context.running
     fences = [
         order["fence"]
-        for name in running.url_by_target
+        for name in weight_fault_steps.engines(running)
         for order in weight_fault_steps.record(running, name)
     ]
     assert len(fences) == len(set(fences)), fences
