Fetch only what changed of other instances' sessions and reports

Weighed: followers that push (a second direction to keep in order, and a leader that changes has to be told all anyway); a digest that is compared first (a change of one agent brings all); a version that the follower counts. Chosen: the version. The asker names the follower's incarnation and the version it has, and gets what changed since, what went, or all of it after a change of leader, a restart of the follower or more departures than are kept. Loads, view revisions and the times at which processes were heard are no changes, as neither reader uses them; what operators read still fetches all.

An agent's report now carries a number that grows when its state changes or it reports to another instance. Without the second, an agent that comes home in the state it left with would count as unchanged there, and the report that it left at the other instance as its last.

--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -55,7 +55,9 @@
             settings.control.members, context.settings.target, context.clock
         )
         self._registered_ms = 0.0
-        self._reports = 0
+        self._number = 0
+        self._numbered: messages.TargetReport | None = None
+        self._reported_to = ""
 
     async def start(self) -> None:
         """Begins to register."""
@@ -148,8 +150,13 @@
     def _send(
         self, connection: client.Connection, report: messages.TargetReport
     ) -> None:
-        self._reports += 1
-        connection.send(msgspec.structs.replace(report, number=self._reports))
+        state = msgspec.structs.replace(report, load=_NO_LOAD)
+        home = connection.address.name
+        if state != self._numbered or home != self._reported_to:
+            self._number += 1
+            self._numbered = state
+            self._reported_to = home
+        connection.send(msgspec.structs.replace(report, number=self._number))
 
     def _go_back(self) -> None:
         """Returns to the preferred instance once it answers again."""
--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from lycheering.control import status_changes
 from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
 
@@ -57,6 +58,8 @@
         self._connections = connections
         self._server: server.Server | None = None
         self._report_by_target: dict[str, messages.TargetReport] = {}
+        self._changes = status_changes.StatusChanges(link.identity.incarnation)
+        self._followed_by_name: dict[str, status_changes.FollowedStatus] = {}
 
     def attach(self, listener: server.Server) -> None:
         """Names the server whose sessions are looked at."""
@@ -120,14 +123,41 @@
         )
         return messages.StatusReply(tuple(peers), reports)
 
+    def answer(self, fetch: messages.StatusFetch) -> messages.StatusReply:
+        """Returns what another instance asks for of what this one sees."""
+        return self._changes.answer(fetch, self.own())
+
     async def collect(self) -> FleetPicture:
         """Asks all control instances and returns what they see together."""
-        others = [
+        others = self._others()
+        replies = await asyncio.gather(*(self._fetch(o) for o in others))
+        return self._picture(others, replies)
+
+    async def follow(self) -> FleetPicture:
+        """Returns the same at less cost, by what changed since last time.
+
+        Loads and view revisions are as old as the process's last change.
+        """
+        others = self._others()
+        replies = await asyncio.gather(*(self._follow(o) for o in others))
+        return self._picture(others, replies)
+
+    def forget(self) -> None:
+        """Drops what `follow` builds on; the next one fetches all."""
+        self._followed_by_name.clear()
+
+    def _others(self) -> list[members.PeerAddress]:
+        return [
             member
             for member in self._group.peers()
             if member.instance != self._link.identity.name
         ]
-        replies = await asyncio.gather(*(self._fetch(o) for o in others))
+
+    def _picture(
+        self,
+        others: list[members.PeerAddress],
+        replies: list[messages.StatusReply | None],
+    ) -> FleetPicture:
         unreachable = tuple(
             other.instance
             for other, reply in zip(others, replies, strict=True)
@@ -138,14 +168,29 @@
         report_by_target = _last_reports(answers, peer_by_name)
         return FleetPicture(peer_by_name, report_by_target, unreachable)
 
-    async def _fetch(
+    async def _follow(
         self, other: members.PeerAddress
+    ) -> messages.StatusReply | None:
+        followed = self._followed_by_name.setdefault(
+            other.instance, status_changes.FollowedStatus()
+        )
+        reply = await self._fetch(other, followed.fetch())
+        if reply is None:
+            return None
+        now_ms = self._link.clock.now_ms()
+        followed.take(reply, now_ms)
+        return followed.status(now_ms)
+
+    async def _fetch(
+        self,
+        other: members.PeerAddress,
+        fetch: messages.StatusFetch | None = None,
     ) -> messages.StatusReply | None:
         address = self._group.wire_address(other)
         connection = self._connections.get(address)
         try:
             reply = await connection.call(
-                messages.StatusFetch(), STATUS_TIMEOUT_MS
+                fetch or messages.StatusFetch(), STATUS_TIMEOUT_MS
             )
         except wire_errors.WireError:
             return None
@@ -175,8 +220,8 @@
     report_by_target: dict[str, messages.TargetReport] = {}
     for answer in answers:
         for report in answer.reports:
-            agent = peer_by_name[report.target]
-            if report.agent_incarnation != agent.incarnation:
+            agent = peer_by_name.get(report.target)
+            if agent is None or report.agent_incarnation != agent.incarnation:
                 continue
             known = report_by_target.get(report.target)
             report_by_target[report.target] = _last(known, report)
--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -112,7 +112,7 @@
                 await self._registers.deregister(message)
                 return messages.Done()
             case messages.StatusFetch():
-                return self._status.own()
+                return self._status.answer(message)
         kind = type(message).__name__
         return messages.Failure(messages.Reason.BAD_REQUEST, kind)
 
--- a/src/lycheering/control/target_membership.py
+++ b/src/lycheering/control/target_membership.py
@@ -49,7 +49,7 @@
             for target in targets
         ):
             return heard_here
-        picture = await self._status.collect()
+        picture = await self._status.follow()
         members = len(self._group.peers())
         answered = members - len(picture.unreachable)
         if answered <= members // 2:
--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -157,7 +157,7 @@
                 continue
             if not self._is_due():
                 continue
-            picture = await self._status.collect()
+            picture = await self._status.follow()
             if self._group.is_leader():
                 self._check(picture.report_by_target)
 
@@ -178,6 +178,7 @@
     def _is_settled_leader(self) -> bool:
         if not self._group.is_leader():
             self._leading_since_ms = None
+            self._status.forget()
             return False
         now_ms = self._clock.now_ms()
         if self._leading_since_ms is None:
--- a/src/lycheering/wire/messages/members.py
+++ b/src/lycheering/wire/messages/members.py
@@ -96,8 +96,9 @@
         role: Its role.
         load: Its load.
         loading: The weights or adapter it is loading; empty for nothing.
-        number: Counts the reports of this incarnation of the agent, so that
-            the last one is known wherever it was sent.
+        number: Counts the changes of what this incarnation of the agent
+            reports, and to whom, so that the last report is known wherever
+            it was sent.
     """
 
     target: str
@@ -112,7 +113,17 @@
 
 
 class StatusFetch(msgspec.Struct, frozen=True, array_like=True, tag=56):
-    """Asks a control instance which processes it has sessions with."""
+    """Asks a control instance which processes it has sessions with.
+
+    Attributes:
+        changes_only: Whether only what changed is wanted.
+        epoch: Whose numbers the version is of; empty for none.
+        version: The version that the asker has.
+    """
+
+    changes_only: bool = False
+    epoch: str = ""
+    version: int = 0
 
 
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -141,10 +152,18 @@
     Attributes:
         peers: The processes that the control instance has sessions with.
         reports: The last report of each target among them.
+        epoch: Whose numbers the version is of.
+        version: The version that the asker has with this.
+        is_whole: Whether this is all, not only what changed.
+        gone: The processes that it has no session with any more.
     """
 
     peers: tuple[PeerStatus, ...]
     reports: tuple[TargetReport, ...] = ()
+    epoch: str = ""
+    version: int = 0
+    is_whole: bool = True
+    gone: tuple[str, ...] = ()
 
 
 class CountersFetch(msgspec.Struct, frozen=True, array_like=True, tag=58):
