Look at targets again as soon as an order to them has settled

After an order the leader leaves a target alone for 3 s, until its report shows the outcome. It looks at targets each 500 ms for 3 s after a change, then each 5 s. A change that comes while an order settles, and it settles after those 3 s (an order takes some time itself), waited for the next idle check.

Change: when an order has settled, targets are looked at every 500 ms for 3 s again.

Test, on a clock moved by hand: weights wanted right after the first order (answered at 4,300 ms) were loaded at 12,800 ms before the change; it now has to be within two checks of the settling, and is. Fails before, passes after.

--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -247,6 +247,8 @@
                 self._back_off(target.name)
         finally:
             self._busy.discard(target.name)
+            # what was wanted meanwhile is not left to the next idle check
+            self._quick_checks = QUICK_CHECKS
 
     async def _load(self, target: records.Target, wanted: WantedOrder) -> bool:
         started_ms = self._clock.now_ms()
