--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -20,6 +20,7 @@
     from lycheering.agent import context as contexts
     from lycheering.settings import model
     from lycheering.wire import api as wire_api
+    from lycheering.wire import client
     from lycheering.wire import pool as pools
     from lycheering.wire import server as servers
 
@@ -54,6 +55,9 @@
             settings.control.members, context.settings.target, context.clock
         )
         self._registered_ms = 0.0
+        self._number = 0
+        self._numbered: messages.TargetReport | None = None
+        self._reported_to = ""
 
     async def start(self) -> None:
         """Begins to register."""
@@ -135,7 +139,7 @@
             try:
                 await connection.ready(0)
                 if due:
-                    connection.send(report)
+                    self._send(connection, report)
                     reported, reported_ms = state, now_ms
             except errors.PeerUnreachableError:
                 self._home.move_on()
@@ -143,6 +147,17 @@
             await self._context.clock.sleep(REPORT_INTERVAL_MS)
             self._go_back()
 
+    def _send(
+        self, connection: client.Connection, report: messages.TargetReport
+    ) -> None:
+        state = msgspec.structs.replace(report, load=_NO_LOAD)
+        home = connection.address.name
+        if state != self._numbered or home != self._reported_to:
+            self._number += 1
+            self._numbered = state
+            self._reported_to = home
+        connection.send(msgspec.structs.replace(report, number=self._number))
+
     def _go_back(self) -> None:
         """Returns to the preferred instance once it answers again."""
         first = self._home.returning_to()
