Wait at a stop until entries have the ends of their answers

Cause: an agent that stopped left silence_ms after its last answer, whether or not the entry had it, and held an answer for taken once its last chunk was acknowledged, though the end itself may have been lost. Entries gave up a stream 500 ms after its connection was replaced, also where no other target can go on with it. With all bytes of the agent held back for 1.5 s the stream broke off ("connection lost").

Change: entries acknowledge ends (Ack.ended, also of refusals and broken answers). An agent keeps an answer until then or for stream_tail_ms, and a stopping one waits for it, but not for entries that said goodbye or came back as another incarnation. A stream bound to its target waits 5 s for it. Telling control of the stop takes at most a quarter of the stop's time, so that requests are drained even while control is away.

--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 2_000
 DEREGISTER_TRIES = 6
+DEREGISTER_SHARE = 0.25  # of the time for a planned stop
 
 _NO_LOAD = messages.LoadReport()
 _LOG = logs.get("control_link")
@@ -62,13 +64,23 @@
     async def drain(self) -> None:
         """Tells control that the target is leaving."""
         await self._tasks.cancel_all()
+        limit_ms = DEREGISTER_SHARE * self._settings.instance.drain_timeout_ms
+        try:
+            async with asyncio.timeout(limit_ms / 1_000):
+                done = await self._deregister()
+        except TimeoutError:
+            done = False
+        if not done:
+            _LOG.warning("deregister_failed")
+
+    async def _deregister(self) -> bool:
         identity = self._server.link.identity
         message = messages.Deregister(identity.name, identity.incarnation)
         for _ in range(DEREGISTER_TRIES):
             if await self._ask(message) is not None:
-                return
+                return True
             await self._context.clock.sleep(FIRST_BACKOFF_MS)
-        _LOG.warning("deregister_failed")
+        return False
 
     async def stop(self) -> None:
         """Stops reporting."""
--- a/src/lycheering/agent/delivery.py
+++ b/src/lycheering/agent/delivery.py
@@ -41,7 +41,9 @@
 
     Attributes:
         tail: The chunks.
+        taken: Whether the reader has acknowledged the end.
         reader: Who waits, if anybody does.
+        reader_gone: Whether nobody will pick the answer up again.
         started: The start of the answer, once there.
         ending: The end, once there.
         ended_ms: When it ended.
@@ -50,27 +52,24 @@
 
     def __init__(self, first_seq: int, clock: clocks.Clock) -> None:
         self.tail = tails.StreamTail(first_seq)
+        self.taken = False
         self.reader: Reader | None = None
+        self.reader_gone = False
         self.started: messages.Started | None = None
         self.ending: Ending | None = None
         self.ended_ms = 0.0
         self.orphaned_ms = clock.now_ms()
         self._clock = clock
         self._progress = asyncio.Event()
-
-    @property
-    def taken(self) -> bool:
-        """Whether the reader has acknowledged the whole answer."""
-        return (
-            isinstance(self.ending, messages.Finished)
-            and self.tail.acknowledged_seq == self.tail.next_seq
-        )
+        self._last_session: server.Session | None = None
 
     def attach(
         self, session: server.Session, call_id: int, next_seq: int
     ) -> None:
         """Sends the answer from a chunk on to a session."""
         self.reader = Reader(session, call_id, next_seq)
+        self.reader_gone = False
+        self._last_session = session
         self.orphaned_ms = 0.0
         self.flush()
 
@@ -79,6 +78,14 @@
         if self.reader is not None and self.reader.session is session:
             self.reader = None
             self.orphaned_ms = self._clock.now_ms()
+        if session is self._last_session and session.said_bye:
+            self.reader_gone = True
+
+    def met(self, session: server.Session) -> None:
+        """Learns of a new session, perhaps of the reader after a restart."""
+        last = self._last_session
+        if last is not None and last.name == session.name:
+            self.reader_gone |= last.incarnation != session.incarnation
 
     def tell(self, message: messages.Message) -> None:
         """Sends a message that need not be sent again."""
@@ -103,11 +110,14 @@
         self._progress.set()
         self.flush()
 
-    def acknowledge(self, session: server.Session, next_seq: int) -> None:
-        """Learns which chunks the reader has."""
+    def acknowledge(
+        self, session: server.Session, next_seq: int, *, ended: bool
+    ) -> None:
+        """Learns which chunks the reader has, and whether it has the end."""
         reader = self.reader
         if reader is None or reader.session is not session:
             return
+        self.taken = ended and reader.told_ending
         self.tail.acknowledge(min(next_seq, reader.next_seq))
         self._progress.set()
 
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 from typing import TYPE_CHECKING
 
+from lycheering.agent import ended
 from lycheering.agent import runs
 from lycheering.app import api as app_api
 from lycheering.limits import admission
@@ -19,43 +19,13 @@
     from lycheering.wire import server
 
 SWEEP_MS = 250
-ENDED_KEPT_MS = 600_000
-MAX_ENDED = 20_000
 MAX_OPEN_RUNS = 4_096
 DRAIN_SHARE = 0.9
+POLLS_PER_HEARTBEAT = 10
 
 _LOG = logs.get("sessions")
 
-RunKey = tuple[str, int]
-
-
-class _EndedRuns:
-    """Attempts that ended or must not begin any more."""
-
-    def __init__(self) -> None:
-        self._ended_ms_by_key: collections.OrderedDict[RunKey, float] = (
-            collections.OrderedDict()
-        )
-        self._overflow_ms = float("-inf")
-
-    def __contains__(self, key: RunKey) -> bool:
-        return key in self._ended_ms_by_key
-
-    def add(self, key: RunKey, now_ms: float) -> None:
-        self._ended_ms_by_key[key] = now_ms
-        self._ended_ms_by_key.move_to_end(key)
-        while self._ended_ms_by_key:
-            oldest = next(iter(self._ended_ms_by_key))
-            age_ms = now_ms - self._ended_ms_by_key[oldest]
-            if age_ms < ENDED_KEPT_MS:
-                if len(self._ended_ms_by_key) <= MAX_ENDED:
-                    break
-                self._overflow_ms = now_ms
-            del self._ended_ms_by_key[oldest]
-
-    def complete(self, now_ms: float) -> bool:
-        """Returns whether no recent attempt was forgotten."""
-        return now_ms - self._overflow_ms >= ENDED_KEPT_MS
+RunKey = ended.RunKey
 
 
 class AgentSessions(wire_api.SessionHandler, app_api.Part):
@@ -77,7 +47,7 @@
         self._drain_timeout_ms = drain_timeout_ms
         self._drain_ends_ms = 0.0
         self._task_by_key: dict[RunKey, asyncio.Task[None]] = {}
-        self._ended = _EndedRuns()
+        self._ended = ended.EndedRuns()
         self._tasks = app_api.TaskOwner()
 
     async def start(self) -> None:
@@ -101,7 +71,7 @@
             # entries are told while the server can still tell them
             _LOG.warning("drain_cut", requests=len(self._task_by_key))
             await self._cancel_all()
-        await self._delivered()
+        await self._taken()
 
     async def stop(self) -> None:
         """Ends all requests."""
@@ -150,6 +120,11 @@
                     failure = messages.Failure(messages.Reason.BAD_REQUEST)
                     session.send(failure, call_id)
 
+    def opened(self, session: server.Session) -> None:
+        """Learns which answers a restarted entry no longer waits for."""
+        for run in self.run_by_key.values():
+            run.delivery.met(session)
+
     async def closed(self, session: server.Session) -> None:
         """Lets the session's requests wait to be picked up again."""
         for run in self.run_by_key.values():
@@ -240,8 +215,10 @@
         run = self.run_by_key.get(key)
         if run is None:
             self._ended.add(key, self._context.clock.now_ms())
-            return
-        self._abort(key, run)
+        elif run.delivery.ending is not None:
+            self._forget(key)
+        else:
+            self._abort(key, run)
 
     def _abort(self, key: RunKey, run: runs.Run) -> None:
         if run.sent and run.submit.ticket is not None:
@@ -256,7 +233,7 @@
         run = self.run_by_key.get(key)
         if run is None:
             return
-        run.delivery.acknowledge(session, ack.next_seq)
+        run.delivery.acknowledge(session, ack.next_seq, ended=ack.ended)
         if run.delivery.taken:
             self._forget(key)
 
@@ -314,20 +291,17 @@
                     _LOG.event("orphan_cancelled", request_id=key[0])
                     self._abort(key, run)
 
-    async def _delivered(self) -> None:
-        """Waits until answers were taken, for a short time at most."""
-        settings = self._context.wire
-        give_up_ms = self._context.clock.now_ms() + settings.silence_ms
-        while self._context.clock.now_ms() < give_up_ms:
-            waiting = [
-                run
-                for run in self.run_by_key.values()
-                if isinstance(run.delivery.ending, messages.Finished)
-                and not run.delivery.taken
-            ]
-            if not waiting:
-                return
-            await self._context.clock.sleep(settings.heartbeat_ms / 10)
+    async def _taken(self) -> None:
+        """Waits until every reader has its end or is known to be gone.
+
+        An end that nobody takes is forgotten after the time that it can be
+        picked up again, and the application bounds the whole drain.
+        """
+        poll_ms = self._context.wire.heartbeat_ms / POLLS_PER_HEARTBEAT
+        while any(
+            not run.delivery.reader_gone for run in self.run_by_key.values()
+        ):
+            await self._context.clock.sleep(poll_ms)
 
 
 __all__ = ["AgentSessions", "RunKey"]
--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -23,6 +23,7 @@
 RENEW_POLLS = 2
 MAX_ACCEPT_POLLS = 3
 RECONNECT_MS = 500.0
+BOUND_RECONNECT_MS = 5_000.0  # while no other target could go on
 ACK_CHUNKS = 16
 MAX_RESUMES = 8
 
@@ -45,6 +46,13 @@
     """The deadline passed while the request may have been running."""
 
 
+def is_bound(job: jobs.Job, sink: sinks.Sink) -> bool:
+    """Returns whether only the target that began an answer can go on."""
+    if not sink.passed_on or sink.next_seq == 0:
+        return False
+    return not (job.deterministic and sink.is_event_stream)
+
+
 class Attempt:
     """Sends a request to one agent and passes its answer on."""
 
@@ -175,7 +183,7 @@
                     self._note_load(connection)
                 case messages.Finished():
                     if event.next_seq == self._sink.next_seq:
-                        self._ack(channel)
+                        self._ack(channel, ended=True)
                         self._targets.circuits.succeeded(
                             self._choice.target.name
                         )
@@ -185,6 +193,8 @@
                 case channels.Replaced(incarnation):
                     self._replaced(channel, incarnation)
                 case _:
+                    if isinstance(event, messages.NotRun | messages.Broken):
+                        self._ack(channel, ended=True)
                     self._end(event)
 
     def _end(self, event: channels.Event) -> None:
@@ -280,7 +290,9 @@
         restarted = known is None or (
             known.agent_incarnation != target.agent_incarnation
         )
-        if restarted or now_ms - self._lost_since_ms >= RECONNECT_MS:
+        bound = is_bound(self._job, self._sink)
+        patience_ms = BOUND_RECONNECT_MS if bound else RECONNECT_MS
+        if restarted or now_ms - self._lost_since_ms >= patience_ms:
             raise BrokenError(
                 messages.Reason.UNREACHABLE, f"{target.name}: connection lost"
             )
@@ -324,10 +336,10 @@
         if sink.next_seq - self._acked >= ACK_CHUNKS:
             self._ack(channel)
 
-    def _ack(self, channel: channels.Channel) -> None:
+    def _ack(self, channel: channels.Channel, *, ended: bool = False) -> None:
         next_seq = self._sink.next_seq
         self._acked = next_seq
-        ack = messages.Ack(self._job.request_id, self._number, next_seq)
+        ack = messages.Ack(self._job.request_id, self._number, next_seq, ended)
         # a lost one is made good by the next or by Resume
         with contextlib.suppress(errors.PeerUnreachableError):
             channel.send(ack)
@@ -376,4 +388,5 @@
     "Attempt",
     "BrokenError",
     "OverdueError",
+    "is_bound",
 ]
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -201,17 +201,16 @@
         failure: _Failure,
         may_have_run: bool,
     ) -> None:
-        if sink.next_seq == 0 or (job.deterministic and sink.is_event_stream):
-            return
-        if not sink.passed_on:
+        if attempts.is_bound(job, sink):
+            raise refusals.RefusalError(
+                failure.reason,
+                f"the answer broke off after {sink.next_seq} chunks and can't"
+                f" be continued elsewhere: {failure}",
+                not_run=not may_have_run,
+            )
+        goes_on = job.deterministic and sink.is_event_stream
+        if sink.next_seq and not goes_on:
             sink.restart()
-            return
-        raise refusals.RefusalError(
-            failure.reason,
-            f"the answer broke off after {sink.next_seq} chunks and can't be"
-            f" continued elsewhere: {failure}",
-            not_run=not may_have_run,
-        )
 
     def _check_allowed(
         self,
--- a/src/lycheering/wire/api.py
+++ b/src/lycheering/wire/api.py
@@ -201,6 +201,9 @@
     ) -> None:
         """Handles one frame; the session's next one waits meanwhile."""
 
+    def opened(self, session: server.Session) -> None:  # noqa: B027
+        """Learns that a peer connected."""
+
     async def closed(self, session: server.Session) -> None:  # noqa: B027
         """Learns that a peer left or went silent."""
 
--- a/src/lycheering/wire/messages/requests.py
+++ b/src/lycheering/wire/messages/requests.py
@@ -98,11 +98,13 @@
         request_id: The request.
         attempt: The attempt's number.
         next_seq: The first chunk not yet received.
+        ended: Whether the end of the answer was received too.
     """
 
     request_id: str
     attempt: int
     next_seq: int
+    ended: bool = False
 
 
 class CacheInquiry(msgspec.Struct, frozen=True, array_like=True, tag=24):
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -41,6 +41,8 @@
         last_received_ms: When its last frame came.
         heartbeat_ms: Time between its heartbeats while it is idle, where
             that was agreed; 0 elsewhere.
+        said_bye: Whether it closed the connection itself, which it does
+            only while no call is in flight.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.heartbeat_ms = min(
             hello.heartbeat_ms, server.link.settings.control_heartbeat_ms
         )
+        self.said_bye = False
         self.inbox: asyncio.Queue[messages.Envelope] = asyncio.Queue(
             MAX_SESSION_FRAMES
         )
@@ -259,6 +262,7 @@
             return
         session.last_received_ms = self.link.clock.now_ms()
         if isinstance(message, messages.Bye):
+            session.said_bye = True
             self._drop(routing_id, "bye")
             return
         for admitted in session.gate.admit(envelope):
@@ -295,6 +299,7 @@
         now_ms = self.link.clock.now_ms()
         session.send(messages.Welcome(now_ms, session.heartbeat_ms))
         session.gate.greeted(envelope.view_revision)
+        self._handler.opened(session)
         self._tasks.spawn(
             self._serve(routing_id, session), f"wire:{session.name}"
         )
--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -104,6 +104,12 @@
     When a caller asks for a streamed chat "hi" with a seed and its agent stops
     Then the caller gets the whole answer to "hi"
 
+  Scenario: A stream that no other agent can go on with waits for its own
+    Given an entry among fakes
+    And agents that fall silent after 8 chunks
+    When a caller asks for a streamed chat "hi" whose agent is away for 1500 ms
+    Then the caller gets the whole answer to "hi"
+
   Scenario: Requests keep away from an agent whose connection is lost
     Given an entry among fakes
     And agent "t0" has stopped
--- a/tests/helpers/agent_bench.py
+++ b/tests/helpers/agent_bench.py
@@ -113,6 +113,9 @@
     """A session that keeps what is said to it."""
 
     def __init__(self):
+        self.name = "e"
+        self.incarnation = "i"
+        self.said_bye = False
         self.said = []
 
     def send(self, message, call_id=0):
@@ -269,12 +272,28 @@
         """Ends an entry's connection."""
         await self.entry_by_name.pop(entry).close()
 
-    async def read(self, channel, message, outcome=None, *, acks=True):
+    async def kill(self, entry):
+        """Ends an entry's connection without a goodbye."""
+        task = self.entry_by_name.pop(entry)._task
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def read(
+        self, channel, message, outcome=None, *, acks=True, acks_end=True
+    ):
         outcome = outcome or Outcome()
         while outcome.ending is None:
             await self.read_one(channel, message, outcome, acks=acks)
+        if acks_end:
+            self.ack_end(channel, message, outcome)
         return outcome
 
+    def ack_end(self, channel, message, outcome):
+        """Tells the agent that an answer's end was received."""
+        have = getattr(message, "continue_from", 0) + len(outcome.items)
+        ended = messages.Ack(message.request_id, message.attempt, have, True)
+        channel.send(ended)
+
     async def read_one(self, channel, message, outcome, *, acks=True):
         event = await channel.receive(GIVE_UP_S * 1_000)
         match event:
--- /dev/null
+++ b/tests/steps/drain_steps.py
@@ -0,0 +1,70 @@
+"""Steps for an agent's wait for those who read its answers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import then
+from behave import when
+
+from tests.helpers import agent_bench
+
+
+def read_to_end(context, tokens):
+    bench = context.bench
+    context.tokens = tokens
+    context.outcome = agent_bench.Outcome()
+    context.submit = bench.submit("r1", max_tokens=tokens)
+
+    async def read():
+        context.channel = await bench.send(context.submit)
+        await bench.read(
+            context.channel, context.submit, context.outcome, acks_end=False
+        )
+
+    bench.run(read())
+
+
+@when("an entry reads {tokens:d} tokens and is slow to take the end")
+def step_slow(context, tokens):
+    read_to_end(context, tokens)
+
+
+@when(
+    "an entry reads {tokens:d} tokens and loses its connection before the end"
+)
+def step_lose_end(context, tokens):
+    read_to_end(context, tokens)
+    context.outcome.ending = None
+    step_leaves(context)
+
+
+@when("the entry takes the end")
+def step_take(context):
+    async def take():
+        context.bench.ack_end(context.channel, context.submit, context.outcome)
+
+    context.bench.run(take())
+
+
+@when("the entry leaves")
+def step_leaves(context):
+    context.bench.run(context.bench.lose("entry-1"))
+
+
+@when("the entry is killed")
+def step_killed(context):
+    context.bench.run(context.bench.kill("entry-1"))
+
+
+@when("the entry is killed and comes back")
+def step_comes_back(context):
+    step_killed(context)
+    context.bench.run(context.bench.entry("entry-1"))
+
+
+@then("the agent still runs after {count:d} times the silence")
+def step_still_runs(context, count):
+    silence_s = agent_bench.WIRE.silence_ms / 1_000
+    context.bench.run(asyncio.sleep(count * silence_s))
+    assert not context.bench._agent_task.done()
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -223,6 +223,31 @@
     context.seen = http_caller.read(fleet.run(both()))
 
 
+@when(
+    'a caller asks for a streamed chat "{prompt:w}" whose agent is away for'
+    " {away:d} ms"
+)
+def step_agent_away(context, prompt, away):
+    fleet = context.fleet
+
+    async def leave_and_return():
+        await fake_fleet.until(lambda: any(a.runs for a in fleet.engines))
+        agent = next(a for a in fleet.engines if a.runs)
+        await agent.server.stop()
+        await asyncio.sleep(away / 1_000)
+        agent.script.mute_after = -1
+        await agent.listen_again()
+
+    async def both():
+        reply, _ = await asyncio.gather(
+            fleet.fetch("POST", CHAT, body=chat_body(prompt, True)),
+            leave_and_return(),
+        )
+        return reply
+
+    context.seen = http_caller.read(fleet.run(both()))
+
+
 @when('a caller posts {count:d} bytes to "{path}"')
 def step_post_bytes(context, count, path):
     ask(context, "POST", path, body=b"x" * count)
--- a/tests/support/fake_fleet.py
+++ b/tests/support/fake_fleet.py
@@ -119,6 +119,13 @@
                 )
                 session.send(report, envelope.call_id)
 
+    async def listen_again(self):
+        """Opens the port anew, with all requests still known."""
+        wire = WIRE.model_copy(update={"port": self.server.port})
+        link = dataclasses.replace(self.link, settings=wire)
+        self.server = server.Server(link, IP, self, lambda: self.load)
+        await self.server.start()
+
     def spawn(self, work):
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
