Bound the bytes that an entry spends on agents besides requests

Cause: at the design size an entry would spend 30 KB/s on connections that are made only to ask, 59 KB/s on heartbeats of idle connections and 7.1 KB/s on asking, against 5 KB/s in all (docs/CAPACITY.md).

Ruled out: a longer control_heartbeat_ms for these connections too, as its bound of 4,000 ms comes from changes that control pushes, and 700 idle connections at 4,000 ms are still 46 KB/s. Closing them sooner: each request then makes a connection, 6 KB/s.

Change: a budget of bytes a second. The time between heartbeats on an idle connection follows from the number of connections; each heartbeat tells the agent when to expect the next one. Calls in flight, and answers that are waited for at the agent, bring the short silence back. A connection that was long not heard of is probed before its first use. Changes are not pushed on connections that rest. In fleets of more than 64 targets only connected agents are asked, as far as the budget goes; smaller fleets ask as before. Connections to agents are kept for 5 minutes, up to what open files allow.

Found besides: ZeroMQ allows 1,023 sockets, and a connection takes three.

--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -150,6 +150,15 @@
                     failure = messages.Failure(messages.Reason.BAD_REQUEST)
                     session.send(failure, call_id)
 
+    def serving(self) -> set[server.Session]:
+        """Returns the sessions that wait for answers."""
+        deliveries = [run.delivery for run in self.run_by_key.values()]
+        return {
+            delivery.reader.session
+            for delivery in deliveries
+            if delivery.reader is not None and delivery.ending is None
+        }
+
     async def closed(self, session: server.Session) -> None:
         """Lets the session's requests wait to be picked up again."""
         for run in self.run_by_key.values():
--- a/src/lycheering/entry/cache_inquiries.py
+++ b/src/lycheering/entry/cache_inquiries.py
@@ -6,6 +6,7 @@
 
 from lycheering.routing import api as routing_api
 from lycheering.wire import api as wire_api
+from lycheering.wire import byte_budget
 from lycheering.wire import channels
 from lycheering.wire import errors
 from lycheering.wire import messages
@@ -28,7 +29,7 @@
 
     Args:
         targets: The way to agents.
-        asked: The targets to ask about.
+        asked: The targets to ask about, those that matter most first.
         job: The request.
         timeout_ms: Time for the answers.
     """
@@ -40,7 +41,7 @@
     channel_by_name: dict[str, channels.Channel] = {}
     report_by_name: dict[str, messages.CacheReport] = {}
     try:
-        for target in asked:
+        for target in _allowed(targets, asked):
             channel = _send(targets, target, inquiry, timeout_ms)
             if channel is not None:
                 channel_by_name[target.name] = channel
@@ -64,13 +65,38 @@
     }
 
 
+def _allowed(
+    targets: target_access.Targets, asked: Iterable[records.Target]
+) -> list[records.Target]:
+    """Returns the targets that are worth their bytes.
+
+    In a large fleet no connection is made to ask, and no more agents are
+    asked than the budget has bytes for.
+    """
+    if not targets.budget.is_large:
+        return list(asked)
+    known = targets.connections.known
+    connected = [
+        target
+        for target in asked
+        if (connection := known(wire_api.agent_address(target))) is not None
+        and connection.connected
+    ]
+    allowed = connected[: targets.budget.asks()]
+    unasked = len(connected) - len(allowed)
+    if unasked:
+        targets.counters.increment("cache_inquiry.over_budget", unasked)
+    targets.budget.spend(len(allowed), byte_budget.ASK_BYTES)
+    return allowed
+
+
 def _send(
     targets: target_access.Targets,
     target: records.Target,
     inquiry: messages.CacheInquiry,
     timeout_ms: float,
 ) -> channels.Channel | None:
-    address = wire_api.Address(target.name, target.ip, target.port)
+    address = wire_api.agent_address(target)
     connection = targets.connections.get(address)
     if not connection.connected or not targets.usable(target.name):
         return None
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -7,8 +7,6 @@
 import gc
 from typing import TYPE_CHECKING
 
-import zmq.asyncio
-
 from lycheering import clock
 from lycheering.app import api as app_api
 from lycheering.entry import admission as admissions
@@ -29,9 +27,11 @@
 from lycheering.telemetry import logs
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
+from lycheering.wire import byte_budget
 from lycheering.wire import messages
 from lycheering.wire import pool as wire_pool
 from lycheering.wire import security
+from lycheering.wire import sockets
 
 if TYPE_CHECKING:
     from lycheering.settings import model
@@ -60,7 +60,7 @@
         self.counters = counters.Counters(settings.metrics)
         self._settings = settings.entry
         self._clock = clock.Clock()
-        self._context = zmq.asyncio.Context()
+        self._context = sockets.new_context()
         link = wire_api.Link(
             self._context,
             wire_api.Identity(
@@ -74,7 +74,8 @@
             self.counters,
             security.security_from(settings.wire, self.counters),
         )
-        self._connections = wire_pool.ConnectionPool(link)
+        self._budget = byte_budget.ByteBudget(settings.wire, self._clock)
+        self._connections = wire_pool.ConnectionPool(link, self._budget)
         self._control = control_client.ControlClient(
             settings.control, link, self._connections, self.view
         )
@@ -100,6 +101,7 @@
             self.view,
             self._router,
             self._connections,
+            self._budget,
             self._circuits,
             self.counters,
             SUSPECT_HEARTBEATS * settings.wire.heartbeat_ms,
@@ -170,17 +172,20 @@
 
     def _view_changed(self) -> None:
         self._circuits.keep_only(set(self.view.fleet.target_by_name))
+        self._budget.targets = len(self._live_targets())
+
+    def _live_targets(self) -> list[records.Target]:
+        return [
+            target
+            for target in self.view.fleet.target_by_name.values()
+            if target.state is records.TargetState.LIVE
+        ]
 
     async def _keep_warm(self) -> None:
         """Keeps connections to all targets of a small fleet."""
         while True:
-            live = [
-                target
-                for target in self.view.fleet.target_by_name.values()
-                if target.state is records.TargetState.LIVE
-            ]
-            if len(live) <= dispatch.MAX_WARM_TARGETS:
-                for target in live:
+            if not self._budget.is_large:
+                for target in self._live_targets():
                     self._connections.get(wire_api.agent_address(target))
             await self._clock.sleep(WARM_POLL_MS)
 
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -18,17 +18,17 @@
 from lycheering.routing import router as routers
 from lycheering.telemetry import logs
 from lycheering.wire import api as wire_api
+from lycheering.wire import byte_budget
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from lycheering.entry import job as jobs
+    from lycheering.fleet import records
 
     _Failure = target_access.NotRunError | attempts.BrokenError
 
-MAX_WARM_TARGETS = 64
-
 _LOG = logs.get("dispatch")
 
 
@@ -77,6 +77,7 @@
     policy = fleet.text("routing.policy", subject)
     ask_ms = fleet.integer("routing.ask_ms", subject)
     asked = targets.router.compared(job.wanted, query, policy)
+    _note_loads_of(targets, asked)
     if ask_ms and len(asked) > 1:
         seen_by_target = await cache_inquiries.ask(targets, asked, job, ask_ms)
         query = dataclasses.replace(query, seen_by_target=seen_by_target)
@@ -100,8 +101,14 @@
 def note_loads(targets: target_access.Targets, wanted: routers.Wanted) -> None:
     """Takes over what agents reported since the last choice."""
     candidates = targets.router.targets(wanted)
-    if len(candidates) > MAX_WARM_TARGETS:
+    if len(candidates) > byte_budget.MAX_SMALL_FLEET:
         return
+    _note_loads_of(targets, candidates)
+
+
+def _note_loads_of(
+    targets: target_access.Targets, candidates: Collection[records.Target]
+) -> None:
     for target in candidates:
         address = wire_api.agent_address(target)
         connection = targets.connections.known(address)
@@ -257,7 +264,6 @@
 
 
 __all__ = [
-    "MAX_WARM_TARGETS",
     "Dispatcher",
     "allow_retries",
     "choose",
--- a/src/lycheering/entry/target_access.py
+++ b/src/lycheering/entry/target_access.py
@@ -15,10 +15,12 @@
     from lycheering.retries import circuit
     from lycheering.routing import router as routers
     from lycheering.telemetry import counters
+    from lycheering.wire import byte_budget
     from lycheering.wire import client
     from lycheering.wire import pool as wire_pool
 
 CONNECT_MS = 500.0
+PROBE_MS = 200.0
 
 
 class NotRunError(Exception):
@@ -55,6 +57,7 @@
         view: The fleet view in force.
         router: Learns from what targets answer.
         connections: The connections to agents.
+        budget: The bytes for agents besides requests.
         circuits: The failing targets.
         counters: The process's counters.
         suspect_ms: Silence after which an agent gets no new request.
@@ -64,6 +67,7 @@
     view: holder.ViewHolder
     router: routers.Router
     connections: wire_pool.ConnectionPool
+    budget: byte_budget.ByteBudget
     circuits: circuit.Circuits
     counters: counters.Counters
     suspect_ms: float
@@ -91,6 +95,9 @@
     ) -> client.Connection:
         """Returns a live connection to the agent of a chosen target.
 
+        One that was idle for long is first asked for a sign of life, and
+        replaced if none comes.
+
         Raises:
             NotRunError: If there is none.
         """
@@ -99,6 +106,8 @@
         connection = self.connections.get(address)
         try:
             await connection.ready(timeout_ms)
+            await connection.probe(min(PROBE_MS, timeout_ms))
+            await connection.ready(timeout_ms)
         except errors.PeerUnreachableError as error:
             raise NotRunError(
                 messages.Reason.UNREACHABLE, f"{target.name}: no connection"
--- a/src/lycheering/routing/policies.py
+++ b/src/lycheering/routing/policies.py
@@ -75,15 +75,16 @@
     def width(self, query: api.Query) -> int:
         """Returns the width that the prefix needs now.
 
-        It follows from what agents told when asked for this request, or
-        else from the last hint.
+        It follows from what agents told when asked for this request, and
+        from the last hint where fewer did than that has targets.
         """
         seen_by_target = query.seen_by_target
+        hinted = self._knowledge.widths.width(query.levels.rank_key)
+        # some of the targets that it takes may not have told
+        width = hinted if len(seen_by_target) < hinted else 1
         if seen_by_target:
             use = sum(seen.prefix_use for seen in seen_by_target.values())
-            width = max(1, math.ceil(use / FULL_USE))
-        else:
-            width = self._knowledge.widths.width(query.levels.rank_key)
+            width = max(width, math.ceil(use / FULL_USE))
         return min(width, query.max_width)
 
     def compared(
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -99,6 +99,12 @@
             The smaller of both ends' values is used.
         call_timeout_ms: Time that a short call may take.
         idle_close_ms: Time after which an unused connection is closed.
+        agent_idle_close_ms: The same for an entry's connections to agents,
+            where it is longer. Many are kept while few are used, with
+            heartbeats that become rarer the more there are.
+        control_bytes_per_s: Bytes a second that an entry spends on agents
+            besides requests: on heartbeats, and in a fleet of more than 64
+            targets on new connections and on asking what agents hold.
         max_frame_bytes: The largest frame accepted.
         high_water_mark: Frames queued for one peer before sends fail.
         curve_secret_key_file: File with this process's key pair, if any.
@@ -112,6 +118,8 @@
     control_heartbeat_ms: Annotated[int, pydantic.Field(ge=0, le=4_000)] = 0
     call_timeout_ms: PositiveMs = 2_000
     idle_close_ms: PositiveMs = 30_000
+    agent_idle_close_ms: PositiveMs = 300_000
+    control_bytes_per_s: Annotated[int, pydantic.Field(ge=1_000)] = 4_800
     max_frame_bytes: Annotated[int, pydantic.Field(ge=65_536)] = 8_388_608
     high_water_mark: Annotated[int, pydantic.Field(ge=10)] = 1_000
     curve_secret_key_file: str = ""
--- a/src/lycheering/wire/api.py
+++ b/src/lycheering/wire/api.py
@@ -201,6 +201,10 @@
     ) -> None:
         """Handles one frame; the session's next one waits meanwhile."""
 
+    def serving(self) -> set[server.Session]:
+        """Returns the sessions that wait for answers."""
+        return set()
+
     async def closed(self, session: server.Session) -> None:  # noqa: B027
         """Learns that a peer left or went silent."""
 
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -21,9 +21,11 @@
 
 if TYPE_CHECKING:
     from lycheering.wire import api
+    from lycheering.wire import byte_budget
 
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
+PROBE_HEARTBEATS = 2
 
 _LOG = logs.get("wire")
 
@@ -44,13 +46,30 @@
         last_used_ms: When it was last sent a request.
     """
 
-    def __init__(self, address: api.Address, link: api.Link) -> None:
+    def __init__(
+        self,
+        address: api.Address,
+        link: api.Link,
+        budget: byte_budget.ByteBudget | None = None,
+    ) -> None:
+        """Makes a connection that is not started yet.
+
+        Args:
+            address: Where the peer listens.
+            link: What connections of this process share.
+            budget: What heartbeats may take while nothing is in flight, if
+                that is bounded.
+        """
         self.address = address
         self.peer_incarnation = ""
         self.peer_load = messages.LoadReport()
         self.peer_load_at_ms = 0.0
         self.last_used_ms = link.clock.now_ms()
         self._link = link
+        self._budget = budget
+        self._adapts = False
+        self._heard = asyncio.Event()
+        self._stir = asyncio.Event()
         self._socket: sockets.FrameSocket | None = None
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
@@ -70,8 +89,8 @@
 
     @property
     def silent_ms(self) -> float:
-        """Time since the peer's last frame."""
-        return self._link.clock.now_ms() - self._pace.received_ms
+        """Time that the peer has been silent though it should not be."""
+        return self._pace.quiet_ms
 
     @property
     def idle_heartbeat_ms(self) -> float:
@@ -119,6 +138,29 @@
         except TimeoutError as error:
             raise errors.PeerUnreachableError(self.address.name) from error
 
+    async def probe(self, timeout_ms: float) -> None:
+        """Has a connection replaced whose peer gives no sign of life.
+
+        One that was heard of lately is not asked for any.
+
+        Args:
+            timeout_ms: Time for the sign of life.
+
+        Raises:
+            PeerUnreachableError: If there is no connection.
+        """
+        unheard_ms = self._link.clock.now_ms() - self._pace.received_ms
+        if unheard_ms < PROBE_HEARTBEATS * self._link.settings.heartbeat_ms:
+            return
+        self._pace.expect_answer()
+        self.send(messages.Heartbeat())
+        self._heard.clear()
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                await self._heard.wait()
+        except TimeoutError:
+            self.renew()
+
     def renew(self) -> None:
         """Has a connection that seems silent replaced at once.
 
@@ -135,6 +177,7 @@
         if not self._channel_by_call_id:
             self._pace.expect_answer()
         self._channel_by_call_id[call_id] = channel
+        self._stir.set()
         self.last_used_ms = self._link.clock.now_ms()
         return channel
 
@@ -319,9 +362,11 @@
 
     async def _greet(self, socket: sockets.FrameSocket) -> None:
         identity = self._link.identity
-        wished_ms = 0
+        wished_ms = 0.0
         if self.address.is_control:
             wished_ms = self._link.settings.control_heartbeat_ms
+        elif self._budget is not None:
+            wished_ms = self._budget.heartbeat_ms()
         hello = messages.Hello(
             identity.role, identity.failure_domain, wished_ms
         )
@@ -346,8 +391,9 @@
         self, envelope: messages.Envelope, welcome: messages.Welcome
     ) -> None:
         now_ms = self._link.clock.now_ms()
-        agreed_ms = welcome.heartbeat_ms if self.address.is_control else 0.0
-        self._pace.welcomed(agreed_ms)
+        self._adapts = self._budget is not None and welcome.heartbeat_ms > 0
+        paced = self.address.is_control or self._adapts
+        self._pace.welcomed(welcome.heartbeat_ms if paced else 0.0)
         self._peer_clock_offset_ms = welcome.now_ms - now_ms
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
@@ -366,7 +412,10 @@
         if envelope.sender_incarnation != self.peer_incarnation:
             raise errors.PeerRestartedError(self.address.name)
         self._pace.received()
+        self._heard.set()
         self._accept(envelope)
+        if not self._rests:
+            self._stir.set()
 
     def _decode(self, frame: sockets.Frame) -> messages.Envelope:
         try:
@@ -391,6 +440,7 @@
         if isinstance(message, messages.HeartbeatReply):
             now_ms = self._link.clock.now_ms()
             self._peer_clock_offset_ms = message.now_ms - now_ms
+            self._pace.confirm()
         elif isinstance(message, messages.HelloRequired | messages.Bye):
             raise errors.PeerUnreachableError(self.address.name)
         elif envelope.call_id:
@@ -411,17 +461,46 @@
     async def _watch(self) -> None:
         settings = self._link.settings
         while True:
-            await self._link.clock.sleep(settings.heartbeat_ms / 2)
+            if self._rests:
+                await self._rest()
+            else:
+                await self._link.clock.sleep(settings.heartbeat_ms / 2)
             if self._pace.is_silent():
                 self._link.counters.increment("wire.silent")
                 raise _SilenceError(self.address.name)
             if self._pace.heartbeat_due(busy=self.busy):
                 self._pace.expect_answer()
-                self._send(messages.Heartbeat())
+                self._send(messages.Heartbeat(self._announce_ms()))
+            if self._adapts and self._pace.is_slow and not self.busy:
+                # frames show the views of both, which then need no push
+                continue
             assert self._gate is not None
             for admitted in self._gate.tick():
                 self._dispatch(admitted)
 
+    @property
+    def _rests(self) -> bool:
+        """Whether nothing is due before the next heartbeat."""
+        slow = self._adapts and self._pace.is_slow
+        if not slow or self.busy or self._pace.is_asked:
+            return False
+        return self.peer_revision <= self._link.view.revision()
+
+    async def _rest(self) -> None:
+        self._stir.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pace.rest_ms() / 1_000):
+                await self._stir.wait()
+
+    def _announce_ms(self) -> float:
+        if self._budget is None or not self._adapts or self.busy:
+            return 0.0
+        idle_ms = self._budget.heartbeat_ms()
+        if idle_ms == self._pace.idle_heartbeat_ms:
+            return 0.0
+        self._pace.announce(idle_ms)
+        return idle_ms
+
     async def _await_renewal(self) -> None:
         await self._renewal.wait()
         self._link.counters.increment("wire.renewed")
--- a/src/lycheering/wire/messages/session.py
+++ b/src/lycheering/wire/messages/session.py
@@ -38,7 +38,14 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Asks a peer for a sign of life."""
+    """Asks a peer for a sign of life.
+
+    Attributes:
+        next_ms: Longest time until the sender's next frame while nothing is
+            in flight; 0 if that is as before.
+    """
+
+    next_ms: float = 0.0
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/src/lycheering/wire/pace.py
+++ b/src/lycheering/wire/pace.py
@@ -25,11 +25,33 @@
         self._clock = time
         self._sent_ms = 0.0
         self._asked_ms: float | None = None
+        self._announced_ms: float | None = None
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether few signs of life were agreed for idle times."""
+        return self.idle_heartbeat_ms > self._settings.heartbeat_ms
+
+    @property
+    def is_asked(self) -> bool:
+        """Whether the peer owes a sign of life."""
+        return self._asked_ms is not None
+
+    @property
+    def quiet_ms(self) -> float:
+        """Time that the peer has been silent though it should not be."""
+        now_ms = self._clock.now_ms()
+        since_ms = self.received_ms
+        if self.is_slow:
+            asked_ms = now_ms if self._asked_ms is None else self._asked_ms
+            since_ms = max(since_ms, asked_ms - self._settings.heartbeat_ms)
+        return now_ms - since_ms
 
     def welcomed(self, agreed_ms: float) -> None:
         """Begins anew, with what was agreed for idle times; 0 for nothing."""
         self.received()
         self.sent()
+        self._announced_ms = None
         self.idle_heartbeat_ms = max(agreed_ms, self._settings.heartbeat_ms)
 
     def received(self) -> None:
@@ -52,12 +74,22 @@
         A peer that was agreed to be asked for few signs of life is silent
         only once it is asked for one, by a heartbeat or a call.
         """
-        now_ms = self._clock.now_ms()
-        since_ms = self.received_ms
-        if self.idle_heartbeat_ms > self._settings.heartbeat_ms:
-            asked_ms = now_ms if self._asked_ms is None else self._asked_ms
-            since_ms = max(since_ms, asked_ms - self._settings.heartbeat_ms)
-        return now_ms - since_ms >= self._settings.silence_ms
+        return self.quiet_ms >= self._settings.silence_ms
+
+    def announce(self, idle_heartbeat_ms: float) -> None:
+        """Notes the time between heartbeats that the peer is told."""
+        self._announced_ms = idle_heartbeat_ms
+
+    def confirm(self) -> None:
+        """Puts what was announced in force, once the peer has answered."""
+        if self._announced_ms is not None:
+            self.idle_heartbeat_ms = self._announced_ms
+            self._announced_ms = None
+
+    def rest_ms(self) -> float:
+        """Returns the time until an idle connection needs a heartbeat."""
+        last_ms = min(self.received_ms, self._sent_ms)
+        return max(0.0, last_ms + self.idle_heartbeat_ms - self._clock.now_ms())
 
     def heartbeat_due(self, *, busy: bool) -> bool:
         """Returns whether the peer is asked for a sign of life now.
@@ -72,7 +104,9 @@
         period_ms = self.idle_heartbeat_ms
         if busy or self._asked_ms is not None:
             period_ms = self._settings.heartbeat_ms
-        longest_ms = max(self._settings.silence_ms / 2, self.idle_heartbeat_ms)
+        longest_ms = self._settings.silence_ms / 2
+        if not busy:
+            longest_ms = max(longest_ms, self.idle_heartbeat_ms)
         is_quiet = now_ms - self.received_ms >= period_ms
         return is_quiet or now_ms - self._sent_ms >= longest_ms
 
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -11,6 +11,7 @@
 from lycheering.app import api as app_api
 from lycheering.telemetry import logs
 from lycheering.telemetry import repeats
+from lycheering.wire import byte_budget
 from lycheering.wire import codec
 from lycheering.wire import errors
 from lycheering.wire import messages
@@ -40,7 +41,7 @@
         failure_domain: The failure domain it is in.
         last_received_ms: When its last frame came.
         heartbeat_ms: Time between its heartbeats while it is idle, where
-            that was agreed; 0 elsewhere.
+            that was agreed or told since; 0 elsewhere.
     """
 
     def __init__(
@@ -55,9 +56,15 @@
         self.incarnation = envelope.sender_incarnation
         self.failure_domain = hello.failure_domain
         self.last_received_ms = 0.0
-        self.heartbeat_ms = min(
-            hello.heartbeat_ms, server.link.settings.control_heartbeat_ms
+        # an entry tells its agents anew whenever it goes slower
+        self._adapts = (
+            server.link.identity.role is messages.Role.AGENT
+            and hello.role is messages.Role.ENTRY
         )
+        most_ms = server.link.settings.control_heartbeat_ms
+        if self._adapts:
+            most_ms = byte_budget.MAX_IDLE_HEARTBEAT_MS
+        self.heartbeat_ms = min(hello.heartbeat_ms, most_ms)
         self.inbox: asyncio.Queue[messages.Envelope] = asyncio.Queue(
             MAX_SESSION_FRAMES
         )
@@ -83,10 +90,33 @@
         """
         self._server.send(self, self._routing_id, message, call_id)
 
-    def is_silent(self, now_ms: float) -> bool:
-        """Returns whether the peer is taken for gone."""
+    def heartbeat(self, heartbeat: messages.Heartbeat) -> None:
+        """Learns when to expect the peer's next frame while it is idle."""
+        if self._adapts and heartbeat.next_ms > 0:
+            most_ms = byte_budget.MAX_IDLE_HEARTBEAT_MS
+            self.heartbeat_ms = min(heartbeat.next_ms, most_ms)
+
+    def rests(self, serving: set[Session]) -> bool:
+        """Returns whether the peer may be silent for longer now.
+
+        Args:
+            serving: The sessions that wait for answers.
+        """
+        settings = self._server.link.settings
+        is_slow = self._adapts and self.heartbeat_ms > settings.heartbeat_ms
+        return is_slow and self not in serving
+
+    def is_silent(self, now_ms: float, serving: set[Session]) -> bool:
+        """Returns whether the peer is taken for gone.
+
+        Args:
+            now_ms: The time.
+            serving: The sessions that wait for answers.
+        """
         settings = self._server.link.settings
         slower_ms = max(0.0, self.heartbeat_ms - settings.heartbeat_ms)
+        if self._adapts and self in serving:
+            slower_ms = 0.0
         silent_ms = now_ms - self.last_received_ms
         return silent_ms >= settings.silence_ms + slower_ms
 
@@ -182,8 +212,14 @@
             socket.socket.disable_monitor()
 
     def offer_view(self) -> None:
-        """Hands a changed fleet view to every peer that lacks it."""
+        """Hands a changed fleet view to every peer that lacks it.
+
+        The next frame of one that rests shows what it lacks then.
+        """
+        serving = self._handler.serving()
         for session in list(self.session_by_routing_id.values()):
+            if session.rests(serving):
+                continue
             try:
                 session.gate.offer()
             except errors.PeerUnreachableError:
@@ -271,6 +307,7 @@
         envelope: messages.Envelope,
     ) -> None:
         if isinstance(envelope.message, messages.Heartbeat):
+            session.heartbeat(envelope.message)
             now_ms = self.link.clock.now_ms()
             session.send(messages.HeartbeatReply(now_ms))
             return
@@ -382,11 +419,12 @@
         while True:
             await self.link.clock.sleep(settings.heartbeat_ms)
             now_ms = self.link.clock.now_ms()
+            serving = self._handler.serving()
             for routing_id, session in list(self.session_by_routing_id.items()):
-                if session.is_silent(now_ms):
+                if session.is_silent(now_ms, serving):
                     self.link.counters.increment("wire.silent_session")
                     self._drop(routing_id, "silent")
-                else:
+                elif not session.rests(serving):
                     self._tick(routing_id, session)
 
     def _tick(self, routing_id: bytes, session: Session) -> None:
--- a/src/lycheering/wire/sockets.py
+++ b/src/lycheering/wire/sockets.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 import typing
 
 import zmq
+import zmq.asyncio
 
 from lycheering.wire import errors
 
 if typing.TYPE_CHECKING:
-    import zmq.asyncio
-
     from lycheering.settings import model
 
 RECONNECT_MS = 50
 OVERSIZE_FACTOR = 2
 MAX_FRAMES_PER_READ = 64
+# a connection's own socket, and two that tell when it is lost
+MAX_SOCKETS = 8_192
+FILES_PER_CONNECTION = 4
+FILES_SHARE = 0.5
 
 # plain numbers, since flag arithmetic on enums is slow
 _NOBLOCK = int(zmq.NOBLOCK)
@@ -122,6 +126,22 @@
             self._wake.set()
 
 
+def new_context() -> zmq.asyncio.Context:
+    """Returns a context for a process that connects to many peers."""
+    context = zmq.asyncio.Context()
+    context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
+    return context
+
+
+def most_connections() -> int:
+    """Returns how many connections the limit on open files leaves room for."""
+    files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if files == resource.RLIM_INFINITY:
+        return MAX_SOCKETS // 3
+    most = int(FILES_SHARE * files / FILES_PER_CONNECTION)
+    return min(MAX_SOCKETS // 3, most)
+
+
 def configure(
     socket: zmq.Socket[bytes], settings: model.WireSettings, ip: str
 ) -> None:
@@ -155,4 +175,6 @@
     "FrameSocket",
     "check_size",
     "configure",
+    "most_connections",
+    "new_context",
 ]
--- /dev/null
+++ b/tests/steps/byte_budget_steps.py
@@ -0,0 +1,351 @@
+"""Steps for the bytes that a process spends on agents besides requests."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.entry import cache_inquiries
+from lycheering.fleet import records
+from lycheering.routing import levels
+from lycheering.settings import model
+from lycheering.telemetry import counters
+from lycheering.wire import api
+from lycheering.wire import byte_budget
+from lycheering.wire import messages
+from lycheering.wire import pool
+from lycheering.wire import sockets
+from tests.steps import wire_steps
+from tests.support import wire_ends
+
+
+def new_budget(targets, rate_per_s=4_800):
+    time = clock.ManualClock()
+    settings = model.WireSettings(control_bytes_per_s=rate_per_s)
+    budget = byte_budget.ByteBudget(settings, time)
+    budget.targets = targets
+    return budget, time
+
+
+@given("a byte budget of {rate:d} a second in a fleet of {targets:d} targets")
+def step_budget(context, rate, targets):
+    context.budget, context.time = new_budget(targets, rate)
+
+
+@when("{count:d} connections to agents are open")
+def step_open(context, count):
+    context.budget.connections = count
+
+
+@then("an idle one has a heartbeat each {interval:d} ms")
+def step_interval(context, interval):
+    assert int(context.budget.heartbeat_ms()) == interval
+
+
+@when("{rate:d} requests a second ask {wanted:d} agents each for {time_s:d} s")
+def step_ask_often(context, rate, wanted, time_s):
+    context.asked = []
+    for _ in range(rate * time_s):
+        context.time.advance(clock.MS_PER_S / rate)
+        count = min(wanted, context.budget.asks())
+        context.budget.spend(count, byte_budget.ASK_BYTES)
+        context.asked.append(count)
+
+
+@then("at most {most:d} bytes were spent on asking")
+def step_spent(context, most):
+    spent = sum(context.asked) * byte_budget.ASK_BYTES
+    assert 0 < spent <= most, spent
+
+
+@then("each request asked at least {least:d} agents")
+def step_asked_least(context, least):
+    assert min(context.asked) >= least, context.asked
+
+
+@when("{rate:d} connections a second are made for {time_s:d} s")
+def step_connect_often(context, rate, time_s):
+    for _ in range(rate * time_s):
+        context.time.advance(clock.MS_PER_S / rate)
+        context.budget.spend(1, byte_budget.CONNECT_BYTES)
+
+
+@then("no agent may be asked")
+def step_none_asked(context):
+    assert context.budget.asks() == 0
+
+
+@then("agents may be asked again after {time_s:d} s")
+def step_asked_again(context, time_s):
+    context.time.advance(time_s * clock.MS_PER_S)
+    assert context.budget.asks() > 0
+
+
+class CountingConnection:
+    """A connection that counts what it is asked."""
+
+    def __init__(self, *, connected):
+        self.connected = connected
+        self.asks = 0
+
+    def ask(self, inquiry, timeout_ms):
+        self.asks += 1
+        return mock.Mock(receive=mock.AsyncMock(return_value=None))
+
+
+class CountingPool:
+    """A pool that counts the connections that it makes."""
+
+    def __init__(self, addresses):
+        self.made = 0
+        self.by_address = {
+            address: CountingConnection(connected=True) for address in addresses
+        }
+
+    def known(self, address):
+        return self.by_address.get(address)
+
+    def get(self, address):
+        if address not in self.by_address:
+            self.made += 1
+            self.by_address[address] = CountingConnection(connected=False)
+        return self.by_address[address]
+
+
+@given(
+    "an entry that knows {targets:d} targets and is connected to {count:d} of"
+    " them"
+)
+def step_entry(context, targets, count):
+    context.asked = [
+        records.Target(
+            f"target-{number}",
+            records.TargetKind.ENGINE,
+            "instance",
+            "127.0.0.1",
+            number + 1,
+            "incarnation",
+            "domain-a",
+        )
+        for number in range(6)
+    ]
+    budget, time = new_budget(targets)
+    addresses = [api.agent_address(t) for t in context.asked[:count]]
+    context.targets = types.SimpleNamespace(
+        clock=time,
+        budget=budget,
+        connections=CountingPool(addresses),
+        counters=counters.Counters(),
+        usable=lambda name: True,
+    )
+
+
+@when("it asks {count:d} agents for a request")
+def step_asks(context, count):
+    job = types.SimpleNamespace(
+        levels=levels.Levels(),
+        team="team",
+        priority=5,
+    )
+    asked = context.asked[:count]
+    asyncio.run(cache_inquiries.ask(context.targets, asked, job, 25))
+
+
+@then("it made {made:d} connections and sent {sent:d} inquiries")
+@then("it made no connection and sent {sent:d} inquiries")
+def step_made(context, sent, made=0):
+    found = context.targets.connections
+    assert found.made == made, found.made
+    assert sum(c.asks for c in found.by_address.values()) == sent
+
+
+class FixedBudget:
+    """A budget that allows what it is set to."""
+
+    def __init__(self, interval_ms):
+        self.interval_ms = interval_ms
+        self.connections = 0
+
+    def heartbeat_ms(self):
+        return self.interval_ms
+
+    def spend(self, count, bytes_each):
+        pass
+
+
+@given("an agent's wire end behind a fault proxy")
+def step_agent_end(context):
+    wire_steps.start_server(context, role=messages.Role.AGENT)
+    wire_steps.step_proxy_before(context)
+
+
+@given(
+    "an entry's wire connection with {interval:d} ms between idle heartbeats"
+)
+def step_entry_end(context, interval):
+    context.client = wire_steps.make_peer(
+        context, "client", role=messages.Role.ENTRY
+    )
+    context.budget = FixedBudget(interval)
+
+    async def dial():
+        context.connection = context.client.connect(
+            "server", context.port, budget=context.budget
+        )
+        await context.connection.ready(wire_steps.GIVE_UP_MS)
+
+    wire_steps.run(context, dial())
+
+
+def only_session(context):
+    [session] = context.server.server.session_by_routing_id.values()
+    return session
+
+
+@when("nothing is sent for {time:d} ms")
+def step_nothing_sent(context, time):
+    context.session = only_session(context)
+    context.heard_ms = context.session.last_received_ms
+    wire_steps.run(context, asyncio.sleep(time / clock.MS_PER_S))
+
+
+@then("the agent's wire end heard nothing and keeps the session")
+def step_heard_nothing(context):
+    assert only_session(context) is context.session
+    assert context.session.last_received_ms == context.heard_ms
+
+
+@when("the budget allows {interval:d} ms between idle heartbeats")
+def step_allows(context, interval):
+    context.budget.interval_ms = interval
+
+
+@then("both wire ends follow that")
+def step_follow(context):
+    interval_ms = context.budget.interval_ms
+    session = only_session(context)
+    connection = context.connection
+    done = wire_ends.until(
+        lambda: (
+            session.heartbeat_ms == interval_ms
+            and connection.idle_heartbeat_ms == interval_ms
+        )
+    )
+    wire_steps.run(context, done)
+
+
+@when("the fleet changes at both wire ends")
+def step_fleet_changes(context):
+    async def change():
+        for peer in (context.client, context.server):
+            peer.change(1)
+            peer.server.offer_view()
+
+    wire_steps.run(context, change())
+
+
+@then("no wire end pushed the change")
+def step_not_pushed(context):
+    assert context.connection.peer_revision == 0
+    assert only_session(context).view_revision == 0
+
+
+def probe(context):
+    async def use():
+        await context.connection.probe(100)
+        await context.connection.ready(wire_steps.GIVE_UP_MS)
+
+    wire_steps.run(context, use())
+    return context.client.counters.value_by_name["wire.renewed"]
+
+
+@then("probing the wire connection has it replaced")
+def step_probe_replaces(context):
+    assert probe(context) == 1
+
+
+@then("probing the wire connection keeps it")
+def step_probe_keeps(context):
+    assert probe(context) == 0
+
+
+@when("the agent's wire end serves the session")
+def step_serves(context):
+    context.server.handler.served.add(only_session(context))
+
+
+@when("an entry connects {count:d} times")
+def step_connects(context, count):
+    context.client = wire_steps.make_peer(
+        context, "client", role=messages.Role.ENTRY
+    )
+    budget = FixedBudget(wire_steps.HOUR_MS)
+
+    async def connect():
+        port = context.server.server.port
+        connections = [
+            context.client.connect("server", port, budget=budget)
+            for _ in range(count)
+        ]
+        for connection in connections:
+            await connection.ready(wire_steps.GIVE_UP_MS)
+        # each is watched for its loss after it was ready
+        for connection in connections:
+            await connection.call(messages.StatusFetch())
+
+    wire_steps.run(context, connect())
+
+
+@then("none of its connections was replaced")
+def step_none_replaced(context):
+    assert context.client.counters.value_by_name["wire.replaced"] == 0
+
+
+@given(
+    "a pool of an entry's connections, {agents:d} to agents and 1 to control"
+)
+def step_pool(context, agents):
+    budget, context.time = new_budget(940)
+    link = types.SimpleNamespace(
+        clock=context.time,
+        settings=model.WireSettings(),
+        counters=counters.Counters(),
+    )
+    context.pool = pool.ConnectionPool(link, budget)
+    context.most = 100
+    with mock.patch.object(pool.client.Connection, "start"):
+        for number in range(agents):
+            context.pool.get(api.Address("agent", "127.0.0.1", number + 1))
+        control = api.Address("control", "127.0.0.1", 9, is_control=True)
+        context.pool.get(control)
+
+
+def close_unneeded(context):
+    with mock.patch.object(
+        sockets, "most_connections", return_value=context.most
+    ):
+        asyncio.run(context.pool.close_unneeded())
+
+
+@when("they are unused for {time:d} ms")
+def step_unused(context, time):
+    context.time.advance(time)
+    close_unneeded(context)
+
+
+@when("the limit on open files leaves room for {most:d}")
+def step_room(context, most):
+    context.most = most
+    close_unneeded(context)
+
+
+@then("{count:d} connections to agents are kept")
+def step_kept(context, count):
+    kept = context.pool.connection_by_address
+    assert len(kept) == count, list(kept)
--- a/tests/support/wire_ends.py
+++ b/tests/support/wire_ends.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-import zmq.asyncio
+import zmq
 
 from lycheering import clock
 from lycheering.fleet import changes
@@ -17,6 +17,7 @@
 from lycheering.wire import client
 from lycheering.wire import messages
 from lycheering.wire import server
+from lycheering.wire import sockets
 
 HOST = "127.0.0.1"
 HEARTBEAT_MS = 50
@@ -47,6 +48,7 @@
         self.handled = []
         self.revisions = []
         self.closed_names = []
+        self.served = set()
         self._view = view
 
     async def handle(self, session, envelope):
@@ -55,6 +57,9 @@
         if envelope.call_id:
             session.send(messages.Done(), envelope.call_id)
 
+    def serving(self):
+        return self.served
+
     async def closed(self, session):
         self.closed_names.append(session.name)
 
@@ -72,15 +77,16 @@
         view_revision=0,
         with_teams=True,
         control_heartbeat_ms=0,
+        role=messages.Role.CONTROL,
     ):
-        self.context = zmq.asyncio.Context()
+        self.context = sockets.new_context()
         self.counters = counters.Counters()
         self.view = holder.ViewHolder(with_teams=with_teams)
         for number in range(view_revision):
             self.change(number)
         self.link = api.Link(
             self.context,
-            api.Identity(name, messages.Role.CONTROL, "d1"),
+            api.Identity(name, role, "d1"),
             wire_settings(control_heartbeat_ms=control_heartbeat_ms),
             clock.Clock(),
             self.view,
@@ -102,10 +108,10 @@
         team = records.Team(name, (view.key_digest(name),))
         self.view.fleet.make(changes.TeamPut(team), by_operator=True)
 
-    def connect(self, name, port, *, is_control=False):
+    def connect(self, name, port, *, is_control=False, budget=None):
         """Returns a connection to a port."""
         address = api.Address(name, HOST, port, is_control)
-        connection = client.Connection(address, self.link)
+        connection = client.Connection(address, self.link, budget)
         connection.start()
         self.connections.append(connection)
         return connection
--- /dev/null
+++ b/tests/wire/budget.feature
@@ -0,0 +1,100 @@
+Feature: Bytes that a process spends on agents besides requests
+
+  Scenario Outline: Heartbeats get rarer with the connections: <connections> of <targets>
+    Given a byte budget of 4800 a second in a fleet of <targets> targets
+    When <connections> connections to agents are open
+    Then an idle one has a heartbeat each <interval> ms
+
+    Examples:
+      | targets | connections | interval |
+      | 6       | 6           | 500      |
+      | 64      | 64          | 3480     |
+      | 940     | 100         | 27187    |
+      | 940     | 700         | 190312   |
+      | 940     | 940         | 240000   |
+
+  Scenario: Asking stays within the bytes that are left
+    Given a byte budget of 4800 a second in a fleet of 940 targets
+    When 4 requests a second ask 6 agents each for 60 s
+    Then at most 245760 bytes were spent on asking
+    And each request asked at least 2 agents
+
+  Scenario: Connections that requests need go before asking
+    Given a byte budget of 4800 a second in a fleet of 940 targets
+    When 4 connections a second are made for 60 s
+    Then no agent may be asked
+    And agents may be asked again after 15 s
+
+  Scenario: No connection is made to ask in a large fleet
+    Given an entry that knows 940 targets and is connected to 2 of them
+    When it asks 6 agents for a request
+    Then it made no connection and sent 2 inquiries
+
+  Scenario: Agents are connected to be asked in a small fleet
+    Given an entry that knows 6 targets and is connected to 2 of them
+    When it asks 6 agents for a request
+    Then it made 4 connections and sent 2 inquiries
+
+  Scenario: An idle connection shows as few signs of life as the budget has
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 2000 ms between idle heartbeats
+    When nothing is sent for 1000 ms
+    Then the agent's wire end heard nothing and keeps the session
+
+  Scenario: More connections make heartbeats rarer on those that are there
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 60 ms between idle heartbeats
+    When the budget allows 2000 ms between idle heartbeats
+    Then both wire ends follow that
+    When nothing is sent for 1000 ms
+    Then the agent's wire end heard nothing and keeps the session
+
+  Scenario: A change of the fleet is not pushed to connections that rest
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 2000 ms between idle heartbeats
+    When the fleet changes at both wire ends
+    And nothing is sent for 500 ms
+    Then no wire end pushed the change
+    And the agent's wire end heard nothing and keeps the session
+
+  Scenario: A muted idle connection is replaced before its first use
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 60000 ms between idle heartbeats
+    When nothing is sent for 200 ms
+    And the wire connection is muted for good
+    Then probing the wire connection has it replaced
+    And the wire client can make a call
+
+  Scenario: A live idle connection is kept when it is probed
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 60000 ms between idle heartbeats
+    When nothing is sent for 200 ms
+    Then probing the wire connection keeps it
+
+  Scenario: A request in flight brings the short silence back at the entry
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 60000 ms between idle heartbeats
+    And an open wire channel
+    When the wire connection is muted for good
+    Then the wire channel learns that its connection was replaced
+
+  Scenario: An answer that is waited for brings the short silence back at the agent
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 60000 ms between idle heartbeats
+    When the agent's wire end serves the session
+    And the wire connection is muted for good
+    Then the wire server forgets the muted session
+
+  Scenario: An entry keeps connections to hundreds of agents
+    Given an agent's wire end behind a fault proxy
+    When an entry connects 360 times
+    Then none of its connections was replaced
+
+  Scenario: Connections to agents are kept for longer, and up to a bound
+    Given a pool of an entry's connections, 3 to agents and 1 to control
+    When they are unused for 60000 ms
+    Then 3 connections to agents are kept
+    When the limit on open files leaves room for 2
+    Then 2 connections to agents are kept
+    When they are unused for 600000 ms
+    Then 0 connections to agents are kept
