Measure what idle connections cost, and charge the heartbeats of busy ones

Heartbeats while a request waits for its first token, and probes, come from the same bytes as asking; those on idle connections have their own share.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -22,6 +22,7 @@
     "herd",
     "link_bytes",
     "entry_bytes",
+    "idle_links",
 )
 
 
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -11,6 +11,7 @@
 import zmq
 
 from lycheering.telemetry import logs
+from lycheering.wire import byte_budget
 from lycheering.wire import channels
 from lycheering.wire import codec
 from lycheering.wire import errors
@@ -21,7 +22,6 @@
 
 if TYPE_CHECKING:
     from lycheering.wire import api
-    from lycheering.wire import byte_budget
 
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
@@ -154,6 +154,7 @@
             return
         self._pace.expect_answer()
         self.send(messages.Heartbeat())
+        self._charge_heartbeat()
         self._heard.clear()
         try:
             async with asyncio.timeout(timeout_ms / 1_000):
@@ -471,6 +472,8 @@
             if self._pace.heartbeat_due(busy=self.busy):
                 self._pace.expect_answer()
                 self._send(messages.Heartbeat(self._announce_ms()))
+                if self.busy:
+                    self._charge_heartbeat()
             if self._adapts and self._pace.is_slow and not self.busy:
                 # frames show the views of both, which then need no push
                 continue
@@ -478,6 +481,11 @@
             for admitted in self._gate.tick():
                 self._dispatch(admitted)
 
+    def _charge_heartbeat(self) -> None:
+        # those on idle connections have a share of their own
+        if self._budget is not None:
+            self._budget.spend(1, byte_budget.HEARTBEAT_BYTES)
+
     @property
     def _rests(self) -> bool:
         """Whether nothing is due before the next heartbeat."""
