Compare only the targets that told, in large fleets

Cause: with fewer agents asked than routing.candidates, those that were not asked have no known queue and look idle, so requests leave a target that holds their prefix for one that does not.

Small fleets compare routing.candidates as before.

wire/budget 21 pass; the new scenario failed before.

--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -81,6 +81,10 @@
     if ask_ms and len(asked) > 1:
         seen_by_target = await cache_inquiries.ask(targets, asked, job, ask_ms)
         query = dataclasses.replace(query, seen_by_target=seen_by_target)
+        if targets.budget.is_large and seen_by_target:
+            # one that was not asked would look idle beside those that were
+            compared = min(query.candidates, len(seen_by_target))
+            query = dataclasses.replace(query, candidates=compared)
     try:
         return targets.router.choose(
             job.wanted,
--- a/tests/steps/byte_budget_steps.py
+++ b/tests/steps/byte_budget_steps.py
@@ -14,8 +14,12 @@
 
 from lycheering import clock
 from lycheering.entry import cache_inquiries
+from lycheering.entry import dispatch
+from lycheering.fleet import changes
+from lycheering.fleet import holder
 from lycheering.fleet import records
 from lycheering.routing import levels
+from lycheering.routing import router
 from lycheering.settings import model
 from lycheering.telemetry import counters
 from lycheering.wire import api
@@ -27,6 +31,8 @@
 from tests.steps import wire_steps
 from tests.support import wire_ends
 
+LONG_QUEUE_MS = 60_000
+
 
 def new_budget(targets, rate_per_s=4_800):
     time = clock.ManualClock()
@@ -90,6 +96,19 @@
     assert context.budget.asks() > 0
 
 
+def new_target(number):
+    return records.Target(
+        f"target-{number}",
+        records.TargetKind.ENGINE,
+        "instance",
+        "127.0.0.1",
+        number + 1,
+        "incarnation",
+        "domain-a",
+        model="model",
+    )
+
+
 class CountingConnection:
     """A connection that counts what it is asked."""
 
@@ -126,18 +145,7 @@
     " them"
 )
 def step_entry(context, targets, count):
-    context.asked = [
-        records.Target(
-            f"target-{number}",
-            records.TargetKind.ENGINE,
-            "instance",
-            "127.0.0.1",
-            number + 1,
-            "incarnation",
-            "domain-a",
-        )
-        for number in range(6)
-    ]
+    context.asked = [new_target(number) for number in range(6)]
     budget, time = new_budget(targets)
     addresses = [api.agent_address(t) for t in context.asked[:count]]
     context.targets = types.SimpleNamespace(
@@ -168,6 +176,66 @@
     assert sum(c.asks for c in found.by_address.values()) == sent
 
 
+class ToldConnection(CountingConnection):
+    """A connection to an agent that tells of a long queue."""
+
+    peer_load = messages.LoadReport()
+    peer_load_at_ms = 0.0
+
+    def ask(self, inquiry, timeout_ms):
+        self.asks += 1
+        report = messages.CacheReport(0, LONG_QUEUE_MS, 20.0, 0.0, 0.0)
+        return mock.Mock(receive=mock.AsyncMock(return_value=report))
+
+
+@given(
+    "an entry that is connected to {count:d} engines, each with a long queue"
+)
+def step_engines(context, count):
+    view = holder.ViewHolder()
+    budget, time = new_budget(count)
+    found = CountingPool(())
+    for number in range(count):
+        target = new_target(number)
+        view.fleet.make(changes.TargetPut(target), by_operator=False)
+        address = api.agent_address(target)
+        found.by_address[address] = ToldConnection(connected=True)
+    context.targets = types.SimpleNamespace(
+        clock=time,
+        budget=budget,
+        view=view,
+        router=router.Router(view, time, "domain-a"),
+        connections=found,
+        counters=counters.Counters(),
+        usable=lambda name: True,
+    )
+
+
+@when("it has bytes left to ask {count:d} agents and chooses a target")
+def step_chooses(context, count):
+    budget = context.targets.budget
+    while budget.asks() > count:
+        budget.spend(1, byte_budget.ASK_BYTES)
+    job = mock.Mock(
+        request_id="r1",
+        caller_request_id="",
+        team="team",
+        priority=5,
+        wanted=router.Wanted(model="model"),
+        levels=levels.given("x" * 8_000, [8_000], model="", team="", shared=1),
+    )
+    choice = asyncio.run(dispatch.choose(context.targets, job, 1, []))
+    address = api.agent_address(choice.target)
+    context.chosen = context.targets.connections.by_address[address]
+
+
+@then("it chose one of the {count:d} that it asked")
+def step_chose_asked(context, count):
+    connections = context.targets.connections.by_address.values()
+    assert sum(c.asks for c in connections) == count
+    assert context.chosen.asks == 1
+
+
 class FixedBudget:
     """A budget that allows what it is set to."""
 
--- a/tests/wire/budget.feature
+++ b/tests/wire/budget.feature
@@ -36,6 +36,11 @@
     When it asks 6 agents for a request
     Then it made 4 connections and sent 2 inquiries
 
+  Scenario: In a large fleet only targets that told are compared
+    Given an entry that is connected to 70 engines, each with a long queue
+    When it has bytes left to ask 3 agents and chooses a target
+    Then it chose one of the 3 that it asked
+
   Scenario: An idle connection shows as few signs of life as the budget has
     Given an agent's wire end behind a fault proxy
     And an entry's wire connection with 60000 ms between idle heartbeats
