Take held frames in on connections that rest

Cause: the clock tick that lets held frames go was left out on idle connections with rare heartbeats, at both ends. A call of an entry with a newer view than the agent's stayed held there if the agent got that view from control, until the entry took the connection for silent; at the entry, an answer held until the next frame.

Change: a connection whose gate holds frames, or whose peer has a newer view, does not rest.

--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -474,10 +474,11 @@
                 self._send(messages.Heartbeat(self._announce_ms()))
                 if self.busy:
                     self._charge_heartbeat()
-            if self._adapts and self._pace.is_slow and not self.busy:
-                # frames show the views of both, which then need no push
-                continue
             assert self._gate is not None
+            slow = self._adapts and self._pace.is_slow
+            if slow and not self.busy and not self._gate.is_behind:
+                # the next frame shows what the peer lacks
+                continue
             for admitted in self._gate.tick():
                 self._dispatch(admitted)
 
@@ -492,7 +493,7 @@
         slow = self._adapts and self._pace.is_slow
         if not slow or self.busy or self._pace.is_asked:
             return False
-        return self.peer_revision <= self._link.view.revision()
+        return self._gate is not None and not self._gate.is_behind
 
     async def _rest(self) -> None:
         self._stir.clear()
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -104,7 +104,7 @@
         """
         settings = self._server.link.settings
         is_slow = self._adapts and self.heartbeat_ms > settings.heartbeat_ms
-        return is_slow and self not in serving
+        return is_slow and self not in serving and not self.gate.is_behind
 
     def is_silent(self, now_ms: float, serving: set[Session]) -> bool:
         """Returns whether the peer is taken for gone.
--- a/src/lycheering/wire/view_gate.py
+++ b/src/lycheering/wire/view_gate.py
@@ -52,6 +52,13 @@
         self._ask_at_ms = 0.0
         self._offered = 0
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether frames or the peer's view wait to be taken in."""
+        own = self._view.revision()
+        is_older = self._view.takes_from_peers and self.peer_revision > own
+        return is_older or bool(self._held)
+
     def admit(
         self, envelope: messages.Envelope
     ) -> tuple[messages.Envelope, ...]:
--- a/tests/steps/byte_budget_steps.py
+++ b/tests/steps/byte_budget_steps.py
@@ -321,6 +321,30 @@
     wire_steps.run(context, change())
 
 
+@when("the entry's fleet view is newer and can't be had from the entry")
+def step_newer(context):
+    client_view = context.client.view
+    client_view.changes_since = lambda revision: None
+    context.server.view.next_fetch = lambda *_, **__: None
+    wire_steps.run(context, asyncio.sleep(0))
+    context.client.change(1)
+
+
+@when("a wire call is held back until the agent has that view from elsewhere")
+def step_held_back(context):
+    async def call():
+        held = asyncio.create_task(
+            context.connection.call(messages.StatusFetch())
+        )
+        session = only_session(context)
+        await wire_ends.until(lambda: session.view_revision == 1)
+        assert not context.server.handler.handled
+        context.server.change(1)
+        return await held
+
+    context.reply = wire_steps.run(context, call())
+
+
 @then("no wire end pushed the change")
 def step_not_pushed(context):
     assert context.connection.peer_revision == 0
--- a/tests/wire/budget.feature
+++ b/tests/wire/budget.feature
@@ -63,6 +63,13 @@
     Then no wire end pushed the change
     And the agent's wire end heard nothing and keeps the session
 
+  Scenario: A call of a newer view is handled on a connection that rests
+    Given an agent's wire end behind a fault proxy
+    And an entry's wire connection with 60000 ms between idle heartbeats
+    When the entry's fleet view is newer and can't be had from the entry
+    And a wire call is held back until the agent has that view from elsewhere
+    Then the wire call is done
+
   Scenario: A muted idle connection is replaced before its first use
     Given an agent's wire end behind a fault proxy
     And an entry's wire connection with 60000 ms between idle heartbeats
