--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 from typing import TYPE_CHECKING
 
@@ -12,6 +11,7 @@
 
 from lycheering.telemetry import logs
 from lycheering.wire import byte_budget
+from lycheering.wire import calls
 from lycheering.wire import channels
 from lycheering.wire import codec
 from lycheering.wire import errors
@@ -74,9 +74,7 @@
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
         self._renewal = asyncio.Event()
-        self._channel_by_call_id: dict[int, channels.Channel] = {}
-        self._short_calls: set[channels.Channel] = set()
-        self._call_ids = itertools.count(1)
+        self._calls = calls.Calls()
         self._pace = pace.Pace(link.settings, link.clock)
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -100,7 +98,7 @@
     @property
     def busy(self) -> bool:
         """Whether calls are in flight."""
-        return bool(self._channel_by_call_id)
+        return len(self._calls) > 0
 
     @property
     def peer_revision(self) -> int:
@@ -122,7 +120,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self._end_channels()
+        self._calls.end()
 
     async def ready(self, timeout_ms: float) -> None:
         """Returns once the peer has answered.
@@ -173,20 +171,16 @@
 
     def open(self) -> channels.Channel:
         """Returns a channel for a new call."""
-        call_id = next(self._call_ids)
-        channel = channels.Channel(self, call_id)
-        if not self._channel_by_call_id:
+        if not self.busy:
             self._pace.expect_answer()
-        self._channel_by_call_id[call_id] = channel
+        channel = self._calls.open(self)
         self._stir.set()
         self.last_used_ms = self._link.clock.now_ms()
         return channel
 
     def forget(self, call_id: int) -> None:
         """Drops a channel."""
-        channel = self._channel_by_call_id.pop(call_id, None)
-        if channel is not None:
-            self._short_calls.discard(channel)
+        self._calls.forget(call_id)
 
     async def call(
         self,
@@ -238,7 +232,7 @@
             PeerUnreachableError: If the message was not sent.
         """
         channel = self.open()
-        self._short_calls.add(channel)
+        self._calls.mark_short(channel)
         try:
             channel.send(message, ttl_ms)
         except errors.PeerUnreachableError:
@@ -321,9 +315,7 @@
                 return
             was_ready = self._ready.is_set()
             self._ready.clear()
-            # a short call is not picked up on another connection
-            for channel in list(self._short_calls):
-                channel.put(channels.Lost())
+            self._calls.lose_short()
             if was_ready:
                 backoff_ms = FIRST_BACKOFF_MS
             if self._renewal.is_set():
@@ -334,7 +326,7 @@
             backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
 
     async def _serve(self) -> None:
-        socket = self._make_socket()
+        socket = self._connect()
         self._socket = socket
         self._gate = view_gate.ViewGate(self._link, self._send, asks_teams=True)
         try:
@@ -349,7 +341,7 @@
             self._gate.close()
             socket.close()
 
-    def _make_socket(self) -> sockets.FrameSocket:
+    def _connect(self) -> sockets.FrameSocket:
         socket = zmq.Socket(self._link.context, zmq.DEALER)
         sockets.configure(socket, self._link.settings, self.address.ip)
         socket.setsockopt(zmq.IMMEDIATE, 1)
@@ -361,19 +353,19 @@
             raise
         return sockets.FrameSocket(socket)
 
-    async def _greet(self, socket: sockets.FrameSocket) -> None:
+    def _hello(self) -> messages.Hello:
         identity = self._link.identity
         wished_ms = 0
         if self.address.is_control:
             wished_ms = self._link.settings.control_heartbeat_ms
         elif self._budget is not None:
             wished_ms = round(self._budget.heartbeat_ms())
-        hello = messages.Hello(
-            identity.role, identity.failure_domain, wished_ms
-        )
+        return messages.Hello(identity.role, identity.failure_domain, wished_ms)
+
+    async def _greet(self, socket: sockets.FrameSocket) -> None:
         before = self.peer_incarnation
         self.peer_incarnation = ""
-        data = codec.encode(self._envelope(hello, 0, 0.0))
+        data = codec.encode(self._envelope(self._hello(), 0, 0.0))
         self.peer_incarnation = before
         try:
             async with asyncio.timeout(self._link.settings.silence_ms / 1_000):
@@ -399,9 +391,7 @@
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
         self._accept(envelope)
-        replaced = channels.Replaced(self.peer_incarnation)
-        for channel in list(self._channel_by_call_id.values()):
-            channel.put(replaced)
+        self._calls.replaced(self.peer_incarnation)
 
     async def _read(self, socket: sockets.FrameSocket) -> None:
         while True:
@@ -444,12 +434,10 @@
             self._pace.confirm()
         elif isinstance(message, messages.HelloRequired | messages.Bye):
             raise errors.PeerUnreachableError(self.address.name)
-        elif envelope.call_id:
-            channel = self._channel_by_call_id.get(envelope.call_id)
-            if channel is None:
-                self._link.counters.increment("wire.late_frame")
-                return
-            channel.put(message)
+        elif envelope.call_id and not self._calls.put(
+            envelope.call_id, message
+        ):
+            self._link.counters.increment("wire.late_frame")
 
     async def _monitor(self, socket: sockets.FrameSocket) -> None:
         events = socket.monitor(zmq.EVENT_DISCONNECTED)
@@ -515,10 +503,5 @@
         self._link.counters.increment("wire.renewed")
         raise _SilenceError(self.address.name)
 
-    def _end_channels(self) -> None:
-        for channel in list(self._channel_by_call_id.values()):
-            channel.put(channels.Lost())
-        self._channel_by_call_id.clear()
-
 
 __all__ = ["Connection"]
