--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -10,7 +10,6 @@
 import zmq
 
 from lycheering.telemetry import logs
-from lycheering.wire import byte_budget
 from lycheering.wire import calls
 from lycheering.wire import channels
 from lycheering.wire import codec
@@ -22,6 +21,7 @@
 
 if TYPE_CHECKING:
     from lycheering.wire import api
+    from lycheering.wire import byte_budget
 
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
@@ -66,8 +66,6 @@
         self.peer_load_at_ms = 0.0
         self.last_used_ms = link.clock.now_ms()
         self._link = link
-        self._budget = budget
-        self._adapts = False
         self._heard = asyncio.Event()
         self._stir = asyncio.Event()
         self._socket: sockets.FrameSocket | None = None
@@ -75,7 +73,7 @@
         self._ready = asyncio.Event()
         self._renewal = asyncio.Event()
         self._calls = calls.Calls()
-        self._pace = pace.Pace(link.settings, link.clock)
+        self._pace = pace.Pace(link.settings, link.clock, budget)
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
         self._closing = False
@@ -150,9 +148,7 @@
         unheard_ms = self._link.clock.now_ms() - self._pace.received_ms
         if unheard_ms < PROBE_HEARTBEATS * self._link.settings.heartbeat_ms:
             return
-        self._pace.expect_answer()
-        self.send(messages.Heartbeat())
-        self._charge_heartbeat()
+        self.send(self._pace.heartbeat(busy=True))
         self._heard.clear()
         try:
             async with asyncio.timeout(timeout_ms / 1_000):
@@ -355,11 +351,9 @@
 
     def _hello(self) -> messages.Hello:
         identity = self._link.identity
-        wished_ms = 0
+        wished_ms = self._pace.wish_ms()
         if self.address.is_control:
             wished_ms = self._link.settings.control_heartbeat_ms
-        elif self._budget is not None:
-            wished_ms = round(self._budget.heartbeat_ms())
         return messages.Hello(identity.role, identity.failure_domain, wished_ms)
 
     async def _greet(self, socket: sockets.FrameSocket) -> None:
@@ -384,9 +378,7 @@
         self, envelope: messages.Envelope, welcome: messages.Welcome
     ) -> None:
         now_ms = self._link.clock.now_ms()
-        self._adapts = self._budget is not None and welcome.heartbeat_ms > 0
-        paced = self.address.is_control or self._adapts
-        self._pace.welcomed(welcome.heartbeat_ms if paced else 0.0)
+        self._pace.welcomed(welcome.heartbeat_ms)
         self._peer_clock_offset_ms = welcome.now_ms - now_ms
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
@@ -458,28 +450,19 @@
                 self._link.counters.increment("wire.silent")
                 raise _SilenceError(self.address.name)
             if self._pace.heartbeat_due(busy=self.busy):
-                self._pace.expect_answer()
-                self._send(messages.Heartbeat(self._announce_ms()))
-                if self.busy:
-                    self._charge_heartbeat()
+                self._send(self._pace.heartbeat(busy=self.busy))
             assert self._gate is not None
-            slow = self._adapts and self._pace.is_slow
-            if slow and not self.busy and not self._gate.is_behind:
+            idles = self._pace.idles(busy=self.busy)
+            if idles and not self._gate.is_behind:
                 # the next frame shows what the peer lacks
                 continue
             for admitted in self._gate.tick():
                 self._dispatch(admitted)
 
-    def _charge_heartbeat(self) -> None:
-        # those on idle connections have a share of their own
-        if self._budget is not None:
-            self._budget.spend(1, byte_budget.HEARTBEAT_BYTES)
-
     @property
     def _rests(self) -> bool:
         """Whether nothing is due before the next heartbeat."""
-        slow = self._adapts and self._pace.is_slow
-        if not slow or self.busy or self._pace.is_asked:
+        if self._pace.is_asked or not self._pace.idles(busy=self.busy):
             return False
         return self._gate is not None and not self._gate.is_behind
 
@@ -489,15 +472,6 @@
             async with asyncio.timeout(self._pace.rest_ms() / 1_000):
                 await self._stir.wait()
 
-    def _announce_ms(self) -> int:
-        if self._budget is None or not self._adapts or self.busy:
-            return 0
-        idle_ms = round(self._budget.heartbeat_ms())
-        if idle_ms == self._pace.idle_heartbeat_ms:
-            return 0
-        self._pace.announce(idle_ms)
-        return idle_ms
-
     async def _await_renewal(self) -> None:
         await self._renewal.wait()
         self._link.counters.increment("wire.renewed")
--- a/src/lycheering/wire/pace.py
+++ b/src/lycheering/wire/pace.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from lycheering.wire import byte_budget
+from lycheering.wire import messages
+
 if TYPE_CHECKING:
     from lycheering import clock
     from lycheering.settings import model
@@ -18,11 +21,26 @@
             flight, as agreed with the peer.
     """
 
-    def __init__(self, settings: model.WireSettings, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        settings: model.WireSettings,
+        time: clock.Clock,
+        budget: byte_budget.ByteBudget | None = None,
+    ) -> None:
+        """Makes the pace of a connection that is not there yet.
+
+        Args:
+            settings: The inner protocol's settings.
+            time: The clock.
+            budget: What heartbeats may take while nothing is in flight, if
+                that is bounded.
+        """
         self.received_ms = 0.0
         self.idle_heartbeat_ms: float = settings.heartbeat_ms
         self._settings = settings
         self._clock = time
+        self._budget = budget
+        self._adapts = False
         self._sent_ms = 0.0
         self._asked_ms: float | None = None
         self._announced_ms: float | None = None
@@ -47,8 +65,15 @@
             since_ms = max(since_ms, asked_ms - self._settings.heartbeat_ms)
         return now_ms - since_ms
 
+    def wish_ms(self) -> int:
+        """Returns the time between idle heartbeats to ask an agent for."""
+        if self._budget is None:
+            return 0
+        return round(self._budget.heartbeat_ms())
+
     def welcomed(self, agreed_ms: float) -> None:
         """Begins anew, with what was agreed for idle times; 0 for nothing."""
+        self._adapts = self._budget is not None and agreed_ms > 0
         self.received()
         self.sent()
         self._announced_ms = None
@@ -76,9 +101,35 @@
         """
         return self.quiet_ms >= self._settings.silence_ms
 
-    def announce(self, idle_heartbeat_ms: float) -> None:
-        """Notes the time between heartbeats that the peer is told."""
-        self._announced_ms = idle_heartbeat_ms
+    def idles(self, *, busy: bool) -> bool:
+        """Returns whether few signs of life are needed now.
+
+        Args:
+            busy: Whether calls are in flight.
+        """
+        return self._adapts and self.is_slow and not busy
+
+    def heartbeat(self, *, busy: bool) -> messages.Heartbeat:
+        """Returns a heartbeat to send now.
+
+        Args:
+            busy: Whether calls are in flight, or one waits for the answer.
+        """
+        self.expect_answer()
+        if self._budget is None:
+            return messages.Heartbeat()
+        if busy:
+            # those on idle connections have a share of their own
+            self._budget.spend(1, byte_budget.HEARTBEAT_BYTES)
+            return messages.Heartbeat()
+        return messages.Heartbeat(self._announce())
+
+    def _announce(self) -> int:
+        idle_ms = self.wish_ms()
+        if not self._adapts or idle_ms == self.idle_heartbeat_ms:
+            return 0
+        self._announced_ms = idle_ms
+        return idle_ms
 
     def confirm(self) -> None:
         """Puts what was announced in force, once the peer has answered."""
