--- a/bench/measure.py
+++ b/bench/measure.py
@@ -21,6 +21,8 @@
     "capacity",
     "herd",
     "link_bytes",
+    "entry_bytes",
+    "idle_links",
 )
 
 
--- a/src/lycheering/wire/api.py
+++ b/src/lycheering/wire/api.py
@@ -204,6 +204,10 @@
     def opened(self, session: server.Session) -> None:  # noqa: B027
         """Learns that a peer connected."""
 
+    def serving(self) -> set[server.Session]:
+        """Returns the sessions that wait for answers."""
+        return set()
+
     async def closed(self, session: server.Session) -> None:  # noqa: B027
         """Learns that a peer left or went silent."""
 
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 from typing import TYPE_CHECKING
 
 import zmq
 
 from lycheering.telemetry import logs
+from lycheering.wire import calls
 from lycheering.wire import channels
 from lycheering.wire import codec
 from lycheering.wire import errors
@@ -21,9 +21,11 @@
 
 if TYPE_CHECKING:
     from lycheering.wire import api
+    from lycheering.wire import byte_budget
 
 FIRST_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
+PROBE_HEARTBEATS = 2
 
 _LOG = logs.get("wire")
 
@@ -44,21 +46,34 @@
         last_used_ms: When it was last sent a request.
     """
 
-    def __init__(self, address: api.Address, link: api.Link) -> None:
+    def __init__(
+        self,
+        address: api.Address,
+        link: api.Link,
+        budget: byte_budget.ByteBudget | None = None,
+    ) -> None:
+        """Makes a connection that is not started yet.
+
+        Args:
+            address: Where the peer listens.
+            link: What connections of this process share.
+            budget: What heartbeats may take while nothing is in flight, if
+                that is bounded.
+        """
         self.address = address
         self.peer_incarnation = ""
         self.peer_load = messages.LoadReport()
         self.peer_load_at_ms = 0.0
         self.last_used_ms = link.clock.now_ms()
         self._link = link
+        self._heard = asyncio.Event()
+        self._stir = asyncio.Event()
         self._socket: sockets.FrameSocket | None = None
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
         self._renewal = asyncio.Event()
-        self._channel_by_call_id: dict[int, channels.Channel] = {}
-        self._short_calls: set[channels.Channel] = set()
-        self._call_ids = itertools.count(1)
-        self._pace = pace.Pace(link.settings, link.clock)
+        self._calls = calls.Calls()
+        self._pace = pace.Pace(link.settings, link.clock, budget)
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
         self._closing = False
@@ -70,8 +85,8 @@
 
     @property
     def silent_ms(self) -> float:
-        """Time since the peer's last frame."""
-        return self._link.clock.now_ms() - self._pace.received_ms
+        """Time that the peer has been silent though it should not be."""
+        return self._pace.quiet_ms
 
     @property
     def idle_heartbeat_ms(self) -> float:
@@ -81,7 +96,7 @@
     @property
     def busy(self) -> bool:
         """Whether calls are in flight."""
-        return bool(self._channel_by_call_id)
+        return len(self._calls) > 0
 
     @property
     def peer_revision(self) -> int:
@@ -103,7 +118,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self._end_channels()
+        self._calls.end()
 
     async def ready(self, timeout_ms: float) -> None:
         """Returns once the peer has answered.
@@ -119,6 +134,28 @@
         except TimeoutError as error:
             raise errors.PeerUnreachableError(self.address.name) from error
 
+    async def probe(self, timeout_ms: float) -> None:
+        """Has a connection replaced whose peer gives no sign of life.
+
+        One that was heard of lately is not asked for any.
+
+        Args:
+            timeout_ms: Time for the sign of life.
+
+        Raises:
+            PeerUnreachableError: If there is no connection.
+        """
+        unheard_ms = self._link.clock.now_ms() - self._pace.received_ms
+        if unheard_ms < PROBE_HEARTBEATS * self._link.settings.heartbeat_ms:
+            return
+        self.send(self._pace.heartbeat(busy=True))
+        self._heard.clear()
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                await self._heard.wait()
+        except TimeoutError:
+            self.renew()
+
     def renew(self) -> None:
         """Has a connection that seems silent replaced at once.
 
@@ -130,19 +167,16 @@
 
     def open(self) -> channels.Channel:
         """Returns a channel for a new call."""
-        call_id = next(self._call_ids)
-        channel = channels.Channel(self, call_id)
-        if not self._channel_by_call_id:
+        if not self.busy:
             self._pace.expect_answer()
-        self._channel_by_call_id[call_id] = channel
+        channel = self._calls.open(self)
+        self._stir.set()
         self.last_used_ms = self._link.clock.now_ms()
         return channel
 
     def forget(self, call_id: int) -> None:
         """Drops a channel."""
-        channel = self._channel_by_call_id.pop(call_id, None)
-        if channel is not None:
-            self._short_calls.discard(channel)
+        self._calls.forget(call_id)
 
     async def call(
         self,
@@ -194,7 +228,7 @@
             PeerUnreachableError: If the message was not sent.
         """
         channel = self.open()
-        self._short_calls.add(channel)
+        self._calls.mark_short(channel)
         try:
             channel.send(message, ttl_ms)
         except errors.PeerUnreachableError:
@@ -277,9 +311,7 @@
                 return
             was_ready = self._ready.is_set()
             self._ready.clear()
-            # a short call is not picked up on another connection
-            for channel in list(self._short_calls):
-                channel.put(channels.Lost())
+            self._calls.lose_short()
             if was_ready:
                 backoff_ms = FIRST_BACKOFF_MS
             if self._renewal.is_set():
@@ -290,7 +322,7 @@
             backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
 
     async def _serve(self) -> None:
-        socket = self._make_socket()
+        socket = self._connect()
         self._socket = socket
         self._gate = view_gate.ViewGate(self._link, self._send, asks_teams=True)
         try:
@@ -305,7 +337,7 @@
             self._gate.close()
             socket.close()
 
-    def _make_socket(self) -> sockets.FrameSocket:
+    def _connect(self) -> sockets.FrameSocket:
         socket = zmq.Socket(self._link.context, zmq.DEALER)
         sockets.configure(socket, self._link.settings, self.address.ip)
         socket.setsockopt(zmq.IMMEDIATE, 1)
@@ -317,17 +349,17 @@
             raise
         return sockets.FrameSocket(socket)
 
-    async def _greet(self, socket: sockets.FrameSocket) -> None:
+    def _hello(self) -> messages.Hello:
         identity = self._link.identity
-        wished_ms = 0
+        wished_ms = self._pace.wish_ms()
         if self.address.is_control:
             wished_ms = self._link.settings.control_heartbeat_ms
-        hello = messages.Hello(
-            identity.role, identity.failure_domain, wished_ms
-        )
+        return messages.Hello(identity.role, identity.failure_domain, wished_ms)
+
+    async def _greet(self, socket: sockets.FrameSocket) -> None:
         before = self.peer_incarnation
         self.peer_incarnation = ""
-        data = codec.encode(self._envelope(hello, 0, 0.0))
+        data = codec.encode(self._envelope(self._hello(), 0, 0.0))
         self.peer_incarnation = before
         try:
             async with asyncio.timeout(self._link.settings.silence_ms / 1_000):
@@ -346,15 +378,12 @@
         self, envelope: messages.Envelope, welcome: messages.Welcome
     ) -> None:
         now_ms = self._link.clock.now_ms()
-        agreed_ms = welcome.heartbeat_ms if self.address.is_control else 0.0
-        self._pace.welcomed(agreed_ms)
+        self._pace.welcomed(welcome.heartbeat_ms)
         self._peer_clock_offset_ms = welcome.now_ms - now_ms
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
         self._accept(envelope)
-        replaced = channels.Replaced(self.peer_incarnation)
-        for channel in list(self._channel_by_call_id.values()):
-            channel.put(replaced)
+        self._calls.replaced(self.peer_incarnation)
 
     async def _read(self, socket: sockets.FrameSocket) -> None:
         while True:
@@ -366,7 +395,10 @@
         if envelope.sender_incarnation != self.peer_incarnation:
             raise errors.PeerRestartedError(self.address.name)
         self._pace.received()
+        self._heard.set()
         self._accept(envelope)
+        if not self._rests:
+            self._stir.set()
 
     def _decode(self, frame: sockets.Frame) -> messages.Envelope:
         try:
@@ -391,14 +423,13 @@
         if isinstance(message, messages.HeartbeatReply):
             now_ms = self._link.clock.now_ms()
             self._peer_clock_offset_ms = message.now_ms - now_ms
+            self._pace.confirm()
         elif isinstance(message, messages.HelloRequired | messages.Bye):
             raise errors.PeerUnreachableError(self.address.name)
-        elif envelope.call_id:
-            channel = self._channel_by_call_id.get(envelope.call_id)
-            if channel is None:
-                self._link.counters.increment("wire.late_frame")
-                return
-            channel.put(message)
+        elif envelope.call_id and not self._calls.put(
+            envelope.call_id, message
+        ):
+            self._link.counters.increment("wire.late_frame")
 
     async def _monitor(self, socket: sockets.FrameSocket) -> None:
         events = socket.monitor(zmq.EVENT_DISCONNECTED)
@@ -411,26 +442,40 @@
     async def _watch(self) -> None:
         settings = self._link.settings
         while True:
-            await self._link.clock.sleep(settings.heartbeat_ms / 2)
+            if self._rests:
+                await self._rest()
+            else:
+                await self._link.clock.sleep(settings.heartbeat_ms / 2)
             if self._pace.is_silent():
                 self._link.counters.increment("wire.silent")
                 raise _SilenceError(self.address.name)
             if self._pace.heartbeat_due(busy=self.busy):
-                self._pace.expect_answer()
-                self._send(messages.Heartbeat())
+                self._send(self._pace.heartbeat(busy=self.busy))
             assert self._gate is not None
+            idles = self._pace.idles(busy=self.busy)
+            if idles and not self._gate.is_behind:
+                # the next frame shows what the peer lacks
+                continue
             for admitted in self._gate.tick():
                 self._dispatch(admitted)
 
+    @property
+    def _rests(self) -> bool:
+        """Whether nothing is due before the next heartbeat."""
+        if self._pace.is_asked or not self._pace.idles(busy=self.busy):
+            return False
+        return self._gate is not None and not self._gate.is_behind
+
+    async def _rest(self) -> None:
+        self._stir.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pace.rest_ms() / 1_000):
+                await self._stir.wait()
+
     async def _await_renewal(self) -> None:
         await self._renewal.wait()
         self._link.counters.increment("wire.renewed")
         raise _SilenceError(self.address.name)
 
-    def _end_channels(self) -> None:
-        for channel in list(self._channel_by_call_id.values()):
-            channel.put(channels.Lost())
-        self._channel_by_call_id.clear()
-
 
 __all__ = ["Connection"]
