Compute no prefix where other weights come next

Cause: while weights are replaced, two engines at a time, an entry can't tell an engine that still waits for its load from one that is done. A prefix that moves for a queue's sake is computed on one of the former and lost seconds later. Once an engine has its weights, the agent went on counting levels as held: those just computed for 1 s, and all until the engine's own event came.

Change: an agent tells in its cache report whether its target is to load other weights; the choice reckons what is computed there as computed twice, and does not take it for reuse by a wide prefix. It still serves what it holds. The agent forgets what is held as soon as a load is done.

The hit rate was not measured yet.

--- a/src/lycheering/agent/target_orders.py
+++ b/src/lycheering/agent/target_orders.py
@@ -127,6 +127,8 @@
                 state.load_ended(done)
         if done:
             state.order_done(order)
+        if done and loads:
+            self._context.weights_replaced()
         return reply
 
 
--- a/src/lycheering/cache/held.py
+++ b/src/lycheering/cache/held.py
@@ -67,6 +67,10 @@
         """Learns that the engine computes a prompt's levels no more."""
         self._set_expected(level_keys, 0.0)
 
+    def clear(self) -> None:
+        """Learns that the engine holds nothing any more."""
+        self._level_by_key.clear()
+
     def _set_expected(self, level_keys: Sequence[str], until_ms: float) -> None:
         for key in level_keys:
             level = self._level_by_key.get(key)
--- a/src/lycheering/cache/index.py
+++ b/src/lycheering/cache/index.py
@@ -53,6 +53,16 @@
         self.synced = False
         self._keys = set()
 
+    def clear(self, weights_version: str) -> None:
+        """Forgets all blocks, as other weights are in use.
+
+        Args:
+            weights_version: The weights that blocks belong to from now on.
+        """
+        self._keys = set()
+        self._ages.cleared()
+        self.weights_version = weights_version
+
     def apply(self, event: api.CacheEvent) -> bool:
         """Follows one event.
 
@@ -81,9 +91,7 @@
 
     def _follow(self, event: api.CacheEvent) -> None:
         if event.kind is api.EventKind.CLEARED:
-            self._keys = set()
-            self._ages.cleared()
-            self.weights_version = event.weights_version
+            self.clear(event.weights_version)
         elif event.kind is api.EventKind.EVICTED:
             key = bytes.fromhex(event.block)
             self._keys.discard(key)
--- a/src/lycheering/entry/cache_inquiries.py
+++ b/src/lycheering/entry/cache_inquiries.py
@@ -59,6 +59,7 @@
             report.piece_ms,
             report.life_ms,
             report.prefix_use,
+            report.weights_outdated,
         )
         for name, report in report_by_name.items()
     }
