Work for a caller in the task that awaits it

Cause: before a request left the entry it passed through three tasks, one after another, each begun in a later turn of the event loop; the last one was there only to be cancelled when the caller leaves. Waiting for it took another future, a callback on each side and a gather.

Change: the work runs in the task that awaits it, which the watch on the caller cancels; a cancellation from elsewhere stays one.

--- a/src/lycheering/entry/exchange.py
+++ b/src/lycheering/entry/exchange.py
@@ -203,20 +203,49 @@
         )
 
 
+class _CallerWatch:
+    """Cancels the task that works for a caller once that left.
+
+    Work in a task of its own would begin one turn of the event loop later.
+    """
+
+    def __init__(self, caller: callers.Caller) -> None:
+        self._left = False
+        self._over = False
+        self._task = asyncio.current_task()
+        self._gone = asyncio.create_task(caller.gone())
+        self._gone.add_done_callback(self._end)
+
+    def _end(self, gone: asyncio.Task[None]) -> None:
+        if self._over or gone.cancelled() or self._task is None:
+            return
+        self._left = True
+        self._task.cancel()
+
+    def stop(self) -> bool:
+        """Stops watching.
+
+        Returns:
+            Whether the caller left and nobody else cancelled the task.
+        """
+        self._over = True
+        self._gone.cancel()
+        if not self._left or self._task is None:
+            return False
+        return self._task.uncancel() == 0
+
+
 async def _while_there(
     work: Coroutine[object, object, None], caller: callers.Caller
 ) -> None:
-    running = asyncio.create_task(work)
-    gone = asyncio.create_task(caller.gone())
+    watch = _CallerWatch(caller)
     try:
-        await asyncio.wait({running, gone}, return_when=asyncio.FIRST_COMPLETED)
-        if not running.done():
-            raise callers.CallerGoneError
-        running.result()
-    finally:
-        gone.cancel()
-        running.cancel()
-        await asyncio.gather(running, gone, return_exceptions=True)
+        await work
+    except (Exception, asyncio.CancelledError) as error:
+        if watch.stop():
+            raise callers.CallerGoneError from error
+        raise
+    watch.stop()
 
 
 __all__ = ["Exchanges", "StreamAnswer"]
