--- a/src/lycheering/entry/exchange.py
+++ b/src/lycheering/entry/exchange.py
@@ -114,31 +114,17 @@
             CallerGoneError: If nobody waits for it any more.
         """
         sink = sinks.StreamSink(self._stall_ms)
-        begun = asyncio.create_task(sink.wait_begun())
-        # fails only if the answer did before it began
-        ended: asyncio.Future[sinks.Head] = (
-            asyncio.get_running_loop().create_future()
-        )
         self._tasks.spawn(
-            self._pass_on(job, caller, sink, ended, held.pop_all()),
+            self._pass_on(job, caller, sink, held.pop_all()),
             f"stream:{job.request_id}",
         )
-        try:
-            await asyncio.wait(
-                {begun, ended}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not begun.done():
-                await ended
-            return StreamAnswer(await sink.wait_begun(), sink)
-        finally:
-            begun.cancel()
+        return StreamAnswer(await sink.wait_begun(), sink)
 
     async def _pass_on(
         self,
         job: jobs.Job,
         caller: callers.Caller,
         sink: sinks.StreamSink,
-        ended: asyncio.Future[sinks.Head],
         held: contextlib.ExitStack,
     ) -> None:
         began_ms = self._clock.now_ms()
@@ -147,14 +133,14 @@
                 await _while_there(self._dispatcher.run(job, sink), caller)
                 self._answered(job, began_ms, 200)
             except refusals.RefusalError as error:
-                await self._failed(job, sink, ended, error)
+                await self._failed(job, sink, error)
             except pipe.StalledError:
                 self._left(job)
                 sink.break_off()
             except callers.CallerGoneError as error:
                 self._left(job)
                 sink.abandon()
-                _end(ended, sink, error)
+                sink.fail_begin(error)
             except Exception as error:
                 _LOG.error(
                     "exchange_failed",
@@ -167,21 +153,20 @@
                     "the entry failed",
                     not_run=False,
                 )
-                await self._failed(job, sink, ended, refusal)
+                await self._failed(job, sink, refusal)
             finally:
-                ended.cancel()
+                sink.cancel_begin()
 
     async def _failed(
         self,
         job: jobs.Job,
         sink: sinks.StreamSink,
-        ended: asyncio.Future[sinks.Head],
         error: refusals.RefusalError,
     ) -> None:
         if sink.passed_on:
             self.refused(job.caller_request_id, job.team, error)
             await sink.fail(error)
-        _end(ended, sink, error)
+        sink.fail_begin(error)
 
     def refused(
         self, caller_request_id: str, team: str, error: refusals.RefusalError
@@ -218,27 +203,49 @@
         )
 
 
-def _end(
-    ended: asyncio.Future[sinks.Head], sink: sinks.StreamSink, error: Exception
-) -> None:
-    if not sink.passed_on and not ended.done():
-        ended.set_exception(error)
+class _CallerWatch:
+    """Cancels the task that works for a caller once that left.
+
+    Work in a task of its own would begin one turn of the event loop later.
+    """
+
+    def __init__(self, caller: callers.Caller) -> None:
+        self._left = False
+        self._over = False
+        self._task = asyncio.current_task()
+        self._gone = asyncio.create_task(caller.gone())
+        self._gone.add_done_callback(self._end)
+
+    def _end(self, gone: asyncio.Task[None]) -> None:
+        if self._over or gone.cancelled() or self._task is None:
+            return
+        self._left = True
+        self._task.cancel()
+
+    def stop(self) -> bool:
+        """Stops watching.
+
+        Returns:
+            Whether the caller left and nobody else cancelled the task.
+        """
+        self._over = True
+        self._gone.cancel()
+        if not self._left or self._task is None:
+            return False
+        return self._task.uncancel() == 0
 
 
 async def _while_there(
     work: Coroutine[object, object, None], caller: callers.Caller
 ) -> None:
-    running = asyncio.create_task(work)
-    gone = asyncio.create_task(caller.gone())
+    watch = _CallerWatch(caller)
     try:
-        await asyncio.wait({running, gone}, return_when=asyncio.FIRST_COMPLETED)
-        if not running.done():
-            raise callers.CallerGoneError
-        running.result()
-    finally:
-        gone.cancel()
-        running.cancel()
-        await asyncio.gather(running, gone, return_exceptions=True)
+        await work
+    except (Exception, asyncio.CancelledError) as error:
+        if watch.stop():
+            raise callers.CallerGoneError from error
+        raise
+    watch.stop()
 
 
 __all__ = ["Exchanges", "StreamAnswer"]
