--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -15,6 +15,7 @@
 from lycheering.limits import waits
 
 GIVE_UP_S = 20
+REFUSED_EACH_MS = 500
 
 
 class Requests:
@@ -27,6 +28,7 @@
         self.place_by_number = {}
         self.task_by_number = {}
         self.error_by_number = {}
+        self.use_by_team = {}
         self.count = 0
 
     async def enter(self, team, work_ms, left_ms, priority=10):
@@ -37,6 +39,7 @@
             priority,
             cost.Cost(0.0, work_ms),
             self.clock.now_ms() + left_ms,
+            self.use_by_team.get(team, 0.0),
         )
         try:
             place = self.gate.enter(demand)
@@ -92,6 +95,12 @@
     gate.change_limits(dataclasses.replace(gate.limits, prefill_window=window))
 
 
+@given('entries state that team "{team}" asks for {use:g} of its fair share')
+@when('entries state that team "{team}" asks for {use:g} of its fair share')
+def step_share_use(context, team, use):
+    context.entered.use_by_team[team] = use
+
+
 @when('team "{team}" enters with {work:d} ms of work and {left:d} ms left')
 def step_enter(context, team, work, left):
     entered = context.entered
@@ -107,6 +116,13 @@
         step_enter(context, team, work, left)
 
 
+@when("requests have been refused for {duration:d} ms")
+def step_overloaded(context, duration):
+    for _ in range(duration // REFUSED_EACH_MS):
+        step_enter(context, "other", 0.001, 0)
+        context.entered.clock.advance(REFUSED_EACH_MS)
+
+
 @when("the time that request {number:d} was told passes")
 def step_told_passes(context, number):
     error = context.entered.error_by_number[number]
@@ -196,6 +212,12 @@
     assert abs(found - gap) < 1, found
 
 
+@then("request {number:d} is told to come back after {least:d} ms at least")
+def step_not_before(context, number, least):
+    error = context.entered.error_by_number[number]
+    assert error.retry_after_ms >= least, error.retry_after_ms
+
+
 @when("requests {first:d} to {last:d} end")
 def step_several_end(context, first, last):
     for number in range(first, last + 1):
@@ -229,6 +251,19 @@
     return context.entered.runner.run(wait_ms())
 
 
+def told_ms_of(context, team):
+    async def told_ms():
+        return context.entered.gate.told_wait_ms(10, team)
+
+    return context.entered.runner.run(told_ms())
+
+
+@then('entries are told that team "{team}" waits {expected:d} ms')
+def step_told(context, team, expected):
+    found = told_ms_of(context, team)
+    assert found == expected, found
+
+
 @then("a request of an idle team waits less than the backlog")
 def step_backlog(context):
     wait_ms = wait_ms_of(context, "")
