--- a/tests/support/held_callers.py
+++ b/tests/support/held_callers.py
@@ -29,6 +29,12 @@
         return msgspec.json.encode(body)
 
 
+def fixed(call):
+    """Returns the same call with an answer that is the same in every run."""
+    names = [field.name for field in dataclasses.fields(call)]
+    return FixedCall(**{name: getattr(call, name) for name in names})
+
+
 class HalfWriter:
     """Sends half of the first request, and the rest once a gate opens."""
 
@@ -120,7 +126,8 @@
 
 def may_resend(attempt):
     """Returns whether an order's caller learns more by sending it again."""
-    return bool(attempt.failure) or attempt.error.not_run
+    error = attempt.error
+    return bool(attempt.failure) or error.not_run or bool(error.retry_after_ms)
 
 
 class Callers:
@@ -205,4 +212,4 @@
     ]
 
 
-__all__ = ["Callers", "completions", "orders"]
+__all__ = ["Callers", "completions", "fixed", "orders"]
--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -547,4 +547,4 @@
         yield StruckFleet(started)
 
 
-__all__ = ["PLATFORM_LAG_S", "StruckFleet", "running"]
+__all__ = ["PLATFORM_LAG_S", "SERVICE", "StruckFleet", "do_nothing", "running"]
