Hand whole views over with the changes made since

Cause: a whole view is encoded once for all receivers and kept while fewer than 500 changes follow it. The receiver put it in force as encoded and asked for the changes only afterwards; with the connection lost in between it stayed behind. Ruled out: a peer that was behind itself, as every process had the newer revision 1 s before; the other agent took the same old view at the same time.

Change: the last part of a whole view brings the changes after it, and the receiver puts both in force at once. An encoded view is kept for 200 changes, what one frame carries.

--- a/src/lycheering/fleet/holder.py
+++ b/src/lycheering/fleet/holder.py
@@ -113,7 +113,7 @@
         self._giver = None
         if self._with_teams and not snapshot.has_teams:
             raise errors.MalformedFrameError("whole view without teams")
-        if not self.take(messages.ViewUpdate(snapshot=snapshot)):
+        if not self.take(messages.ViewUpdate(part.later, snapshot)):
             return False
         if self.lacks_teams():
             self.fleet.adopt_teams(snapshot)
--- a/src/lycheering/fleet/source.py
+++ b/src/lycheering/fleet/source.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from lycheering.fleet import changes
 from lycheering.fleet import transfers
 from lycheering.fleet import whole
@@ -60,9 +62,13 @@
             )
         goes_on = encoded.digest == fetch.digest
         part = encoded.part(fetch.part if goes_on else 0)
-        if part.number == part.count - 1:
-            self._slots.finish(peer, now_ms)
-        return part
+        if not part.is_last:
+            return part
+        self._slots.finish(peer, now_ms)
+        # the receiver must not put a view in force that is known to be old
+        later = fleet.changes_since(part.view_revision) or []
+        some = tuple(later[: changes.MAX_CHANGES_PER_FRAME])
+        return msgspec.structs.replace(part, later=some)
 
     def release(self, peer: object) -> None:
         """Forgets a peer whose connection ended."""
--- a/src/lycheering/fleet/whole.py
+++ b/src/lycheering/fleet/whole.py
@@ -7,12 +7,13 @@
 import msgspec
 import xxhash
 
+from lycheering.fleet import changes
 from lycheering.fleet import view
 
 PART_BYTES = 61_440
 MAX_PARTS = 512
-# an encoded view is kept while the changes after it are few
-RENEW_CHANGES = view.RECENT_CHANGES // 2
+# an encoded view is kept while its last part can bring the changes after it
+RENEW_CHANGES = changes.MAX_CHANGES_PER_FRAME
 
 _DECODER = msgspec.msgpack.Decoder(view.ViewSnapshot)
 
@@ -30,6 +31,7 @@
         number: The part's number, from 0.
         count: The number of parts.
         data: The part itself.
+        later: Changes after the whole view, with its last part.
     """
 
     view_revision: int
@@ -37,6 +39,12 @@
     number: int
     count: int
     data: bytes
+    later: tuple[changes.NumberedChange, ...] = ()
+
+    @property
+    def is_last(self) -> bool:
+        """Whether the whole view is complete with it."""
+        return self.number == self.count - 1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/fleet/view.feature
+++ b/tests/fleet/view.feature
@@ -69,6 +69,12 @@
     Then it was encoded once for those with teams and once for the others
     And the whole view without teams is one part
 
+  Scenario: A whole view that was encoded before comes with what changed since
+    Given a fleet view of many parts and two sources of it
+    When a fleet receiver takes the whole view and 3 changes follow
+    And another fleet receiver takes the whole view
+    Then the other fleet receiver put only the newest view in force
+
   Scenario: Whole views leave a few at once, the rest is told when to come back
     Given a fleet view of many parts and two sources of it
     When a herd of fleet receivers asks for the view at once
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -322,6 +322,30 @@
     assert min(context.asked[::2]) > 1
 
 
+@when("a fleet receiver takes the whole view and {count:d} changes follow")
+def step_change_after(context, count):
+    source = context.sources[0]
+    in_loop(lambda: take_all(source, context.receiver))
+    add_teams(source.fleet, count, "later")
+
+
+@when("another fleet receiver takes the whole view")
+def step_other(context):
+    context.other = holder.ViewHolder()
+    context.revisions = []
+    context.other.listen(
+        lambda: context.revisions.append(context.other.revision())
+    )
+    in_loop(lambda: take_all(context.sources[0], context.other))
+
+
+@then("the other fleet receiver put only the newest view in force")
+def step_only_newest(context):
+    source = context.sources[0]
+    assert context.revisions == [source.revision()], context.revisions
+    assert context.other.fleet.snapshot() == source.fleet.snapshot()
+
+
 @when("a herd of fleet receivers asks for the view at once")
 def step_herd(context):
     source = context.sources[0]
