Start calls anew until some are seen at the step that a fault needs

request_crashes 'An engine crashes while requests are at queue' failed once at a load of 35: all nine calls had ended before the polls saw two of them running and one waiting, and the scenario waited for what could not come any more.

--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -194,8 +194,7 @@
             proxy.heal(TO_TARGET, TO_CALLER)
 
     def _at_queue(self):
-        self.start(self.trace())
-        self.wait(
+        self._start_until(
             lambda: (
                 len(self.open_runs(self._busiest())) >= SLOTS
                 and self.some_run(lambda run: not run.weights_version)
@@ -205,8 +204,7 @@
         return do_nothing
 
     def _at_first_token(self):
-        self.start(self.trace())
-        self.wait(
+        self._start_until(
             lambda: self.some_run(
                 lambda run: run.weights_version and not run.tokens_sent
             ),
@@ -215,16 +213,27 @@
         return do_nothing
 
     def _at_stream(self):
-        self.start(self.trace())
-        self.wait(
+        self._start_until(
             lambda: self.some_run(lambda run: run.tokens_sent > TOKENS / 4),
             "a stream",
         )
         return do_nothing
 
+    def _start_until(self, condition, what, new_trace=None):
+        """Starts calls until some are seen at a step.
+
+        On a busy machine all may have ended before they were seen there.
+        """
+
+        def met():
+            if not any(callers.running for callers in self.callers):
+                self.start((new_trace or self.trace)())
+            return condition()
+
+        self.wait(met, what)
+
     def _at_finish(self):
-        self.start(self.trace())
-        self.wait(
+        self._start_until(
             lambda: self.some_run(lambda run: run.tokens_sent > TOKENS / 2),
             "a long stream",
         )
@@ -243,23 +252,20 @@
         if orders:
             self._hold_orders()
         else:
-            self._start_drained(step)
-            self.wait(
-                lambda: self._is_streaming(step), "streams before the drain"
+            self._start_until(
+                self._is_streaming,
+                "streams before the drain",
+                lambda: self._drained_trace(step),
             )
             self.draining = self.busiest()
         return getattr(self, f"_drain_{step}")()
 
-    def _start_drained(self, step):
+    def _drained_trace(self, step):
         if step == "finish":
-            self.start(self.trace(LONG_CALLS, tokens=LONG_TOKENS))
-        else:
-            self.start(self.trace(DRAINED_CALLS))
+            return self.trace(LONG_CALLS, tokens=LONG_TOKENS)
+        return self.trace(DRAINED_CALLS)
 
-    def _is_streaming(self, step):
-        if not any(callers.running for callers in self.callers):
-            # all ended before two were seen to stream at one engine
-            self._start_drained(step)
+    def _is_streaming(self):
         runs = self.open_runs(self._busiest())
         return sum(run.tokens_sent > TOKENS / 4 for run in runs) == SLOTS
 
