Part the steps of the replicated log by what they are about

Elections and leases, and members whose disks are slow or fail, have modules of their own; what member_steps had written again stands once in tests/support/log_group.

--- /dev/null
+++ b/tests/steps/log_disk_steps.py
@@ -0,0 +1,239 @@
+"""Steps for members of the replicated log whose disks are slow or fail."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering.replication import messages
+from lycheering.store import entries
+from tests.support import log_group
+
+
+@given("both followers cannot sync")
+def step_hold_followers(context):
+    context.held = log_group.followers(context)
+    for name in context.held:
+        context.group.hold_syncs(name)
+
+
+@given("the leader cannot sync")
+def step_hold_leader(context):
+    context.held = [log_group.run(context, context.group.leader())]
+    context.group.hold_syncs(context.held[0])
+
+
+@when('the command "{command}" is proposed in the background')
+def step_background(context, command):
+    async def proposed():
+        leader = context.group.log_by_instance[await context.group.leader()]
+        work = leader.propose(command.encode(), log_group.LONG_MS)
+        context.leader = leader
+        context.proposal = asyncio.create_task(work)
+        await asyncio.sleep(0)
+
+    log_group.run(context, proposed())
+
+
+@when("both followers hold it in memory and the leader has synced it")
+def step_in_memory(context):
+    last = context.leader.status().last_index
+    logs = [context.group.log_by_instance[name] for name in context.held]
+
+    def held():
+        in_memory = all(item.status().last_index >= last for item in logs)
+        return in_memory and context.leader.status().synced_index >= last
+
+    log_group.wait(context, held, "the entry in all memories")
+
+
+@then("the proposal is not answered")
+def step_not_answered(context):
+    log_group.run(context, asyncio.sleep(0.05))
+    assert not context.proposal.done()
+
+
+@then("the leader keeps its lease for {count:d} times its length")
+def step_keeps_lease(context, count):
+    term = context.leader.status().term
+    lease_ms = context.group.options.lease_ms
+    log_group.run(context, asyncio.sleep(count * lease_ms / 1_000))
+    assert context.leader.status().term == term
+    assert context.leader.status().role.value == "leader"
+
+
+@when("one follower can sync again")
+def step_release_one(context):
+    context.group.release_syncs(context.held[0])
+
+
+@then("the proposal is answered")
+def step_answered(context):
+    log_group.wait(context, context.proposal.done, "the answer")
+    assert context.proposal.result() == b"4"
+
+
+@given("both followers have synced a command that the leader cannot know of")
+def step_unknown_to_leader(context):
+    context.leader_name = log_group.run(context, context.group.leader())
+    context.held = log_group.followers(context)
+    for name in context.held:
+        link = (name, context.leader_name)
+        context.group.network.cut_links.add(link)
+    step_background(context, "one")
+    context.index = context.leader.status().last_index
+    logs = [context.group.log_by_instance[name] for name in context.held]
+
+    def synced():
+        return all(m.status().synced_index >= context.index for m in logs)
+
+    log_group.wait(context, synced, "the followers to sync the command")
+
+
+@when("the leader is lost while the others cannot sync any more")
+def step_lost_leader(context):
+    async def lost():
+        for name in context.held:
+            context.group.hold_syncs(name)
+        await context.group.stop(context.leader_name)
+        await asyncio.gather(context.proposal, return_exceptions=True)
+
+    log_group.run(context, lost())
+
+
+@when("a new leader knows that a quorum has synced the command")
+def step_knows(context):
+    logs = [context.group.log_by_instance[name] for name in context.held]
+
+    def leader():
+        leading = [m for m in logs if m.status().role.value == "leader"]
+        return leading[0] if leading else None
+
+    def knows():
+        found = leader()
+        if found is None:
+            return False
+        indexes = [m.match_index or 0 for m in found.status().members]
+        return sum(index >= context.index for index in indexes) == 2
+
+    log_group.wait(context, knows, "the new leader to know")
+    context.member = leader()
+
+
+@then("the command is not committed")
+def step_not_committed(context):
+    log_group.run(context, asyncio.sleep(0.05))
+    assert context.member.status().commit_index < context.index
+
+
+@when("the members can sync again")
+def step_release_all(context):
+    for name in context.held:
+        context.group.release_syncs(name)
+
+
+@then("the command is committed")
+def step_committed(context):
+    machine = context.group.machine_by_instance[
+        context.member.status().id.instance
+    ]
+    log_group.wait(context, lambda: b"one" in machine.commands, "the command")
+
+
+@given("a follower cut off that cannot write its hard state")
+def step_hold_hard_state(context):
+    context.other = log_group.run(context, context.group.leader())
+    context.name = log_group.followers(context)[0]
+    context.member = context.group.log_by_instance[context.name]
+    context.group.network.cut(context.name)
+    context.group.hold_hard_state(context.name)
+    context.term = context.member.status().term + 1
+
+
+@when("it hears a leader of a newer term")
+def step_hears(context):
+    hear(context, [])
+
+
+@when("it hears a leader of a newer term with an entry")
+def step_hears_entry(context):
+    index = context.member.status().last_index + 1
+    kind = entries.EntryKind.NO_OPERATION
+    context.added = [entries.Entry(index, context.term, kind, b"")]
+    hear(context, context.added)
+
+
+def hear(context, added):
+    member = context.member
+    ids = {m.id.instance: m.id for m in member.status().members}
+    if "last" not in context:
+        context.last = context.group.store_by_instance[context.name].log.last
+    request = messages.AppendRequest(
+        ids[context.other],
+        ids[context.name],
+        context.term,
+        context.last,
+        0,
+        added,
+    )
+    context.held = context.last.index + len(added)
+    context.reply = log_group.run(context, member.handle(request))
+
+
+@then("it answers without promising any entry")
+def step_promises_nothing(context):
+    assert context.reply.is_matching
+    assert (context.reply.term, context.reply.index) == (context.term, 0)
+
+
+@when("it can write its hard state and hears that leader again")
+def step_hears_again(context):
+    context.group.release_syncs(context.name)
+    saved = context.group.store_by_instance[context.name].hard_state
+    log_group.wait(
+        context, lambda: saved.saved.term == context.term, "the term's write"
+    )
+    hear(context, context.added if "added" in context else [])
+
+
+@then("it has written no entry of that term")
+def step_wrote_nothing(context):
+    log = context.group.store_by_instance[context.name].log
+    log_group.run(context, asyncio.sleep(0.05))
+    assert log.synced_index == context.last.index
+    assert context.reply.index <= context.last.index
+
+
+@then("it promises the entries that it holds")
+def step_promises(context):
+    assert context.reply.index == context.held > 0
+
+
+@when("the leader's disk fails")
+def step_disk_fails(context):
+    fail_disk(context, log_group.run(context, context.group.leader()))
+
+
+@when("a follower's disk fails")
+def step_follower_disk_fails(context):
+    fail_disk(context, log_group.followers(context)[0])
+
+
+def fail_disk(context, name):
+    context.old = name
+
+    def failing(_):
+        raise OSError("input/output error")
+
+    context.group.store_by_instance[context.old].log._files.write = failing
+
+
+@then("the member with the failed disk reports why")
+def step_reports(context):
+    member = context.group.log_by_instance[context.old]
+    log_group.wait(context, lambda: member.status().failure, "the report")
+    assert "input/output error" in member.status().failure
+    assert member.status().role.value == "follower"
--- a/tests/steps/member_steps.py
+++ b/tests/steps/member_steps.py
@@ -12,21 +12,13 @@
 from lycheering.replication import members
 from lycheering.replication import messages
 from tests.replication import fakes
-from tests.steps import replication_steps
-
-LONG_MS = 30_000
-
-
-def run(context, work):
-    return context.runner.run(work)
-
-
-def wait(context, condition, what):
-    run(context, fakes.wait_for(condition, what))
+from tests.support import log_group
 
 
 def current(context):
-    return context.group.log_by_instance[run(context, context.group.leader())]
+    return context.group.log_by_instance[
+        log_group.run(context, context.group.leader())
+    ]
 
 
 def id_of(context, name):
@@ -35,7 +27,7 @@
 
 
 def lose(context, name):
-    run(context, context.group.stop(name))
+    log_group.run(context, context.group.stop(name))
     context.group.lose_disk(name)
 
 
@@ -44,35 +36,37 @@
         return context.group.start(name)
 
     context.group.network.records = True
-    return run(context, started())
+    return log_group.run(context, started())
 
 
 @when("a follower loses its disk and starts again")
 def step_lose_follower(context):
-    context.name, context.rest = replication_steps.followers(context)
+    context.name, context.rest = log_group.followers(context)
     context.old_id = id_of(context, context.name)
-    context.leader_name = run(context, context.group.leader())
+    context.leader_name = log_group.run(context, context.group.leader())
     lose(context, context.name)
     start(context, context.name)
 
 
 @when("the other follower is stopped")
 def step_stop_rest(context):
-    run(context, context.group.stop(context.rest))
+    log_group.run(context, context.group.stop(context.rest))
 
 
 @then("the leader loses its lease and is not elected in {count:d} more tries")
 def step_no_quorum(context, count):
     network = context.group.network
     member = context.group.log_by_instance[context.leader_name]
-    wait(context, lambda: not context.group.leaders(), "the lease's end")
+    log_group.wait(
+        context, lambda: not context.group.leaders(), "the lease's end"
+    )
     network.requests.clear()
 
     def tried():
         asked = network.votes_asked_by(context.leader_name)
         return len(asked) >= 2 * count
 
-    wait(context, tried, "more elections")
+    log_group.wait(context, tried, "more elections")
     assert context.group.leaders() == []
     assert member.status().role.value != "leader"
 
@@ -85,7 +79,7 @@
     assert new_id != context.old_id
     last = context.group.store_by_instance[context.leader_name].log.last
     request = messages.VoteRequest(sender, context.old_id, 1_000, last)
-    reply = run(context, member.handle(request))
+    reply = log_group.run(context, member.handle(request))
     assert reply == messages.RefusedReply(new_id, "another disk")
 
 
@@ -99,9 +93,9 @@
 @when("the {name} loses its disk for good")
 def step_lose(context, name):
     if name == "leader":
-        name = run(context, context.group.leader())
+        name = log_group.run(context, context.group.leader())
     if name == "member a or b":
-        leader = run(context, context.group.leader())
+        leader = log_group.run(context, context.group.leader())
         name = "a" if leader == "b" else "b"
     if name == "c":
         context.old_id = id_of(context, name)
@@ -123,7 +117,7 @@
         names = [task.get_name() for task in member._core._tasks]
         return "bootstrap" not in names
 
-    wait(context, asked, "the end of the first start")
+    log_group.wait(context, asked, "the end of the first start")
 
 
 def replace_until_done(context, old_id, new):
@@ -135,7 +129,7 @@
             except errors.NotLeaderError:
                 await asyncio.sleep(fakes.POLL_S)
 
-    return run(context, replaced())
+    return log_group.run(context, replaced())
 
 
 @when("member {name} replaces it")
@@ -168,7 +162,7 @@
         lists = [group.machine_by_instance[n].commands for n in group.running()]
         return [len(item) for item in lists] == [commands] * count
 
-    wait(context, all_have, "all commands on the members left")
+    log_group.wait(context, all_have, "all commands on the members left")
 
 
 @then("the members are {names} and all vote")
@@ -185,7 +179,7 @@
 
 @when("member {name}, which cannot sync, is to replace a follower")
 def step_hold_newcomer(context, name):
-    old, context.rest = replication_steps.followers(context)
+    old, context.rest = log_group.followers(context)
     context.old_id = id_of(context, old)
     start(context, name)
     context.group.hold_syncs(name)
@@ -196,8 +190,8 @@
         work = leader.replace(context.old_id, fakes.address(name))
         context.repair = asyncio.create_task(work)
 
-    run(context, begun())
-    wait(
+    log_group.run(context, begun())
+    log_group.wait(
         context,
         lambda: any(m.id.instance == name for m in leader.status().members),
         "the newcomer as a learner",
@@ -227,7 +221,7 @@
             for item in found
         )
 
-    run(context, begun())
+    log_group.run(context, begun())
 
 
 @then("with change {change} the members {alive} are {a_or_no} quorum")
@@ -248,7 +242,7 @@
 
 @when("member {name} is to replace a lost member as soon as another leads")
 def step_replace_at_once(context, name):
-    lost = run(context, context.group.leader())
+    lost = log_group.run(context, context.group.leader())
     context.old_id = id_of(context, lost)
     lose(context, lost)
     start(context, name)
@@ -261,38 +255,42 @@
         work = leads[0].replace(context.old_id, fakes.address(name))
         context.repair = asyncio.create_task(work)
 
-    run(context, begun())
+    log_group.run(context, begun())
 
 
 @when("member {name} has been sent the whole log")
 def step_sent(context, name):
     newcomer = context.group.log_by_instance[name]
     last = current(context).status().last_index
-    wait(context, lambda: newcomer.status().last_index >= last, "the log")
-    run(context, asyncio.sleep(0.1))
+    log_group.wait(
+        context, lambda: newcomer.status().last_index >= last, "the log"
+    )
+    log_group.run(context, asyncio.sleep(0.1))
 
 
 @when("the change is cancelled")
 def step_cancel(context):
-    run(context, current(context).cancel_change())
+    log_group.run(context, current(context).cancel_change())
 
 
 @then("the repair is reported as cancelled")
 def step_cancelled(context):
-    wait(context, context.repair.done, "the repair")
+    log_group.wait(context, context.repair.done, "the repair")
     assert isinstance(context.repair.exception(), errors.MemberChangeError)
 
 
 @when("commands keep coming while member {name} replaces a follower")
 def step_under_load(context, name):
-    old = replication_steps.followers(context)[0]
+    old = log_group.followers(context)[0]
     context.old_id = id_of(context, old)
     start(context, name)
     leader = current(context)
 
     async def load(proposer):
         for number in itertools.count():
-            await leader.propose(f"{proposer}:{number}".encode(), LONG_MS)
+            await leader.propose(
+                f"{proposer}:{number}".encode(), log_group.LONG_MS
+            )
 
     async def replaced():
         tasks = [asyncio.create_task(load(item)) for item in range(32)]
@@ -303,7 +301,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    context.report = run(context, replaced())
+    context.report = log_group.run(context, replaced())
 
 
 @then("the repair is not reported as finished")
@@ -336,8 +334,8 @@
             await leader._core.leadership.transfer_to(voter)
         await asyncio.gather(context.repair, return_exceptions=True)
 
-    run(context, transferred())
-    assert run(context, context.group.leader()) == rest
+    log_group.run(context, transferred())
+    assert log_group.run(context, context.group.leader()) == rest
 
 
 @when("the same repair is asked of the new leader")
@@ -348,7 +346,7 @@
 @then("the repair is reported as finished")
 def step_finished(context):
     if "report" not in context:
-        wait(context, context.repair.done, "the repair")
+        log_group.wait(context, context.repair.done, "the repair")
         context.report = context.repair.result()
     report = context.report
     found = {m.id: m for m in current(context).status().members}
@@ -367,7 +365,7 @@
 def step_add(context):
     for name in ("d", "e"):
         start(context, name)
-        run(context, current(context).add(fakes.address(name)))
+        log_group.run(context, current(context).add(fakes.address(name)))
 
 
 @when("member {name} is removed")
@@ -382,15 +380,15 @@
             except errors.NotLeaderError:
                 await asyncio.sleep(fakes.POLL_S)
 
-    run(context, removed())
-    run(context, context.group.stop(name))
+    log_group.run(context, removed())
+    log_group.run(context, context.group.stop(name))
 
 
 @then("adding another member is refused")
 def step_refuse_add(context):
     start(context, "e")
     work = current(context).add(fakes.address("e"))
-    error = replication_steps.refusal(context, work)
+    error = log_group.refusal(context, work)
     assert isinstance(error, errors.MemberChangeError)
 
 
@@ -399,10 +397,11 @@
     other = next(
         member.status().id
         for name, member in context.group.log_by_instance.items()
-        if name not in (context.name, run(context, context.group.leader()))
+        if name
+        not in (context.name, log_group.run(context, context.group.leader()))
     )
     work = current(context).replace(other, fakes.address(context.name))
-    error = replication_steps.refusal(context, work)
+    error = log_group.refusal(context, work)
     assert isinstance(error, errors.MemberChangeError)
 
 
@@ -411,5 +410,5 @@
     start(context, "d")
     unknown = members.MemberId("c", "another disk")
     work = current(context).replace(unknown, fakes.address("d"))
-    error = replication_steps.refusal(context, work)
+    error = log_group.refusal(context, work)
     assert isinstance(error, errors.MemberChangeError)
