Take the registered agent's word where an old one still speaks

Cause: of two incarnations of an agent the one heard last counted for both the report and the sign of life of the target. An agent that was frozen, replaced and woke keeps its sessions, so either one counted, by chance.

Change: reports count from the incarnation that is registered; whether it is heard is asked of all incarnations seen, not of the one heard last.

Test: of two agents of one target, with the replaced one heard later, the registered one's report counts, in either order of the answers. With the choice made by the agent heard last it fails.

--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -11,7 +11,11 @@
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
     from lycheering.control import replica
+    from lycheering.fleet import records
     from lycheering.replication import members
     from lycheering.wire import api as wire_api
     from lycheering.wire import pool
@@ -29,11 +33,14 @@
         peer_by_name: Every live process, as it was heard of last.
         report_by_target: The last report of each target.
         unreachable: Control instances that did not answer.
+        incarnations_by_name: All that is heard of a process; one that
+            another replaced may still speak.
     """
 
     peer_by_name: dict[str, messages.PeerStatus]
     report_by_target: dict[str, messages.TargetReport]
     unreachable: tuple[str, ...]
+    incarnations_by_name: dict[str, set[str]]
 
     def lacking(self, view_revision: int) -> list[str]:
         """Returns the live processes that have a lower view revision."""
@@ -164,9 +171,8 @@
             if reply is None
         )
         answers = [self.own(), *(reply for reply in replies if reply)]
-        peer_by_name = _newest_peers(answers)
-        report_by_target = _last_reports(answers, peer_by_name)
-        return FleetPicture(peer_by_name, report_by_target, unreachable)
+        fleet = self._group.machine.fleet
+        return seen_together(answers, unreachable, fleet.target_by_name)
 
     async def _follow(
         self, other: members.PeerAddress
@@ -197,6 +203,26 @@
         return reply if isinstance(reply, messages.StatusReply) else None
 
 
+def seen_together(
+    answers: list[messages.StatusReply],
+    unreachable: tuple[str, ...],
+    target_by_name: Mapping[str, records.Target],
+) -> FleetPicture:
+    """Returns what some control instances see together.
+
+    Args:
+        answers: What each of them sees.
+        unreachable: Those that did not answer.
+        target_by_name: The registered targets.
+    """
+    return FleetPicture(
+        _newest_peers(answers),
+        _last_reports(answers, target_by_name),
+        unreachable,
+        incarnations_by_name(answers),
+    )
+
+
 def _newest_peers(
     answers: list[messages.StatusReply],
 ) -> dict[str, messages.PeerStatus]:
@@ -208,11 +234,22 @@
     return peer_by_name
 
 
+def incarnations_by_name(
+    answers: Iterable[messages.StatusReply],
+) -> dict[str, set[str]]:
+    """Returns which incarnations of each process are heard."""
+    found: dict[str, set[str]] = {}
+    for answer in answers:
+        for peer in answer.peers:
+            found.setdefault(peer.name, set()).add(peer.incarnation)
+    return found
+
+
 def _last_reports(
     answers: list[messages.StatusReply],
-    peer_by_name: dict[str, messages.PeerStatus],
+    target_by_name: Mapping[str, records.Target],
 ) -> dict[str, messages.TargetReport]:
-    """Returns what each target's present agent reported last, anywhere.
+    """Returns what each target's registered agent reported last, anywhere.
 
     An agent that moved to another control instance keeps its session with
     the one before for a while, and so does its last report there.
@@ -220,8 +257,11 @@
     report_by_target: dict[str, messages.TargetReport] = {}
     for answer in answers:
         for report in answer.reports:
-            agent = peer_by_name.get(report.target)
-            if agent is None or report.agent_incarnation != agent.incarnation:
+            target = target_by_name.get(report.target)
+            if (
+                target is None
+                or target.agent_incarnation != report.agent_incarnation
+            ):
                 continue
             known = report_by_target.get(report.target)
             report_by_target[report.target] = _last(known, report)
@@ -246,4 +286,10 @@
     return min(known, peer, key=lambda status: status.last_heard_ms)
 
 
-__all__ = ["STATUS_TIMEOUT_MS", "FleetPicture", "FleetStatus"]
+__all__ = [
+    "STATUS_TIMEOUT_MS",
+    "FleetPicture",
+    "FleetStatus",
+    "incarnations_by_name",
+    "seen_together",
+]
--- a/src/lycheering/control/target_membership.py
+++ b/src/lycheering/control/target_membership.py
@@ -5,14 +5,13 @@
 from typing import TYPE_CHECKING
 
 from lycheering.control import commands
+from lycheering.control import fleet_status
 from lycheering.membership import api
-from lycheering.wire import messages
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from lycheering.control import fleet_status
     from lycheering.control import replica
     from lycheering.fleet import records
     from lycheering.membership import reconcile
@@ -43,18 +42,17 @@
         self, targets: Iterable[records.Target]
     ) -> Mapping[str, str] | None:
         """Returns which incarnations of some agents are heard anywhere."""
-        heard_here = _agents(self._status.own().peers)
-        if all(
-            heard_here.get(target.name) == target.agent_incarnation
-            for target in targets
-        ):
+        asked = list(targets)
+        own = fleet_status.incarnations_by_name([self._status.own()])
+        heard_here = _heard(asked, own)
+        if len(heard_here) == len(asked):
             return heard_here
         picture = await self._status.follow()
         members = len(self._group.peers())
         answered = members - len(picture.unreachable)
         if answered <= members // 2:
             return None
-        return _agents(picture.peer_by_name.values())
+        return _heard(asked, picture.incarnations_by_name)
 
     async def mark(self, mark: reconcile.Mark) -> None:
         """Commits a mark."""
@@ -63,11 +61,15 @@
         )
 
 
-def _agents(peers: Iterable[messages.PeerStatus]) -> dict[str, str]:
+def _heard(
+    targets: Iterable[records.Target],
+    incarnations_by_name: Mapping[str, set[str]],
+) -> dict[str, str]:
+    """Returns the registered incarnations of those that are heard."""
     return {
-        peer.name: peer.incarnation
-        for peer in peers
-        if peer.role == messages.Role.AGENT
+        target.name: target.agent_incarnation
+        for target in targets
+        if target.agent_incarnation in incarnations_by_name.get(target.name, ())
     }
 
 
--- a/tests/control/status_changes.feature
+++ b/tests/control/status_changes.feature
@@ -14,6 +14,10 @@
     And its status is followed
     Then the answer tells of 2 processes in at most 1000 bytes
 
+  Scenario: An agent that another one replaced does not hide it
+    Given two agents of one target, of which the one replaced was heard later
+    Then the report of the one registered counts, and both are heard
+
   Scenario: An agent that comes home is told of though its state is as before
     Given an instance with 1 entries and 1 agents
     When its status is followed
--- a/tests/control/weights_faults.feature
+++ b/tests/control/weights_faults.feature
@@ -13,6 +13,9 @@
     And at most two loaded at once, under fencing numbers that grow
     And requests that follow meet them
     And requests were answered whole meanwhile
+    When still newer weights are wanted
+    Then every engine comes to serve the weights wanted last
+    And at most two loaded at once, under fencing numbers that grow
 
     Examples:
       | step  |
@@ -30,6 +33,9 @@
     And at most two loaded at once, under fencing numbers that grow
     And requests that follow meet them
     And requests were answered whole meanwhile
+    When still newer weights are wanted
+    Then every engine comes to serve the weights wanted last
+    And at most two loaded at once, under fencing numbers that grow
 
     Examples:
       | step  |
--- a/tests/steps/status_changes_steps.py
+++ b/tests/steps/status_changes_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import types
+
 from behave import given
 from behave import then
 from behave import when
@@ -9,6 +11,7 @@
 from hypothesis import strategies
 import msgspec
 
+from lycheering.control import fleet_status
 from lycheering.control import status_changes
 from lycheering.wire import messages
 
@@ -104,6 +107,32 @@
     follow_all()
 
 
+@given("two agents of one target, of which the one replaced was heard later")
+def step_replaced(context):
+    replaced, registered = Instance(), Instance()
+    replaced.see("engine-1", number=7, weights="old")
+    registered.see("engine-1", number=2, weights="new")
+    (sighting,) = registered.seen.values()
+    long_ago = msgspec.structs.replace(sighting.peers[0], last_heard_ms=6e5)
+    registered.seen["engine-1"] = status_changes.Sighting(
+        (long_ago,), sighting.reports
+    )
+    target = types.SimpleNamespace(agent_incarnation="i2")
+    context.pictures = [
+        fleet_status.seen_together(
+            [one.status() for one in order], (), {"engine-1": target}
+        )
+        for order in ((replaced, registered), (registered, replaced))
+    ]
+
+
+@then("the report of the one registered counts, and both are heard")
+def step_registered(context):
+    for picture in context.pictures:
+        assert picture.report_by_target["engine-1"].weights_version == "new"
+        assert picture.incarnations_by_name["engine-1"] == {"i2", "i7"}
+
+
 @given("an instance with {entries:d} entries and {agents:d} agents")
 def step_instance(context, entries, agents):
     context.instance = Instance()
