Hold the load of weights long enough to be seen

Cause: the strikes need one engine that serves, one that loads, one whose order is on its way and one that waits. The load took 0.8 s; where the test looked later, the next engine was loading, and the state never came.

Change: the weight store of the tests takes a new time for the loads that begin from then on; the second load is given 4 s, and all others their 0.8 s. Nothing is asked for less: the load outlasts the strike now.

--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -36,6 +36,7 @@
         serving.add_route(self.app, "GET", "/versions/{model}", self.versions)
         serving.add_route(self.app, "GET", "/health", self.health)
         serving.add_route(self.app, "GET", "/admin/record", self.record)
+        serving.add_route(self.app, "POST", "/admin/pace", self.set_pace)
 
     async def weights(self, request: blacksheep.Request) -> blacksheep.Response:
         """Answers once the load has had its time."""
@@ -71,6 +72,13 @@
             {"loading": self.loading, "most_at_once": self.most_at_once}
         )
 
+    async def set_pace(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        """Sets how long the loads that begin from now on take."""
+        self.load_ms = float((await request.json())["load_ms"])
+        return serving.json_response({"load_ms": self.load_ms})
+
 
 def main() -> None:
     """Serves one store."""
--- a/tests/steps/weight_strike_steps.py
+++ b/tests/steps/weight_strike_steps.py
@@ -17,6 +17,8 @@
 from tests.support import processes
 
 HELD_MS = 8_000
+LOAD_MS = 800
+SLOW_LOAD_MS = 4_000  # so that the load is still seen on a busy machine
 PROMPTS = 12  # each tells only once what is held of it
 LEVEL_CHARS = 4_000
 LEVELS = 3
@@ -56,13 +58,27 @@
     for name, proxy in proxies.items():
         if name != held:
             proxy.delay(0, fault_proxy.Direction.TO_TARGET)
+    processes.wait_for(
+        lambda: weight_fault_steps.orders(running, context.version),
+        "the first load",
+    )
+    # the first load keeps its time, and the second one takes long
+    set_pace(running, SLOW_LOAD_MS)
+    context.stack.callback(set_pace, running, LOAD_MS)
     context.engine_by_step = processes.wait_for(
         lambda: engines_at(context, held), "an engine at every step"
     )
+    set_pace(running, LOAD_MS)
     assert sorted(context.engine_by_step) == sorted(STEPS)
     assert holds_order(proxies[held])
 
 
+def set_pace(running, load_ms):
+    port = running.group.process_by_name["weight-store"].ready_port()
+    url = f"http://{processes.HOST}:{port}/admin/pace"
+    json_calls.call_json(url, "POST", {"load_ms": load_ms})
+
+
 def holds_order(proxy):
     return proxy.held_bytes >= len(weight_fault_steps.PADDING)
 
