Export a leaving target's hot KV cache, teams' own pieces too

Cause: what a team's own prompts had put into a target's cache was lost when the target left; the others computed it anew. Shared pieces were exported when computed, but never again where that failed, and two exports at a time at most.

Change: a target that is drained or stopped has its engine export the pieces that were used more than once, the hottest first, outermost before those that continue them, where a use saves more than the export takes. kv.leave_export_ms and kv.leave_export_blocks bound it; it runs beside the requests that end. Others look for teams' own pieces for five minutes after a target of their model has left; scope and weights are checked at the agent and at the engine as before. A failed export of a shared piece is tried again with its next use.

Ruled out: exporting team pieces always (doubles what the store holds for what is rarely wanted elsewhere), asking for them always (one look-up more for each request).

Proved: agent/leave_export 11 of 11 (store away, silent, never answering; engine that dies meanwhile; weights that change; time and number bounded; other teams find nothing), agent/kept 6 of 6, agent/drain 9 of 9.

--- a/src/lycheering/agent/context.py
+++ b/src/lycheering/agent/context.py
@@ -12,8 +12,10 @@
 if TYPE_CHECKING:
     from lycheering import clock as clocks
     from lycheering.agent import kept
+    from lycheering.agent import leavers
     from lycheering.agent import orders
     from lycheering.agent import target_state
+    from lycheering.cache import heat as heats
     from lycheering.cache import held as held_levels
     from lycheering.cache import index as indexes
     from lycheering.cache import life
@@ -43,11 +45,13 @@
         state: The target's state.
         index: What the target has cached.
         ages: How long the target keeps it.
+        heat: How often that is used.
         held: What the target has cached, by the levels of prompts.
         cost: What requests cost there.
         admission: The queue.
         desk: Orders that run at most once.
         widths: The demand for each prefix.
+        leavers: Targets of the same model that left.
         mover: Moves kept KV cache in and out.
         order_lock: Held while an order is in flight to a target that
             refuses old fencing numbers.
@@ -63,11 +67,13 @@
     state: target_state.TargetState
     index: indexes.BlockIndex
     ages: life.EvictionAge
+    heat: heats.PieceHeat
     held: held_levels.HeldLevels
     cost: costs.CostModel
     admission: admissions.Admission
     desk: orders.OrderDesk
     widths: widths.WidthMeter
+    leavers: leavers.LeaverWatch
     mover: kept.KeptMover | None = None
     order_lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -12,12 +12,15 @@
 from lycheering.agent import control_link
 from lycheering.agent import departure
 from lycheering.agent import kept
+from lycheering.agent import leave_export
+from lycheering.agent import leavers
 from lycheering.agent import orders
 from lycheering.agent import sessions
 from lycheering.agent import target_orders
 from lycheering.agent import target_state
 from lycheering.app import api as app_api
 from lycheering.cache import feed
+from lycheering.cache import heat
 from lycheering.cache import held
 from lycheering.cache import index as indexes
 from lycheering.cache import life
@@ -145,10 +148,11 @@
             kept_api.HttpKeptStore(agent, settings.wire), clock
         )
         application.add(mover)
+    subject = _subject(settings, agent)
     context = contexts.Context(
         agent,
         settings.wire,
-        _subject(settings, agent),
+        subject,
         clock,
         counters,
         holder,
@@ -156,11 +160,13 @@
         state,
         index,
         ages,
+        heat.PieceHeat(clock),
         held.HeldLevels(index, clock),
         costs.CostModel(),
         admission.Admission(clock),
         orders.OrderDesk(clock, 0.0),
         widths.WidthMeter(clock),
+        leavers.LeaverWatch(holder, clock, subject),
         mover,
     )
     _add_parts(settings, application, context, link)
@@ -180,8 +186,17 @@
     )
     pool = pools.ConnectionPool(link)
     server = servers.Server(link, settings.instance.ip, handler, load)
+    export = None
+    if context.mover is not None:
+        export = leave_export.LeaveExport(context, context.mover)
+        application.add(export)
+        context.holder.listen(context.leavers.view_changed)
     watch = departure.DepartureWatch(
-        context, link.identity, application.stopping, handler.begin_drain
+        context,
+        link.identity,
+        application.stopping,
+        handler.begin_drain,
+        export,
     )
     context.refresh_limits()
     context.holder.listen(watch.view_changed)
--- a/src/lycheering/agent/departure.py
+++ b/src/lycheering/agent/departure.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from lycheering.agent import context as contexts
+    from lycheering.agent import leave_export
     from lycheering.wire import api as wire_api
 
 _LOG = logs.get("departure")
@@ -27,11 +28,13 @@
         identity: wire_api.Identity,
         stopping: asyncio.Event,
         begin_drain: Callable[[], None],
+        export: leave_export.LeaveExport | None = None,
     ) -> None:
         self._context = context
         self._identity = identity
         self._stopping = stopping
         self._begin_drain = begin_drain
+        self._export = export
 
     async def start(self) -> None:
         """Puts what the view says in force."""
@@ -40,6 +43,7 @@
     async def drain(self) -> None:
         """Hands all that waits back, before anything else is waited for."""
         self._begin_drain()
+        self._begin_export()
 
     async def stop(self) -> None:
         """Has nothing to release."""
@@ -59,10 +63,15 @@
         if drained and not context.admission.draining:
             _LOG.event("target_drained")
             context.admission.hand_back()
+            self._begin_export()
         elif not drained and context.admission.draining:
             _LOG.event("target_back")
             context.admission.draining = False
 
+    def _begin_export(self) -> None:
+        if self._export is not None:
+            self._export.begin()
+
     def _is_leaving(self) -> bool:
         fleet = self._context.holder.fleet
         target = fleet.target_by_name.get(self._identity.name)
--- a/src/lycheering/agent/kept.py
+++ b/src/lycheering/agent/kept.py
@@ -21,6 +21,7 @@
 MAX_EXPORTS_AT_ONCE = 2
 FIRST_IMPORT_MS = 10.0
 FIRST_LOOKUP_MS = 5.0
+FIRST_EXPORT_MS = 10.0
 SMOOTHING = 0.2
 
 _LOG = logs.get("kept")
@@ -32,11 +33,13 @@
     Attributes:
         import_ms: Time to import one block.
         lookup_ms: Time to ask the store.
+        export_ms: Time to export one block.
     """
 
     def __init__(self, store: kept_api.KeptStore, clock: clocks.Clock) -> None:
         self.import_ms = FIRST_IMPORT_MS
         self.lookup_ms = FIRST_LOOKUP_MS
+        self.export_ms = FIRST_EXPORT_MS
         self._store = store
         self._clock = clock
         self._exported: collections.OrderedDict[bytes, None] = (
@@ -100,15 +103,41 @@
         while len(self._exported) > MAX_EXPORTED_KEYS:
             self._exported.popitem(last=False)
         self._exports += 1
-        self._tasks.spawn(self._export(new), "kept:export")
+        self._tasks.spawn(self._keep(new), "kept:export")
 
-    async def _export(self, keys: Sequence[bytes]) -> None:
+    async def _keep(self, keys: Sequence[bytes]) -> None:
         try:
-            await self._store.export(keys)
+            await self._export(keys)
         except targets_api.TargetError as error:
             _LOG.warning("export_failed", detail=str(error))
+            for key in keys:
+                self._exported.pop(key, None)
         finally:
             self._exports -= 1
 
+    async def absent(
+        self, links: Sequence[pieces.ChainLink], weights_version: str
+    ) -> list[pieces.ChainLink]:
+        """Returns the pieces that the store lacks for the weights.
+
+        Raises:
+            TargetError: If the store can't be asked.
+        """
+        return await self._store.absent(links, weights_version)
+
+    async def export(self, links: Sequence[pieces.ChainLink]) -> None:
+        """Has the engine put pieces into the store now.
+
+        Raises:
+            TargetError: If the engine can't be asked.
+        """
+        await self._export([link.key for link in links])
+
+    async def _export(self, keys: Sequence[bytes]) -> None:
+        began_ms = self._clock.now_ms()
+        await self._store.export(keys)
+        spent_ms = (self._clock.now_ms() - began_ms) / len(keys)
+        self.export_ms += SMOOTHING * (spent_ms - self.export_ms)
+
 
 __all__ = ["KeptMover"]
--- a/src/lycheering/agent/kept_prompts.py
+++ b/src/lycheering/agent/kept_prompts.py
@@ -30,9 +30,11 @@
     prompt = requests.cut_prompt(context, submit)
     links = prompt.links(submit.model, version)
     cached = context.index.matched_count(link.key for link in links)
-    # only shared pieces are ever put into the store
-    salt = pieces.shared_salt(submit.model)
-    missing = [link for link in links[cached:] if link.salt == salt]
+    missing = list(links[cached:])
+    if not context.leavers.recent:
+        # pieces of teams are put into the store by targets that leave only
+        salt = pieces.shared_salt(submit.model)
+        missing = [link for link in missing if link.salt == salt]
     count = await mover.bring(missing, version, context.cost.piece_ms)
     if count:
         context.counters.increment("kept.imported", count)
--- /dev/null
+++ b/src/lycheering/agent/leave_export.py
@@ -0,0 +1,111 @@
+"""Has the engine of a leaving target export what others will need."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.targets import api as targets_api
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lycheering.agent import context as contexts
+    from lycheering.agent import kept
+    from lycheering.cache import pieces
+
+BLOCKS_PER_EXPORT = 16
+
+_LOG = logs.get("leave_export")
+
+
+class LeaveExport(app_api.Part):
+    """Exports a leaving target's hot pieces, within a time and a number.
+
+    Attributes:
+        exported: Pieces that the store got from the last export.
+    """
+
+    def __init__(
+        self, context: contexts.Context, mover: kept.KeptMover
+    ) -> None:
+        self.exported = 0
+        self._context = context
+        self._mover = mover
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begins with nothing."""
+
+    def begin(self) -> None:
+        """Begins to export, unless that is under way."""
+        context = self._context
+        fleet = context.holder.fleet
+        limit_ms = fleet.integer("kv.leave_export_ms", context.subject)
+        under_way = self._task is not None and not self._task.done()
+        if under_way or not limit_ms:
+            return
+        blocks = fleet.integer("kv.leave_export_blocks", context.subject)
+        self._task = asyncio.create_task(
+            self._run(limit_ms, blocks), name="agent:leave_export"
+        )
+
+    async def drain(self) -> None:
+        """Returns once the export has ended, which it does in its time."""
+        if self._task is not None:
+            await asyncio.wait([self._task])
+
+    async def stop(self) -> None:
+        """Ends the export."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self, limit_ms: float, blocks: int) -> None:
+        self.exported = 0
+        failure = ""
+        try:
+            async with asyncio.timeout(limit_ms / 1_000):
+                await self._export_all(self._wanted()[:blocks])
+        except TimeoutError:
+            failure = "time is up"
+        except targets_api.TargetError as error:
+            failure = str(error)
+        if failure:
+            self._context.counters.increment("kept.leave_export_failed")
+        _LOG.event("ended", exported=self.exported, failure=failure)
+
+    def _wanted(self) -> list[pieces.ChainLink]:
+        """Returns cached pieces that save more than their export takes."""
+        context = self._context
+        mover = self._mover
+        gain_ms = context.cost.piece_ms - mover.import_ms
+        if gain_ms <= 0 or not self._is_current():
+            return []
+        # a piece computed for one prompt says nothing of others to come
+        hot = context.heat.hottest(1.0 + mover.export_ms / gain_ms)
+        links = [use.link for use in hot]
+        return [x for x in links if context.index.matched_count((x.key,))]
+
+    def _is_current(self) -> bool:
+        context = self._context
+        version = context.state.weights_version
+        return context.index.synced and context.index.weights_version == version
+
+    async def _export_all(self, links: Sequence[pieces.ChainLink]) -> None:
+        version = self._context.index.weights_version
+        for start in range(0, len(links), BLOCKS_PER_EXPORT):
+            part = links[start : start + BLOCKS_PER_EXPORT]
+            absent = await self._mover.absent(part, version)
+            if self._context.index.weights_version != version:
+                # what the engine cached before is gone
+                return
+            if absent:
+                await self._mover.export(absent)
+            self.exported += len(absent)
+            self._context.counters.increment("kept.leave_exported", len(absent))
+
+
+__all__ = ["BLOCKS_PER_EXPORT", "LeaveExport"]
--- /dev/null
+++ b/src/lycheering/agent/leavers.py
@@ -0,0 +1,68 @@
+"""Tells whether targets of the same model left a short time ago."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.fleet import records
+from lycheering.fleet import view
+
+if TYPE_CHECKING:
+    from lycheering import clock as clocks
+    from lycheering.fleet import holder as holders
+
+RECENT_MS = 300_000.0
+
+
+class LeaverWatch:
+    """Follows in the fleet view which targets of one model are leaving.
+
+    What a leaving target exported of teams' own prefixes is wanted at the
+    others for a while, and hardly ever else.
+    """
+
+    def __init__(
+        self,
+        holder: holders.ViewHolder,
+        clock: clocks.Clock,
+        subject: view.Subject,
+    ) -> None:
+        self._holder = holder
+        self._clock = clock
+        self._subject = subject
+        self._leaving: frozenset[str] = frozenset()
+        self._left_ms = float("-inf")
+
+    @property
+    def recent(self) -> bool:
+        """Whether a target left within the time that counts as recent."""
+        return self._clock.now_ms() - self._left_ms < RECENT_MS
+
+    def view_changed(self) -> None:
+        """Takes over who leaves."""
+        fleet = self._holder.fleet
+        leaving = frozenset(
+            target.name
+            for target in fleet.target_by_name.values()
+            if target.model == self._subject.model
+            and target.name != self._subject.target
+            and _is_leaving(fleet, target)
+        )
+        if leaving - self._leaving:
+            self._left_ms = self._clock.now_ms()
+        self._leaving = leaving
+
+
+def _is_leaving(fleet: view.FleetView, target: records.Target) -> bool:
+    if target.state is not records.TargetState.LIVE:
+        return True
+    subject = view.Subject(
+        target=target.name,
+        service=target.service,
+        model=target.model,
+        failure_domain=target.failure_domain,
+    )
+    return fleet.flag("target.drained", subject)
+
+
+__all__ = ["RECENT_MS", "LeaverWatch"]
--- a/src/lycheering/agent/requests.py
+++ b/src/lycheering/agent/requests.py
@@ -38,6 +38,7 @@
     Attributes:
         keys: The keys of its pieces.
         cost: Its expected work.
+        links: The keys of its pieces, with their parents and scopes.
         shared: The leading pieces that teams share, with their keys.
         char_counts: The length of each piece.
         max_tokens: The longest answer that may still come.
@@ -46,6 +47,7 @@
 
     keys: tuple[bytes, ...]
     cost: costs.Cost
+    links: tuple[pieces.ChainLink, ...] = ()
     shared: tuple[pieces.ChainLink, ...] = ()
     char_counts: tuple[int, ...] = ()
     max_tokens: int = 0
@@ -81,7 +83,7 @@
     cost = context.cost.completion(missing, left)
     counts = tuple(len(piece) for piece in prompt.pieces)
     levels = _held_levels(submit.level_ends, counts, keys)
-    return Plan(keys, cost, shared, counts, left, levels)
+    return Plan(keys, cost, links, shared, counts, left, levels)
 
 
 def _held_levels(
--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -315,6 +315,7 @@
             context.cost.learn_prefill(self._sent_ms, now_ms, missing)
             kept_prompts.keep(context, plan, head)
             context.ages.used(plan.keys)
+            context.heat.used(plan.links)
             context.held.computed(self.submit.level_keys)
         self._head_ms = now_ms
         self._heard_ms = now_ms
--- a/src/lycheering/fleet/options.py
+++ b/src/lycheering/fleet/options.py
@@ -190,6 +190,20 @@
         scopes=frozenset({ScopeKind.SERVICE}),
     ),
     Option("kv.import", True, "whether kept KV cache is imported"),
+    Option(
+        "kv.leave_export_ms",
+        5_000,
+        "ms that a leaving target exports KV cache for; 0 never does",
+        0,
+        60_000,
+    ),
+    Option(
+        "kv.leave_export_blocks",
+        256,
+        "blocks that a leaving target exports",
+        0,
+        100_000,
+    ),
     Option(
         "orders.retention_ms",
         24 * MS_PER_HOUR,
--- a/src/lycheering/targets/kept.py
+++ b/src/lycheering/targets/kept.py
@@ -34,6 +34,16 @@
             TargetError: If the store can't be asked.
         """
 
+    @abc.abstractmethod
+    async def absent(
+        self, links: Sequence[pieces.ChainLink], weights_version: str
+    ) -> list[pieces.ChainLink]:
+        """Returns the pieces that the store lacks for the weights.
+
+        Raises:
+            TargetError: If the store can't be asked.
+        """
+
     @abc.abstractmethod
     async def fetch(
         self, links: Sequence[pieces.ChainLink], weights_version: str
@@ -98,6 +108,20 @@
                 found.append(link)
         return found
 
+    async def absent(
+        self, links: Sequence[pieces.ChainLink], weights_version: str
+    ) -> list[pieces.ChainLink]:
+        """Returns the pieces that the store lacks for the weights."""
+        lacking: list[pieces.ChainLink] = []
+        for start in range(0, len(links), LOOKUPS_AT_ONCE):
+            part = links[start : start + LOOKUPS_AT_ONCE]
+            hits = await asyncio.gather(
+                *(self._has(link, weights_version) for link in part)
+            )
+            pairs = zip(part, hits, strict=True)
+            lacking += [link for link, hit in pairs if not hit]
+        return lacking
+
     async def _has(self, link: pieces.ChainLink, weights_version: str) -> bool:
         request = api.TargetCall(
             "kept", "HEAD", f"/kv/{link.key.hex()}", b"", "application/json"
--- a/tests/agent/kept.feature
+++ b/tests/agent/kept.feature
@@ -22,6 +22,11 @@
     When the same 3 pieces are computed twice
     Then the store gets 3 pieces
 
+  Scenario: A piece that could not be put into the store is put there later
+    Given a mover for a store that has everything
+    When 3 pieces are computed while it fails, and again when it works
+    Then the store gets 3 pieces
+
   Scenario: A store that fails does not fail the request
     Given a mover for a store that has everything
     And the store fails
--- a/tests/steps/kept_steps.py
+++ b/tests/steps/kept_steps.py
@@ -154,10 +154,15 @@
             raise api.NotSentError("store is away")
         return list(links)
 
+    async def absent(self, links, weights_version):
+        return []
+
     async def fetch(self, links, weights_version):
         return len(links)
 
     async def export(self, keys):
+        if self.failing:
+            raise api.NotSentError("engine is away")
         self.exported += keys
 
 
@@ -202,6 +207,20 @@
     asyncio.run(keep_twice())
 
 
+@when("{count:d} pieces are computed while it fails, and again when it works")
+def step_computed_again(context, count):
+    computed = [link(f"{number:02x}") for number in range(count)]
+
+    async def keep_twice():
+        for failing in (True, False):
+            context.store.failing = failing
+            context.mover.keep(computed)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+    asyncio.run(keep_twice())
+
+
 @then("the store gets {count:d} pieces")
 def step_exported(context, count):
     assert len(context.store.exported) == count
--- /dev/null
+++ b/tests/steps/leave_export_steps.py
@@ -0,0 +1,271 @@
+"""Steps for the export of a leaving target's KV cache."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from lycheering.fleet import changes
+from lycheering.fleet import records
+from lycheering.targets import kept as stores
+from lycheering.web import client as web
+from tests.helpers import agent_bench
+
+CHARS = 4_000
+HEAD_CHARS = len("user\n")
+PIECE_MS = 500.0  # so slow that an export pays whatever this machine does
+
+
+class ScriptedStore(stores.KeptStore):
+    """Asks a function what the store lacks, and records exports."""
+
+    def __init__(self, absent):
+        self.exported = []
+        self._absent = absent
+
+    async def find(self, links, weights_version):
+        return []
+
+    async def absent(self, links, weights_version):
+        return await self._absent(list(links))
+
+    async def fetch(self, links, weights_version):
+        return 0
+
+    async def export(self, keys):
+        self.exported += keys
+
+
+@given("an agent with a store that leaves room for {blocks:d} blocks")
+def step_agent(context, blocks):
+    bench = agent_bench.Bench()
+    context.bench = bench
+    context.stack.callback(bench.close)
+    context.store_url = bench.run(bench.start_process("kv_store"))
+    context.store_process = bench._processes[-1]
+    bench.run(
+        bench.start_engine(
+            "--capacity-blocks",
+            str(blocks),
+            "--kv-store",
+            context.store_url,
+            "--import-ms-per-piece",
+            "1",
+        )
+    )
+    context.engine_process = bench._processes[-1]
+    bench.run(bench.start_agent(kv_store_url=context.store_url))
+    bench.run(agent_bench.until(lambda: bench.context.index.synced))
+
+
+def set_default(context, option, value):
+    async def change():
+        context.bench.control.change(changes.DefaultSet(option, value))
+
+    context.bench.run(change())
+    fleet = context.bench.context.holder.fleet
+    subject = context.bench.context.subject
+    context.bench.run(
+        agent_bench.until(lambda: fleet.integer(option, subject) == value)
+    )
+
+
+@given("exports of leaving targets may take {limit:d} ms")
+def step_limit(context, limit):
+    set_default(context, "kv.leave_export_ms", limit)
+
+
+@given("leaving targets may export {count:d} blocks")
+def step_blocks(context, count):
+    set_default(context, "kv.leave_export_blocks", count)
+
+
+def ask(context, team):
+    """Asks for the prompt that all teams share, in the name of one."""
+    bench = context.bench
+    context.asked = getattr(context, "asked", 0) + 1
+    bench.context.cost.piece_ms = PIECE_MS
+    shared, own = context.shape
+    total = (shared + own) * CHARS
+    submit = bench.submit(
+        f"r{context.asked}",
+        "p" * (total - HEAD_CHARS),
+        team=team,
+        level_ends=(shared * CHARS, total),
+        shared_levels=1,
+    )
+    outcome = bench.run(bench.ask(submit))
+    bench.context.cost.piece_ms = PIECE_MS
+    return outcome.started
+
+
+@when(
+    'team "{team}" asks {count:d} times for a prompt of {shared:d} shared and'
+    " {own:d} own pieces"
+)
+@when(
+    'team "{team}" asks {count:d} time for a prompt of {shared:d} shared and'
+    " {own:d} own pieces"
+)
+def step_ask(context, team, count, shared, own):
+    context.shape = (shared, own)
+    for _ in range(count):
+        ask(context, team)
+    # what they computed of shared pieces is kept without a drain
+    wait_stored(context, shared)
+    heat = context.bench.context.heat.hottest(count - 0.5)
+    index = context.bench.context.index
+    context.bench.run(
+        agent_bench.until(
+            lambda: all(index.matched_count((use.link.key,)) for use in heat)
+        )
+    )
+
+
+def wait_stored(context, count):
+    origin = web.Origin.parse(context.store_url)
+
+    async def stored():
+        async with asyncio.timeout(agent_bench.GIVE_UP_S):
+            while True:
+                reply = await web.fetch(
+                    origin, "GET", "/health", timeout_ms=5_000
+                )
+                found = msgspec.json.decode(reply.body)["blocks"]
+                if found == count:
+                    return
+                await asyncio.sleep(agent_bench.POLL_S)
+
+    context.bench.run(stored())
+
+
+@then("{count:d} pieces are in the store")
+def step_stored(context, count):
+    wait_stored(context, count)
+
+
+def bring_back(context):
+    bench = context.bench
+
+    async def back():
+        bench.control.change(changes.ExceptionRemoved("e1"))
+        await agent_bench.until(lambda: not bench.context.admission.draining)
+
+    bench.run(back())
+    # other prompts evict all that the engine holds
+    for number in range(4):
+        submit = bench.submit(
+            f"other-{number}",
+            f"{number}" * (4 * CHARS - HEAD_CHARS),
+            level_ends=(4 * CHARS,),
+            team="other",
+            shared_levels=0,
+        )
+        bench.run(bench.ask(submit))
+    keys = [use.link.key for use in bench.context.heat.hottest(2.0)]
+    index = bench.context.index
+    bench.run(
+        agent_bench.until(
+            lambda: (
+                index.synced
+                and not any(index.matched_count((key,)) for key in keys)
+            )
+        )
+    )
+
+
+@when("the target is back, empty")
+def step_back(context):
+    bring_back(context)
+
+
+@when("the target is back, empty, and another one of its model has left")
+def step_back_and_left(context):
+    bench = context.bench
+    bring_back(context)
+    other = msgspec.structs.replace(
+        bench.control.registered[0],
+        name="target-2",
+        state=records.TargetState.LEAVING,
+    )
+
+    async def leave():
+        bench.control.change(changes.TargetPut(other))
+        await agent_bench.until(lambda: bench.context.leavers.recent)
+
+    bench.run(leave())
+
+
+@then(
+    'team "{one}" finds {found:d} pieces and team "{other}" finds {less:d}'
+    " pieces"
+)
+def step_found(context, one, found, other, less):
+    assert ask(context, one).cached_pieces == found
+    assert ask(context, other).cached_pieces == less
+
+
+async def end(context, process):
+    context.bench._processes.remove(process)
+    process.kill()
+    await process.wait()
+
+
+@when("the store is away")
+def step_store_away(context):
+    context.bench.run(end(context, context.store_process))
+
+
+@when("the engine dies while the store is asked")
+def step_engine_dies(context):
+    async def absent(links):
+        await end(context, context.engine_process)
+        return links
+
+    real = context.bench.context.mover._store
+    script_store(context, absent)
+    context.store.export = real.export
+
+
+@when("the store is silent")
+def step_store_silent(context):
+    context.store_process.send_signal(signal.SIGSTOP)
+    context.stack.callback(context.store_process.send_signal, signal.SIGCONT)
+
+
+def script_store(context, absent):
+    context.store = ScriptedStore(absent)
+    context.bench.context.mover._store = context.store
+
+
+@when("the store never answers")
+def step_never(context):
+    async def absent(links):
+        await asyncio.Event().wait()
+
+    script_store(context, absent)
+
+
+@when("the weights change while the store is asked")
+def step_weights_change(context):
+    async def absent(links):
+        context.bench.context.index.weights_version = "2"
+        return links
+
+    script_store(context, absent)
+
+
+@then("nothing was exported")
+def step_nothing(context):
+    assert context.store.exported == []
+
+
+@then("the export failed")
+def step_failed(context):
+    counted = context.bench.context.counters.value_by_name
+    assert counted["kept.leave_export_failed"] == 1, counted
