--- a/src/lycheering/agent/leave_export.py
+++ b/src/lycheering/agent/leave_export.py
@@ -75,7 +75,7 @@
             failure = str(error)
         if failure:
             self._context.counters.increment("kept.leave_export_failed")
-        _LOG.event("ended", exported=self.exported, failure=failure)
+        _LOG.event("export_ended", exported=self.exported, failure=failure)
 
     def _wanted(self) -> list[pieces.ChainLink]:
         """Returns cached pieces that save more than their export takes."""
