--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from lycheering.agent import checks
 from lycheering.agent import delivery as deliveries
 from lycheering.agent import kept_prompts
 from lycheering.agent import orders
@@ -23,19 +24,10 @@
 
 MAX_RESUMES = 3
 RESUME_PAUSE_MS = 100
-DOWN_RETRY_AFTER_MS = 1_000
-OK_STATUS = 200
-FIRST_SERVER_ERROR = 500
 
 _LOG = logs.get("runs")
 
 
-class WrongWeightsError(targets_api.LostStreamError):
-    """Other weights answered than were promised."""
-
-    reason = messages.Reason.WRONG_WEIGHTS
-
-
 class SlowReaderError(targets_api.LostStreamError):
     """Nobody took the answer for too long."""
 
@@ -86,7 +78,9 @@
                 messages.Reason.BLOCKED, 0, f"order {error} was sent before"
             )
         except targets_api.TargetError as error:
-            ending = self._failed(error.reason, str(error), DOWN_RETRY_AFTER_MS)
+            ending = self._failed(
+                error.reason, str(error), checks.DOWN_RETRY_AFTER_MS
+            )
         except TimeoutError:
             ending = self._failed(messages.Reason.DEADLINE, "past the deadline")
         except asyncio.CancelledError:
@@ -127,7 +121,7 @@
 
     async def _attempt(self) -> messages.Finished:
         context = self._context
-        self._check_acceptable()
+        checks.check_acceptable(context, self.submit)
         plan = requests.make_plan(context, self.submit)
         self._max_tokens = plan.max_tokens
         self._measure_width(plan)
@@ -151,41 +145,6 @@
             if self.delivery.started is None:
                 context.held.not_computed(level_keys)
 
-    def _check_acceptable(self) -> None:
-        context = self._context
-        state = context.state
-        reasons = messages.Reason
-        if self.submit.deadline_ms <= context.clock.now_ms():
-            raise admission.RefusedError(reasons.EXPIRED)
-        if context.admission.draining:
-            raise admission.RefusedError(reasons.DRAINING)
-        if not state.up:
-            raise admission.RefusedError(
-                reasons.TARGET_DOWN, DOWN_RETRY_AFTER_MS
-            )
-        if not context.is_engine:
-            return
-        known = (state.model, *state.adapters)
-        if self.submit.model not in known:
-            raise admission.RefusedError(
-                reasons.WRONG_MODEL, 0.0, f"serves {', '.join(known)}"
-            )
-        self._check_weights()
-
-    def _check_weights(self) -> None:
-        wanted = self.submit.weights_version
-        state = self._context.state
-        if not wanted or (
-            wanted == state.weights_version and not state.loading_version
-        ):
-            return
-        coming = wanted == state.loading_version
-        raise admission.RefusedError(
-            messages.Reason.WRONG_WEIGHTS,
-            state.load_left_ms() if coming else 0.0,
-            f"serves {state.weights_version}",
-        )
-
     def _expect_levels(self, plan: requests.Plan) -> None:
         for level in plan.levels:
             level.expected_until_ms = self.submit.deadline_ms
@@ -231,7 +190,7 @@
                 messages.Reason.EXPIRED, 0.0, "the agent stood still"
             )
         if context.is_engine:
-            self._check_weights()
+            checks.check_weights(context, self.submit)
         if self._order is not None:
             self._order.sending()
         self._incarnation = context.state.incarnation
@@ -301,12 +260,12 @@
         context = self._context
         head = await answer.head(context.wire.silence_ms)
         if renewed:
-            self._check_renewed(head)
+            checks.check_renewed(head, self._incarnation)
         if self.delivery.started is not None:
             return
-        self._check_first(head)
+        checks.check_first(context, self.submit, head)
         now_ms = context.clock.now_ms()
-        if context.is_engine and head.status == OK_STATUS:
+        if context.is_engine and head.status == checks.OK_STATUS:
             self._incarnation = head.incarnation
             context.state.learn_head(head)
             missing = plan.missing_after(
@@ -331,27 +290,6 @@
             )
         )
 
-    def _check_renewed(self, head: targets_api.AnswerHead) -> None:
-        if head.status != OK_STATUS:
-            raise targets_api.LostStreamError(f"resumed: {head.status}")
-        if head.incarnation != self._incarnation:
-            raise targets_api.LostStreamError("another incarnation")
-
-    def _check_first(self, head: targets_api.AnswerHead) -> None:
-        if not self._context.is_engine:
-            return
-        began = self.submit.continue_from > 0
-        if head.status >= FIRST_SERVER_ERROR or (
-            began and head.status != OK_STATUS
-        ):
-            raise targets_api.LostStreamError(f"engine answered {head.status}")
-        wanted = self.submit.weights_version
-        if head.status == OK_STATUS and wanted not in (
-            "",
-            head.weights_version,
-        ):
-            raise WrongWeightsError(f"answered by {head.weights_version}")
-
     async def _read_chunks(self, answer: targets_api.Answer) -> None:
         context = self._context
         first_seq = self.delivery.tail.next_seq
@@ -400,4 +338,4 @@
         )
 
 
-__all__ = ["Run", "SlowReaderError", "WrongWeightsError"]
+__all__ = ["Run", "SlowReaderError"]
