--- a/tests/wire/budget.feature
+++ b/tests/wire/budget.feature
@@ -47,6 +47,11 @@
     When nothing is sent for 1000 ms
     Then the agent's wire end heard nothing and keeps the session
 
+  Scenario: A peer that agrees to nothing gets the short heartbeats
+    Given a wire server
+    And an entry's wire connection with 60000 ms between idle heartbeats
+    Then both wire ends agreed on 0 ms between heartbeats
+
   Scenario: More connections make heartbeats rarer on those that are there
     Given an agent's wire end behind a fault proxy
     And an entry's wire connection with 60 ms between idle heartbeats
