--- /dev/null
+++ b/tests/steps/idle_connection_steps.py
@@ -0,0 +1,178 @@
+"""Steps for idle connections with rare heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.settings import model
+from lycheering.wire import messages
+from lycheering.wire import pace
+from tests.steps import wire_steps
+from tests.support import wire_ends
+
+
+class FixedBudget:
+    """A budget that allows what it is set to."""
+
+    def __init__(self, interval_ms):
+        self.interval_ms = interval_ms
+        self.connections = 0
+
+    def heartbeat_ms(self):
+        return self.interval_ms
+
+    def spend(self, count, bytes_each):
+        pass
+
+
+@given("an agent's wire end behind a fault proxy")
+def step_agent_end(context):
+    wire_steps.start_server(context, role=messages.Role.AGENT)
+    wire_steps.step_proxy_before(context)
+
+
+@given(
+    "an entry's wire connection with {interval:d} ms between idle heartbeats"
+)
+def step_entry_end(context, interval):
+    context.client = wire_steps.make_peer(
+        context, "client", role=messages.Role.ENTRY
+    )
+    context.budget = FixedBudget(interval)
+
+    async def dial():
+        context.connection = context.client.connect(
+            "server", context.port, budget=context.budget
+        )
+        await context.connection.ready(wire_steps.GIVE_UP_MS)
+
+    wire_steps.run(context, dial())
+
+
+def only_session(context):
+    [session] = context.server.server.session_by_routing_id.values()
+    return session
+
+
+@when("nothing is sent for {time:d} ms")
+def step_nothing_sent(context, time):
+    context.session = only_session(context)
+    context.heard_ms = context.session.last_received_ms
+    wire_steps.run(context, asyncio.sleep(time / clock.MS_PER_S))
+
+
+@then("the agent's wire end heard nothing and keeps the session")
+def step_heard_nothing(context):
+    assert only_session(context) is context.session
+    assert context.session.last_received_ms == context.heard_ms
+
+
+@when("the budget allows {interval:d} ms between idle heartbeats")
+def step_allows(context, interval):
+    context.budget.interval_ms = interval
+
+
+@then("both wire ends follow that")
+def step_follow(context):
+    interval_ms = context.budget.interval_ms
+    session = only_session(context)
+    connection = context.connection
+    done = wire_ends.until(
+        lambda: (
+            session.heartbeat_ms == interval_ms
+            and connection.idle_heartbeat_ms == interval_ms
+        )
+    )
+    wire_steps.run(context, done)
+
+
+@when("the fleet changes at both wire ends")
+def step_fleet_changes(context):
+    async def change():
+        for peer in (context.client, context.server):
+            peer.change(1)
+            peer.server.offer_view()
+
+    wire_steps.run(context, change())
+
+
+@when("the entry's fleet view is newer and can't be had from the entry")
+def step_newer(context):
+    client_view = context.client.view
+    client_view.changes_since = lambda revision: None
+    context.server.view.next_fetch = lambda *_, **__: None
+    wire_steps.run(context, asyncio.sleep(0))
+    context.client.change(1)
+
+
+@when("a wire call is held back until the agent has that view from elsewhere")
+def step_held_back(context):
+    async def call():
+        held = asyncio.create_task(
+            context.connection.call(messages.StatusFetch())
+        )
+        session = only_session(context)
+        await wire_ends.until(lambda: session.view_revision == 1)
+        assert not context.server.handler.handled
+        context.server.change(1)
+        return await held
+
+    context.reply = wire_steps.run(context, call())
+
+
+@then("no wire end pushed the change")
+def step_not_pushed(context):
+    assert context.connection.peer_revision == 0
+    assert only_session(context).view_revision == 0
+
+
+@given("the pace of a connection with {interval:d} ms between idle heartbeats")
+def step_pace(context, interval):
+    context.time = clock.ManualClock()
+    context.pace = pace.Pace(model.WireSettings(), context.time)
+    context.pace.welcomed(interval)
+
+
+@when("a call begins after {time:d} ms")
+def step_call_begins(context, time):
+    context.time.advance(time)
+    context.pace.expect_answer()
+    context.pace.sent()
+
+
+@then("a heartbeat is due after {time:d} ms without an answer, and not before")
+def step_due(context, time):
+    assert not context.pace.heartbeat_due(busy=True)
+    context.time.advance(time - 1)
+    assert not context.pace.heartbeat_due(busy=True)
+    context.time.advance(1)
+    assert context.pace.heartbeat_due(busy=True)
+
+
+def probe(context, timeout_ms):
+    async def use():
+        await context.connection.probe(timeout_ms)
+        await context.connection.ready(wire_steps.GIVE_UP_MS)
+
+    wire_steps.run(context, use())
+    return context.client.counters.value_by_name["wire.renewed"]
+
+
+@then("probing the wire connection has it replaced")
+def step_probe_replaces(context):
+    assert probe(context, 100) == 1
+
+
+@then("probing the wire connection keeps it")
+def step_probe_keeps(context):
+    assert probe(context, wire_steps.GIVE_UP_MS) == 0
+
+
+@when("the agent's wire end serves the session")
+def step_serves(context):
+    context.server.handler.served.add(only_session(context))
