--- a/bench/measures/link_bytes.py
+++ b/bench/measures/link_bytes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import TYPE_CHECKING
 
 import zmq.asyncio
@@ -153,14 +154,17 @@
     relay: Relay, connection: client.Connection, count: int
 ) -> None:
     before = relay.payload_bytes, relay.total_bytes
+    cpu_s = time.process_time()
     inquiry = messages.CacheInquiry(("abcdefgh",) * LEVELS, LEVELS - 1)
     for _ in range(count):
         await connection.call(inquiry)
+    spent_us = (time.process_time() - cpu_s) * 1e6
     payload = relay.payload_bytes - before[0]
     total = relay.total_bytes - before[1]
     print(
         f"asks={count} payload_bytes_each={payload / count:.0f}"
-        f" with_headers_each={total / count:.0f}",
+        f" with_headers_each={total / count:.0f}"
+        f" cpu_us_each_both_ends_and_relay={spent_us / count:.0f}",
         flush=True,
     )
 
