Keep widths in small fleets to what agents tell

Cause: the hint on answers counted as a prefix's width wherever fewer agents had told than it has targets, and so also where agents of a small fleet were too slow to tell. The width of the others then stood beside theirs; before, it was what those told that did.

Test: with 6 to be asked the width was 4 before, and is 2 now. routing/policies 23, entry/answers 24 pass.

--- a/src/lycheering/routing/policies.py
+++ b/src/lycheering/routing/policies.py
@@ -76,15 +76,19 @@
         """Returns the width that the prefix needs now.
 
         It follows from what agents told when asked for this request, and
-        from the last hint where fewer did than that has targets.
+        from the last hint where none did or fewer were asked than that has
+        targets.
         """
         seen_by_target = query.seen_by_target
         hinted = self._knowledge.widths.width(query.levels.rank_key)
-        # some of the targets that it takes may not have told
-        width = hinted if len(seen_by_target) < hinted else 1
-        if seen_by_target:
-            use = sum(seen.prefix_use for seen in seen_by_target.values())
-            width = max(width, math.ceil(use / FULL_USE))
+        told = len(seen_by_target)
+        if not told:
+            return min(hinted, query.max_width)
+        use = sum(seen.prefix_use for seen in seen_by_target.values())
+        width = max(1, math.ceil(use / FULL_USE))
+        if query.candidates <= told < hinted:
+            # the others that the prefix takes were not asked
+            width = max(width, hinted)
         return min(width, query.max_width)
 
     def compared(
--- a/tests/routing/policies.feature
+++ b/tests/routing/policies.feature
@@ -108,6 +108,18 @@
     And the second ranked target tells that its prefix uses 0.7 of it
     Then the affinity policy spreads the prefix over 3 targets
 
+  Scenario Outline: Where <asked> agents were asked, a hint of width 4 is worth <width>
+    Given a hint of width 4 for the prompt
+    And <asked> agents were to be asked
+    And the first ranked target tells that its prefix uses 0.7 of it
+    And the second ranked target tells that its prefix uses 0.7 of it
+    Then the affinity policy spreads the prefix over <width> targets
+
+    Examples:
+      | asked | width |
+      | 2     | 4     |
+      | 6     | 2     |
+
   Scenario: A new prefix goes where displacing others costs least
     Given the first ranked target tells a cache life of 500 ms
     And the second ranked target tells a cache life of 60000 ms
--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -340,11 +340,17 @@
     tell(context, place, use=use)
 
 
+@given("{count:d} agents were to be asked")
+def step_to_be_asked(context, count):
+    context.asked = count
+
+
 @then("the affinity policy spreads the prefix over {count:d} targets")
 def step_policy_width(context, count):
     query = api.Query(
         "r9",
         levels=context.prompts[0],
+        candidates=getattr(context, "asked", 6),
         seen_by_target=context.seen_by_target,
     )
     policy = policies.build_all(context.knowledge)["affinity"]
