--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -30,6 +30,7 @@
 from lycheering.wire import pool
 from lycheering.wire import security
 from lycheering.wire import server
+from lycheering.wire import sockets
 
 if TYPE_CHECKING:
     from lycheering.settings import model
@@ -83,7 +84,7 @@
         self._store_settings = settings.log_store
         self._clock = clock.Clock()
         self._counters = counters.Counters(settings.metrics)
-        self._context = zmq.asyncio.Context()
+        self._context = sockets.new_context()
         self.application = app_api.Application(
             settings.instance.drain_timeout_ms
         )
