Hold back only teams that are over their fair share of the fleet

Cause: a hot prefix brings its teams to one target. The largest was taken for a flood there and held back, and all were told their own wait in the fair queue, so that a long queue kept its work. Ruled out before: either decision alone. Considered: agents that infer a team's work from the part an entry sends them, gossip of sums; see docs/design/limits.md. Change: entries compare teams over all targets, against the use that agents report, and state the ratio with each request. Agents hold back teams over 1.25 and tell the others the wait behind all but those. Tests: scenarios of floods now state the share, as an agent can't see it.

--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -77,6 +77,7 @@
             queue_ms=gate.backlog_ms(),
             piece_ms=context.cost.piece_ms if context.is_engine else 0.0,
             draining=gate.draining or not context.state.up,
+            use=gate.use(),
         )
 
 
--- a/src/lycheering/agent/requests.py
+++ b/src/lycheering/agent/requests.py
@@ -135,6 +135,7 @@
         priority,
         cost,
         submit.deadline_ms,
+        submit.share_use,
     )
 
 
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -267,7 +267,7 @@
         gate = context.admission
         wait_ms = gate.backlog_ms()
         if inquiry.team:
-            wait_ms = gate.expected_wait_ms(inquiry.priority, inquiry.team)
+            wait_ms = gate.told_wait_ms(inquiry.priority, inquiry.team)
         ranked_by = inquiry.level_keys[inquiry.rank_index :][:1]
         return messages.CacheReport(
             context.held.held_pieces(inquiry.level_keys),
--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -71,6 +71,7 @@
         self._resumes = 0
         self._accepted = False
         self._started = False
+        self._started_ms = 0.0
         self._polls = 0
         self._renewed = False
 
@@ -146,6 +147,7 @@
             continue_from=self._sink.next_seq,
             content_type=job.content_type,
             ticket=self._ticket,
+            share_use=self._choice.share_use,
         )
         try:
             channel.send(submit, ttl_ms)
@@ -165,6 +167,7 @@
                     await self._take(channel, event)
                 case messages.Started():
                     self._started = True
+                    self._started_ms = self._targets.clock.now_ms()
                     self._targets.router.loads.started(
                         self._choice.target.name, key
                     )
@@ -176,6 +179,7 @@
                 case messages.Finished():
                     if event.next_seq == self._sink.next_seq:
                         self._ack(channel)
+                        self._note_work()
                         self._targets.circuits.succeeded(
                             self._choice.target.name
                         )
@@ -364,6 +368,12 @@
         with contextlib.suppress(errors.PeerUnreachableError):
             channel.send(cancel)
 
+    def _note_work(self) -> None:
+        answer_ms = self._targets.clock.now_ms() - self._started_ms
+        self._targets.router.spent(
+            self._job.wanted, self._job.team, answer_ms + self._choice.cost_ms
+        )
+
     def _note_load(self, connection: client.Connection) -> None:
         self._targets.router.loads.report(
             self._choice.target.name,
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -72,6 +72,8 @@
         fleet.number("routing.reuse_weight", subject),
         fleet.integer("routing.candidates", subject),
         fleet.integer("routing.max_width", subject),
+        team=job.team,
+        team_share=fleet.number("limits.team_share", subject),
     )
     note_loads(targets, job.wanted)
     policy = fleet.text("routing.policy", subject)
--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -74,6 +74,8 @@
         priority: Smaller is served first.
         cost: Its expected work.
         deadline_ms: End of the request.
+        share_use: What its team asks of the fleet, in parts of its fair
+            share.
     """
 
     team: str
@@ -81,6 +83,7 @@
     priority: int
     cost: costs.Cost
     deadline_ms: float
+    share_use: float = 0.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -157,6 +160,7 @@
             now_ms,
             demand.deadline_ms,
             asyncio.get_running_loop().create_future(),
+            share_use=demand.share_use,
         )
         self._reserve.entered(waiting)
         self.queue.rank(waiting)
@@ -258,6 +262,25 @@
         self.queue.rank(waiting)
         return self._wait_ms(waiting)
 
+    def told_wait_ms(self, priority: int, team: str) -> float:
+        """Returns the wait by which a request's target is chosen.
+
+        A team within its fair share of the fleet is told the wait behind
+        all teams that are, so that a busy target loses work to others
+        before its queue is long.
+
+        Args:
+            priority: The request's priority.
+            team: Its team.
+        """
+        if self._reserve.is_flood(team, self._clock.now_ms()):
+            return self.expected_wait_ms(priority, team)
+        return self._outlook.start_behind_ms(priority)
+
+    def use(self) -> float:
+        """Returns what is asked of the target, in parts of its slots."""
+        return self._reserve.use(self._clock.now_ms())
+
     def backlog_ms(self) -> float:
         """Returns the wait of a request that starts after all others."""
         return self._outlook.starts_ms()[-1]
--- a/src/lycheering/limits/outlook.py
+++ b/src/lycheering/limits/outlook.py
@@ -61,9 +61,14 @@
         """Returns each waiting request's wait if no other one came."""
         free: list[queues.Waiting] = []
         held_by_kind: dict[tuple[str, int], list[queues.Waiting]] = {}
+        flood = ""  # stands for all teams that are over their fair shares
         for waiting in self._queue.everyone():
             if self._reserve.holds(waiting, now_ms):
-                kind = (waiting.team, waiting.priority)
+                team = waiting.team
+                if self._reserve.is_flood(team, now_ms):
+                    flood = flood or team
+                    team = flood
+                kind = (team, waiting.priority)
                 held_by_kind.setdefault(kind, []).append(waiting)
             else:
                 free.append(waiting)
@@ -77,6 +82,24 @@
             for waiting, wait_ms in zip(held, held_ms, strict=False):
                 yield waiting, max(wait_ms, free_ms[first])
 
+    def start_behind_ms(self, priority: int) -> float:
+        """Returns when a request starts after all that are as urgent.
+
+        Teams over their fair share of the fleet don't count, as they leave
+        their slots to others.
+
+        Args:
+            priority: The request's priority.
+        """
+        now_ms = self._clock.now_ms()
+        ahead = [
+            other
+            for other in self._queue.everyone()
+            if other.priority <= priority
+            and not self._reserve.is_flood(other.team, now_ms)
+        ]
+        return forecast.starts_ms(ahead, self._slots())[-1]
+
     def starts_ms(self) -> list[float]:
         """Returns when each request starts, and one after all of them."""
         return forecast.starts_ms(self._queue.everyone(), self._slots())
@@ -95,14 +118,20 @@
         ahead: list[queues.Waiting],
         now_ms: float,
     ) -> float:
-        own = [other for other in ahead if other.team == waiting.team]
+        own = [
+            other
+            for other in ahead
+            if self._reserve.are_together(other.team, waiting.team, now_ms)
+        ]
         slots = self._team_slots(waiting.team, now_ms)
         return forecast.starts_ms(own, slots)[-1]
 
     def _team_slots(self, team: str, now_ms: float) -> forecast.Slots:
         count = max(1, self._reserve.team_slots(team, now_ms))
         running = [
-            place for place in self._running if place.waiting.team == team
+            place
+            for place in self._running
+            if self._reserve.are_together(place.waiting.team, team, now_ms)
         ]
         return forecast.Slots(self._free_ms(running, count))
 
--- a/src/lycheering/limits/queue.py
+++ b/src/lycheering/limits/queue.py
@@ -34,6 +34,8 @@
         start_tag: Virtual time at which its fair share begins.
         finish_tag: Virtual time at which its fair share is used.
         number: Its place among arrivals.
+        share_use: What its team asks of the fleet, in parts of its fair
+            share.
     """
 
     team: str
@@ -46,6 +48,7 @@
     start_tag: float = 0.0
     finish_tag: float = 0.0
     number: int = 0
+    share_use: float = 0.0
 
     @property
     def place(self) -> tuple[float, int]:
--- a/src/lycheering/limits/recent.py
+++ b/src/lycheering/limits/recent.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from lycheering.limits import queue as queues
+    from collections.abc import Iterable
 
 DECAY_STEP_MS = 250.0
 MIN_WORK_MS = 1.0
@@ -58,19 +58,28 @@
         self._rates: list[Rate] | None = None
         self._level_by_slots: dict[float, float] = {}
 
-    def note(self, waiting: queues.Waiting) -> None:
-        """Adds a request's work."""
+    def note(
+        self, team: str, share: float, work_ms: float, now_ms: float
+    ) -> None:
+        """Adds a request's work.
+
+        Args:
+            team: The team that it belongs to.
+            share: The team's weight.
+            work_ms: Its expected work.
+            now_ms: The time.
+        """
         if self._since_ms is None:
-            self._since_ms = waiting.arrival_ms
-        self.decay(waiting.arrival_ms)
-        work_ms = min(self._longest_ms, waiting.cost.service_ms)
+            self._since_ms = now_ms
+        self.decay(now_ms)
+        work_ms = min(self._longest_ms, work_ms)
         self._total_ms += work_ms
-        known = self._work_by_team.get(waiting.team)
+        known = self._work_by_team.get(team)
         if known is None:
-            known = _TeamWork(0.0, waiting.share)
-            self._work_by_team[waiting.team] = known
+            known = _TeamWork(0.0, share)
+            self._work_by_team[team] = known
         known.work_ms += work_ms
-        known.share = waiting.share
+        known.share = share
 
     def total(self) -> float:
         """Returns the slots that all teams need, on average."""
@@ -81,9 +90,15 @@
         known = self._work_by_team.get(team)
         return known.work_ms / self._span_ms if known is not None else 0.0
 
-    def others(self, team: str) -> int:
-        """Returns the number of other teams that brought work."""
-        return len(self._work_by_team) - (team in self._work_by_team)
+    def share_of(self, teams: Iterable[str]) -> float:
+        """Returns the part that some teams have in the weights of all."""
+        total = sum(known.share for known in self._work_by_team.values())
+        part = sum(
+            self._work_by_team[team].share
+            for team in teams
+            if team in self._work_by_team
+        )
+        return part / total if total else 1.0
 
     def rates(self) -> list[Rate]:
         """Returns how fast the busiest teams bring work, and all others.
--- a/src/lycheering/limits/reserve.py
+++ b/src/lycheering/limits/reserve.py
@@ -6,6 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from lycheering.limits import floods
 from lycheering.limits import recent
 
 if TYPE_CHECKING:
@@ -16,8 +17,6 @@
 NEED_HALF_LIFE_MS = 10_000.0
 BUSY_SHARE = 0.8
 SPREAD = 3.0  # of a Poisson number of requests, in standard deviations
-OWN_SPREAD = 1.0
-FLOOD_ROUNDS = 4  # requests per slot that make a flood
 
 
 def _with_margin(slots: float, spread: float = SPREAD) -> int:
@@ -28,9 +27,10 @@
     """Holds requests back that would take the last slots from others.
 
     A team leaves them to other teams, and a priority to more urgent
-    ones, but only while those sent something lately. A team that alone
-    overloads the target leaves the others as many as their requests of
-    late needed, with a margin for chance, but keeps its fair share.
+    ones, but only while those sent something lately. Teams that ask the
+    whole fleet for more than their fair share leave the others, on a busy
+    target, as many as their requests of late needed, with a margin for
+    chance, but together keep their fair share.
 
     Attributes:
         open_slots: Slots that one team or priority may fill at most.
@@ -42,6 +42,9 @@
         self._queue = queue
         self._burst = recent.RecentWork(BURST_HALF_LIFE_MS, BURST_HALF_LIFE_MS)
         self._need = recent.RecentWork(NEED_HALF_LIFE_MS)
+        self._floods = floods.Floods()
+        self._flood_slots = 1
+        self._flood_slots_ms = float("-inf")
         self._running_by_team: collections.Counter[str] = collections.Counter()
         self._running_by_priority: collections.Counter[int] = (
             collections.Counter()
@@ -63,8 +66,12 @@
 
     def entered(self, waiting: queues.Waiting) -> None:
         """Learns that a request came."""
-        self._burst.note(waiting)
-        self._need.note(waiting)
+        team = waiting.team
+        work_ms = waiting.cost.service_ms
+        now_ms = waiting.arrival_ms
+        self._burst.note(team, waiting.share, work_ms, now_ms)
+        self._need.note(team, waiting.share, work_ms, now_ms)
+        self._floods.state(team, waiting.share_use, now_ms)
         if waiting.team != self._last_team:
             self._other_ms = self._last_ms
             self._last_team = waiting.team
@@ -86,30 +93,56 @@
     def holds(self, waiting: queues.Waiting, now_ms: float) -> bool:
         """Returns whether a request must leave a free slot to others."""
         slots = self.team_slots(waiting.team, now_ms)
-        if self._running_by_team[waiting.team] >= slots:
+        running = sum(
+            count
+            for team, count in self._running_by_team.items()
+            if self.are_together(team, waiting.team, now_ms)
+        )
+        if running >= slots:
             return True
         return self._holds_priority(waiting.priority, now_ms)
 
+    def is_flood(self, team: str, now_ms: float) -> bool:
+        """Returns whether a team is over its fair share of the fleet."""
+        return self._floods.is_flood(team, now_ms)
+
+    def are_together(self, team: str, other: str, now_ms: float) -> bool:
+        """Returns whether two teams fill the same slots."""
+        if team == other:
+            return True
+        return self.is_flood(team, now_ms) and self.is_flood(other, now_ms)
+
     def team_slots(self, team: str, now_ms: float) -> int:
-        """Returns the slots that a team may fill for now."""
+        """Returns the slots that a team may fill for now.
+
+        Teams over their fair share of the fleet fill them together.
+        """
         same = team == self._last_team
         other_ms = self._other_ms if same else self._last_ms
         if now_ms - other_ms >= ACTIVE_MS:
             return self._slots
+        if not self.is_flood(team, now_ms):
+            return self.open_slots
+        if now_ms != self._flood_slots_ms:
+            self._flood_slots_ms = now_ms
+            self._flood_slots = self._find_flood_slots(now_ms)
+        return self._flood_slots
+
+    def use(self, now_ms: float) -> float:
+        """Returns what is asked of the target, in parts of its slots."""
         self._burst.decay(now_ms)
+        running = sum(self._running_by_team.values())
+        return max(self._burst.total(), running) / max(1, self._slots)
+
+    def _find_flood_slots(self, now_ms: float) -> int:
         self._need.decay(now_ms)
-        usual = self._need.own(team)
-        others = max(0.0, self._need.total() - usual)
+        teams = self._floods.teams(now_ms)
+        flooding = sum(self._need.own(team) for team in teams)
+        others = max(0.0, self._need.total() - flooding)
         left = self._slots - _with_margin(others)
-        # a flood shows at once, what others need only over some time
-        open_count = self._queue.team_count(team) + self._running_by_team[team]
-        own = max(self._burst.own(team), open_count / FLOOD_ROUNDS)
-        if own < others or own + others < BUSY_SHARE * self._slots:
-            wanted = max(
-                left, _with_margin(usual, OWN_SPREAD), self._slots // 2
-            )
-            return min(self.open_slots, wanted)
-        fair = self._slots // (self._need.others(team) + 1)
+        if self.use(now_ms) < BUSY_SHARE:
+            return min(self.open_slots, max(left, self._slots // 2))
+        fair = math.floor(self._slots * self._need.share_of(teams))
         return max(1, fair, min(self.open_slots, left))
 
     def share_slots(self, waiting: queues.Waiting) -> float:
--- a/src/lycheering/routing/api.py
+++ b/src/lycheering/routing/api.py
@@ -45,6 +45,8 @@
         candidates: Ranked targets to compare.
         max_width: Most targets that one hot prefix may use.
         seen_by_target: What agents told when asked.
+        team: The team that asks.
+        team_share: The team's weight.
     """
 
     request_id: str
@@ -54,6 +56,8 @@
     candidates: int = 3
     max_width: int = 4
     seen_by_target: Mapping[str, Seen] = dataclasses.field(default_factory=dict)
+    team: str = ""
+    team_share: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lycheering/routing/load.py
+++ b/src/lycheering/routing/load.py
@@ -9,6 +9,8 @@
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lycheering import clock
 
 DEFAULT_PIECE_MS = 20.0
@@ -97,6 +99,21 @@
         report = self._fresh(target)
         return report is not None and report.load.draining
 
+    def fleet_use(self, names: Iterable[str]) -> float:
+        """Returns what is asked of some targets, in parts of their slots.
+
+        Args:
+            names: The targets; those without a fresh report don't count.
+        """
+        slots = 0
+        asked = 0.0
+        for name in names:
+            report = self._fresh(name)
+            if report is not None:
+                slots += report.load.slots
+                asked += report.load.use * report.load.slots
+        return asked / slots if slots else 0.0
+
     def estimate(self, target: str) -> Estimate:
         """Returns the expected state of a target now."""
         report = self._fresh(target)
--- a/src/lycheering/routing/router.py
+++ b/src/lycheering/routing/router.py
@@ -7,6 +7,7 @@
 
 from lycheering.fleet import records
 from lycheering.fleet import view as fleet_view
+from lycheering.limits import fleet_share
 from lycheering.routing import api
 from lycheering.routing import explain
 from lycheering.routing import hints
@@ -21,6 +22,7 @@
     from lycheering.fleet import holder
 
 STANDBY_ROLE = "standby"
+MIN_TEAM_SHARE = 0.001
 
 
 class NoTargetError(Exception):
@@ -49,12 +51,15 @@
         level_key: The key that targets were ranked by.
         width: Over how many targets the prefix is spread.
         cost_ms: Expected prefill time.
+        share_use: What the team asks of all targets, in parts of its fair
+            share.
     """
 
     target: records.Target
     level_key: str
     width: int
     cost_ms: float
+    share_use: float = 0.0
 
 
 class Router:
@@ -75,6 +80,8 @@
         self.widths = hints.Widths(time)
         self.explanations = explain.Explanations()
         self._view = view
+        self._clock = time
+        self._shares_by_wanted: dict[Wanted, fleet_share.FleetShares] = {}
         self._targets_by_wanted: dict[Wanted, tuple[records.Target, ...]] = {}
         self._revision = -1
         self._policy_by_name = policies.build_all(
@@ -162,7 +169,32 @@
             )
         )
         cost_ms = taken.missing_pieces * taken.piece_ms
-        return Choice(taken.target, query.levels.rank_key, width, cost_ms)
+        share_use = self._share_use(wanted, query, targets)
+        return Choice(
+            taken.target, query.levels.rank_key, width, cost_ms, share_use
+        )
+
+    def spent(self, wanted: Wanted, team: str, work_ms: float) -> None:
+        """Learns how long a request kept a slot of its target busy."""
+        shares = self._shares_by_wanted.get(wanted)
+        if shares is not None:
+            shares.spent(team, work_ms)
+
+    def _share_use(
+        self,
+        wanted: Wanted,
+        query: api.Query,
+        targets: tuple[records.Target, ...],
+    ) -> float:
+        shares = self._shares_by_wanted.get(wanted)
+        if shares is None:
+            shares = fleet_share.FleetShares(self._clock)
+            self._shares_by_wanted[wanted] = shares
+        return shares.offered(
+            query.team,
+            max(MIN_TEAM_SHARE, query.team_share),
+            lambda: self.loads.fleet_use(target.name for target in targets),
+        )
 
     def _take_view(self, fleet: fleet_view.FleetView) -> None:
         self._revision = fleet.view_revision
--- a/src/lycheering/wire/messages/common.py
+++ b/src/lycheering/wire/messages/common.py
@@ -60,6 +60,7 @@
         queue_ms: Expected wait of a request that starts after all others.
         piece_ms: Time to prefill one missing piece.
         draining: Whether the agent takes nothing new.
+        use: What is asked of the target as of late, in parts of its slots.
     """
 
     running: int = 0
@@ -68,6 +69,7 @@
     queue_ms: float = 0.0
     piece_ms: float = 0.0
     draining: bool = False
+    use: float = 0.0
 
 
 class WidthHint(msgspec.Struct, frozen=True, array_like=True):
--- a/src/lycheering/wire/messages/requests.py
+++ b/src/lycheering/wire/messages/requests.py
@@ -42,6 +42,8 @@
         continue_from: Tokens that an earlier attempt delivered.
         content_type: The body's content type.
         ticket: The claim, for a request that runs at most once.
+        share_use: What the team asks of all targets through the sender, in
+            parts of its fair share; 0 while all get what they ask for.
     """
 
     request_id: str
@@ -63,6 +65,7 @@
     continue_from: int = 0
     content_type: str = "application/json"
     ticket: OrderTicket | None = None
+    share_use: float = 0.0
 
 
 class Resume(msgspec.Struct, frozen=True, array_like=True, tag=21):
--- a/tests/limits/admission.feature
+++ b/tests/limits/admission.feature
@@ -111,6 +111,7 @@
   Scenario: A team kept to few slots is told the wait that this makes
     Given an admission with 8 running and 40 queued at most
     And 2 of its slots reserved
+    And entries state that team "a" asks for 3 of its fair share
     When teams "b c d" keep 4 slots busy for 6000 ms
     And team "a" enters 12 times with 1000 ms of work and 60000 ms left
     And 300 ms pass at the admission
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -27,6 +27,7 @@
         self.place_by_number = {}
         self.task_by_number = {}
         self.error_by_number = {}
+        self.use_by_team = {}
         self.count = 0
 
     async def enter(self, team, work_ms, left_ms, priority=10):
@@ -37,6 +38,7 @@
             priority,
             cost.Cost(0.0, work_ms),
             self.clock.now_ms() + left_ms,
+            self.use_by_team.get(team, 0.0),
         )
         try:
             place = self.gate.enter(demand)
@@ -92,6 +94,12 @@
     gate.change_limits(dataclasses.replace(gate.limits, prefill_window=window))
 
 
+@given('entries state that team "{team}" asks for {use:g} of its fair share')
+@when('entries state that team "{team}" asks for {use:g} of its fair share')
+def step_share_use(context, team, use):
+    context.entered.use_by_team[team] = use
+
+
 @when('team "{team}" enters with {work:d} ms of work and {left:d} ms left')
 def step_enter(context, team, work, left):
     entered = context.entered
@@ -229,6 +237,19 @@
     return context.entered.runner.run(wait_ms())
 
 
+def told_ms_of(context, team):
+    async def told_ms():
+        return context.entered.gate.told_wait_ms(10, team)
+
+    return context.entered.runner.run(told_ms())
+
+
+@then('entries are told that team "{team}" waits {expected:d} ms')
+def step_told(context, team, expected):
+    found = told_ms_of(context, team)
+    assert found == expected, found
+
+
 @then("a request of an idle team waits less than the backlog")
 def step_backlog(context):
     wait_ms = wait_ms_of(context, "")
--- /dev/null
+++ b/tests/steps/fleet_share_steps.py
@@ -0,0 +1,65 @@
+"""Steps for teams' shares of the fleet."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.limits import fleet_share
+
+
+@given("the requests that one entry sees")
+def step_requests(context):
+    context.clock = clock.ManualClock(1_000)
+    context.shares = fleet_share.FleetShares(context.clock)
+    context.fleet_use = 0.0
+
+
+@given('requests of team "{team}" keep slots busy for {spent:d} ms')
+def step_spent(context, team, spent):
+    context.shares.spent(team, spent)
+
+
+def offer(context, team):
+    return context.shares.offered(team, 1.0, lambda: context.fleet_use)
+
+
+@when(
+    'team "{team}" sends {count:d} requests and teams "{others}" {fewer:d} each'
+    " in {duration:d} ms"
+)
+def step_send(context, team, count, others, fewer, duration):
+    for number in range(count):
+        offer(context, team)
+        if number % (count // fewer) == 0:
+            for other in others.split():
+                offer(context, other)
+        context.clock.advance(duration / count)
+
+
+@when("targets tell that {use:f} of them is asked for")
+def step_fleet_use(context, use):
+    context.fleet_use = use
+
+
+@then('team "{team}" asks for at least {use:f} of its fair share')
+def step_at_least(context, team, use):
+    assert offer(context, team) >= use
+
+
+@then('team "{team}" asks for at most {use:f} of its fair share')
+def step_at_most(context, team, use):
+    assert offer(context, team) <= use
+
+
+@when("{count:d} teams were answered")
+def step_many(context, count):
+    for number in range(count):
+        context.shares.spent(f"team-{number}", 100.0)
+
+
+@then("the work of at most {count:d} teams is remembered")
+def step_remembered(context, count):
+    assert len(context.shares._work_ms_by_team) <= count
