Expect an overload to last as long again as it has lasted

Cause: times to come back follow the rate of a team during the overload, and the last were told 20 to 30 s after one of 4 s, when targets were idle. Change: nobody is told later than all promised work takes at the target's whole rate, and the age of the overload.

--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -341,8 +341,13 @@
 
     def _book(self, wait_ms: float, waiting: queues.Waiting) -> float:
         slots = max(MIN_SLOTS, self._reserve.share_slots(waiting))
-        work_ms = waiting.cost.service_ms / slots
-        return self._booking.book(waiting.team, wait_ms, work_ms)
+        work_ms = waiting.cost.service_ms
+        return self._booking.book(
+            waiting.team,
+            wait_ms,
+            work_ms=work_ms / slots,
+            least_work_ms=work_ms / max(1, self.limits.max_running),
+        )
 
     def _refuse(self, waiting: queues.Waiting, error: RefusedError) -> None:
         self.queue.remove(waiting)
--- a/src/lycheering/limits/waits.py
+++ b/src/lycheering/limits/waits.py
@@ -13,6 +13,7 @@
 MAX_FACTOR = 4.0
 SMOOTHING = 0.05
 MAX_IDLE_TEAMS = 1_024
+QUIET_MS = 1_000.0  # without a refusal: the overload is over
 
 
 class WaitError:
@@ -47,15 +48,27 @@
     """Gives refused callers different times to come back.
 
     Told the same time, all of them would come at once and be refused
-    again. Each team has its own line, as it is served at its own rate.
+    again. Each team has its own line, as it is served at its own rate
+    during an overload. One is expected to last as long again as it has
+    lasted; after it, all are served at the target's whole rate.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._until_ms_by_team: dict[str, float] = {}
+        self._until_ms = 0.0
+        self._since_ms = 0.0
+        self._last_ms = float("-inf")
         self._forget_above = MAX_IDLE_TEAMS
 
-    def book(self, team: str, wait_ms: float, work_ms: float) -> float:
+    def book(
+        self,
+        team: str,
+        wait_ms: float,
+        *,
+        work_ms: float,
+        least_work_ms: float,
+    ) -> float:
         """Returns in which time a caller shall come back.
 
         Args:
@@ -63,15 +76,23 @@
             wait_ms: When the target could take its request.
             work_ms: How long the request keeps the team's part of the
                 target busy.
+            least_work_ms: How long it keeps the whole target busy.
         """
         now_ms = self._clock.now_ms()
+        if now_ms - self._last_ms >= QUIET_MS:
+            self._since_ms = now_ms
+        self._last_ms = now_ms
         if len(self._until_ms_by_team) > self._forget_above:
             self._forget_past(now_ms)
-        at_ms = max(
-            now_ms + max(MIN_RETRY_AFTER_MS, wait_ms),
-            self._until_ms_by_team.get(team, 0.0),
+        first_ms = now_ms + max(MIN_RETRY_AFTER_MS, wait_ms)
+        at_ms = max(first_ms, self._until_ms_by_team.get(team, 0.0))
+        after_ms = max(first_ms, self._until_ms)
+        self._until_ms = after_ms + least_work_ms
+        at_ms = min(
+            at_ms,
+            after_ms + now_ms - self._since_ms,
+            now_ms + MAX_RETRY_AFTER_MS,
         )
-        at_ms = min(at_ms, now_ms + MAX_RETRY_AFTER_MS)
         self._until_ms_by_team[team] = at_ms + work_ms
         return at_ms - now_ms
 
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -15,6 +15,7 @@
 from lycheering.limits import waits
 
 GIVE_UP_S = 20
+REFUSED_EACH_MS = 500
 
 
 class Requests:
@@ -115,6 +116,13 @@
         step_enter(context, team, work, left)
 
 
+@when("requests have been refused for {duration:d} ms")
+def step_overloaded(context, duration):
+    for _ in range(duration // REFUSED_EACH_MS):
+        step_enter(context, "other", 0.001, 0)
+        context.entered.clock.advance(REFUSED_EACH_MS)
+
+
 @when("the time that request {number:d} was told passes")
 def step_told_passes(context, number):
     error = context.entered.error_by_number[number]
