--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -25,6 +25,17 @@
     When the caller asks for 3 different chats
     Then the agents ran 3 requests
 
+  Scenario Outline: Requests state how far their team is over its fair share
+    Given an entry among fakes
+    And agents that tell that <use> of their targets is asked for
+    When the caller asks for 3 different chats
+    Then the entry stated that the team is <place> its fair share
+
+    Examples:
+      | use | place  |
+      | 0.7 | within |
+      | 1.6 | over   |
+
   Scenario: Many callers at once each get their own answer
     Given an entry among fakes
     And agents whose fault it is to send frames of another call
--- a/tests/limits/reserve.feature
+++ b/tests/limits/reserve.feature
@@ -138,3 +138,9 @@
     And entries state that team "a" asks for 0 of its fair share
     And team "a" enters 6 times with 100 ms of work and 60000 ms left
     Then 6 requests run and 0 wait
+
+  Scenario: Entries are told what is asked of a target that is full
+    When team "a" enters 4 times with 60000 ms of work and 90000 ms left
+    And 5000 ms pass at the admission
+    And request 1 ends
+    Then entries are told that 0.75 of the target is asked for
--- a/tests/steps/fleet_share_steps.py
+++ b/tests/steps/fleet_share_steps.py
@@ -8,6 +8,7 @@
 
 from lycheering import clock
 from lycheering.limits import fleet_share
+from lycheering.wire import messages
 
 
 @given("the requests that one entry sees")
@@ -63,3 +64,29 @@
 @then("the work of at most {count:d} teams is remembered")
 def step_remembered(context, count):
     assert len(context.shares._work_ms_by_team) <= count
+
+
+@given("agents that tell that {use:f} of their targets is asked for")
+def step_agents_tell(context, use):
+    for agent in context.fleet.engines:
+        agent.load = messages.LoadReport(piece_ms=10.0, use=use)
+
+
+def stated_uses(context):
+    submits = [s for a in context.fleet.engines for s in a.submits]
+    return [submit.share_use for submit in submits]
+
+
+@then("the entry stated that the team is over its fair share")
+def step_stated(context):
+    assert max(stated_uses(context)) > 1.0, stated_uses(context)
+
+
+@then("the entry stated that the team is within its fair share")
+def step_not_stated(context):
+    assert not any(stated_uses(context)), stated_uses(context)
+
+
+@then("entries are told that {use:f} of the target is asked for")
+def step_told_use(context, use):
+    assert context.entered.gate.use() == use
