--- a/src/lycheering/limits/fleet_share.py
+++ b/src/lycheering/limits/fleet_share.py
@@ -13,7 +13,7 @@
 
     from lycheering import clock as clocks
 
-HALF_LIFE_MS = 500.0
+HALF_LIFE_MS = 250.0
 FIRST_WORK_MS = 500.0
 SMOOTHING = 0.1
 BUSY_USE = 0.8
--- a/src/lycheering/limits/floods.py
+++ b/src/lycheering/limits/floods.py
@@ -5,8 +5,8 @@
 import dataclasses
 
 FLOOD_USE = 1.25
-MAX_USE = 4.0
-SMOOTHING = 0.25  # one statement alone makes no flood
+MAX_USE = 2.4
+SMOOTHING = 0.5  # one statement alone makes no flood
 LIFE_MS = 1_000.0
 MAX_IDLE_TEAMS = 1_024
 
--- a/src/lycheering/limits/recent.py
+++ b/src/lycheering/limits/recent.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable
 
 DECAY_STEP_MS = 250.0
+STEPS = 4  # in a half-life at least
 MIN_WORK_MS = 1.0
 MIN_SPAN_MS = 500.0
 MAX_RATES = 64
@@ -50,11 +51,13 @@
         self._longest_ms = longest_ms
         self._half_life_ms = half_life_ms
         self._tau_ms = half_life_ms / math.log(2)
+        self._step_ms = min(DECAY_STEP_MS, half_life_ms / STEPS)
+        self._min_span_ms = min(MIN_SPAN_MS, half_life_ms)
         self._work_by_team: dict[str, _TeamWork] = {}
         self._total_ms = 0.0
         self._decayed_ms = 0.0
         self._since_ms: float | None = None
-        self._span_ms = MIN_SPAN_MS
+        self._span_ms = self._min_span_ms
         self._rates: list[Rate] | None = None
         self._level_by_slots: dict[float, float] = {}
 
@@ -149,7 +152,7 @@
     def decay(self, now_ms: float) -> None:
         """Forgets a part of what was noted before."""
         passed_ms = now_ms - self._decayed_ms
-        if passed_ms < DECAY_STEP_MS:
+        if passed_ms < self._step_ms:
             return
         self._decayed_ms = now_ms
         self._rates = None
@@ -165,7 +168,7 @@
         if self._since_ms is not None:
             age_ms = now_ms - self._since_ms
             span_ms = self._tau_ms * (1 - math.exp(-age_ms / self._tau_ms))
-            self._span_ms = max(MIN_SPAN_MS, span_ms)
+            self._span_ms = max(self._min_span_ms, span_ms)
 
 
 __all__ = ["Rate", "RecentWork"]
--- a/src/lycheering/limits/reserve.py
+++ b/src/lycheering/limits/reserve.py
@@ -13,13 +13,14 @@
     from lycheering.limits import queue as queues
 
 ACTIVE_MS = 10_000.0
-BURST_HALF_LIFE_MS = 500.0
+BURST_HALF_LIFE_MS = 250.0
 NEED_HALF_LIFE_MS = 10_000.0
 BUSY_SHARE = 0.8
 SPREAD = 3.0  # of a Poisson number of requests, in standard deviations
+OVERLOAD_SHARE = 0.25  # of the weights: more are not a few teams' flood
 
 
-def _with_margin(slots: float, spread: float = SPREAD) -> int:
+def _with_margin(slots: float, spread: float) -> int:
     return math.ceil(slots + spread * math.sqrt(slots))
 
 
@@ -134,24 +135,36 @@
         running = sum(self._running_by_team.values())
         return max(self._burst.total(), running) / max(1, self._slots)
 
+    def _is_busy(self) -> bool:
+        present = len(self._queue) + sum(self._running_by_team.values())
+        return max(self._burst.total(), present) >= BUSY_SHARE * self._slots
+
+    def _recent(self) -> recent.RecentWork:
+        # an overload that just began does not show in the longer average
+        if self._burst.total() > self._need.total():
+            return self._burst
+        return self._need
+
     def _find_flood_slots(self, now_ms: float) -> int:
         self._need.decay(now_ms)
         teams = self._floods.teams(now_ms)
         flooding = sum(self._need.own(team) for team in teams)
         others = max(0.0, self._need.total() - flooding)
-        left = self._slots - _with_margin(others)
-        if self.use(now_ms) < BUSY_SHARE:
+        part = self._need.share_of(teams)
+        spread = SPREAD if part <= OVERLOAD_SHARE else 0.0
+        left = self._slots - _with_margin(others, spread)
+        if not self._is_busy():
             return min(self.open_slots, max(left, self._slots // 2))
-        fair = math.floor(self._slots * self._need.share_of(teams))
+        fair = math.floor(self._slots * part)
         return max(1, fair, min(self.open_slots, left))
 
     def share_slots(self, waiting: queues.Waiting) -> float:
         """Returns the slots that a request's team gets if it wants more."""
-        return waiting.share * self._need.level(self._slots)
+        return waiting.share * self._recent().level(self._slots)
 
     def rates(self) -> list[recent.Rate]:
         """Returns how fast each team brought work as of late."""
-        return self._need.rates()
+        return self._recent().rates()
 
     def _holds_priority(self, priority: int, now_ms: float) -> bool:
         running = sum(
--- a/src/lycheering/limits/waits.py
+++ b/src/lycheering/limits/waits.py
@@ -7,13 +7,13 @@
 if TYPE_CHECKING:
     from lycheering import clock as clocks
 
-MIN_RETRY_AFTER_MS = 10.0
 MAX_RETRY_AFTER_MS = 30_000.0
 MIN_EXPECTED_MS = 20.0
 MAX_FACTOR = 4.0
 SMOOTHING = 0.05
 MAX_IDLE_TEAMS = 1_024
 QUIET_MS = 1_000.0  # without a refusal: the overload is over
+MIN_LEFT_MS = 2_000.0  # that an overload is expected to last
 
 
 class WaitError:
@@ -50,7 +50,8 @@
     Told the same time, all of them would come at once and be refused
     again. Each team has its own line, as it is served at its own rate
     during an overload. One is expected to last as long again as it has
-    lasted; after it, all are served at the target's whole rate.
+    lasted, and nobody comes back before; after it, all are served at the
+    target's whole rate.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -82,15 +83,16 @@
         if now_ms - self._last_ms >= QUIET_MS:
             self._since_ms = now_ms
         self._last_ms = now_ms
+        left_ms = max(MIN_LEFT_MS, now_ms - self._since_ms)
         if len(self._until_ms_by_team) > self._forget_above:
             self._forget_past(now_ms)
-        first_ms = now_ms + max(MIN_RETRY_AFTER_MS, wait_ms)
+        first_ms = now_ms + max(left_ms, wait_ms)
         at_ms = max(first_ms, self._until_ms_by_team.get(team, 0.0))
         after_ms = max(first_ms, self._until_ms)
         self._until_ms = after_ms + least_work_ms
         at_ms = min(
             at_ms,
-            after_ms + now_ms - self._since_ms,
+            after_ms + left_ms,
             now_ms + MAX_RETRY_AFTER_MS,
         )
         self._until_ms_by_team[team] = at_ms + work_ms
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -212,6 +212,12 @@
     assert abs(found - gap) < 1, found
 
 
+@then("request {number:d} is told to come back after {least:d} ms at least")
+def step_not_before(context, number, least):
+    error = context.entered.error_by_number[number]
+    assert error.retry_after_ms >= least, error.retry_after_ms
+
+
 @when("requests {first:d} to {last:d} end")
 def step_several_end(context, first, last):
     for number in range(first, last + 1):
