--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -273,11 +273,9 @@
             priority: The request's priority.
             team: Its team.
         """
-        own_ms = self.expected_wait_ms(priority, team)
         if self._reserve.is_flood(team, self._clock.now_ms()):
-            return own_ms
-        # later requests of others may be served before a large team's
-        return max(own_ms, self._outlook.start_behind_ms(priority))
+            return self.expected_wait_ms(priority, team)
+        return self._outlook.start_behind_ms(priority)
 
     def use(self) -> float:
         """Returns what is asked of the target, in parts of its slots."""
