Judge teams by a longer time at an entry that sees few requests

Cause: with a half-life of 250 ms an entry that sees 4 requests a second knows one team at a time, which then seems to ask for all. Tried first: one memory for all rates (the new scenario failed with it). Change: work is remembered with a half-life of 10 s while fewer than 8 requests came in 500 ms. Not measured at the design size.

--- a/src/lycheering/limits/fleet_share.py
+++ b/src/lycheering/limits/fleet_share.py
@@ -14,6 +14,9 @@
     from lycheering import clock as clocks
 
 HALF_LIFE_MS = 250.0
+SPARSE_HALF_LIFE_MS = 10_000.0
+SPARSE_COUNT = 8
+SPARSE_MS = 500.0  # fewer requests tell nothing about a team's part
 FIRST_WORK_MS = 500.0
 SMOOTHING = 0.1
 BUSY_USE = 0.8
@@ -27,11 +30,17 @@
     A process sees a part of the traffic only. Targets tell how much is
     asked of them by everybody, so the capacity that belongs to this part
     is as large, against it, as the fleet's against the whole.
+    A process that sees few requests remembers them for longer.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._recent = recent.RecentWork(HALF_LIFE_MS)
+        self._short = recent.RecentWork(HALF_LIFE_MS)
+        self._long = recent.RecentWork(SPARSE_HALF_LIFE_MS)
+        self._recent = self._long
+        self._arrivals_ms: collections.deque[float] = collections.deque(
+            maxlen=SPARSE_COUNT
+        )
         self._level = math.inf
         self._level_ms = float("-inf")
         # work by team, in the order of last use
@@ -56,9 +65,13 @@
         """
         now_ms = self._clock.now_ms()
         work_ms = self._work_ms_by_team.get(team, FIRST_WORK_MS)
-        self._recent.note(team, share, work_ms, now_ms)
+        self._short.note(team, share, work_ms, now_ms)
+        self._long.note(team, share, work_ms, now_ms)
+        self._arrivals_ms.append(now_ms)
         if now_ms - self._level_ms >= LEVEL_LIFE_MS:
             self._level_ms = now_ms
+            is_sparse = now_ms - self._arrivals_ms[0] > SPARSE_MS
+            self._recent = self._long if is_sparse else self._short
             self._level = self._find_level(fleet_use())
         return self._recent.own(team) / share / self._level
 
--- a/tests/limits/fleet_share.feature
+++ b/tests/limits/fleet_share.feature
@@ -20,6 +20,13 @@
     Then team "a" asks for at least 1.5 of its fair share
     And team "b" asks for at most 0.9 of its fair share
 
+  Scenario: An entry that sees few requests judges by a longer time
+    Given the requests that one entry sees
+    When team "a" sends 40 requests and teams "b c d" 4 each in 20000 ms
+    And targets tell that 1.6 of them is asked for
+    Then team "a" asks for at least 1.5 of its fair share
+    And team "b" asks for at most 0.9 of its fair share
+
   Scenario: Long answers count for more than short ones
     Given the requests that one entry sees
     And requests of team "a" keep slots busy for 5000 ms
