Read from targets without a timer for each chunk

Cause: an agent's wait for the next bytes of its target was a timeout with a timer and, in asyncio's reader, a buffer copied twice: 18 of them per streamed request.

Change: a small protocol keeps the bytes and waits with the timer that is shared by the waits of one stream; it stops reading from the connection while more than 128 KiB wait. A connection that broke hands out what came before.

--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -9,13 +9,13 @@
 
 import httptools
 
+from lycheering.web import byte_stream
 from lycheering.web import keepalive
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Mapping
 
-READ_BYTES = 65_536
 MAX_HEADERS = 100
 DEFAULT_CONNECT_TIMEOUT_MS = 1_000
 
@@ -130,15 +130,9 @@
         sent: Whether any byte of the request may have left.
     """
 
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        origin: Origin,
-    ) -> None:
+    def __init__(self, stream: byte_stream.ByteStream, origin: Origin) -> None:
         self.sent = False
-        self._reader = reader
-        self._writer = writer
+        self._stream = stream
         self._origin = origin
         self._callbacks = _ParserCallbacks()
         self._parser = httptools.HttpResponseParser(self._callbacks)
@@ -154,16 +148,17 @@
         """
         try:
             async with asyncio.timeout(timeout_ms / 1_000):
-                reader, writer = await asyncio.open_connection(
-                    origin.ip, origin.port
+                loop = asyncio.get_running_loop()
+                _, stream = await loop.create_connection(
+                    byte_stream.ByteStream, origin.ip, origin.port
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectFailedError(f"{origin.host_header}: {error}") from (
                 error
             )
-        socket = writer.get_extra_info("socket")
+        socket = stream.transport.get_extra_info("socket")
         keepalive.notice_dead_peers(socket, keepalive.TARGET_PROBES)
-        return cls(reader, writer, origin)
+        return cls(stream, origin)
 
     def send(
         self,
@@ -192,7 +187,7 @@
             raise ValueError("line break in a header")
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
         self.sent = True
-        self._writer.write(head + body)
+        self._stream.write(head + body)
 
     async def head(self, silence_ms: float) -> Head:
         """Returns the start of the response.
@@ -237,8 +232,7 @@
 
     async def _feed(self, silence_ms: float) -> None:
         try:
-            async with asyncio.timeout(silence_ms / 1_000):
-                data = await self._reader.read(READ_BYTES)
+            data = await self._stream.read(silence_ms)
         except TimeoutError as error:
             raise SilenceError(f"nothing for {silence_ms:.0f} ms") from error
         except OSError as error:
@@ -252,7 +246,7 @@
 
     def close(self) -> None:
         """Closes the connection."""
-        self._writer.close()
+        self._stream.close()
 
 
 async def fetch(
--- a/src/lycheering/wire/channels.py
+++ b/src/lycheering/wire/channels.py
@@ -6,9 +6,9 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from lycheering import waits
 from lycheering.wire import errors
 from lycheering.wire import messages
-from lycheering.wire import waits
 
 if TYPE_CHECKING:
     from lycheering.wire import client
