--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,7 @@
 from lycheering.wire import codec
 from lycheering.wire import errors
 from lycheering.wire import messages
+from lycheering.wire import open_calls
 from lycheering.wire import pace
 from lycheering.wire import sockets
 from lycheering.wire import view_gate
@@ -55,9 +55,7 @@
         self._gate: view_gate.ViewGate | None = None
         self._ready = asyncio.Event()
         self._renewal = asyncio.Event()
-        self._channel_by_call_id: dict[int, channels.Channel] = {}
-        self._short_calls: set[channels.Channel] = set()
-        self._call_ids = itertools.count(1)
+        self._calls = open_calls.OpenCalls(self)
         self._pace = pace.Pace(link.settings, link.clock)
         self._peer_clock_offset_ms = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -81,7 +79,7 @@
     @property
     def busy(self) -> bool:
         """Whether calls are in flight."""
-        return bool(self._channel_by_call_id)
+        return bool(self._calls)
 
     @property
     def peer_revision(self) -> int:
@@ -103,7 +101,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self._end_channels()
+        self._calls.end_all()
 
     async def ready(self, timeout_ms: float) -> None:
         """Returns once the peer has answered.
@@ -130,19 +128,14 @@
 
     def open(self) -> channels.Channel:
         """Returns a channel for a new call."""
-        call_id = next(self._call_ids)
-        channel = channels.Channel(self, call_id)
-        if not self._channel_by_call_id:
+        if not self._calls:
             self._pace.expect_answer()
-        self._channel_by_call_id[call_id] = channel
         self.last_used_ms = self._link.clock.now_ms()
-        return channel
+        return self._calls.open()
 
     def forget(self, call_id: int) -> None:
         """Drops a channel."""
-        channel = self._channel_by_call_id.pop(call_id, None)
-        if channel is not None:
-            self._short_calls.discard(channel)
+        self._calls.forget(call_id)
 
     async def call(
         self,
@@ -194,7 +187,7 @@
             PeerUnreachableError: If the message was not sent.
         """
         channel = self.open()
-        self._short_calls.add(channel)
+        self._calls.shorten(channel)
         try:
             channel.send(message, ttl_ms)
         except errors.PeerUnreachableError:
@@ -277,9 +270,7 @@
                 return
             was_ready = self._ready.is_set()
             self._ready.clear()
-            # a short call is not picked up on another connection
-            for channel in list(self._short_calls):
-                channel.put(channels.Lost())
+            self._calls.end_short()
             if was_ready:
                 backoff_ms = FIRST_BACKOFF_MS
             if self._renewal.is_set():
@@ -290,7 +281,7 @@
             backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
 
     async def _serve(self) -> None:
-        socket = self._make_socket()
+        socket = sockets.connect(self._link, self.address)
         self._socket = socket
         self._gate = view_gate.ViewGate(self._link, self._send, asks_teams=True)
         try:
@@ -305,18 +296,6 @@
             self._gate.close()
             socket.close()
 
-    def _make_socket(self) -> sockets.FrameSocket:
-        socket = zmq.Socket(self._link.context, zmq.DEALER)
-        sockets.configure(socket, self._link.settings, self.address.ip)
-        socket.setsockopt(zmq.IMMEDIATE, 1)
-        try:
-            self._link.security.secure_client(socket, self.address.name)
-            socket.connect(self.address.url)
-        except (errors.WireError, zmq.ZMQError):
-            socket.close(linger=0)
-            raise
-        return sockets.FrameSocket(socket)
-
     async def _greet(self, socket: sockets.FrameSocket) -> None:
         identity = self._link.identity
         wished_ms = 0
@@ -352,9 +331,7 @@
         self.peer_incarnation = envelope.sender_incarnation
         self._ready.set()
         self._accept(envelope)
-        replaced = channels.Replaced(self.peer_incarnation)
-        for channel in list(self._channel_by_call_id.values()):
-            channel.put(replaced)
+        self._calls.replaced(self.peer_incarnation)
 
     async def _read(self, socket: sockets.FrameSocket) -> None:
         while True:
@@ -391,14 +368,11 @@
         if isinstance(message, messages.HeartbeatReply):
             now_ms = self._link.clock.now_ms()
             self._peer_clock_offset_ms = message.now_ms - now_ms
-        elif isinstance(message, messages.HelloRequired | messages.Bye):
+            return
+        if isinstance(message, messages.HelloRequired | messages.Bye):
             raise errors.PeerUnreachableError(self.address.name)
-        elif envelope.call_id:
-            channel = self._channel_by_call_id.get(envelope.call_id)
-            if channel is None:
-                self._link.counters.increment("wire.late_frame")
-                return
-            channel.put(message)
+        if envelope.call_id and not self._calls.put(envelope.call_id, message):
+            self._link.counters.increment("wire.late_frame")
 
     async def _monitor(self, socket: sockets.FrameSocket) -> None:
         events = socket.monitor(zmq.EVENT_DISCONNECTED)
@@ -427,10 +401,5 @@
         self._link.counters.increment("wire.renewed")
         raise _SilenceError(self.address.name)
 
-    def _end_channels(self) -> None:
-        for channel in list(self._channel_by_call_id.values()):
-            channel.put(channels.Lost())
-        self._channel_by_call_id.clear()
-
 
 __all__ = ["Connection"]
--- a/src/lycheering/wire/sockets.py
+++ b/src/lycheering/wire/sockets.py
@@ -13,6 +13,7 @@
     import zmq.asyncio
 
     from lycheering.settings import model
+    from lycheering.wire import api
 
 RECONNECT_MS = 50
 OVERSIZE_FACTOR = 2
@@ -157,6 +158,25 @@
         socket.setsockopt(zmq.IPV6, 1)
 
 
+def connect(link: api.Link, address: api.Address) -> FrameSocket:
+    """Returns a socket that connects to a peer.
+
+    Raises:
+        WireError: If the keys for it are missing.
+        ZMQError: If the address can't be used.
+    """
+    socket = zmq.Socket(link.context, zmq.DEALER)
+    configure(socket, link.settings, address.ip)
+    socket.setsockopt(zmq.IMMEDIATE, 1)
+    try:
+        link.security.secure_client(socket, address.name)
+        socket.connect(address.url)
+    except (errors.WireError, zmq.ZMQError):
+        socket.close(linger=0)
+        raise
+    return FrameSocket(socket)
+
+
 def check_size(data: bytes, settings: model.WireSettings) -> None:
     """Checks that a frame is not too large.
 
@@ -175,4 +195,5 @@
     "FrameSocket",
     "check_size",
     "configure",
+    "connect",
 ]
