--- a/src/lycheering/agent/context.py
+++ b/src/lycheering/agent/context.py
@@ -76,13 +76,6 @@
         """Whether the target is a model engine."""
         return self.settings.kind == "engine"
 
-    @property
-    def weights_outdated(self) -> bool:
-        """Whether the target is to load other weights than it serves."""
-        fleet = self.holder.fleet
-        wanted = fleet.text("weights.version", self.subject)
-        return wanted not in ("", self.state.weights_version)
-
     def weights_replaced(self) -> None:
         """Forgets what the target cached under its weights before.
 
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -275,7 +275,6 @@
             context.cost.piece_ms,
             context.ages.life_ms,
             sum(context.widths.own_use(key) for key in ranked_by),
-            context.weights_outdated,
         )
 
     def _inquire(
--- a/src/lycheering/entry/cache_inquiries.py
+++ b/src/lycheering/entry/cache_inquiries.py
@@ -59,7 +59,6 @@
             report.piece_ms,
             report.life_ms,
             report.prefix_use,
-            report.weights_outdated,
         )
         for name, report in report_by_name.items()
     }
--- a/src/lycheering/routing/api.py
+++ b/src/lycheering/routing/api.py
@@ -24,8 +24,6 @@
         piece_ms: Time to prefill one missing piece.
         life_ms: How long unused pieces stay cached; 0 if not known.
         prefix_use: Share of its time that the prefix ranked by takes.
-        weights_outdated: Whether it is to load other weights, which empties
-            its cache.
     """
 
     held_pieces: int
@@ -33,7 +31,6 @@
     piece_ms: float
     life_ms: float
     prefix_use: float = 0.0
-    weights_outdated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lycheering/routing/score.py
+++ b/src/lycheering/routing/score.py
@@ -42,17 +42,12 @@
     queue_ms = estimate.queue_ms
     piece_ms = estimate.piece_ms
     scarcity = 0.0
-    outdated = False
     seen = query.seen_by_target.get(target.name)
     if seen is not None:
         cached = float(seen.held_pieces)
         queue_ms = seen.queue_ms
         piece_ms = seen.piece_ms
         scarcity = scarcity_of(seen.life_ms)
-        outdated = seen.weights_outdated
-        if outdated:
-            # what is computed there has to be computed again
-            scarcity = 1.0
     else:
         cached = knowledge.caches.expected_pieces(target.name, levels)
         if place < width:
@@ -61,7 +56,7 @@
     missing = max(0.0, levels.prompt_pieces - cached)
     miss_ms = missing * piece_ms
     wasted = missing
-    if place < width and width > 1 and not outdated:
+    if place < width and width > 1:
         # what all requests under a wide prefix will reuse is not wasted
         wasted -= max(0.0, levels.pieces[levels.rank_index] - cached)
     wasted_ms = wasted * piece_ms
--- a/src/lycheering/wire/messages/requests.py
+++ b/src/lycheering/wire/messages/requests.py
@@ -131,8 +131,6 @@
         piece_ms: Time to prefill one missing piece.
         life_ms: How long unused pieces stay cached; 0 if not known.
         prefix_use: Share of the target's time that the key ranked by takes.
-        weights_outdated: Whether the target is to load other weights, which
-            empties its cache.
     """
 
     held_pieces: int
@@ -140,7 +138,6 @@
     piece_ms: float
     life_ms: float
     prefix_use: float
-    weights_outdated: bool = False
 
 
 class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=30):
