--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -322,7 +322,7 @@
             backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2)
 
     async def _serve(self) -> None:
-        socket = self._connect()
+        socket = sockets.connect(self._link, self.address)
         self._socket = socket
         self._gate = view_gate.ViewGate(self._link, self._send, asks_teams=True)
         try:
@@ -337,18 +337,6 @@
             self._gate.close()
             socket.close()
 
-    def _connect(self) -> sockets.FrameSocket:
-        socket = zmq.Socket(self._link.context, zmq.DEALER)
-        sockets.configure(socket, self._link.settings, self.address.ip)
-        socket.setsockopt(zmq.IMMEDIATE, 1)
-        try:
-            self._link.security.secure_client(socket, self.address.name)
-            socket.connect(self.address.url)
-        except (errors.WireError, zmq.ZMQError):
-            socket.close(linger=0)
-            raise
-        return sockets.FrameSocket(socket)
-
     def _hello(self) -> messages.Hello:
         identity = self._link.identity
         wished_ms = self._pace.wish_ms()
