--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,11 +10,11 @@
 import secrets
 
 from bench import json_calls
+from bench import operator_calls as operators
 from bench import processes
 
 DOMAINS = ("domain-a", "domain-b", "domain-c")
 READY_TIMEOUT_S = 60.0
-OPERATOR = "bench"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,14 +81,13 @@
     return port
 
 
-class Fleet:
+class Fleet(operators.OperatorCalls):
     """A running fleet.
 
     Attributes:
         plan: Which processes it has.
         group: Its processes.
         entry_urls: Where callers reach each entry.
-        operator_urls: Where operators reach each control instance.
         url_by_target: Where each target stand-in listens.
         key_by_team: Each team's bearer key.
         platform_url: The platform stand-in.
@@ -107,11 +106,11 @@
             folder: Where their files go.
             route: Returns the port by which one process reaches another.
         """
+        super().__init__()
         self.plan = plan
         self._route = route
         self.group = processes.ProcessGroup(folder)
         self.entry_urls: list[str] = []
-        self.operator_urls: list[str] = []
         self.url_by_target: dict[str, str] = {}
         self.key_by_team = {
             team: f"key-{team}-{secrets.token_hex(8)}" for team in plan.teams
@@ -298,39 +297,12 @@
             self.entry_urls.append(f"http://{processes.HOST}:{routed}")
             self.group.start(name, "-m", "lycheering", "entry", str(path))
 
-    def operator(
-        self, path: str, method: str = "GET", body: object = None
-    ) -> object:
-        """Calls the operator endpoint of the first instance that answers.
-
-        Raises:
-            json_calls.OperatorError: If it refuses.
-            OSError: If no instance answers.
-        """
-        failure: Exception = OSError("no control instance")
-        for url in self.operator_urls:
-            try:
-                return json_calls.call_json(url + path, method, body)
-            except json_calls.OperatorError as error:
-                if error.status != 503:
-                    raise
-                failure = error
-            except OSError as error:
-                failure = error
-        raise failure
-
-    def revision(self) -> int:
-        """Returns the config revision in force at control."""
-        reply = self.operator("/v1/defaults")
-        assert isinstance(reply, dict)
-        return int(reply["config_revision"])
-
     def _configure(self) -> None:
         for team, key in self.key_by_team.items():
             self.operator(
                 f"/v1/teams/{team}",
                 "PUT",
-                self._change("the bench's team", keys=[key]),
+                self.change("the bench's team", keys=[key]),
             )
         for option, value in self.plan.value_by_default.items():
             self.set_default(option, value)
@@ -343,39 +315,6 @@
                 "service", service, "target.checks_fencing", True, "checks"
             )
 
-    def _change(self, reason: str, **fields: object) -> dict[str, object]:
-        return {
-            "reason": reason,
-            "change_id": secrets.token_hex(8),
-            "expected_revision": self.revision(),
-            "operator": OPERATOR,
-            **fields,
-        }
-
-    def set_default(
-        self, option: str, value: bool | int | float | str
-    ) -> object:
-        """Sets a default for the whole fleet."""
-        body = self._change("the bench's plan", option=option, value=value)
-        return self.operator("/v1/defaults", "POST", body)
-
-    def add_exception(
-        self,
-        kind: str,
-        name: str,
-        option: str,
-        value: bool | int | float | str,
-        reason: str,
-    ) -> object:
-        """Adds an exception."""
-        body = self._change(
-            reason,
-            scope={"kind": kind, "name": name},
-            option=option,
-            value=value,
-        )
-        return self.operator("/v1/exceptions", "POST", body)
-
     def wait_serving(self) -> None:
         """Waits until all targets are registered and all entries ready."""
         expected = self.plan.engines + sum(self.plan.services.values())
--- /dev/null
+++ b/bench/operator_calls.py
@@ -0,0 +1,85 @@
+"""What operators ask of the control instances of a fleet."""
+
+from __future__ import annotations
+
+import secrets
+
+from bench import json_calls
+
+OPERATOR = "bench"
+
+
+class OperatorCalls:
+    """Calls the operator endpoints of a fleet.
+
+    Attributes:
+        operator_urls: Where operators reach each control instance.
+    """
+
+    def __init__(self) -> None:
+        """Begins without any control instance."""
+        self.operator_urls: list[str] = []
+
+    def operator(
+        self, path: str, method: str = "GET", body: object = None
+    ) -> object:
+        """Calls the operator endpoint of the first instance that answers.
+
+        Raises:
+            json_calls.OperatorError: If it refuses.
+            OSError: If no instance answers.
+        """
+        failure: Exception = OSError("no control instance")
+        for url in self.operator_urls:
+            try:
+                return json_calls.call_json(url + path, method, body)
+            except json_calls.OperatorError as error:
+                if error.status != 503:
+                    raise
+                failure = error
+            except OSError as error:
+                failure = error
+        raise failure
+
+    def revision(self) -> int:
+        """Returns the config revision in force at control."""
+        reply = self.operator("/v1/defaults")
+        assert isinstance(reply, dict)
+        return int(reply["config_revision"])
+
+    def change(self, reason: str, **fields: object) -> dict[str, object]:
+        """Returns the body of a change of what is in force now."""
+        return {
+            "reason": reason,
+            "change_id": secrets.token_hex(8),
+            "expected_revision": self.revision(),
+            "operator": OPERATOR,
+            **fields,
+        }
+
+    def set_default(
+        self, option: str, value: bool | int | float | str
+    ) -> object:
+        """Sets a default for the whole fleet."""
+        body = self.change("the bench's plan", option=option, value=value)
+        return self.operator("/v1/defaults", "POST", body)
+
+    def add_exception(
+        self,
+        kind: str,
+        name: str,
+        option: str,
+        value: bool | int | float | str,
+        reason: str,
+    ) -> object:
+        """Adds an exception."""
+        body = self.change(
+            reason,
+            scope={"kind": kind, "name": name},
+            option=option,
+            value=value,
+        )
+        return self.operator("/v1/exceptions", "POST", body)
+
+
+__all__ = ["OPERATOR", "OperatorCalls"]
--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -450,7 +450,7 @@
         return lambda: self._race(paths[1], self.fleet.revision())
 
     def _race(self, path, revision):
-        body = self.fleet._change("race") | {"expected_revision": revision}
+        body = self.fleet.change("race") | {"expected_revision": revision}
         try:
             self.fleet.operator(path, "POST", body)
         except json_calls.OperatorError as error:
@@ -475,7 +475,7 @@
         self.fleet.operator(
             f"/v1/teams/{self.newest_team}",
             "PUT",
-            self.fleet._change("newest", keys=[key]),
+            self.fleet.change("newest", keys=[key]),
         )
         self.fleet.key_by_team[self.newest_team] = key
 
