Leave exports before leaving off until a gain is shown

Change: kv.leave_export_ms is 0 by default, and where it is 0 no agent looks for teams' pieces. The tests set it. After: agent/leave_export 11 of 11, agent/kept 6 of 6, settings/findings 29 of 29.

--- a/src/lycheering/agent/kept_prompts.py
+++ b/src/lycheering/agent/kept_prompts.py
@@ -31,7 +31,10 @@
     links = prompt.links(submit.model, version)
     cached = context.index.matched_count(link.key for link in links)
     missing = list(links[cached:])
-    if not context.leavers.recent:
+    exports = context.holder.fleet.integer(
+        "kv.leave_export_ms", context.subject
+    )
+    if not (exports and context.leavers.recent):
         # pieces of teams are put into the store by targets that leave only
         salt = pieces.shared_salt(submit.model)
         missing = [link for link in missing if link.salt == salt]
--- a/src/lycheering/fleet/options.py
+++ b/src/lycheering/fleet/options.py
@@ -192,7 +192,7 @@
     Option("kv.import", True, "whether kept KV cache is imported"),
     Option(
         "kv.leave_export_ms",
-        5_000,
+        0,
         "ms that a leaving target exports KV cache for; 0 never does",
         0,
         60_000,
--- a/tests/agent/leave_export.feature
+++ b/tests/agent/leave_export.feature
@@ -1,7 +1,7 @@
 Feature: A leaving target exports the KV cache that others will need
 
   Background:
-    Given an agent with a store that leaves room for 12 blocks
+    Given an agent beside an engine of 12 blocks that exports before leaving
 
   Scenario Outline: What is used of a team's prompt is in the store after <leave>
     When team "a" asks 3 times for a prompt of 2 shared and 2 own pieces
--- a/tests/steps/leave_export_steps.py
+++ b/tests/steps/leave_export_steps.py
@@ -41,7 +41,9 @@
         self.exported += keys
 
 
-@given("an agent with a store that leaves room for {blocks:d} blocks")
+@given(
+    "an agent beside an engine of {blocks:d} blocks that exports before leaving"
+)
 def step_agent(context, blocks):
     bench = agent_bench.Bench()
     context.bench = bench
@@ -61,6 +63,7 @@
     context.engine_process = bench._processes[-1]
     bench.run(bench.start_agent(kv_store_url=context.store_url))
     bench.run(agent_bench.until(lambda: bench.context.index.synced))
+    set_default(context, "kv.leave_export_ms", 5_000)
 
 
 def set_default(context, option, value):
