Part what an attempt waits for and how it ends; give limits an api module

No behaviour was changed: limits admission 22 and reserve 17, entry answers 27 and orders 14, agent runs 25 and orders 13 pass. FAULTS.md tells of the storms.

--- a/bench/measures/limits.py
+++ b/bench/measures/limits.py
@@ -23,6 +23,7 @@
 from bench.traces import calls
 from lycheering import clock
 from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.limits import cost as costs
 from lycheering.limits import queue as queues
 
@@ -297,17 +298,17 @@
 async def measure_arrivals(teams: int, timed: int = 500) -> None:
     """Prints the cost of an arrival at a busy agent that many teams use."""
     gate = admission.Admission(clock.Clock())
-    places: list[admission.Place] = []
+    places: list[limits_api.Place] = []
 
     def enter(number: int) -> None:
-        demand = admission.Demand(
+        demand = limits_api.Demand(
             f"team-{number % teams}",
             1.0,
             10,
             costs.Cost(10.0, 100.0),
             clock.Clock().now_ms() + FAIR_DEADLINE_MS,
         )
-        with contextlib.suppress(admission.RefusedError):
+        with contextlib.suppress(limits_api.RefusedError):
             places.append(gate.enter(demand))
 
     for number in range(teams):
--- a/src/lycheering/agent/checks.py
+++ b/src/lycheering/agent/checks.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.targets import api as targets_api
 from lycheering.wire import messages
 
@@ -33,16 +33,16 @@
     state = context.state
     reasons = messages.Reason
     if submit.deadline_ms <= context.clock.now_ms():
-        raise admission.RefusedError(reasons.EXPIRED)
+        raise limits_api.RefusedError(reasons.EXPIRED)
     if context.admission.draining:
-        raise admission.RefusedError(reasons.DRAINING)
+        raise limits_api.RefusedError(reasons.DRAINING)
     if not state.up:
-        raise admission.RefusedError(reasons.TARGET_DOWN, DOWN_RETRY_AFTER_MS)
+        raise limits_api.RefusedError(reasons.TARGET_DOWN, DOWN_RETRY_AFTER_MS)
     if not context.is_engine:
         return
     known = (state.model, *state.adapters)
     if submit.model not in known:
-        raise admission.RefusedError(
+        raise limits_api.RefusedError(
             reasons.WRONG_MODEL, 0.0, f"serves {', '.join(known)}"
         )
     check_weights(context, submit)
@@ -61,7 +61,7 @@
     ):
         return
     coming = wanted == state.loading_version
-    raise admission.RefusedError(
+    raise limits_api.RefusedError(
         messages.Reason.WRONG_WEIGHTS,
         state.load_left_ms() if coming else 0.0,
         f"serves {state.weights_version}",
--- a/src/lycheering/agent/context.py
+++ b/src/lycheering/agent/context.py
@@ -8,6 +8,7 @@
 
 from lycheering.fleet import view
 from lycheering.limits import admission as admissions
+from lycheering.limits import api as limits_api
 
 if TYPE_CHECKING:
     from lycheering import clock as clocks
@@ -97,8 +98,8 @@
             fleet.integer("limits.max_running", self.subject),
             self.state.slots,
         )
-        window = admissions.PREFILL_WINDOW if self.is_engine else max_running
-        limits = admissions.Limits(
+        window = limits_api.PREFILL_WINDOW if self.is_engine else max_running
+        limits = limits_api.Limits(
             max_running,
             fleet.integer("limits.max_queued", self.subject),
             window,
--- a/src/lycheering/agent/orders.py
+++ b/src/lycheering/agent/orders.py
@@ -6,7 +6,7 @@
 import enum
 from typing import TYPE_CHECKING
 
-from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -84,21 +84,21 @@
         if record is not None and record.step is not OrderStep.BLOCKED:
             raise AlreadySentError(ticket.order_id)
         if record is not None:
-            raise admission.RefusedError(
+            raise limits_api.RefusedError(
                 messages.Reason.BLOCKED, 0.0, "the order was blocked"
             )
         if self.highest_fence is None:
-            raise admission.RefusedError(
+            raise limits_api.RefusedError(
                 messages.Reason.NO_QUORUM,
                 UNREGISTERED_RETRY_AFTER_MS,
                 "the agent has not registered",
             )
         if ticket.fence < self.highest_fence:
-            raise admission.RefusedError(
+            raise limits_api.RefusedError(
                 messages.Reason.FENCED, 0.0, "old fencing number"
             )
         if not self._has_room():
-            raise admission.RefusedError(
+            raise limits_api.RefusedError(
                 messages.Reason.FULL, FULL_RETRY_AFTER_MS, "too many orders"
             )
         self._put(ticket.order_id, OrderStep.RECEIVED)
@@ -117,11 +117,11 @@
         order_id = ticket.order_id
         record = self._record_by_order_id.get(order_id)
         if record is None or record.step is not OrderStep.RECEIVED:
-            raise admission.RefusedError(
+            raise limits_api.RefusedError(
                 messages.Reason.BLOCKED, 0.0, "the order was blocked"
             )
         if in_order and ticket.fence < self._highest_sent:
-            raise admission.RefusedError(
+            raise limits_api.RefusedError(
                 messages.Reason.FENCED, 0.0, "a newer order was sent"
             )
         self._highest_sent = max(self._highest_sent, ticket.fence)
@@ -151,7 +151,7 @@
         record = self._record_by_order_id.get(order_id)
         if record is None:
             if not self._has_room():
-                raise admission.RefusedError(
+                raise limits_api.RefusedError(
                     messages.Reason.FULL, FULL_RETRY_AFTER_MS, "too many orders"
                 )
             record = self._put(order_id, OrderStep.BLOCKED)
--- a/src/lycheering/agent/requests.py
+++ b/src/lycheering/agent/requests.py
@@ -12,7 +12,7 @@
 from lycheering.cache import held
 from lycheering.cache import pieces
 from lycheering.fleet import view
-from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.limits import cost as costs
 from lycheering.targets import api as targets_api
 from lycheering.wire import messages
@@ -126,12 +126,12 @@
 
 def make_demand(
     context: contexts.Context, submit: messages.Submit, cost: costs.Cost
-) -> admission.Demand:
+) -> limits_api.Demand:
     """Returns what the queue needs to know of a request."""
     team = view.Subject(team=submit.team)
     share = context.holder.fleet.number("limits.team_share", team)
     priority = min(max(submit.priority, 0), MAX_PRIORITY)
-    return admission.Demand(
+    return limits_api.Demand(
         submit.team,
         max(MIN_SHARE, share),
         priority,
@@ -180,7 +180,7 @@
     try:
         return msgspec.json.decode(body, type=kind)
     except msgspec.DecodeError as error:
-        raise admission.RefusedError(
+        raise limits_api.RefusedError(
             messages.Reason.BAD_REQUEST, 0.0, str(error)
         ) from error
 
--- a/src/lycheering/agent/runs.py
+++ b/src/lycheering/agent/runs.py
@@ -14,7 +14,7 @@
 from lycheering.agent import orders
 from lycheering.agent import requests
 from lycheering.agent import ticketed
-from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.targets import api as targets_api
 from lycheering.telemetry import logs
 from lycheering.wire import messages
@@ -69,7 +69,7 @@
         """Runs the request; its delivery has an end afterwards."""
         try:
             ending: deliveries.Ending = await self._attempt()
-        except admission.RefusedError as error:
+        except limits_api.RefusedError as error:
             ending = self._failed(
                 error.reason, error.detail, error.retry_after_ms
             )
@@ -166,7 +166,7 @@
         )
 
     async def _run(
-        self, place: admission.Place, plan: requests.Plan
+        self, place: limits_api.Place, plan: requests.Plan
     ) -> messages.Finished:
         context = self._context
         async with contextlib.AsyncExitStack() as stack:
@@ -184,9 +184,9 @@
         context = self._context
         now_ms = context.clock.now_ms()
         if now_ms >= self.submit.deadline_ms:
-            raise admission.RefusedError(messages.Reason.DEADLINE)
+            raise limits_api.RefusedError(messages.Reason.DEADLINE)
         if now_ms - self._checked_ms >= context.wire.silence_ms:
-            raise admission.RefusedError(
+            raise limits_api.RefusedError(
                 messages.Reason.EXPIRED, 0.0, "the agent stood still"
             )
         if context.is_engine:
@@ -201,7 +201,7 @@
     async def _read(
         self,
         answer: targets_api.Answer,
-        place: admission.Place,
+        place: limits_api.Place,
         plan: requests.Plan,
     ) -> messages.Finished:
         reasons = messages.Reason
@@ -253,7 +253,7 @@
     async def _read_head(
         self,
         answer: targets_api.Answer,
-        place: admission.Place,
+        place: limits_api.Place,
         plan: requests.Plan,
         renewed: bool,
     ) -> None:
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -8,7 +8,7 @@
 from lycheering.agent import ended
 from lycheering.agent import runs
 from lycheering.app import api as app_api
-from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.telemetry import logs
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
@@ -272,7 +272,7 @@
         reply: messages.Message
         try:
             reply = self._context.desk.inquire(inquiry.order_id)
-        except admission.RefusedError as error:
+        except limits_api.RefusedError as error:
             reply = messages.Failure(
                 error.reason, error.detail, error.retry_after_ms
             )
--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -5,7 +5,8 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from lycheering.entry import sinks
+from lycheering.entry import endings
+from lycheering.entry import patience as patiences
 from lycheering.entry import target_access
 from lycheering.telemetry import logs
 from lycheering.wire import channels
@@ -15,44 +16,16 @@
 
 if TYPE_CHECKING:
     from lycheering.entry import job as jobs
+    from lycheering.entry import sinks
     from lycheering.routing import router as routers
 
 ORDER_SEND_MS = 2_000.0
-POLL_MS = 250.0
-ACCEPT_POLL_MS = 100.0
-RENEW_POLLS = 2
-MAX_ACCEPT_POLLS = 3
-RECONNECT_MS = 500.0
-BOUND_RECONNECT_MS = 5_000.0  # while no other target could go on
 ACK_CHUNKS = 16
 MAX_RESUMES = 8
 
 _LOG = logs.get("attempt")
 
 
-class BrokenError(Exception):
-    """The request may have run, and this attempt can't complete it.
-
-    Attributes:
-        reason: Why.
-    """
-
-    def __init__(self, reason: messages.Reason, detail: str) -> None:
-        super().__init__(detail)
-        self.reason = reason
-
-
-class OverdueError(Exception):
-    """The deadline passed while the request may have been running."""
-
-
-def is_bound(job: jobs.Job, sink: sinks.Sink) -> bool:
-    """Returns whether only the target that began an answer can go on."""
-    if not sink.passed_on or sink.next_seq == 0:
-        return False
-    return not (job.deterministic and sink.is_event_stream)
-
-
 class Attempt:
     """Sends a request to one agent and passes its answer on."""
 
@@ -74,14 +47,12 @@
         self._ticket = ticket
         self._claimed_incarnation = claimed_incarnation
         self._incarnation = ""
-        self._lost_since_ms: float | None = None
+        self._patience = patiences.Patience(
+            targets, choice.target, is_order=ticket is not None
+        )
         self._acked = sink.next_seq
         self._resumes = 0
-        self._accepted = False
-        self._started = False
         self._started_ms = 0.0
-        self._polls = 0
-        self._renewed = False
 
     async def run(self) -> None:
         """Returns once the answer is whole.
@@ -174,7 +145,7 @@
                 case messages.Chunks():
                     await self._take(channel, event)
                 case messages.Started():
-                    self._started = True
+                    self._patience.started = True
                     self._started_ms = self._targets.clock.now_ms()
                     self._targets.router.loads.started(
                         self._choice.target.name, key
@@ -182,7 +153,7 @@
                     self._note_load(connection)
                     self._begin(event)
                 case messages.Accepted():
-                    self._accepted = True
+                    self._patience.accepted = True
                     self._note_load(connection)
                 case messages.Finished():
                     if event.next_seq == self._sink.next_seq:
@@ -202,105 +173,29 @@
                     self._end(event)
 
     def _end(self, event: channels.Event) -> None:
-        match event:
-            case messages.NotRun():
-                self._targets.router.widths.note(event.hint)
-                reason = event.reason
-                if reason is messages.Reason.NOT_FOUND:
-                    raise target_access.LostFrameError(event.detail)
-                raise target_access.NotRunError(
-                    reason, event.detail, event.retry_after_ms
-                )
-            case messages.Broken():
-                raise BrokenError(event.reason, event.detail)
-            case messages.Failure(reason=messages.Reason.EXPIRED):
-                if self._accepted or self._resumes:
-                    raise BrokenError(event.reason, "expired after accepting")
-                raise target_access.NotRunError(
-                    event.reason, "expired on its way"
-                )
-            case messages.Failure():
-                raise BrokenError(event.reason, event.detail)
-            case channels.Lost():
-                raise BrokenError(messages.Reason.UNREACHABLE, "closed")
-            case _:
-                kind = type(event).__name__
-                raise BrokenError(
-                    messages.Reason.INTERNAL, f"unexpected {kind}"
-                )
+        if isinstance(event, messages.NotRun):
+            self._targets.router.widths.note(event.hint)
+        arrived = self._patience.accepted or self._resumes > 0
+        raise endings.error_of(event, arrived=arrived)
 
     async def _next(
         self, connection: client.Connection, channel: channels.Channel
     ) -> channels.Event:
         clock = self._targets.clock
+        patience = self._patience
         while True:
             left_ms = self._job.deadline_at_ms - clock.now_ms()
             if left_ms <= 0:
-                raise OverdueError(self._job.request_id)
+                raise endings.OverdueError(self._job.request_id)
             try:
-                event = await channel.receive(min(self._poll_ms(), left_ms))
+                event = await channel.receive(min(patience.poll_ms, left_ms))
             except errors.CallTimeoutError:
-                self._check_moving(connection)
-                self._check_alive(connection)
+                bound = endings.is_bound(self._job, self._sink)
+                patience.check(connection, bound=bound)
                 continue
-            self._lost_since_ms = None
+            patience.heard()
             return event
 
-    def _poll_ms(self) -> float:
-        waits = self._accepted and not self._renewed
-        return POLL_MS if waits else ACCEPT_POLL_MS
-
-    def _check_moving(self, connection: client.Connection) -> None:
-        """Gives up an agent that stands still before the answer began.
-
-        A silent connection is replaced first: the agent then tells whether
-        the request reached it.
-
-        Raises:
-            BrokenError: If the request is better tried elsewhere.
-        """
-        if self._started:
-            return
-        # counted in polls, as a pause of this process makes up only one
-        self._polls += 1
-        suspect = connection.silent_ms >= self._targets.suspect_ms
-        if not self._accepted and self._ticket is None:
-            waited_ms = self._polls * ACCEPT_POLL_MS
-            suspect = (
-                self._polls >= RENEW_POLLS and connection.silent_ms >= waited_ms
-            )
-        if suspect and not self._renewed:
-            self._renewed = True
-            connection.renew()
-            return
-        if self._ticket is not None:
-            return
-        if not self._accepted and self._polls >= MAX_ACCEPT_POLLS:
-            raise BrokenError(messages.Reason.SILENT, "not accepted in time")
-        if self._accepted and suspect:
-            raise BrokenError(
-                messages.Reason.SILENT, "silent before the answer began"
-            )
-
-    def _check_alive(self, connection: client.Connection) -> None:
-        if connection.connected:
-            self._lost_since_ms = None
-            return
-        now_ms = self._targets.clock.now_ms()
-        if self._lost_since_ms is None:
-            self._lost_since_ms = now_ms
-        target = self._choice.target
-        known = self._targets.view.fleet.target_by_name.get(target.name)
-        restarted = known is None or (
-            known.agent_incarnation != target.agent_incarnation
-        )
-        bound = is_bound(self._job, self._sink)
-        patience_ms = BOUND_RECONNECT_MS if bound else RECONNECT_MS
-        if restarted or now_ms - self._lost_since_ms >= patience_ms:
-            raise BrokenError(
-                messages.Reason.UNREACHABLE, f"{target.name}: connection lost"
-            )
-
     def _begin(self, started: messages.Started) -> None:
         sink = self._sink
         router = self._targets.router
@@ -314,11 +209,11 @@
                 started,
             )
         if sink.next_seq and started.weights_version != sink.weights_version:
-            raise BrokenError(
+            raise endings.BrokenError(
                 messages.Reason.WRONG_WEIGHTS, "the answer began with others"
             )
         if sink.head is not None and sink.head.status != started.status:
-            raise BrokenError(
+            raise endings.BrokenError(
                 messages.Reason.TARGET_FAILED, f"status {started.status}"
             )
         sink.begin(started)
@@ -328,7 +223,9 @@
     ) -> None:
         sink = self._sink
         if sink.head is None:
-            raise BrokenError(messages.Reason.INTERNAL, "chunks before start")
+            raise endings.BrokenError(
+                messages.Reason.INTERNAL, "chunks before start"
+            )
         known = sink.next_seq - chunks.first_seq
         if known < 0:
             self._resume(channel, f"chunks from {chunks.first_seq} on")
@@ -350,16 +247,18 @@
 
     def _replaced(self, channel: channels.Channel, incarnation: str) -> None:
         if incarnation != self._incarnation:
-            raise BrokenError(
+            raise endings.BrokenError(
                 messages.Reason.WRONG_INCARNATION, "the agent restarted"
             )
-        self._polls = 0
+        self._patience.reconnected()
         self._resume(channel, "connection replaced")
 
     def _resume(self, channel: channels.Channel, detail: str) -> None:
         self._resumes += 1
         if self._resumes > MAX_RESUMES:
-            raise BrokenError(messages.Reason.SILENT, f"gaps remain: {detail}")
+            raise endings.BrokenError(
+                messages.Reason.SILENT, f"gaps remain: {detail}"
+            )
         self._targets.counters.increment("resume")
         _LOG.event(
             "resume",
@@ -394,9 +293,4 @@
         )
 
 
-__all__ = [
-    "Attempt",
-    "BrokenError",
-    "OverdueError",
-    "is_bound",
-]
+__all__ = ["Attempt"]
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -8,6 +8,7 @@
 
 from lycheering.entry import attempt as attempts
 from lycheering.entry import cache_inquiries
+from lycheering.entry import endings
 from lycheering.entry import refusals
 from lycheering.entry import sinks
 from lycheering.entry import target_access
@@ -27,7 +28,7 @@
     from lycheering.entry import job as jobs
     from lycheering.fleet import records
 
-    _Failure = target_access.NotRunError | attempts.BrokenError
+    _Failure = target_access.NotRunError | endings.BrokenError
 
 _LOG = logs.get("dispatch")
 
@@ -160,7 +161,7 @@
             # an agent that lost a frame answers again, and is as good as before
             if not isinstance(failure, target_access.LostFrameError):
                 tried.append(name)
-            may_have_run |= isinstance(failure, attempts.BrokenError)
+            may_have_run |= isinstance(failure, endings.BrokenError)
             self._check_repeat(job, sink, failure, may_have_run)
             self._check_allowed(job, failure, may_have_run, allowance)
             await self._targets.clock.sleep(budgets.pause_ms(number))
@@ -192,10 +193,10 @@
             if error.reason is messages.Reason.UNREACHABLE:
                 self._targets.circuits.failed(name)
             return error
-        except attempts.BrokenError as error:
+        except endings.BrokenError as error:
             self._targets.circuits.failed(name)
             return error
-        except attempts.OverdueError as error:
+        except endings.OverdueError as error:
             raise refusals.RefusalError(
                 messages.Reason.DEADLINE,
                 "the answer was not whole by the deadline",
@@ -214,7 +215,7 @@
         failure: _Failure,
         may_have_run: bool,
     ) -> None:
-        if attempts.is_bound(job, sink):
+        if endings.is_bound(job, sink):
             raise refusals.RefusalError(
                 failure.reason,
                 f"the answer broke off after {sink.next_seq} chunks and can't"
--- a/src/lycheering/entry/orders.py
+++ b/src/lycheering/entry/orders.py
@@ -9,6 +9,7 @@
 from lycheering.entry import attempt as attempts
 from lycheering.entry import control_client
 from lycheering.entry import dispatch
+from lycheering.entry import endings
 from lycheering.entry import job as jobs
 from lycheering.entry import refusals
 from lycheering.entry import sinks
@@ -208,8 +209,8 @@
                 error.reason, str(error), error.retry_after_ms
             ) from error
         except (
-            attempts.BrokenError,
-            attempts.OverdueError,
+            endings.BrokenError,
+            endings.OverdueError,
             assemble.ChunkError,
             sinks.AnswerTooLargeError,
         ) as error:
--- a/src/lycheering/limits/admission.py
+++ b/src/lycheering/limits/admission.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+from lycheering.limits import api
 from lycheering.limits import cost as costs
 from lycheering.limits import outlook as outlooks
 from lycheering.limits import queue as queues
@@ -17,93 +17,12 @@
 if TYPE_CHECKING:
     from lycheering import clock as clocks
 
-PREFILL_WINDOW = 2
 WAIT_MARGIN = 1.2
-MIDDLE_PRIORITY = 50
 FULL_DRAIN_SHARE = 0.25
 CHECK_EVERY_MS = 50.0
 MIN_SLOTS = 0.01
 
 
-class RefusedError(Exception):
-    """A request is not run here.
-
-    Attributes:
-        reason: Why.
-        retry_after_ms: When such a request is expected to be taken.
-        detail: Text for people.
-    """
-
-    def __init__(
-        self,
-        reason: messages.Reason,
-        retry_after_ms: float = 0.0,
-        detail: str = "",
-    ) -> None:
-        super().__init__(f"{reason}: {detail}")
-        self.reason = reason
-        self.retry_after_ms = retry_after_ms
-        self.detail = detail
-
-
-@dataclasses.dataclass
-class Limits:
-    """What an agent may take on, from the fleet's options.
-
-    Attributes:
-        max_running: Requests sent to the target at once.
-        max_queued: Requests that wait at the agent.
-        prefill_window: Requests sent whose first token is awaited.
-        reserved: Slots that no team or priority takes while others are
-            active.
-    """
-
-    max_running: int = 8
-    max_queued: int = 64
-    prefill_window: int = PREFILL_WINDOW
-    reserved: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class Demand:
-    """What a request asks of the target.
-
-    Attributes:
-        team: The team that it belongs to.
-        share: The team's weight.
-        priority: Smaller is served first.
-        cost: Its expected work.
-        deadline_ms: End of the request.
-        share_use: What its team asks of the fleet, in parts of its fair
-            share.
-    """
-
-    team: str
-    share: float
-    priority: int
-    cost: costs.Cost
-    deadline_ms: float
-    share_use: float = 0.0
-
-
-@dataclasses.dataclass(eq=False)
-class Place:
-    """A request that was taken, from the queue to its end.
-
-    Attributes:
-        waiting: Its place in the queue.
-        expected_start_ms: The wait expected when it came.
-        started_ms: When it was let through, or, once its first token came,
-            when it must have begun; 0 before.
-        prefilling: Whether its first token is awaited.
-    """
-
-    waiting: queues.Waiting
-    expected_start_ms: float
-    started_ms: float = 0.0
-    prefilling: bool = False
-
-
 class Admission:
     """The queue and the running requests of one target.
 
@@ -114,11 +33,11 @@
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
-        self.limits = Limits()
+        self.limits = api.Limits()
         self.queue = queues.FairQueue()
         self.draining = False
         self._clock = clock
-        self._running: set[Place] = set()
+        self._running: set[api.Place] = set()
         self._reserve = reserves.SlotReserve(self.queue)
         self._reserve.change(self.limits.max_running, self.limits.max_running)
         self._outlook = outlooks.Outlook(
@@ -127,7 +46,7 @@
         self._outlook.slot_count = self.limits.max_running
         self._error = waits.WaitError()
         self._booking = waits.Booking(clock)
-        self._place_by_waiting: dict[queues.Waiting, Place] = {}
+        self._place_by_waiting: dict[queues.Waiting, api.Place] = {}
         self._checked_ms = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -137,7 +56,7 @@
         """Requests that were let through and have not ended."""
         return len(self._running)
 
-    def enter(self, demand: Demand) -> Place:
+    def enter(self, demand: api.Demand) -> api.Place:
         """Takes a request into the queue, or refuses it at once.
 
         Args:
@@ -147,7 +66,7 @@
             Its place; call `wait`, then `leave` in any case.
 
         Raises:
-            RefusedError: If it is not run here.
+            api.RefusedError: If it is not run here.
         """
         if self.draining:
             raise self._refused_draining()
@@ -168,17 +87,17 @@
         self._check_deadline(waiting, now_ms, wait_ms)
         self._make_room(waiting)
         self.queue.add(waiting)
-        place = Place(waiting, wait_ms)
+        place = api.Place(waiting, wait_ms)
         self._place_by_waiting[waiting] = place
         self._idle.clear()
         self._advance()
         return place
 
-    async def wait(self, place: Place) -> None:
+    async def wait(self, place: api.Place) -> None:
         """Returns once the request may be sent.
 
         Raises:
-            RefusedError: If it is refused after all, such as when its
+            api.RefusedError: If it is refused after all, such as when its
                 deadline can no longer be met.
         """
         waiting = place.waiting
@@ -195,14 +114,14 @@
             self._error.learn(place.expected_start_ms, waited_ms)
             raise self._refused_late(waiting) from error
 
-    def prefilled(self, place: Place) -> None:
+    def prefilled(self, place: api.Place) -> None:
         """Learns that a request's first token came."""
         place.prefilling = False
         # its prompt had to wait for those that were sent before it
         place.started_ms = self._clock.now_ms() - place.waiting.cost.prefill_ms
         self._advance()
 
-    def leave(self, place: Place) -> None:
+    def leave(self, place: api.Place) -> None:
         """Learns that a request ended, however it did."""
         self.queue.remove(place.waiting)
         self._place_by_waiting.pop(place.waiting, None)
@@ -224,7 +143,7 @@
         for waiting in self.queue.everyone():
             self._refuse(waiting, self._refused_draining())
 
-    def change_limits(self, limits: Limits) -> None:
+    def change_limits(self, limits: api.Limits) -> None:
         """Puts other limits in force."""
         self.limits = limits
         self._reserve.change(
@@ -242,7 +161,7 @@
         await self._idle.wait()
 
     def expected_wait_ms(
-        self, priority: int = MIDDLE_PRIORITY, team: str = ""
+        self, priority: int = api.MIDDLE_PRIORITY, team: str = ""
     ) -> float:
         """Returns the wait expected for a new request.
 
@@ -297,7 +216,7 @@
             return
         # a later one with as much time fits once the queue is this short
         bearable_ms = math.floor(max(0.0, left_ms - service_ms) / WAIT_MARGIN)
-        raise RefusedError(
+        raise api.RefusedError(
             messages.Reason.DEADLINE,
             self._book(wait_ms - bearable_ms, waiting),
             f"needs {wait_ms + service_ms:.0f} ms, has {left_ms:.0f} ms",
@@ -314,7 +233,7 @@
             raise self._refused_full(waiting)
         self._refuse(worst, self._refused_full(worst))
 
-    def _refused_full(self, waiting: queues.Waiting) -> RefusedError:
+    def _refused_full(self, waiting: queues.Waiting) -> api.RefusedError:
         count = len(self.queue)
         fair_count = count / max(1, self.queue.active_teams())
         reason = messages.Reason.FULL
@@ -323,21 +242,23 @@
             reason = messages.Reason.TEAM_LIMIT
         # comes back once a part of the queue has been served
         starts_ms = sorted(self._outlook.starts_ms())
-        return RefusedError(
+        return api.RefusedError(
             reason,
             self._book(starts_ms[math.ceil(count * FULL_DRAIN_SHARE)], waiting),
             f"{count} requests wait",
         )
 
-    def _refused_late(self, waiting: queues.Waiting) -> RefusedError:
-        return RefusedError(
+    def _refused_late(self, waiting: queues.Waiting) -> api.RefusedError:
+        return api.RefusedError(
             messages.Reason.DEADLINE,
             self._book(self._wait_ms(waiting), waiting),
             "waited too long to end in time",
         )
 
-    def _refused_draining(self) -> RefusedError:
-        return RefusedError(messages.Reason.DRAINING, 0.0, "target is leaving")
+    def _refused_draining(self) -> api.RefusedError:
+        return api.RefusedError(
+            messages.Reason.DRAINING, 0.0, "target is leaving"
+        )
 
     def _book(self, wait_ms: float, waiting: queues.Waiting) -> float:
         slots = max(MIN_SLOTS, self._reserve.share_slots(waiting))
@@ -349,7 +270,7 @@
             least_work_ms=work_ms / max(1, self.limits.max_running),
         )
 
-    def _refuse(self, waiting: queues.Waiting, error: RefusedError) -> None:
+    def _refuse(self, waiting: queues.Waiting, error: api.RefusedError) -> None:
         self.queue.remove(waiting)
         if not waiting.turn.done():
             waiting.turn.set_exception(error)
@@ -395,12 +316,4 @@
             self._refuse(waiting, self._refused_late(waiting))
 
 
-__all__ = [
-    "MIDDLE_PRIORITY",
-    "PREFILL_WINDOW",
-    "Admission",
-    "Demand",
-    "Limits",
-    "Place",
-    "RefusedError",
-]
+__all__ = ["Admission"]
--- a/src/lycheering/limits/outlook.py
+++ b/src/lycheering/limits/outlook.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterator
 
     from lycheering import clock as clocks
-    from lycheering.limits import admission
+    from lycheering.limits import api as limits_api
     from lycheering.limits import queue as queues
     from lycheering.limits import reserve as reserves
 
@@ -29,7 +29,7 @@
         clock: clocks.Clock,
         queue: queues.FairQueue,
         reserve: reserves.SlotReserve,
-        running: Collection[admission.Place],
+        running: Collection[limits_api.Place],
     ) -> None:
         self.slot_count = 1
         self._clock = clock
@@ -142,7 +142,7 @@
         )
 
     def _free_ms(
-        self, running: Collection[admission.Place], count: int
+        self, running: Collection[limits_api.Place], count: int
     ) -> list[float]:
         now_ms = self._clock.now_ms()
         free_ms = [
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -11,6 +11,7 @@
 
 from lycheering import clock
 from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.limits import cost
 from lycheering.limits import waits
 
@@ -33,7 +34,7 @@
 
     async def enter(self, team, work_ms, left_ms, priority=10):
         self.count += 1
-        demand = admission.Demand(
+        demand = limits_api.Demand(
             team,
             1.0,
             priority,
@@ -43,7 +44,7 @@
         )
         try:
             place = self.gate.enter(demand)
-        except admission.RefusedError as error:
+        except limits_api.RefusedError as error:
             self.error_by_number[self.count] = error
             return
         self.place_by_number[self.count] = place
@@ -54,7 +55,7 @@
     async def _wait(self, number, place):
         try:
             await self.gate.wait(place)
-        except admission.RefusedError as error:
+        except limits_api.RefusedError as error:
             self.error_by_number[number] = error
             self.gate.leave(place)
 
@@ -85,7 +86,7 @@
     if not hasattr(context, "entered"):
         context.entered = Requests()
         context.stack.callback(context.entered.close)
-    limits = admission.Limits(running, queued, running)
+    limits = limits_api.Limits(running, queued, running)
     context.entered.gate.change_limits(limits)
 
 
--- a/tests/steps/agent_order_steps.py
+++ b/tests/steps/agent_order_steps.py
@@ -8,7 +8,7 @@
 
 from lycheering import clock
 from lycheering.agent import orders
-from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.wire import messages
 from tests.helpers import agent_bench
 
@@ -249,7 +249,7 @@
 def reason_of(call, *arguments):
     try:
         call(*arguments)
-    except admission.RefusedError as error:
+    except limits_api.RefusedError as error:
         return error.reason
     return ""
 
--- a/tests/steps/target_steps.py
+++ b/tests/steps/target_steps.py
@@ -10,7 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from lycheering.limits import admission
+from lycheering.limits import api as limits_api
 from lycheering.settings import model
 from lycheering.targets import api
 from lycheering.targets import engine
@@ -103,11 +103,11 @@
 @when("the last check before sending refuses")
 def step_check_refuses(context):
     def refuse():
-        raise admission.RefusedError(messages.Reason.DEADLINE)
+        raise limits_api.RefusedError(messages.Reason.DEADLINE)
 
     try:
         context.runner.run(context.driver.send(CALL, refuse))
-    except admission.RefusedError:
+    except limits_api.RefusedError:
         return
     raise AssertionError("sent after a refusal")
 
--- a/tools/fault_matrix.py
+++ b/tools/fault_matrix.py
@@ -185,6 +185,8 @@
         "Made from `docs/faults.ini` and the tags of the scenarios under",
         "`tests/` by `python -m tools.fault_matrix --write`. A cell is proved",
         "by the scenarios listed at the end, which run in `make test`.",
+        "Beside the cells, `tests/faults/storms.feature` strikes processes of",
+        "every kind in orders drawn from seeds, some of them at once.",
         "",
     ]
     lines += ["| fault | what happens |", "| --- | --- |"]
