--- /dev/null
+++ b/tests/steps/entry_leaving_steps.py
@@ -0,0 +1,129 @@
+"""Steps for callers that leave an entry, and for one that leaves itself."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import then
+from behave import when
+
+from lycheering.web import client as web
+from tests.steps import entry_steps
+from tests.support import entry_calls
+from tests.support import fake_fleet
+from tests.support import http_caller
+
+
+async def start_asking(fleet, body):
+    exchange = await web.Exchange.connect(fleet.origin)
+    headers = {"Authorization": "Bearer key-north"}
+    exchange.send("POST", entry_calls.CHAT, headers, json.dumps(body).encode())
+    return exchange
+
+
+@when('a caller asks for a {form} chat "{prompt:w}" and leaves after the start')
+def step_leaves(context, form, prompt):
+    fleet = context.fleet
+
+    async def leave():
+        body = entry_calls.chat_body(prompt, form == "streamed")
+        exchange = await start_asking(fleet, body)
+        await fake_fleet.until(lambda: any(a.runs for a in fleet.engines))
+        exchange.close()
+        await fake_fleet.until(lambda: any(a.cancels for a in fleet.engines))
+
+    fleet.run(leave())
+
+
+@when('a caller asks for a streamed chat "{prompt:w}" and reads nothing')
+def step_reads_nothing(context, prompt):
+    fleet = context.fleet
+
+    async def stall():
+        exchange = await start_asking(
+            fleet, entry_calls.chat_body(prompt, True)
+        )
+        context.stack.callback(exchange.close)
+        await fake_fleet.until(lambda: any(a.cancels for a in fleet.engines))
+
+    fleet.run(stall())
+
+
+@when("{count:d} callers at once ask for chats due in {due_ms:d} ms")
+def step_crowd_due(context, count, due_ms):
+    async def crowd():
+        return await asyncio.gather(
+            *(
+                context.fleet.fetch(
+                    "POST",
+                    entry_calls.CHAT,
+                    body=entry_calls.chat_body("hi", False),
+                    X_Deadline_Ms=str(due_ms),
+                )
+                for _ in range(count)
+            )
+        )
+
+    replies = context.fleet.run(crowd())
+    context.crowd = [http_caller.read(reply) for reply in replies]
+
+
+@then('{count:d} of them are refused with "{reason}", not run')
+def step_crowd_refused(context, count, reason):
+    refused = [s for s in context.crowd if s.error["reason"] == reason]
+    assert len(refused) == count, context.crowd
+    assert all(seen.error["not_run"] for seen in refused)
+
+
+@when('a caller asks for a streamed chat "{prompt:w}" while the entry drains')
+def step_drain(context, prompt):
+    fleet = context.fleet
+
+    async def drain():
+        body = entry_calls.chat_body(prompt, True)
+        running = asyncio.create_task(
+            fleet.fetch("POST", entry_calls.CHAT, body=body)
+        )
+        await fake_fleet.until(lambda: any(a.runs for a in fleet.engines))
+        draining = asyncio.create_task(fleet.entry.drain())
+        await fake_fleet.until(lambda: fleet.entry.admission.leaving)
+        context.ready = await fleet.fetch("GET", "/health/ready")
+        context.between = await fleet.fetch("GET", "/v1/models")
+        await fake_fleet.until(lambda: fleet.entry.admission.draining)
+        context.late = await fleet.fetch("POST", entry_calls.CHAT, body=body)
+        context.running = await running
+        await draining
+
+    fleet.run(drain())
+
+
+@then("the entry was unready while it still took requests")
+def step_unready(context):
+    assert context.ready.head.status == 503
+    assert context.between.head.status == 200
+
+
+@then('a request after that was refused with "{reason}", not run')
+def step_late(context, reason):
+    error = http_caller.read(context.late).error
+    assert error["reason"] == reason and error["not_run"], error
+
+
+@then('the running answer to "{prompt}" came whole')
+def step_running(context, prompt):
+    context.seen = http_caller.read(context.running)
+    entry_steps.step_whole(context, prompt)
+
+
+@when("control stops and the entry restarts")
+def step_control_stops(context):
+    fleet = context.fleet
+
+    async def swap():
+        await fleet.entry.stop()
+        await fleet.control.server.stop()
+        fleet.entry = type(fleet.entry)(fleet.settings())
+        await fleet.entry.start()
+
+    fleet.run(swap())
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import tempfile
 
 from behave import given
@@ -12,94 +11,47 @@
 
 from lycheering.fleet import changes
 from lycheering.fleet import records
-from lycheering.web import client as web
-from lycheering.wire import messages
+from tests.support import entry_calls
 from tests.support import fake_fleet
 from tests.support import http_caller
 
-CHAT = "/v1/chat/completions"
-PORTAL = "/v1/services/portal/place"
-
-
-def build(context, **settings):
-    context.fleet = fake_fleet.FakeFleet(**settings)
-    context.stack.callback(context.fleet.close)
-    context.answers = []
-
-
-def chat_body(prompt, stream, **fields):
-    message = {"role": "user", "content": prompt}
-    return {"model": "m", "messages": [message], "stream": stream} | fields
-
-
-def ask(context, method, path, key="key-north", body=None, **headers):
-    reply = context.fleet.run(
-        context.fleet.fetch(method, path, key, body, **headers)
-    )
-    context.seen = http_caller.read(reply)
-    context.answers.append(context.seen)
-
 
 @given("an entry among fakes")
 def step_entry(context):
-    build(context)
+    entry_calls.build(context)
 
 
 @given("an entry among fakes that cuts callers off after {stall_ms:d} ms")
 def step_entry_stall(context, stall_ms):
-    build(context, caller_stall_ms=stall_ms)
+    entry_calls.build(context, caller_stall_ms=stall_ms)
 
 
 @given("an entry among fakes with room for {count:d} requests")
 def step_entry_room(context, count):
-    build(context, max_open_requests=count)
+    entry_calls.build(context, max_open_requests=count)
 
 
 @given("an entry among fakes that serves {grace_ms:d} ms on when it leaves")
 def step_entry_grace(context, grace_ms):
-    build(context, balancer_grace_ms=grace_ms)
+    entry_calls.build(context, balancer_grace_ms=grace_ms)
 
 
 @given("an entry among fakes with a state folder")
 def step_entry_folder(context):
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
-    build(context, state_folder=folder)
+    entry_calls.build(context, state_folder=folder)
 
 
 @given("the entry's settings may no longer be current")
 def step_not_current(context):
     context.fleet.entry.is_current = lambda: False
-    context.fleet.run(restart(context.fleet, current=False))
-
-
-async def restart(fleet, *, current=True):
-    await fleet.entry.stop()
-    if current:
-        await fleet.start_entry()
-        return
-    fleet.entry_settings |= {"fleet_lease_ms": 1}
-    await fleet.start_entry()
-    client = fleet.entry._control
-    await client.stop()
-    await fake_fleet.until(lambda: not fleet.entry.is_current())
+    context.fleet.run(entry_calls.restart(context.fleet, current=False))
 
 
 @given('another agent "{name}"')
 def step_another(context, name):
     context.fleet.run(context.fleet.add_agent(name))
-    context.fleet.run(settled(context.fleet))
-
-
-async def settled(fleet):
-    await fake_fleet.until(
-        lambda: fleet.entry.view.revision() == fleet.control.view.revision()
-    )
-
-
-def script(agents, **fields):
-    for agent in agents:
-        for name, value in fields.items():
-            setattr(agent.script, name, value)
+    context.fleet.run(entry_calls.settled(context.fleet))
 
 
 FIELDS_BY_FAULT = {
@@ -113,12 +65,12 @@
 
 @given("agents whose fault it is to {fault}")
 def step_agents(context, fault):
-    script(context.fleet.engines, **FIELDS_BY_FAULT[fault])
+    entry_calls.script(context.fleet.engines, **FIELDS_BY_FAULT[fault])
 
 
 @given("agents that break off after {count:d} chunks")
 def step_break(context, count):
-    script(context.fleet.engines, break_after=count)
+    entry_calls.script(context.fleet.engines, break_after=count)
 
 
 @given(
@@ -127,32 +79,34 @@
 )
 def step_break_weights(context, count):
     for number, agent in enumerate(context.fleet.engines):
-        script([agent], break_after=count, weights_version=f"w{number}")
+        entry_calls.script(
+            [agent], break_after=count, weights_version=f"w{number}"
+        )
 
 
 @given("agents that fall silent after {count:d} chunks")
 def step_mute(context, count):
-    script(context.fleet.engines, mute_after=count)
+    entry_calls.script(context.fleet.engines, mute_after=count)
 
 
 @given("agents that take {pause_ms:d} ms per frame")
 def step_pause(context, pause_ms):
-    script(context.fleet.engines, pause_ms=pause_ms)
+    entry_calls.script(context.fleet.engines, pause_ms=pause_ms)
 
 
 @given('agents that refuse with "{reason}"')
 def step_refuse(context, reason):
-    script(context.fleet.engines, not_run=reason)
+    entry_calls.script(context.fleet.engines, not_run=reason)
 
 
 @given('agent "{name}" breaks off after {count:d} chunks')
 def step_one_breaks(context, name, count):
-    script([context.fleet.agent_by_name[name]], break_after=count)
+    entry_calls.script([context.fleet.agent_by_name[name]], break_after=count)
 
 
 @given('agent "{name}" refuses with "{reason}"')
 def step_one_refuses(context, name, reason):
-    script([context.fleet.agent_by_name[name]], not_run=reason)
+    entry_calls.script([context.fleet.agent_by_name[name]], not_run=reason)
 
 
 @given('the option "{option}" is {value:d} for team "{team}"')
@@ -167,36 +121,51 @@
         0,
     )
     context.fleet.control.change(changes.ExceptionAdded(record))
-    context.fleet.run(settled(context.fleet))
+    context.fleet.run(entry_calls.settled(context.fleet))
 
 
 @when('a caller with key "{key}" asks for a whole chat "{prompt:w}"')
 def step_ask_key(context, key, prompt):
     given_key = "" if key == "none" else key
-    ask(context, "POST", CHAT, given_key, chat_body(prompt, False))
+    entry_calls.ask(
+        context,
+        "POST",
+        entry_calls.CHAT,
+        given_key,
+        entry_calls.chat_body(prompt, False),
+    )
 
 
 @when('a caller asks for a {form} chat "{prompt:w}"')
 def step_ask(context, form, prompt):
-    ask(context, "POST", CHAT, body=chat_body(prompt, form == "streamed"))
+    entry_calls.ask(
+        context,
+        "POST",
+        entry_calls.CHAT,
+        body=entry_calls.chat_body(prompt, form == "streamed"),
+    )
 
 
 @when('a caller asks for a {form} chat "{prompt:w}" with a seed')
 def step_ask_seed(context, form, prompt):
-    body = chat_body(prompt, form == "streamed", seed=1)
-    ask(context, "POST", CHAT, body=body)
+    body = entry_calls.chat_body(prompt, form == "streamed", seed=1)
+    entry_calls.ask(context, "POST", entry_calls.CHAT, body=body)
 
 
 @when('a caller asks for a {form} chat "{prompt:w}" due in {due_ms:d} ms')
 def step_ask_due(context, form, prompt, due_ms):
-    body = chat_body(prompt, form == "streamed")
-    ask(context, "POST", CHAT, body=body, X_Deadline_Ms=str(due_ms))
+    body = entry_calls.chat_body(prompt, form == "streamed")
+    entry_calls.ask(
+        context, "POST", entry_calls.CHAT, body=body, X_Deadline_Ms=str(due_ms)
+    )
 
 
 @when('a caller asks for a {form} chat "{prompt:w}" under key "{key}"')
 def step_ask_order(context, form, prompt, key):
-    body = chat_body(prompt, form == "streamed")
-    ask(context, "POST", CHAT, body=body, Idempotency_Key=key)
+    body = entry_calls.chat_body(prompt, form == "streamed")
+    entry_calls.ask(
+        context, "POST", entry_calls.CHAT, body=body, Idempotency_Key=key
+    )
 
 
 @when(
@@ -214,9 +183,9 @@
             other.script.mute_after = -1
 
     async def both():
-        body = chat_body(prompt, True, seed=1)
+        body = entry_calls.chat_body(prompt, True, seed=1)
         reply, _ = await asyncio.gather(
-            fleet.fetch("POST", CHAT, body=body), stop_agent()
+            fleet.fetch("POST", entry_calls.CHAT, body=body), stop_agent()
         )
         return reply
 
@@ -240,7 +209,11 @@
 
     async def both():
         reply, _ = await asyncio.gather(
-            fleet.fetch("POST", CHAT, body=chat_body(prompt, True)),
+            fleet.fetch(
+                "POST",
+                entry_calls.CHAT,
+                body=entry_calls.chat_body(prompt, True),
+            ),
             leave_and_return(),
         )
         return reply
@@ -250,23 +223,25 @@
 
 @when('a caller posts {count:d} bytes to "{path}"')
 def step_post_bytes(context, count, path):
-    ask(context, "POST", path, body=b"x" * count)
+    entry_calls.ask(context, "POST", path, body=b"x" * count)
 
 
 @when('a caller posts {body} to "{path}"')
 def step_post(context, body, path):
-    ask(context, "POST", path, body=body.encode())
+    entry_calls.ask(context, "POST", path, body=body.encode())
 
 
 @when('a caller sends header "{name}" with value "{value}"')
 def step_header(context, name, value):
-    body = chat_body("hi", False)
-    ask(context, "POST", CHAT, body=body, **{name: value})
+    body = entry_calls.chat_body("hi", False)
+    entry_calls.ask(
+        context, "POST", entry_calls.CHAT, body=body, **{name: value}
+    )
 
 
 @when('a caller gets "{path}"')
 def step_get(context, path):
-    ask(context, "GET", path)
+    entry_calls.ask(context, "GET", path)
 
 
 @then('the entry answers {status:d} with reason "{reason}", {run}')
@@ -358,7 +333,7 @@
 
 @when("the entry restarts")
 def step_restart(context):
-    context.fleet.run(restart(context.fleet))
+    context.fleet.run(entry_calls.restart(context.fleet))
 
 
 @then("each chat went to the same target both times")
@@ -415,7 +390,7 @@
 
 @given('agent "{name}" accepts nothing')
 def step_deaf(context, name):
-    script([context.fleet.agent_by_name[name]], deaf=True)
+    entry_calls.script([context.fleet.agent_by_name[name]], deaf=True)
 
 
 @then("all chats came whole")
@@ -461,7 +436,9 @@
         return await asyncio.gather(
             *(
                 context.fleet.fetch(
-                    "POST", CHAT, body=chat_body(f"p{n}", n % 2 == 0)
+                    "POST",
+                    entry_calls.CHAT,
+                    body=entry_calls.chat_body(f"p{n}", n % 2 == 0),
                 )
                 for n in range(count)
             )
@@ -484,275 +461,3 @@
 def step_none_open(context):
     admission = context.fleet.entry.admission
     context.fleet.run(fake_fleet.until(lambda: not admission.open_requests))
-
-
-async def start_asking(fleet, body):
-    exchange = await web.Exchange.connect(fleet.origin)
-    headers = {"Authorization": "Bearer key-north"}
-    exchange.send("POST", CHAT, headers, json.dumps(body).encode())
-    return exchange
-
-
-@when('a caller asks for a {form} chat "{prompt:w}" and leaves after the start')
-def step_leaves(context, form, prompt):
-    fleet = context.fleet
-
-    async def leave():
-        body = chat_body(prompt, form == "streamed")
-        exchange = await start_asking(fleet, body)
-        await fake_fleet.until(lambda: any(a.runs for a in fleet.engines))
-        exchange.close()
-        await fake_fleet.until(lambda: any(a.cancels for a in fleet.engines))
-
-    fleet.run(leave())
-
-
-@when('a caller asks for a streamed chat "{prompt:w}" and reads nothing')
-def step_reads_nothing(context, prompt):
-    fleet = context.fleet
-
-    async def stall():
-        exchange = await start_asking(fleet, chat_body(prompt, True))
-        context.stack.callback(exchange.close)
-        await fake_fleet.until(lambda: any(a.cancels for a in fleet.engines))
-
-    fleet.run(stall())
-
-
-@when("{count:d} callers at once ask for chats due in {due_ms:d} ms")
-def step_crowd_due(context, count, due_ms):
-    async def crowd():
-        return await asyncio.gather(
-            *(
-                context.fleet.fetch(
-                    "POST",
-                    CHAT,
-                    body=chat_body("hi", False),
-                    X_Deadline_Ms=str(due_ms),
-                )
-                for _ in range(count)
-            )
-        )
-
-    replies = context.fleet.run(crowd())
-    context.crowd = [http_caller.read(reply) for reply in replies]
-
-
-@then('{count:d} of them are refused with "{reason}", not run')
-def step_crowd_refused(context, count, reason):
-    refused = [s for s in context.crowd if s.error["reason"] == reason]
-    assert len(refused) == count, context.crowd
-    assert all(seen.error["not_run"] for seen in refused)
-
-
-@when('a caller asks for a streamed chat "{prompt:w}" while the entry drains')
-def step_drain(context, prompt):
-    fleet = context.fleet
-
-    async def drain():
-        body = chat_body(prompt, True)
-        running = asyncio.create_task(fleet.fetch("POST", CHAT, body=body))
-        await fake_fleet.until(lambda: any(a.runs for a in fleet.engines))
-        draining = asyncio.create_task(fleet.entry.drain())
-        await fake_fleet.until(lambda: fleet.entry.admission.leaving)
-        context.ready = await fleet.fetch("GET", "/health/ready")
-        context.between = await fleet.fetch("GET", "/v1/models")
-        await fake_fleet.until(lambda: fleet.entry.admission.draining)
-        context.late = await fleet.fetch("POST", CHAT, body=body)
-        context.running = await running
-        await draining
-
-    fleet.run(drain())
-
-
-@then("the entry was unready while it still took requests")
-def step_unready(context):
-    assert context.ready.head.status == 503
-    assert context.between.head.status == 200
-
-
-@then('a request after that was refused with "{reason}", not run')
-def step_late(context, reason):
-    error = http_caller.read(context.late).error
-    assert error["reason"] == reason and error["not_run"], error
-
-
-@then('the running answer to "{prompt}" came whole')
-def step_running(context, prompt):
-    context.seen = http_caller.read(context.running)
-    step_whole(context, prompt)
-
-
-@when("control stops and the entry restarts")
-def step_control_stops(context):
-    fleet = context.fleet
-
-    async def swap():
-        await fleet.entry.stop()
-        await fleet.control.server.stop()
-        fleet.entry = type(fleet.entry)(fleet.settings())
-        await fleet.entry.start()
-
-    fleet.run(swap())
-
-
-@given('calls of the service "{service}" may not be repeated')
-def step_not_repeatable(context, service):
-    record = records.ExceptionRecord(
-        "x2",
-        records.Scope(kind="service", name=service),
-        "calls.repeatable",
-        False,
-        "bills",
-        "op",
-        0,
-    )
-    context.fleet.control.change(changes.ExceptionAdded(record))
-    context.fleet.run(settled(context.fleet))
-
-
-@given("control has no quorum")
-def step_no_quorum(context):
-    context.fleet.control.down = True
-
-
-@given('control settles orders in doubt as "{state}"')
-def step_settles(context, state):
-    context.fleet.control.in_doubt_state = messages.OrderState(state)
-
-
-@given('the service\'s agent refuses with "{reason}"')
-def step_service_refuses(context, reason):
-    script([context.fleet.service], not_run=reason)
-
-
-@given("the service's agent falls silent on orders")
-def step_service_mute(context):
-    script([context.fleet.service], mute_after=0)
-
-
-@given("the service's agent restarts when its order is claimed")
-def step_service_restarts(context):
-    fleet = context.fleet
-    claim = fleet.control.claim
-
-    def claim_and_restart(message):
-        fleet.control.claim = claim
-        connections = fleet.entry._connections.connection_by_address
-        for address, connection in connections.items():
-            if address.name == "s0":
-                connection.peer_incarnation = "s0-2"
-                fleet.service.link.identity.__dict__["incarnation"] = "s0-2"
-        return claim(message)
-
-    fleet.control.claim = claim_and_restart
-
-
-@given("the service's agent takes {pause_ms:d} ms")
-def step_service_pause(context, pause_ms):
-    script([context.fleet.service], pause_ms=pause_ms)
-
-
-@when("a caller calls the service without a key")
-def step_call_bare(context):
-    ask(context, "POST", PORTAL, body=b"a")
-
-
-@when('a caller calls the service with key "{key}" and body "{body}"')
-def step_call(context, key, body):
-    ask(context, "POST", PORTAL, body=body.encode(), Idempotency_Key=key)
-
-
-@when(
-    'a caller calls the service with key "{key}" and body "{body}", due in'
-    " {due_ms:d} ms"
-)
-def step_call_due(context, key, body, due_ms):
-    headers = {"Idempotency_Key": key, "X_Deadline_Ms": str(due_ms)}
-    ask(context, "POST", PORTAL, body=body.encode(), **headers)
-
-
-@when(
-    'a caller of "{team}" calls the service with key "{key}" and body "{body}"'
-)
-def step_call_team(context, team, key, body):
-    ask(
-        context,
-        "POST",
-        PORTAL,
-        f"key-{team}",
-        body.encode(),
-        Idempotency_Key=key,
-    )
-
-
-@when(
-    'a caller calls the service with key "{key}" and body "{body}" and leaves'
-    " at once"
-)
-def step_call_leave(context, key, body):
-    fleet = context.fleet
-
-    async def leave():
-        exchange = await web.Exchange.connect(fleet.origin)
-        headers = {"Authorization": "Bearer key-north", "Idempotency-Key": key}
-        exchange.send("POST", PORTAL, headers, body.encode())
-        await fake_fleet.until(lambda: fleet.service.runs)
-        exchange.close()
-
-    fleet.run(leave())
-
-
-@then('order "{key}" gets finished')
-def step_order_finished(context, key):
-    ledger = context.fleet.control.reply_by_order
-    wanted = messages.OrderState.FINISHED
-    condition = fake_fleet.until(
-        lambda: ledger[f"north/{key}"][0].state is wanted
-    )
-    context.fleet.run(condition)
-
-
-@then("the service ran {count:d} times")
-def step_runs(context, count):
-    assert context.fleet.service.runs == count, context.fleet.service.runs
-
-
-@then('the service\'s answer of run {number:d} comes back as "{state}"')
-def step_stored(context, number, state):
-    assert context.seen.json == {"run": number}, context.seen
-    assert context.seen.head.header("x-order-state") == state
-
-
-@then("control saw {names}")
-def step_calls(context, names):
-    calls = [type(call).__name__ for call in context.fleet.control.calls]
-    assert calls == names.split(", "), calls
-
-
-@then("the agent got the ticket of the claim")
-def step_ticket(context):
-    (submit,) = context.fleet.service.submits
-    assert submit.ticket == messages.OrderTicket("north/k1", 7), submit
-
-
-@then("every claim was given back")
-def step_given_back(context):
-    calls = [type(call).__name__ for call in context.fleet.control.calls]
-    assert calls.count("OrderClaim") == calls.count("OrderRelease") > 0, calls
-
-
-@given("only the second agent tells that it holds prompts")
-def step_holds(context):
-    for number, agent in enumerate(context.fleet.engines):
-        agent.script.held_pieces = number
-
-
-@then("the second agent ran {count:d} requests")
-def step_second_ran(context, count):
-    assert context.fleet.engines[1].runs == count
-
-
-@then("the agents ran {count:d} requests")
-def step_all_ran(context, count):
-    assert sum(agent.runs for agent in context.fleet.engines) == count
