Part the steps of the inner protocol by what they are about

Keys, and frames that are damaged or not meant for a process, have modules of their own; what starts and calls peers stands in tests/support/wire_calls.

--- a/tests/steps/idle_connection_steps.py
+++ b/tests/steps/idle_connection_steps.py
@@ -13,6 +13,7 @@
 from lycheering.wire import messages
 from lycheering.wire import pace
 from tests.steps import wire_steps
+from tests.support import wire_calls
 from tests.support import wire_ends
 
 
@@ -32,7 +33,7 @@
 
 @given("an agent's wire end behind a fault proxy")
 def step_agent_end(context):
-    wire_steps.start_server(context, role=messages.Role.AGENT)
+    wire_calls.start_server(context, role=messages.Role.AGENT)
     wire_steps.step_proxy_before(context)
 
 
@@ -40,7 +41,7 @@
     "an entry's wire connection with {interval:d} ms between idle heartbeats"
 )
 def step_entry_end(context, interval):
-    context.client = wire_steps.make_peer(
+    context.client = wire_calls.make_peer(
         context, "client", role=messages.Role.ENTRY
     )
     context.budget = FixedBudget(interval)
@@ -49,9 +50,9 @@
         context.connection = context.client.connect(
             "server", context.port, budget=context.budget
         )
-        await context.connection.ready(wire_steps.GIVE_UP_MS)
+        await context.connection.ready(wire_calls.GIVE_UP_MS)
 
-    wire_steps.run(context, dial())
+    wire_calls.run(context, dial())
 
 
 def only_session(context):
@@ -63,7 +64,7 @@
 def step_nothing_sent(context, time):
     context.session = only_session(context)
     context.heard_ms = context.session.last_received_ms
-    wire_steps.run(context, asyncio.sleep(time / clock.MS_PER_S))
+    wire_calls.run(context, asyncio.sleep(time / clock.MS_PER_S))
 
 
 @then("the agent's wire end heard nothing and keeps the session")
@@ -88,7 +89,7 @@
             and connection.idle_heartbeat_ms == interval_ms
         )
     )
-    wire_steps.run(context, done)
+    wire_calls.run(context, done)
 
 
 @when("the fleet changes at both wire ends")
@@ -98,7 +99,7 @@
             peer.change(1)
             peer.server.offer_view()
 
-    wire_steps.run(context, change())
+    wire_calls.run(context, change())
 
 
 @when("the entry's fleet view is newer and can't be had from the entry")
@@ -106,7 +107,7 @@
     client_view = context.client.view
     client_view.changes_since = lambda revision: None
     context.server.view.next_fetch = lambda *_, **__: None
-    wire_steps.run(context, asyncio.sleep(0))
+    wire_calls.run(context, asyncio.sleep(0))
     context.client.change(1)
 
 
@@ -122,7 +123,7 @@
         context.server.change(1)
         return await held
 
-    context.reply = wire_steps.run(context, call())
+    context.reply = wire_calls.run(context, call())
 
 
 @then("no wire end pushed the change")
@@ -157,9 +158,9 @@
 def probe(context, timeout_ms):
     async def use():
         await context.connection.probe(timeout_ms)
-        await context.connection.ready(wire_steps.GIVE_UP_MS)
+        await context.connection.ready(wire_calls.GIVE_UP_MS)
 
-    wire_steps.run(context, use())
+    wire_calls.run(context, use())
     return context.client.counters.value_by_name["wire.renewed"]
 
 
@@ -170,7 +171,7 @@
 
 @then("probing the wire connection keeps it")
 def step_probe_keeps(context):
-    assert probe(context, wire_steps.GIVE_UP_MS) == 0
+    assert probe(context, wire_calls.GIVE_UP_MS) == 0
 
 
 @when("the agent's wire end serves the session")
