Look up kept pieces, leaving targets and loads in one place each

Read again: the kept store's two lookups had one loop each; the watch for leaving targets built the subject that fleet/view builds; in small fleets an entry took over the loads of the compared targets twice for each choice, though all targets' loads had just been; two step files waited for the kept store alike.

--- a/src/lycheering/agent/leavers.py
+++ b/src/lycheering/agent/leavers.py
@@ -56,13 +56,7 @@
 def _is_leaving(fleet: view.FleetView, target: records.Target) -> bool:
     if target.state is not records.TargetState.LIVE:
         return True
-    subject = view.Subject(
-        target=target.name,
-        service=target.service,
-        model=target.model,
-        failure_domain=target.failure_domain,
-    )
-    return fleet.flag("target.drained", subject)
+    return fleet.flag("target.drained", view.subject_of_target(target))
 
 
 __all__ = ["RECENT_MS", "LeaverWatch"]
--- a/src/lycheering/entry/dispatch.py
+++ b/src/lycheering/entry/dispatch.py
@@ -76,11 +76,12 @@
         team=job.team,
         team_share=fleet.number("limits.team_share", subject),
     )
-    note_loads(targets, job.wanted)
+    all_noted = note_loads(targets, job.wanted)
     policy = fleet.text("routing.policy", subject)
     ask_ms = fleet.integer("routing.ask_ms", subject)
     asked = targets.router.compared(job.wanted, query, policy)
-    _note_loads_of(targets, asked)
+    if not all_noted:
+        _note_loads_of(targets, asked)
     if ask_ms and len(asked) > 1:
         seen_by_target = await cache_inquiries.ask(targets, asked, job, ask_ms)
         query = dataclasses.replace(query, seen_by_target=seen_by_target)
@@ -105,12 +106,17 @@
         ) from error
 
 
-def note_loads(targets: target_access.Targets, wanted: routers.Wanted) -> None:
-    """Takes over what agents reported since the last choice."""
+def note_loads(targets: target_access.Targets, wanted: routers.Wanted) -> bool:
+    """Takes over what agents reported since the last choice.
+
+    Returns:
+        Whether it did, as the candidates are not too many.
+    """
     candidates = targets.router.targets(wanted)
     if len(candidates) > byte_budget.MAX_SMALL_FLEET:
-        return
+        return False
     _note_loads_of(targets, candidates)
+    return True
 
 
 def _note_loads_of(
--- a/src/lycheering/targets/kept.py
+++ b/src/lycheering/targets/kept.py
@@ -13,6 +13,7 @@
 from lycheering.web import client
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Sequence
 
     from lycheering.cache import pieces
@@ -97,30 +98,33 @@
     ) -> list[pieces.ChainLink]:
         """Returns the leading pieces that the store has for the weights."""
         found: list[pieces.ChainLink] = []
-        for start in range(0, len(links), LOOKUPS_AT_ONCE):
-            part = links[start : start + LOOKUPS_AT_ONCE]
-            hits = await asyncio.gather(
-                *(self._has(link, weights_version) for link in part)
-            )
-            for link, hit in zip(part, hits, strict=True):
-                if not hit:
-                    return found
-                found.append(link)
+        async for link, is_held in self._looked_up(links, weights_version):
+            if not is_held:
+                break
+            found.append(link)
         return found
 
     async def absent(
         self, links: Sequence[pieces.ChainLink], weights_version: str
     ) -> list[pieces.ChainLink]:
         """Returns the pieces that the store lacks for the weights."""
-        lacking: list[pieces.ChainLink] = []
+        return [
+            link
+            async for link, is_held in self._looked_up(links, weights_version)
+            if not is_held
+        ]
+
+    async def _looked_up(
+        self, links: Sequence[pieces.ChainLink], weights_version: str
+    ) -> AsyncIterator[tuple[pieces.ChainLink, bool]]:
+        """Yields each piece and whether the store has it, some at once."""
         for start in range(0, len(links), LOOKUPS_AT_ONCE):
             part = links[start : start + LOOKUPS_AT_ONCE]
             hits = await asyncio.gather(
                 *(self._has(link, weights_version) for link in part)
             )
-            pairs = zip(part, hits, strict=True)
-            lacking += [link for link, hit in pairs if not hit]
-        return lacking
+            for link, is_held in zip(part, hits, strict=True):
+                yield link, is_held
 
     async def _has(self, link: pieces.ChainLink, weights_version: str) -> bool:
         request = api.TargetCall(
--- a/tests/steps/kept_steps.py
+++ b/tests/steps/kept_steps.py
@@ -49,11 +49,7 @@
     return bench.run(bench.ask(submit))
 
 
-@when("a prompt of {count:d} shared pieces is answered and kept")
-def step_kept(context, count):
-    bench = context.bench
-    context.count = count
-    ask(bench, 1, "a", count)
+def wait_stored(context, count):
     origin = web.Origin.parse(context.store_url)
 
     async def stored():
@@ -66,7 +62,15 @@
                     return
                 await asyncio.sleep(agent_bench.POLL_S)
 
-    bench.run(stored())
+    context.bench.run(stored())
+
+
+@when("a prompt of {count:d} shared pieces is answered and kept")
+def step_kept(context, count):
+    bench = context.bench
+    context.count = count
+    ask(bench, 1, "a", count)
+    wait_stored(context, count)
 
 
 @when("other prompts evict it")
--- a/tests/steps/leave_export_steps.py
+++ b/tests/steps/leave_export_steps.py
@@ -13,8 +13,8 @@
 from lycheering.fleet import changes
 from lycheering.fleet import records
 from lycheering.targets import kept as stores
-from lycheering.web import client as web
 from tests.helpers import agent_bench
+from tests.steps import kept_steps
 
 CHARS = 4_000
 HEAD_CHARS = len("user\n")
@@ -120,7 +120,7 @@
     for _ in range(count):
         ask(context, team)
     # what they computed of shared pieces is kept without a drain
-    wait_stored(context, shared)
+    kept_steps.wait_stored(context, shared)
     heat = context.bench.context.heat.hottest(count - 0.5)
     index = context.bench.context.index
     context.bench.run(
@@ -130,26 +130,9 @@
     )
 
 
-def wait_stored(context, count):
-    origin = web.Origin.parse(context.store_url)
-
-    async def stored():
-        async with asyncio.timeout(agent_bench.GIVE_UP_S):
-            while True:
-                reply = await web.fetch(
-                    origin, "GET", "/health", timeout_ms=5_000
-                )
-                found = msgspec.json.decode(reply.body)["blocks"]
-                if found == count:
-                    return
-                await asyncio.sleep(agent_bench.POLL_S)
-
-    context.bench.run(stored())
-
-
 @then("{count:d} pieces are in the store")
 def step_stored(context, count):
-    wait_stored(context, count)
+    kept_steps.wait_stored(context, count)
 
 
 def bring_back(context):
