--- a/bench/measures/orders.py
+++ b/bench/measures/orders.py
@@ -87,7 +87,9 @@
     )
     connections = pool.ConnectionPool(link)
     settings = model.ControlSettings.model_validate({"members": members})
-    caller = control_client.ControlClient(settings, link, connections, view)
+    caller = control_client.ControlClient(
+        settings.members, link, connections, view
+    )
     numbers = iter(range(ORDERS))
     took_ms: list[float] = []
 
--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,12 @@
+"""Starts one role of lycheering from a checkout."""
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "src"))
+
+from lycheering.platform import start  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(start.run(sys.argv[1]))
--- a/src/lycheering/app/api.py
+++ b/src/lycheering/app/api.py
@@ -11,6 +11,7 @@
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
 _LOG = logs.get("app")
@@ -31,6 +32,10 @@
         """Releases all the part holds."""
 
 
+class ApplicationFailedError(Exception):
+    """The application ended because a part can't go on."""
+
+
 class Application:
     """Starts parts in order, and drains and stops them in reverse.
 
@@ -43,6 +48,22 @@
         self._drain_timeout_ms = drain_timeout_ms
         self._parts: list[Part] = []
         self._started: list[Part] = []
+        self._failure = ""
+        self._reload_listeners: list[Callable[[], None]] = []
+
+    def on_reload(self, listener: Callable[[], None]) -> None:
+        """Has a function called when SIGHUP asks to read settings again."""
+        self._reload_listeners.append(listener)
+
+    def fail(self, reason: str) -> None:
+        """Ends the application; `run` raises once its parts are stopped."""
+        self._failure = reason
+        self.stopping.set()
+
+    def _reload(self) -> None:
+        _LOG.event("reload")
+        for listener in self._reload_listeners:
+            listener()
 
     def add(self, part: Part) -> None:
         """Adds a part, started after those added before it."""
@@ -52,11 +73,13 @@
         """Runs until SIGTERM or SIGINT, then drains and stops all parts.
 
         Raises:
-            ExceptionGroup: If starting failed or parts failed to stop.
+            ApplicationFailedError: If a part can't go on.
+            ExceptionGroup: If parts failed to stop.
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         try:
             for part in self._parts:
                 if self.stopping.is_set():
@@ -67,9 +90,12 @@
             _LOG.event("started", parts=len(self._started))
             await self.stopping.wait()
             _LOG.event("draining")
-            await self._drain()
+            if not self._failure:
+                await self._drain()
         finally:
             await self._stop()
+        if self._failure:
+            raise ApplicationFailedError(self._failure)
 
     async def _drain(self) -> None:
         try:
@@ -120,4 +146,4 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-__all__ = ["Application", "Part", "TaskOwner"]
+__all__ = ["Application", "ApplicationFailedError", "Part", "TaskOwner"]
--- a/src/lycheering/control/commands.py
+++ b/src/lycheering/control/commands.py
@@ -7,6 +7,7 @@
 from lycheering.fleet import options
 from lycheering.fleet import records
 from lycheering.orders import records as order_records
+from lycheering.routes import records as route_records
 from lycheering.wire import messages
 
 # what an operator changes
@@ -210,6 +211,52 @@
     at_ms: int
 
 
+class PutRouteTable(msgspec.Struct, frozen=True, array_like=True, tag=30):
+    """Puts a route table in force, unless one as new is.
+
+    Attributes:
+        table: The table.
+        source: What its sender sent, kept for those that read it back.
+    """
+
+    table: route_records.RouteTable
+    source: bytes
+
+
+class NameWeights(msgspec.Struct, frozen=True, array_like=True, tag=31):
+    """Names the weights that are wanted of a model; the highest wins.
+
+    Attributes:
+        model: The model.
+        version: The weights version.
+    """
+
+    model: str
+    version: int
+
+
+class ChangeDirectTargets(msgspec.Struct, frozen=True, array_like=True, tag=32):
+    """Puts and removes targets that entries reach by themselves.
+
+    Attributes:
+        put: Targets that are new or changed.
+        removed: Keys of the runs that are gone.
+    """
+
+    put: tuple[records.DirectTarget, ...]
+    removed: tuple[str, ...] = ()
+
+
+class TakeDirectOrders(msgspec.Struct, frozen=True, array_like=True, tag=33):
+    """Makes an instance the one that orders targets without an agent.
+
+    Attributes:
+        holder: The instance.
+    """
+
+    holder: str
+
+
 Command = (
     ChangeConfig
     | RegisterTargets
@@ -221,6 +268,10 @@
     | MarkOrderUnknown
     | ResolveOrder
     | ExpireOrders
+    | PutRouteTable
+    | NameWeights
+    | ChangeDirectTargets
+    | TakeDirectOrders
 )
 
 
@@ -275,6 +326,28 @@
     highest_fence: int
 
 
+class Applied(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Answers commands that always take effect or change nothing.
+
+    Attributes:
+        changed: Whether anything changed.
+    """
+
+    changed: bool
+
+
+class DirectOrdersTaken(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Answers TakeDirectOrders.
+
+    Attributes:
+        fence: The fencing number for the holder's orders.
+        previous_holder: Who ordered before; empty for nobody.
+    """
+
+    fence: int
+    previous_holder: str
+
+
 class OrderAnswer(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """Answers the commands on one order.
 
@@ -313,7 +386,15 @@
     detail: str
 
 
-Reply = ChangeOutcome | FenceGranted | OrderAnswer | Expired | Refused
+Reply = (
+    ChangeOutcome
+    | FenceGranted
+    | OrderAnswer
+    | Expired
+    | Refused
+    | Applied
+    | DirectOrdersTaken
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _COMMANDS: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
@@ -345,10 +426,13 @@
 
 __all__ = [
     "AddException",
+    "Applied",
     "ChangeConfig",
+    "ChangeDirectTargets",
     "ChangeOutcome",
     "ClaimOrder",
     "Command",
+    "DirectOrdersTaken",
     "Edit",
     "ExpireOrders",
     "Expired",
@@ -357,7 +441,9 @@
     "GrantFence",
     "MarkOrderUnknown",
     "MarkTarget",
+    "NameWeights",
     "OrderAnswer",
+    "PutRouteTable",
     "PutTeam",
     "Refused",
     "RegisterTargets",
@@ -367,6 +453,7 @@
     "Reply",
     "ResolveOrder",
     "SetDefault",
+    "TakeDirectOrders",
     "Winner",
     "decode_command",
     "decode_reply",
--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -9,6 +9,7 @@
 from lycheering import clock
 from lycheering.app import api as app_api
 from lycheering.control import fleet_status
+from lycheering.control import group_failure
 from lycheering.control import handler
 from lycheering.control import leader_reach
 from lycheering.control import operator_http
@@ -21,9 +22,17 @@
 from lycheering.control import target_membership
 from lycheering.control import target_orders
 from lycheering.control import transport
+from lycheering.control.direct import api as direct_api
+from lycheering.control.direct import member_intake
+from lycheering.control.direct import route_desk
+from lycheering.control.direct import target_lister
+from lycheering.control.direct import weights_roll
 from lycheering.membership import watcher
 from lycheering.orders import in_doubt
+from lycheering.replication import members
 from lycheering.telemetry import counters
+from lycheering.telemetry import histograms
+from lycheering.telemetry import metrics
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
@@ -78,7 +87,17 @@
         web: Where operators connect.
     """
 
-    def __init__(self, settings: model.Settings) -> None:
+    def __init__(
+        self,
+        settings: model.Settings,
+        direct: direct_api.DirectAdapter | None = None,
+    ) -> None:
+        """Joins the parts.
+
+        Args:
+            settings: The instance's settings.
+            direct: What a deployment without agents brings along.
+        """
         assert settings.log_store is not None
         self._settings = settings
         self._store_settings = settings.log_store
@@ -92,6 +111,10 @@
         self._join_wire()
         self._join_leader_tasks()
         self._join_web()
+        self._direct_parts: list[app_api.Part] = []
+        if direct is not None:
+            assert settings.direct is not None
+            self._join_direct(settings.direct, direct)
         self._add_parts()
 
     def _join_log(self) -> None:
@@ -113,7 +136,7 @@
         )
         self._connections = pool.ConnectionPool(self._link)
         self._transport = transport.WireTransport(
-            self._connections, settings.control.members
+            self._connections, settings.control_peers()
         )
         self.group = replica.Replica(
             settings,
@@ -201,6 +224,65 @@
             self._store_settings.operator_port,
         )
 
+    def _join_direct(
+        self, settings: model.DirectSettings, direct: direct_api.DirectAdapter
+    ) -> None:
+        instance = self._settings.instance
+        peers = [
+            members.PeerAddress(peer.instance, f"{peer.ip}:{peer.port}")
+            for peer in self._settings.control_peers()
+        ]
+        own = members.PeerAddress(
+            instance.name, f"{instance.ip}:{self._settings.wire.port}"
+        )
+        founds = not self._store_settings.join and own in peers
+        self.intake = member_intake.MemberIntake(
+            self.group,
+            self._transport,
+            tuple(peers),
+            own,
+            self._clock,
+            founds=founds,
+        )
+        self._handler.intake = self.intake
+        roll = weights_roll.RollSettings(
+            at_once=settings.loads_at_once,
+            hold_ms=settings.hold_ms,
+            lease_ms=settings.order_lease_ms,
+        )
+        ip, _, port = settings.operator_address.rpartition(":")
+        self._direct_parts = [
+            self.intake,
+            target_lister.TargetLister(
+                self.group,
+                direct.targets,
+                settings.list_poll_ms,
+                self._clock,
+                self._counters,
+            ),
+            weights_roll.WeightsRoll(
+                self.group,
+                direct.engines,
+                roll,
+                instance.name,
+                self._clock,
+                self._counters,
+            ),
+            web_server.WebServer(
+                direct.operator(route_desk.RouteDesk(self.group)),
+                ip,
+                int(port),
+            ),
+            metrics.MetricsServer(
+                instance.ip,
+                settings.metrics_port,
+                histograms.Histograms(self._counters),
+            ),
+            group_failure.GroupFailure(
+                self.group, self.application, self._clock
+            ),
+        ]
+
     def _add_parts(self) -> None:
         parts: list[app_api.Part] = [
             _ContextPart(self._context, self._link.security),
@@ -216,6 +298,7 @@
             self._target_orders,
             self._reach,
             self.web,
+            *self._direct_parts,
         ]
         for part in parts:
             self.application.add(part)
--- /dev/null
+++ b/src/lycheering/control/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that entries reach by themselves: the list, orders, weights."""
--- /dev/null
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -0,0 +1,284 @@
+"""Brings engines that have no agent to the weights that are wanted."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheering.app import api as app_api
+from lycheering.control import commands
+from lycheering.control.direct import api
+from lycheering.fleet import records
+from lycheering.replication import errors
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from lycheering import clock
+    from lycheering.control import replica
+    from lycheering.fleet import view
+    from lycheering.telemetry import counters
+
+CHECK_INTERVAL_MS = 50
+FIRST_REPORT_MS = 600  # no load is shorter
+REPORT_INTERVAL_MS = 120
+LOAD_TIMEOUT_MS = 4_000  # a load with the others beside it ends before
+RETRY_MS = 500
+PLAIN_TARGET_VERSION = 0
+
+_LOG = logs.get("weights")
+
+
+class _OrdersLostError(Exception):
+    """Another instance may give orders now."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RollSettings:
+    """How engines are brought to new weights.
+
+    Attributes:
+        at_once: Engines that load at one time.
+        held_ahead: Engines kept free of new work for the next load.
+        hold_ms: How long an engine gets no new work before its order.
+        lease_ms: How long the orders of an earlier holder may count.
+    """
+
+    at_once: int = 2
+    held_ahead: int = 1
+    hold_ms: float = 450.0
+    lease_ms: float = 3_000.0
+
+
+def outdated(
+    fleet: view.FleetView,
+) -> list[tuple[records.DirectTarget, str, int]]:
+    """Returns the engines on older weights, with the model and version.
+
+    Those kept free already come first, then those that hold the oldest
+    weights.
+    """
+    found = [
+        (target, model, wanted)
+        for target in fleet.direct_target_by_key.values()
+        if target.state is records.TargetState.LIVE
+        for model, version in target.version_by_model.items()
+        if (wanted := fleet.version_by_model.get(model, 0)) > version
+    ]
+    found.sort(key=lambda item: (not item[0].is_held, item[0].key))
+    return found
+
+
+class WeightsRoll(app_api.Part):
+    """Gives orders to engines, a few at a time, while this leads."""
+
+    def __init__(
+        self,
+        group: replica.Replica,
+        engines: api.EngineCalls,
+        settings: RollSettings,
+        name: str,
+        time: clock.Clock,
+        counts: counters.Counters,
+    ) -> None:
+        """Prepares the part.
+
+        Args:
+            group: The replicated log.
+            engines: Calls to engines.
+            settings: How many at once, and when.
+            name: This instance, as the holder of orders.
+            time: The clock.
+            counts: The process's counters.
+        """
+        self._group = group
+        self._engines = engines
+        self._settings = settings
+        self._name = name
+        self._clock = time
+        self._counters = counts
+        self._tasks = app_api.TaskOwner()
+        self._rolling: set[str] = set()
+        self._loading = 0
+        self._fence = 0
+        self._orders_from_ms = 0.0
+        self._retry_at_ms_by_key: dict[str, float] = {}
+
+    async def start(self) -> None:
+        """Begins to look for engines on older weights."""
+        self._tasks.spawn(self._run(), "control:weights")
+
+    async def stop(self) -> None:
+        """Ends it."""
+        await self._tasks.cancel_all()
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+            if not self._group.is_leader():
+                self._fence = 0
+                continue
+            try:
+                if not self._fence:
+                    await self._take_orders()
+                await self._release_settled()
+            except errors.ReplicationError as error:
+                _LOG.event("weights_wait", error=error)
+                continue
+            self._begin_rolls()
+
+    async def _take_orders(self) -> None:
+        reply = await self._group.propose(commands.TakeDirectOrders(self._name))
+        if not isinstance(reply, commands.DirectOrdersTaken):
+            raise errors.UnavailableError(str(reply))
+        self._fence = reply.fence
+        wait_ms = 0.0
+        if reply.previous_holder not in ("", self._name):
+            wait_ms = self._settings.lease_ms
+        self._orders_from_ms = self._clock.now_ms() + wait_ms
+        _LOG.event(
+            "orders_taken",
+            fence=reply.fence,
+            previous=reply.previous_holder,
+            wait_ms=wait_ms,
+        )
+
+    async def _release_settled(self) -> None:
+        """Gives engines back that are held though nothing is left to do."""
+        fleet = self._group.machine.fleet
+        waiting = {target.key for target, _, _ in outdated(fleet)}
+        settled = tuple(
+            msgspec.structs.replace(target, is_held=False)
+            for target in fleet.direct_target_by_key.values()
+            if target.is_held
+            and target.key not in waiting
+            and target.key not in self._rolling
+        )
+        if settled:
+            await self._group.propose(commands.ChangeDirectTargets(settled))
+
+    def _begin_rolls(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms < self._orders_from_ms - self._settings.hold_ms:
+            return
+        most = self._settings.at_once + self._settings.held_ahead
+        for target, model, _ in outdated(self._group.machine.fleet):
+            if len(self._rolling) >= most:
+                return
+            if target.key in self._rolling:
+                continue
+            if now_ms < self._retry_at_ms_by_key.get(target.key, 0.0):
+                continue
+            self._rolling.add(target.key)
+            self._tasks.spawn(
+                self._roll(target.key, model), f"weights:{target.target_id}"
+            )
+
+    async def _roll(self, key: str, model: str) -> None:
+        try:
+            await self._roll_once(key, model)
+        except (
+            api.EngineUnreachableError,
+            errors.ReplicationError,
+            _OrdersLostError,
+        ) as error:
+            self._counters.increment("weights.failed")
+            _LOG.warning("weights_failed", target=key, error=error)
+            self._retry_at_ms_by_key[key] = self._clock.now_ms() + RETRY_MS
+        finally:
+            self._rolling.discard(key)
+
+    async def _roll_once(self, key: str, model: str) -> None:
+        target = self._target(key)
+        if target is None:
+            return
+        if not target.is_held:
+            await self._put(target, is_held=True)
+            await self._clock.sleep(self._settings.hold_ms)
+        while self._loading >= self._settings.at_once:
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+        self._loading += 1
+        try:
+            version = await self._load(target, model)
+        finally:
+            self._loading -= 1
+        latest = self._target(key)
+        if latest is None or not version:
+            return
+        version_by_model = dict(latest.version_by_model)
+        version_by_model[model] = version
+        await self._put(
+            msgspec.structs.replace(latest, version_by_model=version_by_model),
+            is_held=False,
+        )
+
+    def _target(self, key: str) -> records.DirectTarget | None:
+        fleet = self._group.machine.fleet
+        return fleet.direct_target_by_key.get(key)
+
+    async def _put(
+        self, target: records.DirectTarget, *, is_held: bool
+    ) -> None:
+        changed = msgspec.structs.replace(target, is_held=is_held)
+        await self._group.propose(commands.ChangeDirectTargets((changed,)))
+
+    async def _load(self, target: records.DirectTarget, model: str) -> int:
+        """Has an engine load weights and returns the version it has then."""
+        report = await self._engines.report(target)
+        wanted = self._group.machine.fleet.version_by_model.get(model, 0)
+        if not report.is_busy and report.version_by_model.get(model) == wanted:
+            return wanted
+        if not report.is_busy:
+            result = await self._order(target, model, wanted, report.sequence)
+            if result is api.OrderResult.FENCED:
+                self._fence = 0
+                raise _OrdersLostError("a higher fencing number was used")
+            if result in (api.OrderResult.GONE, api.OrderResult.REFUSED):
+                raise api.EngineUnreachableError(result.value)
+            await self._clock.sleep(FIRST_REPORT_MS)
+        return await self._wait_loaded(target, model, wanted)
+
+    async def _order(
+        self,
+        target: records.DirectTarget,
+        model: str,
+        version: int,
+        sequence: int,
+    ) -> api.OrderResult:
+        while self._clock.now_ms() < self._orders_from_ms:
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+        # checked last, with nothing awaited before the order is sent
+        if not self._fence or not self._group.is_leader():
+            raise _OrdersLostError("this instance does not lead any more")
+        order = api.WeightsOrder(
+            model, version, self._name, self._fence, sequence
+        )
+        result = await self._engines.order(target, order)
+        _LOG.event(
+            "weights_ordered",
+            target=target.target_id,
+            model=model,
+            version=version,
+            fence=order.fence,
+            sequence=sequence,
+            result=result.value,
+        )
+        return result
+
+    async def _wait_loaded(
+        self, target: records.DirectTarget, model: str, wanted: int
+    ) -> int:
+        until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
+        while self._clock.now_ms() < until_ms:
+            report = await self._engines.report(target)
+            version = report.version_by_model.get(model, 0)
+            if version >= wanted and not report.is_busy:
+                return version
+            if self._target(target.key) is None:
+                return 0
+            await self._clock.sleep(REPORT_INTERVAL_MS)
+        raise api.EngineUnreachableError("the load did not end in time")
+
+
+__all__ = ["RollSettings", "WeightsRoll", "outdated"]
--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -17,6 +17,7 @@
     from lycheering.control import order_desk
     from lycheering.control import registrations
     from lycheering.control import replica
+    from lycheering.control.direct import member_intake
     from lycheering.telemetry import counters
     from lycheering.wire import server
 
@@ -48,6 +49,7 @@
         self._counters = counts
         self._tasks = app_api.TaskOwner()
         self._open_calls = 0
+        self.intake: member_intake.MemberIntake | None = None
 
     async def handle(
         self, session: server.Session, envelope: messages.Envelope
@@ -113,9 +115,20 @@
                 return messages.Done()
             case messages.StatusFetch():
                 return self._status.answer(message)
+            case messages.CurrentFetch():
+                return await self._current()
         kind = type(message).__name__
         return messages.Failure(messages.Reason.BAD_REQUEST, kind)
 
+    async def _current(self) -> messages.Message:
+        """Answers once the view here is as new as a quorum's."""
+        await self._group.read_anywhere()
+        peers = []
+        for peer in self._group.peers():
+            ip, _, port = peer.address.rpartition(":")
+            peers.append(messages.ControlPeer(peer.instance, ip, int(port)))
+        return messages.Current(tuple(peers), self._status.entries())
+
     async def _peer_call(
         self, session: server.Session, payload: bytes
     ) -> messages.Message:
@@ -138,6 +151,8 @@
                 answer = await self._repairs.replace(call)
             case peer_calls.CancelChangeCall():
                 answer = await self._repairs.cancel_change(call)
+            case peer_calls.JoinCall() if self.intake is not None:
+                answer = await self.intake.take_in_anywhere(call)
             case peer_calls.RegisterCall(targets):
                 answer = await self._registers.register_all(targets)
             case _:
--- a/src/lycheering/control/machine.py
+++ b/src/lycheering/control/machine.py
@@ -15,6 +15,7 @@
 from lycheering.fleet import view
 from lycheering.orders import ledger
 from lycheering.orders import records as order_records
+from lycheering.routes import api as route_api
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
@@ -32,6 +33,8 @@
         history: Changes and their outcomes.
         targets: What is kept on targets beside the view.
         orders: The order ledger.
+        table_source: The route table as its sender sent it.
+        direct_orders_holder: Who orders targets without an agent.
     """
 
     highest_fence: int
@@ -39,6 +42,8 @@
     history: history.HistorySnapshot
     targets: target_book.TargetBookSnapshot
     orders: order_records.LedgerSnapshot
+    table_source: bytes = b""
+    direct_orders_holder: str = ""
 
 
 class ControlMachine:
@@ -50,6 +55,8 @@
         targets: What is kept on targets beside the view.
         orders: The order ledger.
         highest_fence: The highest fencing number granted.
+        table_source: The route table as its sender sent it.
+        direct_orders_holder: Who orders targets without an agent.
     """
 
     def __init__(self) -> None:
@@ -58,6 +65,8 @@
         self.targets = target_book.TargetBook()
         self.orders = ledger.Ledger()
         self.highest_fence = 0
+        self.table_source = b""
+        self.direct_orders_holder = ""
         self._listeners: list[Callable[[], None]] = []
 
     def listen(self, listener: Callable[[], None]) -> None:
@@ -86,6 +95,8 @@
                 self.history.snapshot(),
                 self.targets.snapshot(),
                 self.orders.snapshot(),
+                self.table_source,
+                self.direct_orders_holder,
             )
         )
 
@@ -98,6 +109,8 @@
         self.targets.restore(state.targets)
         self.orders.restore(state.orders)
         self.highest_fence = state.highest_fence
+        self.table_source = state.table_source
+        self.direct_orders_holder = state.direct_orders_holder
         self._announce()
 
     def _announce(self) -> None:
@@ -124,8 +137,56 @@
             case commands.GrantFence():
                 self.highest_fence += 1
                 return commands.FenceGranted(self.highest_fence)
+            case commands.PutRouteTable():
+                return self._put_table(command)
+            case commands.NameWeights(model, version):
+                return self._name_weights(model, version)
+            case commands.ChangeDirectTargets():
+                return self._change_direct_targets(command)
+            case commands.TakeDirectOrders(holder):
+                return self._take_direct_orders(holder)
         return self._apply_order(command)
 
+    def _put_table(self, command: commands.PutRouteTable) -> commands.Reply:
+        findings = route_api.findings_of(command.table)
+        if findings:
+            return commands.Refused("; ".join(findings))
+        held = self.fleet.route_table
+        if held is not None and command.table.revision <= held.revision:
+            return commands.Applied(False)
+        self.table_source = command.source
+        self.fleet.make(changes.RouteTablePut(command.table), by_operator=True)
+        return commands.Applied(True)
+
+    def _name_weights(self, model: str, version: int) -> commands.Reply:
+        if version <= self.fleet.version_by_model.get(model, 0):
+            return commands.Applied(False)
+        self.fleet.make(changes.WeightsNamed(model, version), by_operator=True)
+        return commands.Applied(True)
+
+    def _change_direct_targets(
+        self, command: commands.ChangeDirectTargets
+    ) -> commands.Reply:
+        held = self.fleet.direct_target_by_key
+        before = self.fleet.view_revision
+        for target in command.put:
+            if held.get(target.key) != target:
+                self.fleet.make(
+                    changes.DirectTargetPut(target), by_operator=False
+                )
+        for key in command.removed:
+            if key in held:
+                self.fleet.make(
+                    changes.DirectTargetRemoved(key), by_operator=False
+                )
+        return commands.Applied(self.fleet.view_revision > before)
+
+    def _take_direct_orders(self, holder: str) -> commands.Reply:
+        previous = self.direct_orders_holder
+        self.direct_orders_holder = holder
+        self.highest_fence += 1
+        return commands.DirectOrdersTaken(self.highest_fence, previous)
+
     def _apply_order(self, command: commands.Command) -> commands.Reply:
         orders = self.orders
         match command:
--- a/src/lycheering/control/operator_http.py
+++ b/src/lycheering/control/operator_http.py
@@ -62,7 +62,8 @@
         keys: tuple[bytes, ...],
         counts: counters.Counters,
     ) -> None:
-        self.application = blacksheep.Application()
+        # the default router is shared by all applications of a process
+        self.application = blacksheep.Application(router=blacksheep.Router())
         self._reads = reads
         self._writes = writes
         self._keys = keys
--- a/src/lycheering/control/peer_calls.py
+++ b/src/lycheering/control/peer_calls.py
@@ -65,6 +65,18 @@
     targets: tuple[records.Target, ...]
 
 
+class JoinCall(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Asks the leader to take an instance into the group.
+
+    Attributes:
+        instance: The instance.
+        address: Where it listens, as `ip:port`.
+    """
+
+    instance: str
+    address: str
+
+
 class Proposed(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Answers ProposeCall.
 
@@ -128,6 +140,7 @@
     | ReplaceCall
     | CancelChangeCall
     | RegisterCall
+    | JoinCall
     | Proposed
     | ReadIndex
     | Replaced
@@ -158,6 +171,7 @@
 __all__ = [
     "CancelChangeCall",
     "ChangeCancelled",
+    "JoinCall",
     "PeerMessage",
     "ProposeCall",
     "Proposed",
--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -112,7 +112,7 @@
     def _own_address(self) -> members.PeerAddress:
         instance = self._settings.instance
         # others may reach this instance by another port than it listens on
-        for peer in self._settings.control.members:
+        for peer in self._settings.control_peers():
             if peer.instance == instance.name:
                 address = f"{peer.ip}:{peer.port}"
                 return members.PeerAddress(instance.name, address)
@@ -125,7 +125,7 @@
             return []
         return [
             members.PeerAddress(peer.instance, f"{peer.ip}:{peer.port}")
-            for peer in self._settings.control.members
+            for peer in self._settings.control_peers()
         ]
 
     def _options(
--- a/src/lycheering/entry/control_client.py
+++ b/src/lycheering/entry/control_client.py
@@ -13,6 +13,8 @@
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lycheering.fleet import holder
     from lycheering.settings import model
     from lycheering.wire import api as wire_api
@@ -49,16 +51,13 @@
 
     def __init__(
         self,
-        settings: model.ControlSettings,
+        members: Iterable[model.PeerAddress],
         link: wire_api.Link,
         connections: wire_pool.ConnectionPool,
         view: holder.ViewHolder,
     ) -> None:
         self.last_contact_ms = link.clock.now_ms()
-        self._home = homes.ControlHome(
-            settings.members, link.identity.name, link.clock
-        )
-        self._addresses = self._home.addresses
+        self._home = homes.ControlHome(members, link.identity.name, link.clock)
         self._link = link
         self._connections = connections
         self._leader = ""
@@ -97,9 +96,13 @@
                 self._home.go_back()
             await clock.sleep(POLL_MS * random.uniform(0.8, 1.2))
 
+    def learn(self, members: Iterable[model.PeerAddress]) -> None:
+        """Takes over which control instances there are."""
+        self._home.learn(members)
+
     async def wait_current(self) -> None:
         """Returns once the view here is as new as a control instance's."""
-        while not any(self._has_view_of(a) for a in self._addresses):
+        while not any(self._has_view_of(a) for a in self._home.addresses):
             await self._link.clock.sleep(FIRST_VIEW_POLL_MS)
 
     def _has_view_of(self, address: wire_api.Address) -> bool:
@@ -154,14 +157,15 @@
         raise ControlUnavailableError(last)
 
     def _pick(self) -> wire_api.Address:
-        for address in self._addresses:
+        addresses = self._home.addresses
+        for address in addresses:
             if address.name == self._leader:
                 return address
-        reachable = [a for a in self._addresses if self._connected(a)]
+        reachable = [a for a in addresses if self._connected(a)]
         # now and then another one, since a reachable one may be cut off
         if reachable and random.random() < 0.5:
             return random.choice(reachable)
-        return random.choice(self._addresses)
+        return random.choice(addresses)
 
     def _connected(self, address: wire_api.Address) -> bool:
         connection = self._connections.known(address)
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -76,7 +76,7 @@
         self._budget = byte_budget.ByteBudget(settings.wire, self._clock)
         self._connections = wire_pool.ConnectionPool(link, self._budget)
         self._control = control_client.ControlClient(
-            settings.control, link, self._connections, self.view
+            settings.control_peers(), link, self._connections, self.view
         )
         self._view_file: view_file.ViewFile | None = None
         if self._settings.state_folder:
--- a/src/lycheering/fleet/changes.py
+++ b/src/lycheering/fleet/changes.py
@@ -6,6 +6,7 @@
 
 from lycheering.fleet import options
 from lycheering.fleet import records
+from lycheering.routes import records as route_records
 
 MAX_CHANGES_PER_FRAME = 200
 
@@ -82,6 +83,48 @@
     name: str
 
 
+class RouteTablePut(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A route table came in force.
+
+    Attributes:
+        table: The table.
+    """
+
+    table: route_records.RouteTable
+
+
+class DirectTargetPut(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """A target that entries reach by themselves was listed or changed.
+
+    Attributes:
+        target: The target.
+    """
+
+    target: records.DirectTarget
+
+
+class DirectTargetRemoved(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """A target that entries reach by themselves is gone.
+
+    Attributes:
+        key: The key of its run.
+    """
+
+    key: str
+
+
+class WeightsNamed(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """New weights of a model are wanted everywhere.
+
+    Attributes:
+        model: The model.
+        version: The weights version.
+    """
+
+    model: str
+    version: int
+
+
 Change = (
     DefaultSet
     | ExceptionAdded
@@ -90,6 +133,10 @@
     | TeamRemoved
     | TargetPut
     | TargetRemoved
+    | RouteTablePut
+    | DirectTargetPut
+    | DirectTargetRemoved
+    | WeightsNamed
 )
 
 ConfigChange = (
@@ -116,11 +163,15 @@
     "Change",
     "ConfigChange",
     "DefaultSet",
+    "DirectTargetPut",
+    "DirectTargetRemoved",
     "ExceptionAdded",
     "ExceptionRemoved",
     "NumberedChange",
+    "RouteTablePut",
     "TargetPut",
     "TargetRemoved",
     "TeamPut",
     "TeamRemoved",
+    "WeightsNamed",
 ]
--- a/src/lycheering/fleet/records.py
+++ b/src/lycheering/fleet/records.py
@@ -102,7 +102,41 @@
     slots: int = 8
 
 
+class DirectTarget(msgspec.Struct, frozen=True, array_like=True):
+    """A target that entries reach by themselves, without an agent.
+
+    Attributes:
+        target_id: The id of this run of the target; a restart has another.
+        service: The service that it belongs to.
+        ip: Its IP number.
+        port: Its port.
+        failure_domain: The failure domain it is in.
+        slots: Requests that it runs at once.
+        state: Whether it may get new work.
+        version_by_model: The weights version of each model that it serves.
+        is_held: Whether it is kept free of new work for an order.
+        born_ms: Wall-clock time at which it says that it started.
+    """
+
+    target_id: str
+    service: str
+    ip: str
+    port: int
+    failure_domain: str
+    slots: int
+    state: TargetState = TargetState.LIVE
+    version_by_model: dict[str, int] = {}
+    is_held: bool = False
+    born_ms: int = 0
+
+    @property
+    def key(self) -> str:
+        """Names this run of the target, also where the id stays."""
+        return f"{self.target_id}/{self.born_ms}"
+
+
 __all__ = [
+    "DirectTarget",
     "ExceptionRecord",
     "Scope",
     "Target",
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -12,6 +12,7 @@
 from lycheering.fleet import changes
 from lycheering.fleet import options
 from lycheering.fleet import records
+from lycheering.routes import records as route_records
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -58,6 +59,9 @@
         teams: All teams.
         targets: All targets.
         has_teams: Whether teams are in it at all.
+        route_table: The route table in force, if any.
+        direct_targets: The targets that entries reach by themselves.
+        version_by_model: The weights wanted of each model.
     """
 
     view_revision: int
@@ -67,6 +71,9 @@
     teams: tuple[records.Team, ...]
     targets: tuple[records.Target, ...]
     has_teams: bool = True
+    route_table: route_records.RouteTable | None = None
+    direct_targets: tuple[records.DirectTarget, ...] = ()
+    version_by_model: dict[str, int] = {}
 
 
 class ViewGapError(Exception):
@@ -89,6 +96,9 @@
         team_by_name: Teams.
         target_by_name: Targets and their agents.
         has_teams: Whether all teams are held, as only some roles need.
+        route_table: The route table in force, if any.
+        direct_target_by_key: Targets that entries reach by themselves.
+        version_by_model: The weights wanted of each model.
     """
 
     def __init__(self) -> None:
@@ -99,6 +109,9 @@
         self.exception_by_id: dict[str, records.ExceptionRecord] = {}
         self.team_by_name: dict[str, records.Team] = {}
         self.target_by_name: dict[str, records.Target] = {}
+        self.route_table: route_records.RouteTable | None = None
+        self.direct_target_by_key: dict[str, records.DirectTarget] = {}
+        self.version_by_model: dict[str, int] = {}
         self._team_by_digest: dict[str, records.Team] = {}
         self._value_by_scope_by_option: dict[
             str, dict[records.Scope, options.OptionValue]
@@ -122,6 +135,9 @@
             tuple(self.team_by_name.values()) if has_teams else (),
             tuple(self.target_by_name.values()),
             has_teams,
+            self.route_table,
+            tuple(self.direct_target_by_key.values()),
+            dict(self.version_by_model),
         )
 
     def restore(self, snapshot: ViewSnapshot) -> bool:
@@ -146,6 +162,11 @@
             target.name: target for target in snapshot.targets
         }
         self.has_teams = snapshot.has_teams
+        self.route_table = snapshot.route_table
+        self.direct_target_by_key = {
+            target.key: target for target in snapshot.direct_targets
+        }
+        self.version_by_model = dict(snapshot.version_by_model)
         self._recent.clear()
         self._index_teams()
         self._index_exceptions()
@@ -254,6 +275,20 @@
                 self.target_by_name[target.name] = target
             case changes.TargetRemoved(name):
                 self.target_by_name.pop(name, None)
+            case _:
+                self._apply_direct(item.change)
+
+    def _apply_direct(self, change: changes.Change) -> None:
+        """Applies what concerns targets that entries reach by themselves."""
+        match change:
+            case changes.RouteTablePut(table):
+                self.route_table = table
+            case changes.DirectTargetPut(target):
+                self.direct_target_by_key[target.key] = target
+            case changes.DirectTargetRemoved(key):
+                self.direct_target_by_key.pop(key, None)
+            case changes.WeightsNamed(model, version):
+                self.version_by_model[model] = version
 
     def _drop_digests(self, team_name: str) -> None:
         team = self.team_by_name.get(team_name)
--- /dev/null
+++ b/src/lycheering/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Entries that hand requests straight to targets, by a route table."""
--- /dev/null
+++ b/src/lycheering/forward/daemon.py
@@ -0,0 +1,209 @@
+"""Puts an entry together that hands requests straight to targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import blacksheep
+
+from lycheering import clock
+from lycheering.app import api as app_api
+from lycheering.entry import control_client
+from lycheering.fleet import holder
+from lycheering.forward import application
+from lycheering.forward import attempt
+from lycheering.forward import choice
+from lycheering.forward import forwarder
+from lycheering.forward import freshness
+from lycheering.forward import target_book
+from lycheering.retries import window
+from lycheering.telemetry import counters
+from lycheering.telemetry import histograms
+from lycheering.telemetry import logs
+from lycheering.telemetry import metrics
+from lycheering.web import guarded_protocol
+from lycheering.web import kept_connections
+from lycheering.web import server as web_server
+from lycheering.wire import api as wire_api
+from lycheering.wire import messages
+from lycheering.wire import pool as wire_pool
+from lycheering.wire import security
+from lycheering.wire import sockets
+
+if TYPE_CHECKING:
+    from lycheering.forward import api
+    from lycheering.settings import model
+
+READY_PATH = "/health/ready"
+HOUSEKEEPING_MS = 500
+DRAIN_POLL_MS = 20
+# a balancer asks once a second and goes by two answers in a row
+BALANCER_NOTICE_MS = 3_000
+# what a stop needs after the last answer
+STOP_MARGIN_MS = 1_200
+
+_LOG = logs.get("entry")
+
+
+class DirectEntry(app_api.Part):
+    """Owns what such an entry is made of.
+
+    Attributes:
+        view: The fleet view in force.
+        control: The control instances.
+        web: The endpoint for callers.
+        ready_web: The endpoint for the balancer.
+    """
+
+    def __init__(self, settings: model.Settings, dialect: api.Dialect) -> None:
+        """Joins the parts.
+
+        Args:
+            settings: The entry's settings, with a `direct` section.
+            dialect: The names and forms that callers and targets use.
+        """
+        assert settings.direct is not None
+        self.view = holder.ViewHolder()
+        self._direct = settings.direct
+        self._clock = clock.Clock()
+        self._counters = counters.Counters(settings.metrics)
+        self._times = histograms.Histograms(self._counters)
+        self._kept = kept_connections.KeptConnections(self._clock)
+        self._book = target_book.TargetBook(self._clock)
+        self._limits = guarded_protocol.HeadLimits()
+        self._tasks = app_api.TaskOwner()
+        self._join_control(settings)
+        self._join_forwarding(settings, dialect)
+        self.view.listen(self._view_changed)
+
+    def _join_control(self, settings: model.Settings) -> None:
+        self._context = sockets.new_context()
+        link = wire_api.Link(
+            self._context,
+            wire_api.Identity(
+                settings.instance.name,
+                messages.Role.ENTRY,
+                settings.instance.failure_domain,
+            ),
+            settings.wire,
+            self._clock,
+            self.view,
+            self._counters,
+            security.security_from(settings.wire, self._counters),
+        )
+        self._connections = wire_pool.ConnectionPool(link)
+        self.control = control_client.ControlClient(
+            settings.control_peers(), link, self._connections, self.view
+        )
+        self._fresh = freshness.Freshness(
+            self.control, self._direct.current_ms, self._share, self._clock
+        )
+
+    def _join_forwarding(
+        self, settings: model.Settings, dialect: api.Dialect
+    ) -> None:
+        direct = self._direct
+        self._forwarder = forwarder.Forwarder(
+            forwarder.ForwardSettings(
+                choice.ChoiceSettings(),
+                window.WindowSettings(
+                    direct.second_send_ratio,
+                    direct.second_send_allowance,
+                    direct.second_send_window_s * clock.MS_PER_S,
+                ),
+            ),
+            self.view,
+            self._book,
+            attempt.Attempts(self._kept, dialect, self._clock),
+            self._fresh.is_current,
+            settings.instance.failure_domain,
+            self._clock,
+            self._counters,
+            self._times,
+        )
+        self._application = application.ForwardApplication(
+            self._forwarder, dialect, self._clock, self._counters
+        )
+        ip, _, port = direct.caller_address.rpartition(":")
+        self.web = web_server.WebServer(
+            self._application, ip, int(port), self._limits
+        )
+        # the default router is shared by all applications of a process
+        ready = blacksheep.Application(router=blacksheep.Router())
+
+        async def answer() -> blacksheep.Response:
+            return blacksheep.Response(200 if self.is_ready() else 503)
+
+        ready.router.add_get(READY_PATH, answer)
+        ip, _, port = direct.ready_address.rpartition(":")
+        self.ready_web = web_server.WebServer(ready, ip, int(port))
+        self._metrics = metrics.MetricsServer(
+            settings.instance.ip, direct.metrics_port, self._times
+        )
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer may send callers here."""
+        if self._application.is_leaving:
+            return False
+        return self._forwarder.index is not None and self._fresh.is_current()
+
+    def _share(self, entries: int) -> None:
+        # each control instance sees a part of the entries
+        self._forwarder.share(max(1, entries))
+
+    def _view_changed(self) -> None:
+        fleet = self.view.fleet
+        self._kept.keep_only(fleet.direct_target_by_key)
+        if fleet.route_table is not None:
+            limits = fleet.route_table.limits
+            self._limits.max_header_bytes = limits.max_header_bytes
+            self._limits.header_timeout_ms = limits.header_timeout_ms
+            self._limits.idle_timeout_ms = limits.idle_timeout_ms
+
+    async def start(self) -> None:
+        """Begins to follow the fleet and to serve."""
+        await self._connections.start()
+        await self.control.start()
+        await self._fresh.start()
+        self._tasks.spawn(self._keep_house(), "entry:housekeeping")
+        await self._metrics.start()
+        await self.ready_web.start()
+        await self.web.start()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await self._clock.sleep(HOUSEKEEPING_MS)
+            self._kept.close_expired()
+            self._counters.gauge(
+                "open_requests", self._application.open_requests
+            )
+            self._counters.gauge("target_connections", self._kept.opened)
+            self._counters.gauge("view_revision", self.view.revision())
+
+    async def drain(self) -> None:
+        """Leaves the balancer first, then ends what runs."""
+        began_ms = self._clock.now_ms()
+        grace_ms = self._direct.stop_grace_s * clock.MS_PER_S
+        until_ms = began_ms + grace_ms - STOP_MARGIN_MS
+        self._application.is_leaving = True
+        await self._clock.sleep(BALANCER_NOTICE_MS)
+        while self._application.open_requests:
+            if self._clock.now_ms() >= until_ms:
+                break
+            await self._clock.sleep(DRAIN_POLL_MS)
+        _LOG.event("drained", left=self._application.open_requests)
+
+    async def stop(self) -> None:
+        """Ends the endpoints and all connections."""
+        await self.web.stop()
+        await self.ready_web.stop()
+        await self._metrics.stop()
+        await self._tasks.cancel_all()
+        await self._fresh.stop()
+        await self.control.stop()
+        await self._connections.stop()
+        self._kept.close()
+        self._context.destroy(linger=0)
+
+
+__all__ = ["DirectEntry"]
--- /dev/null
+++ b/src/lycheering/forward/forwarder.py
@@ -0,0 +1,413 @@
+"""Takes a request from its arrival to the last byte of its answer."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from lycheering.forward import api
+from lycheering.forward import attempt as attempts
+from lycheering.forward import cached_parts
+from lycheering.forward import choice
+from lycheering.forward import job as jobs
+from lycheering.forward import refusals
+from lycheering.retries import window
+from lycheering.routes import api as route_api
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheering import clock
+    from lycheering.fleet import holder
+    from lycheering.forward import caller as callers
+    from lycheering.forward import target_book
+    from lycheering.telemetry import counters
+    from lycheering.telemetry import histograms
+
+# connections that fail before a request leaves, for one request
+MAX_CONNECT_FAILURES = 3
+FIRST_RETRY_AFTER_MS = 300.0
+NO_TABLE_RETRY_AFTER_MS = 500.0
+
+_LOG = logs.get("forward")
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardSettings:
+    """How requests are forwarded.
+
+    Attributes:
+        choice: Weights of the choice of a target.
+        second_sends: Bound on second sends to a service.
+    """
+
+    choice: choice.ChoiceSettings
+    second_sends: window.WindowSettings
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request as the HTTP server hands it over.
+
+    Attributes:
+        method: Its HTTP method.
+        host: The host that it names.
+        path: Its path, without the query.
+        target: Its path with the query, unchanged.
+        headers: Its headers.
+        at_ms: When it arrived.
+    """
+
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: api.Headers
+    at_ms: float
+
+
+class Forwarder:
+    """Finds route, team and target of each request and makes attempts.
+
+    Attributes:
+        book: What is known of targets.
+        index: The route table in force, None before the first.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardSettings,
+        view: holder.ViewHolder,
+        book: target_book.TargetBook,
+        sender: attempts.Attempts,
+        is_current: Callable[[], bool],
+        failure_domain: str,
+        time: clock.Clock,
+        counts: counters.Counters,
+        times: histograms.Histograms,
+    ) -> None:
+        """Prepares the forwarder.
+
+        Args:
+            settings: How requests are forwarded.
+            view: The fleet view in force.
+            book: What is known of targets.
+            sender: Makes attempts.
+            is_current: Returns whether the view is known to be current.
+            failure_domain: Where this entry is.
+            time: The clock.
+            counts: The process's counters.
+            times: The process's latency histograms.
+        """
+        self.book = book
+        self.index: route_api.RouteIndex | None = None
+        self._settings = settings
+        self._view = view
+        self._sender = sender
+        self._is_current = is_current
+        self._failure_domain = failure_domain
+        self._clock = time
+        self._counters = counts
+        self._times = times
+        self._random = random.Random()
+        self._window_by_service: dict[str, window.SendWindow] = {}
+        self._sharers = 1
+        view.listen(self._view_changed)
+
+    def share(self, sharers: int) -> None:
+        """Learns how many entries share the bound on second sends."""
+        self._sharers = sharers
+        for item in self._window_by_service.values():
+            item.sharers = sharers
+
+    def _view_changed(self) -> None:
+        fleet = self._view.fleet
+        table = fleet.route_table
+        if table is None:
+            return
+        if self.index is None or self.index.table is not table:
+            self.index = route_api.RouteIndex(table)
+        self.book.update(
+            fleet.direct_target_by_key.values(), self.index.service_by_name
+        )
+
+    async def forward(self, arrival: Arrival, caller: callers.Caller) -> None:
+        """Answers one request.
+
+        Raises:
+            RefusalError: If the entry answers it by itself.
+            CallerGoneError: If the caller left.
+            AnswerCutError: If the answer ends before it is whole.
+        """
+        job = await self._intake(arrival, caller)
+        caller.watch()
+        self._window(job.service.name).count_request()
+        outcome = "refused"
+        reason = ""
+        try:
+            result = await self._send(job)
+            outcome, reason = result.result.value, result.detail
+        except refusals.RefusalError as refusal:
+            reason = refusal.reason.value
+            raise
+        except refusals.CallerGoneError:
+            outcome = "caller_gone"
+            raise
+        except refusals.AnswerCutError as error:
+            outcome, reason = "cut", str(error)
+            raise
+        finally:
+            caller.close()
+            self._account(job, outcome, reason)
+
+    async def _intake(
+        self, arrival: Arrival, caller: callers.Caller
+    ) -> jobs.Job:
+        index = self._table()
+        try:
+            traits = self._sender.dialect.read_request(arrival.headers)
+        except api.BadRequestError as error:
+            raise refusals.RefusalError(
+                refusals.Reason.BAD_REQUEST, str(error)
+            ) from error
+        route = index.route_of(arrival.host, arrival.path)
+        if route is None:
+            raise refusals.RefusalError(refusals.Reason.NO_ROUTE)
+        team = self._team(index, route, traits.key)
+        wait_ms = route.timeout_ms
+        if traits.patience_ms is not None:
+            wait_ms = min(wait_ms, traits.patience_ms)
+        limits = index.table.limits
+        body = await caller.body(limits.max_body_bytes, wait_ms)
+        service = index.service_of(route, self._random)
+        priority = route.priority
+        if team is not None and team.priority is not None:
+            priority = team.priority
+        return jobs.Job(
+            caller=caller,
+            traits=traits,
+            method=arrival.method,
+            path=arrival.target,
+            headers=arrival.headers,
+            body=body,
+            route=route,
+            service=service,
+            team=team,
+            priority=priority,
+            arrived_ms=arrival.at_ms,
+            until_ms=arrival.at_ms + wait_ms,
+            work=self._work(traits, team),
+            last_event_id=traits.last_event_id,
+        )
+
+    def _table(self) -> route_api.RouteIndex:
+        if self.index is None:
+            raise refusals.RefusalError(
+                refusals.Reason.NO_TABLE,
+                "no route table yet",
+                NO_TABLE_RETRY_AFTER_MS,
+            )
+        return self.index
+
+    def _team(
+        self,
+        index: route_api.RouteIndex,
+        route: route_api.Route,
+        key: str,
+    ) -> route_api.KeyedTeam | None:
+        if route.is_public or not index.table.teams:
+            return None
+        # a key may have been taken away, or added, unseen
+        if not self._is_current():
+            raise refusals.RefusalError(
+                refusals.Reason.NOT_CURRENT,
+                "settings may be outdated",
+                NO_TABLE_RETRY_AFTER_MS,
+            )
+        team = index.team_of(key) if key else None
+        if team is None:
+            raise refusals.RefusalError(refusals.Reason.BAD_KEY)
+        return team
+
+    def _work(
+        self, traits: api.RequestTraits, team: route_api.KeyedTeam | None
+    ) -> choice.Work:
+        if not traits.parts:
+            return choice.Work()
+        scope = team.name if team is not None and team.is_isolated else ""
+        chains = cached_parts.chains_of(scope, traits.parts)
+        in_parts = sum(part.tokens for part in traits.parts)
+        prompt_tokens = max(traits.prompt_tokens, in_parts)
+        shared = in_parts - traits.parts[-1].tokens
+        affinity_key = chains[-2] if len(chains) > 1 else chains[-1]
+        return choice.Work(
+            prompt_tokens=prompt_tokens,
+            shared_tokens=shared,
+            chains=tuple(chains),
+            affinity_key=affinity_key,
+            model=traits.model,
+            wanted_version=self._view.fleet.version_by_model.get(
+                traits.model, 0
+            ),
+        )
+
+    async def _send(self, job: jobs.Job) -> attempts.Outcome:
+        """Makes attempts until one answers or no more are allowed."""
+        connect_failures = 0
+        while True:
+            estimate = self._choose(job)
+            outcome = await self._sender.run(
+                job, estimate, self._sending(job, estimate)
+            )
+            state = estimate.state
+            result = outcome.result
+            if result is not attempts.Result.NOT_SENT:
+                job.sends += 1
+            if result is attempts.Result.DONE:
+                state.succeeded()
+                state.cached.add(job.work.chains, job.traits.parts)
+                return outcome
+            self._log_attempt(job, outcome)
+            job.tried.add(state.target.key)
+            if result is attempts.Result.NOT_SENT:
+                state.failed(self._clock.now_ms())
+                connect_failures += 1
+                if connect_failures >= MAX_CONNECT_FAILURES:
+                    self._give_up(job, outcome)
+                continue
+            if result in (attempts.Result.BROKEN, attempts.Result.CUT):
+                state.failed(self._clock.now_ms())
+            if not self._may_send_again(job, outcome):
+                if job.failed_answer is not None and not job.caller.has_begun:
+                    await attempts.deliver(job, self._sender, job.failed_answer)
+                    return outcome
+                self._give_up(job, outcome)
+
+    def _choose(self, job: jobs.Job) -> choice.Estimate:
+        estimate = choice.choose(
+            self.book.of_service(job.service.name),
+            job.work,
+            self._settings.choice,
+            self._failure_domain,
+            job.tried,
+            self._clock.now_ms(),
+        )
+        if estimate is None:
+            if job.caller.has_begun:
+                raise refusals.AnswerCutError("no other target")
+            if job.sends and job.failed_answer is None and job.may_have_run:
+                raise refusals.RefusalError(refusals.Reason.BROKEN)
+            raise refusals.RefusalError(
+                refusals.Reason.NO_TARGET,
+                job.service.name,
+                self._retry_after_ms(job),
+            )
+        job.target_id = estimate.state.target.target_id
+        job.cost_ms = estimate.cost_ms
+        job.wait_ms = estimate.wait_ms
+        return estimate
+
+    def _sending(self, job: jobs.Job, estimate: choice.Estimate) -> api.Sending:
+        target = estimate.state.target
+        version = target.version_by_model.get(job.traits.model, 0)
+        scope = str(version) if job.traits.model else ""
+        team = job.team
+        if team is not None and team.is_isolated and scope:
+            scope = f"{scope}.{team.name}"
+        return api.Sending(
+            target_id=target.target_id,
+            left_ms=self._sender.left_ms(job),
+            team=team.name if team is not None else "",
+            priority=job.priority if job.traits.model else None,
+            cache_scope=scope,
+            last_event_id=job.last_event_id,
+        )
+
+    def _may_send_again(self, job: jobs.Job, outcome: attempts.Outcome) -> bool:
+        if outcome.result is attempts.Result.TIMEOUT:
+            return False
+        if outcome.result is not attempts.Result.NOT_RUN:
+            job.may_have_run = True
+            if not job.may_repeat:
+                return False
+        if job.caller.has_begun and not job.route.is_resumable:
+            return False
+        if job.sends >= job.route.max_sends or self._sender.left_ms(job) <= 0:
+            return False
+        if not self._window(job.service.name).spend():
+            self._counters.increment("second_send.over_budget")
+            return False
+        self._counters.retry(outcome.result.value)
+        return True
+
+    def _give_up(self, job: jobs.Job, outcome: attempts.Outcome) -> None:
+        """Raises what the caller gets after the last attempt."""
+        if job.caller.has_begun:
+            raise refusals.AnswerCutError(outcome.detail)
+        match outcome.result:
+            case attempts.Result.TIMEOUT:
+                reason = refusals.Reason.TIMEOUT
+            case attempts.Result.NOT_RUN | attempts.Result.NOT_SENT:
+                reason = refusals.Reason.TARGETS_FULL
+                if outcome.result is attempts.Result.NOT_SENT:
+                    reason = refusals.Reason.UNREACHABLE
+                if job.may_have_run:
+                    reason = refusals.Reason.BROKEN
+            case _:
+                reason = refusals.Reason.BROKEN
+        raise refusals.RefusalError(
+            reason, outcome.detail, self._retry_after_ms(job)
+        )
+
+    def _retry_after_ms(self, job: jobs.Job) -> float:
+        return FIRST_RETRY_AFTER_MS * self._random.uniform(0.7, 1.3)
+
+    def _window(self, service: str) -> window.SendWindow:
+        found = self._window_by_service.get(service)
+        if found is None:
+            found = window.SendWindow(self._settings.second_sends, self._clock)
+            found.sharers = self._sharers
+            self._window_by_service[service] = found
+        return found
+
+    def _log_attempt(self, job: jobs.Job, outcome: attempts.Outcome) -> None:
+        self._counters.increment(f"attempt.{outcome.result.value}")
+        _LOG.event(
+            "attempt",
+            id=job.traits.request_id,
+            target=job.target_id,
+            result=outcome.result.value,
+            status=outcome.status,
+            sends=job.sends,
+            detail=outcome.detail[:120],
+        )
+
+    def _account(self, job: jobs.Job, outcome: str, reason: str) -> None:
+        now_ms = self._clock.now_ms()
+        first_ms = 0.0
+        if job.first_byte_ms:
+            first_ms = job.first_byte_ms - job.arrived_ms
+            self._times.observe("first_byte", job.route.name, first_ms)
+        total_ms = now_ms - job.arrived_ms
+        self._times.observe("total", job.route.name, total_ms)
+        self._counters.increment(f"request.{outcome}")
+        _LOG.event(
+            "request",
+            id=job.traits.request_id,
+            route=job.route.name,
+            team=job.team.name if job.team is not None else "",
+            target=job.target_id,
+            sends=job.sends,
+            outcome=outcome,
+            reason=reason[:120],
+            cost_ms=round(job.cost_ms),
+            wait_ms=round(job.wait_ms),
+            first_ms=round(first_ms),
+            total_ms=round(total_ms),
+            view=self._view.revision(),
+        )
+
+
+__all__ = ["Arrival", "ForwardSettings", "Forwarder"]
--- /dev/null
+++ b/src/lycheering/forward/refusals.py
@@ -0,0 +1,73 @@
+"""Answers that an entry gives by itself."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Reason(enum.StrEnum):
+    """Why an entry gives an answer of its own."""
+
+    NO_TABLE = "no_table"
+    NOT_CURRENT = "not_current"
+    NO_ROUTE = "no_route"
+    BAD_KEY = "bad_key"
+    BAD_REQUEST = "bad_request"
+    HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    NO_TARGET = "no_target"
+    UNREACHABLE = "unreachable"
+    TARGETS_FULL = "targets_full"
+    OVERLOADED = "overloaded"
+    TIMEOUT = "timeout"
+    BROKEN = "broken"
+    INTERNAL = "internal"
+
+
+_STATUS_BY_REASON = {
+    Reason.NO_ROUTE: 404,
+    Reason.BAD_KEY: 401,
+    Reason.BAD_REQUEST: 400,
+    Reason.HEAD_TOO_LARGE: 431,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BODY_TOO_SLOW: 408,
+    Reason.TIMEOUT: 504,
+    Reason.BROKEN: 502,
+    Reason.INTERNAL: 500,
+}
+NOT_RUN_STATUS = 503
+
+
+class RefusalError(Exception):
+    """A request is not answered by a target.
+
+    Attributes:
+        reason: Why.
+        detail: Text for people.
+        retry_after_ms: When to come back; 0 where that is no use.
+    """
+
+    def __init__(
+        self, reason: Reason, detail: str = "", retry_after_ms: float = 0.0
+    ) -> None:
+        super().__init__(f"{reason.value}: {detail}")
+        self.reason = reason
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+
+    @property
+    def status(self) -> int:
+        """The HTTP status; 503 says that the request did not run."""
+        return _STATUS_BY_REASON.get(self.reason, NOT_RUN_STATUS)
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class AnswerCutError(Exception):
+    """An answer that has begun can't be completed."""
+
+
+__all__ = ["AnswerCutError", "CallerGoneError", "Reason", "RefusalError"]
--- /dev/null
+++ b/src/lycheering/forward/target_book.py
@@ -0,0 +1,181 @@
+"""What an entry knows of each target that it sends requests to."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from lycheering.fleet import records
+from lycheering.forward import cached_parts
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lycheering import clock
+    from lycheering.forward import api
+    from lycheering.routes import records as route_records
+
+# a load told by a target is worth half after this time
+REPORT_HALF_LIFE_MS = 400.0
+FIRST_SUSPECT_MS = 300.0
+MAX_SUSPECT_MS = 4_000.0
+
+
+@dataclasses.dataclass
+class Outstanding:
+    """A request that a target has and has not finished.
+
+    Attributes:
+        sent_ms: When it was sent.
+        tokens: Tokens that it takes in the target's memory.
+        unread_tokens: Tokens that the target has to read for it.
+        answered: Whether the answer has begun.
+    """
+
+    sent_ms: float
+    tokens: int
+    unread_tokens: int
+    answered: bool = False
+
+
+class TargetState:
+    """What is known of one run of a target.
+
+    Attributes:
+        target: Its record in the fleet view.
+        outstanding_by_id: Requests of this entry that it has.
+        cached: What its cache is taken to hold.
+        heard_ms: When its last byte came.
+        suspect_until_ms: Until when it gets work only if all others fail.
+    """
+
+    def __init__(
+        self, target: records.DirectTarget, cache_tokens: int, now_ms: float
+    ) -> None:
+        self.target = target
+        self.outstanding_by_id: dict[int, Outstanding] = {}
+        self.cached = cached_parts.CachedParts(cache_tokens)
+        self.heard_ms = now_ms
+        self.suspect_until_ms = 0.0
+        self._failures = 0
+        self._others = 0.0
+        self._others_at_ms = now_ms
+        self._next_id = 0
+
+    def begin(self, now_ms: float, tokens: int, unread_tokens: int) -> int:
+        """Counts a request as sent and returns a number for it."""
+        self._next_id += 1
+        if not self.outstanding_by_id:
+            # silence counts only while something is waited for
+            self.heard_ms = now_ms
+        self.outstanding_by_id[self._next_id] = Outstanding(
+            now_ms, tokens, unread_tokens
+        )
+        return self._next_id
+
+    def answered(self, number: int, now_ms: float) -> None:
+        """Counts a request's answer as begun."""
+        self.heard_ms = now_ms
+        item = self.outstanding_by_id.get(number)
+        if item is not None:
+            item.answered = True
+
+    def end(self, number: int) -> None:
+        """Counts a request as over."""
+        self.outstanding_by_id.pop(number, None)
+
+    def reported(self, answer: api.AnswerTraits, now_ms: float) -> None:
+        """Takes over the load that the target told with an answer."""
+        self.heard_ms = now_ms
+        if answer.running is None:
+            return
+        own = len(self.outstanding_by_id)
+        self._others = max(0.0, answer.running + answer.waiting - own)
+        self._others_at_ms = now_ms
+
+    def others(self, now_ms: float) -> float:
+        """Returns how many requests of other entries it may have."""
+        age_ms = now_ms - self._others_at_ms
+        return float(self._others * 0.5 ** (age_ms / REPORT_HALF_LIFE_MS))
+
+    def unread_tokens(self) -> int:
+        """Returns the tokens of this entry's requests still to be read."""
+        return sum(
+            item.unread_tokens
+            for item in self.outstanding_by_id.values()
+            if not item.answered
+        )
+
+    def held_tokens(self) -> int:
+        """Returns the tokens that this entry's requests take there."""
+        return sum(item.tokens for item in self.outstanding_by_id.values())
+
+    def silent_ms(self, now_ms: float) -> float:
+        """Returns how long nothing came though answers are waited for."""
+        waiting = [
+            item
+            for item in self.outstanding_by_id.values()
+            if not item.answered
+        ]
+        if not waiting:
+            return 0.0
+        oldest_ms = min(item.sent_ms for item in waiting)
+        return now_ms - max(self.heard_ms, oldest_ms)
+
+    def failed(self, now_ms: float) -> None:
+        """Counts a failure; the pause doubles with each in a row."""
+        pause_ms = FIRST_SUSPECT_MS * 2 ** min(self._failures, 6)
+        self._failures += 1
+        self.suspect_until_ms = now_ms + min(MAX_SUSPECT_MS, pause_ms)
+
+    def succeeded(self) -> None:
+        """Counts a whole answer."""
+        self._failures = 0
+        self.suspect_until_ms = 0.0
+
+
+class TargetBook:
+    """The targets of the view in force, with what this entry knows.
+
+    Attributes:
+        state_by_key: Each run of a target.
+    """
+
+    def __init__(self, time: clock.Clock) -> None:
+        self.state_by_key: dict[str, TargetState] = {}
+        self._clock = time
+        self._states_by_service: dict[str, list[TargetState]] = {}
+
+    def update(
+        self,
+        targets: Iterable[records.DirectTarget],
+        service_by_name: dict[str, route_records.Service],
+    ) -> None:
+        """Takes over the targets of a newer view."""
+        now_ms = self._clock.now_ms()
+        states: dict[str, TargetState] = {}
+        for target in targets:
+            state = self.state_by_key.get(target.key)
+            if state is None:
+                service = service_by_name.get(target.service)
+                engine = service.engine if service is not None else None
+                tokens = engine.cache_tokens if engine is not None else 0
+                state = TargetState(target, tokens, now_ms)
+            elif state.target.version_by_model != target.version_by_model:
+                state.cached.clear()
+            state.target = target
+            states[target.key] = state
+        self.state_by_key = states
+        self._states_by_service = {}
+        for state in states.values():
+            if state.target.state is records.TargetState.LIVE:
+                self._states_by_service.setdefault(
+                    state.target.service, []
+                ).append(state)
+
+    def of_service(self, service: str) -> list[TargetState]:
+        """Returns the targets of a service that may get new work."""
+        return self._states_by_service.get(service, [])
+
+
+__all__ = ["Outstanding", "TargetBook", "TargetState"]
--- /dev/null
+++ b/src/lycheering/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between lycheering and the platform that it is deployed on."""
--- /dev/null
+++ b/src/lycheering/platform/dialect.py
@@ -0,0 +1,255 @@
+"""The headers by which the platform's callers and targets speak."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.forward import api
+from lycheering.forward import event_stream
+
+if TYPE_CHECKING:
+    from lycheering.web import kept_connections
+
+REQUEST_ID = b"x-attempt-id"
+PATIENCE = b"x-deadline-ms"
+MODEL = b"x-model"
+TOKENS = b"x-token-usage"
+# holds the ids and lengths of the prompt's parts, not a hash
+PARTS = b"x-prefix-hash"
+LAST_EVENT_ID = b"last-event-id"
+AUTHORIZATION = b"authorization"
+RETRY_AFTER = b"retry-after"
+# in an answer: the worker that gave it did not run the request
+NOT_RUN = b"x-not-executed"
+LOAD = b"x-instance-load"
+VERSIONS = b"x-weight-versions"
+
+TARGET_ID = b"x-expect-instance"
+TEAM = b"x-tenant"
+CACHE_SCOPE = b"x-cache-salt"
+PRIORITY = b"x-request-priority"
+FETCH_FROM = b"x-kv-fetch"
+SAVE_TO = b"x-kv-save"
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# what only this system may tell a target
+OWN = frozenset(
+    {
+        PATIENCE,
+        AUTHORIZATION,
+        TARGET_ID,
+        TEAM,
+        CACHE_SCOPE,
+        PRIORITY,
+        FETCH_FROM,
+        SAVE_TO,
+        LAST_EVENT_ID,
+        b"x-expect-version",
+        b"x-pin-ms",
+        b"x-hold",
+        b"x-kv-backup",
+        b"kv-from",
+        b"content-length",
+        b"expect",
+    }
+)
+NOT_SENT_ON = HOP_BY_HOP | OWN
+SCHEME = "bearer"
+OTHER_TARGET_STATUS = 421
+MAX_PRIORITY = 9
+# a request with no rank of its own ranks here at a target
+MS_PER_S = 1_000.0
+
+
+class PlatformDialect(api.Dialect):
+    """Reads and writes the platform's headers."""
+
+    def read_request(self, headers: api.Headers) -> api.RequestTraits:
+        """Returns what a caller says of its request.
+
+        Raises:
+            BadRequestError: If it can't be read.
+        """
+        value_by_name = _single(headers)
+        request_id = value_by_name.get(REQUEST_ID, "")
+        if not request_id:
+            raise api.BadRequestError(f"{REQUEST_ID.decode()}: missing")
+        prompt, output = _tokens(value_by_name.get(TOKENS, ""))
+        return api.RequestTraits(
+            request_id=request_id,
+            patience_ms=_milliseconds(value_by_name.get(PATIENCE, "")),
+            key=_key(value_by_name.get(AUTHORIZATION, "")),
+            model=value_by_name.get(MODEL, ""),
+            parts=_parts(value_by_name.get(PARTS, "")),
+            prompt_tokens=prompt,
+            output_tokens=output,
+            last_event_id=value_by_name.get(LAST_EVENT_ID, ""),
+        )
+
+    def target_headers(
+        self,
+        headers: api.Headers,
+        traits: api.RequestTraits,
+        sending: api.Sending,
+    ) -> api.Headers:
+        """Returns the headers that a target gets."""
+        named = _named_by_connection(headers)
+        sent = [
+            header
+            for header in headers
+            if header[0] not in NOT_SENT_ON and header[0] not in named
+        ]
+        left_ms = max(1, int(sending.left_ms))
+        sent.append((PATIENCE, b"%d" % left_ms))
+        own = {
+            TARGET_ID: sending.target_id,
+            TEAM: sending.team,
+            CACHE_SCOPE: sending.cache_scope,
+            LAST_EVENT_ID: sending.last_event_id,
+            FETCH_FROM: sending.fetch_from,
+            SAVE_TO: sending.save_to,
+        }
+        sent += [(n, v.encode("latin-1")) for n, v in own.items() if v]
+        if sending.priority is not None:
+            rank = min(MAX_PRIORITY, max(0, sending.priority))
+            sent.append((PRIORITY, b"%d" % rank))
+        return sent
+
+    def read_answer(
+        self, head: kept_connections.ResponseHead, traits: api.RequestTraits
+    ) -> api.AnswerTraits:
+        """Returns what the start of an answer says."""
+        kind = api.AnswerKind.RAN
+        echoed = head.get(REQUEST_ID)
+        if echoed and echoed != traits.request_id:
+            kind = api.AnswerKind.OTHER_REQUEST
+        elif head.status == OTHER_TARGET_STATUS:
+            kind = api.AnswerKind.OTHER_TARGET
+        elif head.get(NOT_RUN) and head.status in (429, 503):
+            kind = api.AnswerKind.NOT_RUN
+        running, waiting, slots = _load(head.get(LOAD))
+        version = head.get(VERSIONS)
+        return api.AnswerTraits(
+            kind,
+            running,
+            waiting,
+            slots,
+            int(version) if version.isdigit() else 0,
+        )
+
+    def caller_headers(self, headers: api.Headers) -> api.Headers:
+        """Returns the headers of an answer that its caller gets."""
+        named = _named_by_connection(headers)
+        return [
+            header
+            for header in headers
+            if header[0] not in HOP_BY_HOP and header[0] not in named
+        ]
+
+    def refusal_headers(
+        self, headers: api.Headers, retry_after_ms: float
+    ) -> api.Headers:
+        """Returns the headers of an answer of the entry itself."""
+        answered = []
+        request_id = self.request_id(headers)
+        if request_id:
+            answered.append((REQUEST_ID, request_id.encode("latin-1")))
+        if retry_after_ms > 0:
+            value = f"{retry_after_ms / MS_PER_S:.3f}".encode()
+            answered.append((RETRY_AFTER, value))
+        return answered
+
+    def request_id(self, headers: api.Headers) -> str:
+        """Returns a request's id, empty where it has none."""
+        return _single(headers).get(REQUEST_ID, "")
+
+    def event_id(self, event: bytes) -> str:
+        """Returns the id of an event of a stream; empty for none."""
+        return event_stream.field(event, b"id")
+
+    def event_version(self, event: bytes) -> int:
+        """Returns the weights version that an event names, 0 for none."""
+        text = event_stream.field(event, VERSIONS)
+        return int(text) if text.isdigit() else 0
+
+
+def _single(headers: api.Headers) -> dict[bytes, str]:
+    """Returns the first value of each header."""
+    value_by_name: dict[bytes, str] = {}
+    for name, value in headers:
+        value_by_name.setdefault(name, value.decode("latin-1").strip())
+    return value_by_name
+
+
+def _named_by_connection(headers: api.Headers) -> set[bytes]:
+    """Returns the headers that concern one connection only."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    # these two are values of the header, not names of headers
+    return named - {b"close", b"keep-alive"}
+
+
+def _milliseconds(text: str) -> float | None:
+    if not text:
+        return None
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise api.BadRequestError(f"{PATIENCE.decode()}: {text!r}") from error
+    if not 0 <= value < float("inf"):
+        raise api.BadRequestError(f"{PATIENCE.decode()}: {text!r}")
+    return value
+
+
+def _key(text: str) -> str:
+    scheme, _, key = text.partition(" ")
+    return key.strip() if scheme.lower() == SCHEME else ""
+
+
+def _tokens(text: str) -> tuple[int, int]:
+    """Reads the tokens of the prompt and the most to be generated."""
+    if not text:
+        return 0, 0
+    prompt, _, output = text.partition(",")
+    try:
+        return int(prompt), int(output or 0)
+    except ValueError as error:
+        raise api.BadRequestError(f"{TOKENS.decode()}: {text!r}") from error
+
+
+def _parts(text: str) -> tuple[api.PromptPart, ...]:
+    if not text:
+        return ()
+    parts = []
+    for item in text.split(","):
+        key, colon, tokens = item.strip().partition(":")
+        if not colon or not tokens.isdigit():
+            raise api.BadRequestError(f"{PARTS.decode()}: {item!r}")
+        parts.append(api.PromptPart(key, int(tokens)))
+    return tuple(parts)
+
+
+def _load(text: str) -> tuple[int | None, int, int]:
+    """Reads the requests running, those waiting, and the slots."""
+    numbers = text.split(",")
+    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+        return None, 0, 0
+    running, waiting, slots = (int(number) for number in numbers)
+    return running, waiting, slots
+
+
+__all__ = ["PlatformDialect"]
--- /dev/null
+++ b/src/lycheering/platform/operator_api.py
@@ -0,0 +1,108 @@
+"""The endpoint of a control instance for the platform's operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import blacksheep
+import msgspec
+
+from lycheering.control.direct import route_desk
+from lycheering.platform import documents
+from lycheering.replication import errors
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Action = Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]
+
+TABLE_PATH = "/v1/routes"
+WEIGHTS_PATH = "/v1/weights"
+JSON = b"application/json"
+
+_LOG = logs.get("operator")
+
+
+class _Acknowledged(msgspec.Struct):
+    acknowledged: bool
+    changed: bool
+
+
+class _Refused(msgspec.Struct):
+    error: str
+    findings: list[str] = []
+
+
+class OperatorApi:
+    """Answers the platform's operators.
+
+    Attributes:
+        application: What the HTTP server serves.
+    """
+
+    def __init__(self, desk: route_desk.RouteDesk) -> None:
+        self._desk = desk
+        # the default router is shared by all applications of a process
+        self.application = blacksheep.Application(router=blacksheep.Router())
+        router = self.application.router
+        router.add_put(TABLE_PATH, self._guarded(self._put_table))
+        router.add_get(TABLE_PATH, self._guarded(self._get_table))
+        router.add_post(WEIGHTS_PATH, self._guarded(self._name_weights))
+
+    def _guarded(self, action: Action) -> Action:
+        async def handler(request: blacksheep.Request) -> blacksheep.Response:
+            path = request.url.path.decode("latin-1")
+            try:
+                return await action(request)
+            except (
+                documents.DocumentError,
+                route_desk.InvalidTableError,
+            ) as error:
+                _LOG.event("document_refused", path=path, error=str(error))
+                refused = _Refused("invalid", error.findings)
+                return _json(400, refused)
+            except errors.ReplicationError as error:
+                _LOG.event("operator_waits", path=path, error=error)
+                return _json(503, _Refused(str(error)))
+            except Exception as error:
+                _LOG.error("operator_failed", path=path, error=repr(error))
+                return _json(500, _Refused(type(error).__name__))
+
+        return handler
+
+    async def _put_table(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        source = await request.read() or b""
+        table = documents.read_table(source)
+        changed = await self._desk.put_table(table, source)
+        _LOG.event("table_put", revision=table.revision, changed=changed)
+        return _json(200, _Acknowledged(True, changed))
+
+    async def _get_table(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        source = await self._desk.source()
+        if not source:
+            return _json(503, _Refused("no configuration yet"))
+        return blacksheep.Response(200, None, blacksheep.Content(JSON, source))
+
+    async def _name_weights(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        name, version = documents.read_weights(await request.read() or b"")
+        changed = await self._desk.name_weights(name, version)
+        _LOG.event(
+            "weights_named", model=name, version=version, changed=changed
+        )
+        return _json(200, _Acknowledged(True, changed))
+
+
+def _json(status: int, answer: msgspec.Struct) -> blacksheep.Response:
+    content = blacksheep.Content(JSON, msgspec.json.encode(answer))
+    return blacksheep.Response(status, None, content)
+
+
+__all__ = ["OperatorApi"]
--- /dev/null
+++ b/src/lycheering/platform/start.py
@@ -0,0 +1,85 @@
+"""Starts a role with the platform's adapter."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.commands import exit_codes
+from lycheering.commands import roles
+from lycheering.settings import load
+from lycheering.telemetry import logs
+
+if TYPE_CHECKING:
+    from lycheering.settings import model
+
+SETTINGS_VARIABLE = "LYCHEERING_SETTINGS"
+
+_LOG = logs.get("run")
+
+
+def run(role: str) -> int:
+    """Runs a role until it is told to stop.
+
+    Args:
+        role: The role, `entry` or `control`.
+
+    Returns:
+        The process's exit code.
+    """
+    file = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load.load(file)
+        load.require_section(settings, roles.SECTION_BY_ROLE[role], file)
+        load.require_section(settings, "direct", file)
+    except load.SettingsError as error:
+        print(error, file=sys.stderr)
+        return exit_codes.ExitCode.FAILED
+    logs.install(
+        role, settings.instance.name, settings.log.level, stream=sys.stdout
+    )
+    try:
+        asyncio.run(_run(role, settings))
+    except Exception as error:
+        problem = "; ".join(str(line) for line in roles.problems(error))
+        _LOG.error("failed", error=problem)
+        return exit_codes.ExitCode.FAILED
+    return exit_codes.ExitCode.OK
+
+
+async def _run(role: str, settings: model.Settings) -> None:
+    build = _entry if role == "entry" else _control
+    await build(settings).run()
+
+
+def _entry(settings: model.Settings) -> app_api.Application:
+    # a role's imports are paid by that role alone
+    from lycheering.forward import daemon
+    from lycheering.platform import dialect
+
+    application = app_api.Application(settings.instance.drain_timeout_ms)
+    entry = daemon.DirectEntry(settings, dialect.PlatformDialect())
+    application.add(entry)
+    return application
+
+
+def _control(settings: model.Settings) -> app_api.Application:
+    from lycheering.control import daemon
+    from lycheering.control.direct import api as direct_api
+    from lycheering.platform import engine_calls
+    from lycheering.platform import instance_list
+    from lycheering.platform import operator_api
+
+    assert settings.direct is not None
+    adapter = direct_api.DirectAdapter(
+        targets=instance_list.InstanceList(settings.direct),
+        engines=engine_calls.PlatformEngines(),
+        operator=lambda desk: operator_api.OperatorApi(desk).application,
+    )
+    return daemon.ControlDaemon(settings, adapter).application
+
+
+__all__ = ["run"]
--- /dev/null
+++ b/src/lycheering/routes/api.py
@@ -0,0 +1,27 @@
+"""Route tables as the rest of the program uses them."""
+
+from __future__ import annotations
+
+from lycheering.routes.index import RouteIndex
+from lycheering.routes.records import CallerLimits
+from lycheering.routes.records import EngineTraits
+from lycheering.routes.records import KeyedTeam
+from lycheering.routes.records import Route
+from lycheering.routes.records import RouteKind
+from lycheering.routes.records import RouteTable
+from lycheering.routes.records import Service
+from lycheering.routes.records import ServiceShare
+from lycheering.routes.rules import findings_of
+
+__all__ = [
+    "CallerLimits",
+    "EngineTraits",
+    "KeyedTeam",
+    "Route",
+    "RouteIndex",
+    "RouteKind",
+    "RouteTable",
+    "Service",
+    "ServiceShare",
+    "findings_of",
+]
--- a/src/lycheering/settings/cross_check.py
+++ b/src/lycheering/settings/cross_check.py
@@ -104,7 +104,9 @@
     names = [member.instance for member in section.members]
     addresses = [(member.ip, member.port) for member in section.members]
     problems = []
-    if not names:
+    if names and section.seeds:
+        document.add("control", "seeds", "members are given too")
+    if not names and not section.seeds:
         problems.append("no control instance")
     if len(names) > MAX_MEMBERS:
         problems.append(f"more than {MAX_MEMBERS} control instances")
@@ -170,6 +172,8 @@
         or not isinstance(control, model.ControlSettings)
     ):
         return
+    if control.seeds:
+        return
     names = {member.instance for member in control.members}
     if instance.name not in names and not log_store.join:
         problem = f"{instance.name} is not among them, and join is off"
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -8,7 +8,8 @@
 
 import pydantic
 
-Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
+MAX_PORT = 65_535
+Port = Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 PositiveMs = Annotated[int, pydantic.Field(gt=0, le=86_400_000)]
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 
@@ -61,6 +62,26 @@
     return tuple(PeerAddress.parse(p) for p in parts if p.strip())
 
 
+def _parse_addresses(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    return tuple(part.strip() for part in value.split(",") if part.strip())
+
+
+def _check_address(value: str) -> str:
+    """Checks `ip:port`, or nothing at all."""
+    if not value:
+        return value
+    ip, colon, port = value.rpartition(":")
+    if not colon or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"expected ip:port, found {value!r}")
+    return f"{_check_ip(ip.strip('[]'))}:{port}"
+
+
+ListenAddress = Annotated[str, pydantic.AfterValidator(_check_address)]
+ListenAddresses = Annotated[
+    tuple[ListenAddress, ...], pydantic.BeforeValidator(_parse_addresses)
+]
 PeerAddresses = Annotated[
     tuple[PeerAddress, ...],
     pydantic.BeforeValidator(_parse_peers),
@@ -155,9 +176,13 @@
 
     Attributes:
         members: The control instances as `instance@ip:port`, comma-separated.
+        seeds: The operator endpoints of some control instances as `ip:port`,
+            where the others are found through them. Instances are then named
+            by their IP number and all use the same port of `[wire]`.
     """
 
-    members: PeerAddresses
+    members: PeerAddresses = ()
+    seeds: ListenAddresses = ()
 
 
 class LogStoreSettings(Section):
@@ -242,6 +267,45 @@
     kv_store_url: str = ""
 
 
+class DirectSettings(Section):
+    """A deployment whose entries hand requests straight to targets.
+
+    Attributes:
+        caller_address: Where an entry listens for callers.
+        ready_address: Where an entry tells the balancer that it is ready.
+        operator_address: Where a control instance listens for operators.
+        metrics_port: The port of the metrics; 0 for none.
+        list_address: Where the list of targets is read.
+        list_poll_ms: Time between two readings of that list.
+        current_ms: How long settings confirmed with a quorum are taken to be
+            current.
+        second_send_ratio: Second sends to a service for each request to it.
+        second_send_allowance: Second sends beyond those, of all entries.
+        second_send_window_s: The time over which both are counted.
+        loads_at_once: Engines that load weights at one time.
+        hold_ms: How long an engine gets no new work before it loads.
+        order_lease_ms: How long orders of an earlier holder may count.
+        stop_grace_s: Time between the request to stop and the kill.
+        founds_group: Whether this is the first start of the deployment.
+    """
+
+    caller_address: ListenAddress = ""
+    ready_address: ListenAddress = ""
+    operator_address: ListenAddress = ""
+    metrics_port: Port = 0
+    list_address: ListenAddress = ""
+    list_poll_ms: PositiveMs = 700
+    current_ms: PositiveMs = 5_000
+    second_send_ratio: Annotated[float, pydantic.Field(ge=0)] = 0.2
+    second_send_allowance: Annotated[float, pydantic.Field(ge=0)] = 20.0
+    second_send_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+    loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 2
+    hold_ms: Annotated[int, pydantic.Field(ge=0)] = 450
+    order_lease_ms: PositiveMs = 3_000
+    stop_grace_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
+    founds_group: bool = False
+
+
 class Settings(Section):
     """All sections of one process's file.
 
@@ -254,6 +318,7 @@
         log_store: Set in a control instance's file.
         entry: Set in an entry instance's file.
         agent: Set in an agent's file.
+        direct: Set where entries reach targets without agents.
     """
 
     instance: InstanceSettings
@@ -264,6 +329,16 @@
     log_store: LogStoreSettings | None = None
     entry: EntrySettings | None = None
     agent: AgentSettings | None = None
+    direct: DirectSettings | None = None
+
+    def control_peers(self) -> tuple[PeerAddress, ...]:
+        """Returns the control instances that the file names."""
+        if self.control.members:
+            return self.control.members
+        ips = [seed.rpartition(":")[0] for seed in self.control.seeds]
+        return tuple(
+            PeerAddress(instance=ip, ip=ip, port=self.wire.port) for ip in ips
+        )
 
 
 SECTION_TYPE_BY_NAME: dict[str, type[Section]] = {
@@ -275,6 +350,7 @@
     "log_store": LogStoreSettings,
     "entry": EntrySettings,
     "agent": AgentSettings,
+    "direct": DirectSettings,
 }
 REQUIRED_SECTIONS = ("instance", "control")
 
@@ -284,9 +360,12 @@
     "SECTION_TYPE_BY_NAME",
     "AgentSettings",
     "ControlSettings",
+    "DirectSettings",
     "EntrySettings",
     "InstanceSettings",
     "IpNumber",
+    "ListenAddress",
+    "ListenAddresses",
     "LogSettings",
     "LogStoreSettings",
     "MetricsSettings",
--- a/src/lycheering/telemetry/logs.py
+++ b/src/lycheering/telemetry/logs.py
@@ -5,9 +5,12 @@
 import json
 import re
 import sys
+from typing import TextIO
 
 import logbook
 
+from lycheering.telemetry import bounded_output
+
 _PLAIN = re.compile(r"[\w.:/@+,-]+")
 
 
@@ -61,15 +64,25 @@
     return EventLog(name)
 
 
-def install(role: str, instance: str, level: str = "info") -> None:
-    """Sends all events of this process to standard error.
+def install(
+    role: str,
+    instance: str,
+    level: str = "info",
+    stream: TextIO | None = None,
+) -> None:
+    """Sends all events of this process to standard error or a stream.
 
     Args:
         role: The process's role, written on every line.
         instance: The instance's name, written on every line.
         level: The lowest level written, such as `debug` or `info`.
+        stream: Where lines go instead; one that nobody reads loses lines
+            and never blocks the process.
     """
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    target: TextIO | bounded_output.BoundedOutput = sys.stderr
+    if stream is not None:
+        target = bounded_output.BoundedOutput(stream)
+    handler = logbook.StreamHandler(target, level=level.upper())
     handler.format_string = (
         "time={record.time:%Y-%m-%dT%H:%M:%S.%f} "
         "level={record.level_name} "
--- a/src/lycheering/web/byte_stream.py
+++ b/src/lycheering/web/byte_stream.py
@@ -32,6 +32,19 @@
         assert self._transport is not None
         return self._transport
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the connection is open and holds no unread bytes."""
+        transport = self._transport
+        if self._ended or self._parts or transport is None:
+            return False
+        return not transport.is_closing()
+
+    @property
+    def is_written(self) -> bool:
+        """Whether all bytes were handed to the network."""
+        return self.transport.get_write_buffer_size() == 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the connection over."""
         self._transport = typing.cast("asyncio.Transport", transport)
--- /dev/null
+++ b/src/lycheering/web/kept_connections.py
@@ -0,0 +1,281 @@
+"""HTTP/1.1 connections to targets that are kept for later requests."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import re
+from typing import TYPE_CHECKING
+
+import httptools
+
+from lycheering.web import byte_stream
+from lycheering.web import client
+from lycheering.web import keepalive
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lycheering import clock
+
+MAX_HEADERS = 100
+MAX_IDLE_PER_TARGET = 32
+# a kept connection is given up this long before the target closes it
+CLOSE_MARGIN_MS = 600.0
+# how long a connection is kept whose target does not say for how long
+UNSTATED_IDLE_MS = 1_500.0
+PROBES = keepalive.Probes(1, 1, 2, 2_500)
+
+_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass
+class ResponseHead:
+    """The start of a response.
+
+    Attributes:
+        status: The HTTP status.
+        headers: Its headers, names in lower case.
+    """
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> str:
+        """Returns a header's value, empty where there is none."""
+        for known, value in self.headers:
+            if known == name:
+                return value.decode("latin-1")
+        return ""
+
+
+class _Collector:
+    """Collects what the parser finds of one response."""
+
+    def __init__(self) -> None:
+        self.headers: Headers = []
+        self.parts: list[bytes] = []
+        self.headers_done = False
+        self.done = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self.headers) >= MAX_HEADERS:
+            raise client.ExchangeBrokenError("too many headers")
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self.headers_done = True
+
+    def on_body(self, body: bytes) -> None:
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+
+class KeptConnection:
+    """A connection that carries one exchange after another.
+
+    Attributes:
+        origin: The target's address.
+        is_fresh: Whether no exchange was made on it yet.
+    """
+
+    def __init__(
+        self,
+        origin: client.Origin,
+        stream: byte_stream.ByteStream,
+    ) -> None:
+        self.origin = origin
+        self.is_fresh = True
+        self._stream = stream
+        self._collector = _Collector()
+        self._parser = httptools.HttpResponseParser(self._collector)
+        self._head: ResponseHead | None = None
+        self._ends_with_connection = False
+        self._ended_cleanly = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether nothing arrived or ended since the last exchange."""
+        return self._stream.is_quiet
+
+    def send(self, data: bytes) -> None:
+        """Writes a request; from here on it may have been received."""
+        self._collector = _Collector()
+        self._parser = httptools.HttpResponseParser(self._collector)
+        self._head = None
+        self._ends_with_connection = False
+        self._ended_cleanly = False
+        self._stream.write(data)
+
+    async def head(self, timeout_ms: float) -> ResponseHead:
+        """Returns the start of the response.
+
+        Raises:
+            ExchangeBrokenError: If it did not come whole.
+        """
+        while True:
+            while not self._collector.headers_done:
+                await self._feed(timeout_ms)
+            status = self._parser.get_status_code()
+            if status >= 200:
+                break
+            # an interim response announces the one that counts
+            rest = self._collector.parts
+            self._collector = _Collector()
+            self._collector.parts = rest
+            self._parser = httptools.HttpResponseParser(self._collector)
+        self._head = ResponseHead(status, self._collector.headers)
+        framed = self._head.get(b"content-length") or (
+            "chunked" in self._head.get(b"transfer-encoding").lower()
+        )
+        self._ends_with_connection = not framed
+        return self._head
+
+    async def part(self, timeout_ms: float) -> bytes:
+        """Returns the next bytes of the body; none only at its end.
+
+        Raises:
+            ExchangeBrokenError: If the body ends before it is whole.
+        """
+        collector = self._collector
+        while True:
+            if collector.parts:
+                data = b"".join(collector.parts)
+                collector.parts.clear()
+                return data
+            if collector.done or self._ended_cleanly:
+                return b""
+            await self._feed(timeout_ms)
+
+    async def _feed(self, timeout_ms: float) -> None:
+        try:
+            data = await self._stream.read(timeout_ms)
+        except TimeoutError as error:
+            raise client.SilenceError(f"nothing for {timeout_ms:.0f} ms") from (
+                error
+            )
+        except OSError as error:
+            raise client.ExchangeBrokenError(str(error)) from error
+        if not data:
+            if self._ends_with_connection and self._collector.headers_done:
+                self._ended_cleanly = True
+                return
+            raise client.ExchangeBrokenError("connection closed before the end")
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self._collector.done:
+                raise client.ExchangeBrokenError(f"not HTTP: {error}") from (
+                    error
+                )
+            # bytes after a whole response belong to no request
+            self._stream.close()
+
+    def idle_ms(self) -> float:
+        """Returns how long it may be kept; 0 for not at all."""
+        head = self._head
+        if head is None or not self._collector.done or not self.is_open:
+            return 0.0
+        if "close" in head.get(b"connection").lower():
+            return 0.0
+        if not self._stream.is_written:
+            # the target answered before it had read the whole request
+            return 0.0
+        stated = _TIMEOUT.search(head.get(b"keep-alive"))
+        if stated is None:
+            return UNSTATED_IDLE_MS
+        return max(0.0, int(stated.group(1)) * 1_000.0 - CLOSE_MARGIN_MS)
+
+    def close(self) -> None:
+        """Closes the connection, which ends work at the target."""
+        self._stream.close()
+
+
+@dataclasses.dataclass
+class _Idle:
+    connection: KeptConnection
+    until_ms: float
+
+
+class KeptConnections:
+    """The connections of this process to targets.
+
+    Attributes:
+        opened: How many connections were made.
+    """
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._idle_by_key: dict[str, collections.deque[_Idle]] = {}
+        self.opened = 0
+
+    def take(self, key: str) -> KeptConnection | None:
+        """Returns a kept connection to a target, if there is a sound one."""
+        idle = self._idle_by_key.get(key)
+        now_ms = self._clock.now_ms()
+        while idle:
+            kept = idle.pop()
+            if kept.until_ms > now_ms and kept.connection.is_open:
+                return kept.connection
+            kept.connection.close()
+        return None
+
+    async def open(
+        self, origin: client.Origin, timeout_ms: float
+    ) -> KeptConnection:
+        """Opens a connection.
+
+        Raises:
+            ConnectFailedError: If none could be opened in time.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                _, stream = await loop.create_connection(
+                    byte_stream.ByteStream, origin.ip, origin.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise client.ConnectFailedError(
+                f"{origin.host_header}: {type(error).__name__} {error}"
+            ) from error
+        socket = stream.transport.get_extra_info("socket")
+        keepalive.notice_dead_peers(socket, PROBES)
+        self.opened += 1
+        return KeptConnection(origin, stream)
+
+    def give_back(self, key: str, connection: KeptConnection) -> None:
+        """Keeps a connection after an exchange, or closes it."""
+        idle_ms = connection.idle_ms()
+        if idle_ms <= 0:
+            connection.close()
+            return
+        connection.is_fresh = False
+        idle = self._idle_by_key.setdefault(key, collections.deque())
+        if len(idle) >= MAX_IDLE_PER_TARGET:
+            idle.popleft().connection.close()
+        idle.append(_Idle(connection, self._clock.now_ms() + idle_ms))
+
+    def keep_only(self, keys: Iterable[str]) -> None:
+        """Closes idle connections to targets that are gone."""
+        known = set(keys)
+        for key in [key for key in self._idle_by_key if key not in known]:
+            for kept in self._idle_by_key.pop(key):
+                kept.connection.close()
+
+    def close_expired(self) -> None:
+        """Closes idle connections that may not be used any more."""
+        now_ms = self._clock.now_ms()
+        for idle in self._idle_by_key.values():
+            while idle and idle[0].until_ms <= now_ms:
+                idle.popleft().connection.close()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        self.keep_only(())
+
+
+__all__ = ["KeptConnection", "KeptConnections", "ResponseHead"]
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket as sockets
 from typing import TYPE_CHECKING
+from typing import Any
 
 import uvicorn
 
 from lycheering.app import api as app_api
 from lycheering.telemetry import logs
+from lycheering.web import guarded_protocol
 from lycheering.web import keepalive
 
 if TYPE_CHECKING:
@@ -45,9 +48,22 @@
     """
 
     def __init__(
-        self, application: blacksheep.Application, ip: str, port: int
+        self,
+        application: blacksheep.Application,
+        ip: str,
+        port: int,
+        limits: guarded_protocol.HeadLimits | None = None,
     ) -> None:
+        """Prepares the server.
+
+        Args:
+            application: What it serves.
+            ip: The IP number to listen on.
+            port: The port; 0 takes any free one.
+            limits: Bounds on request heads and idle connections, if any.
+        """
         self.port = port
+        self._limits = limits
         self._application = application
         self._ip = ip
         self._server: _EmbeddedServer | None = None
@@ -61,14 +77,17 @@
         config = uvicorn.Config(
             self._application,
             loop="asyncio",
-            http="httptools",
+            http=self._protocol(),
             ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
             server_header=False,
+            date_header=False,
             timeout_graceful_shutdown=STOP_TIMEOUT_S,
         )
+        # what it says of an answer that is cut on purpose is logged already
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         server = _EmbeddedServer(config)
         self._server = server
         self._task = asyncio.create_task(
@@ -80,6 +99,11 @@
             await asyncio.sleep(START_POLL_MS / 1_000)
         _LOG.event("serving_http", ip=self._ip, port=self.port)
 
+    def _protocol(self) -> Any:
+        if self._limits is None:
+            return "httptools"
+        return guarded_protocol.protocol_with(self._limits)
+
     async def stop(self) -> None:
         """Ends the server after its open answers."""
         if self._server is not None and self._task is not None:
--- a/src/lycheering/wire/homes.py
+++ b/src/lycheering/wire/homes.py
@@ -40,14 +40,32 @@
             name: This process's name.
             time: The clock.
         """
+        self._name = name
+        self._preferred = self._ordered(members)
+        self._clock = time
+        self._moved_ms = 0.0
+        self.address = self._preferred[0]
+
+    def _ordered(
+        self, members: Iterable[model.PeerAddress]
+    ) -> list[api.Address]:
         addresses = [
             api.Address(peer.instance, peer.ip, peer.port, is_control=True)
             for peer in members
         ]
-        self._preferred = sorted(addresses, key=lambda a: _weight(name, a.name))
-        self._clock = time
-        self._moved_ms = 0.0
-        self.address = self._preferred[0]
+        return sorted(addresses, key=lambda a: _weight(self._name, a.name))
+
+    def learn(self, members: Iterable[model.PeerAddress]) -> None:
+        """Takes over which control instances there are.
+
+        The present one stays while it is still among them.
+        """
+        ordered = self._ordered(members)
+        if not ordered or ordered == self._preferred:
+            return
+        self._preferred = ordered
+        if self.address not in ordered:
+            self.address = ordered[0]
 
     @property
     def addresses(self) -> list[api.Address]:
--- a/src/lycheering/wire/messages/__init__.py
+++ b/src/lycheering/wire/messages/__init__.py
@@ -10,8 +10,11 @@
 from lycheering.wire.messages.envelope import PROTOCOL_VERSION
 from lycheering.wire.messages.envelope import Envelope
 from lycheering.wire.messages.envelope import Message
+from lycheering.wire.messages.members import ControlPeer
 from lycheering.wire.messages.members import CountersFetch
 from lycheering.wire.messages.members import CountersReply
+from lycheering.wire.messages.members import Current
+from lycheering.wire.messages.members import CurrentFetch
 from lycheering.wire.messages.members import Deregister
 from lycheering.wire.messages.members import LogCall
 from lycheering.wire.messages.members import LogReply
@@ -69,8 +72,11 @@
     "CacheReport",
     "Cancel",
     "Chunks",
+    "ControlPeer",
     "CountersFetch",
     "CountersReply",
+    "Current",
+    "CurrentFetch",
     "Deregister",
     "Done",
     "Envelope",
--- a/src/lycheering/wire/messages/envelope.py
+++ b/src/lycheering/wire/messages/envelope.py
@@ -58,6 +58,8 @@
     | members.CountersReply
     | members.LogCall
     | members.LogReply
+    | members.CurrentFetch
+    | members.Current
 )
 
 
--- a/src/lycheering/wire/messages/members.py
+++ b/src/lycheering/wire/messages/members.py
@@ -202,9 +202,42 @@
     payload: bytes
 
 
+class CurrentFetch(msgspec.Struct, frozen=True, array_like=True, tag=62):
+    """Asks a control instance to confirm with a quorum what is current."""
+
+
+class ControlPeer(msgspec.Struct, frozen=True, array_like=True):
+    """Where a control instance listens.
+
+    Attributes:
+        name: Its instance.
+        ip: Its IP number.
+        port: Its port.
+    """
+
+    name: str
+    ip: str
+    port: int
+
+
+class Current(msgspec.Struct, frozen=True, array_like=True, tag=63):
+    """Answers CurrentFetch, once the view sent along is current.
+
+    Attributes:
+        control: The members of the group of control instances.
+        entries: How many entries the group serves.
+    """
+
+    control: tuple[ControlPeer, ...]
+    entries: int = 1
+
+
 __all__ = [
+    "ControlPeer",
     "CountersFetch",
     "CountersReply",
+    "Current",
+    "CurrentFetch",
     "Deregister",
     "LogCall",
     "LogReply",
