Fetch shared parts, keep prompts together by a level that is not too hot

Ruled out by the request log: requests of one prefix at the same moment (39 thousand of 121). Change: a request names the target on the same weights that most likely holds its shared parts; requests are kept together by the outermost level that no single target is too busy with; a stopping entry closes idle connections and takes no new ones once the balancer has seen it.

--- a/src/lycheering/forward/api.py
+++ b/src/lycheering/forward/api.py
@@ -68,6 +68,7 @@
         last_event_id: The last event that the caller has.
         fetch_from: The target or store to fetch cached parts from, `ip:port`.
         save_to: The store to save parts to, `ip:port`.
+        weights_version: The version that the target must have; 0 for any.
     """
 
     target_id: str
@@ -78,6 +79,7 @@
     last_event_id: str = ""
     fetch_from: str = ""
     save_to: str = ""
+    weights_version: int = 0
 
 
 class AnswerKind(enum.Enum):
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -179,6 +179,8 @@
             await self._body(connection)
             return Outcome(Result.NOT_RUN, head.status, traits.kind.value)
         is_success = 200 <= head.status < 300
+        if is_success:
+            self._state.cached.add(job.work.chains, job.traits.parts)
         if is_success and EVENT_STREAM in head.get(b"content-type"):
             return await self._stream(connection, head)
         body = await self._body(connection)
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -13,6 +13,9 @@
 
     from lycheering.forward import target_book
 
+# a target that is silent for so long is not asked for cached parts
+SILENT_SOURCE_MS = 800.0
+
 
 @dataclasses.dataclass(frozen=True)
 class ChoiceSettings:
@@ -24,6 +27,7 @@
         running_ms: What each running request slows a new one down by.
         held_ms: Cost of an engine that is kept free for an order.
         old_weights_ms: Cost of an engine on older weights.
+        old_grace_ms: Time after new weights are named without that cost.
         suspect_ms: Cost of a target that failed of late.
         other_domain_ms: Cost of a target in another failure domain.
         affinity: Part of the shared parts that the first in the order of a
@@ -35,7 +39,8 @@
     other_request_ms: float = 30.0
     running_ms: float = 1.0
     held_ms: float = 2_000.0
-    old_weights_ms: float = 150.0
+    old_weights_ms: float = 600.0
+    old_grace_ms: float = 1_200.0
     suspect_ms: float = 5_000.0
     other_domain_ms: float = 2.0
     affinity: float = 0.8
@@ -51,16 +56,29 @@
         shared_tokens: Those of them that other requests may share.
         chains: The chain of each part of its prompt.
         affinity_key: Requests of one key are best kept together.
+        width: On how many targets they are.
         model: The model asked for.
         wanted_version: The newest weights named of it.
+        wanted_for_ms: How long ago they were named.
     """
 
     prompt_tokens: int = 0
     shared_tokens: int = 0
     chains: tuple[str, ...] = ()
     affinity_key: str = ""
+    width: int = 1
     model: str = ""
     wanted_version: int = 0
+    wanted_for_ms: float = 0.0
+
+    def is_outdated(self, state: target_book.TargetState) -> bool:
+        """Returns whether a target has older weights than are wanted."""
+        return self.version_at(state) < self.wanted_version
+
+    def version_at(self, state: target_book.TargetState) -> int:
+        """Returns the weights version that a target has."""
+        versions = state.target.version_by_model
+        return versions.get(self.model, self.wanted_version)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,7 +119,9 @@
     able = [state for state in states if state.target.key not in excluded]
     if not able:
         return None
-    first = _first_ranked(able, work.affinity_key)
+    first = _ranked(
+        _fit(able, work, settings, now_ms), work.affinity_key
+    )[: work.width]
     estimates = [
         _estimate(state, work, settings, failure_domain, first, now_ms)
         for state in able
@@ -109,17 +129,80 @@
     return min(estimates, key=lambda estimate: estimate.cost_ms)
 
 
-def _first_ranked(
-    states: Sequence[target_book.TargetState], key: str
+def fetch_source(
+    states: Sequence[target_book.TargetState],
+    chosen: target_book.TargetState,
+    work: Work,
+    now_ms: float,
 ) -> target_book.TargetState | None:
-    """Returns the target that all entries prefer for a key."""
-    if not key:
+    """Returns the target that most likely holds what the chosen one lacks.
+
+    Only targets on the weights of the chosen one count, since what others
+    hold was made by other weights.
+
+    Args:
+        states: The targets that may be asked.
+        chosen: The target that gets the request.
+        work: What the request asks.
+        now_ms: The time.
+    """
+    shared = work.chains[:-1]
+    if not shared:
         return None
-    return max(
+    version = work.version_at(chosen)
+    able = [
+        state
+        for state in states
+        if state is not chosen
+        and work.version_at(state) == version
+        and state.suspect_until_ms <= now_ms
+        and state.silent_ms(now_ms) < SILENT_SOURCE_MS
+    ]
+    if not able:
+        return None
+    best = max(able, key=lambda state: state.cached.held_tokens(shared))
+    if best.cached.held_tokens(shared) > chosen.cached.held_tokens(shared):
+        return best
+    if chosen.cached.held_tokens(shared) >= work.shared_tokens:
+        return None
+    # other entries may have had it read where they all keep it
+    ranked = _ranked([*able, chosen], work.affinity_key)
+    if ranked[0] is not chosen:
+        return ranked[0]
+    outermost = _ranked(able, shared[0])
+    return outermost[0]
+
+
+def _fit(
+    able: Sequence[target_book.TargetState],
+    work: Work,
+    settings: ChoiceSettings,
+    now_ms: float,
+) -> Sequence[target_book.TargetState]:
+    """Returns the targets that a prefix may be kept at for now."""
+    fit = [
+        state
+        for state in able
+        if not state.target.is_held and state.suspect_until_ms <= now_ms
+    ]
+    if work.wanted_for_ms > settings.old_grace_ms:
+        newest = [state for state in fit if not work.is_outdated(state)]
+        fit = newest or fit
+    return fit or able
+
+
+def _ranked(
+    states: Sequence[target_book.TargetState], key: str
+) -> list[target_book.TargetState]:
+    """Returns the targets in the order that all entries prefer for a key."""
+    if not key:
+        return []
+    return sorted(
         states,
         key=lambda state: xxhash.xxh3_64_intdigest(
             f"{key}\0{state.target.target_id}".encode()
         ),
+        reverse=True,
     )
 
 
@@ -128,11 +211,11 @@
     work: Work,
     settings: ChoiceSettings,
     failure_domain: str,
-    first: target_book.TargetState | None,
+    first: Collection[target_book.TargetState],
     now_ms: float,
 ) -> Estimate:
     held = state.cached.held_tokens(work.chains)
-    if state is first:
+    if state in first:
         held = max(held, int(settings.affinity * work.shared_tokens))
     unread = max(0, work.prompt_tokens - held)
     own = len(state.outstanding_by_id)
@@ -148,8 +231,8 @@
         cost_ms += settings.other_domain_ms
     if target.is_held:
         cost_ms += settings.held_ms
-    version = target.version_by_model.get(work.model, work.wanted_version)
-    if version < work.wanted_version:
+    is_late = work.wanted_for_ms > settings.old_grace_ms
+    if is_late and work.is_outdated(state):
         cost_ms += settings.old_weights_ms
     if state.suspect_until_ms > now_ms:
         cost_ms += settings.suspect_ms
@@ -157,4 +240,4 @@
     return Estimate(state, cost_ms, wait_ms, unread)
 
 
-__all__ = ["ChoiceSettings", "Estimate", "Work", "choose"]
+__all__ = ["ChoiceSettings", "Estimate", "Work", "choose", "fetch_source"]
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -38,7 +38,8 @@
 HOUSEKEEPING_MS = 500
 DRAIN_POLL_MS = 20
 # a balancer asks once a second and goes by two answers in a row
-BALANCER_NOTICE_MS = 3_000
+BALANCER_NOTICE_MS = 2_600
+CLOSE_IDLE_INTERVAL_MS = 200
 # what a stop needs after the last answer
 STOP_MARGIN_MS = 1_200
 
@@ -186,7 +187,12 @@
         grace_ms = self._direct.stop_grace_s * clock.MS_PER_S
         until_ms = began_ms + grace_ms - STOP_MARGIN_MS
         self._application.is_leaving = True
-        await self._clock.sleep(BALANCER_NOTICE_MS)
+        while self._clock.now_ms() - began_ms < BALANCER_NOTICE_MS:
+            # callers that keep a connection do not ask the balancer
+            self.web.close_idle()
+            await self._clock.sleep(CLOSE_IDLE_INTERVAL_MS)
+        self.web.close_idle()
+        self.web.stop_accepting()
         while self._application.open_requests:
             if self._clock.now_ms() >= until_ms:
                 break
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -11,6 +11,7 @@
 from lycheering.forward import cached_parts
 from lycheering.forward import choice
 from lycheering.forward import job as jobs
+from lycheering.forward import prefix_heat
 from lycheering.forward import refusals
 from lycheering.retries import window
 from lycheering.routes import api as route_api
@@ -114,6 +115,9 @@
         self._random = random.Random()
         self._window_by_service: dict[str, window.SendWindow] = {}
         self._sharers = 1
+        self._heat = prefix_heat.PrefixHeat()
+        self._named: dict[str, int] = {}
+        self._named_ms_by_model: dict[str, float] = {}
         view.listen(self._view_changed)
 
     def share(self, sharers: int) -> None:
@@ -124,6 +128,10 @@
 
     def _view_changed(self) -> None:
         fleet = self._view.fleet
+        for model, version in fleet.version_by_model.items():
+            if self._named.get(model) != version:
+                self._named[model] = version
+                self._named_ms_by_model[model] = self._clock.now_ms()
         table = fleet.route_table
         if table is None:
             return
@@ -198,7 +206,7 @@
             priority=priority,
             arrived_ms=arrival.at_ms,
             until_ms=arrival.at_ms + wait_ms,
-            work=self._work(traits, team),
+            work=self._work(traits, team, service.name),
             last_event_id=traits.last_event_id,
         )
 
@@ -232,7 +240,10 @@
         return team
 
     def _work(
-        self, traits: api.RequestTraits, team: route_api.KeyedTeam | None
+        self,
+        traits: api.RequestTraits,
+        team: route_api.KeyedTeam | None,
+        service: str,
     ) -> choice.Work:
         if not traits.parts:
             return choice.Work()
@@ -241,16 +252,24 @@
         in_parts = sum(part.tokens for part in traits.parts)
         prompt_tokens = max(traits.prompt_tokens, in_parts)
         shared = in_parts - traits.parts[-1].tokens
-        affinity_key = chains[-2] if len(chains) > 1 else chains[-1]
+        levels = chains[:-1] or chains
+        now_ms = self._clock.now_ms()
+        self._heat.count(levels, prompt_tokens, now_ms)
+        affinity_key, width = self._heat.level(
+            levels, len(self.book.of_service(service))
+        )
         return choice.Work(
             prompt_tokens=prompt_tokens,
             shared_tokens=shared,
             chains=tuple(chains),
             affinity_key=affinity_key,
+            width=width,
             model=traits.model,
             wanted_version=self._view.fleet.version_by_model.get(
                 traits.model, 0
             ),
+            wanted_for_ms=now_ms
+            - self._named_ms_by_model.get(traits.model, 0.0),
         )
 
     async def _send(self, job: jobs.Job) -> attempts.Outcome:
@@ -258,16 +277,15 @@
         connect_failures = 0
         while True:
             estimate = self._choose(job)
-            outcome = await self._sender.run(
-                job, estimate, self._sending(job, estimate)
-            )
+            job.sending = self._sending(job, estimate)
+            job.sent_ms = self._clock.now_ms()
+            outcome = await self._sender.run(job, estimate, job.sending)
             state = estimate.state
             result = outcome.result
             if result is not attempts.Result.NOT_SENT:
                 job.sends += 1
             if result is attempts.Result.DONE:
                 state.succeeded()
-                state.cached.add(job.work.chains, job.traits.parts)
                 return outcome
             self._log_attempt(job, outcome)
             job.tried.add(state.target.key)
@@ -307,6 +325,7 @@
         job.target_id = estimate.state.target.target_id
         job.cost_ms = estimate.cost_ms
         job.wait_ms = estimate.wait_ms
+        job.unread_tokens = estimate.unread_tokens
         return estimate
 
     def _sending(self, job: jobs.Job, estimate: choice.Estimate) -> api.Sending:
@@ -322,9 +341,23 @@
             team=team.name if team is not None else "",
             priority=job.priority if job.traits.model else None,
             cache_scope=scope,
+            fetch_from=self._fetch_from(job, estimate),
+            weights_version=version,
             last_event_id=job.last_event_id,
         )
 
+    def _fetch_from(self, job: jobs.Job, estimate: choice.Estimate) -> str:
+        """Returns where the target may fetch shared parts, empty for nowhere."""
+        source = choice.fetch_source(
+            self.book.of_service(job.service.name),
+            estimate.state,
+            job.work,
+            self._clock.now_ms(),
+        )
+        if source is None:
+            return ""
+        return f"{source.target.ip}:{source.target.port}"
+
     def _may_send_again(self, job: jobs.Job, outcome: attempts.Outcome) -> bool:
         if outcome.result is attempts.Result.TIMEOUT:
             return False
@@ -393,6 +426,7 @@
         total_ms = now_ms - job.arrived_ms
         self._times.observe("total", job.route.name, total_ms)
         self._counters.increment(f"request.{outcome}")
+        sending = job.sending
         _LOG.event(
             "request",
             id=job.traits.request_id,
@@ -404,6 +438,12 @@
             reason=reason[:120],
             cost_ms=round(job.cost_ms),
             wait_ms=round(job.wait_ms),
+            prefix=job.work.affinity_key,
+            shared=job.work.shared_tokens,
+            unread=job.unread_tokens,
+            weights=sending.weights_version if sending else 0,
+            fetch=sending.fetch_from if sending else "",
+            sent_ms=round(job.sent_ms - job.arrived_ms),
             first_ms=round(first_ms),
             total_ms=round(total_ms),
             view=self._view.revision(),
--- a/src/lycheering/forward/freshness.py
+++ b/src/lycheering/forward/freshness.py
@@ -18,7 +18,7 @@
     from lycheering import clock
 
 CONFIRM_INTERVAL_MS = 1_000
-RETRY_INTERVAL_MS = 200
+RETRY_INTERVAL_MS = 50
 CONFIRM_TIMEOUT_MS = 1_000
 # part of the bound that is left for a request on its way and for the clock
 SAFE_PART = 0.85
--- a/src/lycheering/forward/job.py
+++ b/src/lycheering/forward/job.py
@@ -52,6 +52,9 @@
         target_id: The target that it was sent to last.
         cost_ms: The cost of that choice.
         wait_ms: The wait expected there.
+        unread_tokens: The tokens expected to be read there.
+        sending: What the target was told besides.
+        sent_ms: When it was sent last.
         first_byte_ms: When the answer began, 0 before.
         failed_answer: The failure of a target that ran it.
         may_have_run: Whether a target may have run it.
@@ -76,6 +79,9 @@
     target_id: str = ""
     cost_ms: float = 0.0
     wait_ms: float = 0.0
+    unread_tokens: int = 0
+    sending: api.Sending | None = None
+    sent_ms: float = 0.0
     first_byte_ms: float = 0.0
     failed_answer: KeptAnswer | None = None
     may_have_run: bool = False
--- a/src/lycheering/platform/dialect.py
+++ b/src/lycheering/platform/dialect.py
@@ -30,6 +30,7 @@
 PRIORITY = b"x-request-priority"
 FETCH_FROM = b"x-kv-fetch"
 SAVE_TO = b"x-kv-save"
+EXPECTED_VERSION = b"x-expect-version"
 
 HOP_BY_HOP = frozenset(
     {
@@ -56,7 +57,7 @@
         FETCH_FROM,
         SAVE_TO,
         LAST_EVENT_ID,
-        b"x-expect-version",
+        EXPECTED_VERSION,
         b"x-pin-ms",
         b"x-hold",
         b"x-kv-backup",
@@ -121,6 +122,8 @@
             FETCH_FROM: sending.fetch_from,
             SAVE_TO: sending.save_to,
         }
+        if sending.weights_version:
+            own[EXPECTED_VERSION] = str(sending.weights_version)
         sent += [(n, v.encode("latin-1")) for n, v in own.items() if v]
         if sending.priority is not None:
             rank = min(MAX_PRIORITY, max(0, sending.priority))
--- a/src/lycheering/web/guarded_protocol.py
+++ b/src/lycheering/web/guarded_protocol.py
@@ -45,6 +45,13 @@
         self._in_head = False
         self._head_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        if self._in_head:
+            return False
+        return self.cycle is None or self.cycle.response_complete
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Begins to wait for the first request."""
         super().connection_made(transport)
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -99,6 +99,22 @@
             await asyncio.sleep(START_POLL_MS / 1_000)
         _LOG.event("serving_http", ip=self._ip, port=self.port)
 
+    def close_idle(self) -> None:
+        """Closes the connections on which nothing is asked or answered."""
+        if self._server is None:
+            return
+        for connection in list(self._server.server_state.connections):
+            if not isinstance(connection, guarded_protocol.GuardedProtocol):
+                continue
+            if connection.is_idle:
+                connection.transport.close()
+
+    def stop_accepting(self) -> None:
+        """Takes no more connections."""
+        if self._server is not None:
+            for listener in self._server.servers:
+                listener.close()
+
     def _protocol(self) -> Any:
         if self._limits is None:
             return "httptools"
