Find unreachable targets by a connection, end kept connections on a stop

Cause: requests waited at targets that fell silent until their callers' deadlines, and streams begun before SIGTERM left a kept connection open. Connections end with their answer once a stop began.

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -86,8 +86,9 @@
             self._clock.now_ms(),
             job.work.prompt_tokens + job.traits.output_tokens,
             estimate.unread_tokens,
+            connection.abort,
         )
-        job.caller.watch_with(connection.close)
+        job.caller.watch_with(connection.abort)
         try:
             connection.send(self._encode(job, sending))
             return await attempt.answer(connection, number)
@@ -108,7 +109,9 @@
         if kept is not None:
             return kept
         origin = client.Origin(state.target.ip, state.target.port)
-        return await self._connections.open(origin, CONNECT_TIMEOUT_MS)
+        opened = await self._connections.open(origin, CONNECT_TIMEOUT_MS)
+        state.reached_ms = self._clock.now_ms()
+        return opened
 
     def _encode(self, job: jobs.Job, sending: api.Sending) -> bytes:
         headers = self._dialect.target_headers(job.headers, job.traits, sending)
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -119,9 +119,9 @@
     able = [state for state in states if state.target.key not in excluded]
     if not able:
         return None
-    first = _ranked(
-        _fit(able, work, settings, now_ms), work.affinity_key
-    )[: work.width]
+    first = _ranked(_fit(able, work, settings, now_ms), work.affinity_key)[
+        : work.width
+    ]
     estimates = [
         _estimate(state, work, settings, failure_domain, first, now_ms)
         for state in able
@@ -240,4 +240,10 @@
     return Estimate(state, cost_ms, wait_ms, unread)
 
 
-__all__ = ["ChoiceSettings", "Estimate", "Work", "choose", "fetch_source"]
+__all__ = [
+    "ChoiceSettings",
+    "Estimate",
+    "Work",
+    "choose",
+    "fetch_source",
+]
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -15,6 +15,7 @@
 from lycheering.forward import choice
 from lycheering.forward import forwarder
 from lycheering.forward import freshness
+from lycheering.forward import liveness
 from lycheering.forward import target_book
 from lycheering.retries import window
 from lycheering.telemetry import counters
@@ -39,7 +40,7 @@
 DRAIN_POLL_MS = 20
 # a balancer asks once a second and goes by two answers in a row
 BALANCER_NOTICE_MS = 2_600
-CLOSE_IDLE_INTERVAL_MS = 200
+END_CONNECTIONS_MS = 200
 # what a stop needs after the last answer
 STOP_MARGIN_MS = 1_200
 
@@ -125,6 +126,9 @@
         self._application = application.ForwardApplication(
             self._forwarder, dialect, self._clock, self._counters
         )
+        self._liveness = liveness.Liveness(
+            self._book, self._kept, self._clock, self._counters
+        )
         ip, _, port = direct.caller_address.rpartition(":")
         self.web = web_server.WebServer(
             self._application, ip, int(port), self._limits
@@ -166,6 +170,7 @@
         await self._connections.start()
         await self.control.start()
         await self._fresh.start()
+        await self._liveness.start()
         self._tasks.spawn(self._keep_house(), "entry:housekeeping")
         await self._metrics.start()
         await self.ready_web.start()
@@ -189,9 +194,9 @@
         self._application.is_leaving = True
         while self._clock.now_ms() - began_ms < BALANCER_NOTICE_MS:
             # callers that keep a connection do not ask the balancer
-            self.web.close_idle()
-            await self._clock.sleep(CLOSE_IDLE_INTERVAL_MS)
-        self.web.close_idle()
+            self.web.end_connections()
+            await self._clock.sleep(END_CONNECTIONS_MS)
+        self.web.end_connections()
         self.web.stop_accepting()
         while self._application.open_requests:
             if self._clock.now_ms() >= until_ms:
@@ -205,6 +210,7 @@
         await self.ready_web.stop()
         await self._metrics.stop()
         await self._tasks.cancel_all()
+        await self._liveness.stop()
         await self._fresh.stop()
         await self.control.stop()
         await self._connections.stop()
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -347,7 +347,7 @@
         )
 
     def _fetch_from(self, job: jobs.Job, estimate: choice.Estimate) -> str:
-        """Returns where the target may fetch shared parts, empty for nowhere."""
+        """Returns where the target may fetch shared parts, if anywhere."""
         source = choice.fetch_source(
             self.book.of_service(job.service.name),
             estimate.state,
--- a/src/lycheering/forward/prefix_heat.py
+++ b/src/lycheering/forward/prefix_heat.py
@@ -29,9 +29,7 @@
         self._scale = 1.0
         self._scaled_at_ms: float | None = None
 
-    def count(
-        self, chains: Sequence[str], tokens: int, now_ms: float
-    ) -> None:
+    def count(self, chains: Sequence[str], tokens: int, now_ms: float) -> None:
         """Counts a request under each of its shared levels.
 
         Args:
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -9,6 +9,7 @@
 from lycheering.forward import cached_parts
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from lycheering import clock
@@ -29,12 +30,14 @@
         sent_ms: When it was sent.
         tokens: Tokens that it takes in the target's memory.
         unread_tokens: Tokens that the target has to read for it.
+        abort: Breaks the exchange off.
         answered: Whether the answer has begun.
     """
 
     sent_ms: float
     tokens: int
     unread_tokens: int
+    abort: Callable[[], None]
     answered: bool = False
 
 
@@ -47,6 +50,7 @@
         cached: What its cache is taken to hold.
         heard_ms: When its last byte came.
         suspect_until_ms: Until when it gets work only if all others fail.
+        reached_ms: When a connection to it was last opened.
     """
 
     def __init__(
@@ -57,19 +61,33 @@
         self.cached = cached_parts.CachedParts(cache_tokens)
         self.heard_ms = now_ms
         self.suspect_until_ms = 0.0
+        self.reached_ms = now_ms
         self._failures = 0
         self._others = 0.0
         self._others_at_ms = now_ms
         self._next_id = 0
 
-    def begin(self, now_ms: float, tokens: int, unread_tokens: int) -> int:
-        """Counts a request as sent and returns a number for it."""
+    def begin(
+        self,
+        now_ms: float,
+        tokens: int,
+        unread_tokens: int,
+        abort: Callable[[], None],
+    ) -> int:
+        """Counts a request as sent and returns a number for it.
+
+        Args:
+            now_ms: The time.
+            tokens: Tokens that it takes in the target's memory.
+            unread_tokens: Tokens that the target has to read for it.
+            abort: Breaks the exchange off.
+        """
         self._next_id += 1
         if not self.outstanding_by_id:
             # silence counts only while something is waited for
             self.heard_ms = now_ms
         self.outstanding_by_id[self._next_id] = Outstanding(
-            now_ms, tokens, unread_tokens
+            now_ms, tokens, unread_tokens, abort
         )
         return self._next_id
 
@@ -112,16 +130,19 @@
 
     def silent_ms(self, now_ms: float) -> float:
         """Returns how long nothing came though answers are waited for."""
-        waiting = [
-            item
-            for item in self.outstanding_by_id.values()
-            if not item.answered
-        ]
-        if not waiting:
+        if not self.outstanding_by_id:
             return 0.0
-        oldest_ms = min(item.sent_ms for item in waiting)
+        oldest_ms = min(
+            item.sent_ms for item in self.outstanding_by_id.values()
+        )
         return now_ms - max(self.heard_ms, oldest_ms)
 
+    def lost(self, now_ms: float) -> None:
+        """Breaks off what it has, since it can't be reached any more."""
+        self.failed(now_ms)
+        for item in list(self.outstanding_by_id.values()):
+            item.abort()
+
     def failed(self, now_ms: float) -> None:
         """Counts a failure; the pause doubles with each in a row."""
         pause_ms = FIRST_SUSPECT_MS * 2 ** min(self._failures, 6)
--- a/src/lycheering/web/byte_stream.py
+++ b/src/lycheering/web/byte_stream.py
@@ -100,5 +100,10 @@
         self._waiting.close()
         self.transport.close()
 
+    def abort(self) -> None:
+        """Drops the connection at once, with what is still to be written."""
+        self._waiting.close()
+        self.transport.abort()
+
 
 __all__ = ["MAX_WAITING_BYTES", "ByteStream"]
--- a/src/lycheering/web/guarded_protocol.py
+++ b/src/lycheering/web/guarded_protocol.py
@@ -46,11 +46,9 @@
         self._head_timer: asyncio.TimerHandle | None = None
 
     @property
-    def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        if self._in_head:
-            return False
-        return self.cycle is None or self.cycle.response_complete
+    def is_reading_head(self) -> bool:
+        """Whether a part of a request's head has come."""
+        return self._in_head
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Begins to wait for the first request."""
--- a/src/lycheering/web/kept_connections.py
+++ b/src/lycheering/web/kept_connections.py
@@ -194,6 +194,10 @@
         """Closes the connection, which ends work at the target."""
         self._stream.close()
 
+    def abort(self) -> None:
+        """Drops the connection at once, which breaks its exchange."""
+        self._stream.abort()
+
 
 @dataclasses.dataclass
 class _Idle:
@@ -254,6 +258,15 @@
             connection.close()
             return
         connection.is_fresh = False
+        self._keep(key, connection, idle_ms)
+
+    def keep_fresh(self, key: str, connection: KeptConnection) -> None:
+        """Keeps a connection on which nothing was sent yet."""
+        self._keep(key, connection, UNSTATED_IDLE_MS)
+
+    def _keep(
+        self, key: str, connection: KeptConnection, idle_ms: float
+    ) -> None:
         idle = self._idle_by_key.setdefault(key, collections.deque())
         if len(idle) >= MAX_IDLE_PER_TARGET:
             idle.popleft().connection.close()
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -99,15 +99,15 @@
             await asyncio.sleep(START_POLL_MS / 1_000)
         _LOG.event("serving_http", ip=self._ip, port=self.port)
 
-    def close_idle(self) -> None:
-        """Closes the connections on which nothing is asked or answered."""
+    def end_connections(self) -> None:
+        """Closes idle connections, and the others after their answer."""
         if self._server is None:
             return
         for connection in list(self._server.server_state.connections):
             if not isinstance(connection, guarded_protocol.GuardedProtocol):
                 continue
-            if connection.is_idle:
-                connection.transport.close()
+            if not connection.is_reading_head:
+                connection.shutdown()
 
     def stop_accepting(self) -> None:
         """Takes no more connections."""
