Save shared parts to the store of kept KV cache and fetch them from it

Cause: shared parts are evicted after about 7 s at scale, as prompts' own parts fill the engines' memory, and are lost with engines that crash. Change: a request whose target is not known to hold its shared parts has them saved, and fetched from the store unless an engine is known to hold them all.

--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -342,6 +342,7 @@
             priority=job.priority if job.traits.model else None,
             cache_scope=scope,
             fetch_from=self._fetch_from(job, estimate),
+            save_to=self._save_to(job, estimate),
             weights_version=version,
             last_event_id=job.last_event_id,
         )
@@ -354,10 +355,32 @@
             job.work,
             self._clock.now_ms(),
         )
+        store = self._store_address()
+        shared = job.work.chains[:-1]
         if source is None:
             return ""
+        if store and source.cached.held_tokens(shared) < (
+            job.work.shared_tokens
+        ):
+            return store
         return f"{source.target.ip}:{source.target.port}"
 
+    def _save_to(self, job: jobs.Job, estimate: choice.Estimate) -> str:
+        """Returns the store that is to keep shared parts, if any is."""
+        shared = job.work.chains[:-1]
+        held = estimate.state.cached.held_tokens(shared)
+        if not shared or held >= job.work.shared_tokens:
+            return ""
+        return self._store_address()
+
+    def _store_address(self) -> str:
+        if self.index is None:
+            return ""
+        for service in self.index.table.services:
+            if service.store_address:
+                return service.store_address
+        return ""
+
     def _may_send_again(self, job: jobs.Job, outcome: attempts.Outcome) -> bool:
         if outcome.result is attempts.Result.TIMEOUT:
             return False
