Take at most a third of the reachable engines out for weights; wait for lost ones apart from requests

Cause: in a crash of two engines of six, weights took two more and a third that waited; lost engines were tried again with real requests.

--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -24,7 +24,8 @@
 FIRST_REPORT_MS = 600  # no load is shorter
 REPORT_INTERVAL_MS = 120
 LOAD_TIMEOUT_MS = 4_000  # a load with the others beside it ends before
-RETRY_MS = 500
+RETRY_MS = 250
+MAX_RETRY_MS = 1_500
 PLAIN_TARGET_VERSION = 0
 
 _LOG = logs.get("weights")
@@ -41,12 +42,15 @@
     Attributes:
         at_once: Engines that load at one time.
         held_ahead: Engines kept free of new work for the next load.
+        most_share: The most engines out of service, as a part of all that
+            are reachable.
         hold_ms: How long an engine gets no new work before its order.
         lease_ms: How long the orders of an earlier holder may count.
     """
 
     at_once: int = 2
-    held_ahead: int = 1
+    held_ahead: int = 0
+    most_share: float = 0.35
     hold_ms: float = 450.0
     lease_ms: float = 3_000.0
 
@@ -104,6 +108,7 @@
         self._fence = 0
         self._orders_from_ms = 0.0
         self._retry_at_ms_by_key: dict[str, float] = {}
+        self._failures_by_key: dict[str, int] = {}
 
     async def start(self) -> None:
         """Begins to look for engines on older weights."""
@@ -162,8 +167,11 @@
         now_ms = self._clock.now_ms()
         if now_ms < self._orders_from_ms - self._settings.hold_ms:
             return
-        most = self._settings.at_once + self._settings.held_ahead
-        for target, model, _ in outdated(self._group.machine.fleet):
+        fleet = self._group.machine.fleet
+        waiting = outdated(fleet)
+        most = self._most(fleet)
+        waiting.sort(key=lambda item: self._failures(item[0]))
+        for target, model, _ in waiting:
             if len(self._rolling) >= most:
                 return
             if target.key in self._rolling:
@@ -175,6 +183,21 @@
                 self._roll(target.key, model), f"weights:{target.target_id}"
             )
 
+    def _failures(self, target: records.DirectTarget) -> int:
+        return self._failures_by_key.get(target.key, 0)
+
+    def _most(self, fleet: view.FleetView) -> int:
+        """Returns how many engines may be out of service at one time."""
+        reachable = sum(
+            not self._failures(target)
+            for target in fleet.direct_target_by_key.values()
+            if target.version_by_model
+            and target.state is records.TargetState.LIVE
+        )
+        share = int(reachable * self._settings.most_share)
+        most = self._settings.at_once + self._settings.held_ahead
+        return max(1, min(most, share))
+
     async def _roll(self, key: str, model: str) -> None:
         try:
             await self._roll_once(key, model)
@@ -185,7 +208,12 @@
         ) as error:
             self._counters.increment("weights.failed")
             _LOG.warning("weights_failed", target=key, error=error)
-            self._retry_at_ms_by_key[key] = self._clock.now_ms() + RETRY_MS
+            failures = self._failures_by_key.get(key, 0) + 1
+            self._failures_by_key[key] = failures
+            pause_ms = min(MAX_RETRY_MS, RETRY_MS * 2**failures)
+            self._retry_at_ms_by_key[key] = self._clock.now_ms() + pause_ms
+        else:
+            self._failures_by_key.pop(key, None)
         finally:
             self._rolling.discard(key)
 
@@ -193,6 +221,8 @@
         target = self._target(key)
         if target is None:
             return
+        # one that can't be reached is not worth holding
+        await self._engines.report(target)
         if not target.is_held:
             await self._put(target, is_held=True)
             await self._clock.sleep(self._settings.hold_ms)
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -155,7 +155,7 @@
         for state in states
         if state is not chosen
         and work.version_at(state) == version
-        and state.suspect_until_ms <= now_ms
+        and not state.is_suspect(now_ms)
         and state.silent_ms(now_ms) < SILENT_SOURCE_MS
     ]
     if not able:
@@ -183,7 +183,7 @@
     fit = [
         state
         for state in able
-        if not state.target.is_held and state.suspect_until_ms <= now_ms
+        if not state.target.is_held and not state.is_suspect(now_ms)
     ]
     if work.wanted_for_ms > settings.old_grace_ms:
         newest = [state for state in fit if not work.is_outdated(state)]
@@ -234,7 +234,7 @@
     is_late = work.wanted_for_ms > settings.old_grace_ms
     if is_late and work.is_outdated(state):
         cost_ms += settings.old_weights_ms
-    if state.suspect_until_ms > now_ms:
+    if state.is_suspect(now_ms):
         cost_ms += settings.suspect_ms
     cost_ms += max(0.0, state.silent_ms(now_ms) - settings.silence_ms)
     return Estimate(state, cost_ms, wait_ms, unread)
--- a/src/lycheering/forward/liveness.py
+++ b/src/lycheering/forward/liveness.py
@@ -22,6 +22,7 @@
 PROBES = 2
 # a target that could be reached is not probed again for this long
 REACHED_MS = 1_000.0
+RETURN_INTERVAL_MS = 500.0
 
 _LOG = logs.get("liveness")
 
@@ -60,14 +61,38 @@
             await self._clock.sleep(CHECK_INTERVAL_MS)
             now_ms = self._clock.now_ms()
             for key, state in self._book.state_by_key.items():
-                if key in self._probed or not state.outstanding_by_id:
+                if key in self._probed:
                     continue
-                if state.silent_ms(now_ms) < SILENCE_MS:
-                    continue
-                if now_ms - state.reached_ms < REACHED_MS:
+                if state.is_unreachable:
+                    work = self._await_return(state)
+                elif self._is_silent(state, now_ms):
+                    work = self._probe(state)
+                else:
                     continue
                 self._probed.add(key)
-                self._tasks.spawn(self._probe(state), f"liveness:{key}")
+                self._tasks.spawn(work, f"liveness:{key}")
+
+    def _is_silent(self, state: target_book.TargetState, now_ms: float) -> bool:
+        if state.silent_ms(now_ms) < SILENCE_MS:
+            return False
+        return now_ms - state.reached_ms >= REACHED_MS
+
+    async def _await_return(self, state: target_book.TargetState) -> None:
+        """Gives a target work again once it takes a connection."""
+        try:
+            await self._clock.sleep(RETURN_INTERVAL_MS)
+            origin = client.Origin(state.target.ip, state.target.port)
+            opened = await self._connections.open(origin, PROBE_TIMEOUT_MS)
+        except client.ConnectFailedError:
+            return
+        else:
+            self._connections.keep_fresh(state.target.key, opened)
+            state.is_unreachable = False
+            state.reached_ms = self._clock.now_ms()
+            state.succeeded()
+            _LOG.event("target_reachable", target=state.target.target_id)
+        finally:
+            self._probed.discard(state.target.key)
 
     async def _probe(self, state: target_book.TargetState) -> None:
         target = state.target
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -51,6 +51,7 @@
         heard_ms: When its last byte came.
         suspect_until_ms: Until when it gets work only if all others fail.
         reached_ms: When a connection to it was last opened.
+        is_unreachable: Whether no connection to it could be opened of late.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self.heard_ms = now_ms
         self.suspect_until_ms = 0.0
         self.reached_ms = now_ms
+        self.is_unreachable = False
         self._failures = 0
         self._others = 0.0
         self._others_at_ms = now_ms
@@ -140,9 +142,14 @@
     def lost(self, now_ms: float) -> None:
         """Breaks off what it has, since it can't be reached any more."""
         self.failed(now_ms)
+        self.is_unreachable = True
         for item in list(self.outstanding_by_id.values()):
             item.abort()
 
+    def is_suspect(self, now_ms: float) -> bool:
+        """Returns whether it gets work only if all others fail."""
+        return self.is_unreachable or self.suspect_until_ms > now_ms
+
     def failed(self, now_ms: float) -> None:
         """Counts a failure; the pause doubles with each in a row."""
         pause_ms = FIRST_SUSPECT_MS * 2 ** min(self._failures, 6)
