Know waiting and running requests of others apart; recover sooner after a stop of all

Cause: a load told by a target was forgotten in 0.4 s, so engines that other entries filled looked idle; after a stop of all, entries refused for 0.3 s after control was up and control needed 1.1 s to elect.

--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -23,7 +23,8 @@
 
     Attributes:
         tokens_per_ms: Prompt tokens that an engine reads in a millisecond.
-        other_request_ms: Work of a request of which only the count is known.
+        other_request_ms: Work of a waiting request of which only the count
+            is known.
         running_ms: What each running request slows a new one down by.
         held_ms: Cost of an engine that is kept free for an order.
         old_weights_ms: Cost of an engine on older weights.
@@ -36,8 +37,8 @@
     """
 
     tokens_per_ms: float = 50.0
-    other_request_ms: float = 30.0
-    running_ms: float = 1.0
+    other_request_ms: float = 60.0
+    running_ms: float = 6.0
     held_ms: float = 2_000.0
     old_weights_ms: float = 600.0
     old_grace_ms: float = 1_200.0
@@ -219,11 +220,11 @@
         held = max(held, int(settings.affinity * work.shared_tokens))
     unread = max(0, work.prompt_tokens - held)
     own = len(state.outstanding_by_id)
-    others = state.others(now_ms)
+    running = own + state.others_running(now_ms)
     wait_ms = (
         (state.unread_tokens() + unread) / settings.tokens_per_ms
-        + others * settings.other_request_ms
-        + own * settings.running_ms
+        + state.others_waiting(now_ms) * settings.other_request_ms
+        + running * settings.running_ms
     )
     cost_ms = wait_ms
     target = state.target
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -117,7 +117,7 @@
             self.view,
             self._book,
             attempt.Attempts(self._kept, dialect, self._clock),
-            self._fresh.is_current,
+            self._fresh.wait_current,
             settings.instance.failure_domain,
             self._clock,
             self._counters,
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -18,6 +18,7 @@
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from lycheering import clock
@@ -30,7 +31,10 @@
 # connections that fail before a request leaves, for one request
 MAX_CONNECT_FAILURES = 3
 FIRST_RETRY_AFTER_MS = 300.0
-NO_TABLE_RETRY_AFTER_MS = 500.0
+NO_TABLE_RETRY_AFTER_MS = 700.0
+# how long a request waits for control to confirm that settings are current
+CURRENT_WAIT_MS = 600.0
+CURRENT_WAIT_PART = 0.2
 
 _LOG = logs.get("forward")
 
@@ -83,7 +87,7 @@
         view: holder.ViewHolder,
         book: target_book.TargetBook,
         sender: attempts.Attempts,
-        is_current: Callable[[], bool],
+        wait_current: Callable[[float], Awaitable[bool]],
         failure_domain: str,
         time: clock.Clock,
         counts: counters.Counters,
@@ -96,7 +100,8 @@
             view: The fleet view in force.
             book: What is known of targets.
             sender: Makes attempts.
-            is_current: Returns whether the view is known to be current.
+            wait_current: Returns whether the view is known to be current,
+                after a time in milliseconds at the latest.
             failure_domain: Where this entry is.
             time: The clock.
             counts: The process's counters.
@@ -107,7 +112,7 @@
         self._settings = settings
         self._view = view
         self._sender = sender
-        self._is_current = is_current
+        self._wait_current = wait_current
         self._failure_domain = failure_domain
         self._clock = time
         self._counters = counts
@@ -183,10 +188,10 @@
         route = index.route_of(arrival.host, arrival.path)
         if route is None:
             raise refusals.RefusalError(refusals.Reason.NO_ROUTE)
-        team = self._team(index, route, traits.key)
         wait_ms = route.timeout_ms
         if traits.patience_ms is not None:
             wait_ms = min(wait_ms, traits.patience_ms)
+        team = await self._team(index, route, traits.key, wait_ms)
         limits = index.table.limits
         body = await caller.body(limits.max_body_bytes, wait_ms)
         service = index.service_of(route, self._random)
@@ -219,21 +224,25 @@
             )
         return self.index
 
-    def _team(
+    async def _team(
         self,
         index: route_api.RouteIndex,
         route: route_api.Route,
         key: str,
+        wait_ms: float,
     ) -> route_api.KeyedTeam | None:
         if route.is_public or not index.table.teams:
             return None
         # a key may have been taken away, or added, unseen
-        if not self._is_current():
+        soon_ms = min(CURRENT_WAIT_MS, CURRENT_WAIT_PART * wait_ms)
+        if not await self._wait_current(soon_ms):
             raise refusals.RefusalError(
                 refusals.Reason.NOT_CURRENT,
                 "settings may be outdated",
                 NO_TABLE_RETRY_AFTER_MS,
             )
+        # waiting may have brought another table
+        index = self._table()
         team = index.team_of(key) if key else None
         if team is None:
             raise refusals.RefusalError(refusals.Reason.BAD_KEY)
@@ -326,6 +335,7 @@
         job.cost_ms = estimate.cost_ms
         job.wait_ms = estimate.wait_ms
         job.unread_tokens = estimate.unread_tokens
+        job.load = estimate.state.describe(self._clock.now_ms())
         return estimate
 
     def _sending(self, job: jobs.Job, estimate: choice.Estimate) -> api.Sending:
@@ -462,6 +472,7 @@
             cost_ms=round(job.cost_ms),
             wait_ms=round(job.wait_ms),
             prefix=job.work.affinity_key,
+            load=job.load,
             shared=job.work.shared_tokens,
             unread=job.unread_tokens,
             weights=sending.weights_version if sending else 0,
--- a/src/lycheering/forward/freshness.py
+++ b/src/lycheering/forward/freshness.py
@@ -19,6 +19,7 @@
 
 CONFIRM_INTERVAL_MS = 1_000
 RETRY_INTERVAL_MS = 50
+WAIT_POLL_MS = 20
 CONFIRM_TIMEOUT_MS = 1_000
 # part of the bound that is left for a request on its way and for the clock
 SAFE_PART = 0.85
@@ -67,6 +68,19 @@
         self._tasks = app_api.TaskOwner()
         self._was_current = False
 
+    async def wait_current(self, timeout_ms: float) -> bool:
+        """Returns whether the settings may be relied on, soon or now.
+
+        Args:
+            timeout_ms: How long to wait for control.
+        """
+        until_ms = self._clock.now_ms() + timeout_ms
+        while not self.is_current():
+            if self._clock.now_ms() >= until_ms:
+                return False
+            await self._clock.sleep(WAIT_POLL_MS)
+        return True
+
     def is_current(self) -> bool:
         """Returns whether the settings held here may be relied on."""
         at_ms = self.confirmed.at_ms
--- a/src/lycheering/forward/job.py
+++ b/src/lycheering/forward/job.py
@@ -53,6 +53,7 @@
         cost_ms: The cost of that choice.
         wait_ms: The wait expected there.
         unread_tokens: The tokens expected to be read there.
+        load: What was known of the target's load.
         sending: What the target was told besides.
         sent_ms: When it was sent last.
         first_byte_ms: When the answer began, 0 before.
@@ -80,6 +81,7 @@
     cost_ms: float = 0.0
     wait_ms: float = 0.0
     unread_tokens: int = 0
+    load: str = ""
     sending: api.Sending | None = None
     sent_ms: float = 0.0
     first_byte_ms: float = 0.0
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -16,8 +16,9 @@
     from lycheering.forward import api
     from lycheering.routes import records as route_records
 
-# a load told by a target is worth half after this time
-REPORT_HALF_LIFE_MS = 400.0
+# how long requests of other entries, once told of, are taken to be there
+RUNNING_HALF_LIFE_MS = 1_500.0
+WAITING_HALF_LIFE_MS = 300.0
 FIRST_SUSPECT_MS = 300.0
 MAX_SUSPECT_MS = 4_000.0
 
@@ -65,8 +66,9 @@
         self.reached_ms = now_ms
         self.is_unreachable = False
         self._failures = 0
-        self._others = 0.0
-        self._others_at_ms = now_ms
+        self._running = 0.0
+        self._waiting = 0.0
+        self._reported_ms = now_ms
         self._next_id = 0
 
     def begin(
@@ -110,13 +112,31 @@
         if answer.running is None:
             return
         own = len(self.outstanding_by_id)
-        self._others = max(0.0, answer.running + answer.waiting - own)
-        self._others_at_ms = now_ms
-
-    def others(self, now_ms: float) -> float:
-        """Returns how many requests of other entries it may have."""
-        age_ms = now_ms - self._others_at_ms
-        return float(self._others * 0.5 ** (age_ms / REPORT_HALF_LIFE_MS))
+        own_waiting = sum(
+            not item.answered for item in self.outstanding_by_id.values()
+        )
+        self._running = max(0.0, answer.running - (own - own_waiting))
+        self._waiting = max(0.0, float(answer.waiting - own_waiting))
+        self._reported_ms = now_ms
+
+    def others_running(self, now_ms: float) -> float:
+        """Returns how many requests of other entries it may run."""
+        age_ms = now_ms - self._reported_ms
+        return self._running * float(0.5 ** (age_ms / RUNNING_HALF_LIFE_MS))
+
+    def others_waiting(self, now_ms: float) -> float:
+        """Returns how many requests of other entries may wait there."""
+        age_ms = now_ms - self._reported_ms
+        return self._waiting * float(0.5 ** (age_ms / WAITING_HALF_LIFE_MS))
+
+    def describe(self, now_ms: float) -> str:
+        """Returns what is known of its load, for logs."""
+        return (
+            f"own:{len(self.outstanding_by_id)}"
+            f",unread:{self.unread_tokens()}"
+            f",running:{self._running:.0f},waiting:{self._waiting:.0f}"
+            f",age_ms:{now_ms - self._reported_ms:.0f}"
+        )
 
     def unread_tokens(self) -> int:
         """Returns the tokens of this entry's requests still to be read."""
--- a/src/lycheering/replication/core.py
+++ b/src/lycheering/replication/core.py
@@ -78,8 +78,9 @@
         self.role = Role.FOLLOWER
         self.leader_id: members.MemberId | None = None
         # it may have heard a leader right before it was restarted
-        self.leader_contact_ms = time.now_ms()
-        self.election_timer_ms = self.leader_contact_ms
+        self.election_timer_ms = time.now_ms()
+        guarded_ms = options.election_timeout_ms - options.start_guard_ms
+        self.leader_contact_ms = self.election_timer_ms - guarded_ms
         self.leadership: leadership.Leadership | None = None
         self.committed = asyncio.Event()
         self.applied = waiters.IndexWaiters()
--- a/src/lycheering/replication/elections.py
+++ b/src/lycheering/replication/elections.py
@@ -34,7 +34,7 @@
     async def run(self) -> None:
         """Watches the leader, and the own lease while leading."""
         core = self._core
-        timeout_ms = self._draw_timeout_ms()
+        timeout_ms = self._draw_first_timeout_ms()
         while core.failure is None:
             if await self._is_transfer_requested():
                 await self._campaign(is_transfer=True)
@@ -55,6 +55,11 @@
         least_ms = self._core.settings.election_timeout_ms
         return self._random.uniform(least_ms, 2 * least_ms)
 
+    def _draw_first_timeout_ms(self) -> float:
+        # after a start only a lease granted before it has to run out
+        least_ms = self._core.settings.start_guard_ms
+        return self._random.uniform(least_ms, 1.5 * least_ms)
+
     async def _is_transfer_requested(self) -> bool:
         pause_ms = self._core.settings.heartbeat_ms / 2
         try:
--- a/src/lycheering/replication/settings.py
+++ b/src/lycheering/replication/settings.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 
+# how far clocks may run apart, as election timeout and lease allow by default
+LEASE_DRIFT = 1.2
+
 
 @dataclasses.dataclass(frozen=True)
 class ReplicationSettings:
@@ -35,6 +38,15 @@
     snapshot_piece_bytes: int = 256 * 1024
     max_waiting: int = 10_000
 
+    @property
+    def start_guard_ms(self) -> float:
+        """How long a member that started grants nobody its vote.
+
+        A leader that it answered before the start may rely on its lease for
+        so long, by a clock that runs apart as far as allowed.
+        """
+        return min(LEASE_DRIFT * self.lease_ms, self.election_timeout_ms)
+
     def __post_init__(self) -> None:
         if not self.heartbeat_ms < self.lease_ms < self.election_timeout_ms:
             message = "needs heartbeat_ms < lease_ms < election_timeout_ms"
