--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -22,7 +22,9 @@
 
 CHECK_INTERVAL_MS = 50
 FIRST_REPORT_MS = 600  # no load is shorter
-REPORT_INTERVAL_MS = 120
+REPORT_INTERVAL_MS = 100
+# a report may be this old
+REPORT_LAG_MS = 350
 LOAD_TIMEOUT_MS = 4_000  # a load with the others beside it ends before
 RETRY_MS = 250
 MAX_RETRY_MS = 1_500
@@ -254,20 +256,37 @@
         await self._group.propose(commands.ChangeDirectTargets((changed,)))
 
     async def _load(self, target: records.DirectTarget, model: str) -> int:
-        """Has an engine load weights and returns the version it has then."""
-        report = await self._engines.report(target)
-        wanted = self._group.machine.fleet.version_by_model.get(model, 0)
-        if not report.is_busy and report.version_by_model.get(model) == wanted:
-            return wanted
-        if not report.is_busy:
+        """Has an engine load weights and returns the version it has then.
+
+        An order without an answer may have been accepted, or be carried out
+        later. It is given again under the same sequence, so that the engine
+        carries out one of them.
+        """
+        until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
+        order_from_ms = 0.0
+        while self._clock.now_ms() < until_ms:
+            report = await self._engines.report(target)
+            wanted = self._group.machine.fleet.version_by_model.get(model, 0)
+            version = report.version_by_model.get(model, 0)
+            if version >= wanted and not report.is_busy:
+                return version
+            if self._target(target.key) is None:
+                return 0
+            if report.is_busy or self._clock.now_ms() < order_from_ms:
+                await self._clock.sleep(REPORT_INTERVAL_MS)
+                continue
             result = await self._order(target, model, wanted, report.sequence)
             if result is api.OrderResult.FENCED:
                 self._fence = 0
                 raise _OrdersLostError("a higher fencing number was used")
             if result in (api.OrderResult.GONE, api.OrderResult.REFUSED):
                 raise api.EngineUnreachableError(result.value)
-            await self._clock.sleep(FIRST_REPORT_MS)
-        return await self._wait_loaded(target, model, wanted)
+            pause_ms = REPORT_LAG_MS
+            if result is api.OrderResult.ACCEPTED:
+                pause_ms = FIRST_REPORT_MS
+            await self._clock.sleep(pause_ms)
+            order_from_ms = self._clock.now_ms() + REPORT_LAG_MS
+        raise api.EngineUnreachableError("the load did not end in time")
 
     async def _order(
         self,
@@ -296,19 +315,5 @@
         )
         return result
 
-    async def _wait_loaded(
-        self, target: records.DirectTarget, model: str, wanted: int
-    ) -> int:
-        until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
-        while self._clock.now_ms() < until_ms:
-            report = await self._engines.report(target)
-            version = report.version_by_model.get(model, 0)
-            if version >= wanted and not report.is_busy:
-                return version
-            if self._target(target.key) is None:
-                return 0
-            await self._clock.sleep(REPORT_INTERVAL_MS)
-        raise api.EngineUnreachableError("the load did not end in time")
-
 
 __all__ = ["RollSettings", "WeightsRoll", "outdated"]
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -25,6 +25,7 @@
         tokens_per_ms: Prompt tokens that an engine reads in a millisecond.
         other_request_ms: Work of a waiting request of which only the count
             is known.
+        own_request_ms: Work of each of this entry's own requests besides.
         running_ms: What each running request slows a new one down by.
         held_ms: Cost of an engine that is kept free for an order.
         old_weights_ms: Cost of an engine on older weights.
@@ -36,9 +37,10 @@
         silence_ms: Silence that is no sign of a failure.
     """
 
-    tokens_per_ms: float = 50.0
-    other_request_ms: float = 60.0
-    running_ms: float = 6.0
+    tokens_per_ms: float = 40.0
+    other_request_ms: float = 85.0
+    own_request_ms: float = 18.0
+    running_ms: float = 1.0
     held_ms: float = 2_000.0
     old_weights_ms: float = 600.0
     old_grace_ms: float = 1_200.0
@@ -224,6 +226,7 @@
     wait_ms = (
         (state.unread_tokens() + unread) / settings.tokens_per_ms
         + state.others_waiting(now_ms) * settings.other_request_ms
+        + own * settings.own_request_ms
         + running * settings.running_ms
     )
     cost_ms = wait_ms
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -18,7 +18,7 @@
 
 # how long requests of other entries, once told of, are taken to be there
 RUNNING_HALF_LIFE_MS = 1_500.0
-WAITING_HALF_LIFE_MS = 300.0
+WAITING_HALF_LIFE_MS = 1_000.0
 FIRST_SUSPECT_MS = 300.0
 MAX_SUSPECT_MS = 4_000.0
 
--- a/src/lycheering/platform/engine_calls.py
+++ b/src/lycheering/platform/engine_calls.py
@@ -15,7 +15,9 @@
 
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
-CALL_TIMEOUT_MS = 800
+REPORT_TIMEOUT_MS = 800
+# an order that is answered at all is answered at once
+ORDER_TIMEOUT_MS = 400
 TARGET_ID_HEADER = "X-Expect-Instance"
 # runs go on while the weights change under them
 KEEP_RUNS = "retain"
@@ -69,7 +71,7 @@
                 "GET",
                 REPORT_PATH,
                 header_by_name={TARGET_ID_HEADER: target.target_id},
-                timeout_ms=CALL_TIMEOUT_MS,
+                timeout_ms=REPORT_TIMEOUT_MS,
             )
         except client.HttpError as error:
             raise api.EngineUnreachableError(str(error)) from error
@@ -110,7 +112,7 @@
                     "Content-Type": "application/json",
                 },
                 body=body,
-                timeout_ms=CALL_TIMEOUT_MS,
+                timeout_ms=ORDER_TIMEOUT_MS,
             )
         except client.HttpError as error:
             _LOG.warning(
