--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -178,6 +178,8 @@
         now_ms = self._owner.now_ms()
         self._state.reported(traits, now_ms)
         self._state.answered(number, now_ms)
+        if traits.kind is api.AnswerKind.OTHER_TARGET:
+            self._state.is_version_doubtful = True
         if traits.kind is not api.AnswerKind.RAN:
             await self._body(connection)
             return Outcome(Result.NOT_RUN, head.status, traits.kind.value)
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -345,17 +345,34 @@
         team = job.team
         if team is not None and team.is_isolated and scope:
             scope = f"{scope}.{team.name}"
-        return api.Sending(
+        sending = api.Sending(
             target_id=target.target_id,
             left_ms=self._sender.left_ms(job),
             team=team.name if team is not None else "",
             priority=job.priority if job.traits.model else None,
             cache_scope=scope,
-            fetch_from=self._fetch_from(job, estimate),
-            save_to=self._save_to(job, estimate),
             weights_version=version,
             last_event_id=job.last_event_id,
         )
+        if self._is_version_doubtful(job, estimate):
+            # any weights will do, and no other request uses what it leaves
+            return dataclasses.replace(
+                sending, cache_scope=job.traits.request_id, weights_version=0
+            )
+        return dataclasses.replace(
+            sending,
+            fetch_from=self._fetch_from(job, estimate),
+            save_to=self._save_to(job, estimate),
+        )
+
+    def _is_version_doubtful(
+        self, job: jobs.Job, estimate: choice.Estimate
+    ) -> bool:
+        """Returns whether a last send could be refused for its weights."""
+        if job.sends + 1 < job.route.max_sends or not job.traits.model:
+            return False
+        state = estimate.state
+        return state.target.is_held or state.is_version_doubtful
 
     def _fetch_from(self, job: jobs.Job, estimate: choice.Estimate) -> str:
         """Returns where the target may fetch shared parts, if anywhere."""
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -52,6 +52,7 @@
         heard_ms: When its last byte came.
         suspect_until_ms: Until when it gets work only if all others fail.
         reached_ms: When a connection to it was last opened.
+        is_version_doubtful: Whether it said that its weights are others.
         is_unreachable: Whether no connection to it could be opened of late.
     """
 
@@ -65,6 +66,7 @@
         self.suspect_until_ms = 0.0
         self.reached_ms = now_ms
         self.is_unreachable = False
+        self.is_version_doubtful = False
         self._failures = 0
         self._running = 0.0
         self._waiting = 0.0
@@ -211,6 +213,7 @@
                 state = TargetState(target, tokens, now_ms)
             elif state.target.version_by_model != target.version_by_model:
                 state.cached.clear()
+                state.is_version_doubtful = False
             state.target = target
             states[target.key] = state
         self.state_by_key = states
