--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -122,7 +122,7 @@
     able = [state for state in states if state.target.key not in excluded]
     if not able:
         return None
-    first = _ranked(_fit(able, work, settings, now_ms), work.affinity_key)[
+    first = ranked(_fit(able, work, settings, now_ms), work.affinity_key)[
         : work.width
     ]
     estimates = [
@@ -169,10 +169,10 @@
     if chosen.cached.held_tokens(shared) >= work.shared_tokens:
         return None
     # other entries may have had it read where they all keep it
-    ranked = _ranked([*able, chosen], work.affinity_key)
-    if ranked[0] is not chosen:
-        return ranked[0]
-    outermost = _ranked(able, shared[0])
+    order = ranked([*able, chosen], work.affinity_key)
+    if order[0] is not chosen:
+        return order[0]
+    outermost = ranked(able, shared[0])
     return outermost[0]
 
 
@@ -194,7 +194,7 @@
     return fit or able
 
 
-def _ranked(
+def ranked(
     states: Sequence[target_book.TargetState], key: str
 ) -> list[target_book.TargetState]:
     """Returns the targets in the order that all entries prefer for a key."""
@@ -250,4 +250,5 @@
     "Work",
     "choose",
     "fetch_source",
+    "ranked",
 ]
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -286,6 +286,10 @@
         connect_failures = 0
         while True:
             estimate = self._choose(job)
+            if estimate is None:
+                if job.failed_answer is None or job.caller.has_begun:
+                    self._refuse_unplaced(job)
+                return await self._deliver_failure(job)
             job.sending = self._sending(job, estimate)
             job.sent_ms = self._clock.now_ms()
             outcome = await self._sender.run(job, estimate, job.sending)
@@ -308,11 +312,30 @@
                 state.failed(self._clock.now_ms())
             if not self._may_send_again(job, outcome):
                 if job.failed_answer is not None and not job.caller.has_begun:
-                    await attempts.deliver(job, self._sender, job.failed_answer)
-                    return outcome
+                    return await self._deliver_failure(job)
                 self._give_up(job, outcome)
 
-    def _choose(self, job: jobs.Job) -> choice.Estimate:
+    async def _deliver_failure(self, job: jobs.Job) -> attempts.Outcome:
+        """Hands on the failure of a target that ran the request."""
+        assert job.failed_answer is not None
+        await attempts.deliver(job, self._sender, job.failed_answer)
+        return attempts.Outcome(
+            attempts.Result.FAILED, job.failed_answer.status
+        )
+
+    def _refuse_unplaced(self, job: jobs.Job) -> None:
+        """Raises what the caller gets when no target is left."""
+        if job.caller.has_begun:
+            raise refusals.AnswerCutError("no other target")
+        if job.may_have_run:
+            raise refusals.RefusalError(refusals.Reason.BROKEN)
+        raise refusals.RefusalError(
+            refusals.Reason.NO_TARGET,
+            job.service.name,
+            self._retry_after_ms(job),
+        )
+
+    def _choose(self, job: jobs.Job) -> choice.Estimate | None:
         estimate = choice.choose(
             self.book.of_service(job.service.name),
             job.work,
@@ -322,15 +345,7 @@
             self._clock.now_ms(),
         )
         if estimate is None:
-            if job.caller.has_begun:
-                raise refusals.AnswerCutError("no other target")
-            if job.sends and job.failed_answer is None and job.may_have_run:
-                raise refusals.RefusalError(refusals.Reason.BROKEN)
-            raise refusals.RefusalError(
-                refusals.Reason.NO_TARGET,
-                job.service.name,
-                self._retry_after_ms(job),
-            )
+            return None
         job.target_id = estimate.state.target.target_id
         job.cost_ms = estimate.cost_ms
         job.wait_ms = estimate.wait_ms
--- /dev/null
+++ b/standins/direct_target.py
@@ -0,0 +1,244 @@
+"""A stand-in of a target of the users' platform, with faults on demand.
+
+It speaks the published protocol: it echoes the request's id, says by
+`X-Not-Executed` that it did not run a request, names the run that it is, and
+streams events with increasing ids.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+HOST = "127.0.0.1"
+READ_BYTES = 65_536
+EVENT = b"id: %d\ndata: piece %d\n\n"
+
+
+@dataclasses.dataclass
+class Received:
+    """A request as the target got it.
+
+    Attributes:
+        line: Its first line.
+        value_by_header: Its headers, names in lower case.
+        body: Its body.
+        connection: The number of the connection that it came on.
+        was_cut: Whether the connection ended before the answer did.
+    """
+
+    line: str
+    value_by_header: dict[str, str]
+    body: bytes
+    connection: int
+    was_cut: bool = False
+
+
+class DirectTarget:
+    """Answers requests as its behaviour says.
+
+    Attributes:
+        target_id: The run that it is.
+        behaviour: What it does with requests, one of `BEHAVIOURS`.
+        received: Every request that it got.
+        port: Where it listens, once started.
+        pieces: Events of a stream.
+        gap_s: Time between two events.
+    """
+
+    BEHAVIOURS = (
+        "answers",
+        "streams",
+        "sheds",
+        "fails",
+        "is another run",
+        "cuts before the answer",
+        "cuts inside an event",
+        "cuts the body",
+        "answers another request",
+        "is silent",
+        "sends more than the answer",
+        "ends with its connection",
+    )
+
+    def __init__(self, target_id: str, behaviour: str = "answers") -> None:
+        self.target_id = target_id
+        self.behaviour = behaviour
+        self.received: list[Received] = []
+        self.port = 0
+        self.pieces = 4
+        self.gap_s = 0.0
+        self._connections = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Ends listening and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._connections += 1
+        number = self._connections
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            while (request := await self._read(reader, number)) is not None:
+                if not await self._answer(request, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass  # the caller left, which its request records
+        finally:
+            writer.close()
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+
+    async def _read(
+        self, reader: asyncio.StreamReader, number: int
+    ) -> Received | None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return None
+        lines = head.decode("latin-1").split("\r\n")
+        value_by_header = {}
+        for line in lines[1:]:
+            name, colon, value = line.partition(":")
+            if colon:
+                value_by_header[name.lower()] = value.strip()
+        length = int(value_by_header.get("content-length", "0"))
+        body = await reader.readexactly(length)
+        request = Received(lines[0], value_by_header, body, number)
+        self.received.append(request)
+        return request
+
+    async def _answer(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answers and returns whether the connection goes on."""
+        match self.behaviour:
+            case "sheds":
+                writer.write(self._head(request, 503, not_run=True))
+            case "fails":
+                writer.write(self._head(request, 500))
+            case "is another run":
+                writer.write(self._head(request, 421))
+            case "cuts before the answer":
+                return False
+            case "is silent":
+                await self._wait_gone(request, reader)
+                return False
+            case "cuts the body":
+                head = self._head(request, 200, length=100)
+                writer.write(head + b"less")
+                return False
+            case "answers another request":
+                other = dataclasses.replace(request, value_by_header={})
+                writer.write(self._head(other, 200, b"other", "another"))
+            case "sends more than the answer":
+                writer.write(self._head(request, 200, b"whole") + b"extra")
+            case "ends with its connection":
+                head = self._head(request, 200, length=-1)
+                writer.write(head + b"whole")
+                await writer.drain()
+                return False
+            case "streams" | "cuts inside an event":
+                return await self._stream(request, reader, writer)
+            case _:
+                writer.write(self._head(request, 200, b"whole"))
+        await writer.drain()
+        return True
+
+    async def _stream(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        first = int(request.value_by_header.get("last-event-id", "0")) + 1
+        kind = "Content-Type: text/event-stream\r\n"
+        writer.write(self._head(request, 200, extra=kind, length=-2))
+        for number in range(first, self.pieces + 1):
+            event = EVENT % (number, number)
+            if self.behaviour == "cuts inside an event" and number == 3:
+                writer.write(_chunk(event[: len(event) // 2]))
+                await writer.drain()
+                return False
+            writer.write(_chunk(event))
+            await writer.drain()
+            if await self._gone_within(request, reader, self.gap_s):
+                return False
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    async def _gone_within(
+        self, request: Received, reader: asyncio.StreamReader, wait_s: float
+    ) -> bool:
+        if not wait_s:
+            return False
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._wait_gone(request, reader)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _wait_gone(
+        self, request: Received, reader: asyncio.StreamReader
+    ) -> None:
+        while await reader.read(READ_BYTES):
+            continue
+        request.was_cut = True
+
+    def _head(
+        self,
+        request: Received,
+        status: int,
+        body: bytes = b"",
+        request_id: str = "",
+        *,
+        extra: str = "",
+        length: int | None = None,
+        not_run: bool = False,
+    ) -> bytes:
+        echoed = request_id or request.value_by_header.get("x-attempt-id", "")
+        lines = [
+            f"HTTP/1.1 {status} Said",
+            f"X-Attempt-Id: {echoed}",
+            f"X-Response-Stamp: stamp-{self.target_id}",
+            "X-Instance-Load: 1,0,8",
+            "Keep-Alive: timeout=5",
+        ]
+        if not_run:
+            lines.append("X-Not-Executed: 1")
+        size = len(body) if length is None else length
+        if size >= 0:
+            lines.append(f"Content-Length: {size}")
+        elif size == -2:
+            lines.append("Transfer-Encoding: chunked")
+        text = "\r\n".join(lines) + "\r\n" + extra + "\r\n"
+        return text.encode() + body
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+__all__ = ["DirectTarget", "Received"]
--- /dev/null
+++ b/tests/forward/choice.feature
@@ -0,0 +1,95 @@
+Feature: Choosing the target of a request
+
+  Scenario: Requests of a prefix go to the target that holds it
+    Given 4 direct targets
+    And target 2 holds the shared parts of a prompt
+    When a target is chosen for the prompt
+    Then target 2 is chosen
+
+  Scenario: A prefix leaves the target that holds it once its queue is longer
+    Given 4 direct targets
+    And target 2 holds the shared parts of a prompt
+    And target 2 has 60000 tokens to read
+    When a target is chosen for the prompt
+    Then target 2 is not chosen
+
+  Scenario Outline: Targets that can't do the work well are left out
+    Given 4 direct targets
+    And target 2 holds the shared parts of a prompt
+    And target 2 <state>
+    When a target is chosen for the prompt
+    Then target 2 is not chosen
+
+    Examples:
+      | state                        |
+      | is held for an order         |
+      | failed just now              |
+      | can't be reached             |
+      | has had old weights too long |
+      | has been silent for 2000 ms  |
+
+  Scenario Outline: A target is used all the same when there is no other
+    Given 1 direct targets
+    And target 1 <state>
+    When a target is chosen for the prompt
+    Then target 1 is chosen
+
+    Examples:
+      | state                        |
+      | is held for an order         |
+      | failed just now              |
+      | can't be reached             |
+      | has had old weights too long |
+
+  Scenario: All entries prefer the same target for a prefix that none knows
+    Given 6 direct targets
+    When 5 entries choose a target for each of 50 unknown prompts
+    Then the entries agree on every prompt
+    And every target is chosen for some prompt
+
+  Scenario: Shared parts are fetched from the target known to hold them
+    Given 4 direct targets
+    And target 2 holds the shared parts of a prompt
+    When target 3 is to run the prompt
+    Then it fetches from target 2
+
+  Scenario: Nothing is fetched from a target on other weights
+    Given 4 direct targets
+    And target 2 holds the shared parts of a prompt
+    And target 2 has had old weights too long
+    When target 3 is to run the prompt
+    Then it does not fetch from target 2
+
+  Scenario: Nothing is fetched for a prompt whose shared parts are held
+    Given 4 direct targets
+    And target 2 holds the shared parts of a prompt
+    When target 2 is to run the prompt
+    Then it fetches nothing
+
+  Scenario: An outer level that many share is kept together
+    Given the work of 200 prompts under 40 outer levels
+    Then their prompts are kept together by the outer level
+
+  Scenario: A level too hot for one target is left for the next one
+    Given the work of 200 prompts under 2 outer levels
+    Then their prompts are kept together by the inner level
+
+  Scenario: A prompt that takes most of the work is spread over targets
+    Given the work of 200 prompts of which 160 are of one prefix
+    Then that prefix is spread over more than 4 of 6 targets
+
+  Scenario: A cache forgets what was unused for longest
+    Given a cache of 1000 tokens that read prompts of 400 and 500 tokens
+    When it reads a prompt of 300 tokens
+    Then it holds the prompts of 500 and 300 tokens only
+
+  Scenario: A part counts only behind the parts before it
+    Given a cache of 1000 tokens that read prompts of 400 and 500 tokens
+    Then the second part of a prompt without its first is not held
+
+  Scenario: A burst of one prefix is answered within the latency objective
+    Given 6 direct targets
+    When a recorded load of 12 s with a burst is placed by the choice
+    And the same load is placed by prefix alone
+    Then 95 in 100 first tokens of the choice come within 1000 ms
+    And 95 in 100 first tokens by prefix alone do not
--- /dev/null
+++ b/tests/forward/forward.feature
@@ -0,0 +1,136 @@
+Feature: Forwarding a request straight to a target
+
+  Scenario: Method, path, body and other headers reach the target unchanged
+    Given a direct target that answers
+    When an idempotent request with an own header is forwarded
+    Then the answer is 200 with the body "whole" of target t1
+    And the target got the method, path, body, header and id of the caller
+    And the target got its own id, the team and what is left of the deadline
+    And the target got no key and no header that only the entry may set
+
+  Scenario Outline: A target's behaviour and what its caller gets
+    Given a direct target that <behaviour>
+    When a request of kind "<kind>" is forwarded
+    Then the answer is <status>
+    And the request reached targets <sends> times
+
+    Examples:
+      | behaviour                  | kind             | status | sends |
+      | sheds                      | once             | 503    | 1     |
+      | sheds                      | idempotent       | 503    | 1     |
+      | is another run             | once             | 503    | 1     |
+      | fails                      | once             | 500    | 1     |
+      | fails                      | idempotent       | 500    | 1     |
+      | cuts before the answer     | once             | 502    | 1     |
+      | cuts the body              | once             | 502    | 1     |
+      | answers another request    | once             | 502    | 1     |
+      | sends more than the answer | once             | 200    | 1     |
+      | ends with its connection   | once             | 200    | 1     |
+      | cuts before the answer     | stream           | 502    | 1     |
+      | streams                    | stream           | 200    | 1     |
+      | streams                    | resumable stream | 200    | 1     |
+
+  Scenario Outline: A second target answers what the first could not
+    Given a direct target that <behaviour>
+    And another direct target that <second>
+    When a request of kind "<kind>" is forwarded until both were tried
+    Then the answer is 200
+    And the answer is whole
+
+    Examples:
+      | behaviour               | second  | kind             |
+      | sheds                   | answers | idempotent       |
+      | is another run          | answers | idempotent       |
+      | fails                   | answers | idempotent       |
+      | cuts before the answer  | answers | idempotent       |
+      | cuts the body           | answers | idempotent       |
+      | answers another request | answers | idempotent       |
+      | cuts before the answer  | streams | resumable stream |
+      | cuts inside an event    | streams | resumable stream |
+
+  Scenario: A stream that goes on at another target has every event once
+    Given a direct target that cuts inside an event
+    And another direct target that streams
+    When a request of kind "resumable stream" is forwarded until both were tried
+    Then the caller has the events 1, 2, 3, 4 in order
+    And the answer keeps the head of its first target
+
+  Scenario: A stream that can't go on does not look complete
+    Given a direct target that cuts inside an event
+    When a request of kind "stream" is forwarded
+    Then the caller has the events 1, 2 in order
+    And the answer is cut
+
+  Scenario: No second send is made beyond the budget
+    Given a direct target that fails
+    And another direct target that fails
+    And no allowance for second sends
+    When 20 requests of kind "idempotent" are forwarded
+    Then targets got at most 24 requests
+
+  Scenario: A caller that leaves ends the work at the target
+    Given a direct target that is silent
+    When a caller leaves 100 ms after its request
+    Then the target is left within 500 ms
+
+  Scenario Outline: A request that the entry answers by itself
+    Given a direct target that answers
+    When a request with <what> is sent
+    Then the answer is <status>
+    And the request reached targets 0 times
+
+    Examples:
+      | what               | status |
+      | an unknown key     | 401    |
+      | no key             | 401    |
+      | an unknown path    | 404    |
+      | an unknown host    | 404    |
+      | no id              | 400    |
+      | a body too large   | 413    |
+      | a head too large   | 431    |
+      | a head too slow    | 408    |
+
+  Scenario: Settings that may be outdated serve no key
+    Given a direct target that answers
+    And control was not heard for too long
+    When a request of kind "idempotent" is forwarded
+    Then the answer is 503
+    And the answer tells when to come back
+    And the request reached targets 0 times
+
+  Scenario: A key that was taken away serves no more
+    Given a direct target that answers
+    And the key is taken away
+    When a request of kind "idempotent" is forwarded
+    Then the answer is 401
+
+  Scenario: An answer is given at the route's timeout at the latest
+    Given a direct target that is silent
+    And a route timeout of 300 ms
+    When a request of kind "once" is forwarded
+    Then the answer is 504
+    And it came within 700 ms
+
+  Scenario: Connections to targets are used again
+    Given a direct target that answers
+    When 10 requests of kind "idempotent" are forwarded
+    Then the target saw 1 connection
+
+  Scenario: A connection with bytes after the answer is not used again
+    Given a direct target that sends more than the answer
+    When 5 requests of kind "idempotent" are forwarded
+    Then the target saw 5 connections
+    And every answer was "whole"
+
+  Scenario: A target that is gone is given up, and used again once it is back
+    Given a direct target that is silent
+    And the target takes no connections any more
+    When a request of kind "once" is forwarded
+    Then the answer is 503
+    And the request reached targets 0 times
+
+  Scenario: A stop ends kept connections with their answer
+    Given a direct target that streams
+    And the target takes 100 ms for each event
+    When the entry begins to stop while a stream is on its way
+    Then the stream is whole and its connection is closed
--- /dev/null
+++ b/tests/helpers/direct_entry.py
@@ -0,0 +1,244 @@
+"""An entry that forwards to stand-ins, with a caller that sees bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from lycheering import clock
+from lycheering.fleet import changes
+from lycheering.fleet import holder
+from lycheering.fleet import records
+from lycheering.fleet import view
+from lycheering.forward import application
+from lycheering.forward import attempt
+from lycheering.forward import choice
+from lycheering.forward import forwarder
+from lycheering.forward import liveness
+from lycheering.forward import target_book
+from lycheering.platform import dialect
+from lycheering.retries import window
+from lycheering.routes import api as routes
+from lycheering.telemetry import counters
+from lycheering.telemetry import histograms
+from lycheering.web import guarded_protocol
+from lycheering.web import kept_connections
+from lycheering.web import server
+from standins import direct_target
+
+HOST = "127.0.0.1"
+KEY = "secret-key"
+TEAM = "team-a"
+READ_TIMEOUT_S = 10
+PATH_BY_KIND = {
+    "idempotent": "/safe/",
+    "once": "/once/",
+    "stream": "/stream/",
+    "resumable stream": "/resume/",
+}
+
+
+@dataclasses.dataclass
+class Answer:
+    """What the caller saw on its connection.
+
+    Attributes:
+        status: The status, 0 if none came.
+        value_by_header: The headers, names in lower case.
+        body: The body's bytes, without chunk marks.
+        is_whole: Whether the end of the body was marked.
+        is_open: Whether the connection goes on.
+    """
+
+    status: int = 0
+    value_by_header: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+    is_open: bool = False
+
+
+class DirectEntry:
+    """A forwarder behind a real server, with a view made by the test."""
+
+    def __init__(self, targets, timeout_ms=3_000.0, allowance=100.0):
+        self.targets = targets
+        self.timeout_ms = timeout_ms
+        self.is_current = True
+        self.limits = guarded_protocol.HeadLimits(
+            max_header_bytes=4_096, header_timeout_ms=300.0
+        )
+        time = clock.Clock()
+        self.view = holder.ViewHolder()
+        self.counters = counters.Counters()
+        self.kept = kept_connections.KeptConnections(time)
+        self.book = target_book.TargetBook(time)
+        platform = dialect.PlatformDialect()
+        self.forwarder = forwarder.Forwarder(
+            forwarder.ForwardSettings(
+                choice.ChoiceSettings(),
+                window.WindowSettings(0.2, allowance, 10_000.0),
+            ),
+            self.view,
+            self.book,
+            attempt.Attempts(self.kept, platform, time),
+            self._wait_current,
+            "d1",
+            time,
+            self.counters,
+            histograms.Histograms(self.counters),
+        )
+        self.liveness = liveness.Liveness(
+            self.book, self.kept, time, self.counters
+        )
+        self.application = application.ForwardApplication(
+            self.forwarder, platform, time, self.counters
+        )
+        self.web = server.WebServer(self.application, HOST, 0, self.limits)
+
+    async def _wait_current(self, timeout_ms):
+        return self.is_current
+
+    async def __aenter__(self):
+        for target in self.targets:
+            await target.start()
+        self.put_table()
+        self.put_targets()
+        await self.liveness.start()
+        await self.web.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.web.stop()
+        await self.liveness.stop()
+        self.kept.close()
+        for target in self.targets:
+            await target.stop()
+
+    def make(self, change):
+        fleet = self.view.fleet
+        other = view.FleetView()
+        other.restore(fleet.snapshot())
+        self.view.take(
+            holder.messages.ViewUpdate(
+                numbered=(other.make(change, by_operator=True),)
+            )
+        )
+
+    def put_table(self, revision=1, keys=(KEY,)):
+        shares = (routes.ServiceShare("s", 1),)
+        kinds = {
+            "idempotent": (routes.RouteKind.IDEMPOTENT, 2, False),
+            "once": (routes.RouteKind.ONCE, 1, False),
+            "stream": (routes.RouteKind.STREAM, 1, False),
+            "resumable stream": (routes.RouteKind.STREAM, 2, True),
+        }
+        made = tuple(
+            routes.Route(
+                name=name,
+                host="one.test",
+                path_prefix=PATH_BY_KIND[name],
+                kind=kind,
+                timeout_ms=self.timeout_ms,
+                objective_ms=500.0,
+                priority=1,
+                shares=shares,
+                max_sends=sends,
+                is_resumable=resumable,
+            )
+            for name, (kind, sends, resumable) in kinds.items()
+        )
+        digests = tuple(view.key_digest(key) for key in keys)
+        table = routes.RouteTable(
+            revision,
+            made,
+            (routes.Service("s"),),
+            (routes.KeyedTeam(TEAM, digests),),
+            routes.CallerLimits(max_header_bytes=4_096, max_body_bytes=1_000),
+        )
+        self.make(changes.RouteTablePut(table))
+
+    def put_targets(self):
+        for target in self.targets:
+            self.make(
+                changes.DirectTargetPut(
+                    records.DirectTarget(
+                        target.target_id, "s", HOST, target.port, "d1", 8
+                    )
+                )
+            )
+
+    async def connect(self):
+        return await asyncio.open_connection(HOST, self.web.port)
+
+
+def request(kind="idempotent", request_id="r1", **options):
+    """Returns a request's bytes."""
+    body = options.pop("body", b"question")
+    path = options.pop("path", PATH_BY_KIND[kind] + "x?y=1")
+    values = {
+        "Host": "one.test",
+        "X-Attempt-Id": request_id,
+        "X-Deadline-Ms": "2000",
+        "Authorization": f"Bearer {KEY}",
+        "Content-Length": str(len(body)),
+    }
+    for name, value in options.items():
+        values[name.replace("_", "-")] = value
+    lines = [f"POST {path} HTTP/1.1"]
+    lines += [f"{n}: {v}" for n, v in values.items() if v is not None]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_answer(reader):
+    """Returns what comes until the answer or its connection ends."""
+    answer = Answer()
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode("latin-1").split("\r\n")
+            answer.status = int(lines[0].split()[1])
+            for line in lines[1:]:
+                name, colon, value = line.partition(":")
+                if colon:
+                    answer.value_by_header[name.lower()] = value.strip()
+            await _read_body(reader, answer)
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        answer.body += getattr(error, "partial", b"")
+    closes = answer.value_by_header.get("connection") == "close"
+    answer.is_open = answer.is_whole and not closes
+    return answer
+
+
+async def _read_body(reader, answer):
+    if "content-length" in answer.value_by_header:
+        length = int(answer.value_by_header["content-length"])
+        answer.body = await reader.readexactly(length)
+        answer.is_whole = True
+        return
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        answer.body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    answer.is_whole = True
+
+
+async def ask(entry, data):
+    """Sends one request on a connection of its own."""
+    reader, writer = await entry.connect()
+    writer.write(data)
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+__all__ = [
+    "KEY",
+    "TEAM",
+    "Answer",
+    "DirectEntry",
+    "ask",
+    "direct_target",
+    "read_answer",
+    "request",
+]
--- /dev/null
+++ b/tests/helpers/direct_targets.py
@@ -0,0 +1,129 @@
+"""Direct targets and prompts for tests of decisions."""
+
+from __future__ import annotations
+
+import random
+
+from lycheering import clock
+from lycheering.fleet import records
+from lycheering.forward import api
+from lycheering.forward import cached_parts
+from lycheering.forward import choice
+from lycheering.forward import target_book
+
+SERVICE = "s"
+MODEL = "m"
+CACHE_TOKENS = 200_000
+PARTS = (
+    api.PromptPart("outer", 500),
+    api.PromptPart("inner", 4_500),
+    api.PromptPart("own", 3_000),
+)
+
+
+def target(number, version=1, **fields):
+    return records.DirectTarget(
+        target_id=f"t{number}",
+        service=SERVICE,
+        ip="127.0.0.1",
+        port=1_000 + number,
+        failure_domain=f"d{number % 3}",
+        slots=64,
+        version_by_model={MODEL: version},
+        **fields,
+    )
+
+
+def state(number, now_ms=0.0, **fields):
+    return target_book.TargetState(
+        target(number, **fields), CACHE_TOKENS, now_ms
+    )
+
+
+def work(parts=PARTS, wanted_version=1, wanted_for_ms=10_000.0, key=None):
+    chains = cached_parts.chains_of("", parts)
+    return choice.Work(
+        prompt_tokens=sum(part.tokens for part in parts),
+        shared_tokens=sum(part.tokens for part in parts[:-1]),
+        chains=tuple(chains),
+        affinity_key=key or chains[-2],
+        model=MODEL,
+        wanted_version=wanted_version,
+        wanted_for_ms=wanted_for_ms,
+    )
+
+
+class Engine:
+    """Reads prompts one after another, with a cache of parts."""
+
+    def __init__(self, tokens_per_ms=50.0):
+        self.free_at_ms = 0.0
+        self.cached = cached_parts.CachedParts(CACHE_TOKENS)
+        self._tokens_per_ms = tokens_per_ms
+
+    def run(self, arrived_ms, chains, parts, tokens):
+        """Returns when a prompt is read."""
+        unread = max(0, tokens - self.cached.held_tokens(chains))
+        begin_ms = max(arrived_ms, self.free_at_ms)
+        self.free_at_ms = begin_ms + unread / self._tokens_per_ms
+        self.cached.add(chains, parts)
+        return self.free_at_ms
+
+
+def recorded_load(seed=7, duration_ms=12_000.0):
+    """Returns arrivals: a calm load with a burst of one prefix."""
+    randomness = random.Random(seed)
+    arrivals = []
+    now_ms = 0.0
+    while now_ms < duration_ms:
+        burst = 4_000 <= now_ms < 7_000
+        now_ms += randomness.expovariate(0.038 * (1.7 if burst else 1.0))
+        hot = burst and randomness.random() < 0.4
+        inner = "hot" if hot else f"i{randomness.randrange(80)}"
+        parts = (
+            api.PromptPart(f"o{randomness.randrange(3)}", 500),
+            api.PromptPart(inner, 4_500),
+            api.PromptPart(f"own{len(arrivals)}", randomness.randrange(8_000)),
+        )
+        arrivals.append((now_ms, parts))
+    return arrivals
+
+
+def place(arrivals, count, choose_target):
+    """Returns the wait of each arrival, as engines read them."""
+    time = clock.ManualClock()
+    engines = [Engine() for _ in range(count)]
+    states = [state(number) for number in range(count)]
+    reading = []
+    waits = []
+    for at_ms, parts in arrivals:
+        time.time_ms = at_ms
+        for item in [item for item in reading if item[0] <= at_ms]:
+            item[1].end(item[2])
+            item[1].heard_ms = at_ms
+            reading.remove(item)
+        asked = work(parts)
+        number, unread = choose_target(states, asked, at_ms)
+        done_ms = engines[number].run(
+            at_ms, asked.chains, parts, asked.prompt_tokens
+        )
+        sent = states[number].begin(
+            at_ms, asked.prompt_tokens, unread, lambda: None
+        )
+        states[number].heard_ms = at_ms
+        states[number].cached.add(asked.chains, parts)
+        reading.append((done_ms, states[number], sent))
+        waits.append(done_ms - at_ms)
+    return waits
+
+
+__all__ = [
+    "MODEL",
+    "PARTS",
+    "SERVICE",
+    "place",
+    "recorded_load",
+    "state",
+    "target",
+    "work",
+]
--- /dev/null
+++ b/tests/routes/routes.feature
@@ -0,0 +1,60 @@
+Feature: Route tables
+
+  Scenario Outline: The longest prefix that begins the path decides
+    Given a route table with the prefixes "/a/", "/a/b/" and "/c/"
+    When the route of host "<host>" and path "<path>" is looked up
+    Then the route's prefix is "<prefix>"
+
+    Examples:
+      | host       | path    | prefix |
+      | one.test   | /a/x    | /a/    |
+      | one.test   | /a/b/x  | /a/b/  |
+      | ONE.test   | /a/b/   | /a/b/  |
+      | one.test   | /a/b    | /a/    |
+      | one.test   | /c/d/e  | /c/    |
+      | one.test   | /a      | none   |
+      | one.test   | /x/a/   | none   |
+      | other.test | /a/x    | none   |
+
+  Scenario: All that is wrong with a table is found at once
+    Given a route table with a wrong service, a doubled place, no weight, no timeout and a shared key
+    Then the table has 5 findings
+
+  Scenario Outline: The highest revision wins and nothing goes back
+    Given a control machine
+    When the route tables with revisions <revisions> are put
+    Then the table in force has revision <held>
+    And the source read back is that of revision <held>
+
+    Examples:
+      | revisions | held |
+      | 1, 2, 3   | 3    |
+      | 3, 2, 1   | 3    |
+      | 2, 2      | 2    |
+      | 5, 9, 7   | 9    |
+
+  Scenario: Another content under the revision held changes nothing
+    Given a control machine
+    When a table of revision 4 and then another of revision 4 are put
+    Then the first of the two is in force and read back
+
+  Scenario: An invalid table is refused and changes nothing
+    Given a control machine
+    When the route tables with revisions 1 are put
+    And an invalid table of revision 2 is put
+    Then the command was refused
+    And the table in force has revision 1
+
+  Scenario: Named weights never go back
+    Given a control machine
+    When the weights 1, 3, 2 of a model are named
+    Then the weights wanted are 3
+
+  Scenario: A snapshot holds tables, weights, targets and the holder of orders
+    Given a control machine
+    When the route tables with revisions 1, 2 are put
+    And the weights 1, 2 of a model are named
+    And a direct target is listed
+    And direct orders are taken by "a" and then by "b"
+    Then a machine restored from its snapshot is equal
+    And each holder of direct orders had a higher fencing number
--- /dev/null
+++ b/tests/steps/direct_list_steps.py
@@ -0,0 +1,98 @@
+"""Steps for the list of direct targets."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from lycheering.control.direct import target_lister
+from lycheering.fleet import records
+
+
+def target(name, version=1, born_ms=1, **fields):
+    return records.DirectTarget(
+        target_id=name,
+        service="s",
+        ip="127.0.0.1",
+        port=1,
+        failure_domain="d",
+        slots=8,
+        version_by_model={"m": version},
+        born_ms=born_ms,
+        **fields,
+    )
+
+
+def listed(context, *targets):
+    context.change = target_lister.difference(context.held, targets)
+
+
+def ids(targets):
+    return [item.target_id for item in targets]
+
+
+@given("the direct targets a, b and c are held")
+def step_held(context):
+    context.held = {t.key: t for t in map(target, "abc")}
+
+
+@given("a was brought to weights 3 and is held for an order")
+def step_brought(context):
+    held = target("a", 3, is_held=True)
+    context.held[held.key] = held
+
+
+@when("the list names a, c and d")
+def step_new(context):
+    listed(context, *map(target, "acd"))
+
+
+@when("the list names a, b and c")
+def step_same(context):
+    listed(context, *map(target, "abc"))
+
+
+@when("the list names a with weights 2, b and c")
+def step_older(context):
+    listed(context, target("a", 2), target("b"), target("c"))
+
+
+@when("the list names a as leaving, b and c")
+def step_leaving(context):
+    leaving = msgspec.structs.replace(
+        target("a"), state=records.TargetState.LEAVING
+    )
+    listed(context, leaving, target("b"), target("c"))
+
+
+@when("the list names a started anew, b and c")
+def step_restarted(context):
+    listed(context, target("a", born_ms=2), target("b"), target("c"))
+
+
+@then("b is removed and d is put")
+def step_changed(context):
+    assert ids(context.change.put) == ["d"]
+    assert context.change.removed == (target("b").key,)
+
+
+@then("nothing is changed")
+def step_unchanged(context):
+    assert not context.change.put, context.change
+    assert not context.change.removed, context.change
+
+
+@then("a is put as leaving")
+def step_put_leaving(context):
+    (changed,) = context.change.put
+    assert changed.state is records.TargetState.LEAVING
+    assert not context.change.removed
+
+
+@then("the old run of a is removed and the new one is put")
+def step_put_run(context):
+    assert context.change.removed == (target("a").key,)
+    (changed,) = context.change.put
+    assert changed.born_ms == 2
--- /dev/null
+++ b/tests/steps/output_steps.py
@@ -0,0 +1,116 @@
+"""Steps for bounded output and bounded second sends."""
+
+from __future__ import annotations
+
+import os
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.retries import window
+from lycheering.telemetry import bounded_output
+
+READ_BYTES = 65_536
+
+
+@given("an output that nobody reads")
+@given("an output that is read at once")
+def step_output(context):
+    context.reader, writer = os.pipe()
+    os.set_blocking(context.reader, False)
+    context.stream = os.fdopen(writer, "w")
+    context.stack.callback(context.stream.close)
+    context.stack.callback(os.close, context.reader)
+    context.output = bounded_output.BoundedOutput(context.stream)
+    context.is_read = "read at once" in context.scenario.steps[0].name
+    context.got = b""
+
+
+def read(context):
+    while True:
+        try:
+            data = os.read(context.reader, READ_BYTES)
+        except BlockingIOError:
+            return
+        if not data:
+            return
+        context.got += data
+
+
+@when("{count:d} lines of {size:d} bytes are written")
+def step_write(context, count, size):
+    line = "x" * (size - 1) + "\n"
+    began_s = time.monotonic()
+    for _ in range(count):
+        context.output.write(line)
+        if context.is_read:
+            read(context)
+    context.took_s = time.monotonic() - began_s
+
+
+@when("the reader reads again and a line is written")
+def step_again(context):
+    read(context)
+    time.sleep(0.05)  # the bound on bytes a second has room again
+    context.output.write("event=last\n")
+    read(context)
+
+
+@then("writing them took less than {most_s:d} s")
+def step_took(context, most_s):
+    assert context.took_s < most_s, context.took_s
+
+
+@then("lines were dropped")
+def step_dropped(context):
+    assert context.output.dropped > 0
+
+
+@then("the reader finds how many were dropped")
+def step_told(context):
+    assert b"event=log_lines_dropped count=" in context.got
+    assert context.got.endswith(b"event=last\n")
+
+
+@then("the reader got at most {most:d} bytes")
+def step_bounded(context, most):
+    assert 0 < len(context.got) <= most, len(context.got)
+
+
+@given(
+    "a window of {window_s:d} s that allows a fifth and {allowance:d} among"
+    " {sharers:d} processes"
+)
+def step_window(context, window_s, allowance, sharers):
+    context.time = clock.ManualClock()
+    settings = window.WindowSettings(0.2, float(allowance), window_s * 1_000.0)
+    context.window = window.SendWindow(settings, context.time)
+    context.window.sharers = sharers
+
+
+@when(
+    "{count:d} requests arrive over {span_s:d} s and each asks for a second"
+    " send"
+)
+def step_arrive(context, count, span_s):
+    context.sent_at = []
+    for _ in range(count):
+        context.time.advance(span_s * 1_000 / count)
+        context.window.count_request()
+        if context.window.spend():
+            context.sent_at.append(context.time.now_ms())
+
+
+@then("any {window_s:d} s hold at most {most:d} second sends")
+def step_any_window(context, window_s, most):
+    assert context.sent_at
+    for begin_ms in context.sent_at:
+        inside = [
+            at_ms
+            for at_ms in context.sent_at
+            if begin_ms <= at_ms < begin_ms + window_s * 1_000
+        ]
+        assert len(inside) <= most, len(inside)
--- /dev/null
+++ b/tests/steps/translation_steps.py
@@ -0,0 +1,274 @@
+"""Steps for the translation of the platform's words."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import then
+from behave import when
+import msgspec
+
+from lycheering.control.direct import api as direct_api
+from lycheering.fleet import records
+from lycheering.forward import api
+from lycheering.platform import dialect
+from lycheering.platform import documents
+from lycheering.platform import instance_list
+from lycheering.settings import model
+from lycheering.web import kept_connections
+from tests.support import scripted_http
+
+HEADERS = {
+    "x-attempt-id": "r1",
+    "x-deadline-ms": "1500",
+    "authorization": "Bearer the-key",
+    "x-model": "m",
+    "x-token-usage": "1460,80",
+    "x-prefix-hash": "5c:800,91:410,e4:250",
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "one.test",
+            "path_prefix": "/a/",
+            "kind": "once",
+            "timeout_ms": 1500,
+            "objective_ms": 200,
+            "priority": 2,
+            "service": "s",
+            "max_sends": 1,
+            "is_public": False,
+        },
+        {
+            "name": "q",
+            "host": "one.test",
+            "path_prefix": "/b/",
+            "kind": "stream",
+            "timeout_ms": 1500,
+            "shares": [
+                {"service": "s", "weight": 9},
+                {"service": "e", "weight": 1},
+            ],
+            "is_resumable": True,
+        },
+    ],
+    "services": [
+        {"name": "s", "max_connections": 10},
+        {
+            "name": "e",
+            "engine": {
+                "slots": 64,
+                "kv_capacity_tokens": 1000,
+                "models": [{"name": "m"}],
+            },
+        },
+        {"name": "k", "kv_store_addr": "10.0.0.1:80"},
+    ],
+    "teams": [
+        {"name": "t", "keys": ["a", "b"], "priority": 1, "is_isolated": True}
+    ],
+    "limits": {
+        "max_header_bytes": 1,
+        "max_body_bytes": 2,
+        "header_timeout_ms": 3,
+        "idle_timeout_ms": 4,
+    },
+}
+PAGE = {
+    "id": "i-1",
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "failure_domain": "d",
+    "slots": 4,
+    "state": "leaving",
+    "models": [{"name": "m", "version": 3}],
+    "born": 5,
+}
+DIALECT = dialect.PlatformDialect()
+
+
+def headers(values):
+    return [(n.encode(), v.encode()) for n, v in values.items()]
+
+
+@when("a caller's headers are read")
+def step_read(context):
+    context.traits = DIALECT.read_request(headers(HEADERS))
+
+
+@then("the request's id, patience, key, model, parts and tokens are known")
+def step_known(context):
+    assert context.traits == api.RequestTraits(
+        request_id="r1",
+        patience_ms=1_500.0,
+        key="the-key",
+        model="m",
+        parts=(
+            api.PromptPart("5c", 800),
+            api.PromptPart("91", 410),
+            api.PromptPart("e4", 250),
+        ),
+        prompt_tokens=1_460,
+        output_tokens=80,
+    )
+
+
+@when('a caller\'s header "{name}" is "{value}"')
+@when('a caller\'s header "{name}" is ""')
+def step_bad(context, name, value=""):
+    context.error = ""
+    try:
+        DIALECT.read_request(headers({**HEADERS, name: value}))
+    except api.BadRequestError as error:
+        context.error = str(error)
+
+
+@then('reading it fails and names "{name}"')
+def step_fails(context, name):
+    assert context.error.startswith(name), context.error
+
+
+@when('a target answers {status:d} with the headers "{text}"')
+def step_answers(context, status, text):
+    given = dict(pair.split(": ") for pair in text.split(", "))
+    head = kept_connections.ResponseHead(status, headers(given))
+    traits = api.RequestTraits("r1", None, "")
+    context.answer = DIALECT.read_answer(head, traits)
+
+
+@then("the answer means {meaning}")
+def step_means(context, meaning):
+    assert context.answer.kind.value == meaning, context.answer
+
+
+@when('a caller\'s headers with "Connection: close, X-Once" are sent on')
+def step_sent_on(context):
+    given = {**HEADERS, "connection": "close, X-Once", "x-once": "1"}
+    traits = DIALECT.read_request(headers(given))
+    sending = api.Sending("t1", 10.0)
+    sent = DIALECT.target_headers(headers(given), traits, sending)
+    context.sent = {name.decode() for name, _ in sent}
+
+
+@then('neither "{one}" nor "{two}" is among them')
+def step_neither(context, one, two):
+    assert not {one, two} & context.sent, context.sent
+    assert "x-attempt-id" in context.sent
+
+
+@when("the platform's document is read")
+def step_document(context):
+    context.made = documents.read_table(json.dumps(DOCUMENT).encode())
+
+
+@then("the table has its routes, services, teams and limits")
+def step_table(context):
+    made = context.made
+    assert made.revision == 7
+    once, stream = made.routes
+    assert (once.kind, once.max_sends, once.shares[0].service) == (
+        "once",
+        1,
+        "s",
+    )
+    assert [share.weight for share in stream.shares] == [9, 1]
+    assert stream.is_resumable
+    assert made.services[1].engine.models == ("m",)
+    assert made.services[2].store_address == "10.0.0.1:80"
+    assert made.teams[0].is_isolated
+    assert len(made.teams[0].key_digests) == 2
+    assert made.limits.max_body_bytes == 2
+
+
+@when("the platform's document {defect}")
+def step_defect(context, defect):
+    changed = json.loads(json.dumps(DOCUMENT))
+    if defect == "lacks its routes":
+        del changed["routes"]
+    if defect == "has two fields of wrong type":
+        changed["routes"][0]["host"] = 5
+        changed["services"][0]["name"] = None
+    data = json.dumps(changed).encode()
+    if defect == "is cut short":
+        data = data[:-30]
+    if defect == "is not JSON":
+        data = b"routes: all"
+    context.findings = []
+    try:
+        documents.read_table(data)
+    except documents.DocumentError as error:
+        context.findings = error.findings
+
+
+@then("the document is refused with at least {count:d} findings")
+def step_refused(context, count):
+    assert len(context.findings) >= count, context.findings
+
+
+def read_list(*answers):
+    with scripted_http.serving() as endpoint:
+        endpoint.answer_reads("/instances", *answers)
+        settings = model.DirectSettings(
+            list_address=f"127.0.0.1:{endpoint.port}"
+        )
+        return asyncio.run(instance_list.InstanceList(settings).read())
+
+
+@when("a list with good and unreadable entries is read")
+def step_list(context):
+    entries = [
+        PAGE,
+        {**PAGE, "id": 5},
+        {**PAGE, "state": "asleep"},
+        {**PAGE, "address": "nowhere"},
+        "no entry",
+        {**PAGE, "id": "i-2", "state": "ready"},
+    ]
+    pages = [
+        {"instances": entries[:3], "next": "p"},
+        {"instances": entries[3:], "next": None},
+    ]
+    context.listed = read_list(
+        *(scripted_http.Answer(200, page) for page in pages)
+    )
+
+
+@then("only the good entries are targets")
+def step_good(context):
+    first, second = context.listed
+    assert first == records.DirectTarget(
+        "i-1",
+        "s",
+        "10.0.0.1",
+        80,
+        "d",
+        4,
+        records.TargetState.LEAVING,
+        {"m": 3},
+        False,
+        5,
+    )
+    changed = msgspec.structs.replace(
+        first, target_id="i-2", state=records.TargetState.LIVE
+    )
+    assert second == changed
+
+
+@when("a list whose second page fails is read")
+def step_failing(context):
+    context.listed = None
+    page = {"instances": [PAGE], "next": "p"}
+    try:
+        context.listed = read_list(
+            scripted_http.Answer(200, page), scripted_http.Answer(429)
+        )
+    except direct_api.ListUnavailableError:
+        return
+
+
+@then("there is no list")
+def step_no_list(context):
+    assert context.listed is None
