Entries share what they have at targets and what these have read

Cause: each entry saw a part of the traffic and knew of the rest only what answers told, seconds old with many entries; prefixes were read again where another entry had had them read. Second sends were shared among the entries of one control instance, not among all. Change: every 100 ms an entry tells the leader its load at each target and the prompts read since, and gets those of the others.

--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -23,6 +23,7 @@
 from lycheering.control import target_orders
 from lycheering.control import transport
 from lycheering.control.direct import api as direct_api
+from lycheering.control.direct import load_hub
 from lycheering.control.direct import member_intake
 from lycheering.control.direct import route_desk
 from lycheering.control.direct import target_lister
@@ -245,6 +246,7 @@
             founds=founds,
         )
         self._handler.intake = self.intake
+        self._handler.hub = load_hub.LoadHub(self._clock)
         roll = weights_roll.RollSettings(
             at_once=settings.loads_at_once,
             hold_ms=settings.hold_ms,
--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -50,7 +50,7 @@
         lease_ms: How long the orders of an earlier holder may count.
     """
 
-    at_once: int = 2
+    at_once: int = 8
     held_ahead: int = 0
     most_share: float = 0.35
     hold_ms: float = 450.0
--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -82,13 +82,6 @@
             for session in self._server.session_by_routing_id.values()
         )
 
-    def entries(self) -> int:
-        """Returns how many entries are connected to this instance."""
-        if self._server is None:
-            return 0
-        sessions = self._server.session_by_routing_id.values()
-        return len({s.name for s in sessions if s.role == messages.Role.ENTRY})
-
     def take_report(
         self, session: server.Session, report: messages.TargetReport
     ) -> None:
--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -17,6 +17,7 @@
     from lycheering.control import order_desk
     from lycheering.control import registrations
     from lycheering.control import replica
+    from lycheering.control.direct import load_hub
     from lycheering.control.direct import member_intake
     from lycheering.telemetry import counters
     from lycheering.wire import server
@@ -50,6 +51,7 @@
         self._tasks = app_api.TaskOwner()
         self._open_calls = 0
         self.intake: member_intake.MemberIntake | None = None
+        self.hub: load_hub.LoadHub | None = None
 
     async def handle(
         self, session: server.Session, envelope: messages.Envelope
@@ -115,6 +117,10 @@
                 return messages.Done()
             case messages.StatusFetch():
                 return self._status.answer(message)
+            case messages.LoadExchange() if self.hub is not None:
+                # only the leader joins loads, so that all of them meet
+                self._group.log.check_lease()
+                return self.hub.answer(message)
             case messages.CurrentFetch():
                 return await self._current()
         kind = type(message).__name__
@@ -127,7 +133,7 @@
         for peer in self._group.peers():
             ip, _, port = peer.address.rpartition(":")
             peers.append(messages.ControlPeer(peer.instance, ip, int(port)))
-        return messages.Current(tuple(peers), self._status.entries())
+        return messages.Current(tuple(peers))
 
     async def _peer_call(
         self, session: server.Session, payload: bytes
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -52,14 +52,20 @@
 
 
 class Attempts:
-    """Makes attempts over kept connections."""
+    """Makes attempts over kept connections.
+
+    Attributes:
+        book: What is known of targets.
+    """
 
     def __init__(
         self,
         connections: kept_connections.KeptConnections,
+        book: target_book.TargetBook,
         dialect: api.Dialect,
         time: clock.Clock,
     ) -> None:
+        self.book = book
         self._connections = connections
         self._dialect = dialect
         self._clock = time
@@ -185,7 +191,8 @@
             return Outcome(Result.NOT_RUN, head.status, traits.kind.value)
         is_success = 200 <= head.status < 300
         if is_success:
-            self._state.cached.add(job.work.chains, job.traits.parts)
+            tokens = [part.tokens for part in job.traits.parts]
+            self._owner.book.read(self._state, job.work.chains, tokens)
         if is_success and EVENT_STREAM in head.get(b"content-type"):
             return await self._stream(connection, head)
         body = await self._body(connection)
--- a/src/lycheering/forward/cached_parts.py
+++ b/src/lycheering/forward/cached_parts.py
@@ -5,6 +5,8 @@
 import collections
 from typing import TYPE_CHECKING
 
+import xxhash
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -15,7 +17,7 @@
     """The parts that a target has read, those unused longest dropped first.
 
     A part counts only below the parts that it was read behind, so its key
-    here is the chain of keys from the start of the prompt.
+    here is a digest of the chain of keys from the start of the prompt.
     """
 
     def __init__(self, most_tokens: int) -> None:
@@ -26,11 +28,11 @@
         """
         self._most_tokens = most_tokens
         self._tokens = 0
-        self._tokens_by_chain: collections.OrderedDict[str, int] = (
+        self._tokens_by_chain: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
 
-    def held_tokens(self, chains: Sequence[str]) -> int:
+    def held_tokens(self, chains: Sequence[int]) -> int:
         """Returns how many leading tokens of a prompt are held.
 
         Args:
@@ -44,25 +46,23 @@
             held += tokens
         return held
 
-    def add(
-        self, chains: Sequence[str], parts: Sequence[api.PromptPart]
-    ) -> None:
+    def add(self, chains: Sequence[int], tokens: Sequence[int]) -> None:
         """Counts a prompt as read.
 
         Args:
             chains: The chain of each part.
-            parts: The parts.
+            tokens: The length of each part.
         """
         # the outer parts are used latest, so that they outlive inner ones
-        for chain, part in reversed(list(zip(chains, parts, strict=True))):
+        for chain, size in reversed(list(zip(chains, tokens, strict=True))):
             known = self._tokens_by_chain.pop(chain, None)
             if known is not None:
                 self._tokens -= known
-            self._tokens_by_chain[chain] = part.tokens
-            self._tokens += part.tokens
+            self._tokens_by_chain[chain] = size
+            self._tokens += size
         while self._tokens > self._most_tokens:
-            _, tokens = self._tokens_by_chain.popitem(last=False)
-            self._tokens -= tokens
+            _, dropped = self._tokens_by_chain.popitem(last=False)
+            self._tokens -= dropped
 
     def clear(self) -> None:
         """Forgets everything."""
@@ -70,7 +70,7 @@
         self._tokens = 0
 
 
-def chains_of(scope: str, parts: Sequence[api.PromptPart]) -> list[str]:
+def chains_of(scope: str, parts: Sequence[api.PromptPart]) -> list[int]:
     """Returns the chain of each part of a prompt.
 
     Args:
@@ -78,10 +78,10 @@
         parts: The parts, in order.
     """
     chains = []
-    chain = scope
+    chain = xxhash.xxh3_64(scope.encode())
     for part in parts:
-        chain = f"{chain}/{part.key}"
-        chains.append(chain)
+        chain.update(f"/{part.key}".encode())
+        chains.append(chain.intdigest())
     return chains
 
 
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -25,6 +25,8 @@
         tokens_per_ms: Prompt tokens that an engine reads in a millisecond.
         other_request_ms: Work of a waiting request of which only the count
             is known.
+        known_request_ms: Work of each request of any entry besides, where
+            entries share what they have.
         own_request_ms: Work of each of this entry's own requests besides.
         running_ms: What each running request slows a new one down by.
         held_ms: Cost of an engine that is kept free for an order.
@@ -39,6 +41,7 @@
 
     tokens_per_ms: float = 40.0
     other_request_ms: float = 85.0
+    known_request_ms: float = 5.0
     own_request_ms: float = 18.0
     running_ms: float = 1.0
     held_ms: float = 2_000.0
@@ -67,8 +70,8 @@
 
     prompt_tokens: int = 0
     shared_tokens: int = 0
-    chains: tuple[str, ...] = ()
-    affinity_key: str = ""
+    chains: tuple[int, ...] = ()
+    affinity_key: int = 0
     width: int = 1
     model: str = ""
     wanted_version: int = 0
@@ -195,7 +198,7 @@
 
 
 def ranked(
-    states: Sequence[target_book.TargetState], key: str
+    states: Sequence[target_book.TargetState], key: int
 ) -> list[target_book.TargetState]:
     """Returns the targets in the order that all entries prefer for a key."""
     if not key:
@@ -203,7 +206,7 @@
     return sorted(
         states,
         key=lambda state: xxhash.xxh3_64_intdigest(
-            f"{key}\0{state.target.target_id}".encode()
+            state.target.target_id.encode(), key
         ),
         reverse=True,
     )
@@ -222,13 +225,15 @@
         held = max(held, int(settings.affinity * work.shared_tokens))
     unread = max(0, work.prompt_tokens - held)
     own = len(state.outstanding_by_id)
-    running = own + state.others_running(now_ms)
-    wait_ms = (
-        (state.unread_tokens() + unread) / settings.tokens_per_ms
-        + state.others_waiting(now_ms) * settings.other_request_ms
-        + own * settings.own_request_ms
-        + running * settings.running_ms
-    )
+    wait_ms = (state.unread_tokens() + unread) / settings.tokens_per_ms
+    others = state.others(now_ms)
+    if others is not None:
+        wait_ms += others.unread_tokens / settings.tokens_per_ms
+        wait_ms += (own + others.requests) * settings.known_request_ms
+    else:
+        wait_ms += state.others_waiting(now_ms) * settings.other_request_ms
+        wait_ms += own * settings.own_request_ms
+        wait_ms += state.others_running(now_ms) * settings.running_ms
     cost_ms = wait_ms
     target = state.target
     if target.failure_domain != failure_domain:
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -13,6 +13,7 @@
 from lycheering.forward import application
 from lycheering.forward import attempt
 from lycheering.forward import choice
+from lycheering.forward import fleet_loads
 from lycheering.forward import forwarder
 from lycheering.forward import freshness
 from lycheering.forward import liveness
@@ -93,12 +94,16 @@
             self._counters,
             security.security_from(settings.wire, self._counters),
         )
+        self._identity = link.identity
         self._connections = wire_pool.ConnectionPool(link)
         self.control = control_client.ControlClient(
             settings.control_peers(), link, self._connections, self.view
         )
         self._fresh = freshness.Freshness(
-            self.control, self._direct.current_ms, self._share, self._clock
+            self.control, self._direct.current_ms, self._clock
+        )
+        self._loads = fleet_loads.FleetLoads(
+            self.control, self._book, self._identity, self._share, self._clock
         )
 
     def _join_forwarding(
@@ -116,7 +121,7 @@
             ),
             self.view,
             self._book,
-            attempt.Attempts(self._kept, dialect, self._clock),
+            attempt.Attempts(self._kept, self._book, dialect, self._clock),
             self._fresh.wait_current,
             settings.instance.failure_domain,
             self._clock,
@@ -153,8 +158,7 @@
         return self._forwarder.index is not None and self._fresh.is_current()
 
     def _share(self, entries: int) -> None:
-        # each control instance sees a part of the entries
-        self._forwarder.share(max(1, entries))
+        self._forwarder.share(entries)
 
     def _view_changed(self) -> None:
         fleet = self.view.fleet
@@ -171,6 +175,7 @@
         await self.control.start()
         await self._fresh.start()
         await self._liveness.start()
+        await self._loads.start()
         self._tasks.spawn(self._keep_house(), "entry:housekeeping")
         await self._metrics.start()
         await self.ready_web.start()
@@ -210,6 +215,7 @@
         await self.ready_web.stop()
         await self._metrics.stop()
         await self._tasks.cancel_all()
+        await self._loads.stop()
         await self._liveness.stop()
         await self._fresh.stop()
         await self.control.stop()
--- /dev/null
+++ b/src/lycheering/forward/fleet_loads.py
@@ -0,0 +1,112 @@
+"""Shares with the other entries what this one has at targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheering.app import api as app_api
+from lycheering.entry import control_client
+from lycheering.telemetry import logs
+from lycheering.wire import errors
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheering import clock
+    from lycheering.forward import target_book
+    from lycheering.wire import api as wire_api
+
+INTERVAL_MS = 100.0
+# exchanges become rarer in larger fleets, for the bytes that they take
+ENTRIES_AT_INTERVAL = 30
+EXCHANGE_TIMEOUT_MS = 400.0
+MAX_READS = 200
+
+_LOG = logs.get("loads")
+
+
+class FleetLoads(app_api.Part):
+    """Exchanges loads with control again and again."""
+
+    def __init__(
+        self,
+        control: control_client.ControlClient,
+        book: target_book.TargetBook,
+        identity: wire_api.Identity,
+        on_entries: Callable[[int], None],
+        time: clock.Clock,
+    ) -> None:
+        """Prepares the part.
+
+        Args:
+            control: The control instances.
+            book: What is known of targets.
+            identity: This entry.
+            on_entries: Told how many entries there are.
+            time: The clock.
+        """
+        self._entries = 1
+        self._on_entries = on_entries
+        self._control = control
+        self._book = book
+        self._identity = identity
+        self._clock = time
+        self._tasks = app_api.TaskOwner()
+        self._number = 0
+        self._epoch = ""
+        self._cursor = 0
+        self._is_shared = False
+
+    async def start(self) -> None:
+        """Begins to exchange."""
+        self._tasks.spawn(self._run(), "fleet_loads")
+
+    async def stop(self) -> None:
+        """Ends it."""
+        await self._tasks.cancel_all()
+
+    async def _run(self) -> None:
+        while True:
+            began_ms = self._clock.now_ms()
+            shared = await self._exchange()
+            if shared != self._is_shared:
+                _LOG.event("loads_shared" if shared else "loads_not_shared")
+            self._is_shared = shared
+            interval_ms = INTERVAL_MS * max(
+                1.0, self._entries / ENTRIES_AT_INTERVAL
+            )
+            spent_ms = self._clock.now_ms() - began_ms
+            await self._clock.sleep(max(10.0, interval_ms - spent_ms))
+
+    async def _exchange(self) -> bool:
+        self._number += 1
+        reads = self._book.take_reads(MAX_READS)
+        exchange = messages.LoadExchange(
+            self._identity.name,
+            self._identity.incarnation,
+            self._number,
+            self._book.own_loads(),
+            reads,
+            self._epoch,
+            self._cursor,
+        )
+        try:
+            reply = await self._control.call(exchange, EXCHANGE_TIMEOUT_MS)
+        except (
+            control_client.ControlUnavailableError,
+            errors.WireError,
+        ) as error:
+            _LOG.debug("exchange_failed", error=error)
+            return False
+        if not isinstance(reply, messages.LoadPicture):
+            return False
+        self._epoch = reply.epoch
+        self._cursor = reply.cursor
+        self._entries = max(1, reply.entries)
+        self._on_entries(self._entries)
+        self._book.take_picture(reply, self._clock.now_ms())
+        return True
+
+
+__all__ = ["FleetLoads"]
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -11,7 +11,6 @@
 from lycheering.forward import cached_parts
 from lycheering.forward import choice
 from lycheering.forward import job as jobs
-from lycheering.forward import prefix_heat
 from lycheering.forward import refusals
 from lycheering.retries import window
 from lycheering.routes import api as route_api
@@ -120,7 +119,6 @@
         self._random = random.Random()
         self._window_by_service: dict[str, window.SendWindow] = {}
         self._sharers = 1
-        self._heat = prefix_heat.PrefixHeat()
         self._named: dict[str, int] = {}
         self._named_ms_by_model: dict[str, float] = {}
         view.listen(self._view_changed)
@@ -263,8 +261,8 @@
         shared = in_parts - traits.parts[-1].tokens
         levels = chains[:-1] or chains
         now_ms = self._clock.now_ms()
-        self._heat.count(levels, prompt_tokens, now_ms)
-        affinity_key, width = self._heat.level(
+        self.book.heat.count(levels, prompt_tokens, now_ms)
+        affinity_key, width = self.book.heat.level(
             levels, len(self.book.of_service(service))
         )
         return choice.Work(
@@ -503,7 +501,7 @@
             reason=reason[:120],
             cost_ms=round(job.cost_ms),
             wait_ms=round(job.wait_ms),
-            prefix=job.work.affinity_key,
+            prefix=f"{job.work.affinity_key:016x}",
             load=job.load,
             shared=job.work.shared_tokens,
             unread=job.unread_tokens,
--- a/src/lycheering/forward/freshness.py
+++ b/src/lycheering/forward/freshness.py
@@ -13,8 +13,6 @@
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from lycheering import clock
 
 CONFIRM_INTERVAL_MS = 1_000
@@ -49,7 +47,6 @@
         self,
         control: control_client.ControlClient,
         current_ms: float,
-        on_entries: Callable[[int], None],
         time: clock.Clock,
     ) -> None:
         """Prepares the part.
@@ -57,13 +54,11 @@
         Args:
             control: The control instances.
             current_ms: How long a confirmation may be relied on.
-            on_entries: Told how many entries a control instance serves.
             time: The clock.
         """
         self.confirmed = Confirmation()
         self._control = control
         self._current_ms = current_ms * SAFE_PART
-        self._on_entries = on_entries
         self._clock = time
         self._tasks = app_api.TaskOwner()
         self._was_current = False
@@ -125,7 +120,6 @@
             model.PeerAddress(instance=peer.name, ip=peer.ip, port=peer.port)
             for peer in reply.control
         )
-        self._on_entries(reply.entries)
         return True
 
     def _note(self) -> None:
--- a/src/lycheering/forward/prefix_heat.py
+++ b/src/lycheering/forward/prefix_heat.py
@@ -23,13 +23,13 @@
     """
 
     def __init__(self) -> None:
-        self._heat_by_chain: dict[str, float] = collections.defaultdict(float)
+        self._heat_by_chain: dict[int, float] = collections.defaultdict(float)
         self._total = 0.0
         # grows with time, in place of shrinking every count
         self._scale = 1.0
         self._scaled_at_ms: float | None = None
 
-    def count(self, chains: Sequence[str], tokens: int, now_ms: float) -> None:
+    def count(self, chains: Sequence[int], tokens: int, now_ms: float) -> None:
         """Counts a request under each of its shared levels.
 
         Args:
@@ -43,13 +43,13 @@
         for chain in chains:
             self._heat_by_chain[chain] += amount
 
-    def share(self, chain: str) -> float:
+    def share(self, chain: int) -> float:
         """Returns the part of all work that a prefix takes."""
         if self._total <= 0:
             return 0.0
         return self._heat_by_chain.get(chain, 0.0) / self._total
 
-    def level(self, chains: Sequence[str], targets: int) -> tuple[str, int]:
+    def level(self, chains: Sequence[int], targets: int) -> tuple[int, int]:
         """Returns the level to keep together, and on how many targets.
 
         It is the outermost one that is not too hot for one target, so that
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from lycheering.fleet import records
 from lycheering.forward import cached_parts
+from lycheering.forward import prefix_heat
+from lycheering.wire import messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from lycheering import clock
     from lycheering.forward import api
@@ -19,6 +25,9 @@
 # how long requests of other entries, once told of, are taken to be there
 RUNNING_HALF_LIFE_MS = 1_500.0
 WAITING_HALF_LIFE_MS = 1_000.0
+# what other entries told is used for so long
+FRESH_PICTURE_MS = 500.0
+MAX_NEWS = 1_000
 FIRST_SUSPECT_MS = 300.0
 MAX_SUSPECT_MS = 4_000.0
 
@@ -68,6 +77,9 @@
         self.is_unreachable = False
         self.is_version_doubtful = False
         self._failures = 0
+        self.digest = xxhash.xxh3_64_intdigest(target.key.encode()) >> 16
+        self._others: messages.TargetLoad | None = None
+        self._others_ms = 0.0
         self._running = 0.0
         self._waiting = 0.0
         self._reported_ms = now_ms
@@ -121,6 +133,26 @@
         self._waiting = max(0.0, float(answer.waiting - own_waiting))
         self._reported_ms = now_ms
 
+    def take_others(self, load: messages.TargetLoad, now_ms: float) -> None:
+        """Takes over what all other entries have there."""
+        self._others = load
+        self._others_ms = now_ms
+
+    def others(self, now_ms: float) -> messages.TargetLoad | None:
+        """Returns what all other entries have there, if that is known."""
+        if now_ms - self._others_ms > FRESH_PICTURE_MS:
+            return None
+        return self._others
+
+    def own_load(self) -> messages.TargetLoad:
+        """Returns what this entry has there."""
+        return messages.TargetLoad(
+            self.digest,
+            self.unread_tokens(),
+            len(self.outstanding_by_id),
+            self.held_tokens(),
+        )
+
     def others_running(self, now_ms: float) -> float:
         """Returns how many requests of other entries it may run."""
         age_ms = now_ms - self._reported_ms
@@ -133,6 +165,15 @@
 
     def describe(self, now_ms: float) -> str:
         """Returns what is known of its load, for logs."""
+        others = self.others(now_ms)
+        if others is not None:
+            return (
+                f"own:{len(self.outstanding_by_id)}"
+                f",unread:{self.unread_tokens()}"
+                f",others:{others.requests}"
+                f",others_unread:{others.unread_tokens}"
+                f",age_ms:{now_ms - self._others_ms:.0f}"
+            )
         return (
             f"own:{len(self.outstanding_by_id)}"
             f",unread:{self.unread_tokens()}"
@@ -189,12 +230,17 @@
 
     Attributes:
         state_by_key: Each run of a target.
+        heat: The share of the work that each prefix takes.
     """
 
     def __init__(self, time: clock.Clock) -> None:
         self.state_by_key: dict[str, TargetState] = {}
+        self.heat = prefix_heat.PrefixHeat()
         self._clock = time
         self._states_by_service: dict[str, list[TargetState]] = {}
+        self._news: collections.deque[messages.PromptRead] = collections.deque(
+            maxlen=MAX_NEWS
+        )
 
     def update(
         self,
@@ -224,6 +270,46 @@
                     state.target.service, []
                 ).append(state)
 
+    def read(
+        self, state: TargetState, chains: Sequence[int], tokens: Sequence[int]
+    ) -> None:
+        """Counts a prompt as read by a target, and tells other entries."""
+        state.cached.add(chains, tokens)
+        if chains:
+            self._news.append(
+                messages.PromptRead(state.digest, tuple(chains), tuple(tokens))
+            )
+
+    def take_reads(self, most: int) -> tuple[messages.PromptRead, ...]:
+        """Returns prompts read that other entries were not told of."""
+        count = min(most, len(self._news))
+        return tuple(self._news.popleft() for _ in range(count))
+
+    def own_loads(self) -> tuple[messages.TargetLoad, ...]:
+        """Returns what this entry has at each target where it has any."""
+        return tuple(
+            state.own_load()
+            for state in self.state_by_key.values()
+            if state.outstanding_by_id
+        )
+
+    def take_picture(
+        self, picture: messages.LoadPicture, now_ms: float
+    ) -> None:
+        """Takes over what other entries have at targets and had read."""
+        load_by_target = {load.target: load for load in picture.loads}
+        state_by_digest = {
+            state.digest: state for state in self.state_by_key.values()
+        }
+        for digest, state in state_by_digest.items():
+            none = messages.TargetLoad(digest, 0, 0, 0)
+            state.take_others(load_by_target.get(digest, none), now_ms)
+        for read in picture.reads:
+            found = state_by_digest.get(read.target)
+            if found is not None:
+                found.cached.add(read.chains, read.tokens)
+            self.heat.count(read.chains[:-1], sum(read.tokens), now_ms)
+
     def of_service(self, service: str) -> list[TargetState]:
         """Returns the targets of a service that may get new work."""
         return self._states_by_service.get(service, [])
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -282,7 +282,8 @@
         second_send_ratio: Second sends to a service for each request to it.
         second_send_allowance: Second sends beyond those, of all entries.
         second_send_window_s: The time over which both are counted.
-        loads_at_once: Engines that load weights at one time.
+        loads_at_once: Engines that load weights at one time, at most; and
+            never more than a third of those that can be reached.
         hold_ms: How long an engine gets no new work before it loads.
         order_lease_ms: How long orders of an earlier holder may count.
         stop_grace_s: Time between the request to stop and the kill.
@@ -299,7 +300,7 @@
     second_send_ratio: Annotated[float, pydantic.Field(ge=0)] = 0.2
     second_send_allowance: Annotated[float, pydantic.Field(ge=0)] = 20.0
     second_send_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
-    loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 2
+    loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 8
     hold_ms: Annotated[int, pydantic.Field(ge=0)] = 450
     order_lease_ms: PositiveMs = 3_000
     stop_grace_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
--- a/src/lycheering/wire/messages/__init__.py
+++ b/src/lycheering/wire/messages/__init__.py
@@ -10,6 +10,10 @@
 from lycheering.wire.messages.envelope import PROTOCOL_VERSION
 from lycheering.wire.messages.envelope import Envelope
 from lycheering.wire.messages.envelope import Message
+from lycheering.wire.messages.loads import LoadExchange
+from lycheering.wire.messages.loads import LoadPicture
+from lycheering.wire.messages.loads import PromptRead
+from lycheering.wire.messages.loads import TargetLoad
 from lycheering.wire.messages.members import ControlPeer
 from lycheering.wire.messages.members import CountersFetch
 from lycheering.wire.messages.members import CountersReply
@@ -87,6 +91,8 @@
     "Hello",
     "HelloRequired",
     "InquiryResult",
+    "LoadExchange",
+    "LoadPicture",
     "LoadReport",
     "LogCall",
     "LogReply",
@@ -104,6 +110,7 @@
     "OrderTicket",
     "PROTOCOL_VERSION",
     "PeerStatus",
+    "PromptRead",
     "Reason",
     "Register",
     "Registered",
@@ -113,6 +120,7 @@
     "StatusFetch",
     "StatusReply",
     "Submit",
+    "TargetLoad",
     "TargetOrder",
     "TargetOrderKind",
     "TargetOrderReply",
--- a/src/lycheering/wire/messages/envelope.py
+++ b/src/lycheering/wire/messages/envelope.py
@@ -6,6 +6,7 @@
 
 from lycheering.fleet import whole
 from lycheering.wire.messages import common
+from lycheering.wire.messages import loads
 from lycheering.wire.messages import members
 from lycheering.wire.messages import orders
 from lycheering.wire.messages import requests
@@ -60,6 +61,8 @@
     | members.LogReply
     | members.CurrentFetch
     | members.Current
+    | loads.LoadExchange
+    | loads.LoadPicture
 )
 
 
--- a/src/lycheering/wire/messages/members.py
+++ b/src/lycheering/wire/messages/members.py
@@ -225,11 +225,9 @@
 
     Attributes:
         control: The members of the group of control instances.
-        entries: How many entries the group serves.
     """
 
     control: tuple[ControlPeer, ...]
-    entries: int = 1
 
 
 __all__ = [
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -80,7 +80,7 @@
             ),
             self.view,
             self.book,
-            attempt.Attempts(self.kept, platform, time),
+            attempt.Attempts(self.kept, self.book, platform, time),
             self._wait_current,
             "d1",
             time,
--- a/tests/helpers/direct_targets.py
+++ b/tests/helpers/direct_targets.py
@@ -66,7 +66,7 @@
         unread = max(0, tokens - self.cached.held_tokens(chains))
         begin_ms = max(arrived_ms, self.free_at_ms)
         self.free_at_ms = begin_ms + unread / self._tokens_per_ms
-        self.cached.add(chains, parts)
+        self.cached.add(chains, [part.tokens for part in parts])
         return self.free_at_ms
 
 
@@ -111,7 +111,8 @@
             at_ms, asked.prompt_tokens, unread, lambda: None
         )
         states[number].heard_ms = at_ms
-        states[number].cached.add(asked.chains, parts)
+        sizes = [part.tokens for part in parts]
+        states[number].cached.add(asked.chains, sizes)
         reading.append((done_ms, states[number], sent))
         waits.append(done_ms - at_ms)
     return waits
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -40,9 +40,9 @@
 
 @given("target {number:d} holds the shared parts of a prompt")
 def step_holds(context, number):
-    parts = direct_targets.PARTS[:-1]
+    sizes = [part.tokens for part in direct_targets.PARTS[:-1]]
     held = context.states[number - 1].cached
-    held.add(context.work.chains[:-1], parts)
+    held.add(context.work.chains[:-1], sizes)
 
 
 @given("target {number:d} has {tokens:d} tokens to read")
@@ -193,7 +193,7 @@
 
 def prompt(tokens):
     parts = (api.PromptPart(f"p{tokens}", tokens),)
-    return cached_parts.chains_of("", parts), parts
+    return cached_parts.chains_of("", parts), [tokens]
 
 
 @given("a cache of {most:d} tokens that read prompts of 400 and 500 tokens")
