Send nothing to engines on weights replaced long ago; fetch from engines alone

Change: requests go to outdated engines for 0.8 of the bound at most; an entry that started takes what it finds named for named long ago. Parts are fetched from the engine known to hold them, nothing is saved to the store.

--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -32,6 +32,7 @@
         held_ms: Cost of an engine that is kept free for an order.
         old_weights_ms: Cost of an engine on older weights.
         old_grace_ms: Time after new weights are named without that cost.
+        old_limit_ms: Time after which no request goes to older weights.
         suspect_ms: Cost of a target that failed of late.
         other_domain_ms: Cost of a target in another failure domain.
         affinity: Part of the shared parts that the first in the order of a
@@ -47,6 +48,7 @@
     held_ms: float = 2_000.0
     old_weights_ms: float = 600.0
     old_grace_ms: float = 1_200.0
+    old_limit_ms: float = 8_000.0
     suspect_ms: float = 5_000.0
     other_domain_ms: float = 2.0
     affinity: float = 0.8
@@ -122,7 +124,13 @@
         excluded: Keys of targets that are not asked again.
         now_ms: The time.
     """
-    able = [state for state in states if state.target.key not in excluded]
+    is_over = work.wanted_for_ms > settings.old_limit_ms
+    able = [
+        state
+        for state in states
+        if state.target.key not in excluded
+        and not (is_over and work.is_outdated(state))
+    ]
     if not able:
         return None
     first = ranked(_fit(able, work, settings, now_ms), work.affinity_key)[
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -36,6 +36,8 @@
     from lycheering.forward import api
     from lycheering.settings import model
 
+# the rest is for a request's way to its start
+OLD_WEIGHTS_PART = 0.8
 READY_PATH = "/health/ready"
 HOUSEKEEPING_MS = 500
 DRAIN_POLL_MS = 20
@@ -112,7 +114,9 @@
         direct = self._direct
         self._forwarder = forwarder.Forwarder(
             forwarder.ForwardSettings(
-                choice.ChoiceSettings(),
+                choice.ChoiceSettings(
+                    old_limit_ms=OLD_WEIGHTS_PART * direct.old_weights_ms
+                ),
                 window.WindowSettings(
                     direct.second_send_ratio,
                     direct.second_send_allowance,
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -34,6 +34,7 @@
 # how long a request waits for control to confirm that settings are current
 CURRENT_WAIT_MS = 600.0
 CURRENT_WAIT_PART = 0.2
+NAMED_BEFORE_MS = float("-inf")
 
 _LOG = logs.get("forward")
 
@@ -132,9 +133,12 @@
     def _view_changed(self) -> None:
         fleet = self._view.fleet
         for model, version in fleet.version_by_model.items():
-            if self._named.get(model) != version:
-                self._named[model] = version
-                self._named_ms_by_model[model] = self._clock.now_ms()
+            if self._named.get(model) == version:
+                continue
+            self._named[model] = version
+            # what was named before this process started was long ago
+            named_ms = self._clock.now_ms() if self.index else NAMED_BEFORE_MS
+            self._named_ms_by_model[model] = named_ms
         table = fleet.route_table
         if table is None:
             return
@@ -375,7 +379,6 @@
         return dataclasses.replace(
             sending,
             fetch_from=self._fetch_from(job, estimate),
-            save_to=self._save_to(job, estimate),
         )
 
     def _is_version_doubtful(
@@ -395,32 +398,10 @@
             job.work,
             self._clock.now_ms(),
         )
-        store = self._store_address()
-        shared = job.work.chains[:-1]
         if source is None:
             return ""
-        if store and source.cached.held_tokens(shared) < (
-            job.work.shared_tokens
-        ):
-            return store
         return f"{source.target.ip}:{source.target.port}"
 
-    def _save_to(self, job: jobs.Job, estimate: choice.Estimate) -> str:
-        """Returns the store that is to keep shared parts, if any is."""
-        shared = job.work.chains[:-1]
-        held = estimate.state.cached.held_tokens(shared)
-        if not shared or held >= job.work.shared_tokens:
-            return ""
-        return self._store_address()
-
-    def _store_address(self) -> str:
-        if self.index is None:
-            return ""
-        for service in self.index.table.services:
-            if service.store_address:
-                return service.store_address
-        return ""
-
     def _may_send_again(self, job: jobs.Job, outcome: attempts.Outcome) -> bool:
         if outcome.result is attempts.Result.TIMEOUT:
             return False
--- a/src/lycheering/platform/documents.py
+++ b/src/lycheering/platform/documents.py
@@ -10,7 +10,6 @@
 from lycheering.fleet import view
 from lycheering.routes import api as route_api
 
-# each document is at least this large in JSON, so less was cut off
 MAX_FINDINGS = 20
 
 
@@ -88,8 +87,6 @@
     name: str
     max_connections: int = 0
     engine: _Engine | None = None
-    # set for the store of kept KV cache, which is on no list
-    kv_store_addr: str = ""
 
     def record(self) -> route_api.Service:
         """Returns the service in the product's terms."""
@@ -100,9 +97,7 @@
                 self.engine.kv_capacity_tokens,
                 tuple(model.name for model in self.engine.models),
             )
-        return route_api.Service(
-            self.name, self.max_connections, engine, self.kv_store_addr
-        )
+        return route_api.Service(self.name, self.max_connections, engine)
 
 
 class _Limits(_Document):
--- a/src/lycheering/routes/records.py
+++ b/src/lycheering/routes/records.py
@@ -83,13 +83,11 @@
         name: The service's name.
         max_connections: Connections that one target accepts from all.
         engine: What its engines can hold; None for a plain service.
-        store_address: Where the kept-KV store listens, if it is one.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineTraits | None = None
-    store_address: str = ""
 
 
 class KeyedTeam(msgspec.Struct, frozen=True, array_like=True):
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -285,6 +285,8 @@
         loads_at_once: Engines that load weights at one time, at most; and
             never more than a third of those that can be reached.
         hold_ms: How long an engine gets no new work before it loads.
+        old_weights_ms: How long requests may go to engines on older weights
+            after newer ones were named.
         order_lease_ms: How long orders of an earlier holder may count.
         stop_grace_s: Time between the request to stop and the kill.
         founds_group: Whether this is the first start of the deployment.
@@ -302,6 +304,7 @@
     second_send_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
     loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 8
     hold_ms: Annotated[int, pydantic.Field(ge=0)] = 450
+    old_weights_ms: PositiveMs = 10_000
     order_lease_ms: PositiveMs = 3_000
     stop_grace_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
     founds_group: bool = False
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -39,7 +39,13 @@
       | is held for an order         |
       | failed just now              |
       | can't be reached             |
-      | has had old weights too long |
+
+  Scenario: No request goes to older weights once newer ones are long named
+    Given 3 direct targets
+    And target 1 has had old weights too long
+    And the other targets are tried already
+    When a target is chosen for the prompt
+    Then no target is chosen
 
   Scenario: All entries prefer the same target for a prefix that none knows
     Given 6 direct targets
@@ -93,3 +99,33 @@
     And the same load is placed by prefix alone
     Then 95 in 100 first tokens of the choice come within 1000 ms
     And 95 in 100 first tokens by prefix alone do not
+
+  Scenario: The loads of all entries meet at control and come back
+    Given a hub of loads and 3 entries
+    When entries 1 and 2 tell what they have at a target
+    Then entry 3 learns the sum, and entry 1 the part of entry 2
+
+  Scenario: An entry that says nothing any more counts no more
+    Given a hub of loads and 3 entries
+    When entries 1 and 2 tell what they have at a target
+    And 1500 ms pass
+    Then entry 3 learns of no load
+
+  Scenario: Each read is told to each other entry once
+    Given a hub of loads and 3 entries
+    When entry 1 tells of 500 reads
+    Then entry 2 learns of 500 reads in two exchanges
+    And entry 1 learns of 0 reads
+
+  Scenario: An exchange that comes twice counts once
+    Given a hub of loads and 3 entries
+    When entry 1 tells of 10 reads
+    And its exchange comes once more
+    Then entry 2 learns of 10 reads in two exchanges
+
+  Scenario: A new leader begins anew and nothing is taken for told
+    Given a hub of loads and 3 entries
+    When entry 1 tells of 10 reads
+    And another hub takes over
+    And entry 1 tells of 20 reads
+    Then entry 2 learns of 20 reads in two exchanges
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -25,7 +25,7 @@
         work or context.work,
         SETTINGS,
         "d0",
-        (),
+        getattr(context, "tried", ()),
         NOW_MS,
     )
 
@@ -83,6 +83,16 @@
     state.begin(NOW_MS - silence_ms, 1, 1, lambda: None)
 
 
+@given("the other targets are tried already")
+def step_tried(context):
+    context.tried = {state.target.key for state in context.states[1:]}
+
+
+@then("no target is chosen")
+def step_none(context):
+    assert context.estimate is None
+
+
 @when("a target is chosen for the prompt")
 def step_choose(context):
     context.estimate = chosen(context)
--- /dev/null
+++ b/tests/steps/load_hub_steps.py
@@ -0,0 +1,86 @@
+"""Steps for the exchange of loads between entries."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering import clock
+from lycheering.control.direct import load_hub
+from lycheering.wire import messages
+
+TARGET = 7
+
+
+def exchange(context, entry, loads=(), reads=()):
+    context.numbers[entry] = context.numbers.get(entry, 0) + 1
+    epoch, cursor = context.cursors.get(entry, ("", 0))
+    context.last = messages.LoadExchange(
+        f"e{entry}", "i", context.numbers[entry], loads, reads, epoch, cursor
+    )
+    picture = context.hub.answer(context.last)
+    context.cursors[entry] = (picture.epoch, picture.cursor)
+    return picture
+
+
+@given("a hub of loads and 3 entries")
+def step_hub(context):
+    context.time = clock.ManualClock()
+    context.hub = load_hub.LoadHub(context.time)
+    context.numbers = {}
+    context.cursors = {}
+
+
+@when("entries 1 and 2 tell what they have at a target")
+def step_tell(context):
+    exchange(context, 1, (messages.TargetLoad(TARGET, 100, 1, 200),))
+    exchange(context, 2, (messages.TargetLoad(TARGET, 30, 2, 40),))
+
+
+@when("{wait_ms:d} ms pass")
+def step_pass(context, wait_ms):
+    context.time.advance(wait_ms)
+
+
+@when("entry {entry:d} tells of {count:d} reads")
+def step_reads(context, entry, count):
+    reads = tuple(
+        messages.PromptRead(TARGET, (number,), (10,)) for number in range(count)
+    )
+    exchange(context, entry, reads=reads)
+
+
+@when("its exchange comes once more")
+def step_again(context):
+    context.hub.answer(context.last)
+
+
+@when("another hub takes over")
+def step_other(context):
+    context.hub = load_hub.LoadHub(context.time)
+
+
+@then("entry 3 learns the sum, and entry 1 the part of entry 2")
+def step_sum(context):
+    (total,) = exchange(context, 3).loads
+    assert total == messages.TargetLoad(TARGET, 130, 3, 240), total
+    (part,) = exchange(context, 1).loads
+    assert part == messages.TargetLoad(TARGET, 30, 2, 40), part
+
+
+@then("entry 3 learns of no load")
+def step_no_load(context):
+    assert exchange(context, 3).loads == ()
+
+
+@then("entry {entry:d} learns of {count:d} reads in two exchanges")
+def step_learns(context, entry, count):
+    got = [*exchange(context, entry).reads, *exchange(context, entry).reads]
+    assert len(got) == count, len(got)
+    assert exchange(context, entry).reads == ()
+
+
+@then("entry {entry:d} learns of {count:d} reads")
+def step_learns_none(context, entry, count):
+    assert len(exchange(context, entry).reads) == count
--- a/tests/steps/translation_steps.py
+++ b/tests/steps/translation_steps.py
@@ -177,7 +177,7 @@
     assert [share.weight for share in stream.shares] == [9, 1]
     assert stream.is_resumable
     assert made.services[1].engine.models == ("m",)
-    assert made.services[2].store_address == "10.0.0.1:80"
+    assert len(made.services) == 3
     assert made.teams[0].is_isolated
     assert len(made.teams[0].key_digests) == 2
     assert made.limits.max_body_bytes == 2
