--- a/src/lycheering/control/commands.py
+++ b/src/lycheering/control/commands.py
@@ -229,10 +229,12 @@
     Attributes:
         model: The model.
         version: The weights version.
+        wall_ms: Wall-clock time at the proposer.
     """
 
     model: str
     version: int
+    wall_ms: int = 0
 
 
 class ChangeDirectTargets(msgspec.Struct, frozen=True, array_like=True, tag=32):
--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -271,7 +271,7 @@
                 self._counters,
             ),
             web_server.WebServer(
-                direct.operator(route_desk.RouteDesk(self.group)),
+                direct.operator(route_desk.RouteDesk(self.group, self._clock)),
                 ip,
                 int(port),
             ),
--- a/src/lycheering/control/direct/route_desk.py
+++ b/src/lycheering/control/direct/route_desk.py
@@ -8,6 +8,7 @@
 from lycheering.routes import api as route_api
 
 if TYPE_CHECKING:
+    from lycheering import clock
     from lycheering.control import replica
     from lycheering.routes import records
 
@@ -27,8 +28,9 @@
 class RouteDesk:
     """Takes route tables and weights on any control instance."""
 
-    def __init__(self, group: replica.Replica) -> None:
+    def __init__(self, group: replica.Replica, time: clock.Clock) -> None:
         self._group = group
+        self._clock = time
 
     async def put_table(self, table: records.RouteTable, source: bytes) -> bool:
         """Puts a route table in force, unless one as new is.
@@ -66,7 +68,7 @@
             OutcomeUnknownError: It may or may not take effect.
         """
         reply = await self._group.propose_anywhere(
-            commands.NameWeights(model, version)
+            commands.NameWeights(model, version, self._clock.wall_ms())
         )
         return isinstance(reply, commands.Applied) and reply.changed
 
--- a/src/lycheering/control/machine.py
+++ b/src/lycheering/control/machine.py
@@ -139,8 +139,8 @@
                 return commands.FenceGranted(self.highest_fence)
             case commands.PutRouteTable():
                 return self._put_table(command)
-            case commands.NameWeights(model, version):
-                return self._name_weights(model, version)
+            case commands.NameWeights():
+                return self._name_weights(command)
             case commands.ChangeDirectTargets():
                 return self._change_direct_targets(command)
             case commands.TakeDirectOrders(holder):
@@ -158,10 +158,14 @@
         self.fleet.make(changes.RouteTablePut(command.table), by_operator=True)
         return commands.Applied(True)
 
-    def _name_weights(self, model: str, version: int) -> commands.Reply:
-        if version <= self.fleet.version_by_model.get(model, 0):
+    def _name_weights(self, command: commands.NameWeights) -> commands.Reply:
+        held = self.fleet.version_by_model.get(command.model, 0)
+        if command.version <= held:
             return commands.Applied(False)
-        self.fleet.make(changes.WeightsNamed(model, version), by_operator=True)
+        named = changes.WeightsNamed(
+            command.model, command.version, command.wall_ms
+        )
+        self.fleet.make(named, by_operator=True)
         return commands.Applied(True)
 
     def _change_direct_targets(
--- a/src/lycheering/fleet/changes.py
+++ b/src/lycheering/fleet/changes.py
@@ -119,10 +119,12 @@
     Attributes:
         model: The model.
         version: The weights version.
+        wall_ms: Wall-clock time at the instance that was told.
     """
 
     model: str
     version: int
+    wall_ms: int = 0
 
 
 Change = (
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -62,6 +62,7 @@
         route_table: The route table in force, if any.
         direct_targets: The targets that entries reach by themselves.
         version_by_model: The weights wanted of each model.
+        named_wall_ms_by_model: When they were named, by the wall clock.
     """
 
     view_revision: int
@@ -74,6 +75,7 @@
     route_table: route_records.RouteTable | None = None
     direct_targets: tuple[records.DirectTarget, ...] = ()
     version_by_model: dict[str, int] = {}
+    named_wall_ms_by_model: dict[str, int] = {}
 
 
 class ViewGapError(Exception):
@@ -99,6 +101,7 @@
         route_table: The route table in force, if any.
         direct_target_by_key: Targets that entries reach by themselves.
         version_by_model: The weights wanted of each model.
+        named_wall_ms_by_model: When they were named, by the wall clock.
     """
 
     def __init__(self) -> None:
@@ -112,6 +115,7 @@
         self.route_table: route_records.RouteTable | None = None
         self.direct_target_by_key: dict[str, records.DirectTarget] = {}
         self.version_by_model: dict[str, int] = {}
+        self.named_wall_ms_by_model: dict[str, int] = {}
         self._team_by_digest: dict[str, records.Team] = {}
         self._value_by_scope_by_option: dict[
             str, dict[records.Scope, options.OptionValue]
@@ -138,6 +142,7 @@
             self.route_table,
             tuple(self.direct_target_by_key.values()),
             dict(self.version_by_model),
+            dict(self.named_wall_ms_by_model),
         )
 
     def restore(self, snapshot: ViewSnapshot) -> bool:
@@ -167,6 +172,7 @@
             target.key: target for target in snapshot.direct_targets
         }
         self.version_by_model = dict(snapshot.version_by_model)
+        self.named_wall_ms_by_model = dict(snapshot.named_wall_ms_by_model)
         self._recent.clear()
         self._index_teams()
         self._index_exceptions()
@@ -287,8 +293,9 @@
                 self.direct_target_by_key[target.key] = target
             case changes.DirectTargetRemoved(key):
                 self.direct_target_by_key.pop(key, None)
-            case changes.WeightsNamed(model, version):
+            case changes.WeightsNamed(model, version, wall_ms):
                 self.version_by_model[model] = version
+                self.named_wall_ms_by_model[model] = wall_ms
 
     def _drop_digests(self, team_name: str) -> None:
         team = self.team_by_name.get(team_name)
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -97,12 +97,14 @@
         state: The target.
         cost_ms: What the choice goes by.
         wait_ms: Time to the start of the answer.
+        queue_ms: The part of it before the request itself is read.
         unread_tokens: Tokens that it would have to read.
     """
 
     state: target_book.TargetState
     cost_ms: float
     wait_ms: float
+    queue_ms: float
     unread_tokens: int
 
 
@@ -233,15 +235,16 @@
         held = max(held, int(settings.affinity * work.shared_tokens))
     unread = max(0, work.prompt_tokens - held)
     own = len(state.outstanding_by_id)
-    wait_ms = (state.unread_tokens() + unread) / settings.tokens_per_ms
+    queue_ms = state.unread_tokens() / settings.tokens_per_ms
     others = state.others(now_ms)
     if others is not None:
-        wait_ms += others.unread_tokens / settings.tokens_per_ms
-        wait_ms += (own + others.requests) * settings.known_request_ms
+        queue_ms += others.unread_tokens / settings.tokens_per_ms
+        queue_ms += (own + others.requests) * settings.known_request_ms
     else:
-        wait_ms += state.others_waiting(now_ms) * settings.other_request_ms
-        wait_ms += own * settings.own_request_ms
-        wait_ms += state.others_running(now_ms) * settings.running_ms
+        queue_ms += state.others_waiting(now_ms) * settings.other_request_ms
+        queue_ms += own * settings.own_request_ms
+        queue_ms += state.others_running(now_ms) * settings.running_ms
+    wait_ms = queue_ms + unread / settings.tokens_per_ms
     cost_ms = wait_ms
     target = state.target
     if target.failure_domain != failure_domain:
@@ -254,7 +257,7 @@
     if state.is_suspect(now_ms):
         cost_ms += settings.suspect_ms
     cost_ms += max(0.0, state.silent_ms(now_ms) - settings.silence_ms)
-    return Estimate(state, cost_ms, wait_ms, unread)
+    return Estimate(state, cost_ms, wait_ms, queue_ms, unread)
 
 
 __all__ = [
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -36,8 +36,8 @@
     from lycheering.forward import api
     from lycheering.settings import model
 
-# the rest is for a request's way to its start
-OLD_WEIGHTS_PART = 0.8
+# the rest is for a request's way to its start and for clocks that differ
+OLD_WEIGHTS_PART = 0.7
 READY_PATH = "/health/ready"
 HOUSEKEEPING_MS = 500
 DRAIN_POLL_MS = 20
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -12,6 +12,7 @@
 from lycheering.forward import choice
 from lycheering.forward import job as jobs
 from lycheering.forward import refusals
+from lycheering.forward import turn_away
 from lycheering.retries import window
 from lycheering.routes import api as route_api
 from lycheering.telemetry import logs
@@ -34,7 +35,6 @@
 # how long a request waits for control to confirm that settings are current
 CURRENT_WAIT_MS = 600.0
 CURRENT_WAIT_PART = 0.2
-NAMED_BEFORE_MS = float("-inf")
 
 _LOG = logs.get("forward")
 
@@ -46,10 +46,12 @@
     Attributes:
         choice: Weights of the choice of a target.
         second_sends: Bound on second sends to a service.
+        turn_away: How long the queue at engines may get.
     """
 
     choice: choice.ChoiceSettings
     second_sends: window.WindowSettings
+    turn_away: turn_away.TurnAwaySettings = turn_away.TurnAwaySettings()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,9 +138,7 @@
             if self._named.get(model) == version:
                 continue
             self._named[model] = version
-            # what was named before this process started was long ago
-            named_ms = self._clock.now_ms() if self.index else NAMED_BEFORE_MS
-            self._named_ms_by_model[model] = named_ms
+            self._named_ms_by_model[model] = self._named_ms(model)
         table = fleet.route_table
         if table is None:
             return
@@ -148,6 +148,15 @@
             fleet.direct_target_by_key.values(), self.index.service_by_name
         )
 
+    def _named_ms(self, model: str) -> float:
+        """Returns when the weights wanted of a model were named."""
+        now_ms = self._clock.now_ms()
+        if self.index is not None:
+            return now_ms
+        # before this process started, which only the time of day tells
+        named_ms = self._view.fleet.named_wall_ms_by_model.get(model, 0)
+        return now_ms - max(0.0, self._clock.wall_ms() - named_ms)
+
     async def forward(self, arrival: Arrival, caller: callers.Caller) -> None:
         """Answers one request.
 
@@ -292,6 +301,8 @@
                 if job.failed_answer is None or job.caller.has_begun:
                     self._refuse_unplaced(job)
                 return await self._deliver_failure(job)
+            if not job.sends and job.traits.model:
+                self._turn_away(job, estimate)
             job.sending = self._sending(job, estimate)
             job.sent_ms = self._clock.now_ms()
             outcome = await self._sender.run(job, estimate, job.sending)
@@ -325,6 +336,22 @@
             attempts.Result.FAILED, job.failed_answer.status
         )
 
+    def _turn_away(self, job: jobs.Job, estimate: choice.Estimate) -> None:
+        """Refuses a request for which the queue is too long."""
+        retry_after_ms = turn_away.retry_after_ms(
+            estimate,
+            job.route.objective_ms,
+            job.priority,
+            self._settings.turn_away,
+            self._random,
+        )
+        if retry_after_ms is not None:
+            raise refusals.RefusalError(
+                refusals.Reason.OVERLOADED,
+                f"a queue of {estimate.queue_ms:.0f} ms",
+                retry_after_ms,
+            )
+
     def _refuse_unplaced(self, job: jobs.Job) -> None:
         """Raises what the caller gets when no target is left."""
         if job.caller.has_begun:
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -84,6 +84,15 @@
     Given the work of 200 prompts of which 160 are of one prefix
     Then that prefix is spread over more than 4 of 6 targets
 
+  Scenario: In overload most are answered on time, and the rest told to return
+    Given 6 direct targets
+    When a recorded overload of 12 s is placed with requests turned away
+    And the same overload is placed with none turned away
+    Then at least half of all first tokens come within 1000 ms
+    And with none turned away fewer than a third do
+    And no request was turned away while its queue was short
+    And the largest are turned away no more often than twice all
+
   Scenario: A cache forgets what was unused for longest
     Given a cache of 1000 tokens that read prompts of 400 and 500 tokens
     When it reads a prompt of 300 tokens
--- a/tests/helpers/direct_targets.py
+++ b/tests/helpers/direct_targets.py
@@ -70,14 +70,16 @@
         return self.free_at_ms
 
 
-def recorded_load(seed=7, duration_ms=12_000.0):
+def recorded_load(seed=7, duration_ms=12_000.0, factor=1.0):
     """Returns arrivals: a calm load with a burst of one prefix."""
     randomness = random.Random(seed)
     arrivals = []
     now_ms = 0.0
     while now_ms < duration_ms:
         burst = 4_000 <= now_ms < 7_000
-        now_ms += randomness.expovariate(0.038 * (1.7 if burst else 1.0))
+        now_ms += randomness.expovariate(
+            0.038 * factor * (1.7 if burst else 1.0)
+        )
         hot = burst and randomness.random() < 0.4
         inner = "hot" if hot else f"i{randomness.randrange(80)}"
         parts = (
@@ -103,7 +105,11 @@
             item[1].heard_ms = at_ms
             reading.remove(item)
         asked = work(parts)
-        number, unread = choose_target(states, asked, at_ms)
+        chosen = choose_target(states, asked, at_ms)
+        if chosen is None:
+            waits.append(None)
+            continue
+        number, unread = chosen
         done_ms = engines[number].run(
             at_ms, asked.chains, parts, asked.prompt_tokens
         )
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import statistics
 
 from behave import given
@@ -13,9 +14,11 @@
 from lycheering.forward import cached_parts
 from lycheering.forward import choice
 from lycheering.forward import prefix_heat
+from lycheering.forward import turn_away
 from tests.helpers import direct_targets
 
 NOW_MS = 10_000.0
+OBJECTIVE_MS = 1_000.0
 SETTINGS = choice.ChoiceSettings()
 
 
@@ -261,3 +264,66 @@
 def step_waits_alone(context):
     tail = statistics.quantiles(context.waits_alone, n=20)[-1]
     assert tail > 1_000, tail
+
+
+def place_overload(context, settings):
+    randomness = random.Random(1)
+
+    def by_choice(states, work, now_ms):
+        found = choice.choose(states, work, SETTINGS, "d0", (), now_ms)
+        away_ms = turn_away.retry_after_ms(
+            found, OBJECTIVE_MS, 1, settings, randomness
+        )
+        if away_ms is not None:
+            context.queues_away.append(found.queue_ms)
+            return None
+        return states.index(found.state), found.unread_tokens
+
+    return direct_targets.place(context.load, 6, by_choice)
+
+
+@when("a recorded overload of 12 s is placed with requests turned away")
+def step_overload(context):
+    context.load = direct_targets.recorded_load(factor=1.6)
+    context.queues_away = []
+    settings = turn_away.TurnAwaySettings()
+    context.waits = place_overload(context, settings)
+
+
+@when("the same overload is placed with none turned away")
+def step_overload_all(context):
+    everyone = turn_away.TurnAwaySettings(queue_part=1e9)
+    context.waits_all = place_overload(context, everyone)
+
+
+def on_time(waits):
+    met = [w for w in waits if w is not None and w <= OBJECTIVE_MS]
+    return len(met) / len(waits)
+
+
+@then("at least half of all first tokens come within 1000 ms")
+def step_half(context):
+    assert on_time(context.waits) >= 0.5, on_time(context.waits)
+
+
+@then("with none turned away fewer than a third do")
+def step_third(context):
+    assert on_time(context.waits_all) < 1 / 3, on_time(context.waits_all)
+
+
+@then("no request was turned away while its queue was short")
+def step_short(context):
+    assert context.queues_away
+    part = turn_away.TurnAwaySettings().queue_part
+    assert min(context.queues_away) > part * OBJECTIVE_MS
+
+
+@then("the largest are turned away no more often than twice all")
+def step_largest(context):
+    sizes = [sum(p.tokens for p in parts) for _, parts in context.load]
+    bound = statistics.quantiles(sizes, n=10)[-1]
+    pairs = list(zip(sizes, context.waits, strict=True))
+    large = [wait for size, wait in pairs if size >= bound]
+    share_large = sum(w is None for w in large) / len(large)
+    share_all = sum(w is None for w in context.waits) / len(context.waits)
+    assert share_large <= 2 * share_all, (share_large, share_all)
