--- a/src/lycheering/control/direct/member_intake.py
+++ b/src/lycheering/control/direct/member_intake.py
@@ -86,10 +86,6 @@
         """Ends it."""
         await self._tasks.cancel_all()
 
-    def learn(self, known: tuple[members.PeerAddress, ...]) -> None:
-        """Takes over other control instances to ask."""
-        self._known = known
-
     def _is_member(self) -> bool:
         status = self._group.log.status()
         return any(member.id == status.id for member in status.members)
--- a/src/lycheering/forward/api.py
+++ b/src/lycheering/forward/api.py
@@ -97,15 +97,11 @@
         kind: What it means for the request.
         running: Requests that it runs; None if it does not say.
         waiting: Requests that wait there.
-        slots: Requests that it can run at once.
-        weights_version: The version of its weights, 0 if it does not say.
     """
 
     kind: AnswerKind
     running: int | None = None
     waiting: int = 0
-    slots: int = 0
-    weights_version: int = 0
 
 
 class Dialect(abc.ABC):
@@ -150,10 +146,6 @@
     def request_id(self, headers: Headers) -> str:
         """Returns a request's id, empty where it has none."""
 
-    @abc.abstractmethod
-    def event_version(self, event: bytes) -> int:
-        """Returns the weights version that an event names, 0 for none."""
-
     @abc.abstractmethod
     def event_id(self, event: bytes) -> str:
         """Returns the id of an event of a stream; empty for none."""
--- a/src/lycheering/forward/application.py
+++ b/src/lycheering/forward/application.py
@@ -9,7 +9,7 @@
 import blacksheep
 
 from lycheering.forward import caller as callers
-from lycheering.forward import forwarder
+from lycheering.forward import intake as intakes
 from lycheering.forward import refusals
 from lycheering.telemetry import logs
 
@@ -18,6 +18,7 @@
 
     from lycheering import clock
     from lycheering.forward import api
+    from lycheering.forward import forwarder
     from lycheering.telemetry import counters
 
 _LOG = logs.get("forward")
@@ -38,6 +39,7 @@
     def __init__(
         self,
         forward: forwarder.Forwarder,
+        intake: intakes.Intake,
         dialect: api.Dialect,
         time: clock.Clock,
         counts: counters.Counters,
@@ -47,6 +49,7 @@
         self.open_requests = 0
         self.is_leaving = False
         self._forwarder = forward
+        self._intake = intake
         self._dialect = dialect
         self._clock = time
         self._counters = counts
@@ -68,7 +71,7 @@
             self.open_requests -= 1
 
     async def _answer(
-        self, arrival: forwarder.Arrival, caller: callers.Caller
+        self, arrival: intakes.Arrival, caller: callers.Caller
     ) -> None:
         try:
             self._check_head(arrival)
@@ -89,8 +92,8 @@
                     refusals.RefusalError(refusals.Reason.INTERNAL),
                 )
 
-    def _check_head(self, arrival: forwarder.Arrival) -> None:
-        index = self._forwarder.index
+    def _check_head(self, arrival: intakes.Arrival) -> None:
+        index = self._intake.index
         if index is None:
             return
         size = sum(len(n) + len(v) + 4 for n, v in arrival.headers)
@@ -99,7 +102,7 @@
 
     async def _refuse(
         self,
-        arrival: forwarder.Arrival,
+        arrival: intakes.Arrival,
         caller: callers.Caller,
         refusal: refusals.RefusalError,
     ) -> None:
@@ -130,9 +133,7 @@
         await caller.finish(body)
 
 
-def _arrival(
-    scope: MutableMapping[str, Any], now_ms: float
-) -> forwarder.Arrival:
+def _arrival(scope: MutableMapping[str, Any], now_ms: float) -> intakes.Arrival:
     headers = cast("api.Headers", scope["headers"])
     host = ""
     for name, value in headers:
@@ -144,9 +145,7 @@
     query = scope["query_string"]
     if query:
         target = f"{target}?{query.decode('latin-1')}"
-    return forwarder.Arrival(
-        scope["method"], host, path, target, headers, now_ms
-    )
+    return intakes.Arrival(scope["method"], host, path, target, headers, now_ms)
 
 
 __all__ = ["ForwardApplication"]
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -16,6 +16,7 @@
 from lycheering.forward import fleet_loads
 from lycheering.forward import forwarder
 from lycheering.forward import freshness
+from lycheering.forward import intake
 from lycheering.forward import liveness
 from lycheering.forward import target_book
 from lycheering.retries import window
@@ -112,6 +113,13 @@
         self, settings: model.Settings, dialect: api.Dialect
     ) -> None:
         direct = self._direct
+        self._intake = intake.Intake(
+            self.view,
+            self._book,
+            dialect,
+            self._fresh.wait_current,
+            self._clock,
+        )
         self._forwarder = forwarder.Forwarder(
             forwarder.ForwardSettings(
                 choice.ChoiceSettings(
@@ -124,16 +132,19 @@
                 ),
             ),
             self.view,
-            self._book,
+            self._intake,
             attempt.Attempts(self._kept, self._book, dialect, self._clock),
-            self._fresh.wait_current,
             settings.instance.failure_domain,
             self._clock,
             self._counters,
             self._times,
         )
         self._application = application.ForwardApplication(
-            self._forwarder, dialect, self._clock, self._counters
+            self._forwarder,
+            self._intake,
+            dialect,
+            self._clock,
+            self._counters,
         )
         self._liveness = liveness.Liveness(
             self._book, self._kept, self._clock, self._counters
@@ -159,7 +170,7 @@
         """Returns whether the balancer may send callers here."""
         if self._application.is_leaving:
             return False
-        return self._forwarder.index is not None and self._fresh.is_current()
+        return self._intake.index is not None and self._fresh.is_current()
 
     def _share(self, entries: int) -> None:
         self._forwarder.share(entries)
--- a/src/lycheering/platform/dialect.py
+++ b/src/lycheering/platform/dialect.py
@@ -22,7 +22,6 @@
 # in an answer: the worker that gave it did not run the request
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-instance-load"
-VERSIONS = b"x-weight-versions"
 
 TARGET_ID = b"x-expect-instance"
 TEAM = b"x-tenant"
@@ -69,7 +68,6 @@
 SCHEME = "bearer"
 OTHER_TARGET_STATUS = 421
 MAX_PRIORITY = 9
-# a request with no rank of its own ranks here at a target
 MS_PER_S = 1_000.0
 
 
@@ -140,15 +138,8 @@
             kind = api.AnswerKind.OTHER_TARGET
         elif head.get(NOT_RUN) and head.status in (429, 503):
             kind = api.AnswerKind.NOT_RUN
-        running, waiting, slots = _load(head.get(LOAD))
-        version = head.get(VERSIONS)
-        return api.AnswerTraits(
-            kind,
-            running,
-            waiting,
-            slots,
-            int(version) if version.isdigit() else 0,
-        )
+        running, waiting = _load(head.get(LOAD))
+        return api.AnswerTraits(kind, running, waiting)
 
     def caller_headers(self, headers: api.Headers) -> api.Headers:
         """Returns the headers of an answer that its caller gets."""
@@ -180,11 +171,6 @@
         """Returns the id of an event of a stream; empty for none."""
         return event_stream.field(event, b"id")
 
-    def event_version(self, event: bytes) -> int:
-        """Returns the weights version that an event names, 0 for none."""
-        text = event_stream.field(event, VERSIONS)
-        return int(text) if text.isdigit() else 0
-
 
 def _single(headers: api.Headers) -> dict[bytes, str]:
     """Returns the first value of each header."""
@@ -244,13 +230,12 @@
     return tuple(parts)
 
 
-def _load(text: str) -> tuple[int | None, int, int]:
-    """Reads the requests running, those waiting, and the slots."""
+def _load(text: str) -> tuple[int | None, int]:
+    """Reads the requests running and those waiting, without the slots."""
     numbers = text.split(",")
     if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
-        return None, 0, 0
-    running, waiting, slots = (int(number) for number in numbers)
-    return running, waiting, slots
+        return None, 0
+    return int(numbers[0]), int(numbers[1])
 
 
 __all__ = ["PlatformDialect"]
--- a/src/lycheering/web/kept_connections.py
+++ b/src/lycheering/web/kept_connections.py
@@ -76,20 +76,9 @@
 
 
 class KeptConnection:
-    """A connection that carries one exchange after another.
+    """A connection that carries one exchange after another."""
 
-    Attributes:
-        origin: The target's address.
-        is_fresh: Whether no exchange was made on it yet.
-    """
-
-    def __init__(
-        self,
-        origin: client.Origin,
-        stream: byte_stream.ByteStream,
-    ) -> None:
-        self.origin = origin
-        self.is_fresh = True
+    def __init__(self, stream: byte_stream.ByteStream) -> None:
         self._stream = stream
         self._collector = _Collector()
         self._parser = httptools.HttpResponseParser(self._collector)
@@ -249,7 +238,7 @@
         socket = stream.transport.get_extra_info("socket")
         keepalive.notice_dead_peers(socket, PROBES)
         self.opened += 1
-        return KeptConnection(origin, stream)
+        return KeptConnection(stream)
 
     def give_back(self, key: str, connection: KeptConnection) -> None:
         """Keeps a connection after an exchange, or closes it."""
@@ -257,7 +246,6 @@
         if idle_ms <= 0:
             connection.close()
             return
-        connection.is_fresh = False
         self._keep(key, connection, idle_ms)
 
     def keep_fresh(self, key: str, connection: KeptConnection) -> None:
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -14,6 +14,7 @@
 from lycheering.forward import attempt
 from lycheering.forward import choice
 from lycheering.forward import forwarder
+from lycheering.forward import intake
 from lycheering.forward import liveness
 from lycheering.forward import target_book
 from lycheering.platform import dialect
@@ -73,15 +74,17 @@
         self.kept = kept_connections.KeptConnections(time)
         self.book = target_book.TargetBook(time)
         platform = dialect.PlatformDialect()
+        self.intake = intake.Intake(
+            self.view, self.book, platform, self._wait_current, time
+        )
         self.forwarder = forwarder.Forwarder(
             forwarder.ForwardSettings(
                 choice.ChoiceSettings(),
                 window.WindowSettings(0.2, allowance, 10_000.0),
             ),
             self.view,
-            self.book,
+            self.intake,
             attempt.Attempts(self.kept, self.book, platform, time),
-            self._wait_current,
             "d1",
             time,
             self.counters,
@@ -91,7 +94,7 @@
             self.book, self.kept, time, self.counters
         )
         self.application = application.ForwardApplication(
-            self.forwarder, platform, time, self.counters
+            self.forwarder, self.intake, platform, time, self.counters
         )
         self.web = server.WebServer(self.application, HOST, 0, self.limits)
 
