--- a/bench/operator_calls.py
+++ b/bench/operator_calls.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import secrets
+import time
 
 from bench import json_calls
 
 OPERATOR = "bench"
+# how long a change that was not done is sent again, as its answer tells
+PATIENCE_S = 5.0
+PAUSE_S = 0.5
 
 
 class OperatorCalls:
@@ -41,6 +45,22 @@
                 failure = error
         raise failure
 
+    def _send(self, path: str, body: dict[str, object]) -> object:
+        """Sends a change until it is decided; its id makes it count once.
+
+        Raises:
+            json_calls.OperatorError: If it is refused, or not decided in time.
+            OSError: If no instance answers.
+        """
+        give_up_s = time.monotonic() + PATIENCE_S
+        while True:
+            try:
+                return self.operator(path, "POST", body)
+            except json_calls.OperatorError as error:
+                if error.status != 503 or time.monotonic() >= give_up_s:
+                    raise
+            time.sleep(PAUSE_S)
+
     def revision(self) -> int:
         """Returns the config revision in force at control."""
         reply = self.operator("/v1/defaults")
@@ -62,7 +82,7 @@
     ) -> object:
         """Sets a default for the whole fleet."""
         body = self.change("the bench's plan", option=option, value=value)
-        return self.operator("/v1/defaults", "POST", body)
+        return self._send("/v1/defaults", body)
 
     def add_exception(
         self,
@@ -79,7 +99,7 @@
             option=option,
             value=value,
         )
-        return self.operator("/v1/exceptions", "POST", body)
+        return self._send("/v1/exceptions", body)
 
 
 __all__ = ["OPERATOR", "OperatorCalls"]
