--- a/src/lycheering/settings/cross_check.py
+++ b/src/lycheering/settings/cross_check.py
@@ -45,6 +45,7 @@
                 _check_entry(document, section)
             case model.AgentSettings():
                 _check_agent(document, section)
+    _check_direct(document, section_by_name)
     _check_own_membership(document, section_by_name)
     _check_body_fits(document, section_by_name)
 
@@ -160,6 +161,22 @@
             document.add("agent", option, "only an engine has this")
 
 
+def _check_direct(
+    document: ini.Document, section_by_name: dict[str, model.Section]
+) -> None:
+    direct = section_by_name.get("direct")
+    if not isinstance(direct, model.DirectSettings):
+        return
+    needed: tuple[str, ...] = ()
+    if "entry" in section_by_name:
+        needed = ("caller_address", "ready_address")
+    elif "log_store" in section_by_name:
+        needed = ("operator_address", "list_address")
+    for option in needed:
+        if not getattr(direct, option):
+            document.add("direct", option, "this role needs it")
+
+
 def _check_own_membership(
     document: ini.Document, section_by_name: dict[str, model.Section]
 ) -> None:
--- a/tests/settings/findings.feature
+++ b/tests/settings/findings.feature
@@ -78,6 +78,19 @@
     When the settings are loaded
     Then the settings have one finding, of "", about "no role"
 
+  Scenario Outline: What a role needs where entries reach targets directly
+    Given a good settings file of "<section>"
+    When the settings option "<option>" of "direct" is set to "<value>"
+    And the settings are loaded
+    Then the settings have one finding, of "<finding>", about "<problem>"
+
+    Examples:
+      | section   | option           | value        | finding          | problem          |
+      | entry     | caller_address   | 10.0.0.1:80  | ready_address    | role needs it    |
+      | log_store | operator_address | 10.0.0.1:80  | list_address     | role needs it    |
+      | entry     | caller_address   | 10.0.0.1     | caller_address   | expected ip:port |
+      | entry     | caller_address   | there:80     | caller_address   | does not appear  |
+
   Scenario Outline: A file that is no INI is a finding: <text>
     Given a settings file that reads "<text>"
     When the settings are loaded
