--- a/tests/steps/translation_steps.py
+++ b/tests/steps/translation_steps.py
@@ -17,6 +17,7 @@
 from lycheering.platform import instance_list
 from lycheering.settings import model
 from lycheering.web import kept_connections
+from tests.helpers import platform_document
 from tests.support import scripted_http
 
 HEADERS = {
@@ -27,56 +28,6 @@
     "x-token-usage": "1460,80",
     "x-prefix-hash": "5c:800,91:410,e4:250",
 }
-DOCUMENT = {
-    "version": 7,
-    "routes": [
-        {
-            "name": "r",
-            "host": "one.test",
-            "path_prefix": "/a/",
-            "kind": "once",
-            "timeout_ms": 1500,
-            "objective_ms": 200,
-            "priority": 2,
-            "service": "s",
-            "max_sends": 1,
-            "is_public": False,
-        },
-        {
-            "name": "q",
-            "host": "one.test",
-            "path_prefix": "/b/",
-            "kind": "stream",
-            "timeout_ms": 1500,
-            "shares": [
-                {"service": "s", "weight": 9},
-                {"service": "e", "weight": 1},
-            ],
-            "is_resumable": True,
-        },
-    ],
-    "services": [
-        {"name": "s", "max_connections": 10},
-        {
-            "name": "e",
-            "engine": {
-                "slots": 64,
-                "kv_capacity_tokens": 1000,
-                "models": [{"name": "m"}],
-            },
-        },
-        {"name": "k", "kv_store_addr": "10.0.0.1:80"},
-    ],
-    "teams": [
-        {"name": "t", "keys": ["a", "b"], "priority": 1, "is_isolated": True}
-    ],
-    "limits": {
-        "max_header_bytes": 1,
-        "max_body_bytes": 2,
-        "header_timeout_ms": 3,
-        "idle_timeout_ms": 4,
-    },
-}
 PAGE = {
     "id": "i-1",
     "service": "s",
@@ -161,7 +112,9 @@
 
 @when("the platform's document is read")
 def step_document(context):
-    context.made = documents.read_table(json.dumps(DOCUMENT).encode())
+    context.made = documents.read_table(
+        json.dumps(platform_document.DOCUMENT).encode()
+    )
 
 
 @then("the table has its routes, services, teams and limits")
@@ -185,7 +138,7 @@
 
 @when("the platform's document {defect}")
 def step_defect(context, defect):
-    changed = json.loads(json.dumps(DOCUMENT))
+    changed = json.loads(json.dumps(platform_document.DOCUMENT))
     if defect == "lacks its routes":
         del changed["routes"]
     if defect == "has two fields of wrong type":
