--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -28,7 +28,6 @@
 LOAD_TIMEOUT_MS = 4_000  # a load with the others beside it ends before
 RETRY_MS = 250
 MAX_RETRY_MS = 1_500
-PLAIN_TARGET_VERSION = 0
 
 _LOG = logs.get("weights")
 
