Compare the engines of a prefix with a few others; refuse by the usual queue

What engines said with their answers equalled what entries knew of requests (26.2 of 26.4), but the unread tokens at the time of the answer were 66,000: in the 100 ms between two exchanges all 26 entries sent to the engines that had been free. Ruled out: fetches (the same waits without), the store's link, lists of loads that are wrong.

--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -38,6 +39,9 @@
         affinity: Part of the shared parts that the first in the order of a
             prefix is taken to hold when this entry does not know it.
         silence_ms: Silence that is no sign of a failure.
+        apart_ms: Cost of a target at which a prefix is not kept together.
+        compared: Part of the targets that a choice compares.
+        least_compared: The fewest targets that it compares.
     """
 
     tokens_per_ms: float = 40.0
@@ -53,6 +57,9 @@
     other_domain_ms: float = 2.0
     affinity: float = 0.8
     silence_ms: float = 500.0
+    apart_ms: float = 150.0
+    compared: float = 0.12
+    least_compared: int = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +90,11 @@
         """Returns whether a target has older weights than are wanted."""
         return self.version_at(state) < self.wanted_version
 
+    def is_held_at(self, state: target_book.TargetState) -> bool:
+        """Returns whether a target is known to hold all shared parts."""
+        held = state.cached.held_tokens(self.chains[:-1])
+        return held >= self.shared_tokens
+
     def version_at(self, state: target_book.TargetState) -> int:
         """Returns the weights version that a target has."""
         versions = state.target.version_by_model
@@ -115,6 +127,7 @@
     failure_domain: str,
     excluded: Collection[str],
     now_ms: float,
+    randomness: random.Random,
 ) -> Estimate | None:
     """Returns the target of least cost, or None if there is none.
 
@@ -125,6 +138,7 @@
         failure_domain: Where this entry is.
         excluded: Keys of targets that are not asked again.
         now_ms: The time.
+        randomness: Draws the targets that are compared.
     """
     is_over = work.wanted_for_ms > settings.old_limit_ms
     able = [
@@ -135,12 +149,14 @@
     ]
     if not able:
         return None
-    first = ranked(_fit(able, work, settings, now_ms), work.affinity_key)[
-        : work.width
-    ]
+    fit = _fit(able, work, settings, now_ms)
+    holder = max(fit, key=lambda state: state.cached.held_tokens(work.chains))
+    homes = ranked(fit, work.affinity_key)[: work.width]
+    if not any(work.is_held_at(state) for state in homes):
+        homes.append(holder)
     estimates = [
-        _estimate(state, work, settings, failure_domain, first, now_ms)
-        for state in able
+        _estimate(state, work, settings, failure_domain, homes, now_ms)
+        for state in [*homes, holder, *_drawn(fit, settings, randomness)]
     ]
     return min(estimates, key=lambda estimate: estimate.cost_ms)
 
@@ -189,6 +205,20 @@
     return outermost[0]
 
 
+def _drawn(
+    fit: Sequence[target_book.TargetState],
+    settings: ChoiceSettings,
+    randomness: random.Random,
+) -> Sequence[target_book.TargetState]:
+    """Returns the targets that are compared besides those of the prefix.
+
+    What is known of loads is some time old. If all entries compared all
+    targets, those that were free would get what all of them send in that time.
+    """
+    count = max(settings.least_compared, int(len(fit) * settings.compared))
+    return randomness.sample(fit, min(count, len(fit)))
+
+
 def _fit(
     able: Sequence[target_book.TargetState],
     work: Work,
@@ -227,11 +257,11 @@
     work: Work,
     settings: ChoiceSettings,
     failure_domain: str,
-    first: Collection[target_book.TargetState],
+    homes: Collection[target_book.TargetState],
     now_ms: float,
 ) -> Estimate:
     held = state.cached.held_tokens(work.chains)
-    if state in first:
+    if state in homes:
         held = max(held, int(settings.affinity * work.shared_tokens))
     unread = max(0, work.prompt_tokens - held)
     own = len(state.outstanding_by_id)
@@ -246,6 +276,8 @@
         queue_ms += state.others_running(now_ms) * settings.running_ms
     wait_ms = queue_ms + unread / settings.tokens_per_ms
     cost_ms = wait_ms
+    if work.affinity_key and state not in homes:
+        cost_ms += settings.apart_ms
     target = state.target
     if target.failure_domain != failure_domain:
         cost_ms += settings.other_domain_ms
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -12,6 +12,7 @@
 from lycheering.forward import intake as intakes
 from lycheering.forward import job as jobs
 from lycheering.forward import refusals
+from lycheering.forward import shared_parts
 from lycheering.forward import turn_away
 from lycheering.retries import window
 from lycheering.telemetry import logs
@@ -20,6 +21,7 @@
     from lycheering import clock
     from lycheering.fleet import holder
     from lycheering.forward import caller as callers
+    from lycheering.forward import target_book
     from lycheering.telemetry import counters
     from lycheering.telemetry import histograms
 
@@ -85,6 +87,9 @@
         self._counters = counts
         self._times = times
         self._random = random.Random()
+        self._usual_queue = turn_away.UsualQueue(
+            settings.turn_away.half_life_ms
+        )
         self._window_by_service: dict[str, window.SendWindow] = {}
         self._sharers = 1
 
@@ -136,6 +141,13 @@
                 return await self._deliver_failure(job)
             if not job.sends and job.traits.model:
                 self._turn_away(job, estimate)
+            job.shared_parts = shared_parts.plan(
+                self.book.of_service(job.service.name),
+                self.book.stores(),
+                estimate.state,
+                job.work,
+                self._clock.now_ms(),
+            )
             job.sending = self._sending(job, estimate)
             job.sent_ms = self._clock.now_ms()
             outcome = await self._sender.run(job, estimate, job.sending)
@@ -175,6 +187,7 @@
             estimate,
             job.route.objective_ms,
             job.route.priority,
+            self._usual_queue.see(estimate.queue_ms, self._clock.now_ms()),
             self._settings.turn_away,
             self._random,
         )
@@ -205,6 +218,7 @@
             self._failure_domain,
             job.tried,
             self._clock.now_ms(),
+            self._random,
         )
         if estimate is None:
             return None
@@ -233,12 +247,15 @@
         )
         if self._is_version_doubtful(job, estimate):
             # any weights will do, and no other request uses what it leaves
+            job.shared_parts = shared_parts.Plan()
             return dataclasses.replace(
                 sending, cache_scope=job.traits.request_id, weights_version=0
             )
+        plan = job.shared_parts
         return dataclasses.replace(
             sending,
-            fetch_from=self._fetch_from(job, estimate),
+            fetch_from=_address(plan.fetch_from),
+            save_to=_address(plan.store) if plan.saves else "",
         )
 
     def _is_version_doubtful(
@@ -250,18 +267,6 @@
         state = estimate.state
         return state.target.is_held or state.is_version_doubtful
 
-    def _fetch_from(self, job: jobs.Job, estimate: choice.Estimate) -> str:
-        """Returns where the target may fetch shared parts, if anywhere."""
-        source = choice.fetch_source(
-            self.book.of_service(job.service.name),
-            estimate.state,
-            job.work,
-            self._clock.now_ms(),
-        )
-        if source is None:
-            return ""
-        return f"{source.target.ip}:{source.target.port}"
-
     def _may_send_again(self, job: jobs.Job, outcome: attempts.Outcome) -> bool:
         if outcome.result is attempts.Result.TIMEOUT:
             return False
@@ -348,6 +353,7 @@
             unread=job.unread_tokens,
             weights=sending.weights_version if sending else 0,
             fetch=sending.fetch_from if sending else "",
+            save=sending.save_to if sending else "",
             sent_ms=round(job.sent_ms - job.arrived_ms),
             first_ms=round(first_ms),
             total_ms=round(total_ms),
@@ -355,4 +361,10 @@
         )
 
 
+def _address(state: target_book.TargetState | None) -> str:
+    if state is None:
+        return ""
+    return f"{state.target.ip}:{state.target.port}"
+
+
 __all__ = ["ForwardSettings", "Forwarder"]
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -138,3 +138,72 @@
     And another hub takes over
     And entry 1 tells of 20 reads
     Then entry 2 learns of 20 reads in two exchanges
+
+  Scenario: Entries with old loads do not all send to what was free
+    When 23 entries with loads 100 ms old place a load on 24 targets
+    And the same entries compare all targets
+    Then 85 in 100 first tokens come within 600 ms
+    And with all compared fewer than 85 in 100 do within 600 ms
+
+  Scenario: A queue that comes and goes turns nobody away
+    Given a usual queue with a half-life of 500 ms
+    When requests meet queues of 20 ms for 2000 ms
+    And requests meet queues of 350 ms for 100 ms
+    Then a queue of 350 ms is taken for a less urgent request
+
+  Scenario: A queue that stays turns less urgent requests away
+    Given a usual queue with a half-life of 500 ms
+    When requests meet queues of 20 ms for 2000 ms
+    And requests meet queues of 350 ms for 2000 ms
+    Then a queue of 350 ms is refused for a less urgent request
+    And a queue of 100 ms is taken for a less urgent request
+
+  Scenario: Shared parts that the store lacks are saved once
+    Given 4 direct targets
+    And a store of 100000 tokens
+    When target 3 is to run the prompt with the store
+    Then its parts are saved
+    When target 4 is to run the prompt with the store
+    Then its parts are not saved
+
+  Scenario: What engines had to drop comes from the store
+    Given 4 direct targets
+    And a store of 100000 tokens
+    And the store holds the prompt
+    When target 3 is to run the prompt with the store
+    Then it fetches from the store
+
+  Scenario: An engine that holds the shared parts is asked before the store
+    Given 4 direct targets
+    And a store of 100000 tokens
+    And the store holds the prompt
+    And target 2 holds the shared parts of a prompt
+    When target 3 is to run the prompt with the store
+    Then it fetches from target 2 and not from the store
+
+  Scenario: Parts read with older weights do not come from the store
+    Given 4 direct targets
+    And a store of 100000 tokens
+    And the store holds the prompt
+    And all targets have newer weights
+    When target 3 is to run the prompt with the store
+    Then it does not fetch from the store
+    And its parts are saved
+
+  Scenario Outline: Parts that are not worth moving are not saved
+    Given 4 direct targets
+    And a store of 100000 tokens
+    And a prompt with <shared> shared and <own> own tokens
+    When target 3 is to run the prompt with the store
+    Then its parts are <verdict>
+
+    Examples:
+      | shared | own  | verdict   |
+      | 5000   | 4900 | saved     |
+      | 5000   | 5100 | not saved |
+      | 900    | 100  | not saved |
+
+  Scenario: Without a store nothing is saved
+    Given 4 direct targets
+    When target 3 is to run the prompt with the store
+    Then its parts are not saved
--- a/tests/helpers/direct_targets.py
+++ b/tests/helpers/direct_targets.py
@@ -10,10 +10,12 @@
 from lycheering.forward import cached_parts
 from lycheering.forward import choice
 from lycheering.forward import target_book
+from lycheering.wire import messages
 
 SERVICE = "s"
 MODEL = "m"
 CACHE_TOKENS = 200_000
+EXCHANGE_MS = 100.0
 PARTS = (
     api.PromptPart("outer", 500),
     api.PromptPart("inner", 4_500),
@@ -21,14 +23,14 @@
 )
 
 
-def target(number, version=1, **fields):
+def target(number, version=1, slots=64, **fields):
     return records.DirectTarget(
         target_id=f"t{number}",
         service=SERVICE,
         ip="127.0.0.1",
         port=1_000 + number,
         failure_domain=f"d{number % 3}",
-        slots=64,
+        slots=slots,
         version_by_model={MODEL: version},
         **fields,
     )
@@ -124,11 +126,88 @@
     return waits
 
 
+def fleet_load(seed=11, duration_ms=12_000.0):
+    """Returns arrivals of a large fleet, four fifths of what it can read."""
+    randomness = random.Random(seed)
+    arrivals = []
+    now_ms = 0.0
+    while now_ms < duration_ms:
+        now_ms += randomness.expovariate(0.24)
+        if randomness.random() < 0.34:
+            inner = api.PromptPart(f"i{randomness.randrange(300)}", 4_900)
+            own = int(randomness.lognormvariate(8.0, 1.2))
+            outer = api.PromptPart("o", 500)
+        else:
+            inner = api.PromptPart(f"j{randomness.randrange(900)}", 230)
+            own = int(randomness.lognormvariate(6.8, 1.1))
+            outer = api.PromptPart(f"p{randomness.randrange(80)}", 340)
+        parts = (outer, inner, api.PromptPart(f"own{len(arrivals)}", own))
+        arrivals.append((now_ms, parts))
+    return arrivals
+
+
+def place_by_entries(arrivals, count, entries, choose_target):
+    """Returns the wait of each arrival at entries that share loads.
+
+    Each entry knows its own requests at once, and all others as they were at
+    the last exchange.
+    """
+    engines = [Engine() for _ in range(count)]
+    states_by_entry = [
+        [state(number) for number in range(count)] for _ in range(entries)
+    ]
+    randomness = random.Random(3)
+    reading = []
+    waits = []
+    exchanged_ms = 0.0
+    for at_ms, parts in arrivals:
+        for item in [item for item in reading if item[0] <= at_ms]:
+            item[1].end(item[2])
+            reading.remove(item)
+        if at_ms - exchanged_ms >= EXCHANGE_MS:
+            exchanged_ms = at_ms
+            _exchange(states_by_entry, at_ms)
+        states = states_by_entry[randomness.randrange(entries)]
+        asked = work(parts)
+        number, unread = choose_target(states, asked, at_ms)
+        done_ms = engines[number].run(
+            at_ms, asked.chains, parts, asked.prompt_tokens
+        )
+        sent = states[number].begin(
+            at_ms, asked.prompt_tokens, unread, lambda: None
+        )
+        states[number].heard_ms = at_ms
+        sizes = [part.tokens for part in parts]
+        for known in states_by_entry:
+            known[number].cached.add(asked.chains, sizes)
+        reading.append((done_ms, states[number], sent))
+        waits.append(done_ms - at_ms)
+    return waits
+
+
+def _exchange(states_by_entry, now_ms):
+    """Tells each entry what all others have at each target."""
+    for column in zip(*states_by_entry, strict=True):
+        loads = [item.own_load() for item in column]
+        unread = sum(load.unread_tokens for load in loads)
+        requests = sum(load.requests for load in loads)
+        for item, own in zip(column, loads, strict=True):
+            others = messages.TargetLoad(
+                item.digest,
+                unread - own.unread_tokens,
+                requests - own.requests,
+                0,
+            )
+            item.take_others(others, now_ms)
+
+
 __all__ = [
     "MODEL",
     "PARTS",
     "SERVICE",
+    "fleet_load",
     "place",
+    "place_by_entries",
     "recorded_load",
     "state",
     "target",
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import statistics
 
@@ -30,6 +31,7 @@
         "d0",
         getattr(context, "tried", ()),
         NOW_MS,
+        random.Random(1),
     )
 
 
@@ -236,8 +238,12 @@
 
 @when("a recorded load of 12 s with a burst is placed by the choice")
 def step_place(context):
+    randomness = random.Random(1)
+
     def by_choice(states, work, now_ms):
-        found = choice.choose(states, work, SETTINGS, "d0", (), now_ms)
+        found = choice.choose(
+            states, work, SETTINGS, "d0", (), now_ms, randomness
+        )
         return states.index(found.state), found.unread_tokens
 
     load = direct_targets.recorded_load()
@@ -268,11 +274,19 @@
 
 def place_overload(context, settings):
     randomness = random.Random(1)
+    usual = turn_away.UsualQueue(settings.half_life_ms)
 
     def by_choice(states, work, now_ms):
-        found = choice.choose(states, work, SETTINGS, "d0", (), now_ms)
+        found = choice.choose(
+            states, work, SETTINGS, "d0", (), now_ms, randomness
+        )
         away_ms = turn_away.retry_after_ms(
-            found, OBJECTIVE_MS, 1, settings, randomness
+            found,
+            OBJECTIVE_MS,
+            1,
+            usual.see(found.queue_ms, now_ms),
+            settings,
+            randomness,
         )
         if away_ms is not None:
             context.queues_away.append(found.queue_ms)
@@ -292,7 +306,7 @@
 
 @when("the same overload is placed with none turned away")
 def step_overload_all(context):
-    everyone = turn_away.TurnAwaySettings(queue_part=1e9)
+    everyone = turn_away.TurnAwaySettings(queue_part=1e9, standing_part=1e9)
     context.waits_all = place_overload(context, everyone)
 
 
@@ -314,7 +328,7 @@
 @then("no request was turned away while its queue was short")
 def step_short(context):
     assert context.queues_away
-    part = turn_away.TurnAwaySettings().queue_part
+    part = turn_away.TurnAwaySettings().standing_part
     assert min(context.queues_away) > part * OBJECTIVE_MS
 
 
@@ -327,3 +341,70 @@
     share_large = sum(w is None for w in large) / len(large)
     share_all = sum(w is None for w in context.waits) / len(context.waits)
     assert share_large <= 2 * share_all, (share_large, share_all)
+
+
+def stale_waits(settings):
+    load = direct_targets.fleet_load()
+    randomness = random.Random(1)
+
+    def by_choice(states, work, now_ms):
+        found = choice.choose(
+            states, work, settings, "d0", (), now_ms, randomness
+        )
+        return states.index(found.state), found.unread_tokens
+
+    return direct_targets.place_by_entries(load, 24, 23, by_choice)
+
+
+@when("23 entries with loads 100 ms old place a load on 24 targets")
+def step_stale(context):
+    context.waits = stale_waits(SETTINGS)
+
+
+@when("the same entries compare all targets")
+def step_stale_all(context):
+    context.waits_all = stale_waits(
+        dataclasses.replace(SETTINGS, compared=1.0, apart_ms=0.0)
+    )
+
+
+@then("{share:d} in 100 first tokens come within {most_ms:d} ms")
+def step_share(context, share, most_ms):
+    met = sum(wait <= most_ms for wait in context.waits) / len(context.waits)
+    assert met >= share / 100, met
+
+
+@then("with all compared fewer than {share:d} in 100 do within {most_ms:d} ms")
+def step_share_all(context, share, most_ms):
+    waits = context.waits_all
+    met = sum(wait <= most_ms for wait in waits) / len(waits)
+    assert met < share / 100, met
+
+
+@given("a usual queue with a half-life of {half_ms:d} ms")
+def step_usual(context, half_ms):
+    context.usual = turn_away.UsualQueue(half_ms)
+    context.now_ms = 1_000.0
+
+
+@when("requests meet queues of {queue_ms:d} ms for {span_ms:d} ms")
+def step_meet(context, queue_ms, span_ms):
+    until_ms = context.now_ms + span_ms
+    while context.now_ms < until_ms:
+        context.mean_ms = context.usual.see(queue_ms, context.now_ms)
+        context.now_ms += 50.0
+
+
+@then("a queue of {queue_ms:d} ms is {verdict} for a less urgent request")
+def step_verdict(context, queue_ms, verdict):
+    state = direct_targets.state(1, NOW_MS)
+    estimate = choice.Estimate(state, queue_ms, queue_ms, queue_ms, 0)
+    away_ms = turn_away.retry_after_ms(
+        estimate,
+        OBJECTIVE_MS,
+        1,
+        context.mean_ms,
+        turn_away.TurnAwaySettings(),
+        random.Random(1),
+    )
+    assert (away_ms is None) == (verdict == "taken"), away_ms
--- /dev/null
+++ b/tests/steps/shared_parts_steps.py
@@ -0,0 +1,91 @@
+"""Steps for where shared parts come from and who keeps them."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from lycheering import clock
+from lycheering.forward import api
+from lycheering.forward import shared_parts
+from lycheering.forward import target_book
+from tests.helpers import direct_targets
+
+NOW_MS = 10_000.0
+
+
+def sizes(context):
+    return [part.tokens for part in getattr(context, "parts", PARTS)]
+
+
+PARTS = direct_targets.PARTS
+
+
+@given("a store of {tokens:d} tokens")
+def step_store(context, tokens):
+    record = direct_targets.target(99, slots=0)
+    context.store = target_book.TargetState(record, tokens, NOW_MS)
+
+
+@given("the store holds the prompt")
+def step_store_holds(context):
+    chains = shared_parts.store_chains(context.work, context.states[0])
+    context.store.cached.add(chains, sizes(context))
+
+
+@given("all targets have newer weights")
+def step_newer(context):
+    for state in context.states:
+        state.target = msgspec.structs.replace(
+            state.target, version_by_model={direct_targets.MODEL: 2}
+        )
+    context.work = direct_targets.work(wanted_version=2)
+
+
+@given("a prompt with {shared:d} shared and {own:d} own tokens")
+def step_prompt(context, shared, own):
+    context.parts = (api.PromptPart("s", shared), api.PromptPart("o", own))
+    context.work = direct_targets.work(context.parts)
+
+
+@when("target {number:d} is to run the prompt with the store")
+def step_plan(context, number):
+    store = getattr(context, "store", None)
+    context.plan = shared_parts.plan(
+        context.states,
+        [store] if store is not None else [],
+        context.states[number - 1],
+        context.work,
+        NOW_MS,
+    )
+    book = target_book.TargetBook(clock.ManualClock())
+    context.plan.count(book, sizes(context))
+
+
+@then("its parts are saved")
+def step_saved(context):
+    assert context.plan.saves
+    assert context.plan.store is context.store
+
+
+@then("its parts are not saved")
+def step_not_saved(context):
+    assert not context.plan.saves
+
+
+@then("it fetches from the store")
+def step_fetches(context):
+    assert context.plan.fetch_from is context.store
+    assert not context.plan.saves
+
+
+@then("it does not fetch from the store")
+def step_no_fetch(context):
+    assert context.plan.fetch_from is not getattr(context, "store", None)
+
+
+@then("it fetches from target {number:d} and not from the store")
+def step_fetches_target(context, number):
+    assert context.plan.fetch_from is context.states[number - 1]
