Cut a caller that does not read its answer when its time is over

Cause: an entry that waits until a caller's connection takes more bytes looked at no clock, so a caller that stopped reading held its target's slot for as long as it liked (new scenario: over 5 s with a patience of 0.5 s). Ruled out: waits for the target, which end with the request's time. Change: the whole forwarding is bounded by the request's time and 0.2 s.

--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import random
 from typing import TYPE_CHECKING
@@ -28,6 +29,8 @@
 # connections that fail before a request leaves, for one request
 MAX_CONNECT_FAILURES = 3
 FIRST_RETRY_AFTER_MS = 300.0
+# waits end by themselves when a request's time is over, but for its caller's
+MAX_OVERTIME_MS = 200.0
 
 _LOG = logs.get("forward")
 
@@ -115,7 +118,7 @@
         outcome = "refused"
         reason = ""
         try:
-            result = await self._send(job)
+            result = await self._send_in_time(job)
             outcome, reason = result.result.value, result.detail
         except refusals.RefusalError as refusal:
             reason = refusal.reason.value
@@ -130,6 +133,17 @@
             caller.close()
             self._account(job, outcome, reason)
 
+    async def _send_in_time(self, job: jobs.Job) -> attempts.Outcome:
+        """Bounds what no single wait does: a caller that does not read."""
+        left_ms = self._sender.left_ms(job) + MAX_OVERTIME_MS
+        try:
+            async with asyncio.timeout(left_ms / 1_000):
+                return await self._send(job)
+        except TimeoutError as error:
+            if job.caller.has_begun:
+                raise refusals.AnswerCutError("not read in time") from error
+            raise refusals.RefusalError(refusals.Reason.TIMEOUT) from error
+
     async def _send(self, job: jobs.Job) -> attempts.Outcome:
         """Makes attempts until one answers or no more are allowed."""
         connect_failures = 0
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -44,6 +44,7 @@
         port: Where it listens, once started.
         pieces: Events of a stream.
         gap_s: Time between two events.
+        event_bytes: What each event carries besides its number.
     """
 
     BEHAVIOURS = (
@@ -68,6 +69,7 @@
         self.port = 0
         self.pieces = 4
         self.gap_s = 0.0
+        self.event_bytes = 0
         self._connections = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -175,7 +177,11 @@
         kind = "Content-Type: text/event-stream\r\n"
         writer.write(self._head(request, 200, extra=kind, length=-2))
         for number in range(first, self.pieces + 1):
-            event = EVENT % (number, number)
+            padding = b": %s\n" % (b"." * self.event_bytes)
+            event = (padding if self.event_bytes else b"") + EVENT % (
+                number,
+                number,
+            )
             if self.behaviour == "cuts inside an event" and number == 3:
                 writer.write(_chunk(event[: len(event) // 2]))
                 await writer.drain()
--- a/tests/forward/forward.feature
+++ b/tests/forward/forward.feature
@@ -73,6 +73,12 @@
     When a caller leaves 100 ms after its request
     Then the target is left within 500 ms
 
+  Scenario: A caller that does not read holds nothing beyond its patience
+    Given a direct target whose stream is more than a connection holds
+    When a caller that waits 500 ms does not read its stream
+    Then its request is over within 1500 ms
+    And what it finds later is not whole
+
   Scenario Outline: A request that the entry answers by itself
     Given a direct target that answers
     When a request with <what> is sent
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from standins import direct_target
 from tests.helpers import direct_entry
 
 FOREIGN = {
@@ -301,3 +302,41 @@
 @then('every answer was "{body}"')
 def step_every(context, body):
     assert all(answer.body == body.encode() for answer in context.answers)
+
+
+@given("a direct target whose stream is more than a connection holds")
+def step_large_stream(context):
+    target = direct_target.DirectTarget("t1", "streams")
+    target.pieces = 2_000
+    target.event_bytes = 32_768
+    context.targets = [target]
+
+
+@when("a caller that waits {patience_ms:d} ms does not read its stream")
+def step_stalled(context, patience_ms):
+    async def stall(entry):
+        reader, writer = await entry.connect()
+        options = {"X-Deadline-Ms": str(patience_ms)}
+        writer.write(direct_entry.request("stream", **options))
+        began_s = time.monotonic()
+        await asyncio.sleep(0.1)
+        assert entry.application.open_requests == 1
+        while entry.application.open_requests:
+            assert time.monotonic() - began_s < 5, "never over"
+            await asyncio.sleep(0.01)
+        over_ms = (time.monotonic() - began_s) * 1_000
+        answer = await direct_entry.read_answer(reader)
+        writer.close()
+        return over_ms, answer
+
+    context.over_ms, context.answer = run(context, stall)
+
+
+@then("its request is over within {most_ms:d} ms")
+def step_over(context, most_ms):
+    assert context.over_ms <= most_ms, context.over_ms
+
+
+@then("what it finds later is not whole")
+def step_not_whole(context):
+    assert not context.answer.is_whole
