Read responses in one place; take out an argument and a second sort

Cause: kept connections had copies of the client's collector, its connecting and its reading; two findings of the last reading of the code. Change: client.ResponseCollector, connect and read_some serve both; target_headers has no traits; outdated() sorts once, failures first.

--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -15,6 +15,8 @@
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from lycheering import clock
     from lycheering.control import replica
     from lycheering.fleet import view
@@ -57,12 +59,15 @@
 
 
 def outdated(
-    fleet: view.FleetView,
+    fleet: view.FleetView, failures_by_key: Mapping[str, int]
 ) -> list[tuple[records.DirectTarget, str, int]]:
     """Returns the engines on older weights, with the model and version.
 
-    Those kept free already come first, then those that hold the oldest
-    weights.
+    Those that failed least come first, of them those kept free already.
+
+    Args:
+        fleet: What is in force.
+        failures_by_key: How often each failed in a row.
     """
     found = [
         (target, model, wanted)
@@ -71,7 +76,13 @@
         for model, version in target.version_by_model.items()
         if (wanted := fleet.version_by_model.get(model, 0)) > version
     ]
-    found.sort(key=lambda item: (not item[0].is_held, item[0].key))
+    found.sort(
+        key=lambda item: (
+            failures_by_key.get(item[0].key, 0),
+            not item[0].is_held,
+            item[0].key,
+        )
+    )
     return found
 
 
@@ -153,7 +164,7 @@
     async def _release_settled(self) -> None:
         """Gives engines back that are held though nothing is left to do."""
         fleet = self._group.machine.fleet
-        waiting = {target.key for target, _, _ in outdated(fleet)}
+        waiting = {target.key for target, _, _ in self._outdated(fleet)}
         settled = tuple(
             msgspec.structs.replace(target, is_held=False)
             for target in fleet.direct_target_by_key.values()
@@ -169,10 +180,8 @@
         if now_ms < self._orders_from_ms - self._settings.hold_ms:
             return
         fleet = self._group.machine.fleet
-        waiting = outdated(fleet)
         most = self._most(fleet)
-        waiting.sort(key=lambda item: self._failures(item[0]))
-        for target, model, _ in waiting:
+        for target, model, _ in self._outdated(fleet):
             if len(self._rolling) >= most:
                 return
             if target.key in self._rolling:
@@ -184,6 +193,11 @@
                 self._roll(target.key, model), f"weights:{target.target_id}"
             )
 
+    def _outdated(
+        self, fleet: view.FleetView
+    ) -> list[tuple[records.DirectTarget, str, int]]:
+        return outdated(fleet, self._failures_by_key)
+
     def _failures(self, target: records.DirectTarget) -> int:
         return self._failures_by_key.get(target.key, 0)
 
--- a/src/lycheering/forward/api.py
+++ b/src/lycheering/forward/api.py
@@ -118,9 +118,7 @@
         """
 
     @abc.abstractmethod
-    def target_headers(
-        self, headers: Headers, traits: RequestTraits, sending: Sending
-    ) -> Headers:
+    def target_headers(self, headers: Headers, sending: Sending) -> Headers:
         """Returns the headers that a target gets."""
 
     @abc.abstractmethod
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -120,7 +120,7 @@
         return opened
 
     def _encode(self, job: jobs.Job, sending: api.Sending) -> bytes:
-        headers = self._dialect.target_headers(job.headers, job.traits, sending)
+        headers = self._dialect.target_headers(job.headers, sending)
         lines = [f"{job.method} {job.path} HTTP/1.1".encode("latin-1")]
         lines += [b"%s: %s" % header for header in headers]
         if job.body or job.method not in ("GET", "HEAD", "DELETE"):
--- a/src/lycheering/platform/dialect.py
+++ b/src/lycheering/platform/dialect.py
@@ -98,10 +98,7 @@
         )
 
     def target_headers(
-        self,
-        headers: api.Headers,
-        traits: api.RequestTraits,
-        sending: api.Sending,
+        self, headers: api.Headers, sending: api.Sending
     ) -> api.Headers:
         """Returns the headers that a target gets."""
         named = _named_by_connection(headers)
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -97,32 +97,84 @@
     body: bytes
 
 
-class _ParserCallbacks:
-    """Collects what the parser finds."""
+class ResponseCollector:
+    """Collects what the parser finds of one response.
+
+    Attributes:
+        headers: Its headers, names in lower case.
+        parts: Bytes of its body that nobody took yet.
+        headers_done: Whether the headers are whole.
+        done: Whether it is whole.
+    """
 
     def __init__(self) -> None:
-        self.header_by_name: dict[str, str] = {}
+        self.headers: list[tuple[bytes, bytes]] = []
         self.parts: list[bytes] = []
         self.headers_done = False
         self.done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if len(self.header_by_name) >= MAX_HEADERS:
+        """Takes a header in."""
+        if len(self.headers) >= MAX_HEADERS:
             raise ExchangeBrokenError("too many headers")
-        self.header_by_name[name.decode("latin-1").lower()] = value.decode(
-            "latin-1"
-        )
+        self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        """Notes that there are no more headers."""
         self.headers_done = True
 
     def on_body(self, body: bytes) -> None:
+        """Takes bytes of the body in."""
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
+        """Notes the end of the response."""
         self.done = True
 
 
+async def connect(
+    origin: Origin, timeout_ms: float, probes: keepalive.Probes
+) -> byte_stream.ByteStream:
+    """Opens a connection.
+
+    Args:
+        origin: The server.
+        timeout_ms: How long it may take.
+        probes: When a peer that is gone is noticed.
+
+    Raises:
+        ConnectFailedError: If none could be opened in time.
+    """
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000):
+            loop = asyncio.get_running_loop()
+            _, stream = await loop.create_connection(
+                byte_stream.ByteStream, origin.ip, origin.port
+            )
+    except (OSError, TimeoutError) as error:
+        raise ConnectFailedError(
+            f"{origin.host_header}: {type(error).__name__} {error}"
+        ) from error
+    socket = stream.transport.get_extra_info("socket")
+    keepalive.notice_dead_peers(socket, probes)
+    return stream
+
+
+async def read_some(stream: byte_stream.ByteStream, silence_ms: float) -> bytes:
+    """Returns the next bytes of a connection; none only at its end.
+
+    Raises:
+        SilenceError: If nothing came in time.
+        ExchangeBrokenError: If the connection broke.
+    """
+    try:
+        return await stream.read(silence_ms)
+    except TimeoutError as error:
+        raise SilenceError(f"nothing for {silence_ms:.0f} ms") from error
+    except OSError as error:
+        raise ExchangeBrokenError(str(error)) from error
+
+
 class Exchange:
     """One request and its response on a connection of their own.
 
@@ -134,7 +186,7 @@
         self.sent = False
         self._stream = stream
         self._origin = origin
-        self._callbacks = _ParserCallbacks()
+        self._callbacks = ResponseCollector()
         self._parser = httptools.HttpResponseParser(self._callbacks)
 
     @classmethod
@@ -146,18 +198,7 @@
         Raises:
             ConnectFailedError: If none could be opened in time.
         """
-        try:
-            async with asyncio.timeout(timeout_ms / 1_000):
-                loop = asyncio.get_running_loop()
-                _, stream = await loop.create_connection(
-                    byte_stream.ByteStream, origin.ip, origin.port
-                )
-        except (OSError, TimeoutError) as error:
-            raise ConnectFailedError(f"{origin.host_header}: {error}") from (
-                error
-            )
-        socket = stream.transport.get_extra_info("socket")
-        keepalive.notice_dead_peers(socket, keepalive.TARGET_PROBES)
+        stream = await connect(origin, timeout_ms, keepalive.TARGET_PROBES)
         return cls(stream, origin)
 
     def send(
@@ -198,7 +239,11 @@
         while not self._callbacks.headers_done:
             await self._feed(silence_ms)
         status = self._parser.get_status_code()
-        return Head(status, self._callbacks.header_by_name)
+        header_by_name = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in self._callbacks.headers
+        }
+        return Head(status, header_by_name)
 
     async def parts(self, silence_ms: float) -> AsyncIterator[bytes]:
         """Yields the body's parts as they come, until it is whole.
@@ -231,12 +276,7 @@
         return bytes(collected)
 
     async def _feed(self, silence_ms: float) -> None:
-        try:
-            data = await self._stream.read(silence_ms)
-        except TimeoutError as error:
-            raise SilenceError(f"nothing for {silence_ms:.0f} ms") from error
-        except OSError as error:
-            raise ExchangeBrokenError(str(error)) from error
+        data = await read_some(self._stream, silence_ms)
         if not data:
             raise ExchangeBrokenError("connection closed before the end")
         try:
@@ -299,6 +339,9 @@
     "HttpError",
     "Origin",
     "Reply",
+    "ResponseCollector",
     "SilenceError",
+    "connect",
     "fetch",
+    "read_some",
 ]
--- a/src/lycheering/web/kept_connections.py
+++ b/src/lycheering/web/kept_connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 import dataclasses
 import re
@@ -19,7 +18,6 @@
 
     from lycheering import clock
 
-MAX_HEADERS = 100
 MAX_IDLE_PER_TARGET = 32
 # a kept connection is given up this long before the target closes it
 CLOSE_MARGIN_MS = 600.0
@@ -51,36 +49,12 @@
         return ""
 
 
-class _Collector:
-    """Collects what the parser finds of one response."""
-
-    def __init__(self) -> None:
-        self.headers: Headers = []
-        self.parts: list[bytes] = []
-        self.headers_done = False
-        self.done = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if len(self.headers) >= MAX_HEADERS:
-            raise client.ExchangeBrokenError("too many headers")
-        self.headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self.headers_done = True
-
-    def on_body(self, body: bytes) -> None:
-        self.parts.append(body)
-
-    def on_message_complete(self) -> None:
-        self.done = True
-
-
 class KeptConnection:
     """A connection that carries one exchange after another."""
 
     def __init__(self, stream: byte_stream.ByteStream) -> None:
         self._stream = stream
-        self._collector = _Collector()
+        self._collector = client.ResponseCollector()
         self._parser = httptools.HttpResponseParser(self._collector)
         self._head: ResponseHead | None = None
         self._ends_with_connection = False
@@ -93,7 +67,7 @@
 
     def send(self, data: bytes) -> None:
         """Writes a request; from here on it may have been received."""
-        self._collector = _Collector()
+        self._collector = client.ResponseCollector()
         self._parser = httptools.HttpResponseParser(self._collector)
         self._head = None
         self._ends_with_connection = False
@@ -114,7 +88,7 @@
                 break
             # an interim response announces the one that counts
             rest = self._collector.parts
-            self._collector = _Collector()
+            self._collector = client.ResponseCollector()
             self._collector.parts = rest
             self._parser = httptools.HttpResponseParser(self._collector)
         self._head = ResponseHead(status, self._collector.headers)
@@ -141,14 +115,7 @@
             await self._feed(timeout_ms)
 
     async def _feed(self, timeout_ms: float) -> None:
-        try:
-            data = await self._stream.read(timeout_ms)
-        except TimeoutError as error:
-            raise client.SilenceError(f"nothing for {timeout_ms:.0f} ms") from (
-                error
-            )
-        except OSError as error:
-            raise client.ExchangeBrokenError(str(error)) from error
+        data = await client.read_some(self._stream, timeout_ms)
         if not data:
             if self._ends_with_connection and self._collector.headers_done:
                 self._ended_cleanly = True
@@ -225,18 +192,7 @@
         Raises:
             ConnectFailedError: If none could be opened in time.
         """
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(timeout_ms / 1_000):
-                _, stream = await loop.create_connection(
-                    byte_stream.ByteStream, origin.ip, origin.port
-                )
-        except (OSError, TimeoutError) as error:
-            raise client.ConnectFailedError(
-                f"{origin.host_header}: {type(error).__name__} {error}"
-            ) from error
-        socket = stream.transport.get_extra_info("socket")
-        keepalive.notice_dead_peers(socket, PROBES)
+        stream = await client.connect(origin, timeout_ms, PROBES)
         self.opened += 1
         return KeptConnection(stream)
 
