--- a/tests/control/direct/stores.feature
+++ b/tests/control/direct/stores.feature
@@ -18,6 +18,7 @@
     When a list without stores is read by the leader
     Then the store k is still in force
 
+  @promise.stores_by_weights
   Scenario: A store that stops answering is taken out, and put again later
     Given a watch over a store that answers
     Then the store is soon in force
--- a/tests/control/direct/targets.feature
+++ b/tests/control/direct/targets.feature
@@ -21,6 +21,7 @@
     When the list names a as leaving, b and c
     Then a is put as leaving
 
+  @promise.own_target
   Scenario: A restart under the same id is another target
     Given the direct targets a, b and c are held
     When the list names a started anew, b and c
--- a/tests/control/direct/weights.feature
+++ b/tests/control/direct/weights.feature
@@ -14,6 +14,7 @@
     Then every engine that can be reached has weights 2
     And no engine that can't be reached is held
 
+  @promise.carried_out_once
   Scenario: An order without an answer is given again and carried out once
     Given 4 engines on weights 1
     And the first order to each engine gets no answer and is lost
@@ -21,6 +22,7 @@
     Then every engine has weights 2
     And every engine loaded once
 
+  @promise.carried_out_once
   Scenario: An order that is carried out late changes nothing
     Given 4 engines on weights 1
     And the first order to each engine gets no answer and is carried out late
@@ -33,6 +35,7 @@
     When weights 2 are named, weights 3 after 1 s, and 10 s pass
     Then every engine has weights 3
 
+  @promise.one_holder
   Scenario: A new holder waits until orders of the one before are over
     Given 4 engines on weights 1
     And another instance gave orders before
@@ -41,6 +44,7 @@
     When 10 s more pass
     Then every engine has weights 2
 
+  @promise.one_holder
   Scenario: An instance that leads no more gives no orders
     Given 4 engines on weights 1
     And the instance does not lead
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -40,6 +40,7 @@
       | failed just now              |
       | can't be reached             |
 
+  @promise.no_old_weights
   Scenario: No request goes to older weights once newer ones are long named
     Given 3 direct targets
     And target 1 has had old weights too long
@@ -59,6 +60,7 @@
     When target 3 is to run the prompt
     Then it fetches from target 2
 
+  @promise.no_foreign_cache
   Scenario: Nothing is fetched from a target on other weights
     Given 4 direct targets
     And target 2 holds the shared parts of a prompt
@@ -181,6 +183,7 @@
     When target 3 is to run the prompt with the store
     Then it fetches from target 2 and not from the store
 
+  @promise.stores_by_weights
   Scenario: Parts read with older weights do not come from the store
     Given 4 direct targets
     And a store of 100000 tokens
--- a/tests/forward/forward.feature
+++ b/tests/forward/forward.feature
@@ -1,5 +1,6 @@
 Feature: Forwarding a request straight to a target
 
+  @promise.no_foreign_cache
   Scenario: Method, path, body and other headers reach the target unchanged
     Given a direct target that answers
     When an idempotent request with an own header is forwarded
@@ -8,6 +9,11 @@
     And the target got its own id, the team and what is left of the deadline
     And the target got no key and no header that only the entry may set
 
+  @promise.not_run
+  @promise.at_most_once
+  @promise.whole
+  @promise.each_its_own
+  @promise.own_target
   Scenario Outline: A target's behaviour and what its caller gets
     Given a direct target that <behaviour>
     When a request of kind "<kind>" is forwarded
@@ -48,6 +54,7 @@
       | cuts before the answer  | streams | resumable stream |
       | cuts inside an event    | streams | resumable stream |
 
+  @promise.every_event_once
   Scenario: A stream that goes on at another target has every event once
     Given a direct target that cuts inside an event
     And another direct target that streams
@@ -55,12 +62,14 @@
     Then the caller has the events 1, 2, 3, 4 in order
     And the answer keeps the head of its first target
 
+  @promise.whole
   Scenario: A stream that can't go on does not look complete
     Given a direct target that cuts inside an event
     When a request of kind "stream" is forwarded
     Then the caller has the events 1, 2 in order
     And the answer is cut
 
+  @promise.second_sends
   Scenario: No second send is made beyond the budget
     Given a direct target that fails
     And another direct target that fails
@@ -68,11 +77,13 @@
     When 20 requests of kind "idempotent" are forwarded
     Then targets got at most 24 requests
 
+  @promise.work_ends
   Scenario: A caller that leaves ends the work at the target
     Given a direct target that is silent
     When a caller leaves 100 ms after its request
     Then the target is left within 500 ms
 
+  @promise.work_ends
   Scenario: A caller that does not read holds nothing beyond its patience
     Given a direct target whose stream is more than a connection holds
     When a caller that waits 500 ms does not read its stream
@@ -96,6 +107,7 @@
       | a head too large   | 431    |
       | a head too slow    | 408    |
 
+  @promise.withdrawn_keys
   Scenario: Settings that may be outdated serve no key
     Given a direct target that answers
     And control was not heard for too long
@@ -104,6 +116,7 @@
     And the answer tells when to come back
     And the request reached targets 0 times
 
+  @promise.withdrawn_keys
   Scenario: A key that was taken away serves no more
     Given a direct target that answers
     And the key is taken away
@@ -122,6 +135,7 @@
     When 10 requests of kind "idempotent" are forwarded
     Then the target saw 1 connection
 
+  @promise.each_its_own
   Scenario: A connection with bytes after the answer is not used again
     Given a direct target that sends more than the answer
     When 5 requests of kind "idempotent" are forwarded
@@ -135,6 +149,7 @@
     Then the answer is 503
     And the request reached targets 0 times
 
+  @promise.planned_stops
   Scenario: A stop ends kept connections with their answer
     Given a direct target that streams
     And the target takes 100 ms for each event
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -60,6 +60,7 @@
     When a list whose second page fails is read
     Then there is no list
 
+  @promise.no_foreign_cache
   Scenario: What a target fetches and saves is told by the system alone
     When a caller's headers that name stores are sent on to fetch and save
     Then the target is told the system's own addresses
--- a/tests/routes/routes.feature
+++ b/tests/routes/routes.feature
@@ -16,10 +16,12 @@
       | one.test   | /x/a/   | none   |
       | other.test | /a/x    | none   |
 
+  @promise.highest_revision
   Scenario: All that is wrong with a table is found at once
     Given a route table with a wrong service, a doubled place, no weight, no timeout and a shared key
     Then the table has 5 findings
 
+  @promise.highest_revision
   Scenario Outline: The highest revision wins and nothing goes back
     Given a control machine
     When the route tables with revisions <revisions> are put
@@ -59,6 +61,7 @@
     Then a machine restored from its snapshot is equal
     And each holder of direct orders had a higher fencing number
 
+  @promise.changes_as_changes
   Scenario Outline: A changed table is told by what it changes
     Given a control machine with a table of 50 routes and 20 teams
     When a table <changed> is put
--- a/tests/telemetry/output.feature
+++ b/tests/telemetry/output.feature
@@ -1,5 +1,6 @@
 Feature: Logs that never hold the process up
 
+  @promise.bounded_logs
   Scenario: A reader that stops reading loses lines, and the process goes on
     Given an output that nobody reads
     When 20000 lines of 200 bytes are written
@@ -12,11 +13,13 @@
     And the reader reads again and a line is written
     Then the reader finds how many were dropped
 
+  @promise.bounded_logs
   Scenario: A burst of lines is bounded
     Given an output that is read at once
     When 20000 lines of 200 bytes are written
     Then the reader got at most 1000000 bytes
 
+  @promise.second_sends
   Scenario: Second sends are bounded over any window
     Given a window of 10 s that allows a fifth and 10 among 5 processes
     When 100 requests arrive over 20 s and each asks for a second send
--- a/tools/fault_matrix.py
+++ b/tools/fault_matrix.py
@@ -15,9 +15,13 @@
 SOURCE = ROOT / "docs" / "faults.ini"
 PAGE = ROOT / "docs" / "FAULTS.md"
 TAG = re.compile(r"@cell\.([a-z_]+)\.([a-z_]+)\.([a-z_]+)")
+PROMISE_TAG = re.compile(r"@promise\.([a-z_]+)")
 SCENARIO = re.compile(r"^\s*Scenario(?: Outline)?:\s*(.*)$")
 
 
+PROMISE = "promise."
+
+
 @dataclasses.dataclass(frozen=True)
 class Cell:
     """A fault at a step of an operation.
@@ -59,7 +63,9 @@
         steps_by_operation: Each operation's steps.
         reason_by_place: Why a fault can't meet an operation or step.
         proofs_by_cell: The scenarios that prove each cell.
-        strays: Tags that name no cell.
+        strays: Tags that name no cell and no promise.
+        text_by_promise: What keeps each promise to callers and operators.
+        proofs_by_promise: The scenarios that prove each promise.
     """
 
     text_by_fault: dict[str, str]
@@ -67,6 +73,8 @@
     reason_by_place: dict[str, str]
     proofs_by_cell: dict[Cell, list[Proof]]
     strays: list[str]
+    text_by_promise: dict[str, str]
+    proofs_by_promise: dict[str, list[Proof]]
 
     def cells(self) -> list[Cell]:
         """Returns every cell."""
@@ -96,6 +104,14 @@
             if cell not in self.proofs_by_cell and self.reason(cell)
         ]
 
+    def unproved_promises(self) -> list[str]:
+        """Returns the promises that no scenario proves."""
+        return [
+            name
+            for name in self.text_by_promise
+            if name not in self.proofs_by_promise
+        ]
+
     def unproved(self) -> list[Cell]:
         """Returns the cells that neither is true of."""
         return [
@@ -121,6 +137,7 @@
         tags: list[str] = []
         for line in feature.read_text().splitlines():
             tags += [".".join(found) for found in TAG.findall(line)]
+            tags += [f"{PROMISE}{name}" for name in PROMISE_TAG.findall(line)]
             scenario = SCENARIO.match(line)
             if scenario is None:
                 continue
@@ -138,11 +155,20 @@
     parser.read(SOURCE)
     steps = {name: text.split() for name, text in parser["steps"].items()}
     matrix = Matrix(
-        dict(parser["faults"]), steps, dict(parser["excluded"]), {}, []
+        dict(parser["faults"]),
+        steps,
+        dict(parser["excluded"]),
+        {},
+        [],
+        dict(parser["promises"]),
+        {},
     )
     known = {str(cell): cell for cell in matrix.cells()}
     for tag, proofs in read_proofs().items():
-        if tag in known:
+        promise = tag.removeprefix(PROMISE)
+        if promise != tag and promise in matrix.text_by_promise:
+            matrix.proofs_by_promise[promise] = proofs
+        elif tag in known:
             matrix.proofs_by_cell[known[tag]] = proofs
         else:
             matrix.strays.append(tag)
@@ -173,6 +199,17 @@
     return [*lines, ""]
 
 
+def promises(matrix: Matrix) -> list[str]:
+    """Returns the lines that say what keeps and proves each promise."""
+    lines = ["## Promises where entries reach targets directly", ""]
+    lines += ["| promise | kept by | proved by |", "| --- | --- | --- |"]
+    for name, text in matrix.text_by_promise.items():
+        proofs = matrix.proofs_by_promise.get(name, [])
+        shown = "; ".join(f"{p.scenario} (`{p.feature}`)" for p in proofs)
+        lines.append(f"| {name} | {text} | {shown or '**not proved**'} |")
+    return [*lines, ""]
+
+
 def page(matrix: Matrix) -> str:
     """Returns the text of docs/FAULTS.md."""
     counts = (
@@ -195,6 +232,7 @@
     lines.append("")
     for operation in matrix.steps_by_operation:
         lines += table(matrix, operation)
+    lines += promises(matrix)
     lines += ["## What cannot happen, and why", ""]
     for place, reason in sorted(matrix.reason_by_place.items()):
         lines.append(f"- `{place}`: {reason}")
@@ -209,7 +247,8 @@
     """Writes the page, or checks that it is current and lists the gaps.
 
     Returns:
-        The exit code: 1 if a tag names no cell or the page is stale.
+        The exit code: 1 if a tag names no cell and no promise, a promise
+        is not proved or the page is stale.
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--write", action="store_true")
@@ -219,12 +258,15 @@
         PAGE.write_text(text)
     for cell in matrix.unproved():
         print(f"no scenario: {cell}")
+    for name in matrix.unproved_promises():
+        print(f"no scenario: {PROMISE}{name}")
     for stray in matrix.strays:
         print(f"names no cell: {stray}")
     current = PAGE.exists() and PAGE.read_text() == text
     if not current:
         print("docs/FAULTS.md is not current: run with --write")
-    return 0 if current and not matrix.strays else 1
+    complete = not matrix.strays and not matrix.unproved_promises()
+    return 0 if current and complete else 1
 
 
 __all__ = ["Cell", "Matrix", "Proof", "main", "page", "read_matrix"]
