--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -197,18 +197,22 @@
 
     def _turn_away(self, job: jobs.Job, estimate: choice.Estimate) -> None:
         """Refuses a request for which the queue is too long."""
+        usual_ms = self._usual_queue.see(
+            estimate.queue_ms, self._clock.now_ms()
+        )
         retry_after_ms = turn_away.retry_after_ms(
             estimate,
             job.route.objective_ms,
             job.route.priority,
-            self._usual_queue.see(estimate.queue_ms, self._clock.now_ms()),
+            usual_ms,
             self._settings.turn_away,
             self._random,
         )
         if retry_after_ms is not None:
             raise refusals.RefusalError(
                 refusals.Reason.OVERLOADED,
-                f"a queue of {estimate.queue_ms:.0f} ms",
+                f"a queue of {estimate.queue_ms:.0f} ms"
+                f", {usual_ms:.0f} ms of late",
                 retry_after_ms,
             )
 
