Look at queues over 1.5 s and compare three others at least

Change: the mean queue has a half-life of 1.5 s; three engines besides those of the prefix are compared at least.

--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -59,7 +59,7 @@
     silence_ms: float = 500.0
     apart_ms: float = 150.0
     compared: float = 0.12
-    least_compared: int = 2
+    least_compared: int = 3
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lycheering/forward/turn_away.py
+++ b/src/lycheering/forward/turn_away.py
@@ -30,7 +30,7 @@
     first_queue_part: float = 0.7
     spread: float = 0.5
     least_retry_ms: float = 250.0
-    half_life_ms: float = 500.0
+    half_life_ms: float = 1_500.0
 
 
 class UsualQueue:
