Say once how a table's sections differ; plan and estimate once

Routes, services and teams had the same difference in three copies, a plan for shared parts was made and then dropped for a last send under doubtful weights, and a target that was home, holder and drawn was estimated up to three times. Change: two functions serve all sections, the plan is made where it is used, and each target is estimated once. Behaviour is the same; tests unchanged.

--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -154,9 +154,10 @@
     homes = ranked(fit, work.affinity_key)[: work.width]
     if not any(work.is_held_at(state) for state in homes):
         homes.append(holder)
+    drawn = _drawn(fit, settings, randomness)
     estimates = [
         _estimate(state, work, settings, failure_domain, homes, now_ms)
-        for state in [*homes, holder, *_drawn(fit, settings, randomness)]
+        for state in dict.fromkeys([*homes, holder, *drawn])
     ]
     return min(estimates, key=lambda estimate: estimate.cost_ms)
 
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -155,13 +155,6 @@
                 return await self._deliver_failure(job)
             if not job.sends and job.traits.model:
                 self._turn_away(job, estimate)
-            job.shared_parts = shared_parts.plan(
-                self.book.of_service(job.service.name),
-                self.book.stores(),
-                estimate.state,
-                job.work,
-                self._clock.now_ms(),
-            )
             job.sending = self._sending(job, estimate)
             job.sent_ms = self._clock.now_ms()
             outcome = await self._sender.run(job, estimate, job.sending)
@@ -269,7 +262,14 @@
             return dataclasses.replace(
                 sending, cache_scope=job.traits.request_id, weights_version=0
             )
-        plan = job.shared_parts
+        plan = shared_parts.plan(
+            self.book.of_service(job.service.name),
+            self.book.stores(),
+            estimate.state,
+            job.work,
+            self._clock.now_ms(),
+        )
+        job.shared_parts = plan
         return dataclasses.replace(
             sending,
             fetch_from=_address(plan.fetch_from),
--- a/src/lycheering/routes/difference.py
+++ b/src/lycheering/routes/difference.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
 import msgspec
 
 from lycheering.routes import records
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+_Item = TypeVar("_Item")
+_Key = TypeVar("_Key")
+
 
 class TableDifference(msgspec.Struct, frozen=True, array_like=True):
     """The parts of a route table that the one before it lacks.
@@ -46,17 +56,11 @@
     """
     if not (_is_named_once(old) and _is_named_once(new)):
         return None
-    old_routes, new_routes = _routes(old), _routes(new)
-    old_services, new_services = _services(old), _services(new)
-    old_teams, new_teams = _teams(old), _teams(new)
     return TableDifference(
         new.revision,
-        tuple(r for k, r in new_routes.items() if old_routes.get(k) != r),
-        tuple(key for key in old_routes if key not in new_routes),
-        tuple(s for k, s in new_services.items() if old_services.get(k) != s),
-        tuple(name for name in old_services if name not in new_services),
-        tuple(t for k, t in new_teams.items() if old_teams.get(k) != t),
-        tuple(name for name in old_teams if name not in new_teams),
+        *_changes(old.routes, new.routes, _place),
+        *_changes(old.services, new.services, _name),
+        *_changes(old.teams, new.teams, _name),
         new.limits,
     )
 
@@ -73,49 +77,66 @@
         old: The table that the difference was made for.
         difference: What changes.
     """
-    routes = _routes(old)
-    services = _services(old)
-    teams = _teams(old)
-    for place in difference.routes_removed:
-        routes.pop(place, None)
-    for name in difference.services_removed:
-        services.pop(name, None)
-    for name in difference.teams_removed:
-        teams.pop(name, None)
-    for route in difference.routes_put:
-        routes[route.host, route.path_prefix] = route
-    for service in difference.services_put:
-        services[service.name] = service
-    for team in difference.teams_put:
-        teams[team.name] = team
     return records.RouteTable(
         difference.revision,
-        tuple(routes.values()),
-        tuple(services.values()),
-        tuple(teams.values()),
+        _changed(
+            old.routes,
+            difference.routes_put,
+            difference.routes_removed,
+            _place,
+        ),
+        _changed(
+            old.services,
+            difference.services_put,
+            difference.services_removed,
+            _name,
+        ),
+        _changed(
+            old.teams, difference.teams_put, difference.teams_removed, _name
+        ),
         difference.limits,
     )
 
 
-def _routes(
-    table: records.RouteTable,
-) -> dict[tuple[str, str], records.Route]:
-    return {(route.host, route.path_prefix): route for route in table.routes}
+def _place(route: records.Route) -> tuple[str, str]:
+    return route.host, route.path_prefix
+
 
+def _name(item: records.Service | records.KeyedTeam) -> str:
+    return item.name
 
-def _services(table: records.RouteTable) -> dict[str, records.Service]:
-    return {service.name: service for service in table.services}
+
+def _changes(
+    old: Iterable[_Item], new: Iterable[_Item], key: Callable[[_Item], _Key]
+) -> tuple[tuple[_Item, ...], tuple[_Key, ...]]:
+    """Returns the items that are new or changed, and the keys of those gone."""
+    old_by_key = {key(item): item for item in old}
+    new_by_key = {key(item): item for item in new}
+    return (
+        tuple(i for k, i in new_by_key.items() if old_by_key.get(k) != i),
+        tuple(k for k in old_by_key if k not in new_by_key),
+    )
 
 
-def _teams(table: records.RouteTable) -> dict[str, records.KeyedTeam]:
-    return {team.name: team for team in table.teams}
+def _changed(
+    old: Iterable[_Item],
+    put: Iterable[_Item],
+    removed: Iterable[_Key],
+    key: Callable[[_Item], _Key],
+) -> tuple[_Item, ...]:
+    """Returns the items after some were put and some removed."""
+    by_key = {key(item): item for item in old}
+    for gone in removed:
+        by_key.pop(gone, None)
+    by_key.update({key(item): item for item in put})
+    return tuple(by_key.values())
 
 
 def _is_named_once(table: records.RouteTable) -> bool:
     return (
-        len(_routes(table)) == len(table.routes)
-        and len(_services(table)) == len(table.services)
-        and len(_teams(table)) == len(table.teams)
+        len(set(map(_place, table.routes))) == len(table.routes)
+        and len(set(map(_name, table.services))) == len(table.services)
+        and len(set(map(_name, table.teams))) == len(table.teams)
     )
 
 
