Use one piece for links, addresses and what a response holds

Four daemons made the same link, five places took ip:port apart, the handler did what transport.wire_address does, and two readers emptied a response's parts alike; _join_direct did three jobs. Change: wire/links.link_from, settings.model.split_address, ResponseCollector.take; _join_direct is three functions. Behaviour is the same; tests unchanged.

--- a/src/lycheering/agent/daemon.py
+++ b/src/lycheering/agent/daemon.py
@@ -36,9 +36,9 @@
 from lycheering.telemetry import counters as counting
 from lycheering.telemetry import logs
 from lycheering.wire import api as wire_api
+from lycheering.wire import links
 from lycheering.wire import messages
 from lycheering.wire import pool as pools
-from lycheering.wire import security
 from lycheering.wire import server as servers
 
 if TYPE_CHECKING:
@@ -102,17 +102,14 @@
     holder: holders.ViewHolder,
     counters: counting.Counters,
 ) -> wire_api.Link:
-    identity = wire_api.Identity(
-        agent.target, messages.Role.AGENT, settings.instance.failure_domain
-    )
-    return wire_api.Link(
+    return links.link_from(
+        settings,
+        agent.target,
+        messages.Role.AGENT,
         zmq.asyncio.Context(),
-        identity,
-        settings.wire,
         clock,
         holder,
         counters,
-        security.security_from(settings.wire, counters),
     )
 
 
--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import zmq.asyncio
 
 from lycheering import clock
@@ -32,20 +30,18 @@
 from lycheering.membership import watcher
 from lycheering.orders import in_doubt
 from lycheering.replication import members
+from lycheering.settings import model
 from lycheering.telemetry import counters
 from lycheering.telemetry import histograms
 from lycheering.telemetry import metrics
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
+from lycheering.wire import links
 from lycheering.wire import messages
 from lycheering.wire import pool
-from lycheering.wire import security
 from lycheering.wire import server
 from lycheering.wire import sockets
 
-if TYPE_CHECKING:
-    from lycheering.settings import model
-
 
 class _HandlerPart(app_api.Part):
     """Ends the calls that peers still wait for."""
@@ -122,19 +118,14 @@
     def _join_log(self) -> None:
         settings = self._settings
         machine = replica.LoggedMachine()
-        identity = wire_api.Identity(
+        self._link = links.link_from(
+            settings,
             settings.instance.name,
             messages.Role.CONTROL,
-            settings.instance.failure_domain,
-        )
-        self._link = wire_api.Link(
             self._context,
-            identity,
-            settings.wire,
             self._clock,
             publisher.LogView(machine),
             self._counters,
-            security.security_from(settings.wire, self._counters),
         )
         self._connections = pool.ConnectionPool(self._link)
         self._transport = transport.WireTransport(
@@ -248,14 +239,25 @@
         )
         self._handler.intake = self.intake
         self._handler.hub = load_hub.LoadHub(self._clock)
+        self._direct_parts = [
+            self.intake,
+            *self._target_parts(settings, direct),
+            *self._direct_endpoints(settings, direct),
+            group_failure.GroupFailure(
+                self.group, self.application, self._clock
+            ),
+        ]
+
+    def _target_parts(
+        self, settings: model.DirectSettings, direct: direct_api.DirectAdapter
+    ) -> list[app_api.Part]:
+        """Returns what keeps targets, stores and weights as they should be."""
         roll = weights_roll.RollSettings(
             at_once=settings.loads_at_once,
             hold_ms=settings.hold_ms,
             lease_ms=settings.order_lease_ms,
         )
-        ip, _, port = settings.operator_address.rpartition(":")
-        self._direct_parts = [
-            self.intake,
+        return [
             target_lister.TargetLister(
                 self.group,
                 direct.targets,
@@ -270,23 +272,25 @@
                 self.group,
                 direct.engines,
                 roll,
-                instance.name,
+                self._settings.instance.name,
                 self._clock,
                 self._counters,
             ),
-            web_server.WebServer(
-                direct.operator(route_desk.RouteDesk(self.group, self._clock)),
-                ip,
-                int(port),
-            ),
+        ]
+
+    def _direct_endpoints(
+        self, settings: model.DirectSettings, direct: direct_api.DirectAdapter
+    ) -> list[app_api.Part]:
+        """Returns the endpoints for operators and for metrics."""
+        ip, port = model.split_address(settings.operator_address)
+        desk = route_desk.RouteDesk(self.group, self._clock)
+        return [
+            web_server.WebServer(direct.operator(desk), ip, port),
             metrics.MetricsServer(
-                instance.ip,
+                self._settings.instance.ip,
                 settings.metrics_port,
                 histograms.Histograms(self._counters),
             ),
-            group_failure.GroupFailure(
-                self.group, self.application, self._clock
-            ),
         ]
 
     def _add_parts(self) -> None:
--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -8,6 +8,7 @@
 from lycheering.control import failures
 from lycheering.control import member_repairs
 from lycheering.control import peer_calls
+from lycheering.control import transport
 from lycheering.wire import api as wire_api
 from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
@@ -129,11 +130,10 @@
     async def _current(self) -> messages.Message:
         """Answers once the view here is as new as a quorum's."""
         await self._group.read_anywhere()
-        peers = []
-        for peer in self._group.peers():
-            ip, _, port = peer.address.rpartition(":")
-            peers.append(messages.ControlPeer(peer.instance, ip, int(port)))
-        return messages.Current(tuple(peers))
+        addresses = map(transport.wire_address, self._group.peers())
+        return messages.Current(
+            tuple(messages.ControlPeer(a.name, a.ip, a.port) for a in addresses)
+        )
 
     async def _peer_call(
         self, session: server.Session, payload: bytes
--- a/src/lycheering/control/transport.py
+++ b/src/lycheering/control/transport.py
@@ -10,6 +10,7 @@
 from lycheering.replication import api as replication_api
 from lycheering.replication import errors as replication_errors
 from lycheering.replication import messages as replication_messages
+from lycheering.settings import model
 from lycheering.wire import api as wire_api
 from lycheering.wire import errors as wire_errors
 from lycheering.wire import messages
@@ -18,7 +19,6 @@
     from collections.abc import Iterable
 
     from lycheering.replication import members
-    from lycheering.settings import model
     from lycheering.wire import pool
 
 CONNECT_TIMEOUT_MS = 300
@@ -26,8 +26,7 @@
 
 def wire_address(peer: members.PeerAddress) -> wire_api.Address:
     """Returns where a member listens, in the inner protocol's form."""
-    ip, _, port = peer.address.rpartition(":")
-    return wire_api.Address(peer.instance, ip, int(port))
+    return wire_api.Address(peer.instance, *model.split_address(peer.address))
 
 
 class WireTransport(replication_api.Transport):
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -27,9 +27,9 @@
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
 from lycheering.wire import byte_budget
+from lycheering.wire import links
 from lycheering.wire import messages
 from lycheering.wire import pool as wire_pool
-from lycheering.wire import security
 from lycheering.wire import sockets
 
 if TYPE_CHECKING:
@@ -60,18 +60,14 @@
         self._settings = settings.entry
         self._clock = clock.Clock()
         self._context = sockets.new_context()
-        link = wire_api.Link(
+        link = links.link_from(
+            settings,
+            settings.instance.name,
+            messages.Role.ENTRY,
             self._context,
-            wire_api.Identity(
-                settings.instance.name,
-                messages.Role.ENTRY,
-                settings.instance.failure_domain,
-            ),
-            settings.wire,
             self._clock,
             self.view,
             self.counters,
-            security.security_from(settings.wire, self.counters),
         )
         self._budget = byte_budget.ByteBudget(settings.wire, self._clock)
         self._connections = wire_pool.ConnectionPool(link, self._budget)
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -20,6 +20,7 @@
 from lycheering.forward import liveness
 from lycheering.forward import target_book
 from lycheering.retries import window
+from lycheering.settings import model
 from lycheering.telemetry import counters
 from lycheering.telemetry import histograms
 from lycheering.telemetry import logs
@@ -27,15 +28,13 @@
 from lycheering.web import guarded_protocol
 from lycheering.web import kept_connections
 from lycheering.web import server as web_server
-from lycheering.wire import api as wire_api
+from lycheering.wire import links
 from lycheering.wire import messages
 from lycheering.wire import pool as wire_pool
-from lycheering.wire import security
 from lycheering.wire import sockets
 
 if TYPE_CHECKING:
     from lycheering.forward import api
-    from lycheering.settings import model
 
 # the rest is for a request's way to its start and for clocks that differ
 OLD_WEIGHTS_PART = 0.7
@@ -84,18 +83,14 @@
 
     def _join_control(self, settings: model.Settings) -> None:
         self._context = sockets.new_context()
-        link = wire_api.Link(
+        link = links.link_from(
+            settings,
+            settings.instance.name,
+            messages.Role.ENTRY,
             self._context,
-            wire_api.Identity(
-                settings.instance.name,
-                messages.Role.ENTRY,
-                settings.instance.failure_domain,
-            ),
-            settings.wire,
             self._clock,
             self.view,
             self._counters,
-            security.security_from(settings.wire, self._counters),
         )
         self._identity = link.identity
         self._connections = wire_pool.ConnectionPool(link)
@@ -149,9 +144,9 @@
         self._liveness = liveness.Liveness(
             self._book, self._kept, self._clock, self._counters
         )
-        ip, _, port = direct.caller_address.rpartition(":")
+        ip, port = model.split_address(direct.caller_address)
         self.web = web_server.WebServer(
-            self._application, ip, int(port), self._limits
+            self._application, ip, port, self._limits
         )
         # the default router is shared by all applications of a process
         ready = blacksheep.Application(router=blacksheep.Router())
@@ -160,8 +155,8 @@
             return blacksheep.Response(200 if self.is_ready() else 503)
 
         ready.router.add_get(READY_PATH, answer)
-        ip, _, port = direct.ready_address.rpartition(":")
-        self.ready_web = web_server.WebServer(ready, ip, int(port))
+        ip, port = model.split_address(direct.ready_address)
+        self.ready_web = web_server.WebServer(ready, ip, port)
         self._metrics = metrics.MetricsServer(
             settings.instance.ip, direct.metrics_port, self._times
         )
--- a/src/lycheering/platform/documents.py
+++ b/src/lycheering/platform/documents.py
@@ -9,6 +9,7 @@
 
 from lycheering.fleet import view
 from lycheering.routes import api as route_api
+from lycheering.settings import model
 
 MAX_FINDINGS = 20
 
@@ -106,7 +107,7 @@
             engine = route_api.EngineTraits(
                 self.engine.slots,
                 self.engine.kv_capacity_tokens,
-                tuple(model.name for model in self.engine.models),
+                tuple(served.name for served in self.engine.models),
             )
         return route_api.Service(
             self.name, self.max_connections, engine, self._store()
@@ -115,9 +116,9 @@
     def _store(self) -> route_api.StoreTraits | None:
         if not self.kv_store_addr:
             return None
-        ip, _, port = self.kv_store_addr.rpartition(":")
+        ip, port = model.split_address(self.kv_store_addr)
         return route_api.StoreTraits(
-            ip, int(port), self.failure_domain, self.kv_capacity_tokens
+            ip, port, self.failure_domain, self.kv_capacity_tokens
         )
 
 
--- a/src/lycheering/platform/instance_list.py
+++ b/src/lycheering/platform/instance_list.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 import urllib.parse
 
 import msgspec
 
 from lycheering.control.direct import api
 from lycheering.fleet import records
+from lycheering.settings import model
 from lycheering.telemetry import logs
 from lycheering.web import client
 
-if TYPE_CHECKING:
-    from lycheering.settings import model
-
 LIST_PATH = "/instances"
 CALL_TIMEOUT_MS = 1_000
 MAX_PAGES = 100
@@ -95,12 +92,12 @@
     try:
         found = msgspec.json.decode(raw, type=_Instance)
         state = STATE_BY_WORD[found.state]
-        ip, _, port = found.address.rpartition(":")
+        ip, port = model.split_address(found.address)
         return records.DirectTarget(
             target_id=found.id,
             service=found.service,
             ip=ip,
-            port=int(port),
+            port=port,
             failure_domain=found.failure_domain,
             slots=found.slots,
             state=state,
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -78,6 +78,16 @@
     return f"{_check_ip(ip.strip('[]'))}:{port}"
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the IP number and the port of `ip:port`.
+
+    Raises:
+        ValueError: If there is no port.
+    """
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
+
+
 ListenAddress = Annotated[str, pydantic.AfterValidator(_check_address)]
 ListenAddresses = Annotated[
     tuple[ListenAddress, ...], pydantic.BeforeValidator(_parse_addresses)
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -127,6 +127,12 @@
         """Takes bytes of the body in."""
         self.parts.append(body)
 
+    def take(self) -> bytes:
+        """Returns the bytes of the body that nobody took yet."""
+        data = b"".join(self.parts)
+        self.parts.clear()
+        return data
+
     def on_message_complete(self) -> None:
         """Notes the end of the response."""
         self.done = True
@@ -254,9 +260,7 @@
         callbacks = self._callbacks
         while True:
             if callbacks.parts:
-                part = b"".join(callbacks.parts)
-                callbacks.parts.clear()
-                yield part
+                yield callbacks.take()
             elif callbacks.done:
                 return
             else:
--- a/src/lycheering/web/kept_connections.py
+++ b/src/lycheering/web/kept_connections.py
@@ -107,9 +107,7 @@
         collector = self._collector
         while True:
             if collector.parts:
-                data = b"".join(collector.parts)
-                collector.parts.clear()
-                return data
+                return collector.take()
             if collector.done or self._ended_cleanly:
                 return b""
             await self._feed(timeout_ms)
