Bring engines that lack weights longest to them first; let runs end

Besides, once an engine had the newest weights only such engines were compared, so the first one through got all requests.

Ruled out: the engines' loads failing (13 orders, none refused).

Old weights cost a fifth of the objective in place of being left out. Orders say that runs end first; an engine is ordered once none of its requests waits unread.

--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -23,6 +23,7 @@
 from lycheering.control.direct import api as direct_api
 from lycheering.control.direct import load_hub
 from lycheering.control.direct import member_intake
+from lycheering.control.direct import roll_plan
 from lycheering.control.direct import route_desk
 from lycheering.control.direct import store_watch
 from lycheering.control.direct import target_lister
@@ -238,10 +239,11 @@
             founds=founds,
         )
         self._handler.intake = self.intake
-        self._handler.hub = load_hub.LoadHub(self._clock)
+        hub = load_hub.LoadHub(self._clock)
+        self._handler.hub = hub
         self._direct_parts = [
             self.intake,
-            *self._target_parts(settings, direct),
+            *self._target_parts(settings, direct, hub),
             *self._direct_endpoints(settings, direct),
             group_failure.GroupFailure(
                 self.group, self.application, self._clock
@@ -249,11 +251,16 @@
         ]
 
     def _target_parts(
-        self, settings: model.DirectSettings, direct: direct_api.DirectAdapter
+        self,
+        settings: model.DirectSettings,
+        direct: direct_api.DirectAdapter,
+        hub: load_hub.LoadHub,
     ) -> list[app_api.Part]:
         """Returns what keeps targets, stores and weights as they should be."""
         roll = weights_roll.RollSettings(
-            at_once=settings.loads_at_once,
+            plan=roll_plan.PlanSettings(
+                most=settings.loads_at_once, bound_ms=settings.old_weights_ms
+            ),
             hold_ms=settings.hold_ms,
             lease_ms=settings.order_lease_ms,
         )
@@ -272,6 +279,7 @@
                 self.group,
                 direct.engines,
                 roll,
+                hub,
                 self._settings.instance.name,
                 self._clock,
                 self._counters,
--- a/src/lycheering/control/direct/load_hub.py
+++ b/src/lycheering/control/direct/load_hub.py
@@ -69,6 +69,21 @@
             len(self._told_by_entry),
         )
 
+    def unread_tokens(self, target: int) -> int:
+        """Returns the prompt tokens that a target still has to read.
+
+        Args:
+            target: Digest of the target's key.
+        """
+        now_ms = self._clock.now_ms()
+        return sum(
+            load.unread_tokens
+            for told in self._told_by_entry.values()
+            if now_ms - told.at_ms <= EXPIRY_MS
+            for load in told.loads
+            if load.target == target
+        )
+
     def _take(self, exchange: messages.LoadExchange, now_ms: float) -> bool:
         """Keeps an exchange, unless a later one was handled already."""
         told = self._told_by_entry.get(exchange.entry)
--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -10,15 +10,15 @@
 from lycheering.app import api as app_api
 from lycheering.control import commands
 from lycheering.control.direct import api
+from lycheering.control.direct import roll_plan
 from lycheering.fleet import records
 from lycheering.replication import errors
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from lycheering import clock
     from lycheering.control import replica
+    from lycheering.control.direct import load_hub
     from lycheering.fleet import view
     from lycheering.telemetry import counters
 
@@ -27,6 +27,10 @@
 REPORT_INTERVAL_MS = 100
 # a report may be this old
 REPORT_LAG_MS = 350
+# how long an engine is taken to be out of service before one was
+FIRST_OUT_MS = 2_000.0
+# weight of the last load in the mean of the times out of service
+OUT_WEIGHT = 0.25
 LOAD_TIMEOUT_MS = 4_000  # a load with the others beside it ends before
 RETRY_MS = 250
 MAX_RETRY_MS = 1_500
@@ -43,46 +47,40 @@
     """How engines are brought to new weights.
 
     Attributes:
-        at_once: Engines that load at one time.
-        held_ahead: Engines kept free of new work for the next load.
-        most_share: The most engines out of service, as a part of all that
-            are reachable.
-        hold_ms: How long an engine gets no new work before its order.
+        plan: How many at one time.
+        hold_ms: How long an engine gets no new work before its order, until
+            all entries have learned of it.
+        most_hold_ms: How long it may go on reading prompts besides.
         lease_ms: How long the orders of an earlier holder may count.
     """
 
-    at_once: int = 8
-    held_ahead: int = 0
-    most_share: float = 0.35
-    hold_ms: float = 450.0
+    plan: roll_plan.PlanSettings = roll_plan.PlanSettings()
+    hold_ms: float = 250.0
+    most_hold_ms: float = 1_000.0
     lease_ms: float = 3_000.0
 
 
 def outdated(
-    fleet: view.FleetView, failures_by_key: Mapping[str, int]
+    fleet: view.FleetView,
 ) -> list[tuple[records.DirectTarget, str, int]]:
-    """Returns the engines on older weights, with the model and version.
-
-    Those that failed least come first, of them those kept free already.
+    """Returns the engines on older weights.
 
     Args:
         fleet: What is in force.
-        failures_by_key: How often each failed in a row.
+
+    Returns:
+        Each engine, the model, and the wall-clock time in milliseconds at
+        which the first version that it lacks was named.
     """
-    found = [
-        (target, model, wanted)
-        for target in fleet.direct_target_by_key.values()
-        if target.state is records.TargetState.LIVE
-        for model, version in target.version_by_model.items()
-        if (wanted := fleet.version_by_model.get(model, 0)) > version
-    ]
-    found.sort(
-        key=lambda item: (
-            failures_by_key.get(item[0].key, 0),
-            not item[0].is_held,
-            item[0].key,
-        )
-    )
+    found = []
+    for target in fleet.direct_target_by_key.values():
+        if target.state is not records.TargetState.LIVE:
+            continue
+        for model, held in target.version_by_model.items():
+            for version, wall_ms in fleet.named_by_model.get(model, ()):
+                if version > held:
+                    found.append((target, model, wall_ms))
+                    break
     return found
 
 
@@ -94,6 +92,7 @@
         group: replica.Replica,
         engines: api.EngineCalls,
         settings: RollSettings,
+        hub: load_hub.LoadHub,
         name: str,
         time: clock.Clock,
         counts: counters.Counters,
@@ -104,6 +103,7 @@
             group: The replicated log.
             engines: Calls to engines.
             settings: How many at once, and when.
+            hub: What entries have at engines.
             name: This instance, as the holder of orders.
             time: The clock.
             counts: The process's counters.
@@ -111,12 +111,13 @@
         self._group = group
         self._engines = engines
         self._settings = settings
+        self._hub = hub
         self._name = name
         self._clock = time
         self._counters = counts
         self._tasks = app_api.TaskOwner()
         self._rolling: set[str] = set()
-        self._loading = 0
+        self._out_ms = FIRST_OUT_MS
         self._fence = 0
         self._orders_from_ms = 0.0
         self._retry_at_ms_by_key: dict[str, float] = {}
@@ -164,7 +165,7 @@
     async def _release_settled(self) -> None:
         """Gives engines back that are held though nothing is left to do."""
         fleet = self._group.machine.fleet
-        waiting = {target.key for target, _, _ in self._outdated(fleet)}
+        waiting = {target.key for target, _, _ in outdated(fleet)}
         settled = tuple(
             msgspec.structs.replace(target, is_held=False)
             for target in fleet.direct_target_by_key.values()
@@ -180,38 +181,37 @@
         if now_ms < self._orders_from_ms - self._settings.hold_ms:
             return
         fleet = self._group.machine.fleet
-        most = self._most(fleet)
-        for target, model, _ in self._outdated(fleet):
-            if len(self._rolling) >= most:
-                return
-            if target.key in self._rolling:
-                continue
-            if now_ms < self._retry_at_ms_by_key.get(target.key, 0.0):
+        wall_ms = self._clock.wall_ms()
+        waiting = [
+            roll_plan.Engine(
+                target.key,
+                model,
+                wall_ms - named_wall_ms,
+                self._failures_by_key.get(target.key, 0),
+                is_held=target.is_held,
+                is_paused=now_ms < self._retry_at_ms_by_key.get(target.key, 0),
+            )
+            for target, model, named_wall_ms in outdated(fleet)
+            if target.key not in self._rolling
+        ]
+        free = self._most(fleet) - len(self._rolling)
+        for engine in roll_plan.next_engines(waiting, free):
+            if engine.key in self._rolling:
                 continue
-            self._rolling.add(target.key)
+            self._rolling.add(engine.key)
             self._tasks.spawn(
-                self._roll(target.key, model), f"weights:{target.target_id}"
+                self._roll(engine.key, engine.model), f"weights:{engine.key}"
             )
 
-    def _outdated(
-        self, fleet: view.FleetView
-    ) -> list[tuple[records.DirectTarget, str, int]]:
-        return outdated(fleet, self._failures_by_key)
-
-    def _failures(self, target: records.DirectTarget) -> int:
-        return self._failures_by_key.get(target.key, 0)
-
     def _most(self, fleet: view.FleetView) -> int:
         """Returns how many engines may be out of service at one time."""
         reachable = sum(
-            not self._failures(target)
+            not self._failures_by_key.get(target.key, 0)
             for target in fleet.direct_target_by_key.values()
             if target.version_by_model
             and target.state is records.TargetState.LIVE
         )
-        share = int(reachable * self._settings.most_share)
-        most = self._settings.at_once + self._settings.held_ahead
-        return max(1, min(most, share))
+        return roll_plan.at_once(reachable, self._out_ms, self._settings.plan)
 
     async def _roll(self, key: str, model: str) -> None:
         try:
@@ -238,16 +238,11 @@
             return
         # one that can't be reached is not worth holding
         await self._engines.report(target)
+        began_ms = self._clock.now_ms()
         if not target.is_held:
             await self._put(target, is_held=True)
-            await self._clock.sleep(self._settings.hold_ms)
-        while self._loading >= self._settings.at_once:
-            await self._clock.sleep(CHECK_INTERVAL_MS)
-        self._loading += 1
-        try:
-            version = await self._load(target, model)
-        finally:
-            self._loading -= 1
+            await self._until_read(target)
+        version = await self._load(target, model)
         latest = self._target(key)
         if latest is None or not version:
             return
@@ -257,6 +252,27 @@
             msgspec.structs.replace(latest, version_by_model=version_by_model),
             is_held=False,
         )
+        out_ms = self._clock.now_ms() - began_ms
+        self._out_ms += OUT_WEIGHT * (out_ms - self._out_ms)
+        _LOG.event(
+            "weights_changed",
+            target=target.target_id,
+            model=model,
+            version=version,
+            out_ms=round(out_ms),
+        )
+
+    async def _until_read(self, target: records.DirectTarget) -> None:
+        """Waits until an engine that gets no new work has none that waits.
+
+        Runs that began are ended before the weights change.
+        """
+        await self._clock.sleep(self._settings.hold_ms)
+        until_ms = self._clock.now_ms() + self._settings.most_hold_ms
+        while self._hub.unread_tokens(target.digest):
+            if self._clock.now_ms() >= until_ms:
+                return
+            await self._clock.sleep(CHECK_INTERVAL_MS)
 
     def _target(self, key: str) -> records.DirectTarget | None:
         fleet = self._group.machine.fleet
--- a/src/lycheering/fleet/records.py
+++ b/src/lycheering/fleet/records.py
@@ -5,6 +5,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 from lycheering.fleet import options
 
@@ -134,6 +135,11 @@
         """Names this run of the target, also where the id stays."""
         return f"{self.target_id}/{self.born_ms}"
 
+    @property
+    def digest(self) -> int:
+        """Stands for the key where many targets are told of at once."""
+        return xxhash.xxh3_64_intdigest(self.key.encode()) >> 16
+
 
 __all__ = [
     "DirectTarget",
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -19,6 +19,8 @@
     from collections.abc import Iterable
 
 RECENT_CHANGES = 1_000
+# earlier names of a model's weights that are told with a whole view
+KEPT_NAMES = 32
 
 
 class Subject(msgspec.Struct, frozen=True):
@@ -63,7 +65,10 @@
         route_table: The route table in force, if any.
         direct_targets: The targets that entries reach by themselves.
         version_by_model: The weights wanted of each model.
-        named_wall_ms_by_model: When they were named, by the wall clock.
+        named_wall_ms_by_model: When they were named, by the wall clock; for
+            instances of an earlier release.
+        named_by_model: Version and wall-clock time of each name of late, the
+            oldest first.
     """
 
     view_revision: int
@@ -77,6 +82,7 @@
     direct_targets: tuple[records.DirectTarget, ...] = ()
     version_by_model: dict[str, int] = {}
     named_wall_ms_by_model: dict[str, int] = {}
+    named_by_model: dict[str, tuple[tuple[int, int], ...]] = {}
 
 
 class ViewGapError(Exception):
@@ -102,7 +108,7 @@
         route_table: The route table in force, if any.
         direct_target_by_key: Targets that entries reach by themselves.
         version_by_model: The weights wanted of each model.
-        named_wall_ms_by_model: When they were named, by the wall clock.
+        named_by_model: Version and wall-clock time of each name of late.
     """
 
     def __init__(self) -> None:
@@ -116,7 +122,7 @@
         self.route_table: route_records.RouteTable | None = None
         self.direct_target_by_key: dict[str, records.DirectTarget] = {}
         self.version_by_model: dict[str, int] = {}
-        self.named_wall_ms_by_model: dict[str, int] = {}
+        self.named_by_model: dict[str, tuple[tuple[int, int], ...]] = {}
         self._team_by_digest: dict[str, records.Team] = {}
         self._value_by_scope_by_option: dict[
             str, dict[records.Scope, options.OptionValue]
@@ -143,7 +149,11 @@
             self.route_table,
             tuple(self.direct_target_by_key.values()),
             dict(self.version_by_model),
-            dict(self.named_wall_ms_by_model),
+            {
+                model: named[-1][1]
+                for model, named in self.named_by_model.items()
+            },
+            dict(self.named_by_model),
         )
 
     def restore(self, snapshot: ViewSnapshot) -> bool:
@@ -173,7 +183,7 @@
             target.key: target for target in snapshot.direct_targets
         }
         self.version_by_model = dict(snapshot.version_by_model)
-        self.named_wall_ms_by_model = dict(snapshot.named_wall_ms_by_model)
+        self.named_by_model = dict(snapshot.named_by_model)
         self._recent.clear()
         self._index_teams()
         self._index_exceptions()
@@ -302,7 +312,9 @@
                 self.direct_target_by_key.pop(key, None)
             case changes.WeightsNamed(model, version, wall_ms):
                 self.version_by_model[model] = version
-                self.named_wall_ms_by_model[model] = wall_ms
+                names = self.named_by_model.get(model, ())
+                names = (*names, (version, wall_ms))
+                self.named_by_model[model] = names[-KEPT_NAMES:]
 
     def _drop_digests(self, team_name: str) -> None:
         team = self.team_by_name.get(team_name)
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -31,9 +31,13 @@
         own_request_ms: Work of each of this entry's own requests besides.
         running_ms: What each running request slows a new one down by.
         held_ms: Cost of an engine that is kept free for an order.
-        old_weights_ms: Cost of an engine on older weights.
+        old_weights_part: Cost of an engine on older weights, as a part of
+            the latency objective.
         old_grace_ms: Time after new weights are named without that cost.
-        old_limit_ms: Time after which no request goes to older weights.
+        old_limit_ms: Time after which no request starts on older weights.
+        old_avoided_part: Part of that time after which an engine gets work
+            only if no other can take it.
+        wait_margin: How much longer than expected a start may take.
         suspect_ms: Cost of a target that failed of late.
         other_domain_ms: Cost of a target in another failure domain.
         affinity: Part of the shared parts that the first in the order of a
@@ -50,9 +54,11 @@
     own_request_ms: float = 18.0
     running_ms: float = 1.0
     held_ms: float = 2_000.0
-    old_weights_ms: float = 600.0
+    old_weights_part: float = 0.2
     old_grace_ms: float = 1_200.0
     old_limit_ms: float = 8_000.0
+    old_avoided_part: float = 0.8
+    wait_margin: float = 2.0
     suspect_ms: float = 5_000.0
     other_domain_ms: float = 2.0
     affinity: float = 0.8
@@ -73,8 +79,9 @@
         affinity_key: Requests of one key are best kept together.
         width: On how many targets they are.
         model: The model asked for.
-        wanted_version: The newest weights named of it.
-        wanted_for_ms: How long ago they were named.
+        names: Each version of its weights that was named of late, and how
+            long ago, the oldest first.
+        objective_ms: The latency objective of its route.
     """
 
     prompt_tokens: int = 0
@@ -83,12 +90,20 @@
     affinity_key: int = 0
     width: int = 1
     model: str = ""
-    wanted_version: int = 0
-    wanted_for_ms: float = 0.0
+    names: tuple[tuple[int, float], ...] = ()
+    objective_ms: float = 0.0
 
-    def is_outdated(self, state: target_book.TargetState) -> bool:
-        """Returns whether a target has older weights than are wanted."""
-        return self.version_at(state) < self.wanted_version
+    def outdated_ms(self, state: target_book.TargetState) -> float:
+        """Returns how long a target has lacked weights that are wanted.
+
+        It counts from the first version that it lacks: later ones do not make
+        what it has any newer.
+        """
+        held = self.version_at(state)
+        for version, age_ms in self.names:
+            if version > held:
+                return age_ms
+        return 0.0
 
     def is_held_at(self, state: target_book.TargetState) -> bool:
         """Returns whether a target is known to hold all shared parts."""
@@ -97,8 +112,8 @@
 
     def version_at(self, state: target_book.TargetState) -> int:
         """Returns the weights version that a target has."""
-        versions = state.target.version_by_model
-        return versions.get(self.model, self.wanted_version)
+        newest = self.names[-1][0] if self.names else 0
+        return state.target.version_by_model.get(self.model, newest)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,26 +155,40 @@
         now_ms: The time.
         randomness: Draws the targets that are compared.
     """
-    is_over = work.wanted_for_ms > settings.old_limit_ms
-    able = [
-        state
-        for state in states
-        if state.target.key not in excluded
-        and not (is_over and work.is_outdated(state))
-    ]
+    able = [state for state in states if state.target.key not in excluded]
     if not able:
         return None
-    fit = _fit(able, work, settings, now_ms)
+    fit = _fit(able, now_ms)
     holder = max(fit, key=lambda state: state.cached.held_tokens(work.chains))
     homes = ranked(fit, work.affinity_key)[: work.width]
     if not any(work.is_held_at(state) for state in homes):
         homes.append(holder)
     drawn = _drawn(fit, settings, randomness)
-    estimates = [
-        _estimate(state, work, settings, failure_domain, homes, now_ms)
-        for state in dict.fromkeys([*homes, holder, *drawn])
-    ]
-    return min(estimates, key=lambda estimate: estimate.cost_ms)
+    compared = dict.fromkeys([*homes, holder, *drawn])
+    for candidates in (compared, able):
+        estimates = [
+            _estimate(state, work, settings, failure_domain, homes, now_ms)
+            for state in candidates
+        ]
+        timely = [
+            estimate
+            for estimate in estimates
+            if _starts_in_time(estimate, work, settings)
+        ]
+        if timely:
+            return min(timely, key=lambda estimate: estimate.cost_ms)
+    return None
+
+
+def _starts_in_time(
+    estimate: Estimate, work: Work, settings: ChoiceSettings
+) -> bool:
+    """Returns whether a request starts before its weights are too old."""
+    outdated_ms = work.outdated_ms(estimate.state)
+    if not outdated_ms:
+        return True
+    wait_ms = settings.wait_margin * estimate.wait_ms
+    return outdated_ms + wait_ms <= settings.old_limit_ms
 
 
 def fetch_source(
@@ -221,10 +250,7 @@
 
 
 def _fit(
-    able: Sequence[target_book.TargetState],
-    work: Work,
-    settings: ChoiceSettings,
-    now_ms: float,
+    able: Sequence[target_book.TargetState], now_ms: float
 ) -> Sequence[target_book.TargetState]:
     """Returns the targets that a prefix may be kept at for now."""
     fit = [
@@ -232,9 +258,6 @@
         for state in able
         if not state.target.is_held and not state.is_suspect(now_ms)
     ]
-    if work.wanted_for_ms > settings.old_grace_ms:
-        newest = [state for state in fit if not work.is_outdated(state)]
-        fit = newest or fit
     return fit or able
 
 
@@ -284,9 +307,11 @@
         cost_ms += settings.other_domain_ms
     if target.is_held:
         cost_ms += settings.held_ms
-    is_late = work.wanted_for_ms > settings.old_grace_ms
-    if is_late and work.is_outdated(state):
-        cost_ms += settings.old_weights_ms
+    outdated_ms = work.outdated_ms(state)
+    if outdated_ms > settings.old_grace_ms:
+        cost_ms += settings.old_weights_part * work.objective_ms
+    if outdated_ms > settings.old_avoided_part * settings.old_limit_ms:
+        cost_ms += settings.held_ms
     if state.is_suspect(now_ms):
         cost_ms += settings.suspect_ms
     cost_ms += max(0.0, state.silent_ms(now_ms) - settings.silence_ms)
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -37,7 +37,7 @@
     from lycheering.forward import api
 
 # the rest is for a request's way to its start and for clocks that differ
-OLD_WEIGHTS_PART = 0.7
+OLD_WEIGHTS_PART = 0.85
 READY_PATH = "/health/ready"
 HOUSEKEEPING_MS = 500
 DRAIN_POLL_MS = 20
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -11,6 +11,7 @@
 from lycheering.forward import choice
 from lycheering.forward import job as jobs
 from lycheering.forward import refusals
+from lycheering.forward import weights_names
 from lycheering.routes import api as route_api
 
 if TYPE_CHECKING:
@@ -81,17 +82,12 @@
         self._wait_current = wait_current
         self._clock = time
         self._random = random.Random()
-        self._named: dict[str, int] = {}
-        self._named_ms_by_model: dict[str, float] = {}
+        self._weights = weights_names.WeightsNames(time)
         view.listen(self._view_changed)
 
     def _view_changed(self) -> None:
         fleet = self._view.fleet
-        for model, version in fleet.version_by_model.items():
-            if self._named.get(model) == version:
-                continue
-            self._named[model] = version
-            self._named_ms_by_model[model] = self._named_ms(model)
+        self._weights.update(fleet, is_first=self.index is None)
         table = fleet.route_table
         if table is None:
             return
@@ -101,15 +97,6 @@
             fleet.direct_target_by_key.values(), self.index.service_by_name
         )
 
-    def _named_ms(self, model: str) -> float:
-        """Returns when the weights wanted of a model were named."""
-        now_ms = self._clock.now_ms()
-        if self.index is not None:
-            return now_ms
-        # before this process started, which only the time of day tells
-        named_ms = self._view.fleet.named_wall_ms_by_model.get(model, 0)
-        return now_ms - max(0.0, self._clock.wall_ms() - named_ms)
-
     async def job(self, arrival: Arrival, caller: callers.Caller) -> jobs.Job:
         """Returns a request once its body is read and its team is known.
 
@@ -151,7 +138,7 @@
             priority=priority,
             arrived_ms=arrival.at_ms,
             until_ms=arrival.at_ms + wait_ms,
-            work=self._work(traits, team, service.name),
+            work=self._work(traits, team, route, service.name),
             last_event_id=traits.last_event_id,
         )
 
@@ -192,18 +179,18 @@
         self,
         traits: api.RequestTraits,
         team: route_api.KeyedTeam | None,
+        route: route_api.Route,
         service: str,
     ) -> choice.Work:
         if not traits.parts:
-            return choice.Work()
+            return choice.Work(objective_ms=route.objective_ms)
         scope = team.name if team is not None and team.is_isolated else ""
         chains = cached_parts.chains_of(scope, traits.parts)
         in_parts = sum(part.tokens for part in traits.parts)
         prompt_tokens = max(traits.prompt_tokens, in_parts)
         shared = in_parts - traits.parts[-1].tokens
         levels = chains[:-1] or chains
-        now_ms = self._clock.now_ms()
-        self._book.heat.count(levels, prompt_tokens, now_ms)
+        self._book.heat.count(levels, prompt_tokens, self._clock.now_ms())
         affinity_key, width = self._book.heat.level(
             levels, len(self._book.of_service(service))
         )
@@ -214,11 +201,8 @@
             affinity_key=affinity_key,
             width=width,
             model=traits.model,
-            wanted_version=self._view.fleet.version_by_model.get(
-                traits.model, 0
-            ),
-            wanted_for_ms=now_ms
-            - self._named_ms_by_model.get(traits.model, 0.0),
+            names=self._weights.ages(traits.model),
+            objective_ms=route.objective_ms,
         )
 
 
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -6,8 +6,6 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from lycheering.fleet import records
 from lycheering.forward import cached_parts
 from lycheering.forward import prefix_heat
@@ -77,7 +75,7 @@
         self.is_unreachable = False
         self.is_version_doubtful = False
         self._failures = 0
-        self.digest = xxhash.xxh3_64_intdigest(target.key.encode()) >> 16
+        self.digest = target.digest
         self._others: messages.TargetLoad | None = None
         self._others_ms = 0.0
         self._running = 0.0
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -293,8 +293,9 @@
         second_send_allowance: Second sends beyond those, of all entries.
         second_send_window_s: The time over which both are counted.
         loads_at_once: Engines that load weights at one time, at most; and
-            never more than a third of those that can be reached.
-        hold_ms: How long an engine gets no new work before it loads.
+            never more than half of those that can be reached.
+        hold_ms: How long an engine gets no new work before it loads, at
+            least.
         old_weights_ms: How long requests may go to engines on older weights
             after newer ones were named.
         order_lease_ms: How long orders of an earlier holder may count.
@@ -312,8 +313,8 @@
     second_send_ratio: Annotated[float, pydantic.Field(ge=0)] = 0.2
     second_send_allowance: Annotated[float, pydantic.Field(ge=0)] = 20.0
     second_send_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
-    loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 8
-    hold_ms: Annotated[int, pydantic.Field(ge=0)] = 450
+    loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 400
+    hold_ms: Annotated[int, pydantic.Field(ge=0)] = 250
     old_weights_ms: PositiveMs = 10_000
     order_lease_ms: PositiveMs = 3_000
     stop_grace_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -48,6 +48,32 @@
     When a target is chosen for the prompt
     Then no target is chosen
 
+  @promise.no_old_weights
+  Scenario Outline: What a target lacks counts from the first version it lacks
+    Given 3 direct targets
+    And target 1 has weights 1
+    And weights 2 and 3 were named <first> and <second> ms ago
+    And target 1 has <tokens> tokens to read
+    And the other targets are tried already
+    When a target is chosen for the prompt
+    Then <result>
+
+    Examples:
+      | first | second | tokens | result              |
+      | 9000  | 500    | 0      | no target is chosen |
+      | 6000  | 500    | 0      | target 1 is chosen  |
+      | 6000  | 500    | 80000  | no target is chosen |
+
+  Scenario: The first target with new weights does not get all requests
+    Given 3 direct targets
+    And target 1 has weights 2
+    And target 2 has weights 1
+    And target 3 has weights 1
+    And weights 2 and 2 were named 3000 and 3000 ms ago
+    And target 1 has 16000 tokens to read
+    When a target is chosen for the prompt
+    Then target 1 is not chosen
+
   Scenario: All entries prefer the same target for a prefix that none knows
     Given 6 direct targets
     When 5 entries choose a target for each of 50 unknown prompts
--- a/tests/helpers/direct_targets.py
+++ b/tests/helpers/direct_targets.py
@@ -42,7 +42,7 @@
     )
 
 
-def work(parts=PARTS, wanted_version=1, wanted_for_ms=10_000.0, key=None):
+def work(parts=PARTS, names=((1, 10_000.0),), key=None):
     chains = cached_parts.chains_of("", parts)
     return choice.Work(
         prompt_tokens=sum(part.tokens for part in parts),
@@ -50,8 +50,8 @@
         chains=tuple(chains),
         affinity_key=key or chains[-2],
         model=MODEL,
-        wanted_version=wanted_version,
-        wanted_for_ms=wanted_for_ms,
+        names=names,
+        objective_ms=1_000.0,
     )
 
 
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -76,7 +76,21 @@
         state.target = msgspec.structs.replace(
             state.target, version_by_model={direct_targets.MODEL: version}
         )
-    context.work = direct_targets.work(wanted_version=2)
+    context.work = direct_targets.work(names=((1, 60_000.0), (2, 10_000.0)))
+
+
+@given("target {number:d} has weights {version:d}")
+def step_weights(context, number, version):
+    state = context.states[number - 1]
+    state.target = msgspec.structs.replace(
+        state.target, version_by_model={direct_targets.MODEL: version}
+    )
+
+
+@given("weights {one:d} and {two:d} were named {first:d} and {second:d} ms ago")
+def step_named(context, one, two, first, second):
+    names = ((one, float(first)), (two, float(second)))
+    context.work = direct_targets.work(names=names)
 
 
 @given("target {number:d} has been silent for {silence_ms:d} ms")
--- a/tests/steps/shared_parts_steps.py
+++ b/tests/steps/shared_parts_steps.py
@@ -41,7 +41,7 @@
         state.target = msgspec.structs.replace(
             state.target, version_by_model={direct_targets.MODEL: 2}
         )
-    context.work = direct_targets.work(wanted_version=2)
+    context.work = direct_targets.work(names=((2, 10_000.0),))
 
 
 @given("a prompt with {shared:d} shared and {own:d} own tokens")
--- a/tests/steps/weights_roll_steps.py
+++ b/tests/steps/weights_roll_steps.py
@@ -12,6 +12,7 @@
 from lycheering.control import commands
 from lycheering.control import machine
 from lycheering.control.direct import api
+from lycheering.control.direct import load_hub
 from lycheering.control.direct import weights_roll
 from lycheering.fleet import records
 from lycheering.telemetry import counters
@@ -189,6 +190,7 @@
         group,
         context.engines,
         weights_roll.RollSettings(),
+        load_hub.LoadHub(context.time),
         "own",
         context.time,
         counters.Counters(),
