Learn how fast engines read from what answers took

On further (92 tokens a ms) a queue looked twice as long as it was: at a third of what its engines can read, 17 in 100 tries were refused for a queue of 160 ms and more.

Change: a line through the answers of a service (ServiceRate) and a factor for each engine (ReadRate); answers are told to other entries with the prompts read. ChoiceSettings has no tokens_per_ms any more.

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -80,7 +80,7 @@
             estimate: The target and what is expected there.
             sending: What the target is told besides.
         """
-        attempt = _Attempt(self, job, estimate.state)
+        attempt = _Attempt(self, job, estimate)
         try:
             connection = await self._connect(estimate.state)
         except client.ConnectFailedError as error:
@@ -150,12 +150,13 @@
     """
 
     def __init__(
-        self, owner: Attempts, job: jobs.Job, state: target_book.TargetState
+        self, owner: Attempts, job: jobs.Job, estimate: choice.Estimate
     ) -> None:
         self.is_over = False
         self._owner = owner
         self._job = job
-        self._state = state
+        self._estimate = estimate
+        self._state = estimate.state
 
     async def answer(
         self, connection: kept_connections.KeptConnection, number: int
@@ -192,7 +193,13 @@
         is_success = 200 <= head.status < 300
         if is_success:
             tokens = [part.tokens for part in job.traits.parts]
-            self._owner.book.read(self._state, job.work.chains, tokens)
+            self._owner.book.read(
+                self._state,
+                job.work.chains,
+                tokens,
+                self._estimate.ahead_tokens,
+                now_ms - job.sent_ms - self._estimate.ahead_ms,
+            )
             job.shared_parts.count(self._owner.book, tokens)
         if is_success and EVENT_STREAM in head.get(b"content-type"):
             return await self._stream(connection, head)
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -23,7 +23,6 @@
     """Weights of a choice, in milliseconds unless said otherwise.
 
     Attributes:
-        tokens_per_ms: Prompt tokens that an engine reads in a millisecond.
         other_request_ms: Work of a waiting request of which only the count
             is known.
         known_request_ms: Work of each request of any entry besides, where
@@ -48,7 +47,6 @@
         least_compared: The fewest targets that it compares.
     """
 
-    tokens_per_ms: float = 40.0
     other_request_ms: float = 85.0
     known_request_ms: float = 5.0
     own_request_ms: float = 18.0
@@ -126,6 +124,8 @@
         wait_ms: Time to the start of the answer.
         queue_ms: The part of it before the request itself is read.
         unread_tokens: Tokens that it would have to read.
+        ahead_tokens: Those and the ones to be read before them.
+        ahead_ms: The part of the queue that is not for tokens.
     """
 
     state: target_book.TargetState
@@ -133,6 +133,8 @@
     wait_ms: float
     queue_ms: float
     unread_tokens: int
+    ahead_tokens: int = 0
+    ahead_ms: float = 0.0
 
 
 def choose(
@@ -289,16 +291,18 @@
         held = max(held, int(settings.affinity * work.shared_tokens))
     unread = max(0, work.prompt_tokens - held)
     own = len(state.outstanding_by_id)
-    queue_ms = state.unread_tokens() / settings.tokens_per_ms
+    rate = state.rate.tokens_per_ms()
+    ahead_tokens = state.unread_tokens()
     others = state.others(now_ms)
     if others is not None:
-        queue_ms += others.unread_tokens / settings.tokens_per_ms
-        queue_ms += (own + others.requests) * settings.known_request_ms
+        ahead_tokens += others.unread_tokens
+        ahead_ms = (own + others.requests) * settings.known_request_ms
     else:
-        queue_ms += state.others_waiting(now_ms) * settings.other_request_ms
-        queue_ms += own * settings.own_request_ms
-        queue_ms += state.others_running(now_ms) * settings.running_ms
-    wait_ms = queue_ms + unread / settings.tokens_per_ms
+        ahead_ms = state.others_waiting(now_ms) * settings.other_request_ms
+        ahead_ms += own * settings.own_request_ms
+        ahead_ms += state.others_running(now_ms) * settings.running_ms
+    queue_ms = ahead_tokens / rate + ahead_ms
+    wait_ms = queue_ms + unread / rate
     cost_ms = wait_ms
     if work.affinity_key and state not in homes:
         cost_ms += settings.apart_ms
@@ -315,7 +319,15 @@
     if state.is_suspect(now_ms):
         cost_ms += settings.suspect_ms
     cost_ms += max(0.0, state.silent_ms(now_ms) - settings.silence_ms)
-    return Estimate(state, cost_ms, wait_ms, queue_ms, unread)
+    return Estimate(
+        state,
+        cost_ms,
+        wait_ms,
+        queue_ms,
+        unread,
+        ahead_tokens + unread,
+        ahead_ms,
+    )
 
 
 __all__ = [
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -9,6 +9,7 @@
 from lycheering.fleet import records
 from lycheering.forward import cached_parts
 from lycheering.forward import prefix_heat
+from lycheering.forward import read_rates
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -61,10 +62,15 @@
         reached_ms: When a connection to it was last opened.
         is_version_doubtful: Whether it said that its weights are others.
         is_unreachable: Whether no connection to it could be opened of late.
+        rate: How fast it reads prompts.
     """
 
     def __init__(
-        self, target: records.DirectTarget, cache_tokens: int, now_ms: float
+        self,
+        target: records.DirectTarget,
+        cache_tokens: int,
+        now_ms: float,
+        service_rate: read_rates.ServiceRate,
     ) -> None:
         self.target = target
         self.outstanding_by_id: dict[int, Outstanding] = {}
@@ -75,6 +81,7 @@
         self.is_unreachable = False
         self.is_version_doubtful = False
         self._failures = 0
+        self.rate = read_rates.ReadRate(service_rate)
         self.digest = target.digest
         self._others: messages.TargetLoad | None = None
         self._others_ms = 0.0
@@ -236,6 +243,9 @@
         self.heat = prefix_heat.PrefixHeat()
         self._clock = time
         self._states_by_service: dict[str, list[TargetState]] = {}
+        self._rate_by_service: dict[str, read_rates.ServiceRate] = (
+            collections.defaultdict(read_rates.ServiceRate)
+        )
         self._stores: list[TargetState] = []
         self._news: collections.deque[messages.PromptRead] = collections.deque(
             maxlen=MAX_NEWS
@@ -253,7 +263,12 @@
             state = self.state_by_key.get(target.key)
             if state is None:
                 service = service_by_name.get(target.service)
-                state = TargetState(target, _cache_tokens(service), now_ms)
+                state = TargetState(
+                    target,
+                    _cache_tokens(service),
+                    now_ms,
+                    self._rate_by_service[target.service],
+                )
             elif state.target.version_by_model != target.version_by_model:
                 state.cached.clear()
                 state.is_version_doubtful = False
@@ -272,13 +287,33 @@
                 ).append(state)
 
     def read(
-        self, state: TargetState, chains: Sequence[int], tokens: Sequence[int]
+        self,
+        state: TargetState,
+        chains: Sequence[int],
+        tokens: Sequence[int],
+        read_tokens: int = 0,
+        read_ms: float = 0.0,
     ) -> None:
-        """Counts a prompt as read by a target, and tells other entries."""
+        """Counts a prompt as read by a target, and tells other entries.
+
+        Args:
+            state: The target.
+            chains: The chain of each part of the prompt.
+            tokens: The length of each part.
+            read_tokens: What the target read until the answer began.
+            read_ms: How long it took.
+        """
         state.cached.add(chains, tokens)
+        state.rate.take(read_tokens, read_ms, self._clock.now_ms())
         if chains:
             self._news.append(
-                messages.PromptRead(state.digest, tuple(chains), tuple(tokens))
+                messages.PromptRead(
+                    state.digest,
+                    tuple(chains),
+                    tuple(tokens),
+                    read_tokens,
+                    round(read_ms),
+                )
             )
 
     def take_reads(self, most: int) -> tuple[messages.PromptRead, ...]:
@@ -309,6 +344,7 @@
             found = state_by_digest.get(read.target)
             if found is not None:
                 found.cached.add(read.chains, read.tokens)
+                found.rate.take(read.read_tokens, read.read_ms, now_ms)
             if found in self._stores:
                 continue
             self.heat.count(read.chains[:-1], sum(read.tokens), now_ms)
--- a/src/lycheering/wire/messages/loads.py
+++ b/src/lycheering/wire/messages/loads.py
@@ -28,11 +28,16 @@
         target: Digest of the target's key.
         chains: The chain of each part, from the outermost one.
         tokens: The length of each part.
+        read_tokens: What the target read until the first token of the answer,
+            the prompts before it included; 0 where that is not known.
+        read_ms: How long it took.
     """
 
     target: int
     chains: tuple[int, ...]
     tokens: tuple[int, ...]
+    read_tokens: int = 0
+    read_ms: int = 0
 
 
 class LoadExchange(msgspec.Struct, frozen=True, array_like=True, tag=64):
--- a/tests/helpers/direct_targets.py
+++ b/tests/helpers/direct_targets.py
@@ -9,6 +9,7 @@
 from lycheering.forward import api
 from lycheering.forward import cached_parts
 from lycheering.forward import choice
+from lycheering.forward import read_rates
 from lycheering.forward import target_book
 from lycheering.wire import messages
 
@@ -36,9 +37,12 @@
     )
 
 
-def state(number, now_ms=0.0, **fields):
+def state(number, now_ms=0.0, service_rate=None, **fields):
     return target_book.TargetState(
-        target(number, **fields), CACHE_TOKENS, now_ms
+        target(number, **fields),
+        CACHE_TOKENS,
+        now_ms,
+        service_rate or read_rates.ServiceRate(),
     )
 
 
@@ -93,11 +97,17 @@
     return arrivals
 
 
-def place(arrivals, count, choose_target):
-    """Returns the wait of each arrival, as engines read them."""
+def place(arrivals, count, choose_target, rates=(50.0,)):
+    """Returns the wait of each arrival, as engines read them.
+
+    `choose_target` gets the states, the work and the time, and returns the
+    number of a target, the tokens that it has to read for the work, and those
+    with the ones before them; None turns the work away.
+    """
     time = clock.ManualClock()
-    engines = [Engine() for _ in range(count)]
-    states = [state(number) for number in range(count)]
+    engines = [Engine(rates[n % len(rates)]) for n in range(count)]
+    rate = read_rates.ServiceRate()
+    states = [state(number, service_rate=rate) for number in range(count)]
     reading = []
     waits = []
     for at_ms, parts in arrivals:
@@ -105,13 +115,14 @@
         for item in [item for item in reading if item[0] <= at_ms]:
             item[1].end(item[2])
             item[1].heard_ms = at_ms
+            item[1].rate.take(item[3], item[0] - item[4], item[0])
             reading.remove(item)
         asked = work(parts)
         chosen = choose_target(states, asked, at_ms)
         if chosen is None:
             waits.append(None)
             continue
-        number, unread = chosen
+        number, unread, ahead = chosen
         done_ms = engines[number].run(
             at_ms, asked.chains, parts, asked.prompt_tokens
         )
@@ -121,7 +132,7 @@
         states[number].heard_ms = at_ms
         sizes = [part.tokens for part in parts]
         states[number].cached.add(asked.chains, sizes)
-        reading.append((done_ms, states[number], sent))
+        reading.append((done_ms, states[number], sent, ahead, at_ms))
         waits.append(done_ms - at_ms)
     return waits
 
@@ -169,7 +180,7 @@
             _exchange(states_by_entry, at_ms)
         states = states_by_entry[randomness.randrange(entries)]
         asked = work(parts)
-        number, unread = choose_target(states, asked, at_ms)
+        number, unread, _ = choose_target(states, asked, at_ms)
         done_ms = engines[number].run(
             at_ms, asked.chains, parts, asked.prompt_tokens
         )
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -255,7 +255,8 @@
         found = choice.choose(
             states, work, SETTINGS, "d0", (), now_ms, randomness
         )
-        return states.index(found.state), found.unread_tokens
+        number = states.index(found.state)
+        return number, found.unread_tokens, found.ahead_tokens
 
     load = direct_targets.recorded_load()
     context.waits = direct_targets.place(load, 6, by_choice)
@@ -265,7 +266,7 @@
 def step_place_alone(context):
     def by_prefix(states, work, now_ms):
         ranked = choice.ranked(states, work.affinity_key)
-        return states.index(ranked[0]), work.prompt_tokens
+        return states.index(ranked[0]), work.prompt_tokens, 0
 
     load = direct_targets.recorded_load()
     context.waits_alone = direct_targets.place(load, 6, by_prefix)
--- a/tests/steps/placed_load_steps.py
+++ b/tests/steps/placed_load_steps.py
@@ -38,7 +38,8 @@
         if away_ms is not None:
             context.queues_away.append(found.queue_ms)
             return None
-        return states.index(found.state), found.unread_tokens
+        number = states.index(found.state)
+        return number, found.unread_tokens, found.ahead_tokens
 
     return direct_targets.place(context.load, 6, by_choice)
 
@@ -98,7 +99,8 @@
         found = choice.choose(
             states, work, settings, "d0", (), now_ms, randomness
         )
-        return states.index(found.state), found.unread_tokens
+        number = states.index(found.state)
+        return number, found.unread_tokens, found.ahead_tokens
 
     return direct_targets.place_by_entries(load, 24, 23, by_choice)
 
--- a/tests/steps/shared_parts_steps.py
+++ b/tests/steps/shared_parts_steps.py
@@ -10,6 +10,7 @@
 from lycheering import clock
 from lycheering.forward import api
 from lycheering.forward import shared_parts
+from lycheering.forward import read_rates
 from lycheering.forward import target_book
 from tests.helpers import direct_targets
 
@@ -26,7 +27,9 @@
 @given("a store of {tokens:d} tokens")
 def step_store(context, tokens):
     record = direct_targets.target(99, slots=0)
-    context.store = target_book.TargetState(record, tokens, NOW_MS)
+    context.store = target_book.TargetState(
+        record, tokens, NOW_MS, read_rates.ServiceRate()
+    )
 
 
 @given("the store holds the prompt")
