Keep responses apart; spare targets that leave or ask for it

A late copy of the last answer broke the next exchange, so a call that runs once ended as 502. A head, interim answers, chunk sizes, trailers and an event without end were read into memory until the request's time was over. Server-Leaving and Retry-After of workers (new rules) were not read.

Change: ResponseFeed keeps each response apart, is used by both clients (their two copies of reading are gone) and ends after 64 KiB without an answer; a late copy on a used connection is passed over; answers over 256 KiB are handed on as they come. A target that says that it leaves gets nothing more while it runs, and all entries are told with the next exchange of loads; one that asked to be spared gets two requests at most until then, and callers are told to come back after it.

--- a/src/lycheering/control/direct/load_hub.py
+++ b/src/lycheering/control/direct/load_hub.py
@@ -33,12 +33,14 @@
         number: Its last exchange.
         loads: What it has at targets.
         at_ms: When it told.
+        leaving: Digests of targets that told it that they leave.
     """
 
     incarnation: str
     number: int
     loads: tuple[messages.TargetLoad, ...]
     at_ms: float
+    leaving: tuple[int, ...]
 
 
 class LoadHub:
@@ -67,6 +69,13 @@
             self._epoch,
             cursor,
             len(self._told_by_entry),
+            tuple(
+                {
+                    target
+                    for told in self._told_by_entry.values()
+                    for target in told.leaving
+                }
+            ),
         )
 
     def unread_tokens(self, target: int) -> int:
@@ -96,7 +105,11 @@
         if told is None and len(self._told_by_entry) >= MAX_ENTRIES:
             return False
         self._told_by_entry[exchange.entry] = _Told(
-            exchange.incarnation, exchange.number, exchange.loads, now_ms
+            exchange.incarnation,
+            exchange.number,
+            exchange.loads,
+            now_ms,
+            exchange.leaving,
         )
         return True
 
--- a/src/lycheering/forward/api.py
+++ b/src/lycheering/forward/api.py
@@ -99,11 +99,15 @@
         kind: What it means for the request.
         running: Requests that it runs; None if it does not say.
         waiting: Requests that wait there.
+        is_leaving: Whether the target says that it is about to leave.
+        retry_after_ms: How long it asks to be spared; 0 for not at all.
     """
 
     kind: AnswerKind
     running: int | None = None
     waiting: int = 0
+    is_leaving: bool = False
+    retry_after_ms: float = 0.0
 
 
 class Dialect(abc.ABC):
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -10,6 +10,7 @@
 from lycheering.forward import event_stream
 from lycheering.forward import job as jobs
 from lycheering.forward import refusals
+from lycheering.telemetry import logs
 from lycheering.web import client
 
 if TYPE_CHECKING:
@@ -19,10 +20,18 @@
     from lycheering.web import kept_connections
 
 CONNECT_TIMEOUT_MS = 400.0
-# answers up to this size are held back until they are whole
+# answers up to this size are held back until they are whole; larger ones are
+# handed on as they come
 WHOLE_BYTES = 262_144
+# what says that a request did not run is short
+MAX_NOT_RUN_BYTES = 65_536
+MAX_EVENT_BYTES = 1_048_576
+# late answers to other requests that are passed over on one connection
+MAX_OTHER_ANSWERS = 3
 EVENT_STREAM = "text/event-stream"
 
+_LOG = logs.get("forward")
+
 
 class Result(enum.StrEnum):
     """How an attempt ended."""
@@ -153,6 +162,7 @@
         self, owner: Attempts, job: jobs.Job, estimate: choice.Estimate
     ) -> None:
         self.is_over = False
+        self._is_doubtful = False
         self._owner = owner
         self._job = job
         self._estimate = estimate
@@ -178,17 +188,14 @@
         self, connection: kept_connections.KeptConnection, number: int
     ) -> Outcome:
         job = self._job
-        head = await connection.head(self._left_ms())
-        traits = self._owner.dialect.read_answer(head, job.traits)
-        if traits.kind is api.AnswerKind.OTHER_REQUEST:
-            raise client.ExchangeBrokenError("the answer to another request")
+        head, traits = await self._own_head(connection)
         now_ms = self._owner.now_ms()
         self._state.reported(traits, now_ms)
         self._state.answered(number, now_ms)
         if traits.kind is api.AnswerKind.OTHER_TARGET:
             self._state.is_version_doubtful = True
         if traits.kind is not api.AnswerKind.RAN:
-            await self._body(connection)
+            await self._body(connection, MAX_NOT_RUN_BYTES)
             return Outcome(Result.NOT_RUN, head.status, traits.kind.value)
         is_success = 200 <= head.status < 300
         if is_success:
@@ -203,14 +210,69 @@
             job.shared_parts.count(self._owner.book, tokens)
         if is_success and EVENT_STREAM in head.get(b"content-type"):
             return await self._stream(connection, head)
-        body = await self._body(connection)
-        if not is_success and job.may_repeat and head.status >= 500:
+        may_go_on = not is_success and job.may_repeat and head.status >= 500
+        if not may_go_on and not job.caller.has_begun:
+            return await self._whole_or_parts(connection, head)
+        body = await self._body(connection, WHOLE_BYTES)
+        if may_go_on:
             job.failed_answer = jobs.KeptAnswer(head.status, head.headers, body)
             return Outcome(Result.FAILED, head.status)
-        if job.caller.has_begun:
-            return Outcome(Result.CUT, head.status, "no stream")
-        answer = jobs.KeptAnswer(head.status, head.headers, body)
-        await deliver(job, self._owner, answer)
+        return Outcome(Result.CUT, head.status, "no stream")
+
+    async def _own_head(
+        self, connection: kept_connections.KeptConnection
+    ) -> tuple[kept_connections.ResponseHead, api.AnswerTraits]:
+        """Returns the head of this request's answer.
+
+        On a connection that was used before, a late second copy of an
+        earlier answer may come first; its bytes belong to nobody.
+        """
+        for _ in range(MAX_OTHER_ANSWERS):
+            head = await connection.head(self._left_ms())
+            traits = self._owner.dialect.read_answer(head, self._job.traits)
+            if traits.kind is not api.AnswerKind.OTHER_REQUEST:
+                return head, traits
+            self._is_doubtful = True
+            _LOG.warning(
+                "other_answer",
+                id=self._job.traits.request_id,
+                target=self._state.target.target_id,
+                status=head.status,
+                exchanges=connection.exchanges,
+            )
+            if connection.exchanges == 1:
+                break
+            await connection.skip(self._left_ms())
+        raise client.ExchangeBrokenError("the answer to another request")
+
+    async def _whole_or_parts(
+        self,
+        connection: kept_connections.KeptConnection,
+        head: kept_connections.ResponseHead,
+    ) -> Outcome:
+        """Hands on an answer that is no stream of events."""
+        job = self._job
+        parts: list[bytes] = []
+        size = 0
+        while size <= WHOLE_BYTES:
+            part = await connection.part(self._left_ms())
+            if not part:
+                self.is_over = not self._is_doubtful
+                answer = jobs.KeptAnswer(
+                    head.status, head.headers, b"".join(parts)
+                )
+                await deliver(job, self._owner, answer)
+                return Outcome(Result.DONE, head.status)
+            parts.append(part)
+            size += len(part)
+        job.first_byte_ms = self._owner.now_ms()
+        headers = self._owner.dialect.caller_headers(head.headers)
+        await job.caller.begin(head.status, headers)
+        await job.caller.part(b"".join(parts))
+        while part := await connection.part(self._left_ms()):
+            await job.caller.part(part)
+        self.is_over = not self._is_doubtful
+        await job.caller.finish()
         return Outcome(Result.DONE, head.status)
 
     def _left_ms(self) -> float:
@@ -219,11 +281,17 @@
             raise client.SilenceError("no time left")
         return left_ms
 
-    async def _body(self, connection: kept_connections.KeptConnection) -> bytes:
+    async def _body(
+        self, connection: kept_connections.KeptConnection, most_bytes: int
+    ) -> bytes:
         parts = []
+        size = 0
         while part := await connection.part(self._left_ms()):
             parts.append(part)
-        self.is_over = True
+            size += len(part)
+            if size > most_bytes:
+                raise client.ExchangeBrokenError(f"over {most_bytes} bytes")
+        self.is_over = not self._is_doubtful
         return b"".join(parts)
 
     async def _stream(
@@ -236,6 +304,8 @@
         while data := await connection.part(self._left_ms()):
             self._state.heard_ms = self._owner.now_ms()
             ready = self._unseen(splitter.feed(data))
+            if len(splitter.rest) > MAX_EVENT_BYTES:
+                raise client.ExchangeBrokenError("an event without an end")
             if not ready:
                 continue
             if not job.caller.has_begun:
@@ -245,7 +315,7 @@
             await job.caller.part(ready)
         if splitter.rest:
             raise client.ExchangeBrokenError("ended inside an event")
-        self.is_over = True
+        self.is_over = not self._is_doubtful
         if not job.caller.has_begun:
             raise client.ExchangeBrokenError("a stream without events")
         await job.caller.finish()
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -157,7 +157,11 @@
         now_ms: The time.
         randomness: Draws the targets that are compared.
     """
-    able = [state for state in states if state.target.key not in excluded]
+    able = [
+        state
+        for state in states
+        if state.target.key not in excluded and state.may_get_work(now_ms)
+    ]
     if not able:
         return None
     fit = _fit(able, now_ms)
--- a/src/lycheering/forward/fleet_loads.py
+++ b/src/lycheering/forward/fleet_loads.py
@@ -90,6 +90,7 @@
             reads,
             self._epoch,
             self._cursor,
+            self._book.leaving(),
         )
         try:
             reply = await self._control.call(exchange, EXCHANGE_TIMEOUT_MS)
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -322,7 +322,15 @@
         )
 
     def _retry_after_ms(self, job: jobs.Job) -> float:
-        return FIRST_RETRY_AFTER_MS * self._random.uniform(0.7, 1.3)
+        """Returns when a caller is to come back: once a target may take it."""
+        now_ms = self._clock.now_ms()
+        spared_ms = [
+            max(0.0, state.spared_until_ms - now_ms)
+            for state in self.book.of_service(job.service.name)
+            if not state.is_leaving
+        ]
+        least_ms = max(FIRST_RETRY_AFTER_MS, min(spared_ms, default=0.0))
+        return least_ms * self._random.uniform(0.7, 1.3)
 
     def _window(self, service: str) -> window.SendWindow:
         found = self._window_by_service.get(service)
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -10,6 +10,7 @@
 from lycheering.forward import cached_parts
 from lycheering.forward import prefix_heat
 from lycheering.forward import read_rates
+from lycheering.telemetry import logs
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -28,8 +29,12 @@
 FRESH_PICTURE_MS = 500.0
 MAX_NEWS = 1_000
 FIRST_SUSPECT_MS = 300.0
+# requests that a target gets all the same while it asks to be spared
+SENDS_WHILE_SPARED = 2
 MAX_SUSPECT_MS = 4_000.0
 
+_LOG = logs.get("targets")
+
 
 @dataclasses.dataclass
 class Outstanding:
@@ -63,6 +68,9 @@
         is_version_doubtful: Whether it said that its weights are others.
         is_unreachable: Whether no connection to it could be opened of late.
         rate: How fast it reads prompts.
+        is_leaving: Whether it said that it is about to leave; that holds
+            for as long as it runs.
+        spared_until_ms: Until when it asked to be spared.
     """
 
     def __init__(
@@ -80,6 +88,9 @@
         self.reached_ms = now_ms
         self.is_unreachable = False
         self.is_version_doubtful = False
+        self.is_leaving = False
+        self.spared_until_ms = 0.0
+        self._sends_while_spared = 0
         self._failures = 0
         self.rate = read_rates.ReadRate(service_rate)
         self.digest = target.digest
@@ -106,6 +117,8 @@
             abort: Breaks the exchange off.
         """
         self._next_id += 1
+        if self.is_spared(now_ms):
+            self._sends_while_spared += 1
         if not self.outstanding_by_id:
             # silence counts only while something is waited for
             self.heard_ms = now_ms
@@ -126,8 +139,13 @@
         self.outstanding_by_id.pop(number, None)
 
     def reported(self, answer: api.AnswerTraits, now_ms: float) -> None:
-        """Takes over the load that the target told with an answer."""
+        """Takes over what the target told of itself with an answer."""
         self.heard_ms = now_ms
+        if answer.is_leaving and not self.is_leaving:
+            self.is_leaving = True
+            _LOG.event("target_leaving", target=self.target.target_id)
+        if answer.retry_after_ms > 0:
+            self._spare(now_ms, answer.retry_after_ms)
         if answer.running is None:
             return
         own = len(self.outstanding_by_id)
@@ -138,6 +156,28 @@
         self._waiting = max(0.0, float(answer.waiting - own_waiting))
         self._reported_ms = now_ms
 
+    def _spare(self, now_ms: float, for_ms: float) -> None:
+        if not self.is_spared(now_ms):
+            self._sends_while_spared = 0
+            _LOG.event(
+                "target_spared",
+                target=self.target.target_id,
+                for_ms=round(for_ms),
+            )
+        self.spared_until_ms = max(self.spared_until_ms, now_ms + for_ms)
+
+    def is_spared(self, now_ms: float) -> bool:
+        """Returns whether it asked to be spared for now."""
+        return now_ms < self.spared_until_ms
+
+    def may_get_work(self, now_ms: float) -> bool:
+        """Returns whether a request may be sent there at all."""
+        if self.is_leaving:
+            return False
+        if not self.is_spared(now_ms):
+            return True
+        return self._sends_while_spared < SENDS_WHILE_SPARED
+
     def take_others(self, load: messages.TargetLoad, now_ms: float) -> None:
         """Takes over what all other entries have there."""
         self._others = load
@@ -216,7 +256,9 @@
 
     def is_suspect(self, now_ms: float) -> bool:
         """Returns whether it gets work only if all others fail."""
-        return self.is_unreachable or self.suspect_until_ms > now_ms
+        if self.is_unreachable or self.is_spared(now_ms):
+            return True
+        return self.suspect_until_ms > now_ms
 
     def failed(self, now_ms: float) -> None:
         """Counts a failure; the pause doubles with each in a row."""
@@ -329,6 +371,14 @@
             if state.outstanding_by_id
         )
 
+    def leaving(self) -> tuple[int, ...]:
+        """Returns the digests of targets that are about to leave."""
+        return tuple(
+            state.digest
+            for state in self.state_by_key.values()
+            if state.is_leaving
+        )
+
     def take_picture(
         self, picture: messages.LoadPicture, now_ms: float
     ) -> None:
@@ -340,6 +390,9 @@
         for digest, state in state_by_digest.items():
             none = messages.TargetLoad(digest, 0, 0, 0)
             state.take_others(load_by_target.get(digest, none), now_ms)
+        for digest in picture.leaving:
+            if digest in state_by_digest:
+                state_by_digest[digest].is_leaving = True
         for read in picture.reads:
             found = state_by_digest.get(read.target)
             if found is not None:
--- a/src/lycheering/platform/dialect.py
+++ b/src/lycheering/platform/dialect.py
@@ -6,6 +6,7 @@
 
 from lycheering.forward import api
 from lycheering.forward import event_stream
+from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
     from lycheering.web import kept_connections
@@ -22,6 +23,7 @@
 # in an answer: the worker that gave it did not run the request
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-instance-load"
+LEAVING = b"server-leaving"
 
 TARGET_ID = b"x-expect-instance"
 TEAM = b"x-tenant"
@@ -68,9 +70,12 @@
 NOT_SENT_ON = HOP_BY_HOP | OWN
 SCHEME = "bearer"
 OTHER_TARGET_STATUS = 421
+BUSY_STATUS = 503
 MAX_PRIORITY = 9
 MS_PER_S = 1_000.0
 
+_LOG = logs.get("platform")
+
 
 class PlatformDialect(api.Dialect):
     """Reads and writes the platform's headers."""
@@ -138,7 +143,13 @@
         elif head.get(NOT_RUN) and head.status in (429, 503):
             kind = api.AnswerKind.NOT_RUN
         running, waiting = _load(head.get(LOAD))
-        return api.AnswerTraits(kind, running, waiting)
+        retry_after_ms = 0.0
+        if head.status == BUSY_STATUS:
+            retry_after_ms = _retry_after_ms(head.get(RETRY_AFTER))
+        is_leaving = head.get(LEAVING).strip() == "1"
+        return api.AnswerTraits(
+            kind, running, waiting, is_leaving, retry_after_ms
+        )
 
     def caller_headers(self, headers: api.Headers) -> api.Headers:
         """Returns the headers of an answer that its caller gets."""
@@ -201,6 +212,20 @@
     return value
 
 
+def _retry_after_ms(text: str) -> float:
+    """Reads for how long a target asks to be spared; 0 for not at all."""
+    if not text:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 <= seconds < float("inf"):
+        _LOG.warning("bad_header", name=RETRY_AFTER.decode(), value=text[:40])
+        return 0.0
+    return seconds * MS_PER_S
+
+
 def _key(text: str) -> str:
     scheme, _, key = text.partition(" ")
     return key.strip() if scheme.lower() == SCHEME else ""
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -7,17 +7,19 @@
 from typing import TYPE_CHECKING
 import urllib.parse
 
-import httptools
-
 from lycheering.web import byte_stream
 from lycheering.web import keepalive
+from lycheering.web import responses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Mapping
 
-MAX_HEADERS = 100
 DEFAULT_CONNECT_TIMEOUT_MS = 1_000
+# lower ones announce the response that counts
+FINAL_STATUS = 200
 
 
 class HttpError(Exception):
@@ -97,47 +99,6 @@
     body: bytes
 
 
-class ResponseCollector:
-    """Collects what the parser finds of one response.
-
-    Attributes:
-        headers: Its headers, names in lower case.
-        parts: Bytes of its body that nobody took yet.
-        headers_done: Whether the headers are whole.
-        done: Whether it is whole.
-    """
-
-    def __init__(self) -> None:
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.parts: list[bytes] = []
-        self.headers_done = False
-        self.done = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes a header in."""
-        if len(self.headers) >= MAX_HEADERS:
-            raise ExchangeBrokenError("too many headers")
-        self.headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Notes that there are no more headers."""
-        self.headers_done = True
-
-    def on_body(self, body: bytes) -> None:
-        """Takes bytes of the body in."""
-        self.parts.append(body)
-
-    def take(self) -> bytes:
-        """Returns the bytes of the body that nobody took yet."""
-        data = b"".join(self.parts)
-        self.parts.clear()
-        return data
-
-    def on_message_complete(self) -> None:
-        """Notes the end of the response."""
-        self.done = True
-
-
 async def connect(
     origin: Origin, timeout_ms: float, probes: keepalive.Probes
 ) -> byte_stream.ByteStream:
@@ -181,6 +142,41 @@
         raise ExchangeBrokenError(str(error)) from error
 
 
+def take_bytes(feed: responses.ResponseFeed, data: bytes) -> None:
+    """Hands bytes of a connection to the responses that they make.
+
+    Raises:
+        ExchangeBrokenError: If they make none.
+    """
+    try:
+        feed.feed(data)
+    except responses.NoResponseError as error:
+        raise ExchangeBrokenError(str(error)) from error
+
+
+async def next_head(
+    feed: responses.ResponseFeed,
+    read: Callable[[float], Awaitable[None]],
+    silence_ms: float,
+) -> responses.Response:
+    """Returns the response that counts once its head is whole.
+
+    Args:
+        feed: The responses of the connection.
+        read: Reads more bytes of it.
+        silence_ms: How long each reading may take.
+
+    Raises:
+        ExchangeBrokenError: If it did not come whole.
+    """
+    while True:
+        while not feed.current.headers_done:
+            await read(silence_ms)
+        if feed.current.status >= FINAL_STATUS:
+            return feed.current
+        feed.skip()
+
+
 class Exchange:
     """One request and its response on a connection of their own.
 
@@ -192,8 +188,7 @@
         self.sent = False
         self._stream = stream
         self._origin = origin
-        self._callbacks = ResponseCollector()
-        self._parser = httptools.HttpResponseParser(self._callbacks)
+        self._responses = responses.ResponseFeed()
 
     @classmethod
     async def connect(
@@ -242,14 +237,12 @@
         Raises:
             ExchangeBrokenError: If it did not come whole.
         """
-        while not self._callbacks.headers_done:
-            await self._feed(silence_ms)
-        status = self._parser.get_status_code()
+        found = await next_head(self._responses, self._feed, silence_ms)
         header_by_name = {
             name.decode("latin-1"): value.decode("latin-1")
-            for name, value in self._callbacks.headers
+            for name, value in found.headers
         }
-        return Head(status, header_by_name)
+        return Head(found.status, header_by_name)
 
     async def parts(self, silence_ms: float) -> AsyncIterator[bytes]:
         """Yields the body's parts as they come, until it is whole.
@@ -257,11 +250,11 @@
         Raises:
             ExchangeBrokenError: If the body ends before it is whole.
         """
-        callbacks = self._callbacks
+        response = self._responses.current
         while True:
-            if callbacks.parts:
-                yield callbacks.take()
-            elif callbacks.done:
+            if response.parts:
+                yield response.take()
+            elif response.done:
                 return
             else:
                 await self._feed(silence_ms)
@@ -283,10 +276,7 @@
         data = await read_some(self._stream, silence_ms)
         if not data:
             raise ExchangeBrokenError("connection closed before the end")
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            raise ExchangeBrokenError(f"not HTTP: {error}") from error
+        take_bytes(self._responses, data)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -343,9 +333,10 @@
     "HttpError",
     "Origin",
     "Reply",
-    "ResponseCollector",
     "SilenceError",
     "connect",
     "fetch",
+    "next_head",
     "read_some",
+    "take_bytes",
 ]
--- a/src/lycheering/web/kept_connections.py
+++ b/src/lycheering/web/kept_connections.py
@@ -7,11 +7,10 @@
 import re
 from typing import TYPE_CHECKING
 
-import httptools
-
 from lycheering.web import byte_stream
 from lycheering.web import client
 from lycheering.web import keepalive
+from lycheering.web import responses
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,14 +49,17 @@
 
 
 class KeptConnection:
-    """A connection that carries one exchange after another."""
+    """A connection that carries one exchange after another.
+
+    Attributes:
+        exchanges: The exchanges that it has carried, this one included.
+    """
 
     def __init__(self, stream: byte_stream.ByteStream) -> None:
+        self.exchanges = 0
         self._stream = stream
-        self._collector = client.ResponseCollector()
-        self._parser = httptools.HttpResponseParser(self._collector)
-        self._head: ResponseHead | None = None
-        self._ends_with_connection = False
+        self._responses = responses.ResponseFeed()
+        self._response: responses.Response | None = None
         self._ended_cleanly = False
 
     @property
@@ -67,10 +69,9 @@
 
     def send(self, data: bytes) -> None:
         """Writes a request; from here on it may have been received."""
-        self._collector = client.ResponseCollector()
-        self._parser = httptools.HttpResponseParser(self._collector)
-        self._head = None
-        self._ends_with_connection = False
+        self.exchanges += 1
+        self._responses = responses.ResponseFeed()
+        self._response = None
         self._ended_cleanly = False
         self._stream.write(data)
 
@@ -80,23 +81,9 @@
         Raises:
             ExchangeBrokenError: If it did not come whole.
         """
-        while True:
-            while not self._collector.headers_done:
-                await self._feed(timeout_ms)
-            status = self._parser.get_status_code()
-            if status >= 200:
-                break
-            # an interim response announces the one that counts
-            rest = self._collector.parts
-            self._collector = client.ResponseCollector()
-            self._collector.parts = rest
-            self._parser = httptools.HttpResponseParser(self._collector)
-        self._head = ResponseHead(status, self._collector.headers)
-        framed = self._head.get(b"content-length") or (
-            "chunked" in self._head.get(b"transfer-encoding").lower()
-        )
-        self._ends_with_connection = not framed
-        return self._head
+        found = await client.next_head(self._responses, self._feed, timeout_ms)
+        self._response = found
+        return ResponseHead(found.status, found.headers)
 
     async def part(self, timeout_ms: float) -> bytes:
         """Returns the next bytes of the body; none only at its end.
@@ -104,35 +91,53 @@
         Raises:
             ExchangeBrokenError: If the body ends before it is whole.
         """
-        collector = self._collector
+        response = self._responses.current
         while True:
-            if collector.parts:
-                return collector.take()
-            if collector.done or self._ended_cleanly:
+            if response.parts:
+                return response.take()
+            if response.done or self._ended_cleanly:
                 return b""
             await self._feed(timeout_ms)
 
+    async def skip(self, timeout_ms: float) -> None:
+        """Passes over a response that is for another request.
+
+        Raises:
+            ExchangeBrokenError: If it has no end of its own.
+        """
+        if self._ends_with_connection():
+            raise client.ExchangeBrokenError("another response without an end")
+        while await self.part(timeout_ms):
+            continue
+        self._responses.skip()
+        self._response = None
+
+    def _ends_with_connection(self) -> bool:
+        head = self._head()
+        if head is None or head.get(b"content-length"):
+            return False
+        return "chunked" not in head.get(b"transfer-encoding").lower()
+
+    def _head(self) -> ResponseHead | None:
+        if self._response is None:
+            return None
+        return ResponseHead(self._response.status, self._response.headers)
+
     async def _feed(self, timeout_ms: float) -> None:
         data = await client.read_some(self._stream, timeout_ms)
-        if not data:
-            if self._ends_with_connection and self._collector.headers_done:
-                self._ended_cleanly = True
-                return
+        if data:
+            client.take_bytes(self._responses, data)
+            return
+        if not self._ends_with_connection() or self._response is None:
             raise client.ExchangeBrokenError("connection closed before the end")
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            if not self._collector.done:
-                raise client.ExchangeBrokenError(f"not HTTP: {error}") from (
-                    error
-                )
-            # bytes after a whole response belong to no request
-            self._stream.close()
+        self._ended_cleanly = True
 
     def idle_ms(self) -> float:
         """Returns how long it may be kept; 0 for not at all."""
-        head = self._head
-        if head is None or not self._collector.done or not self.is_open:
+        head = self._head()
+        if head is None or not self._responses.current.done:
+            return 0.0
+        if self._responses.has_more or not self.is_open:
             return 0.0
         if "close" in head.get(b"connection").lower():
             return 0.0
@@ -222,11 +227,18 @@
                 kept.connection.close()
 
     def close_expired(self) -> None:
-        """Closes idle connections that may not be used any more."""
+        """Closes idle connections that may not be used any more.
+
+        One on which something comes though nothing was asked is one of them.
+        """
         now_ms = self._clock.now_ms()
         for idle in self._idle_by_key.values():
-            while idle and idle[0].until_ms <= now_ms:
-                idle.popleft().connection.close()
+            for _ in range(len(idle)):
+                kept = idle.popleft()
+                if kept.until_ms > now_ms and kept.connection.is_open:
+                    idle.append(kept)
+                else:
+                    kept.connection.close()
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/src/lycheering/wire/messages/loads.py
+++ b/src/lycheering/wire/messages/loads.py
@@ -51,6 +51,7 @@
         reads: Prompts read since its last exchange.
         epoch: Whose cursor follows; empty for none.
         cursor: The last of the others' reads that it has.
+        leaving: Digests of targets that said that they are about to leave.
     """
 
     entry: str
@@ -60,6 +61,7 @@
     reads: tuple[PromptRead, ...]
     epoch: str = ""
     cursor: int = 0
+    leaving: tuple[int, ...] = ()
 
 
 class LoadPicture(msgspec.Struct, frozen=True, array_like=True, tag=65):
@@ -71,6 +73,7 @@
         epoch: Whose cursor follows.
         cursor: The last read told.
         entries: How many entries exchange loads.
+        leaving: Digests of targets that said that they are about to leave.
     """
 
     loads: tuple[TargetLoad, ...]
@@ -78,6 +81,7 @@
     epoch: str
     cursor: int
     entries: int = 1
+    leaving: tuple[int, ...] = ()
 
 
 __all__ = ["LoadExchange", "LoadPicture", "PromptRead", "TargetLoad"]
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -13,6 +13,26 @@
 HOST = "127.0.0.1"
 READ_BYTES = 65_536
 EVENT = b"id: %d\ndata: piece %d\n\n"
+LEAVING = "Server-Leaving: 1\r\n"
+SPARE_S = 1.2
+LATE_S = 0.05
+NOISE_GAP_S = 0.002
+LARGE_BYTES = 600_000
+# what comes again and again, behind the start of an answer
+START_AND_NOISE = {
+    "sends a head without end": (b"HTTP/1.1 200 Said\r\nX-A: ", b"a" * 4_096),
+    "sends interim answers without end": (
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 100,
+    ),
+    "sends a chunk size without end": (b"CHUNKED5;a=", b"a" * 4_096),
+    "sends trailers without end": (b"CHUNKED0\r\nX-A: ", b"a" * 4_096),
+    "sends a body without end": (b"LENGTHLESS", b"a" * 4_096),
+    "sends an event without end": (
+        b"EVENTS",
+        b"1000\r\n" + b"a" * 4_096 + b"\r\n",
+    ),
+}
 
 
 @dataclasses.dataclass
@@ -45,6 +65,7 @@
         pieces: Events of a stream.
         gap_s: Time between two events.
         event_bytes: What each event carries besides its number.
+        noise_bytes: Bytes sent that are no answer.
     """
 
     BEHAVIOURS = (
@@ -60,6 +81,18 @@
         "is silent",
         "sends more than the answer",
         "ends with its connection",
+        "sends its answer twice at once",
+        "sends its last answer once more late",
+        "says that it leaves",
+        "sheds and says that it leaves",
+        "sheds and asks to be spared",
+        "sends a head without end",
+        "sends interim answers without end",
+        "sends a chunk size without end",
+        "sends trailers without end",
+        "sends a body without end",
+        "sends an event without end",
+        "sends a large answer",
     )
 
     def __init__(self, target_id: str, behaviour: str = "answers") -> None:
@@ -70,6 +103,8 @@
         self.pieces = 4
         self.gap_s = 0.0
         self.event_bytes = 0
+        self.noise_bytes = 0
+        self._last_by_connection: dict[int, bytes] = {}
         self._connections = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -155,6 +190,26 @@
                 writer.write(self._head(other, 200, b"other", "another"))
             case "sends more than the answer":
                 writer.write(self._head(request, 200, b"whole") + b"extra")
+            case "sends its answer twice at once":
+                writer.write(2 * self._head(request, 200, b"whole"))
+            case "sends its last answer once more late":
+                await self._late_copy(request, writer)
+            case "says that it leaves":
+                writer.write(self._head(request, 200, b"whole", extra=LEAVING))
+            case "sheds and says that it leaves":
+                writer.write(
+                    self._head(request, 503, extra=LEAVING, not_run=True)
+                )
+            case "sheds and asks to be spared":
+                spare = f"Retry-After: {SPARE_S}\r\n"
+                writer.write(
+                    self._head(request, 503, extra=spare, not_run=True)
+                )
+            case "sends a large answer":
+                writer.write(self._head(request, 200, b"x" * LARGE_BYTES))
+            case noisy if noisy in START_AND_NOISE:
+                await self._make_noise(request, writer)
+                return False
             case "ends with its connection":
                 head = self._head(request, 200, length=-1)
                 writer.write(head + b"whole")
@@ -167,6 +222,37 @@
         await writer.drain()
         return True
 
+    async def _late_copy(
+        self, request: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        last = self._last_by_connection.get(request.connection)
+        if last is not None:
+            # found by the caller where it expects the answer to this request
+            writer.write(last)
+            await writer.drain()
+            await asyncio.sleep(LATE_S)
+        own = self._head(request, 200, b"whole")
+        self._last_by_connection[request.connection] = own
+        writer.write(own)
+
+    async def _make_noise(
+        self, request: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        start, noise = START_AND_NOISE[self.behaviour]
+        for mark, length, extra in (
+            (b"CHUNKED", -2, ""),
+            (b"LENGTHLESS", -1, ""),
+            (b"EVENTS", -2, "Content-Type: text/event-stream\r\n"),
+        ):
+            head = self._head(request, 200, extra=extra, length=length)
+            start = start.replace(mark, head)
+        writer.write(start)
+        while not writer.is_closing():
+            self.noise_bytes += len(noise)
+            writer.write(noise)
+            await writer.drain()
+            await asyncio.sleep(NOISE_GAP_S)
+
     async def _stream(
         self,
         request: Received,
--- /dev/null
+++ b/tests/forward/odd_answers.feature
@@ -0,0 +1,99 @@
+Feature: Answers that are not as they should be
+
+  @promise.each_its_own
+  Scenario: A second copy that comes with the answer is no part of it
+    Given a direct target that sends its answer twice at once
+    When 5 requests of kind "idempotent" are forwarded
+    Then every answer was "whole"
+    And the target saw 5 connections
+
+  @promise.each_its_own
+  @promise.at_most_once
+  Scenario Outline: A late copy of the last answer reaches nobody
+    Given a direct target that sends its last answer once more late
+    When 6 requests of kind "<kind>" are forwarded
+    Then every answer was "whole"
+    And every answer was for its own request
+    And targets got at most 6 requests
+
+    Examples:
+      | kind       |
+      | once       |
+      | idempotent |
+
+  @promise.bounded_answers
+  Scenario Outline: Bytes without end are no answer
+    Given a direct target that <noise>
+    When a request of kind "<kind>" is forwarded
+    Then the answer is 502
+    And it came within 1000 ms
+    And the target was left after 3000000 bytes
+
+    Examples:
+      | noise                            | kind       |
+      | sends a head without end         | once       |
+      | sends a head without end         | stream     |
+      | sends interim answers without end | once      |
+      | sends a chunk size without end   | once       |
+      | sends trailers without end       | once       |
+      | sends an event without end       | stream     |
+
+  @promise.bounded_answers
+  Scenario: A body without end is handed on until the request's time is over
+    Given a direct target that sends a body without end
+    And a route timeout of 800 ms
+    When a request of kind "once" is forwarded
+    Then the answer is cut
+    And it came within 1200 ms
+
+  @promise.bounded_answers
+  Scenario Outline: A failure without end is not kept for its caller
+    Given a direct target that <noise>
+    And another direct target that answers
+    When a request of kind "idempotent" is forwarded until both were tried
+    Then the answer is 200
+
+    Examples:
+      | noise                          |
+      | sends a head without end       |
+      | sends a chunk size without end |
+
+  Scenario: A large answer is handed on as it comes
+    Given a direct target that sends a large answer
+    When a request of kind "once" is forwarded
+    Then the answer is 200
+    And the answer is whole
+    And its body has 600000 bytes
+
+  @promise.leaving_targets
+  Scenario Outline: A target that says that it leaves gets nothing more
+    Given a direct target that <behaviour>
+    When 4 requests of kind "idempotent" are forwarded
+    Then targets got at most 1 requests
+    And the last answer is 503 and tells when to come back
+
+    Examples:
+      | behaviour                     |
+      | says that it leaves           |
+      | sheds and says that it leaves |
+
+  @promise.leaving_targets
+  Scenario: What one entry learns of a leaving target all entries know
+    Given a direct target that answers
+    And other entries tell that the target leaves
+    When a request of kind "idempotent" is forwarded
+    Then the answer is 503
+    And the request reached targets 0 times
+
+  @promise.spared_targets
+  Scenario: A target that asks to be spared gets two more requests at most
+    Given a direct target that sheds and asks to be spared
+    When 8 requests of kind "idempotent" are forwarded
+    Then targets got at most 3 requests
+    And the last answer is 503 and tells when to come back
+
+  @promise.spared_targets
+  Scenario: A target that asked to be spared gets work again after it
+    Given a direct target that sheds and asks to be spared
+    When 8 requests are forwarded, and 8 more after 1400 ms
+    Then targets got at least 4 requests
--- /dev/null
+++ b/tests/steps/odd_answers_steps.py
@@ -0,0 +1,64 @@
+"""Steps for answers that are not as they should be."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering.wire import messages
+from tests.helpers import direct_entry
+from tests.steps import forward_steps
+
+
+@given("other entries tell that the target leaves")
+def step_told(context):
+    async def tell(entry):
+        (state,) = entry.book.state_by_key.values()
+        told = messages.LoadPicture((), (), "", 0, 2, (state.digest,))
+        entry.book.take_picture(told, 0.0)
+
+    forward_steps.prepare(context, tell)
+
+
+@when("8 requests are forwarded, and 8 more after {wait_ms:d} ms")
+def step_again(context, wait_ms):
+    async def ask_all(entry):
+        for number in range(16):
+            if number == 8:
+                await asyncio.sleep(wait_ms / 1_000)
+            data = direct_entry.request("idempotent", f"r{number}")
+            await direct_entry.ask(entry, data)
+
+    forward_steps.run(context, ask_all)
+
+
+@then("targets got at least {least:d} requests")
+def step_at_least(context, least):
+    got = sum(len(target.received) for target in context.targets)
+    assert got >= least, got
+
+
+@then("the target was left after {most:d} bytes")
+def step_left(context, most):
+    assert context.targets[0].noise_bytes < most, context.targets[0].noise_bytes
+
+
+@then("its body has {size:d} bytes")
+def step_size(context, size):
+    assert len(context.answer.body) == size, len(context.answer.body)
+
+
+@then("every answer was for its own request")
+def step_own(context):
+    for number, answer in enumerate(context.answers):
+        assert answer.value_by_header["x-attempt-id"] == f"r{number}", answer
+
+
+@then("the last answer is 503 and tells when to come back")
+def step_last(context):
+    last = context.answers[-1]
+    assert last.status == 503, last
+    assert float(last.value_by_header["retry-after"]) > 0
--- a/tests/steps/shared_parts_steps.py
+++ b/tests/steps/shared_parts_steps.py
@@ -9,8 +9,8 @@
 
 from lycheering import clock
 from lycheering.forward import api
-from lycheering.forward import shared_parts
 from lycheering.forward import read_rates
+from lycheering.forward import shared_parts
 from lycheering.forward import target_book
 from tests.helpers import direct_targets
 
--- a/tests/steps/web_steps.py
+++ b/tests/steps/web_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 
 from lycheering.web import client
+from lycheering.web import responses
 
 HOST = "127.0.0.1"
 TIMEOUT_MS = 10_000
@@ -24,7 +25,7 @@
     "half a header": HEAD + b"Content-Le",
     "no HTTP": b"220 mail.example ready\r\n\r\n",
     "too many headers": HEAD
-    + b"".join(b"X-%d: 1\r\n" % n for n in range(client.MAX_HEADERS + 1))
+    + b"".join(b"X-%d: 1\r\n" % n for n in range(responses.MAX_HEADERS + 1))
     + b"Content-Length: 0\r\n\r\n",
     "a body over the bound": HEAD + b"Content-Length: 65\r\n\r\n" + b"x" * 65,
     "silence in the body": HEAD + b"Content-Length: 11\r\n\r\nhello",
