--- a/deploy/start.py
+++ b/deploy/start.py
@@ -1,11 +1,15 @@
 """Starts one role of lycheering from a checkout."""
 
+import gc
 import pathlib
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "src"))
 
+# nothing that is loaded now is ever collected
+gc.disable()
+
 from lycheering.platform import start  # noqa: E402
 
 if __name__ == "__main__":
--- a/src/lycheering/forward/application.py
+++ b/src/lycheering/forward/application.py
@@ -6,8 +6,6 @@
 from typing import Any
 from typing import cast
 
-import blacksheep
-
 from lycheering.forward import caller as callers
 from lycheering.forward import intake as intakes
 from lycheering.forward import refusals
@@ -24,12 +22,12 @@
 _LOG = logs.get("forward")
 
 
-class ForwardApplication(blacksheep.Application):
+class ForwardApplication:
     """Hands each request to the forwarder, whatever its path.
 
-    The server's messages are used directly: a request and an answer of
-    blacksheep hide when a caller leaves, and rebuild headers that are to
-    stay as they are.
+    The server's messages are used directly: the requests and answers of a web
+    framework hide when a caller leaves, and rebuild headers that are to stay
+    as they are.
 
     Attributes:
         open_requests: Requests that are not answered yet.
@@ -44,8 +42,6 @@
         time: clock.Clock,
         counts: counters.Counters,
     ) -> None:
-        # the default router is shared by all applications of a process
-        super().__init__(router=blacksheep.Router())
         self.open_requests = 0
         self.is_leaving = False
         self._forwarder = forward
@@ -54,6 +50,12 @@
         self._clock = time
         self._counters = counts
 
+    async def start(self) -> None:
+        """Needs nothing."""
+
+    async def stop(self) -> None:
+        """Needs nothing."""
+
     async def __call__(
         self,
         scope: MutableMapping[str, Any],
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import blacksheep
-
 from lycheering import clock
 from lycheering.app import api as app_api
 from lycheering.entry import control_client
@@ -25,6 +23,7 @@
 from lycheering.telemetry import histograms
 from lycheering.telemetry import logs
 from lycheering.telemetry import metrics
+from lycheering.web import asgi
 from lycheering.web import guarded_protocol
 from lycheering.web import kept_connections
 from lycheering.web import server as web_server
@@ -148,13 +147,9 @@
         self.web = web_server.WebServer(
             self._application, ip, port, self._limits
         )
-        # the default router is shared by all applications of a process
-        ready = blacksheep.Application(router=blacksheep.Router())
-
-        async def answer() -> blacksheep.Response:
-            return blacksheep.Response(200 if self.is_ready() else 503)
-
-        ready.router.add_get(READY_PATH, answer)
+        ready = asgi.Pages(
+            {READY_PATH: lambda: (200 if self.is_ready() else 503, b"")}
+        )
         ip, port = model.split_address(direct.ready_address)
         self.ready_web = web_server.WebServer(ready, ip, port)
         self._metrics = metrics.MetricsServer(
--- a/src/lycheering/platform/start.py
+++ b/src/lycheering/platform/start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import sys
 from typing import TYPE_CHECKING
@@ -52,7 +53,11 @@
 
 async def _run(role: str, settings: model.Settings) -> None:
     build = _entry if role == "entry" else _control
-    await build(settings).run()
+    application = build(settings)
+    # what is loaded by now stays, and is not looked through again
+    gc.freeze()
+    gc.enable()
+    await application.run()
 
 
 def _entry(settings: model.Settings) -> app_api.Application:
--- a/src/lycheering/telemetry/metrics.py
+++ b/src/lycheering/telemetry/metrics.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-import blacksheep
-
 from lycheering.app import api as app_api
+from lycheering.web import asgi
 from lycheering.web import server
 
 if TYPE_CHECKING:
@@ -28,16 +27,7 @@
             port: The port; 0 for none.
             metrics: What is served.
         """
-        # the default router is shared by all applications of a process
-        application = blacksheep.Application(router=blacksheep.Router())
-
-        async def text() -> blacksheep.Response:
-            content = blacksheep.Content(
-                b"text/plain; version=0.0.4", metrics.text()
-            )
-            return blacksheep.Response(200, None, content)
-
-        application.router.add_get(METRICS_PATH, text)
+        application = asgi.Pages({METRICS_PATH: lambda: (200, metrics.text())})
         self._server: server.WebServer | None = None
         if port:
             self._server = server.WebServer(application, ip, port)
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -1,4 +1,4 @@
-"""Serves a blacksheep application as a part with a life cycle."""
+"""Serves an application as a part with a life cycle."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from lycheering.web import keepalive
 
 if TYPE_CHECKING:
-    import blacksheep
+    from lycheering.web import asgi
 
 BACKLOG = 2_048
 START_POLL_MS = 5
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        application: blacksheep.Application,
+        application: asgi.AsgiApplication,
         ip: str,
         port: int,
         limits: guarded_protocol.HeadLimits | None = None,
