--- a/src/lycheering/control/direct/load_hub.py
+++ b/src/lycheering/control/direct/load_hub.py
@@ -6,19 +6,20 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
-import itertools
 import secrets
 from typing import TYPE_CHECKING
 
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lycheering import clock
 
 # an entry that says nothing for so long counts no more
 EXPIRY_MS = 1_000.0
+EXPIRY_INTERVAL_MS = 100.0
 MAX_READS = 4_000
 MAX_READS_TOLD = 400
 MAX_ENTRIES = 1_000
@@ -44,38 +45,37 @@
 
 
 class LoadHub:
-    """Answers the exchanges of entries."""
+    """Answers the exchanges of entries.
+
+    Sums are kept as entries tell their parts, and what was read is kept in
+    order, so that an exchange costs what one entry told and is told, however
+    many entries there are.
+    """
 
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
         self._epoch = secrets.token_hex(4)
         self._told_by_entry: dict[str, _Told] = {}
-        self._reads: collections.deque[tuple[str, messages.PromptRead]] = (
-            collections.deque(maxlen=MAX_READS)
-        )
-        self._read_count = 0
+        self._total_by_target: dict[int, messages.TargetLoad] = {}
+        self._reads: list[tuple[str, messages.PromptRead]] = []
+        self._first_read = 0
+        self._expired_ms = 0.0
 
     def answer(self, exchange: messages.LoadExchange) -> messages.LoadPicture:
         """Takes an entry's part in and returns what the others have."""
         now_ms = self._clock.now_ms()
+        self._expire(now_ms)
         if self._take(exchange, now_ms):
-            for read in exchange.reads:
-                self._reads.append((exchange.entry, read))
-                self._read_count += 1
+            self._reads += [(exchange.entry, read) for read in exchange.reads]
+            self._trim_reads()
         reads, cursor = self._since(exchange)
         return messages.LoadPicture(
-            self._others(exchange.entry, now_ms),
+            self._others(exchange.entry),
             reads,
             self._epoch,
             cursor,
             len(self._told_by_entry),
-            tuple(
-                {
-                    target
-                    for told in self._told_by_entry.values()
-                    for target in told.leaving
-                }
-            ),
+            self._leaving(),
         )
 
     def unread_tokens(self, target: int) -> int:
@@ -84,14 +84,9 @@
         Args:
             target: Digest of the target's key.
         """
-        now_ms = self._clock.now_ms()
-        return sum(
-            load.unread_tokens
-            for told in self._told_by_entry.values()
-            if now_ms - told.at_ms <= EXPIRY_MS
-            for load in told.loads
-            if load.target == target
-        )
+        self._expire(self._clock.now_ms())
+        total = self._total_by_target.get(target)
+        return total.unread_tokens if total is not None else 0
 
     def _take(self, exchange: messages.LoadExchange, now_ms: float) -> bool:
         """Keeps an exchange, unless a later one was handled already."""
@@ -104,6 +99,9 @@
             return False
         if told is None and len(self._told_by_entry) >= MAX_ENTRIES:
             return False
+        if told is not None:
+            self._count(told.loads, -1)
+        self._count(exchange.loads, 1)
         self._told_by_entry[exchange.entry] = _Told(
             exchange.incarnation,
             exchange.number,
@@ -113,36 +111,74 @@
         )
         return True
 
-    def _others(
-        self, entry: str, now_ms: float
-    ) -> tuple[messages.TargetLoad, ...]:
-        sums: dict[int, list[int]] = {}
+    def _count(self, loads: Iterable[messages.TargetLoad], sign: int) -> None:
+        for load in loads:
+            total = self._total_by_target.get(load.target)
+            total = _sum(total or _none(load.target), load, sign)
+            if total.requests:
+                self._total_by_target[load.target] = total
+            else:
+                self._total_by_target.pop(load.target, None)
+
+    def _expire(self, now_ms: float) -> None:
+        """Forgets entries that say nothing any more."""
+        if now_ms - self._expired_ms < EXPIRY_INTERVAL_MS:
+            return
+        self._expired_ms = now_ms
         for name, told in list(self._told_by_entry.items()):
             if now_ms - told.at_ms > EXPIRY_MS:
+                self._count(told.loads, -1)
                 del self._told_by_entry[name]
-                continue
-            if name == entry:
-                continue
-            for load in told.loads:
-                total = sums.setdefault(load.target, [0, 0, 0])
-                total[0] += load.unread_tokens
-                total[1] += load.requests
-                total[2] += load.held_tokens
+
+    def _others(self, entry: str) -> tuple[messages.TargetLoad, ...]:
+        others = dict(self._total_by_target)
+        told = self._told_by_entry.get(entry)
+        for load in told.loads if told is not None else ():
+            if load.target in others:
+                others[load.target] = _sum(others[load.target], load, -1)
+        return tuple(load for load in others.values() if load.requests)
+
+    def _leaving(self) -> tuple[int, ...]:
         return tuple(
-            messages.TargetLoad(target, *total)
-            for target, total in sums.items()
+            {
+                target
+                for told in self._told_by_entry.values()
+                for target in told.leaving
+            }
         )
 
+    def _trim_reads(self) -> None:
+        surplus = len(self._reads) - MAX_READS
+        if surplus > MAX_READS:
+            del self._reads[:surplus]
+            self._first_read += surplus
+
     def _since(
         self, exchange: messages.LoadExchange
     ) -> tuple[tuple[messages.PromptRead, ...], int]:
-        first = self._read_count - len(self._reads)
-        cursor = exchange.cursor if exchange.epoch == self._epoch else first
-        skipped = max(0, cursor - first)
-        later = itertools.islice(self._reads, skipped, skipped + MAX_READS_TOLD)
-        told = list(later)
+        cursor = 0
+        if exchange.epoch == self._epoch:
+            cursor = exchange.cursor
+        oldest = max(0, len(self._reads) - MAX_READS)
+        start = max(oldest, cursor - self._first_read)
+        told = self._reads[start : start + MAX_READS_TOLD]
         reads = tuple(read for name, read in told if name != exchange.entry)
-        return reads, first + skipped + len(told)
+        return reads, self._first_read + start + len(told)
+
+
+def _none(target: int) -> messages.TargetLoad:
+    return messages.TargetLoad(target, 0, 0, 0)
+
+
+def _sum(
+    total: messages.TargetLoad, load: messages.TargetLoad, sign: int
+) -> messages.TargetLoad:
+    return messages.TargetLoad(
+        total.target,
+        total.unread_tokens + sign * load.unread_tokens,
+        total.requests + sign * load.requests,
+        total.held_tokens + sign * load.held_tokens,
+    )
 
 
 __all__ = ["EXPIRY_MS", "LoadHub"]
--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -55,7 +55,7 @@
     """
 
     plan: roll_plan.PlanSettings = roll_plan.PlanSettings()
-    hold_ms: float = 250.0
+    hold_ms: float = 350.0
     most_hold_ms: float = 1_000.0
     lease_ms: float = 3_000.0
 
@@ -263,10 +263,7 @@
         )
 
     async def _until_read(self, target: records.DirectTarget) -> None:
-        """Waits until an engine that gets no new work has none that waits.
-
-        Runs that began are ended before the weights change.
-        """
+        """Waits until an engine that gets no new work has none that waits."""
         await self._clock.sleep(self._settings.hold_ms)
         until_ms = self._clock.now_ms() + self._settings.most_hold_ms
         while self._hub.unread_tokens(target.digest):
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -299,7 +299,7 @@
     ahead_tokens = state.unread_tokens()
     others = state.others(now_ms)
     if others is not None:
-        ahead_tokens += others.unread_tokens
+        ahead_tokens += state.others_unread(now_ms)
         ahead_ms = (own + others.requests) * settings.known_request_ms
     else:
         ahead_ms = state.others_waiting(now_ms) * settings.other_request_ms
--- a/src/lycheering/forward/fleet_loads.py
+++ b/src/lycheering/forward/fleet_loads.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lycheering import clock
 from lycheering.app import api as app_api
 from lycheering.entry import control_client
 from lycheering.telemetry import logs
@@ -13,13 +14,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheering import clock
     from lycheering.forward import target_book
     from lycheering.wire import api as wire_api
 
 INTERVAL_MS = 100.0
-# exchanges become rarer in larger fleets, for the bytes that they take
-ENTRIES_AT_INTERVAL = 30
+# exchanges become rarer in larger fleets, for the time that control has
+MAX_EXCHANGES_PER_S = 700.0
 EXCHANGE_TIMEOUT_MS = 400.0
 MAX_READS = 200
 
@@ -73,8 +73,9 @@
             if shared != self._is_shared:
                 _LOG.event("loads_shared" if shared else "loads_not_shared")
             self._is_shared = shared
-            interval_ms = INTERVAL_MS * max(
-                1.0, self._entries / ENTRIES_AT_INTERVAL
+            interval_ms = max(
+                INTERVAL_MS,
+                self._entries / MAX_EXCHANGES_PER_S * clock.MS_PER_S,
             )
             spent_ms = self._clock.now_ms() - began_ms
             await self._clock.sleep(max(10.0, interval_ms - spent_ms))
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_book.py
@@ -189,6 +189,20 @@
             return None
         return self._others
 
+    def others_unread(self, now_ms: float) -> int:
+        """Returns what other entries' requests still have to have read.
+
+        What they told is some time old, and the target has read on since.
+        """
+        others = self.others(now_ms)
+        if others is None or not others.unread_tokens:
+            return 0
+        read_tokens = self.rate.tokens_per_ms() * (now_ms - self._others_ms)
+        share = others.unread_tokens / (
+            others.unread_tokens + self.unread_tokens()
+        )
+        return max(0, round(others.unread_tokens - share * read_tokens))
+
     def own_load(self) -> messages.TargetLoad:
         """Returns what this entry has there."""
         return messages.TargetLoad(
--- a/src/lycheering/platform/engine_calls.py
+++ b/src/lycheering/platform/engine_calls.py
@@ -19,8 +19,8 @@
 # an order that is answered at all is answered at once
 ORDER_TIMEOUT_MS = 400
 TARGET_ID_HEADER = "X-Expect-Instance"
-# runs end before the weights change
-FINISH_RUNS = "wait"
+# runs go on while the weights change under them
+KEEP_RUNS = "retain"
 RESULT_BY_STATUS = {
     202: api.OrderResult.ACCEPTED,
     200: api.OrderResult.HOLDS_ALREADY,
@@ -96,7 +96,7 @@
                 "version",
                 order.model,
                 order.version,
-                FINISH_RUNS,
+                KEEP_RUNS,
                 order.holder,
                 order.fence,
                 order.sequence,
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -314,7 +314,7 @@
     second_send_allowance: Annotated[float, pydantic.Field(ge=0)] = 20.0
     second_send_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
     loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 400
-    hold_ms: Annotated[int, pydantic.Field(ge=0)] = 250
+    hold_ms: Annotated[int, pydantic.Field(ge=0)] = 350
     old_weights_ms: PositiveMs = 10_000
     order_lease_ms: PositiveMs = 3_000
     stop_grace_s: Annotated[float, pydantic.Field(gt=0)] = 8.0
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -148,6 +148,28 @@
     And 1500 ms pass
     Then entry 3 learns of no load
 
+  Scenario: Sums stay right over many exchanges, restarts and silent entries
+    Given a hub of loads and 3 entries
+    When 400 exchanges of 30 entries are drawn, with restarts and silences
+    Then each entry learns what the others told last
+
+  Scenario: Where targets leave is known to all entries
+    Given a hub of loads and 3 entries
+    When entry 1 tells that a target leaves
+    Then entry 2 learns that it leaves
+
+  Scenario Outline: What others have is taken to be read on meanwhile
+    Given 4 direct targets
+    And others told <tokens> tokens of target 2 that were unread <age> ms ago
+    Then <left> tokens of others are taken to be unread at target 2
+
+    Examples:
+      | tokens | age | left  |
+      | 20000  | 0   | 20000 |
+      | 20000  | 200 | 12000 |
+      | 4000   | 200 | 0     |
+      | 20000  | 900 | 0     |
+
   Scenario: Each read is told to each other entry once
     Given a hub of loads and 3 entries
     When entry 1 tells of 500 reads
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -14,6 +14,7 @@
 from lycheering.forward import cached_parts
 from lycheering.forward import choice
 from lycheering.forward import prefix_heat
+from lycheering.wire import messages
 from tests.helpers import direct_targets
 
 NOW_MS = 10_000.0
@@ -99,6 +100,57 @@
     state.begin(NOW_MS - silence_ms, 1, 1, lambda: None)
 
 
+@given(
+    "others told {tokens:d} tokens of target {number:d}"
+    " that were unread {age_ms:d} ms ago"
+)
+def step_others(context, tokens, number, age_ms):
+    state = context.states[number - 1]
+    load = messages.TargetLoad(state.digest, tokens, 3, tokens)
+    state.take_others(load, NOW_MS - age_ms)
+
+
+@then("{tokens:d} tokens of others are taken to be unread at target {number:d}")
+def step_others_left(context, tokens, number):
+    left = context.states[number - 1].others_unread(NOW_MS)
+    assert left == tokens, left
+
+
+@given("a connection to target {number:d} is kept")
+def step_connected(context, number):
+    context.connected = {context.states[number - 1].target.key}
+
+
+@given("target {number:d} has {requests:d} requests")
+def step_requests(context, number, requests):
+    state = context.states[number - 1]
+    for _ in range(requests):
+        state.begin(NOW_MS, 0, 0, lambda: None)
+
+
+@when("a target is chosen for a plain request {count:d} times")
+def step_plain(context, count):
+    context.chosen = []
+    for seed in range(count):
+        found = choice.choose(
+            context.states,
+            choice.Work(),
+            SETTINGS,
+            "d0",
+            (),
+            NOW_MS,
+            random.Random(seed),
+            context.connected,
+        )
+        context.chosen.append(context.states.index(found.state) + 1)
+
+
+@then("target {number:d} is chosen {times}")
+def step_times(context, number, times):
+    share = context.chosen.count(number) / len(context.chosen)
+    assert (share == 1.0) == (times == "each time"), context.chosen
+
+
 @given("the other targets are tried already")
 def step_tried(context):
     context.tried = {state.target.key for state in context.states[1:]}
--- a/tests/steps/load_hub_steps.py
+++ b/tests/steps/load_hub_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections
+import random
+
 from behave import given
 from behave import then
 from behave import when
@@ -13,11 +16,18 @@
 TARGET = 7
 
 
-def exchange(context, entry, loads=(), reads=()):
+def exchange(context, entry, loads=(), reads=(), leaving=()):
     context.numbers[entry] = context.numbers.get(entry, 0) + 1
     epoch, cursor = context.cursors.get(entry, ("", 0))
     context.last = messages.LoadExchange(
-        f"e{entry}", "i", context.numbers[entry], loads, reads, epoch, cursor
+        f"e{entry}",
+        str(context.incarnations.get(entry, "i")),
+        context.numbers[entry],
+        loads,
+        reads,
+        epoch,
+        cursor,
+        leaving,
     )
     picture = context.hub.answer(context.last)
     context.cursors[entry] = (picture.epoch, picture.cursor)
@@ -29,6 +39,7 @@
     context.time = clock.ManualClock()
     context.hub = load_hub.LoadHub(context.time)
     context.numbers = {}
+    context.incarnations = {}
     context.cursors = {}
 
 
@@ -84,3 +95,56 @@
 @then("entry {entry:d} learns of {count:d} reads")
 def step_learns_none(context, entry, count):
     assert len(exchange(context, entry).reads) == count
+
+
+@when(
+    "{count:d} exchanges of {entries:d} entries are drawn"
+    ", with restarts and silences"
+)
+def step_drawn(context, count, entries):
+    randomness = random.Random(4)
+    context.told = {}
+    for _ in range(count):
+        context.time.advance(randomness.choice([5, 20, 20, 60]))
+        entry = randomness.randrange(entries)
+        if randomness.random() < 0.1:
+            # a restart counts its exchanges from the first one
+            context.incarnations[entry] = randomness.random()
+            context.numbers[entry] = 0
+        loads = tuple(
+            messages.TargetLoad(target, randomness.randrange(900), 1, 10)
+            for target in randomness.sample(range(9), randomness.randrange(4))
+        )
+        context.told[entry] = (context.time.now_ms(), loads)
+        exchange(context, entry, loads)
+
+
+@then("each entry learns what the others told last")
+def step_told_last(context):
+    now_ms = context.time.now_ms()
+    for asking in list(context.told):
+        at_ms, own = context.told[asking]
+        if now_ms - at_ms > load_hub.EXPIRY_MS:
+            continue
+        expected = collections.Counter()
+        for entry, (at_ms, loads) in context.told.items():
+            if entry == asking or now_ms - at_ms > load_hub.EXPIRY_MS:
+                continue
+            for load in loads:
+                expected[load.target] += load.unread_tokens
+        got = {
+            load.target: load.unread_tokens
+            for load in exchange(context, asking, own).loads
+        }
+        for target in range(9):
+            assert got.get(target, 0) == expected[target], (got, expected)
+
+
+@when("entry {entry:d} tells that a target leaves")
+def step_tells_leaving(context, entry):
+    exchange(context, entry, leaving=(TARGET,))
+
+
+@then("entry {entry:d} learns that it leaves")
+def step_learns_leaving(context, entry):
+    assert exchange(context, entry).leaving == (TARGET,)
