Wait for engines that say that they load; prefer kept connections

Two causes, two changes. It is waited for up to 15 s now; the new scenario fails without. (2) 68 entries opened a connection for two of three requests. A target to which one is kept is 8 ms cheaper, and for plain services it is always among those compared.

--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -31,7 +31,10 @@
 FIRST_OUT_MS = 2_000.0
 # weight of the last load in the mean of the times out of service
 OUT_WEIGHT = 0.25
-LOAD_TIMEOUT_MS = 4_000  # a load with the others beside it ends before
+# an engine that does not begin or end a load for so long is left for now
+LOAD_TIMEOUT_MS = 4_000
+# one that says that it loads is waited for up to here
+MOST_LOAD_MS = 15_000
 RETRY_MS = 250
 MAX_RETRY_MS = 1_500
 
@@ -288,9 +291,10 @@
         later. It is given again under the same sequence, so that the engine
         carries out one of them.
         """
-        until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
+        began_ms = self._clock.now_ms()
+        until_ms = began_ms + LOAD_TIMEOUT_MS
         order_from_ms = 0.0
-        while self._clock.now_ms() < until_ms:
+        while self._clock.now_ms() < min(until_ms, began_ms + MOST_LOAD_MS):
             report = await self._engines.report(target)
             wanted = self._group.machine.fleet.version_by_model.get(model, 0)
             version = report.version_by_model.get(model, 0)
@@ -298,6 +302,8 @@
                 return version
             if self._target(target.key) is None:
                 return 0
+            if report.is_busy:
+                until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
             if report.is_busy or self._clock.now_ms() < order_from_ms:
                 await self._clock.sleep(REPORT_INTERVAL_MS)
                 continue
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -14,6 +14,8 @@
 from lycheering.web import client
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from lycheering import clock
     from lycheering.forward import choice
     from lycheering.forward import target_book
@@ -117,6 +119,10 @@
                     estimate.state.target.key, connection
                 )
 
+    def connected(self) -> Collection[str]:
+        """Returns the keys of targets to which a connection is kept."""
+        return self._connections.idle_keys()
+
     async def _connect(
         self, state: target_book.TargetState
     ) -> kept_connections.KeptConnection:
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -39,6 +39,7 @@
         wait_margin: How much longer than expected a start may take.
         suspect_ms: Cost of a target that failed of late.
         other_domain_ms: Cost of a target in another failure domain.
+        connect_ms: Cost of a target to which a connection must be opened.
         affinity: Part of the shared parts that the first in the order of a
             prefix is taken to hold when this entry does not know it.
         silence_ms: Silence that is no sign of a failure.
@@ -59,6 +60,7 @@
     wait_margin: float = 2.0
     suspect_ms: float = 5_000.0
     other_domain_ms: float = 2.0
+    connect_ms: float = 8.0
     affinity: float = 0.8
     silence_ms: float = 500.0
     apart_ms: float = 150.0
@@ -145,6 +147,7 @@
     excluded: Collection[str],
     now_ms: float,
     randomness: random.Random,
+    connected: Collection[str] = (),
 ) -> Estimate | None:
     """Returns the target of least cost, or None if there is none.
 
@@ -156,6 +159,7 @@
         excluded: Keys of targets that are not asked again.
         now_ms: The time.
         randomness: Draws the targets that are compared.
+        connected: Keys of targets to which a connection is kept.
     """
     able = [
         state
@@ -170,6 +174,13 @@
     if not any(work.is_held_at(state) for state in homes):
         homes.append(holder)
     drawn = _drawn(fit, settings, randomness)
+    if not work.chains:
+        drawn += [state for state in fit if state.target.key in connected]
+
+    def cost_ms(estimate: Estimate) -> float:
+        is_connected = estimate.state.target.key in connected
+        return estimate.cost_ms + (not is_connected) * settings.connect_ms
+
     compared = dict.fromkeys([*homes, holder, *drawn])
     for candidates in (compared, able):
         estimates = [
@@ -182,7 +193,7 @@
             if _starts_in_time(estimate, work, settings)
         ]
         if timely:
-            return min(timely, key=lambda estimate: estimate.cost_ms)
+            return min(timely, key=cost_ms)
     return None
 
 
@@ -245,7 +256,7 @@
     fit: Sequence[target_book.TargetState],
     settings: ChoiceSettings,
     randomness: random.Random,
-) -> Sequence[target_book.TargetState]:
+) -> list[target_book.TargetState]:
     """Returns the targets that are compared besides those of the prefix.
 
     What is known of loads is some time old. If all entries compared all
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -230,6 +230,7 @@
             job.tried,
             self._clock.now_ms(),
             self._random,
+            self._sender.connected(),
         )
         if estimate is None:
             return None
--- a/src/lycheering/web/kept_connections.py
+++ b/src/lycheering/web/kept_connections.py
@@ -13,6 +13,7 @@
 from lycheering.web import responses
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from lycheering import clock
@@ -187,6 +188,10 @@
             kept.connection.close()
         return None
 
+    def idle_keys(self) -> Collection[str]:
+        """Returns the targets to which a connection is kept."""
+        return {key for key, idle in self._idle_by_key.items() if idle}
+
     async def open(
         self, origin: client.Origin, timeout_ms: float
     ) -> KeptConnection:
--- a/tests/control/direct/weights.feature
+++ b/tests/control/direct/weights.feature
@@ -14,6 +14,13 @@
     Then every engine that can be reached has weights 2
     And no engine that can't be reached is held
 
+  Scenario: An engine that says that it loads is waited for
+    Given 4 engines on weights 1
+    And each load takes 6000 ms
+    When weights 2 are named and 20 s pass
+    Then every engine has weights 2
+    And no load counted as failed
+
   @promise.carried_out_once
   Scenario: An order without an answer is given again and carried out once
     Given 4 engines on weights 1
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -74,6 +74,18 @@
     When a target is chosen for the prompt
     Then target 1 is not chosen
 
+  Scenario Outline: A plain request goes where a connection is kept
+    Given 5 direct targets
+    And a connection to target 4 is kept
+    And target 4 has <requests> requests
+    When a target is chosen for a plain request 20 times
+    Then target 4 is chosen <times>
+
+    Examples:
+      | requests | times      |
+      | 0        | each time  |
+      | 1        | not always |
+
   Scenario: All entries prefer the same target for a prefix that none knows
     Given 6 direct targets
     When 5 entries choose a target for each of 50 unknown prompts
