End no connection on a stop whose request is on its way

Cause (looked for, as operators of similar systems saw it): on SIGTERM the entry closed every connection that had carried nothing yet. A caller that had just got one from the balancer and was sending its request lost it, and the loop that waits for open requests ended at once though a head was half read.

Ruled out: requests already read; they are answered first.

Change: Draining (a part of its own, with its times as settings) leaves connections of 500 ms or less whose first request has not come, and waits for them and for heads half read before it ends.

Tests: "A stop under load cuts nobody who got a connection" fails with the former condition. Besides: a stream that trickles bytes but no events ends with its request's time, one that is slow but sound is whole (both held).

--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -11,6 +11,7 @@
 from lycheering.forward import application
 from lycheering.forward import attempt
 from lycheering.forward import choice
+from lycheering.forward import draining
 from lycheering.forward import fleet_loads
 from lycheering.forward import forwarder
 from lycheering.forward import freshness
@@ -21,7 +22,6 @@
 from lycheering.settings import model
 from lycheering.telemetry import counters
 from lycheering.telemetry import histograms
-from lycheering.telemetry import logs
 from lycheering.telemetry import metrics
 from lycheering.web import asgi
 from lycheering.web import guarded_protocol
@@ -39,14 +39,6 @@
 OLD_WEIGHTS_PART = 0.85
 READY_PATH = "/health/ready"
 HOUSEKEEPING_MS = 500
-DRAIN_POLL_MS = 20
-# a balancer asks once a second and goes by two answers in a row
-BALANCER_NOTICE_MS = 2_600
-END_CONNECTIONS_MS = 200
-# what a stop needs after the last answer
-STOP_MARGIN_MS = 1_200
-
-_LOG = logs.get("entry")
 
 
 class DirectEntry(app_api.Part):
@@ -197,22 +189,13 @@
             self._counters.gauge("view_revision", self.view.revision())
 
     async def drain(self) -> None:
-        """Leaves the balancer first, then ends what runs."""
-        began_ms = self._clock.now_ms()
-        grace_ms = self._direct.stop_grace_s * clock.MS_PER_S
-        until_ms = began_ms + grace_ms - STOP_MARGIN_MS
-        self._application.is_leaving = True
-        while self._clock.now_ms() - began_ms < BALANCER_NOTICE_MS:
-            # callers that keep a connection do not ask the balancer
-            self.web.end_connections()
-            await self._clock.sleep(END_CONNECTIONS_MS)
-        self.web.end_connections()
-        self.web.stop_accepting()
-        while self._application.open_requests:
-            if self._clock.now_ms() >= until_ms:
-                break
-            await self._clock.sleep(DRAIN_POLL_MS)
-        _LOG.event("drained", left=self._application.open_requests)
+        """Ends what runs, without cutting a request."""
+        settings = draining.DrainSettings(
+            grace_ms=self._direct.stop_grace_s * clock.MS_PER_S
+        )
+        await draining.Draining(
+            self._application, self.web, settings, self._clock
+        ).run()
 
     async def stop(self) -> None:
         """Ends the endpoints and all connections."""
--- a/src/lycheering/web/guarded_protocol.py
+++ b/src/lycheering/web/guarded_protocol.py
@@ -10,6 +10,9 @@
 
 from lycheering.telemetry import logs
 
+# in which the first request of a connection is taken to be on its way
+FIRST_REQUEST_MS = 500.0
+
 _ANSWER = b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 
 _LOG = logs.get("web")
@@ -44,15 +47,21 @@
         self._head_bytes = 0
         self._in_head = False
         self._head_timer: asyncio.TimerHandle | None = None
+        self._made_s = 0.0
 
     @property
-    def is_reading_head(self) -> bool:
-        """Whether a part of a request's head has come."""
-        return self._in_head
+    def awaits_request(self) -> bool:
+        """Whether a request is on its way, as far as can be known."""
+        if self._in_head:
+            return True
+        if self.cycle is not None:
+            return False
+        return self.loop.time() - self._made_s < FIRST_REQUEST_MS / 1_000
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Begins to wait for the first request."""
         super().connection_made(transport)
+        self._made_s = self.loop.time()
         idle_s = self.limits.idle_timeout_ms / 1_000
         self.timeout_keep_alive_task = self.loop.call_later(
             idle_s, self.timeout_keep_alive_handler
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -100,15 +100,27 @@
         _LOG.event("serving_http", ip=self._ip, port=self.port)
 
     def end_connections(self) -> None:
-        """Closes idle connections, and the others after their answer."""
-        if self._server is None:
-            return
-        for connection in list(self._server.server_state.connections):
-            if not isinstance(connection, guarded_protocol.GuardedProtocol):
-                continue
-            if not connection.is_reading_head:
+        """Closes idle connections, and the others after their answer.
+
+        One whose next request is on its way is left for the next time.
+        """
+        for connection in self._guarded():
+            if not connection.awaits_request:
                 connection.shutdown()
 
+    def awaits_requests(self) -> bool:
+        """Returns whether a request is on its way on some connection."""
+        return any(connection.awaits_request for connection in self._guarded())
+
+    def _guarded(self) -> list[guarded_protocol.GuardedProtocol]:
+        if self._server is None:
+            return []
+        return [
+            connection
+            for connection in list(self._server.server_state.connections)
+            if isinstance(connection, guarded_protocol.GuardedProtocol)
+        ]
+
     def stop_accepting(self) -> None:
         """Takes no more connections."""
         if self._server is not None:
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -17,6 +17,7 @@
 SPARE_S = 1.2
 LATE_S = 0.05
 NOISE_GAP_S = 0.002
+TRICKLE_GAP_S = 0.05
 LARGE_BYTES = 600_000
 # what comes again and again, behind the start of an answer
 START_AND_NOISE = {
@@ -30,7 +31,7 @@
     "sends a body without end": (b"LENGTHLESS", b"a" * 4_096),
     "sends an event without end": (
         b"EVENTS",
-        b"1000\r\n" + b"a" * 4_096 + b"\r\n",
+        b"8000\r\n" + b"a" * 32_768 + b"\r\n",
     ),
 }
 
@@ -93,6 +94,7 @@
         "sends a body without end",
         "sends an event without end",
         "sends a large answer",
+        "trickles bytes of an event",
     )
 
     def __init__(self, target_id: str, behaviour: str = "answers") -> None:
@@ -205,6 +207,9 @@
                 writer.write(
                     self._head(request, 503, extra=spare, not_run=True)
                 )
+            case "trickles bytes of an event":
+                await self._trickle(request, reader, writer)
+                return False
             case "sends a large answer":
                 writer.write(self._head(request, 200, b"x" * LARGE_BYTES))
             case noisy if noisy in START_AND_NOISE:
@@ -253,6 +258,19 @@
             await writer.drain()
             await asyncio.sleep(NOISE_GAP_S)
 
+    async def _trickle(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        kind = "Content-Type: text/event-stream\r\n"
+        writer.write(self._head(request, 200, extra=kind, length=-2))
+        writer.write(_chunk(EVENT % (1, 1)))
+        while not await self._gone_within(request, reader, TRICKLE_GAP_S):
+            writer.write(_chunk(b"d"))
+            await writer.drain()
+
     async def _stream(
         self,
         request: Received,
--- a/tests/forward/forward.feature
+++ b/tests/forward/forward.feature
@@ -155,3 +155,10 @@
     And the target takes 100 ms for each event
     When the entry begins to stop while a stream is on its way
     Then the stream is whole and its connection is closed
+
+  @promise.planned_stops
+  Scenario: A stop under load cuts nobody who got a connection
+    Given a direct target that answers
+    When the entry stops while callers connect and send 100 ms later
+    Then every caller that got a connection has a whole answer
+    And callers that came after it got no connection
--- a/tests/forward/odd_answers.feature
+++ b/tests/forward/odd_answers.feature
@@ -46,6 +46,23 @@
     Then the answer is cut
     And it came within 1200 ms
 
+  @promise.bounded_answers
+  Scenario: A stream that trickles bytes but no events ends with its time
+    Given a direct target that trickles bytes of an event
+    And a route timeout of 800 ms
+    When a request of kind "stream" is forwarded
+    Then the caller has the events 1 in order
+    And the answer is cut
+    And it came within 1200 ms
+
+  @promise.whole
+  Scenario: A stream that is slow but sound is not cut
+    Given a direct target that streams
+    And the target takes 300 ms for each event
+    When a request of kind "stream" is forwarded
+    Then the caller has the events 1, 2, 3, 4 in order
+    And the answer is whole
+
   @promise.bounded_answers
   Scenario Outline: A failure without end is not kept for its caller
     Given a direct target that <noise>
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -9,6 +9,8 @@
 from behave import then
 from behave import when
 
+from lycheering import clock
+from lycheering.forward import draining
 from standins import direct_target
 from tests.helpers import direct_entry
 
@@ -340,3 +342,50 @@
 @then("what it finds later is not whole")
 def step_not_whole(context):
     assert not context.answer.is_whole
+
+
+@when("the entry stops while callers connect and send {wait_ms:d} ms later")
+def step_stop_under_load(context, wait_ms):
+    settings = draining.DrainSettings(
+        grace_ms=3_000.0, margin_ms=200.0, notice_ms=400.0, round_ms=50.0
+    )
+
+    async def call(entry, number):
+        try:
+            reader, writer = await entry.connect()
+        except OSError:
+            return None
+        try:
+            await asyncio.sleep(wait_ms / 1_000)
+            writer.write(direct_entry.request("once", f"r{number}"))
+            return await direct_entry.read_answer(reader)
+        finally:
+            writer.close()
+
+    async def stop(entry):
+        drain = draining.Draining(
+            entry.application, entry.web, settings, clock.Clock()
+        )
+        stopping = asyncio.create_task(drain.run())
+        calls = []
+        while not stopping.done() and len(calls) < 200:
+            calls.append(asyncio.create_task(call(entry, len(calls))))
+            await asyncio.sleep(0.005)
+        await stopping
+        calls.append(asyncio.create_task(call(entry, len(calls))))
+        return await asyncio.gather(*calls)
+
+    context.answers = run(context, stop)
+
+
+@then("every caller that got a connection has a whole answer")
+def step_none_cut(context):
+    served = [answer for answer in context.answers if answer is not None]
+    assert served, "no caller got a connection"
+    assert all(answer.status == 200 for answer in served), served
+    assert all(answer.is_whole for answer in served)
+
+
+@then("callers that came after it got no connection")
+def step_no_connection(context):
+    assert context.answers[-1] is None
