--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -19,6 +19,7 @@
     from lycheering import clock
     from lycheering.forward import choice
     from lycheering.forward import target_book
+    from lycheering.forward import target_state
     from lycheering.web import kept_connections
 
 CONNECT_TIMEOUT_MS = 400.0
@@ -124,7 +125,7 @@
         return self._connections.idle_keys()
 
     async def _connect(
-        self, state: target_book.TargetState
+        self, state: target_state.TargetState
     ) -> kept_connections.KeptConnection:
         kept = self._connections.take(state.target.key)
         if kept is not None:
--- a/src/lycheering/forward/choice.py
+++ b/src/lycheering/forward/choice.py
@@ -12,7 +12,7 @@
     from collections.abc import Collection
     from collections.abc import Sequence
 
-    from lycheering.forward import target_book
+    from lycheering.forward import target_state
 
 # a target that is silent for so long is not asked for cached parts
 SILENT_SOURCE_MS = 800.0
@@ -93,7 +93,7 @@
     names: tuple[tuple[int, float], ...] = ()
     objective_ms: float = 0.0
 
-    def outdated_ms(self, state: target_book.TargetState) -> float:
+    def outdated_ms(self, state: target_state.TargetState) -> float:
         """Returns how long a target has lacked weights that are wanted.
 
         It counts from the first version that it lacks: later ones do not make
@@ -105,12 +105,12 @@
                 return age_ms
         return 0.0
 
-    def is_held_at(self, state: target_book.TargetState) -> bool:
+    def is_held_at(self, state: target_state.TargetState) -> bool:
         """Returns whether a target is known to hold all shared parts."""
         held = state.cached.held_tokens(self.chains[:-1])
         return held >= self.shared_tokens
 
-    def version_at(self, state: target_book.TargetState) -> int:
+    def version_at(self, state: target_state.TargetState) -> int:
         """Returns the weights version that a target has."""
         newest = self.names[-1][0] if self.names else 0
         return state.target.version_by_model.get(self.model, newest)
@@ -130,7 +130,7 @@
         ahead_ms: The part of the queue that is not for tokens.
     """
 
-    state: target_book.TargetState
+    state: target_state.TargetState
     cost_ms: float
     wait_ms: float
     queue_ms: float
@@ -140,7 +140,7 @@
 
 
 def choose(
-    states: Sequence[target_book.TargetState],
+    states: Sequence[target_state.TargetState],
     work: Work,
     settings: ChoiceSettings,
     failure_domain: str,
@@ -209,11 +209,11 @@
 
 
 def fetch_source(
-    states: Sequence[target_book.TargetState],
-    chosen: target_book.TargetState,
+    states: Sequence[target_state.TargetState],
+    chosen: target_state.TargetState,
     work: Work,
     now_ms: float,
-) -> target_book.TargetState | None:
+) -> target_state.TargetState | None:
     """Returns the target that most likely holds what the chosen one lacks.
 
     Only targets on the weights of the chosen one count, since what others
@@ -253,10 +253,10 @@
 
 
 def _drawn(
-    fit: Sequence[target_book.TargetState],
+    fit: Sequence[target_state.TargetState],
     settings: ChoiceSettings,
     randomness: random.Random,
-) -> list[target_book.TargetState]:
+) -> list[target_state.TargetState]:
     """Returns the targets that are compared besides those of the prefix.
 
     What is known of loads is some time old. If all entries compared all
@@ -267,8 +267,8 @@
 
 
 def _fit(
-    able: Sequence[target_book.TargetState], now_ms: float
-) -> Sequence[target_book.TargetState]:
+    able: Sequence[target_state.TargetState], now_ms: float
+) -> Sequence[target_state.TargetState]:
     """Returns the targets that a prefix may be kept at for now."""
     fit = [
         state
@@ -279,8 +279,8 @@
 
 
 def ranked(
-    states: Sequence[target_book.TargetState], key: int
-) -> list[target_book.TargetState]:
+    states: Sequence[target_state.TargetState], key: int
+) -> list[target_state.TargetState]:
     """Returns the targets in the order that all entries prefer for a key."""
     if not key:
         return []
@@ -294,11 +294,11 @@
 
 
 def _estimate(
-    state: target_book.TargetState,
+    state: target_state.TargetState,
     work: Work,
     settings: ChoiceSettings,
     failure_domain: str,
-    homes: Collection[target_book.TargetState],
+    homes: Collection[target_state.TargetState],
     now_ms: float,
 ) -> Estimate:
     held = state.cached.held_tokens(work.chains)
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -22,7 +22,7 @@
     from lycheering import clock
     from lycheering.fleet import holder
     from lycheering.forward import caller as callers
-    from lycheering.forward import target_book
+    from lycheering.forward import target_state
     from lycheering.telemetry import counters
     from lycheering.telemetry import histograms
 
@@ -388,7 +388,7 @@
         )
 
 
-def _address(state: target_book.TargetState | None) -> str:
+def _address(state: target_state.TargetState | None) -> str:
     if state is None:
         return ""
     return f"{state.target.ip}:{state.target.port}"
--- a/src/lycheering/forward/liveness.py
+++ b/src/lycheering/forward/liveness.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from lycheering import clock
     from lycheering.forward import target_book
+    from lycheering.forward import target_state
     from lycheering.telemetry import counters
     from lycheering.web import kept_connections
 
@@ -72,12 +73,14 @@
                 self._probed.add(key)
                 self._tasks.spawn(work, f"liveness:{key}")
 
-    def _is_silent(self, state: target_book.TargetState, now_ms: float) -> bool:
+    def _is_silent(
+        self, state: target_state.TargetState, now_ms: float
+    ) -> bool:
         if state.silent_ms(now_ms) < SILENCE_MS:
             return False
         return now_ms - state.reached_ms >= REACHED_MS
 
-    async def _await_return(self, state: target_book.TargetState) -> None:
+    async def _await_return(self, state: target_state.TargetState) -> None:
         """Gives a target work again once it takes a connection."""
         try:
             await self._clock.sleep(RETURN_INTERVAL_MS)
@@ -94,7 +97,7 @@
         finally:
             self._probed.discard(state.target.key)
 
-    async def _probe(self, state: target_book.TargetState) -> None:
+    async def _probe(self, state: target_state.TargetState) -> None:
         target = state.target
         origin = client.Origin(target.ip, target.port)
         silent_ms = state.silent_ms(self._clock.now_ms())
@@ -114,7 +117,7 @@
             self._probed.discard(target.key)
 
     async def _reaches(
-        self, state: target_book.TargetState, origin: client.Origin
+        self, state: target_state.TargetState, origin: client.Origin
     ) -> bool:
         try:
             opened = await self._connections.open(origin, PROBE_TIMEOUT_MS)
--- a/src/lycheering/forward/shared_parts.py
+++ b/src/lycheering/forward/shared_parts.py
@@ -13,6 +13,7 @@
     from collections.abc import Sequence
 
     from lycheering.forward import target_book
+    from lycheering.forward import target_state
 
 # shorter shared parts are read again sooner than they are moved
 LEAST_SAVED_TOKENS = 1_000
@@ -29,8 +30,8 @@
         store_chains: The chains of all parts as stores know them.
     """
 
-    fetch_from: target_book.TargetState | None = None
-    store: target_book.TargetState | None = None
+    fetch_from: target_state.TargetState | None = None
+    store: target_state.TargetState | None = None
     saves: bool = False
     store_chains: tuple[int, ...] = ()
 
@@ -52,9 +53,9 @@
 
 
 def plan(
-    states: Sequence[target_book.TargetState],
-    stores: Sequence[target_book.TargetState],
-    chosen: target_book.TargetState,
+    states: Sequence[target_state.TargetState],
+    stores: Sequence[target_state.TargetState],
+    chosen: target_state.TargetState,
     work: choice.Work,
     now_ms: float,
 ) -> Plan:
@@ -91,8 +92,8 @@
 
 
 def store_of(
-    stores: Sequence[target_book.TargetState], work: choice.Work
-) -> target_book.TargetState | None:
+    stores: Sequence[target_state.TargetState], work: choice.Work
+) -> target_state.TargetState | None:
     """Returns the store that all entries use for a prompt, if any."""
     if work.shared_tokens < LEAST_SAVED_TOKENS:
         return None
@@ -101,7 +102,7 @@
 
 
 def store_chains(
-    work: choice.Work, chosen: target_book.TargetState
+    work: choice.Work, chosen: target_state.TargetState
 ) -> tuple[int, ...]:
     """Returns the chains of a prompt for the weights of a target.
 
--- a/tests/helpers/direct_targets.py
+++ b/tests/helpers/direct_targets.py
@@ -10,7 +10,7 @@
 from lycheering.forward import cached_parts
 from lycheering.forward import choice
 from lycheering.forward import read_rates
-from lycheering.forward import target_book
+from lycheering.forward import target_state
 from lycheering.wire import messages
 
 SERVICE = "s"
@@ -38,7 +38,7 @@
 
 
 def state(number, now_ms=0.0, service_rate=None, **fields):
-    return target_book.TargetState(
+    return target_state.TargetState(
         target(number, **fields),
         CACHE_TOKENS,
         now_ms,
--- a/tests/steps/shared_parts_steps.py
+++ b/tests/steps/shared_parts_steps.py
@@ -12,6 +12,7 @@
 from lycheering.forward import read_rates
 from lycheering.forward import shared_parts
 from lycheering.forward import target_book
+from lycheering.forward import target_state
 from tests.helpers import direct_targets
 
 NOW_MS = 10_000.0
@@ -27,7 +28,7 @@
 @given("a store of {tokens:d} tokens")
 def step_store(context, tokens):
     record = direct_targets.target(99, slots=0)
-    context.store = target_book.TargetState(
+    context.store = target_state.TargetState(
         record, tokens, NOW_MS, read_rates.ServiceRate()
     )
 
