Count a request for a spared target when it is chosen, not when sent

Cause (found on reading the diff again): sends were counted once a connection was had, so requests that came together all passed the bound of two. The new scenario sees 9 requests at the target with the former order, 3 now.

Change: TargetState.chosen counts before a connection is awaited.

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -92,6 +92,7 @@
             estimate: The target and what is expected there.
             sending: What the target is told besides.
         """
+        estimate.state.chosen(self._clock.now_ms())
         attempt = _Attempt(self, job, estimate)
         try:
             connection = await self._connect(estimate.state)
--- a/src/lycheering/forward/target_state.py
+++ b/src/lycheering/forward/target_state.py
@@ -110,8 +110,6 @@
             abort: Breaks the exchange off.
         """
         self._next_id += 1
-        if self.is_spared(now_ms):
-            self._sends_while_spared += 1
         if not self.outstanding_by_id:
             # silence counts only while something is waited for
             self.heard_ms = now_ms
@@ -149,6 +147,14 @@
         self._waiting = max(0.0, float(answer.waiting - own_waiting))
         self._reported_ms = now_ms
 
+    def chosen(self, now_ms: float) -> None:
+        """Counts a request as meant for it, before a connection is had.
+
+        Others may be chosen for while that is awaited.
+        """
+        if self.is_spared(now_ms):
+            self._sends_while_spared += 1
+
     def _spare(self, now_ms: float, for_ms: float) -> None:
         if not self.is_spared(now_ms):
             self._sends_while_spared = 0
--- a/tests/forward/odd_answers.feature
+++ b/tests/forward/odd_answers.feature
@@ -109,6 +109,12 @@
     Then targets got at most 3 requests
     And the last answer is 503 and tells when to come back
 
+  @promise.spared_targets
+  Scenario: Requests that come together count too
+    Given a direct target that sheds and asks to be spared
+    When 1 request is forwarded, and then 8 at once
+    Then targets got at most 3 requests
+
   @promise.spared_targets
   Scenario: A target that asked to be spared gets work again after it
     Given a direct target that sheds and asks to be spared
--- a/tests/steps/odd_answers_steps.py
+++ b/tests/steps/odd_answers_steps.py
@@ -35,6 +35,21 @@
     forward_steps.run(context, ask_all)
 
 
+@when("1 request is forwarded, and then {count:d} at once")
+def step_at_once(context, count):
+    async def ask_all(entry):
+        await direct_entry.ask(entry, direct_entry.request("idempotent"))
+        # none of them finds a connection that is kept
+        entry.kept.close()
+        together = [
+            direct_entry.ask(entry, direct_entry.request("idempotent", f"r{n}"))
+            for n in range(count)
+        ]
+        await asyncio.gather(*together)
+
+    forward_steps.run(context, ask_all)
+
+
 @then("targets got at least {least:d} requests")
 def step_at_least(context, least):
     got = sum(len(target.received) for target in context.targets)
