--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -171,13 +171,12 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answers and returns whether the connection goes on."""
+        alone = self._head_alone(request)
+        if alone:
+            writer.write(alone)
+            await writer.drain()
+            return True
         match self.behaviour:
-            case "sheds":
-                writer.write(self._head(request, 503, not_run=True))
-            case "fails":
-                writer.write(self._head(request, 500))
-            case "is another run":
-                writer.write(self._head(request, 421))
             case "cuts before the answer":
                 return False
             case "is silent":
@@ -196,22 +195,9 @@
                 writer.write(2 * self._head(request, 200, b"whole"))
             case "sends its last answer once more late":
                 await self._late_copy(request, writer)
-            case "says that it leaves":
-                writer.write(self._head(request, 200, b"whole", extra=LEAVING))
-            case "sheds and says that it leaves":
-                writer.write(
-                    self._head(request, 503, extra=LEAVING, not_run=True)
-                )
-            case "sheds and asks to be spared":
-                spare = f"Retry-After: {SPARE_S}\r\n"
-                writer.write(
-                    self._head(request, 503, extra=spare, not_run=True)
-                )
             case "trickles bytes of an event":
                 await self._trickle(request, reader, writer)
                 return False
-            case "sends a large answer":
-                writer.write(self._head(request, 200, b"x" * LARGE_BYTES))
             case noisy if noisy in START_AND_NOISE:
                 await self._make_noise(request, writer)
                 return False
@@ -227,6 +213,26 @@
         await writer.drain()
         return True
 
+    def _head_alone(self, request: Received) -> bytes:
+        """Returns an answer that is little more than its head, if one is."""
+        match self.behaviour:
+            case "sheds":
+                return self._head(request, 503, not_run=True)
+            case "fails":
+                return self._head(request, 500)
+            case "is another run":
+                return self._head(request, 421)
+            case "says that it leaves":
+                return self._head(request, 200, b"whole", extra=LEAVING)
+            case "sheds and says that it leaves":
+                return self._head(request, 503, extra=LEAVING, not_run=True)
+            case "sheds and asks to be spared":
+                spare = f"Retry-After: {SPARE_S}\r\n"
+                return self._head(request, 503, extra=spare, not_run=True)
+            case "sends a large answer":
+                return self._head(request, 200, b"x" * LARGE_BYTES)
+        return b""
+
     async def _late_copy(
         self, request: Received, writer: asyncio.StreamWriter
     ) -> None:
