--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -114,7 +114,7 @@
         finally:
             job.caller.watch_with(None)
             estimate.state.end(number)
-            if job.caller.is_gone or not attempt.is_over:
+            if job.caller.is_gone or not attempt.may_be_kept:
                 connection.close()
             else:
                 self._connections.give_back(
@@ -159,23 +159,23 @@
 
 
 class _Attempt:
-    """The answer to one sending.
-
-    Attributes:
-        is_over: Whether the exchange ended, so that the connection may be
-            used again.
-    """
+    """The answer to one sending."""
 
     def __init__(
         self, owner: Attempts, job: jobs.Job, estimate: choice.Estimate
     ) -> None:
-        self.is_over = False
+        self._is_over = False
         self._is_doubtful = False
         self._owner = owner
         self._job = job
         self._estimate = estimate
         self._state = estimate.state
 
+    @property
+    def may_be_kept(self) -> bool:
+        """Whether the connection may carry another exchange."""
+        return self._is_over and not self._is_doubtful
+
     async def answer(
         self, connection: kept_connections.KeptConnection, number: int
     ) -> Outcome:
@@ -265,7 +265,7 @@
         while size <= WHOLE_BYTES:
             part = await connection.part(self._left_ms())
             if not part:
-                self.is_over = not self._is_doubtful
+                self._is_over = True
                 answer = jobs.KeptAnswer(
                     head.status, head.headers, b"".join(parts)
                 )
@@ -279,7 +279,7 @@
         await job.caller.part(b"".join(parts))
         while part := await connection.part(self._left_ms()):
             await job.caller.part(part)
-        self.is_over = not self._is_doubtful
+        self._is_over = True
         await job.caller.finish()
         return Outcome(Result.DONE, head.status)
 
@@ -299,7 +299,7 @@
             size += len(part)
             if size > most_bytes:
                 raise client.ExchangeBrokenError(f"over {most_bytes} bytes")
-        self.is_over = not self._is_doubtful
+        self._is_over = True
         return b"".join(parts)
 
     async def _stream(
@@ -323,7 +323,7 @@
             await job.caller.part(ready)
         if splitter.rest:
             raise client.ExchangeBrokenError("ended inside an event")
-        self.is_over = not self._is_doubtful
+        self._is_over = True
         if not job.caller.has_begun:
             raise client.ExchangeBrokenError("a stream without events")
         await job.caller.finish()
