--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -183,7 +183,11 @@
             target.key: target for target in snapshot.direct_targets
         }
         self.version_by_model = dict(snapshot.version_by_model)
-        self.named_by_model = dict(snapshot.named_by_model)
+        # an earlier release tells only when the newest weights were named
+        self.named_by_model = dict(snapshot.named_by_model) or {
+            model: ((version, snapshot.named_wall_ms_by_model.get(model, 0)),)
+            for model, version in snapshot.version_by_model.items()
+        }
         self._recent.clear()
         self._index_teams()
         self._index_exceptions()
--- a/tests/fleet/view.feature
+++ b/tests/fleet/view.feature
@@ -27,6 +27,11 @@
     When one fleet view gets a change that is two ahead
     Then it reports a gap and stays as it was
 
+  Scenario: A whole view of an earlier release still names weights
+    Given a whole view that tells only the newest weights of each model
+    When a new fleet view takes it over
+    Then it names weights 3 since the time that was told
+
   Scenario: A whole view never replaces a newer one
     Given two fleet views that get the same changes
     When one fleet view changes again and is given the other as a whole
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -368,3 +368,28 @@
 def step_stale(context):
     late = fetch(context.sources[0], holder.ViewHolder(), transfers.STALE_MS)
     assert isinstance(late, messages.ViewPart)
+
+
+@given("a whole view that tells only the newest weights of each model")
+def step_earlier_release(context):
+    context.earlier = view.ViewSnapshot(
+        1,
+        1,
+        {},
+        (),
+        (),
+        (),
+        version_by_model={"m": 3},
+        named_wall_ms_by_model={"m": 5_000},
+    )
+
+
+@when("a new fleet view takes it over")
+def step_take_earlier(context):
+    context.fleet = view.FleetView()
+    assert context.fleet.restore(context.earlier)
+
+
+@then("it names weights 3 since the time that was told")
+def step_names(context):
+    assert context.fleet.named_by_model == {"m": ((3, 5_000),)}
