--- a/tests/steps/placed_load_steps.py
+++ b/tests/steps/placed_load_steps.py
@@ -19,7 +19,16 @@
 SETTINGS = choice.ChoiceSettings()
 
 
-def place_overload(context, settings):
+def place_admitted(load, settings, queues_away, rates=(50.0,), learns=True):
+    """Returns the waits of a load of which some is turned away.
+
+    Args:
+        load: The arrivals.
+        settings: When one is turned away.
+        queues_away: Gets the queue that each of those would have met.
+        rates: What engines read in a ms.
+        learns: Whether what reading took is learned from.
+    """
     randomness = random.Random(1)
     usual = turn_away.UsualQueue(settings.half_life_ms)
 
@@ -36,12 +45,13 @@
             randomness,
         )
         if away_ms is not None:
-            context.queues_away.append(found.queue_ms)
+            queues_away.append(found.queue_ms)
             return None
         number = states.index(found.state)
-        return number, found.unread_tokens, found.ahead_tokens
+        ahead = found.ahead_tokens if learns else 0
+        return number, found.unread_tokens, ahead
 
-    return direct_targets.place(context.load, 6, by_choice)
+    return direct_targets.place(load, 6, by_choice, rates)
 
 
 @when("a recorded overload of 12 s is placed with requests turned away")
@@ -49,13 +59,15 @@
     context.load = direct_targets.recorded_load(factor=1.6)
     context.queues_away = []
     settings = turn_away.TurnAwaySettings()
-    context.waits = place_overload(context, settings)
+    context.waits = place_admitted(context.load, settings, context.queues_away)
 
 
 @when("the same overload is placed with none turned away")
 def step_overload_all(context):
     everyone = turn_away.TurnAwaySettings(queue_part=1e9, standing_part=1e9)
-    context.waits_all = place_overload(context, everyone)
+    context.waits_all = place_admitted(
+        context.load, everyone, context.queues_away
+    )
 
 
 def on_time(waits):
--- a/tests/steps/read_rates_steps.py
+++ b/tests/steps/read_rates_steps.py
@@ -10,13 +10,13 @@
 from behave import when
 
 from lycheering import clock
-from lycheering.forward import choice
 from lycheering.forward import read_rates
 from lycheering.forward import target_book
 from lycheering.forward import turn_away
 from lycheering.routes import records as route_records
 from lycheering.wire import messages
 from tests.helpers import direct_targets
+from tests.steps import placed_load_steps
 
 ENGINES = 5
 # between the queue that is known and the one that is met
@@ -103,36 +103,13 @@
 @when("a load of {rate:d} tokens in a ms is placed on engines of that rate")
 def step_place(context, rate):
     def placed(learns):
-        randomness = random.Random(1)
-        settings = turn_away.TurnAwaySettings()
-        usual = turn_away.UsualQueue(settings.half_life_ms)
-
-        def by_choice(states, work, now_ms):
-            found = choice.choose(
-                states,
-                work,
-                choice.ChoiceSettings(),
-                "d0",
-                (),
-                now_ms,
-                randomness,
-            )
-            away_ms = turn_away.retry_after_ms(
-                found,
-                OBJECTIVE_MS,
-                1,
-                usual.see(found.queue_ms, now_ms),
-                settings,
-                randomness,
-            )
-            if away_ms is not None:
-                return None
-            number = states.index(found.state)
-            ahead = found.ahead_tokens if learns else 0
-            return number, found.unread_tokens, ahead
-
-        load = direct_targets.recorded_load(factor=rate / 50.0)
-        waits = direct_targets.place(load, 6, by_choice, (float(rate),))
+        waits = placed_load_steps.place_admitted(
+            direct_targets.recorded_load(factor=rate / 50.0),
+            turn_away.TurnAwaySettings(),
+            [],
+            (float(rate),),
+            learns,
+        )
         met = [w for w in waits if w is not None and w <= OBJECTIVE_MS]
         return len(met) / len(waits)
 
