Bound logs by the clock that is passed in

The bound is one of bytes a second, the test one of bytes in all; and its reader copied all that it had got at every line, so that a slow machine let more lines through and each then took longer.

Ruled out: a fault of the bound itself; 524,288 + 18 * 262,144 is above what came through.

Change: BoundedOutput takes our clock; the scenarios set it. The bound of the burst is now the real one (524,288, before 1,000,000), and a second scenario bounds lines that go on for 4 s.

--- a/tests/steps/output_steps.py
+++ b/tests/steps/output_steps.py
@@ -24,20 +24,22 @@
     context.stream = os.fdopen(writer, "w")
     context.stack.callback(context.stream.close)
     context.stack.callback(os.close, context.reader)
-    context.output = bounded_output.BoundedOutput(context.stream)
+    context.time = clock.ManualClock()
+    context.output = bounded_output.BoundedOutput(context.stream, context.time)
     context.is_read = "read at once" in context.scenario.steps[0].name
-    context.got = b""
+    context.got = bytearray()
 
 
 def read(context):
+    reader, got = context.reader, context.got
     while True:
         try:
-            data = os.read(context.reader, READ_BYTES)
+            data = os.read(reader, READ_BYTES)
         except BlockingIOError:
             return
         if not data:
             return
-        context.got += data
+        got += data
 
 
 @when("{count:d} lines of {size:d} bytes are written")
@@ -54,7 +56,7 @@
 @when("the reader reads again and a line is written")
 def step_again(context):
     read(context)
-    time.sleep(0.05)  # the bound on bytes a second has room again
+    context.time.advance(50)  # the bound on bytes a second has room again
     context.output.write("event=last\n")
     read(context)
 
@@ -75,9 +77,17 @@
     assert context.got.endswith(b"event=last\n")
 
 
-@then("the reader got at most {most:d} bytes")
-def step_bounded(context, most):
-    assert 0 < len(context.got) <= most, len(context.got)
+@when("{count:d} lines of {size:d} bytes are written over {span_s:d} s")
+def step_write_over(context, count, size, span_s):
+    for _ in range(count):
+        context.time.advance(span_s * clock.MS_PER_S / count)
+        context.output.write("x" * (size - 1) + "\n")
+        read(context)
+
+
+@then("the reader got at most {most:d} bytes and at least {least:d}")
+def step_bounded(context, most, least):
+    assert least <= len(context.got) <= most, len(context.got)
 
 
 @given(
--- a/tests/telemetry/output.feature
+++ b/tests/telemetry/output.feature
@@ -17,7 +17,13 @@
   Scenario: A burst of lines is bounded
     Given an output that is read at once
     When 20000 lines of 200 bytes are written
-    Then the reader got at most 1000000 bytes
+    Then the reader got at most 524288 bytes and at least 500000
+
+  @promise.bounded_logs
+  Scenario: Lines that go on coming are bounded by the second
+    Given an output that is read at once
+    When 40000 lines of 200 bytes are written over 4 s
+    Then the reader got at most 1600000 bytes and at least 1500000
 
   @promise.second_sends
   Scenario: Second sends are bounded over any window
