Load weights once when two leaders around a hand-over order them

Cause: an agent passed an order on under each new fencing number, also when the weights, adapter or role that it asks for were in force by the time the order before had ended. Two leaders that each order the same load, the second on a report from before the first, had the engine load twice.

Change: an order whose result is in force is answered as done and not passed on. What a target says that it loads is no longer taken from a report that is older than the last order's end.

Ruled out: a load begun twice by one leader; it keeps what it ordered for 3 s after the end. The row of KNOWN-RED for wire_calls stays: its scripted agent counts orders, and why a leader gave one on an old report isn't shown.

--- a/src/lycheering/agent/target_orders.py
+++ b/src/lycheering/agent/target_orders.py
@@ -98,6 +98,11 @@
         async with self._lock:
             if order.fence < self.highest_fence:
                 return self._refuse_old()
+            if self._context.state.has(order):
+                # two leaders around a hand-over may both ask for it
+                return messages.TargetOrderReply(
+                    True, order.fence, "in force before"
+                )
             return await self._pass_on(order)
 
     def _refuse_old(self) -> messages.TargetOrderReply:
--- a/src/lycheering/agent/target_state.py
+++ b/src/lycheering/agent/target_state.py
@@ -7,11 +7,11 @@
 from lycheering.app import api as app_api
 from lycheering.targets import api as targets_api
 from lycheering.telemetry import logs
+from lycheering.wire import messages
 
 if TYPE_CHECKING:
     from lycheering import clock as clocks
     from lycheering.settings import model
-    from lycheering.wire import messages
 
 MAX_FAILED_POLLS = 3
 FIRST_LOAD_ORDER_MS = 1_000.0
@@ -57,11 +57,11 @@
         """Takes over a target's own report, unless it is outdated."""
         self.up = True
         self.slots = load.slots or self.slots
-        self.target_loading = load.loading or ""
         sampled_ms = self._clock.now_ms() - load.age_ms
         same = load.incarnation == self.incarnation
         if same and sampled_ms <= self._changed_ms:
             return
+        self.target_loading = load.loading or ""
         self.incarnation = load.incarnation
         self.weights_version = load.weights_version
         self.adapters = load.adapters
@@ -91,6 +91,7 @@
         now_ms = self._clock.now_ms()
         if done:
             self.weights_version = self.loading_version
+            self.target_loading = ""
             self._changed_ms = now_ms
             spent_ms = now_ms - self._loading_since_ms
             self.load_order_ms += SMOOTHING * (spent_ms - self.load_order_ms)
@@ -104,6 +105,19 @@
         if order.adapter and order.adapter not in self.adapters:
             self.adapters = (*self.adapters, order.adapter)
 
+    def has(self, order: messages.TargetOrder) -> bool:
+        """Returns whether the target is known to have what is ordered."""
+        if not self.up or self.loading_version or self.target_loading:
+            return False
+        match order.kind:
+            case messages.TargetOrderKind.LOAD_WEIGHTS:
+                same_model = order.model in ("", self.model)
+                return same_model and order.version == self.weights_version
+            case messages.TargetOrderKind.LOAD_ADAPTER:
+                return order.adapter in self.adapters
+            case messages.TargetOrderKind.SET_ROLE:
+                return order.role == self.role
+
     def load_left_ms(self) -> float:
         """Returns how long loading is expected to go on."""
         spent_ms = self._clock.now_ms() - self._loading_since_ms
--- a/tests/agent/target_orders.feature
+++ b/tests/agent/target_orders.feature
@@ -57,3 +57,12 @@
     When weights "2" with fence 5 are ordered twice at once
     Then the target order is done
     And the engine was given orders with fences "5"
+
+  Scenario: Two leaders that order the same weights have them loaded once
+    Given an agent beside an engine whose weights take 500 ms to load
+    When weights "2" are ordered with fences 5 and 6
+    Then both target orders are done
+    And the engine was given orders with fences "5"
+    When control orders weights "3" with fence 7
+    Then the target order is done
+    And the engine was given orders with fences "5 7"
--- a/tests/steps/target_order_steps.py
+++ b/tests/steps/target_order_steps.py
@@ -100,6 +100,21 @@
     context.bench.run(go())
 
 
+@when('weights "{version}" are ordered with fences {first:d} and {second:d}')
+def step_two_leaders(context, version, first, second):
+    async def go():
+        context.replies = await asyncio.gather(
+            order(context, version, first), order(context, version, second)
+        )
+
+    context.bench.run(go())
+
+
+@then("both target orders are done")
+def step_both_done(context):
+    assert [reply.done for reply in context.replies] == [True, True]
+
+
 @then('the engine was given orders with fences "{fences}"')
 def step_given(context, fences):
     given = context.bench.run(context.bench.record("orders"))
