Give each test process a loopback address of its own for direct targets

Ruled out by reading: the forwarder sends a request that may not repeat once; after BROKEN `_may_send_again` says no and the caller got its 502, and the caller sent one request. The stand-in counts each request that comes to its port, whoever sent it. Free ports of 127.0.0.1 come from one range that four features draw from side by side, and agents, proxies and entries of other features go on calling a stand-in that was ended.

Change: stand-ins of direct targets and the entries before them listen at an address of 127/8 made of the process's id. What is counted stays the same.

That the second request was another feature's isn't shown by a trace; should it come again, it is the forwarder's.

--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -9,8 +9,8 @@
 
 import asyncio
 import dataclasses
+import os
 
-HOST = "127.0.0.1"
 READ_BYTES = 65_536
 EVENT = b"id: %d\ndata: piece %d\n\n"
 LEAVING = "Server-Leaving: 1\r\n"
@@ -36,6 +36,16 @@
 }
 
 
+def own_host() -> str:
+    """Returns a loopback address that this process alone uses.
+
+    A free port of 127.0.0.1 may have been another process's a moment ago,
+    whose peers still call it.
+    """
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 16) % 250}.{pid >> 8 & 255}.{pid & 255}"
+
+
 @dataclasses.dataclass
 class Received:
     """A request as the target got it.
@@ -62,7 +72,8 @@
         target_id: The run that it is.
         behaviour: What it does with requests, one of `BEHAVIOURS`.
         received: Every request that it got.
-        port: Where it listens, once started.
+        host: The address that it listens at.
+        port: Its port, once started.
         pieces: Events of a stream.
         gap_s: Time between two events.
         event_bytes: What each event carries besides its number.
@@ -101,6 +112,7 @@
         self.target_id = target_id
         self.behaviour = behaviour
         self.received: list[Received] = []
+        self.host = own_host()
         self.port = 0
         self.pieces = 4
         self.gap_s = 0.0
@@ -114,7 +126,9 @@
 
     async def start(self) -> None:
         """Begins to listen."""
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self._server = await asyncio.start_server(
+            self._accept, self.host, 0
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -27,7 +27,7 @@
 from lycheering.web import server
 from standins import direct_target
 
-HOST = "127.0.0.1"
+HOST = direct_target.own_host()
 KEY = "secret-key"
 TEAM = "team-a"
 READ_TIMEOUT_S = 10
@@ -165,7 +165,7 @@
             self.make(
                 changes.DirectTargetPut(
                     records.DirectTarget(
-                        target.target_id, "s", HOST, target.port, "d1", 8
+                        target.target_id, "s", target.host, target.port, "d1", 8
                     )
                 )
             )
