Tell that an order is unknown once its silent agent is gone

Its agent broke it off as silent while it drained and ended 60 ms later, with its sessions to entries cut; 5.5 s later control marked its target gone, yet the leader waited for the agent as for a merely silent one, up to 120 s.

Ruled out: that the order ran again or was told as not run; that the agent should wait for the entry, whose session had ended.

Change: an agent that gives no answer and whose target the fleet view has as gone makes the order unknown at the first inquiry, with the same reason as before, so that it is asked on and settled if it speaks again.

--- a/src/lycheering/control/order_desk.py
+++ b/src/lycheering/control/order_desk.py
@@ -6,6 +6,7 @@
 
 from lycheering.control import commands
 from lycheering.control import failures
+from lycheering.fleet import records as fleet_records
 from lycheering.orders import api as orders_api
 from lycheering.replication import errors
 from lycheering.wire import api as wire_api
@@ -104,11 +105,20 @@
                 messages.OrderInquiry(order.order_id), INQUIRY_TIMEOUT_MS
             )
         except wire_errors.WireError as error:
+            if self._is_gone(order):
+                raise orders_api.AgentAbsentError(str(error)) from error
             raise orders_api.AgentSilentError(str(error)) from error
         if not isinstance(reply, messages.OrderInquiryReply):
             raise orders_api.AgentSilentError(type(reply).__name__)
         return reply
 
+    def _is_gone(self, order: records.Order) -> bool:
+        target = self._group.machine.fleet.target_by_name.get(order.target)
+        return (
+            target is not None
+            and target.state == fleet_records.TargetState.GONE
+        )
+
 
 class OrderDesk:
     """Claims, outcomes and look-ups, as entries ask for them."""
--- a/src/lycheering/orders/api.py
+++ b/src/lycheering/orders/api.py
@@ -20,6 +20,10 @@
     """The agent gave no answer; it may do so later."""
 
 
+class AgentAbsentError(AgentSilentError):
+    """The agent gave no answer, and the fleet view has it as gone."""
+
+
 class AgentInquirer(abc.ABC):
     """Asks agents what became of an order."""
 
@@ -30,6 +34,7 @@
         Raises:
             AgentGoneError: If that incarnation is gone for good.
             AgentSilentError: If it did not answer.
+            AgentAbsentError: If it is not expected to either.
         """
 
 
--- a/src/lycheering/orders/in_doubt.py
+++ b/src/lycheering/orders/in_doubt.py
@@ -170,6 +170,10 @@
         except api.AgentGoneError as error:
             await self._mark_unknown(order, str(error))
             return
+        except api.AgentAbsentError:
+            # asked on, as it may have been cut off only
+            await self._mark_unknown(order, messages.Reason.SILENT)
+            return
         except api.AgentSilentError:
             await self._agent_silent(order)
             return
--- a/tests/control/wire_calls.feature
+++ b/tests/control/wire_calls.feature
@@ -55,6 +55,13 @@
     And the entry claims order "k1" for "t1"
     Then the order claim is granted
 
+  Scenario: An agent leaves for good under a claimed order
+    Given an agent "t1" that is scripted to say "never_received"
+    When the entry claims order "k1" for "t1"
+    And the agent deregisters
+    And the agent ends without a word
+    And another entry looks order "k1" up until it is unknown
+
   Scenario: Without asking back the order becomes unknown
     Given an agent "t1" that is scripted to say "never_received"
     And orders.ask_back is set to false
--- a/tests/orders/in_doubt.feature
+++ b/tests/orders/in_doubt.feature
@@ -50,6 +50,14 @@
     When 40000 ms pass and the sweep runs
     Then the doubtful order holds the answer "paid"
 
+  Scenario: A silent agent that the fleet has as gone is not waited for
+    Given the asked agent is silent and gone from the fleet
+    When the sweep runs on a claim that is 6000 ms old
+    Then the doubtful order is unknown
+    Given the asked agent finished it with "paid"
+    When 40000 ms pass and the sweep runs
+    Then the doubtful order holds the answer "paid"
+
   Scenario: A young claim is not asked for by the sweep
     Given the asked agent says "never_received"
     When the sweep runs on a claim that is 1000 ms old
--- a/tests/steps/control_wire_steps.py
+++ b/tests/steps/control_wire_steps.py
@@ -147,10 +147,15 @@
     assert context.found.outcome == AGENT_ANSWER
 
 
-@when("the agent is replaced by another incarnation")
-def step_replace_agent(context):
+@when("the agent ends without a word")
+def step_end_agent(context):
     context.peers.run(context.agent.close())
     context.peers.peers.remove(context.agent)
+
+
+@when("the agent is replaced by another incarnation")
+def step_replace_agent(context):
+    step_end_agent(context)
     join_agent(context, context.agent.name)
 
 
--- a/tests/steps/in_doubt_steps.py
+++ b/tests/steps/in_doubt_steps.py
@@ -132,6 +132,11 @@
     context.agent.answer = api.AgentSilentError("no answer")
 
 
+@given("the asked agent is silent and gone from the fleet")
+def step_absent(context):
+    context.agent.answer = api.AgentAbsentError("no answer")
+
+
 @given("agents are not asked back for orders")
 def step_not_asked(context):
     context.book.asking_back = False
