--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -126,9 +126,7 @@
 
     async def start(self) -> None:
         """Begins to listen."""
-        self._server = await asyncio.start_server(
-            self._accept, self.host, 0
-        )
+        self._server = await asyncio.start_server(self._accept, self.host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
