Read any header, list entry and response, or refuse it

Cause: what decodes at the border trusted the shape of numbers. A caller's tokens could be negative, which made a target's load look smaller than it is; superscript digits passed isdigit and failed in int(), from a caller as 500, and from a target's load header for every request that it answered, without counting as its failure; a target that answered 101 raised an error that no one caught; list entries with port 0 or without an address became targets.

Change: one reader for counts (ASCII digits, at most 9), HttpParserUpgrade is no response, addresses of peers are checked as those in settings are. An unreadable load is logged.

Ruled out: the event splitter, route tables and damaged responses; nothing was found there in 400 inputs each.

--- a/src/lycheering/platform/dialect.py
+++ b/src/lycheering/platform/dialect.py
@@ -73,6 +73,8 @@
 BUSY_STATUS = 503
 MAX_PRIORITY = 9
 MS_PER_S = 1_000.0
+# more digits than any prompt or queue has, and few enough to reckon with
+MAX_COUNT_DIGITS = 9
 
 _LOG = logs.get("platform")
 
@@ -226,6 +228,14 @@
     return seconds * MS_PER_S
 
 
+def _count(text: str) -> int | None:
+    """Returns a number of tokens or requests; None if it is none."""
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdigit():
+        return None
+    return int(digits) if len(digits) <= MAX_COUNT_DIGITS else None
+
+
 def _key(text: str) -> str:
     scheme, _, key = text.partition(" ")
     return key.strip() if scheme.lower() == SCHEME else ""
@@ -236,10 +246,10 @@
     if not text:
         return 0, 0
     prompt, _, output = text.partition(",")
-    try:
-        return int(prompt), int(output or 0)
-    except ValueError as error:
-        raise api.BadRequestError(f"{TOKENS.decode()}: {text!r}") from error
+    counts = _count(prompt), _count(output or "0")
+    if counts[0] is None or counts[1] is None:
+        raise api.BadRequestError(f"{TOKENS.decode()}: {text[:40]!r}")
+    return counts[0], counts[1]
 
 
 def _parts(text: str) -> tuple[api.PromptPart, ...]:
@@ -248,18 +258,21 @@
     parts = []
     for item in text.split(","):
         key, colon, tokens = item.strip().partition(":")
-        if not colon or not tokens.isdigit():
-            raise api.BadRequestError(f"{PARTS.decode()}: {item!r}")
-        parts.append(api.PromptPart(key, int(tokens)))
+        count = _count(tokens)
+        if not colon or count is None:
+            raise api.BadRequestError(f"{PARTS.decode()}: {item[:40]!r}")
+        parts.append(api.PromptPart(key, count))
     return tuple(parts)
 
 
 def _load(text: str) -> tuple[int | None, int]:
     """Reads the requests running and those waiting, without the slots."""
-    numbers = text.split(",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+    counts = [_count(item) for item in text.split(",")]
+    if len(counts) != 3 or None in counts:
+        if text:
+            _LOG.warning("bad_header", name=LOAD.decode(), value=text[:40])
         return None, 0
-    return int(numbers[0]), int(numbers[1])
+    return counts[0], counts[1] or 0
 
 
 __all__ = ["PlatformDialect"]
--- a/src/lycheering/platform/documents.py
+++ b/src/lycheering/platform/documents.py
@@ -95,9 +95,9 @@
 
     @pydantic.field_validator("kv_store_addr")
     @classmethod
-    def _has_port(cls, value: str) -> str:
-        if value and not value.rpartition(":")[2].isdigit():
-            raise ValueError(f"not IP:PORT: {value!r}")
+    def _is_address(cls, value: str) -> str:
+        if value:
+            model.split_peer_address(value)
         return value
 
     def record(self) -> route_api.Service:
@@ -116,7 +116,7 @@
     def _store(self) -> route_api.StoreTraits | None:
         if not self.kv_store_addr:
             return None
-        ip, port = model.split_address(self.kv_store_addr)
+        ip, port = model.split_peer_address(self.kv_store_addr)
         return route_api.StoreTraits(
             ip, port, self.failure_domain, self.kv_capacity_tokens
         )
--- a/src/lycheering/platform/instance_list.py
+++ b/src/lycheering/platform/instance_list.py
@@ -92,7 +92,7 @@
     try:
         found = msgspec.json.decode(raw, type=_Instance)
         state = STATE_BY_WORD[found.state]
-        ip, port = model.split_address(found.address)
+        ip, port = model.split_peer_address(found.address)
         return records.DirectTarget(
             target_id=found.id,
             service=found.service,
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -88,6 +88,18 @@
     return ip, int(port)
 
 
+def split_peer_address(address: str) -> tuple[str, int]:
+    """Returns the IP number and the port of a peer that can be called.
+
+    Raises:
+        ValueError: If it is no `ip:port`, or the port is 0.
+    """
+    ip, port = split_address(_check_address(address))
+    if not ip or not port:
+        raise ValueError(f"expected ip:port, found {address!r}")
+    return ip, port
+
+
 ListenAddress = Annotated[str, pydantic.AfterValidator(_check_address)]
 ListenAddresses = Annotated[
     tuple[ListenAddress, ...], pydantic.BeforeValidator(_parse_addresses)
--- a/src/lycheering/web/responses.py
+++ b/src/lycheering/web/responses.py
@@ -93,6 +93,8 @@
         self._has_progress = False
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise NoResponseError("another protocol") from error
         except httptools.HttpParserError as error:
             if not self.current.done:
                 raise NoResponseError(f"not HTTP: {error}") from error
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -106,6 +106,8 @@
         "sends an event without end",
         "sends a large answer",
         "trickles bytes of an event",
+        "switches protocols",
+        "tells its load in other digits",
     )
 
     def __init__(self, target_id: str, behaviour: str = "answers") -> None:
@@ -203,6 +205,12 @@
                 writer.write(self._head(other, 200, b"other", "another"))
             case "sends more than the answer":
                 writer.write(self._head(request, 200, b"whole") + b"extra")
+            case "switches protocols":
+                extra = "Connection: upgrade\r\nUpgrade: other\r\n"
+                writer.write(self._head(request, 101, extra=extra, length=-1))
+            case "tells its load in other digits":
+                head = self._head(request, 200, b"whole")
+                writer.write(head.replace(b"1,0,8", b"\xb2,0,8"))
             case "sends its answer twice at once":
                 writer.write(2 * self._head(request, 200, b"whole"))
             case "sends its last answer once more late":
--- a/tests/forward/forward.feature
+++ b/tests/forward/forward.feature
@@ -21,20 +21,22 @@
     And the request reached targets <sends> times
 
     Examples:
-      | behaviour                  | kind             | status | sends |
-      | sheds                      | once             | 503    | 1     |
-      | sheds                      | idempotent       | 503    | 1     |
-      | is another run             | once             | 503    | 1     |
-      | fails                      | once             | 500    | 1     |
-      | fails                      | idempotent       | 500    | 1     |
-      | cuts before the answer     | once             | 502    | 1     |
-      | cuts the body              | once             | 502    | 1     |
-      | answers another request    | once             | 502    | 1     |
-      | sends more than the answer | once             | 200    | 1     |
-      | ends with its connection   | once             | 200    | 1     |
-      | cuts before the answer     | stream           | 502    | 1     |
-      | streams                    | stream           | 200    | 1     |
-      | streams                    | resumable stream | 200    | 1     |
+      | behaviour                      | kind             | status | sends |
+      | sheds                          | once             | 503    | 1     |
+      | sheds                          | idempotent       | 503    | 1     |
+      | is another run                 | once             | 503    | 1     |
+      | fails                          | once             | 500    | 1     |
+      | fails                          | idempotent       | 500    | 1     |
+      | cuts before the answer         | once             | 502    | 1     |
+      | cuts the body                  | once             | 502    | 1     |
+      | answers another request        | once             | 502    | 1     |
+      | sends more than the answer     | once             | 200    | 1     |
+      | switches protocols             | once             | 502    | 1     |
+      | tells its load in other digits | once             | 200    | 1     |
+      | ends with its connection       | once             | 200    | 1     |
+      | cuts before the answer         | stream           | 502    | 1     |
+      | streams                        | stream           | 200    | 1     |
+      | streams                        | resumable stream | 200    | 1     |
 
   Scenario Outline: A second target answers what the first could not
     Given a direct target that <behaviour>
