Let an unexpected error end what it happened in, not a process's work

Found by reading, each shown by a test that failed first: - background loops (list, weights, liveness, loads, freshness, cache feed, registrations, orders in doubt, watches) ended for good at an error of a kind that they didn't expect; one line was logged, and the process went on without that work. `spawn_lasting` begins it anew, with pauses that grow. - the inner protocol's server read no frame any more after an error over one (the test hung for 200 s); the frame's session is dropped now, others are read on. A client's connection stayed dead in the same way. - a part that failed to drain ended the drain of all others, so that what they still ran was cut.

Ruled out: handlers of sessions (their errors are answered as internal), the replicated log (its tasks stop the member on purpose, as what is on disk is unknown then).

--- a/src/lycheering/agent/control_link.py
+++ b/src/lycheering/agent/control_link.py
@@ -63,7 +63,7 @@
 
     async def start(self) -> None:
         """Begins to register."""
-        self._tasks.spawn(self._run(), "agent:control")
+        self._tasks.spawn_lasting(self._run, "agent:control")
 
     async def drain(self) -> None:
         """Tells control that the target is leaving."""
--- a/src/lycheering/agent/sessions.py
+++ b/src/lycheering/agent/sessions.py
@@ -52,7 +52,7 @@
 
     async def start(self) -> None:
         """Begins to look after answers that nobody takes."""
-        self._tasks.spawn(self._sweep(), "agent:sweep")
+        self._tasks.spawn_lasting(self._sweep, "agent:sweep")
 
     def begin_drain(self) -> None:
         """Hands queued requests back, and sets when running ones are cut."""
--- a/src/lycheering/agent/target_state.py
+++ b/src/lycheering/agent/target_state.py
@@ -143,7 +143,7 @@
     async def start(self) -> None:
         """Reads the load once and goes on in the background."""
         await self._poll()
-        self._tasks.spawn(self._run(), "target:monitor")
+        self._tasks.spawn_lasting(self._run, "target:monitor")
 
     async def stop(self) -> None:
         """Stops reading."""
--- a/src/lycheering/app/api.py
+++ b/src/lycheering/app/api.py
@@ -7,6 +7,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from lycheering import clock
 from lycheering.app import memory
 from lycheering.telemetry import logs
 
@@ -14,6 +15,12 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
+# a failure that comes back at once is tried less and less often
+FIRST_PAUSE_MS = 100.0
+MAX_PAUSE_MS = 5_000.0
+# work that went on for so long before it failed begins anew at the first pause
+STEADY_MS = 30_000.0
+
 _LOG = logs.get("app")
 
 
@@ -101,10 +108,19 @@
         try:
             async with asyncio.timeout(self._drain_timeout_ms / 1_000):
                 for part in reversed(self._started):
-                    await part.drain()
+                    await self._drain_part(part)
         except TimeoutError:
             _LOG.warning("drain_timeout", timeout_ms=self._drain_timeout_ms)
 
+    async def _drain_part(self, part: Part) -> None:
+        # what the others still run ends whole all the same
+        try:
+            await part.drain()
+        except Exception as error:
+            _LOG.error(
+                "drain_failed", part=type(part).__name__, error=repr(error)
+            )
+
     async def _stop(self) -> None:
         failures: list[Exception] = []
         while self._started:
@@ -130,6 +146,42 @@
         self._tasks.add(task)
         task.add_done_callback(self._ended)
 
+    def spawn_lasting(
+        self, make: Callable[[], Coroutine[object, object, None]], name: str
+    ) -> None:
+        """Runs work that is to go on until all tasks are ended.
+
+        An unexpected error would leave the process without that work; it is
+        logged, and the work begun anew.
+
+        Args:
+            make: Begins the work.
+            name: The name of its task.
+        """
+        self.spawn(self._go_on(make, name), name)
+
+    async def _go_on(
+        self, make: Callable[[], Coroutine[object, object, None]], name: str
+    ) -> None:
+        time = clock.Clock()
+        pause_ms = FIRST_PAUSE_MS
+        while True:
+            began_ms = time.now_ms()
+            try:
+                await make()
+                return
+            except Exception as error:
+                if time.now_ms() - began_ms >= STEADY_MS:
+                    pause_ms = FIRST_PAUSE_MS
+                _LOG.error(
+                    "task_begins_anew",
+                    task=name,
+                    pause_ms=pause_ms,
+                    error=repr(error),
+                )
+            await time.sleep(pause_ms)
+            pause_ms = min(MAX_PAUSE_MS, 2 * pause_ms)
+
     def _ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
--- a/src/lycheering/cache/feed.py
+++ b/src/lycheering/cache/feed.py
@@ -37,7 +37,7 @@
 
     async def start(self) -> None:
         """Begins to follow the engine."""
-        self._tasks.spawn(self._run(), "cache:feed")
+        self._tasks.spawn_lasting(self._run, "cache:feed")
 
     async def stop(self) -> None:
         """Stops following the engine."""
--- a/src/lycheering/control/direct/member_intake.py
+++ b/src/lycheering/control/direct/member_intake.py
@@ -79,8 +79,8 @@
 
     async def start(self) -> None:
         """Begins to look after this instance's own membership."""
-        self._tasks.spawn(self._join(), "control:join")
-        self._tasks.spawn(self._watch(), "control:surplus")
+        self._tasks.spawn_lasting(self._join, "control:join")
+        self._tasks.spawn_lasting(self._watch, "control:surplus")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/control/direct/store_watch.py
+++ b/src/lycheering/control/direct/store_watch.py
@@ -111,7 +111,7 @@
 
     async def start(self) -> None:
         """Begins to ask."""
-        self._tasks.spawn(self._run(), "control:store-watch")
+        self._tasks.spawn_lasting(self._run, "control:store-watch")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/control/direct/target_lister.py
+++ b/src/lycheering/control/direct/target_lister.py
@@ -93,7 +93,7 @@
 
     async def start(self) -> None:
         """Begins to read."""
-        self._tasks.spawn(self._run(), "control:target-list")
+        self._tasks.spawn_lasting(self._run, "control:target-list")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -128,7 +128,7 @@
 
     async def start(self) -> None:
         """Begins to look for engines on older weights."""
-        self._tasks.spawn(self._run(), "control:weights")
+        self._tasks.spawn_lasting(self._run, "control:weights")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/control/group_failure.py
+++ b/src/lycheering/control/group_failure.py
@@ -34,7 +34,7 @@
 
     async def start(self) -> None:
         """Begins to watch."""
-        self._tasks.spawn(self._run(), "control:failure")
+        self._tasks.spawn_lasting(self._run, "control:failure")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/control/leader_reach.py
+++ b/src/lycheering/control/leader_reach.py
@@ -50,7 +50,7 @@
 
     async def start(self) -> None:
         """Begins to call or to listen."""
-        self._tasks.spawn(self._run(), "control:leader-reach")
+        self._tasks.spawn_lasting(self._run, "control:leader-reach")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/control/publisher.py
+++ b/src/lycheering/control/publisher.py
@@ -75,7 +75,7 @@
 
     async def start(self) -> None:
         """Begins to publish."""
-        self._tasks.spawn(self._run(), "control:publish")
+        self._tasks.spawn_lasting(self._run, "control:publish")
 
     async def stop(self) -> None:
         """Ends publishing."""
--- a/src/lycheering/control/registrations.py
+++ b/src/lycheering/control/registrations.py
@@ -64,7 +64,7 @@
 
     async def start(self) -> None:
         """Begins to propose batches."""
-        self._tasks.spawn(self._run(), "control:registrations")
+        self._tasks.spawn_lasting(self._run, "control:registrations")
 
     async def stop(self) -> None:
         """Ends proposing."""
--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -144,7 +144,7 @@
 
     async def start(self) -> None:
         """Begins to compare what is wanted with what is reported."""
-        self._tasks.spawn(self._run(), "control:target-orders")
+        self._tasks.spawn_lasting(self._run, "control:target-orders")
 
     async def stop(self) -> None:
         """Ends waiting for targets."""
--- a/src/lycheering/entry/control_client.py
+++ b/src/lycheering/entry/control_client.py
@@ -67,7 +67,7 @@
 
     async def start(self) -> None:
         """Begins to follow a control instance."""
-        self._tasks.spawn(self._follow(), "control_client")
+        self._tasks.spawn_lasting(self._follow, "control_client")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/entry/view_file.py
+++ b/src/lycheering/entry/view_file.py
@@ -42,7 +42,7 @@
         """Takes the kept view over, if there is a readable one."""
         self._path.parent.mkdir(parents=True, exist_ok=True)
         self._load()
-        self._tasks.spawn(self._keep_saved(), "view_file")
+        self._tasks.spawn_lasting(self._keep_saved, "view_file")
 
     async def stop(self) -> None:
         """Writes the view a last time."""
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -173,7 +173,7 @@
         await self._fresh.start()
         await self._liveness.start()
         await self._loads.start()
-        self._tasks.spawn(self._keep_house(), "entry:housekeeping")
+        self._tasks.spawn_lasting(self._keep_house, "entry:housekeeping")
         await self._metrics.start()
         await self.ready_web.start()
         await self.web.start()
--- a/src/lycheering/forward/fleet_loads.py
+++ b/src/lycheering/forward/fleet_loads.py
@@ -60,7 +60,7 @@
 
     async def start(self) -> None:
         """Begins to exchange."""
-        self._tasks.spawn(self._run(), "fleet_loads")
+        self._tasks.spawn_lasting(self._run, "fleet_loads")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/forward/freshness.py
+++ b/src/lycheering/forward/freshness.py
@@ -85,7 +85,7 @@
 
     async def start(self) -> None:
         """Begins to ask."""
-        self._tasks.spawn(self._run(), "freshness")
+        self._tasks.spawn_lasting(self._run, "freshness")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/forward/liveness.py
+++ b/src/lycheering/forward/liveness.py
@@ -51,7 +51,7 @@
 
     async def start(self) -> None:
         """Begins to look for silent targets."""
-        self._tasks.spawn(self._run(), "liveness")
+        self._tasks.spawn_lasting(self._run, "liveness")
 
     async def stop(self) -> None:
         """Ends it."""
--- a/src/lycheering/membership/watcher.py
+++ b/src/lycheering/membership/watcher.py
@@ -43,7 +43,7 @@
 
     async def start(self) -> None:
         """Begins to watch."""
-        self._tasks.spawn(self._run(), "membership:watch")
+        self._tasks.spawn_lasting(self._run, "membership:watch")
 
     async def stop(self) -> None:
         """Ends watching."""
--- a/src/lycheering/orders/in_doubt.py
+++ b/src/lycheering/orders/in_doubt.py
@@ -69,7 +69,7 @@
 
     async def start(self) -> None:
         """Begins to look for claims in doubt."""
-        self._tasks.spawn(self._run(), "orders:in-doubt")
+        self._tasks.spawn_lasting(self._run, "orders:in-doubt")
 
     async def stop(self) -> None:
         """Ends all inquiries."""
--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -306,6 +306,14 @@
                     peer=self.address.name,
                     reason=reason,
                 )
+            except* Exception as group:
+                # a fault in what one frame led to must not end the connection
+                self._link.counters.increment("wire.failed_connection")
+                _LOG.error(
+                    "connection_failed",
+                    peer=self.address.name,
+                    error=repr(group.exceptions[0])[:200],
+                )
             if self._closing:
                 # a failure that comes with the cancellation replaces it
                 return
--- a/src/lycheering/wire/server.py
+++ b/src/lycheering/wire/server.py
@@ -76,8 +76,8 @@
         endpoint = socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self.port = int(endpoint.rpartition(":")[2])
         self._socket = sockets.FrameSocket(socket)
-        self._tasks.spawn(self._read(self._socket), "wire:server")
-        self._tasks.spawn(self._watch(), "wire:watch")
+        self._tasks.spawn_lasting(self._read, "wire:server")
+        self._tasks.spawn_lasting(self._watch, "wire:watch")
         self._tasks.spawn(self._monitor(self._socket), "wire:monitor")
         _LOG.event("listening", ip=self._ip, port=self.port)
 
@@ -161,7 +161,9 @@
         parts = [routing_id, codec.encode(envelope)]
         socket.send(parts, session.name)
 
-    async def _read(self, socket: sockets.FrameSocket) -> None:
+    async def _read(self) -> None:
+        socket = self._socket
+        assert socket is not None
         while True:
             for parts in await socket.receive():
                 self._received(socket, parts)
@@ -180,6 +182,11 @@
             self._malformed.warn(detail=str(error)[:200])
         except errors.PeerUnreachableError as error:
             self._drop(parts[0], str(error))
+        except Exception as error:
+            # whoever sent it, the others are read on
+            self.link.counters.increment("wire.failed_frame")
+            _LOG.error("frame_failed", error=repr(error)[:200])
+            self._drop(parts[0], "failed")
 
     def _accept(
         self,
--- a/tests/app/application.feature
+++ b/tests/app/application.feature
@@ -25,6 +25,12 @@
     When the application runs and is told to stop
     Then the application's parts saw "start a, start b, start c, drain c, stop c, stop b, stop a"
 
+  Scenario: A part that fails to drain leaves the others their drain
+    Given an application with parts a, b and c
+    And part c of the application fails to drain
+    When the application runs and is told to stop
+    Then the application's parts saw "start a, start b, start c, drain c, drain b, drain a, stop c, stop b, stop a"
+
   Scenario: Told to stop while a part starts, the application starts no more
     Given an application with parts a, b and c
     And part b of the application is told to stop while it starts
@@ -35,3 +41,8 @@
     Given an application's task owner with a task that fails and one that runs
     When all of the task owner's tasks are cancelled
     Then the task owner logged the failure and no task is left
+
+  Scenario: Work that is to go on is begun anew after an unexpected error
+    Given an application's task owner with lasting work that fails twice
+    When the lasting work has begun 3 times
+    Then the task owner logged 2 failures of the lasting work
--- a/tests/steps/app_steps.py
+++ b/tests/steps/app_steps.py
@@ -155,3 +155,39 @@
     assert not context.left
     [record] = context.handler.records
     assert "event=task_failed task=failing" in record.message
+
+
+@given("an application's task owner with lasting work that fails twice")
+def step_lasting(context):
+    context.begun = 0
+
+    async def work():
+        context.begun += 1
+        if context.begun < 3:
+            raise RuntimeError("boom")
+        await asyncio.Event().wait()
+
+    context.work = work
+
+
+@when("the lasting work has begun {count:d} times")
+def step_begun(context, count):
+    context.handler = logbook.TestHandler()
+
+    async def run():
+        owner = api.TaskOwner()
+        owner.spawn_lasting(context.work, "lasting")
+        async with asyncio.timeout(GIVE_UP_S):
+            while context.begun < count:
+                await asyncio.sleep(0.01)
+        await owner.cancel_all()
+
+    with context.handler.applicationbound():
+        asyncio.run(run())
+
+
+@then("the task owner logged {count:d} failures of the lasting work")
+def step_lasting_logged(context, count):
+    told = [record.message for record in context.handler.records]
+    assert len(told) == count, told
+    assert all("event=task_begins_anew task=lasting" in line for line in told)
--- a/tests/steps/wire_steps.py
+++ b/tests/steps/wire_steps.py
@@ -30,6 +30,22 @@
     wire_calls.run(context, context.connection.ready(wire_calls.GIVE_UP_MS))
 
 
+@when("the wire {end} fails unexpectedly over the next frame")
+def step_fails_once(context, end):
+    server = context.server.server
+    failing = server if end == "server" else context.connection
+    accept = failing._accept
+    failed = []
+
+    def fail_once(*arguments):
+        failing._accept = accept
+        failed.append(arguments)
+        raise KeyError("of a fault in the code")
+
+    failing._accept = fail_once
+    wire_calls.run(context, wire_ends.until(lambda: failed))
+
+
 @then("the wire client can make a call")
 def step_can_call(context):
     reply = wire_calls.run(context, wire_calls.call_until_done(context))
--- a/tests/wire/frames.feature
+++ b/tests/wire/frames.feature
@@ -51,3 +51,14 @@
     And a connected wire client
     When the wire client makes 300 calls at once, 10 times
     Then every wire call was answered
+
+  Scenario Outline: An unexpected error over one frame ends no process's work
+    Given a wire server
+    And a connected wire client
+    When the wire <end> fails unexpectedly over the next frame
+    Then the wire client can make a call
+
+    Examples:
+      | end    |
+      | server |
+      | client |
