Keep a control instance with a full disk, as one with a slow disk

Cause: a write refused for lack of space (ENOSPC) was taken for a failed sync. What is on disk after a failed sync is unknown; after a refused write it isn't.

Tests first: "What a disk has no room for is written once it has", "A data folder on a disk without room can be closed" (store) and "A leader / follower whose disk is full stays and takes part again" (replication) inject a write that takes half of the bytes and then refuses; they need a seam for writes, without which they can't run on the code before.

Change: such a write raises NoRoomError, after the part of a frame was cut off, and the folder makes it again each 200 ms, off the thread, so that others (compaction) go on. Nobody is told that it is durable: no vote, no confirmation. Term and vote keep their order by a lock, since a retried older one could follow a newer one. A stop ends such waits. ENOSPC from a sync of the log stays final.

Ruled out: space reserved ahead; a retried write needs none, and the state of a few MB can't keep others from filling the disk.

--- a/src/lycheering/replication/applier.py
+++ b/src/lycheering/replication/applier.py
@@ -22,6 +22,7 @@
 
     def __init__(self, core: cores.Core) -> None:
         self._core = core
+        self._saving: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Applies entries as they are committed."""
@@ -31,7 +32,7 @@
             core.committed.clear()
             while core.applied_index < core.commit_index:
                 self._apply_batch()
-                await self._snapshot_when_due()
+                self._snapshot_when_due()
                 # lets heartbeats through while much is applied
                 await asyncio.sleep(0)
 
@@ -57,8 +58,10 @@
         ):
             core.step_down("removed")
 
-    async def _snapshot_when_due(self) -> None:
+    def _snapshot_when_due(self) -> None:
         core = self._core
+        if self._saving is not None and not self._saving.done():
+            return
         latest = core.store.snapshots.latest
         before = latest.position.index if latest else 0
         index = core.applied_index
@@ -70,16 +73,21 @@
         configuration = core.history.at(index).encode()
         data = core.machine.snapshot()
         snapshot = snapshots.Snapshot(position, configuration, data)
+        # entries go on being applied, however slow or full the disk is
+        self._saving = core.spawn(self._save(snapshot), "snapshot")
+
+    async def _save(self, snapshot: snapshots.Snapshot) -> None:
+        core = self._core
+        position = snapshot.position
         await core.store.snapshots.save(snapshot)
-        latest = core.store.snapshots.latest
-        if latest is not snapshot:
+        if core.store.snapshots.latest is not snapshot:
             return
-        core.history.forget_before(index)
+        core.history.forget_before(position.index)
         await core.log.compact(position, core.settings.kept_entries)
         _LOG.event(
             "snapshot_taken",
-            index=index,
-            bytes=len(data),
+            index=position.index,
+            bytes=len(snapshot.data),
             log_bytes=core.log.size(),
         )
 
--- a/src/lycheering/store/errors.py
+++ b/src/lycheering/store/errors.py
@@ -36,9 +36,14 @@
     """A write or sync failed; nothing more may be written to the folder."""
 
 
+class NoRoomError(StoreError):
+    """The disk took nothing, for lack of space; it may do so later."""
+
+
 __all__ = [
     "DamagedFileError",
     "FolderInUseError",
+    "NoRoomError",
     "StoreError",
     "WriteFailedError",
 ]
--- a/src/lycheering/store/folder.py
+++ b/src/lycheering/store/folder.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
+import errno
 import fcntl
 import os
 import pathlib
@@ -13,6 +15,7 @@
 
 from lycheering.store import errors
 from lycheering.store import frames
+from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,9 +23,14 @@
 _T = TypeVar("_T")
 
 DISK_ID_BYTES = 8
+# how long after a write that the disk had no room for it is made again
+ROOM_PAUSE_S = 0.2
+NO_ROOM_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
 _LOCK_FILE = "lock"
 _DISK_ID_FILE = "disk-id"
 
+_LOG = logs.get("store")
+
 
 class DataFolder:
     """A folder on a disk that one process at a time may use.
@@ -33,6 +41,7 @@
     Attributes:
         path: Where the folder is.
         disk_id: Random id made when the folder was first used.
+        is_full: Whether the disk had no room for the last write.
     """
 
     def __init__(self, path: pathlib.Path) -> None:
@@ -52,18 +61,62 @@
         except BaseException:
             os.close(self._lock)
             raise
+        self.is_full = False
+        self._ends_waits = asyncio.Event()
         self._thread = _start_thread("store")
         self._long_thread = _start_thread("store-long")
 
     async def run(self, operation: Callable[[], _T]) -> _T:
-        """Runs a file operation in the folder's thread."""
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._thread, operation)
+        """Runs a file operation in the folder's thread.
+
+        Raises:
+            NoRoomError: If the folder is closed before the disk has room.
+        """
+        return await self._run(self._thread, operation)
 
     async def run_long(self, operation: Callable[[], _T]) -> _T:
-        """Runs a long file operation beside the others."""
+        """Runs a long file operation beside the others.
+
+        Raises:
+            NoRoomError: If the folder is closed before the disk has room.
+        """
+        return await self._run(self._long_thread, operation)
+
+    async def _run(
+        self,
+        thread: concurrent.futures.ThreadPoolExecutor,
+        operation: Callable[[], _T],
+    ) -> _T:
+        """Runs an operation until the disk has room for what it writes.
+
+        A disk without room is a slow one: what it did not take is durable
+        nowhere, and nobody was told that it is.
+        """
         loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._long_thread, operation)
+        while True:
+            try:
+                result = await loop.run_in_executor(thread, operation)
+            except errors.NoRoomError as error:
+                if self._ends_waits.is_set():
+                    raise
+                self._note_room(error)
+            else:
+                self._note_room(None)
+                return result
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ROOM_PAUSE_S):
+                    await self._ends_waits.wait()
+
+    def _note_room(self, lack: errors.NoRoomError | None) -> None:
+        if lack is not None and not self.is_full:
+            _LOG.error("disk_full", folder=self.path, error=lack)
+        elif lack is None and self.is_full:
+            _LOG.event("disk_has_room", folder=self.path)
+        self.is_full = lack is not None
+
+    def end_waits(self) -> None:
+        """Lets operations that wait for room fail, as the process ends."""
+        self._ends_waits.set()
 
     def close(self) -> None:
         """Waits for running file operations and releases the folder."""
@@ -114,21 +167,45 @@
         os.close(folder)
 
 
+def write_all(file: int, data: bytes) -> None:
+    """Writes all bytes to an open file."""
+    left = memoryview(data)
+    while left:
+        left = left[os.write(file, left) :]
+
+
+def is_no_room(error: OSError) -> bool:
+    """Returns whether an error is a lack of space."""
+    return error.errno in NO_ROOM_ERRORS
+
+
 def write_durably(path: pathlib.Path, data: bytes) -> None:
-    """Replaces a file so that a crash leaves the old or the new content."""
+    """Replaces a file so that a crash leaves the old or the new content.
+
+    Raises:
+        NoRoomError: If the disk has no space for it; the old content stays.
+    """
     new = temporary(path)
-    with open(new, "wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
+    try:
+        with open(new, "wb", buffering=0) as file:
+            write_all(file.fileno(), data)
+            os.fsync(file.fileno())
+    except OSError as error:
+        # the next try writes the new file from its start
+        if is_no_room(error):
+            raise errors.NoRoomError(str(error)) from error
+        raise
     new.rename(path)
     sync_folder(path.parent)
 
 
 __all__ = [
     "DISK_ID_BYTES",
+    "ROOM_PAUSE_S",
     "DataFolder",
+    "is_no_room",
     "sync_folder",
     "temporary",
+    "write_all",
     "write_durably",
 ]
--- a/src/lycheering/store/hard_state.py
+++ b/src/lycheering/store/hard_state.py
@@ -42,6 +42,8 @@
         self.saved = HardState()
         self._asked = self.saved
         self._write: asyncio.Task[None] | None = None
+        # an older state must not come after a newer one
+        self._order = asyncio.Lock()
         if self._path.exists():
             body = frames.read_single(self._path)
             self.saved = msgspec.msgpack.decode(body, type=HardState)
@@ -64,8 +66,9 @@
     async def _save(self, state: HardState) -> None:
         data = frames.encode(msgspec.msgpack.encode(state))
         path = self._path
-        await self._folder.run(lambda: folders.write_durably(path, data))
-        self.saved = state
+        async with self._order:
+            await self._folder.run(lambda: folders.write_durably(path, data))
+            self.saved = state
 
 
 __all__ = ["HardState", "HardStateFile"]
--- a/src/lycheering/store/log.py
+++ b/src/lycheering/store/log.py
@@ -197,7 +197,7 @@
         try:
             while self._pending:
                 await self._flush_once()
-        except OSError as error:
+        except (OSError, errors.NoRoomError) as error:
             self._fail(error)
         finally:
             self._flush = None
@@ -218,7 +218,7 @@
                 waiter.done.set_result(None)
         self.on_synced()
 
-    def _fail(self, error: OSError) -> None:
+    def _fail(self, error: Exception) -> None:
         # a failed sync may have dropped the data, so it is not tried again
         self.failure = errors.WriteFailedError(str(error))
         self.failure.__cause__ = error
--- a/src/lycheering/store/segments.py
+++ b/src/lycheering/store/segments.py
@@ -72,15 +72,24 @@
         return batches
 
     def write(self, batches: list[entries.Batch]) -> None:
-        """Appends one frame and syncs it."""
+        """Appends one frame and syncs it.
+
+        Raises:
+            NoRoomError: If the disk has no space for it; nothing was added.
+        """
         if self._must_roll or self._segments[-1].size > SEGMENT_BYTES:
             self._roll()
         segment = self._segments[-1]
-        data = memoryview(frames.encode(_encoder.encode(batches)))
+        data = frames.encode(_encoder.encode(batches))
+        try:
+            folders.write_all(self._file, data)
+        except OSError as error:
+            if not folders.is_no_room(error):
+                raise
+            # a part of a frame would hide those that follow it
+            os.ftruncate(self._file, segment.size)
+            raise errors.NoRoomError(str(error)) from error
         segment.size += len(data)
-        while data:
-            written = os.write(self._file, data)
-            data = data[written:]
         os.fdatasync(self._file)
         segment.add(batches)
 
@@ -140,7 +149,12 @@
         number = self._segments[-1].number + 1 if self._segments else 1
         path = self._folder / f"{_PREFIX}{number:012d}{_SUFFIX}"
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
-        self._file = os.open(path, flags | os.O_CLOEXEC, 0o600)
+        try:
+            self._file = os.open(path, flags | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            if folders.is_no_room(error):
+                raise errors.NoRoomError(str(error)) from error
+            raise
         folders.sync_folder(self._folder)
         self._segments.append(Segment(number, path))
         self._must_roll = False
--- a/src/lycheering/store/storage.py
+++ b/src/lycheering/store/storage.py
@@ -50,7 +50,8 @@
         return self.folder.disk_id
 
     async def close(self) -> None:
-        """Finishes all writes and releases the folder."""
+        """Finishes all writes that the disk takes and releases the folder."""
+        self.folder.end_waits()
         await self.hard_state.close()
         await self.log.close()
         self.folder.close()
--- a/tests/replication/commits.feature
+++ b/tests/replication/commits.feature
@@ -64,6 +64,18 @@
     Then the other members have all commands answered
     And the member with the failed disk reports why
 
+  Scenario Outline: A <role> whose disk is full stays and takes part again
+    When the disk of the <role> has no room
+    And 20 commands are proposed
+    Then the member on the full disk has synced none of them and is well
+    When that disk has room again
+    Then the member on that disk has synced all of them
+
+    Examples:
+      | role     |
+      | leader   |
+      | follower |
+
   Scenario: A proposer that waits too long is refused at once
     When more proposals wait than the settings allow
     Then the last proposal is refused as not appended
--- a/tests/steps/log_disk_steps.py
+++ b/tests/steps/log_disk_steps.py
@@ -10,6 +10,7 @@
 
 from lycheering.replication import messages
 from lycheering.store import entries
+from tests.support import full_disks
 from tests.support import log_group
 
 
@@ -231,6 +232,52 @@
     context.group.store_by_instance[context.old].log._files.write = failing
 
 
+@when("the disk of the {role} has no room")
+def step_full(context, role):
+    name = log_group.run(context, context.group.leader())
+    if role == "follower":
+        name = log_group.followers(context)[0]
+    context.name = name
+    context.member = context.group.log_by_instance[name]
+    synced = context.member.status().last_index
+    log_group.wait(
+        context,
+        lambda: context.member.status().synced_index >= synced,
+        "all to be synced",
+    )
+    context.synced_before = context.member.status().synced_index
+    context.disks = full_disks.FullDisks()
+    context.stack.enter_context(context.disks.patch())
+    context.stack.callback(context.disks.full.clear)
+    context.disks.full.add(context.group.folder / name)
+
+
+@then("the member on the full disk has synced none of them and is well")
+def step_full_well(context):
+    status = context.member.status()
+    assert context.disks.refused
+    assert status.synced_index == context.synced_before, status
+    assert not status.failure, status.failure
+    assert context.group.store_by_instance[context.name].folder.is_full
+
+
+@when("that disk has room again")
+def step_has_room(context):
+    context.disks.full.clear()
+
+
+@then("the member on that disk has synced all of them")
+def step_synced_all(context):
+    def synced():
+        status = context.member.status()
+        return status.synced_index >= status.last_index and (
+            status.last_index >= context.synced_before + 20
+        )
+
+    log_group.wait(context, synced, "the sync of all commands")
+    assert not context.member.status().failure
+
+
 @then("the member with the failed disk reports why")
 def step_reports(context):
     member = context.group.log_by_instance[context.old]
--- a/tests/steps/store_steps.py
+++ b/tests/steps/store_steps.py
@@ -13,11 +13,14 @@
 
 from lycheering.store import entries
 from lycheering.store import errors
+from lycheering.store import folder as folders
 from lycheering.store import hard_state
 from lycheering.store import snapshots
 from lycheering.store import storage
+from tests.support import full_disks
 
 COMMAND = entries.EntryKind.COMMAND
+GIVE_UP_S = 20
 
 
 def open_store(context):
@@ -332,6 +335,67 @@
     raise AssertionError("the entry was taken")
 
 
+@when("the disk has no room")
+def step_full(context):
+    disks = full_disks.FullDisks()
+    context.stack.enter_context(disks.patch())
+    context.stack.callback(disks.full.clear)
+    disks.full.add(context.folder)
+    context.disks = disks
+
+
+def in_background(context, work):
+    async def begun():
+        context.waiting.append(asyncio.create_task(work))
+        while not context.disks.refused:
+            await asyncio.sleep(0.01)
+
+    context.runner.run(begun())
+
+
+@when("{count:d} store entries are appended in the background")
+def step_append_background(context, count):
+    log = context.store.log
+    context.waiting = []
+    log_first = log.last_index + 1
+
+    async def appended():
+        log.append(log_first, make(log_first, count, 1))
+        await log.sync()
+
+    in_background(context, appended())
+
+
+@when('term {term:d} is saved with vote "{vote}" in the background')
+def step_save_background(context, term, vote):
+    state = hard_state.HardState(term, vote)
+    in_background(context, context.store.hard_state.save(state))
+
+
+@then("nothing of it is durable, and the folder says that the disk is full")
+def step_nothing_durable(context):
+    # long enough for some more tries
+    context.runner.run(asyncio.sleep(3 * folders.ROOM_PAUSE_S))
+    assert not any(task.done() for task in context.waiting)
+    assert context.store.hard_state.saved.term == 1
+    assert context.store.folder.is_full
+
+
+@when("the disk has room again")
+def step_room(context):
+    context.disks.full.clear()
+
+
+@then("all of it is durable, and the folder says so")
+def step_all_durable(context):
+    async def ended():
+        async with asyncio.timeout(GIVE_UP_S):
+            await asyncio.gather(*context.waiting)
+
+    context.runner.run(ended())
+    assert not context.store.folder.is_full
+
+
 @then("opening the data folder once more is refused")
 def step_in_use(context):
     try:
--- a/tests/store/store.feature
+++ b/tests/store/store.feature
@@ -113,3 +113,22 @@
     When 5 store entries are appended in term 1
     And the file "disk-id" is removed
     Then opening the data folder names the file "disk-id"
+
+  Scenario: What a disk has no room for is written once it has
+    When 2 store entries are appended in term 1
+    And the disk has no room
+    And 3 store entries are appended in the background
+    And term 2 is saved with vote "b@1" in the background
+    Then nothing of it is durable, and the folder says that the disk is full
+    When the disk has room again
+    Then all of it is durable, and the folder says so
+    When the data folder is opened again
+    Then the store holds entries 1 to 5
+    And the saved hard state is term 2 and vote "b@1"
+
+  Scenario: A data folder on a disk without room can be closed
+    When 2 store entries are appended in term 1
+    And the disk has no room
+    And 3 store entries are appended in the background
+    And the data folder is opened again
+    Then the store holds entries 1 to 2
--- /dev/null
+++ b/tests/support/full_disks.py
@@ -0,0 +1,39 @@
+"""Disks that have no room, as the data folders on them see it."""
+
+from __future__ import annotations
+
+import errno
+import os
+from unittest import mock
+
+from lycheering.store import folder as folders
+
+
+class FullDisks:
+    """Refuses writes below some folders, after a part of the bytes.
+
+    Attributes:
+        full: The folders whose disk has no room now.
+        refused: Writes refused so far.
+    """
+
+    def __init__(self):
+        self.full = set()
+        self.refused = 0
+        self._write_all = folders.write_all
+
+    def _write(self, file, data):
+        path = os.readlink(f"/proc/self/fd/{file}")
+        if not any(path.startswith(f"{folder}/") for folder in self.full):
+            self._write_all(file, data)
+            return
+        self.refused += 1
+        self._write_all(file, data[: len(data) // 2])
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    def patch(self):
+        """Returns a context in which the disks are as `full` says."""
+        return mock.patch.object(folders, "write_all", self._write)
+
+
+__all__ = ["FullDisks"]
