Tell reads again whose exchange had no reply

Cause: an entry took the prompts that its requests had engines read out of its book for an exchange with control; when that had no reply (a leader killed, a cut, a time-out of 400 ms), they were told to nobody, and other entries sent the same shared parts to engines that had to read them again.

Test first: "Reads whose exchange has no reply are told again, and once"; with reads dropped as before the row of a lost request fails. The row of a lost reply guards the other side, that none is counted twice.

Change: unconfirmed reads stay and go with the next exchange; exchanges number their reads, so that the hub leaves out those that it had taken.

Ruled out: that a late exchange brings reads back; its number is lower.

--- a/src/lycheering/control/direct/load_hub.py
+++ b/src/lycheering/control/direct/load_hub.py
@@ -35,6 +35,7 @@
         loads: What it has at targets.
         at_ms: When it told.
         leaving: Digests of targets that told it that they leave.
+        reads: How many reads this run of the entry has told.
     """
 
     incarnation: str
@@ -42,6 +43,7 @@
     loads: tuple[messages.TargetLoad, ...]
     at_ms: float
     leaving: tuple[int, ...]
+    reads: int
 
 
 class LoadHub:
@@ -65,8 +67,9 @@
         """Takes an entry's part in and returns what the others have."""
         now_ms = self._clock.now_ms()
         self._expire(now_ms)
+        new_reads = self._new_reads(exchange)
         if self._take(exchange, now_ms):
-            self._reads += [(exchange.entry, read) for read in exchange.reads]
+            self._reads += [(exchange.entry, read) for read in new_reads]
             self._trim_reads()
         reads, cursor = self._since(exchange)
         return messages.LoadPicture(
@@ -88,6 +91,15 @@
         total = self._total_by_target.get(target)
         return total.unread_tokens if total is not None else 0
 
+    def _new_reads(
+        self, exchange: messages.LoadExchange
+    ) -> tuple[messages.PromptRead, ...]:
+        """Returns the reads that didn't come with an exchange before."""
+        told = self._told_by_entry.get(exchange.entry)
+        if told is None or told.incarnation != exchange.incarnation:
+            return exchange.reads
+        return exchange.reads[max(0, told.reads - exchange.first_read) :]
+
     def _take(self, exchange: messages.LoadExchange, now_ms: float) -> bool:
         """Keeps an exchange, unless a later one was handled already."""
         told = self._told_by_entry.get(exchange.entry)
@@ -108,6 +120,7 @@
             exchange.loads,
             now_ms,
             exchange.leaving,
+            exchange.first_read + len(exchange.reads),
         )
         return True
 
--- a/src/lycheering/forward/fleet_loads.py
+++ b/src/lycheering/forward/fleet_loads.py
@@ -56,6 +56,8 @@
         self._number = 0
         self._epoch = ""
         self._cursor = 0
+        self._untold: tuple[messages.PromptRead, ...] = ()
+        self._first_read = 0
         self._is_shared = False
 
     async def start(self) -> None:
@@ -82,16 +84,17 @@
 
     async def _exchange(self) -> bool:
         self._number += 1
-        reads = self._book.take_reads(MAX_READS)
+        self._untold += self._book.take_reads(MAX_READS - len(self._untold))
         exchange = messages.LoadExchange(
             self._identity.name,
             self._identity.incarnation,
             self._number,
             self._book.own_loads(),
-            reads,
+            self._untold,
             self._epoch,
             self._cursor,
             self._book.leaving(),
+            self._first_read,
         )
         try:
             reply = await self._control.call(exchange, EXCHANGE_TIMEOUT_MS)
@@ -103,6 +106,8 @@
             return False
         if not isinstance(reply, messages.LoadPicture):
             return False
+        self._first_read += len(self._untold)
+        self._untold = ()
         self._epoch = reply.epoch
         self._cursor = reply.cursor
         self._entries = max(1, reply.entries)
--- a/src/lycheering/wire/messages/loads.py
+++ b/src/lycheering/wire/messages/loads.py
@@ -52,6 +52,9 @@
         epoch: Whose cursor follows; empty for none.
         cursor: The last of the others' reads that it has.
         leaving: Digests of targets that said that they are about to leave.
+        first_read: How many reads this run of the entry told before these. Of
+            an exchange without a reply it isn't known whether it was taken,
+            and its reads come again with the next one.
     """
 
     entry: str
@@ -62,6 +65,7 @@
     epoch: str = ""
     cursor: int = 0
     leaving: tuple[int, ...] = ()
+    first_read: int = 0
 
 
 class LoadPicture(msgspec.Struct, frozen=True, array_like=True, tag=65):
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -194,6 +194,18 @@
     And its exchange comes once more
     Then entry 2 learns of 10 reads in two exchanges
 
+  Scenario Outline: Reads whose exchange has no reply are told again, and once
+    Given a hub of loads and 3 entries
+    And an entry that had 10 prompts read
+    When the <lost> of its exchange is lost and it exchanges again
+    Then entry 2 learns of 10 reads in two exchanges
+    And nothing is left to be told by that entry
+
+    Examples:
+      | lost    |
+      | request |
+      | reply   |
+
   Scenario: A new leader begins anew and nothing is taken for told
     Given a hub of loads and 3 entries
     When entry 1 tells of 10 reads
--- a/tests/steps/load_hub_steps.py
+++ b/tests/steps/load_hub_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import random
 
@@ -11,7 +12,13 @@
 
 from lycheering import clock
 from lycheering.control.direct import load_hub
+from lycheering.entry import control_client
+from lycheering.forward import fleet_loads
+from lycheering.forward import target_book
+from lycheering.routes import records as route_records
+from lycheering.wire import api as wire_api
 from lycheering.wire import messages
+from tests.helpers import direct_targets
 
 TARGET = 7
 
@@ -28,7 +35,9 @@
         epoch,
         cursor,
         leaving,
+        context.reads_told.get(entry, 0),
     )
+    context.reads_told[entry] = context.reads_told.get(entry, 0) + len(reads)
     picture = context.hub.answer(context.last)
     context.cursors[entry] = (picture.epoch, picture.cursor)
     return picture
@@ -41,6 +50,64 @@
     context.numbers = {}
     context.incarnations = {}
     context.cursors = {}
+    context.reads_told = {}
+
+
+class LossyControl:
+    """Hands exchanges to the hub, but loses one request or reply.
+
+    Attributes:
+        loses: What is lost next; empty for nothing.
+    """
+
+    def __init__(self, hub):
+        self.loses = ""
+        self._hub = hub
+
+    async def call(self, exchange, timeout_ms):
+        loses, self.loses = self.loses, ""
+        if loses == "request":
+            raise control_client.ControlUnavailableError
+        picture = self._hub.answer(exchange)
+        if loses == "reply":
+            raise control_client.ControlUnavailableError
+        return picture
+
+
+@given("an entry that had {count:d} prompts read")
+def step_entry(context, count):
+    context.book = target_book.TargetBook(context.time)
+    context.book.update(
+        [direct_targets.target(0)], {"s": route_records.Service("s", "/health")}
+    )
+    (state,) = context.book.state_by_key.values()
+    for number in range(count):
+        context.book.read(state, (number,), (10,))
+    context.control = LossyControl(context.hub)
+    context.entry_loads = fleet_loads.FleetLoads(
+        context.control,
+        context.book,
+        wire_api.Identity("e1", messages.Role.ENTRY, "d1"),
+        lambda entries: None,
+        context.time,
+    )
+
+
+@when("the {lost} of its exchange is lost and it exchanges again")
+def step_lost(context, lost):
+    async def exchange_twice():
+        context.control.loses = lost
+        assert not await context.entry_loads._exchange()
+        assert await context.entry_loads._exchange()
+
+    asyncio.run(exchange_twice())
+
+
+@then("nothing is left to be told by that entry")
+def step_nothing_left(context):
+    asyncio.run(context.entry_loads._exchange())
+    assert exchange(context, 2).reads == ()
+    assert context.book.take_reads(1) == ()
 
 
 @when("entries 1 and 2 tell what they have at a target")
