Show that work at a merely silent target stays there

Looked for: work of a silent instance that is started again or given up. Nothing to mend; streams that pause have their own test.

--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -16,6 +16,8 @@
 LEAVING = "Server-Leaving: 1\r\n"
 SPARE_S = 1.2
 LATE_S = 0.05
+# longer than it takes until a silent target is probed
+PAUSE_S = 1.2
 NOISE_GAP_S = 0.002
 TRICKLE_GAP_S = 0.05
 LARGE_BYTES = 600_000
@@ -108,6 +110,7 @@
         "trickles bytes of an event",
         "switches protocols",
         "tells its load in other digits",
+        "is silent for a while",
     )
 
     def __init__(self, target_id: str, behaviour: str = "answers") -> None:
@@ -196,6 +199,9 @@
             case "is silent":
                 await self._wait_gone(request, reader)
                 return False
+            case "is silent for a while":
+                await asyncio.sleep(PAUSE_S)
+                writer.write(self._head(request, 200, b"whole"))
             case "cuts the body":
                 head = self._head(request, 200, length=100)
                 writer.write(head + b"less")
--- a/tests/forward/forward.feature
+++ b/tests/forward/forward.feature
@@ -152,6 +152,19 @@
     And the request reached targets 0 times
 
   @promise.planned_stops
+  Scenario Outline: Work at a target that is silent for a while stays there
+    Given a direct target that is silent for a while
+    And another direct target that is silent for a while
+    When a request of kind "<kind>" is forwarded
+    Then the answer is 200
+    And the answer is whole
+    And the request reached targets 1 times
+
+    Examples:
+      | kind       |
+      | once       |
+      | idempotent |
+
   Scenario: A stop ends kept connections with their answer
     Given a direct target that streams
     And the target takes 100 ms for each event
