Name admission, load replies and registries in the field's terms

Behaviour unchanged.

The steps keep their assertions. One reads stricter: the queue that is judged counts into the mean first, as it does in the forwarder.

--- a/src/lycheering/control/direct/load_hub.py
+++ b/src/lycheering/control/direct/load_hub.py
@@ -63,7 +63,7 @@
         self._first_read = 0
         self._expired_ms = 0.0
 
-    def answer(self, exchange: messages.LoadExchange) -> messages.LoadPicture:
+    def answer(self, exchange: messages.LoadExchange) -> messages.LoadReply:
         """Takes an entry's part in and returns what the others have."""
         now_ms = self._clock.now_ms()
         self._expire(now_ms)
@@ -72,7 +72,7 @@
             self._reads += [(exchange.entry, read) for read in new_reads]
             self._trim_reads()
         reads, cursor = self._since(exchange)
-        return messages.LoadPicture(
+        return messages.LoadReply(
             self._others(exchange.entry),
             reads,
             self._epoch,
--- a/src/lycheering/control/fleet_status.py
+++ b/src/lycheering/control/fleet_status.py
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class FleetPicture:
+class FleetSnapshot:
     """What all control instances that answered see together.
 
     Attributes:
@@ -134,20 +134,20 @@
         """Returns what another instance asks for of what this one sees."""
         return self._changes.answer(fetch, self.own())
 
-    async def collect(self) -> FleetPicture:
+    async def collect(self) -> FleetSnapshot:
         """Asks all control instances and returns what they see together."""
         others = self._others()
         replies = await asyncio.gather(*(self._fetch(o) for o in others))
-        return self._picture(others, replies)
+        return self._snapshot(others, replies)
 
-    async def follow(self) -> FleetPicture:
+    async def follow(self) -> FleetSnapshot:
         """Returns the same at less cost, by what changed since last time.
 
         Loads and view revisions are as old as the process's last change.
         """
         others = self._others()
         replies = await asyncio.gather(*(self._follow(o) for o in others))
-        return self._picture(others, replies)
+        return self._snapshot(others, replies)
 
     def forget(self) -> None:
         """Drops what `follow` builds on; the next one fetches all."""
@@ -160,11 +160,11 @@
             if member.instance != self._link.identity.name
         ]
 
-    def _picture(
+    def _snapshot(
         self,
         others: list[members.PeerAddress],
         replies: list[messages.StatusReply | None],
-    ) -> FleetPicture:
+    ) -> FleetSnapshot:
         unreachable = tuple(
             other.instance
             for other, reply in zip(others, replies, strict=True)
@@ -207,7 +207,7 @@
     answers: list[messages.StatusReply],
     unreachable: tuple[str, ...],
     target_by_name: Mapping[str, records.Target],
-) -> FleetPicture:
+) -> FleetSnapshot:
     """Returns what some control instances see together.
 
     Args:
@@ -215,7 +215,7 @@
         unreachable: Those that did not answer.
         target_by_name: The registered targets.
     """
-    return FleetPicture(
+    return FleetSnapshot(
         _newest_peers(answers),
         _last_reports(answers, target_by_name),
         unreachable,
@@ -288,7 +288,7 @@
 
 __all__ = [
     "STATUS_TIMEOUT_MS",
-    "FleetPicture",
+    "FleetSnapshot",
     "FleetStatus",
     "incarnations_by_name",
     "seen_together",
--- a/src/lycheering/control/machine.py
+++ b/src/lycheering/control/machine.py
@@ -9,7 +9,7 @@
 from lycheering.control import commands
 from lycheering.control import config_rules
 from lycheering.control import history
-from lycheering.control import target_book
+from lycheering.control import target_registry
 from lycheering.fleet import changes
 from lycheering.fleet import records
 from lycheering.fleet import view
@@ -40,7 +40,7 @@
     highest_fence: int
     fleet: view.ViewSnapshot
     history: history.HistorySnapshot
-    targets: target_book.TargetBookSnapshot
+    targets: target_registry.TargetRegistrySnapshot
     orders: order_records.LedgerSnapshot
     table_source: bytes = b""
     direct_orders_holder: str = ""
@@ -62,7 +62,7 @@
     def __init__(self) -> None:
         self.fleet = view.FleetView()
         self.history = history.History()
-        self.targets = target_book.TargetBook()
+        self.targets = target_registry.TargetRegistry()
         self.orders = ledger.Ledger()
         self.highest_fence = 0
         self.table_source = b""
--- a/src/lycheering/control/operator_reads.py
+++ b/src/lycheering/control/operator_reads.py
@@ -121,11 +121,11 @@
     async def targets(self) -> answers.TargetsAnswer:
         """Returns all targets with their last reports."""
         current = await self._is_current()
-        picture = await self._status.collect()
+        snapshot = await self._status.collect()
         fleet = self._fleet
         rows = [
             operator_rows.target(
-                fleet, target, picture.report_by_target.get(target.name)
+                fleet, target, snapshot.report_by_target.get(target.name)
             )
             for target in fleet.target_by_name.values()
         ]
@@ -187,26 +187,26 @@
         deadline_ms = self._clock.now_ms() + min(timeout_ms, MAX_WAIT_MS)
         while True:
             current = await self._is_current()
-            picture = await self._status.collect()
+            snapshot = await self._status.collect()
             wanted = wait_revision or self._fleet.config_revision
             is_here = wanted <= self._fleet.config_revision
-            lacking = picture.lacking(self._fleet.view_revision_of(wanted))
+            lacking = snapshot.lacking(self._fleet.view_revision_of(wanted))
             if not is_here:
-                lacking = sorted(picture.peer_by_name)
+                lacking = sorted(snapshot.peer_by_name)
             is_late = self._clock.now_ms() >= deadline_ms
             if not lacking or is_late:
-                return self._status_answer(current, picture, lacking)
+                return self._status_answer(current, snapshot, lacking)
             await self._clock.sleep(WAIT_POLL_MS)
 
     def _status_answer(
         self,
         current: bool,
-        picture: fleet_status.FleetPicture,
+        snapshot: fleet_status.FleetSnapshot,
         lacking: list[str],
     ) -> answers.StatusAnswer:
         processes = [
             operator_rows.process(peer)
-            for peer in picture.peer_by_name.values()
+            for peer in snapshot.peer_by_name.values()
         ]
         answer = answers.StatusAnswer(
             instance=self._instance,
@@ -214,7 +214,7 @@
             change=self._member_change(),
             members=self._members(),
             processes=tuple(processes),
-            unreachable=tuple(picture.unreachable),
+            unreachable=tuple(snapshot.unreachable),
             lacking=tuple(lacking),
             in_force=not lacking,
         )
--- a/src/lycheering/control/target_membership.py
+++ b/src/lycheering/control/target_membership.py
@@ -47,12 +47,12 @@
         heard_here = _heard(asked, own)
         if len(heard_here) == len(asked):
             return heard_here
-        picture = await self._status.follow()
+        snapshot = await self._status.follow()
         members = len(self._group.peers())
-        answered = members - len(picture.unreachable)
+        answered = members - len(snapshot.unreachable)
         if answered <= members // 2:
             return None
-        return _heard(asked, picture.incarnations_by_name)
+        return _heard(asked, snapshot.incarnations_by_name)
 
     async def mark(self, mark: reconcile.Mark) -> None:
         """Commits a mark."""
--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -157,9 +157,9 @@
                 continue
             if not self._is_due():
                 continue
-            picture = await self._status.follow()
+            snapshot = await self._status.follow()
             if self._group.is_leader():
-                self._check(picture.report_by_target)
+                self._check(snapshot.report_by_target)
 
     def _is_due(self) -> bool:
         revision = self._group.machine.fleet.view_revision
--- a/src/lycheering/control/target_book.py
+++ b/src/lycheering/control/target_registry.py
@@ -48,7 +48,7 @@
     agent_incarnations: tuple[str, ...]
 
 
-class TargetBookSnapshot(msgspec.Struct, frozen=True, array_like=True):
+class TargetRegistrySnapshot(msgspec.Struct, frozen=True, array_like=True):
     """What is kept on targets beside the fleet view.
 
     Attributes:
@@ -62,7 +62,7 @@
     successions: tuple[Succession, ...]
 
 
-class TargetBook:
+class TargetRegistry:
     """Applies the rules by which targets join, leave and come back.
 
     An incarnation that said it leaves, or that the platform listed as
@@ -80,11 +80,11 @@
         self._departed_by_target: dict[str, str] = {}
         self._superseded_by_target: dict[str, tuple[str, ...]] = {}
 
-    def snapshot(self) -> TargetBookSnapshot:
+    def snapshot(self) -> TargetRegistrySnapshot:
         """Returns what is kept beside the fleet view."""
         revivals = self.revived_ms_by_target.items()
         departures = self._departed_by_target.items()
-        return TargetBookSnapshot(
+        return TargetRegistrySnapshot(
             tuple(Revival(name, at_ms) for name, at_ms in revivals),
             tuple(Departure(name, who) for name, who in departures),
             tuple(
@@ -93,7 +93,7 @@
             ),
         )
 
-    def restore(self, snapshot: TargetBookSnapshot) -> None:
+    def restore(self, snapshot: TargetRegistrySnapshot) -> None:
         """Replaces what is kept."""
         self.revived_ms_by_target = {
             item.target: item.at_ms for item in snapshot.revivals
@@ -174,6 +174,6 @@
     "Departure",
     "Revival",
     "Succession",
-    "TargetBook",
-    "TargetBookSnapshot",
+    "TargetRegistry",
+    "TargetRegistrySnapshot",
 ]
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -18,7 +18,7 @@
 
     from lycheering import clock
     from lycheering.forward import choice
-    from lycheering.forward import target_book
+    from lycheering.forward import target_registry
     from lycheering.forward import target_state
     from lycheering.web import kept_connections
 
@@ -67,17 +67,17 @@
     """Makes attempts over kept connections.
 
     Attributes:
-        book: What is known of targets.
+        registry: What is known of targets.
     """
 
     def __init__(
         self,
         connections: kept_connections.KeptConnections,
-        book: target_book.TargetBook,
+        registry: target_registry.TargetRegistry,
         dialect: api.Dialect,
         time: clock.Clock,
     ) -> None:
-        self.book = book
+        self.registry = registry
         self._connections = connections
         self._dialect = dialect
         self._clock = time
@@ -208,14 +208,14 @@
         is_success = 200 <= head.status < 300
         if is_success:
             tokens = [part.tokens for part in job.traits.parts]
-            self._owner.book.read(
+            self._owner.registry.read(
                 self._state,
                 job.work.chains,
                 tokens,
                 self._estimate.ahead_tokens,
                 now_ms - job.sent_ms - self._estimate.ahead_ms,
             )
-            job.shared_parts.count(self._owner.book, tokens)
+            job.shared_parts.count(self._owner.registry, tokens)
         if is_success and EVENT_STREAM in head.get(b"content-type"):
             return await self._stream(connection, head)
         may_go_on = not is_success and job.may_repeat and head.status >= 500
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -17,7 +17,7 @@
 from lycheering.forward import freshness
 from lycheering.forward import intake
 from lycheering.forward import liveness
-from lycheering.forward import target_book
+from lycheering.forward import target_registry
 from lycheering.retries import window
 from lycheering.settings import model
 from lycheering.telemetry import counters
@@ -65,7 +65,7 @@
         self._counters = counters.Counters(settings.metrics)
         self._times = histograms.Histograms(self._counters)
         self._kept = kept_connections.KeptConnections(self._clock)
-        self._book = target_book.TargetBook(self._clock)
+        self._registry = target_registry.TargetRegistry(self._clock)
         self._limits = guarded_protocol.HeadLimits()
         self._tasks = app_api.TaskOwner()
         self._join_control(settings)
@@ -92,7 +92,11 @@
             self.control, self._direct.current_ms, self._clock
         )
         self._loads = fleet_loads.FleetLoads(
-            self.control, self._book, self._identity, self._share, self._clock
+            self.control,
+            self._registry,
+            self._identity,
+            self._share,
+            self._clock,
         )
 
     def _join_forwarding(
@@ -101,7 +105,7 @@
         direct = self._direct
         self._intake = intake.Intake(
             self.view,
-            self._book,
+            self._registry,
             dialect,
             self._fresh.wait_current,
             self._clock,
@@ -119,7 +123,7 @@
             ),
             self.view,
             self._intake,
-            attempt.Attempts(self._kept, self._book, dialect, self._clock),
+            attempt.Attempts(self._kept, self._registry, dialect, self._clock),
             settings.instance.failure_domain,
             self._clock,
             self._counters,
@@ -133,7 +137,7 @@
             self._counters,
         )
         self._liveness = liveness.Liveness(
-            self._book, self._kept, self._clock, self._counters
+            self._registry, self._kept, self._clock, self._counters
         )
         ip, port = model.split_address(direct.caller_address)
         self.web = web_server.WebServer(
--- a/src/lycheering/forward/fleet_loads.py
+++ b/src/lycheering/forward/fleet_loads.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheering.forward import target_book
+    from lycheering.forward import target_registry
     from lycheering.wire import api as wire_api
 
 INTERVAL_MS = 100.0
@@ -32,7 +32,7 @@
     def __init__(
         self,
         control: control_client.ControlClient,
-        book: target_book.TargetBook,
+        registry: target_registry.TargetRegistry,
         identity: wire_api.Identity,
         on_entries: Callable[[int], None],
         time: clock.Clock,
@@ -41,7 +41,7 @@
 
         Args:
             control: The control instances.
-            book: What is known of targets.
+            registry: What is known of targets.
             identity: This entry.
             on_entries: Told how many entries there are.
             time: The clock.
@@ -49,7 +49,7 @@
         self._entries = 1
         self._on_entries = on_entries
         self._control = control
-        self._book = book
+        self._registry = registry
         self._identity = identity
         self._clock = time
         self._tasks = app_api.TaskOwner()
@@ -84,16 +84,16 @@
 
     async def _exchange(self) -> bool:
         self._number += 1
-        self._untold += self._book.take_reads(MAX_READS - len(self._untold))
+        self._untold += self._registry.take_reads(MAX_READS - len(self._untold))
         exchange = messages.LoadExchange(
             self._identity.name,
             self._identity.incarnation,
             self._number,
-            self._book.own_loads(),
+            self._registry.own_loads(),
             self._untold,
             self._epoch,
             self._cursor,
-            self._book.leaving(),
+            self._registry.leaving(),
             self._first_read,
         )
         try:
@@ -104,7 +104,7 @@
         ) as error:
             _LOG.debug("exchange_failed", error=error)
             return False
-        if not isinstance(reply, messages.LoadPicture):
+        if not isinstance(reply, messages.LoadReply):
             return False
         self._first_read += len(self._untold)
         self._untold = ()
@@ -112,7 +112,7 @@
         self._cursor = reply.cursor
         self._entries = max(1, reply.entries)
         self._on_entries(self._entries)
-        self._book.take_picture(reply, self._clock.now_ms())
+        self._registry.take_loads(reply, self._clock.now_ms())
         return True
 
 
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from lycheering.forward import admission
 from lycheering.forward import api
 from lycheering.forward import attempt as attempts
 from lycheering.forward import choice
@@ -14,7 +15,6 @@
 from lycheering.forward import job as jobs
 from lycheering.forward import refusals
 from lycheering.forward import shared_parts
-from lycheering.forward import turn_away
 from lycheering.retries import window
 from lycheering.telemetry import logs
 
@@ -42,19 +42,19 @@
     Attributes:
         choice: Weights of the choice of a target.
         second_sends: Bound on second sends to a service.
-        turn_away: How long the queue at engines may get.
+        admission: How long the queue at engines may get.
     """
 
     choice: choice.ChoiceSettings
     second_sends: window.WindowSettings
-    turn_away: turn_away.TurnAwaySettings = turn_away.TurnAwaySettings()
+    admission: admission.AdmissionSettings = admission.AdmissionSettings()
 
 
 class Forwarder:
     """Finds a target for each request and makes attempts.
 
     Attributes:
-        book: What is known of targets.
+        registry: What is known of targets.
     """
 
     def __init__(
@@ -80,7 +80,7 @@
             counts: The process's counters.
             times: The process's latency histograms.
         """
-        self.book = sender.book
+        self.registry = sender.registry
         self._intake = intake
         self._settings = settings
         self._view = view
@@ -90,8 +90,8 @@
         self._counters = counts
         self._times = times
         self._random = random.Random()
-        self._usual_queue = turn_away.UsualQueue(
-            settings.turn_away.half_life_ms
+        self._admission = admission.AdmissionController(
+            settings.admission, self._random
         )
         self._window_by_service: dict[str, window.SendWindow] = {}
         self._sharers = 1
@@ -154,7 +154,7 @@
                     self._refuse_unplaced(job)
                 return await self._deliver_failure(job)
             if not job.sends and job.traits.model:
-                self._turn_away(job, estimate)
+                self._check_admission(job, estimate)
             job.sending = self._sending(job, estimate)
             job.sent_ms = self._clock.now_ms()
             outcome = await self._sender.run(job, estimate, job.sending)
@@ -188,25 +188,22 @@
             attempts.Result.FAILED, job.failed_answer.status
         )
 
-    def _turn_away(self, job: jobs.Job, estimate: choice.Estimate) -> None:
+    def _check_admission(
+        self, job: jobs.Job, estimate: choice.Estimate
+    ) -> None:
         """Refuses a request for which the queue is too long."""
-        usual_ms = self._usual_queue.see(
-            estimate.queue_ms, self._clock.now_ms()
-        )
-        retry_after_ms = turn_away.retry_after_ms(
+        rejection = self._admission.check(
             estimate,
             job.route.objective_ms,
             job.route.priority,
-            usual_ms,
-            self._settings.turn_away,
-            self._random,
+            self._clock.now_ms(),
         )
-        if retry_after_ms is not None:
+        if rejection is not None:
             raise refusals.RefusalError(
                 refusals.Reason.OVERLOADED,
-                f"a queue of {estimate.queue_ms:.0f} ms"
-                f", {usual_ms:.0f} ms of late",
-                retry_after_ms,
+                f"a queue of {rejection.queue_ms:.0f} ms"
+                f", {rejection.mean_queue_ms:.0f} ms on average",
+                rejection.retry_after_ms,
             )
 
     def _refuse_unplaced(self, job: jobs.Job) -> None:
@@ -223,7 +220,7 @@
 
     def _choose(self, job: jobs.Job) -> choice.Estimate | None:
         estimate = choice.choose(
-            self.book.of_service(job.service.name),
+            self.registry.of_service(job.service.name),
             job.work,
             self._settings.choice,
             self._failure_domain,
@@ -264,8 +261,8 @@
                 sending, cache_scope=job.traits.request_id, weights_version=0
             )
         plan = shared_parts.plan(
-            self.book.of_service(job.service.name),
-            self.book.stores(),
+            self.registry.of_service(job.service.name),
+            self.registry.stores(),
             estimate.state,
             job.work,
             self._clock.now_ms(),
@@ -327,7 +324,7 @@
         now_ms = self._clock.now_ms()
         spared_ms = [
             max(0.0, state.spared_until_ms - now_ms)
-            for state in self.book.of_service(job.service.name)
+            for state in self.registry.of_service(job.service.name)
             if not state.is_leaving
         ]
         least_ms = max(FIRST_RETRY_AFTER_MS, min(spared_ms, default=0.0))
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -21,7 +21,7 @@
     from lycheering import clock
     from lycheering.fleet import holder
     from lycheering.forward import caller as callers
-    from lycheering.forward import target_book
+    from lycheering.forward import target_registry
 
 NO_TABLE_RETRY_AFTER_MS = 700.0
 # how long a request waits for control to confirm that settings are current
@@ -60,7 +60,7 @@
     def __init__(
         self,
         view: holder.ViewHolder,
-        book: target_book.TargetBook,
+        registry: target_registry.TargetRegistry,
         dialect: api.Dialect,
         wait_current: Callable[[float], Awaitable[bool]],
         time: clock.Clock,
@@ -69,7 +69,7 @@
 
         Args:
             view: The fleet view in force.
-            book: What is known of targets, kept to the view from here on.
+            registry: What is known of targets, kept to the view from here on.
             dialect: The names and forms that callers use.
             wait_current: Returns whether the view is known to be current,
                 after a time in milliseconds at the latest.
@@ -77,7 +77,7 @@
         """
         self.index: route_api.RouteIndex | None = None
         self._view = view
-        self._book = book
+        self._registry = registry
         self._dialect = dialect
         self._wait_current = wait_current
         self._clock = time
@@ -93,7 +93,7 @@
             return
         if self.index is None or self.index.table is not table:
             self.index = route_api.RouteIndex(table)
-        self._book.update(
+        self._registry.update(
             fleet.direct_target_by_key.values(), self.index.service_by_name
         )
 
@@ -190,9 +190,9 @@
         prompt_tokens = max(traits.prompt_tokens, in_parts)
         shared = in_parts - traits.parts[-1].tokens
         levels = chains[:-1] or chains
-        self._book.heat.count(levels, prompt_tokens, self._clock.now_ms())
-        affinity_key, width = self._book.heat.level(
-            levels, len(self._book.of_service(service))
+        self._registry.heat.count(levels, prompt_tokens, self._clock.now_ms())
+        affinity_key, width = self._registry.heat.level(
+            levels, len(self._registry.of_service(service))
         )
         return choice.Work(
             prompt_tokens=prompt_tokens,
--- a/src/lycheering/forward/liveness.py
+++ b/src/lycheering/forward/liveness.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from lycheering import clock
-    from lycheering.forward import target_book
+    from lycheering.forward import target_registry
     from lycheering.forward import target_state
     from lycheering.telemetry import counters
     from lycheering.web import kept_connections
@@ -37,12 +37,12 @@
 
     def __init__(
         self,
-        book: target_book.TargetBook,
+        registry: target_registry.TargetRegistry,
         connections: kept_connections.KeptConnections,
         time: clock.Clock,
         counts: counters.Counters,
     ) -> None:
-        self._book = book
+        self._registry = registry
         self._connections = connections
         self._clock = time
         self._counters = counts
@@ -61,7 +61,7 @@
         while True:
             await self._clock.sleep(CHECK_INTERVAL_MS)
             now_ms = self._clock.now_ms()
-            for key, state in self._book.state_by_key.items():
+            for key, state in self._registry.state_by_key.items():
                 if key in self._probed:
                     continue
                 if state.is_unreachable:
--- a/src/lycheering/forward/shared_parts.py
+++ b/src/lycheering/forward/shared_parts.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lycheering.forward import target_book
+    from lycheering.forward import target_registry
     from lycheering.forward import target_state
 
 # shorter shared parts are read again sooner than they are moved
@@ -36,20 +36,20 @@
     store_chains: tuple[int, ...] = ()
 
     def count(
-        self, book: target_book.TargetBook, tokens: Sequence[int]
+        self, registry: target_registry.TargetRegistry, tokens: Sequence[int]
     ) -> None:
         """Counts the parts as used at the store, once they are read.
 
         Args:
-            book: What is known of targets.
+            registry: What is known of targets.
             tokens: The length of each part.
         """
         if self.store is None:
             return
         if self.saves:
-            book.read(self.store, self.store_chains, tokens)
+            registry.read(self.store, self.store_chains, tokens)
         elif self.fetch_from is self.store:
-            book.read(self.store, self.store_chains[:-1], tokens[:-1])
+            registry.read(self.store, self.store_chains[:-1], tokens[:-1])
 
 
 def plan(
--- a/src/lycheering/forward/target_book.py
+++ b/src/lycheering/forward/target_registry.py
@@ -18,10 +18,10 @@
     from lycheering import clock
     from lycheering.routes import records as route_records
 
-MAX_NEWS = 1_000
+MAX_UNSHARED_READS = 1_000
 
 
-class TargetBook:
+class TargetRegistry:
     """The targets of the view in force, with what this entry knows.
 
     Attributes:
@@ -38,8 +38,8 @@
             collections.defaultdict(read_rates.ServiceRate)
         )
         self._stores: list[target_state.TargetState] = []
-        self._news: collections.deque[messages.PromptRead] = collections.deque(
-            maxlen=MAX_NEWS
+        self._unshared_reads: collections.deque[messages.PromptRead] = (
+            collections.deque(maxlen=MAX_UNSHARED_READS)
         )
 
     def update(
@@ -97,7 +97,7 @@
         state.cached.add(chains, tokens)
         state.rate.take(read_tokens, read_ms, self._clock.now_ms())
         if chains:
-            self._news.append(
+            self._unshared_reads.append(
                 messages.PromptRead(
                     state.digest,
                     tuple(chains),
@@ -109,8 +109,8 @@
 
     def take_reads(self, most: int) -> tuple[messages.PromptRead, ...]:
         """Returns prompts read that other entries were not told of."""
-        count = min(most, len(self._news))
-        return tuple(self._news.popleft() for _ in range(count))
+        count = min(most, len(self._unshared_reads))
+        return tuple(self._unshared_reads.popleft() for _ in range(count))
 
     def own_loads(self) -> tuple[messages.TargetLoad, ...]:
         """Returns what this entry has at each target where it has any."""
@@ -128,21 +128,19 @@
             if state.is_leaving
         )
 
-    def take_picture(
-        self, picture: messages.LoadPicture, now_ms: float
-    ) -> None:
+    def take_loads(self, reply: messages.LoadReply, now_ms: float) -> None:
         """Takes over what other entries have at targets and had read."""
-        load_by_target = {load.target: load for load in picture.loads}
+        load_by_target = {load.target: load for load in reply.loads}
         state_by_digest = {
             state.digest: state for state in self.state_by_key.values()
         }
         for digest, state in state_by_digest.items():
             none = messages.TargetLoad(digest, 0, 0, 0)
             state.take_others(load_by_target.get(digest, none), now_ms)
-        for digest in picture.leaving:
+        for digest in reply.leaving:
             if digest in state_by_digest:
                 state_by_digest[digest].is_leaving = True
-        for read in picture.reads:
+        for read in reply.reads:
             found = state_by_digest.get(read.target)
             if found is not None:
                 found.cached.add(read.chains, read.tokens)
@@ -168,4 +166,4 @@
     return service.engine.cache_tokens if service.engine is not None else 0
 
 
-__all__ = ["TargetBook"]
+__all__ = ["TargetRegistry"]
--- a/src/lycheering/wire/messages/__init__.py
+++ b/src/lycheering/wire/messages/__init__.py
@@ -11,7 +11,7 @@
 from lycheering.wire.messages.envelope import Envelope
 from lycheering.wire.messages.envelope import Message
 from lycheering.wire.messages.loads import LoadExchange
-from lycheering.wire.messages.loads import LoadPicture
+from lycheering.wire.messages.loads import LoadReply
 from lycheering.wire.messages.loads import PromptRead
 from lycheering.wire.messages.loads import TargetLoad
 from lycheering.wire.messages.members import ControlPeer
@@ -92,7 +92,7 @@
     "HelloRequired",
     "InquiryResult",
     "LoadExchange",
-    "LoadPicture",
+    "LoadReply",
     "LoadReport",
     "LogCall",
     "LogReply",
--- a/src/lycheering/wire/messages/envelope.py
+++ b/src/lycheering/wire/messages/envelope.py
@@ -62,7 +62,7 @@
     | members.CurrentFetch
     | members.Current
     | loads.LoadExchange
-    | loads.LoadPicture
+    | loads.LoadReply
 )
 
 
--- a/src/lycheering/wire/messages/loads.py
+++ b/src/lycheering/wire/messages/loads.py
@@ -68,7 +68,7 @@
     first_read: int = 0
 
 
-class LoadPicture(msgspec.Struct, frozen=True, array_like=True, tag=65):
+class LoadReply(msgspec.Struct, frozen=True, array_like=True, tag=65):
     """Answers LoadExchange.
 
     Attributes:
@@ -88,4 +88,4 @@
     leaving: tuple[int, ...] = ()
 
 
-__all__ = ["LoadExchange", "LoadPicture", "PromptRead", "TargetLoad"]
+__all__ = ["LoadExchange", "LoadReply", "PromptRead", "TargetLoad"]
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -220,13 +220,13 @@
     And with all compared fewer than 85 in 100 do within 600 ms
 
   Scenario: A queue that comes and goes turns nobody away
-    Given a usual queue with a half-life of 500 ms
+    Given an admission controller with a half-life of 500 ms
     When requests meet queues of 20 ms for 2000 ms
     And requests meet queues of 350 ms for 100 ms
     Then a queue of 350 ms is taken for a less urgent request
 
   Scenario: A queue that stays turns less urgent requests away
-    Given a usual queue with a half-life of 500 ms
+    Given an admission controller with a half-life of 500 ms
     When requests meet queues of 20 ms for 2000 ms
     And requests meet queues of 350 ms for 2000 ms
     Then a queue of 350 ms is refused for a less urgent request
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -16,7 +16,7 @@
 from lycheering.forward import forwarder
 from lycheering.forward import intake
 from lycheering.forward import liveness
-from lycheering.forward import target_book
+from lycheering.forward import target_registry
 from lycheering.platform import dialect
 from lycheering.retries import window
 from lycheering.routes import api as routes
@@ -72,10 +72,10 @@
         self.view = holder.ViewHolder()
         self.counters = counters.Counters()
         self.kept = kept_connections.KeptConnections(time)
-        self.book = target_book.TargetBook(time)
+        self.registry = target_registry.TargetRegistry(time)
         platform = dialect.PlatformDialect()
         self.intake = intake.Intake(
-            self.view, self.book, platform, self._wait_current, time
+            self.view, self.registry, platform, self._wait_current, time
         )
         self.forwarder = forwarder.Forwarder(
             forwarder.ForwardSettings(
@@ -84,14 +84,14 @@
             ),
             self.view,
             self.intake,
-            attempt.Attempts(self.kept, self.book, platform, time),
+            attempt.Attempts(self.kept, self.registry, platform, time),
             "d1",
             time,
             self.counters,
             histograms.Histograms(self.counters),
         )
         self.liveness = liveness.Liveness(
-            self.book, self.kept, time, self.counters
+            self.registry, self.kept, time, self.counters
         )
         self.application = application.ForwardApplication(
             self.forwarder, self.intake, platform, time, self.counters
--- a/tests/steps/load_hub_steps.py
+++ b/tests/steps/load_hub_steps.py
@@ -14,7 +14,7 @@
 from lycheering.control.direct import load_hub
 from lycheering.entry import control_client
 from lycheering.forward import fleet_loads
-from lycheering.forward import target_book
+from lycheering.forward import target_registry
 from lycheering.routes import records as route_records
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
@@ -38,9 +38,9 @@
         context.reads_told.get(entry, 0),
     )
     context.reads_told[entry] = context.reads_told.get(entry, 0) + len(reads)
-    picture = context.hub.answer(context.last)
-    context.cursors[entry] = (picture.epoch, picture.cursor)
-    return picture
+    reply = context.hub.answer(context.last)
+    context.cursors[entry] = (reply.epoch, reply.cursor)
+    return reply
 
 
 @given("a hub of loads and 3 entries")
@@ -68,25 +68,25 @@
         loses, self.loses = self.loses, ""
         if loses == "request":
             raise control_client.ControlUnavailableError
-        picture = self._hub.answer(exchange)
+        reply = self._hub.answer(exchange)
         if loses == "reply":
             raise control_client.ControlUnavailableError
-        return picture
+        return reply
 
 
 @given("an entry that had {count:d} prompts read")
 def step_entry(context, count):
-    context.book = target_book.TargetBook(context.time)
-    context.book.update(
+    context.registry = target_registry.TargetRegistry(context.time)
+    context.registry.update(
         [direct_targets.target(0)], {"s": route_records.Service("s", "/health")}
     )
-    (state,) = context.book.state_by_key.values()
+    (state,) = context.registry.state_by_key.values()
     for number in range(count):
-        context.book.read(state, (number,), (10,))
+        context.registry.read(state, (number,), (10,))
     context.control = LossyControl(context.hub)
     context.entry_loads = fleet_loads.FleetLoads(
         context.control,
-        context.book,
+        context.registry,
         wire_api.Identity("e1", messages.Role.ENTRY, "d1"),
         lambda entries: None,
         context.time,
@@ -107,7 +107,7 @@
 def step_nothing_left(context):
     asyncio.run(context.entry_loads._exchange())
     assert exchange(context, 2).reads == ()
-    assert context.book.take_reads(1) == ()
+    assert context.registry.take_reads(1) == ()
 
 
 @when("entries 1 and 2 tell what they have at a target")
--- a/tests/steps/odd_answers_steps.py
+++ b/tests/steps/odd_answers_steps.py
@@ -16,9 +16,9 @@
 @given("other entries tell that the target leaves")
 def step_told(context):
     async def tell(entry):
-        (state,) = entry.book.state_by_key.values()
-        told = messages.LoadPicture((), (), "", 0, 2, (state.digest,))
-        entry.book.take_picture(told, 0.0)
+        (state,) = entry.registry.state_by_key.values()
+        told = messages.LoadReply((), (), "", 0, 2, (state.digest,))
+        entry.registry.take_loads(told, 0.0)
 
     forward_steps.prepare(context, tell)
 
--- a/tests/steps/placed_load_steps.py
+++ b/tests/steps/placed_load_steps.py
@@ -10,8 +10,8 @@
 from behave import then
 from behave import when
 
+from lycheering.forward import admission
 from lycheering.forward import choice
-from lycheering.forward import turn_away
 from tests.helpers import direct_targets
 
 NOW_MS = 10_000.0
@@ -30,21 +30,13 @@
         learns: Whether what reading took is learned from.
     """
     randomness = random.Random(1)
-    usual = turn_away.UsualQueue(settings.half_life_ms)
+    controller = admission.AdmissionController(settings, randomness)
 
     def by_choice(states, work, now_ms):
         found = choice.choose(
             states, work, SETTINGS, "d0", (), now_ms, randomness
         )
-        away_ms = turn_away.retry_after_ms(
-            found,
-            OBJECTIVE_MS,
-            1,
-            usual.see(found.queue_ms, now_ms),
-            settings,
-            randomness,
-        )
-        if away_ms is not None:
+        if controller.check(found, OBJECTIVE_MS, 1, now_ms) is not None:
             queues_away.append(found.queue_ms)
             return None
         number = states.index(found.state)
@@ -58,13 +50,13 @@
 def step_overload(context):
     context.load = direct_targets.recorded_load(factor=1.6)
     context.queues_away = []
-    settings = turn_away.TurnAwaySettings()
+    settings = admission.AdmissionSettings()
     context.waits = place_admitted(context.load, settings, context.queues_away)
 
 
 @when("the same overload is placed with none turned away")
 def step_overload_all(context):
-    everyone = turn_away.TurnAwaySettings(queue_part=1e9, standing_part=1e9)
+    everyone = admission.AdmissionSettings(queue_part=1e9, standing_part=1e9)
     context.waits_all = place_admitted(
         context.load, everyone, context.queues_away
     )
@@ -88,7 +80,7 @@
 @then("no request was turned away while its queue was short")
 def step_short(context):
     assert context.queues_away
-    part = turn_away.TurnAwaySettings().standing_part
+    part = admission.AdmissionSettings().standing_part
     assert min(context.queues_away) > part * OBJECTIVE_MS
 
 
@@ -142,30 +134,29 @@
     assert met < share / 100, met
 
 
-@given("a usual queue with a half-life of {half_ms:d} ms")
-def step_usual(context, half_ms):
-    context.usual = turn_away.UsualQueue(half_ms)
+@given("an admission controller with a half-life of {half_ms:d} ms")
+def step_controller(context, half_ms):
+    context.controller = admission.AdmissionController(
+        admission.AdmissionSettings(half_life_ms=half_ms), random.Random(1)
+    )
     context.now_ms = 1_000.0
 
 
+def check_queue(context, queue_ms):
+    state = direct_targets.state(1, NOW_MS)
+    estimate = choice.Estimate(state, queue_ms, queue_ms, queue_ms, 0)
+    return context.controller.check(estimate, OBJECTIVE_MS, 1, context.now_ms)
+
+
 @when("requests meet queues of {queue_ms:d} ms for {span_ms:d} ms")
 def step_meet(context, queue_ms, span_ms):
     until_ms = context.now_ms + span_ms
     while context.now_ms < until_ms:
-        context.mean_ms = context.usual.see(queue_ms, context.now_ms)
+        check_queue(context, queue_ms)
         context.now_ms += 50.0
 
 
 @then("a queue of {queue_ms:d} ms is {verdict} for a less urgent request")
 def step_verdict(context, queue_ms, verdict):
-    state = direct_targets.state(1, NOW_MS)
-    estimate = choice.Estimate(state, queue_ms, queue_ms, queue_ms, 0)
-    away_ms = turn_away.retry_after_ms(
-        estimate,
-        OBJECTIVE_MS,
-        1,
-        context.mean_ms,
-        turn_away.TurnAwaySettings(),
-        random.Random(1),
-    )
-    assert (away_ms is None) == (verdict == "taken"), away_ms
+    rejection = check_queue(context, queue_ms)
+    assert (rejection is None) == (verdict == "taken"), rejection
--- a/tests/steps/read_rates_steps.py
+++ b/tests/steps/read_rates_steps.py
@@ -10,9 +10,9 @@
 from behave import when
 
 from lycheering import clock
+from lycheering.forward import admission
 from lycheering.forward import read_rates
-from lycheering.forward import target_book
-from lycheering.forward import turn_away
+from lycheering.forward import target_registry
 from lycheering.routes import records as route_records
 from lycheering.wire import messages
 from tests.helpers import direct_targets
@@ -62,12 +62,12 @@
 
 @when("another entry tells of {count:d} prompts that were read")
 def step_told(context, count):
-    book = target_book.TargetBook(clock.ManualClock())
-    book.update(
+    registry = target_registry.TargetRegistry(clock.ManualClock())
+    registry.update(
         [direct_targets.target(number) for number in range(ENGINES)],
         {"s": route_records.Service("s", "/health")},
     )
-    states = list(book.state_by_key.values())
+    states = list(registry.state_by_key.values())
     reads = tuple(
         messages.PromptRead(
             states[index % ENGINES].digest,
@@ -78,7 +78,7 @@
         )
         for index in range(count)
     )
-    book.take_picture(messages.LoadPicture((), reads, "", 0, 2), 10.0)
+    registry.take_loads(messages.LoadReply((), reads, "", 0, 2), 10.0)
     context.rates = [state.rate for state in states]
 
 
@@ -105,7 +105,7 @@
     def placed(learns):
         waits = placed_load_steps.place_admitted(
             direct_targets.recorded_load(factor=rate / 50.0),
-            turn_away.TurnAwaySettings(),
+            admission.AdmissionSettings(),
             [],
             (float(rate),),
             learns,
--- a/tests/steps/shared_parts_steps.py
+++ b/tests/steps/shared_parts_steps.py
@@ -11,7 +11,7 @@
 from lycheering.forward import api
 from lycheering.forward import read_rates
 from lycheering.forward import shared_parts
-from lycheering.forward import target_book
+from lycheering.forward import target_registry
 from lycheering.forward import target_state
 from tests.helpers import direct_targets
 
@@ -64,8 +64,8 @@
         context.work,
         NOW_MS,
     )
-    book = target_book.TargetBook(clock.ManualClock())
-    context.plan.count(book, sizes(context))
+    registry = target_registry.TargetRegistry(clock.ManualClock())
+    context.plan.count(registry, sizes(context))
 
 
 @then("its parts are saved")
--- a/tests/steps/status_changes_steps.py
+++ b/tests/steps/status_changes_steps.py
@@ -118,7 +118,7 @@
         (long_ago,), sighting.reports
     )
     target = types.SimpleNamespace(agent_incarnation="i2")
-    context.pictures = [
+    context.snapshots = [
         fleet_status.seen_together(
             [one.status() for one in order], (), {"engine-1": target}
         )
@@ -128,9 +128,9 @@
 
 @then("the report of the one registered counts, and both are heard")
 def step_registered(context):
-    for picture in context.pictures:
-        assert picture.report_by_target["engine-1"].weights_version == "new"
-        assert picture.incarnations_by_name["engine-1"] == {"i2", "i7"}
+    for snapshot in context.snapshots:
+        assert snapshot.report_by_target["engine-1"].weights_version == "new"
+        assert snapshot.incarnations_by_name["engine-1"] == {"i2", "i7"}
 
 
 @given("an instance with {entries:d} entries and {agents:d} agents")
--- a/tests/steps/target_orders_task_steps.py
+++ b/tests/steps/target_orders_task_steps.py
@@ -75,7 +75,7 @@
         report = messages.TargetReport(
             "t0", "i1", "e1", self.weights, (), self.role, messages.LoadReport()
         )
-        return fleet_status.FleetPicture({}, {"t0": report}, (), {})
+        return fleet_status.FleetSnapshot({}, {"t0": report}, (), {})
 
     def get(self, _):
         return self
