Hold an engine only shortly before its order and while it loads

Ruled out: the number at once (2 of 5, begun before the crash); the order after an accepted one (its load was cut at 4 s counted from the roll's begin, which is mended here too: an accepted order begins that time anew).

Change: an engine is held from 350 ms before an order is due and while it says that it loads; after an order without an answer the next is due 1.2 s later. A failed roll gives the engine back. A new leader looks after held engines at once, and orders only after the lease of the one before.

--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -35,6 +35,9 @@
 LOAD_TIMEOUT_MS = 4_000
 # one that says that it loads is waited for up to here
 MOST_LOAD_MS = 15_000
+# an order without an answer is given again after so long; until then the engine
+# serves, if it did nothing
+UNANSWERED_PAUSE_MS = 1_200.0
 RETRY_MS = 250
 MAX_RETRY_MS = 1_500
 
@@ -181,8 +184,8 @@
 
     def _begin_rolls(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms < self._orders_from_ms - self._settings.hold_ms:
-            return
+        # what an earlier holder began is looked after at once
+        only_held = now_ms < self._orders_from_ms - self._settings.hold_ms
         fleet = self._group.machine.fleet
         wall_ms = self._clock.wall_ms()
         waiting = [
@@ -196,6 +199,7 @@
             )
             for target, model, named_wall_ms in outdated(fleet)
             if target.key not in self._rolling
+            and (target.is_held or not only_held)
         ]
         free = self._most(fleet) - len(self._rolling)
         for engine in roll_plan.next_engines(waiting, free):
@@ -230,6 +234,8 @@
             self._failures_by_key[key] = failures
             pause_ms = min(MAX_RETRY_MS, RETRY_MS * 2**failures)
             self._retry_at_ms_by_key[key] = self._clock.now_ms() + pause_ms
+            if isinstance(error, api.EngineUnreachableError):
+                await self._give_back(key)
         else:
             self._failures_by_key.pop(key, None)
         finally:
@@ -242,9 +248,6 @@
         # one that can't be reached is not worth holding
         await self._engines.report(target)
         began_ms = self._clock.now_ms()
-        if not target.is_held:
-            await self._put(target, is_held=True)
-            await self._until_read(target)
         version = await self._load(target, model)
         latest = self._target(key)
         if latest is None or not version:
@@ -274,10 +277,27 @@
                 return
             await self._clock.sleep(CHECK_INTERVAL_MS)
 
+    def _is_held(self, target: records.DirectTarget) -> bool:
+        latest = self._target(target.key)
+        return latest is not None and latest.is_held
+
     def _target(self, key: str) -> records.DirectTarget | None:
         fleet = self._group.machine.fleet
         return fleet.direct_target_by_key.get(key)
 
+    async def _hold(self, key: str, *, is_held: bool) -> None:
+        """Keeps an engine free of new work, or gives it work again."""
+        target = self._target(key)
+        if target is not None and target.is_held != is_held:
+            await self._put(target, is_held=is_held)
+
+    async def _give_back(self, key: str) -> None:
+        """Gives an engine work again that could not be brought on."""
+        try:
+            await self._hold(key, is_held=False)
+        except errors.ReplicationError as error:
+            _LOG.warning("hold_stays", target=key, error=error)
+
     async def _put(
         self, target: records.DirectTarget, *, is_held: bool
     ) -> None:
@@ -289,10 +309,11 @@
 
         An order without an answer may have been accepted, or be carried out
         later. It is given again under the same sequence, so that the engine
-        carries out one of them.
+        carries out one of them. The engine is held shortly before an order and
+        while it loads, and serves on its old weights otherwise.
         """
         began_ms = self._clock.now_ms()
-        until_ms = began_ms + LOAD_TIMEOUT_MS
+        until_ms = max(began_ms, self._orders_from_ms) + LOAD_TIMEOUT_MS
         order_from_ms = 0.0
         while self._clock.now_ms() < min(until_ms, began_ms + MOST_LOAD_MS):
             report = await self._engines.report(target)
@@ -304,7 +325,15 @@
                 return 0
             if report.is_busy:
                 until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
-            if report.is_busy or self._clock.now_ms() < order_from_ms:
+            order_from_ms = max(order_from_ms, self._orders_from_ms)
+            left_ms = order_from_ms - self._clock.now_ms()
+            is_due = left_ms <= self._settings.hold_ms
+            if is_due and not report.is_busy and not self._is_held(target):
+                await self._hold(target.key, is_held=True)
+                await self._until_read(target)
+                continue
+            await self._hold(target.key, is_held=report.is_busy or is_due)
+            if report.is_busy or left_ms > 0:
                 await self._clock.sleep(REPORT_INTERVAL_MS)
                 continue
             result = await self._order(target, model, wanted, report.sequence)
@@ -313,11 +342,14 @@
                 raise _OrdersLostError("a higher fencing number was used")
             if result in (api.OrderResult.GONE, api.OrderResult.REFUSED):
                 raise api.EngineUnreachableError(result.value)
-            pause_ms = REPORT_LAG_MS
+            pause_ms, again_ms = float(REPORT_LAG_MS), float(REPORT_LAG_MS)
             if result is api.OrderResult.ACCEPTED:
                 pause_ms = FIRST_REPORT_MS
+                until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
+            elif result is api.OrderResult.UNKNOWN:
+                again_ms = UNANSWERED_PAUSE_MS
             await self._clock.sleep(pause_ms)
-            order_from_ms = self._clock.now_ms() + REPORT_LAG_MS
+            order_from_ms = self._clock.now_ms() + again_ms
         raise api.EngineUnreachableError("the load did not end in time")
 
     async def _order(
--- a/tests/control/direct/weights.feature
+++ b/tests/control/direct/weights.feature
@@ -37,6 +37,21 @@
     Then every engine has weights 2
     And every engine loaded once
 
+  Scenario: An engine that answers no order serves on meanwhile
+    Given 4 engines on weights 1
+    And one engine answers no order for good
+    When weights 2 are named and 10 s pass
+    Then the other engines have weights 2
+    And that engine was held for at most 70 in 100 of the time
+
+  Scenario: A new holder gives back what the one before held and had loaded
+    Given 4 engines on weights 1
+    And another instance gave orders before
+    And it held an engine that has weights 2 by now
+    When weights 2 are named and 2 s pass
+    Then no order was given
+    And that engine was held for at most 20 in 100 of the time
+
   Scenario: Weights named meanwhile are what the next engines get
     Given 6 engines on weights 1
     When weights 2 are named, weights 3 after 1 s, and 10 s pass
--- a/tests/steps/weights_roll_steps.py
+++ b/tests/steps/weights_roll_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 from behave import given
 from behave import then
@@ -45,6 +46,7 @@
         self.load_ms = LOAD_MS
         self.reachable = True
         self.first_answer = ""
+        self.answers = True
         self.highest_fence = 0
         self.refused = []
         self.fences = []
@@ -90,7 +92,7 @@
         self.orders += 1
         engine.fences.append(order.fence)
         kind, engine.first_answer = engine.first_answer, ""
-        if kind == "lost":
+        if kind == "lost" or not engine.answers:
             return api.OrderResult.UNKNOWN
         if kind == "late":
             self.late.append(asyncio.create_task(self._late(engine, order)))
@@ -142,6 +144,7 @@
         Engine(f"e{number}", context.time) for number in range(count)
     ]
     context.group = Group()
+    context.held_before = set()
 
 
 @given("{count:d} of them can't be reached")
@@ -156,6 +159,19 @@
         engine.first_answer = "lost" if kind == "lost" else "late"
 
 
+@given("one engine answers no order for good")
+def step_never(context):
+    context.engine = context.engine_list[0]
+    context.engine.answers = False
+
+
+@given("it held an engine that has weights 2 by now")
+def step_held(context):
+    context.engine = context.engine_list[0]
+    context.engine.version = context.engine.next_version = 2
+    context.held_before = {context.engine.name}
+
+
 @given("each load takes {load_ms:d} ms")
 def step_slow(context, load_ms):
     for engine in context.engine_list:
@@ -190,6 +206,7 @@
             "d",
             8,
             version_by_model={MODEL: 1},
+            is_held=engine.name in context.held_before,
         )
         for engine in context.engine_list
     )
@@ -204,6 +221,8 @@
         context.counters,
     )
     await roll.start()
+    context.held_counts = collections.Counter()
+    watching = asyncio.create_task(_watch_held(context))
     try:
         await group.propose(commands.NameWeights(MODEL, versions[0]))
         if len(versions) > 1:
@@ -213,10 +232,20 @@
         context.orders_first = context.engines.orders
         await context.time.sleep(rest_ms)
     finally:
+        watching.cancel()
         await roll.stop()
         await asyncio.gather(*context.engines.late)
 
 
+async def _watch_held(context):
+    """Counts how often each engine is found held, and all looks."""
+    while True:
+        targets = context.group.machine.fleet.direct_target_by_key.values()
+        context.held_counts.update(t.target_id for t in targets if t.is_held)
+        context.held_counts["looks"] += 1
+        await context.time.sleep(50)
+
+
 @when("weights 2 are named and {seconds:d} s pass")
 def step_named(context, seconds):
     asyncio.run(_roll(context, [2], seconds * 1_000, 10_000))
@@ -263,6 +292,20 @@
     assert not any(target.is_held for target in targets)
 
 
+@then("the other engines have weights {version:d}")
+def step_others(context, version):
+    for engine in context.engine_list:
+        engine.settle()
+        assert engine is context.engine or engine.version == version
+
+
+@then("that engine was held for at most {share:d} in 100 of the time")
+def step_held_share(context, share):
+    counts = context.held_counts
+    held = counts[context.engine.name] / counts["looks"]
+    assert held <= share / 100, held
+
+
 @then("no engine that can't be reached is held")
 def step_not_held(context):
     for target in context.group.machine.fleet.direct_target_by_key.values():
