Tell that a disk has room only by a write that it had refused

A removal of old files that succeeds says nothing of it; two lines would have alternated in the log while the disk was full.

--- a/src/lycheering/store/folder.py
+++ b/src/lycheering/store/folder.py
@@ -93,15 +93,18 @@
         nowhere, and nobody was told that it is.
         """
         loop = asyncio.get_running_loop()
+        was_refused = False
         while True:
             try:
                 result = await loop.run_in_executor(thread, operation)
             except errors.NoRoomError as error:
                 if self._ends_waits.is_set():
                     raise
+                was_refused = True
                 self._note_room(error)
             else:
-                self._note_room(None)
+                if was_refused:
+                    self._note_room(None)
                 return result
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(ROOM_PAUSE_S):
