--- a/src/lycheering/agent/order_watch.py
+++ b/src/lycheering/agent/order_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from lycheering.targets import api as targets_api
 from lycheering.telemetry import logs
@@ -26,17 +27,31 @@
     reason = messages.Reason.SILENT
 
 
-def has(load: targets_api.TargetLoad, order: messages.TargetOrder) -> bool:
-    """Returns whether a target has what an order asks for."""
-    if load.loading:
-        return False
+class Shown(Protocol):
+    """What a target is known to have."""
+
+    @property
+    def weights_version(self) -> str:
+        """The weights it serves."""
+
+    @property
+    def adapters(self) -> tuple[str, ...]:
+        """The adapters it holds."""
+
+    @property
+    def role(self) -> str:
+        """Its role."""
+
+
+def has(shown: Shown, order: messages.TargetOrder) -> bool:
+    """Returns whether a target that loads nothing has what is ordered."""
     match order.kind:
         case messages.TargetOrderKind.LOAD_WEIGHTS:
-            return load.weights_version == order.version
+            return shown.weights_version == order.version
         case messages.TargetOrderKind.LOAD_ADAPTER:
-            return order.adapter in load.adapters
+            return order.adapter in shown.adapters
         case messages.TargetOrderKind.SET_ROLE:
-            return load.role == order.role
+            return shown.role == order.role
 
 
 class OrderWatch:
@@ -106,7 +121,9 @@
         self._failed_probes = 0
         if self._is_lost(load):
             raise LostOrderError("the target does not know of the order")
-        return self._shows_order(load) and has(load, self._order)
+        if load.loading or not self._shows_order(load):
+            return False
+        return has(load, self._order)
 
     def _is_lost(self, load: targets_api.TargetLoad) -> bool:
         """Whether the target shows that the order did not reach it.
@@ -122,4 +139,4 @@
         return sampled_ms >= self._sent_ms + self._silence_ms * SHOWN_SHARE
 
 
-__all__ = ["LostOrderError", "OrderWatch", "has"]
+__all__ = ["LostOrderError", "OrderWatch", "Shown", "has"]
--- a/src/lycheering/agent/target_state.py
+++ b/src/lycheering/agent/target_state.py
@@ -4,14 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from lycheering.agent import order_watch
 from lycheering.app import api as app_api
 from lycheering.targets import api as targets_api
 from lycheering.telemetry import logs
-from lycheering.wire import messages
 
 if TYPE_CHECKING:
     from lycheering import clock as clocks
     from lycheering.settings import model
+    from lycheering.wire import messages
 
 MAX_FAILED_POLLS = 3
 FIRST_LOAD_ORDER_MS = 1_000.0
@@ -109,14 +110,9 @@
         """Returns whether the target is known to have what is ordered."""
         if not self.up or self.loading_version or self.target_loading:
             return False
-        match order.kind:
-            case messages.TargetOrderKind.LOAD_WEIGHTS:
-                same_model = order.model in ("", self.model)
-                return same_model and order.version == self.weights_version
-            case messages.TargetOrderKind.LOAD_ADAPTER:
-                return order.adapter in self.adapters
-            case messages.TargetOrderKind.SET_ROLE:
-                return order.role == self.role
+        if order.model not in ("", self.model):
+            return False
+        return order_watch.has(self, order)
 
     def load_left_ms(self) -> float:
         """Returns how long loading is expected to go on."""
