Tell why a group isn't formed and whom a leader doesn't reach

Cause of the silence: `identify` and the leader's replicators dropped the reason of PeerUnreachableError.

Change: a line when the instance that is waited for changes, and when a follower is reached no more or again.

--- a/src/lycheering/replication/bootstrap.py
+++ b/src/lycheering/replication/bootstrap.py
@@ -30,6 +30,7 @@
     ) -> None:
         self._core = core
         self._initial = initial
+        self._waits_for = ""
 
     async def run(self) -> None:
         """Asks all initial members until all are empty or one is not."""
@@ -51,10 +52,16 @@
         for peer in self._initial[1:]:
             try:
                 found.append(await identify(self._core, peer))
-            except errors.PeerUnreachableError:
+            except errors.PeerUnreachableError as error:
+                self._note_wait(peer.instance, str(error))
                 return None
         return found
 
+    def _note_wait(self, instance: str, reason: str) -> None:
+        if instance != self._waits_for:
+            _LOG.event("group_waits", peer=instance, reason=reason)
+        self._waits_for = instance
+
     async def _create(self, others: list[members.MemberId]) -> None:
         core = self._core
         ids = [core.id, *others]
--- a/src/lycheering/replication/peers.py
+++ b/src/lycheering/replication/peers.py
@@ -53,6 +53,7 @@
         self._led = led
         self._member = member
         self._progress = progress
+        self._is_reached = True
 
     async def run(self) -> None:
         """Sends entries as they come, and heartbeats in between."""
@@ -62,9 +63,11 @@
             progress.wake.clear()
             try:
                 await self._send()
-            except errors.PeerUnreachableError:
+            except errors.PeerUnreachableError as error:
+                self._note(error)
                 await core.clock.sleep(core.settings.heartbeat_ms)
                 continue
+            self._note(None)
             if progress.match_index < core.log.last_index:
                 continue
             pause_s = core.settings.heartbeat_ms / clock.MS_PER_S
@@ -74,6 +77,14 @@
             except TimeoutError:
                 continue
 
+    def _note(self, error: errors.PeerUnreachableError | None) -> None:
+        """Logs that the member is reached no more, or again."""
+        if error is not None and self._is_reached:
+            _LOG.event("member_unreached", id=self._member.id, reason=error)
+        elif error is None and not self._is_reached:
+            _LOG.event("member_reached", id=self._member.id)
+        self._is_reached = error is None
+
     async def _send(self) -> None:
         log = self._core.log
         previous_index = self._progress.next_index - 1
