Name a lack of space in one place

Three places of the data folder told ENOSPC from other errors in the same way; one context manager does.

--- a/src/lycheering/store/folder.py
+++ b/src/lycheering/store/folder.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
 _T = TypeVar("_T")
 
@@ -177,9 +178,15 @@
         left = left[os.write(file, left) :]
 
 
-def is_no_room(error: OSError) -> bool:
-    """Returns whether an error is a lack of space."""
-    return error.errno in NO_ROOM_ERRORS
+@contextlib.contextmanager
+def naming_lack_of_room() -> Iterator[None]:
+    """Raises NoRoomError in place of an error that is a lack of space."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno in NO_ROOM_ERRORS:
+            raise errors.NoRoomError(str(error)) from error
+        raise
 
 
 def write_durably(path: pathlib.Path, data: bytes) -> None:
@@ -189,15 +196,10 @@
         NoRoomError: If the disk has no space for it; the old content stays.
     """
     new = temporary(path)
-    try:
-        with open(new, "wb", buffering=0) as file:
-            write_all(file.fileno(), data)
-            os.fsync(file.fileno())
-    except OSError as error:
-        # the next try writes the new file from its start
-        if is_no_room(error):
-            raise errors.NoRoomError(str(error)) from error
-        raise
+    # the next try writes the new file from its start
+    with naming_lack_of_room(), open(new, "wb", buffering=0) as file:
+        write_all(file.fileno(), data)
+        os.fsync(file.fileno())
     new.rename(path)
     sync_folder(path.parent)
 
@@ -206,7 +208,7 @@
     "DISK_ID_BYTES",
     "ROOM_PAUSE_S",
     "DataFolder",
-    "is_no_room",
+    "naming_lack_of_room",
     "sync_folder",
     "temporary",
     "write_all",
--- a/src/lycheering/store/segments.py
+++ b/src/lycheering/store/segments.py
@@ -82,13 +82,12 @@
         segment = self._segments[-1]
         data = frames.encode(_encoder.encode(batches))
         try:
-            folders.write_all(self._file, data)
-        except OSError as error:
-            if not folders.is_no_room(error):
-                raise
+            with folders.naming_lack_of_room():
+                folders.write_all(self._file, data)
+        except errors.NoRoomError:
             # a part of a frame would hide those that follow it
             os.ftruncate(self._file, segment.size)
-            raise errors.NoRoomError(str(error)) from error
+            raise
         segment.size += len(data)
         os.fdatasync(self._file)
         segment.add(batches)
@@ -149,12 +148,8 @@
         number = self._segments[-1].number + 1 if self._segments else 1
         path = self._folder / f"{_PREFIX}{number:012d}{_SUFFIX}"
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
-        try:
+        with folders.naming_lack_of_room():
             self._file = os.open(path, flags | os.O_CLOEXEC, 0o600)
-        except OSError as error:
-            if folders.is_no_room(error):
-                raise errors.NoRoomError(str(error)) from error
-            raise
         folders.sync_folder(self._folder)
         self._segments.append(Segment(number, path))
         self._must_roll = False
