Spare the leader work that it did twice

A roll asked an engine for a report and its first step asked again at once; the engines on older weights were worked out each 50 ms also where none is held; and each exchange of loads, up to 700 a second, went through all entries for the targets that leave, which are counted with the loads now.

Behaviour unchanged: tests/control/direct and tests/forward green.

--- a/src/lycheering/control/direct/load_hub.py
+++ b/src/lycheering/control/direct/load_hub.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import secrets
 from typing import TYPE_CHECKING
@@ -13,8 +14,6 @@
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from lycheering import clock
 
 # an entry that says nothing for so long counts no more
@@ -59,6 +58,10 @@
         self._epoch = secrets.token_hex(4)
         self._told_by_entry: dict[str, _Told] = {}
         self._total_by_target: dict[int, messages.TargetLoad] = {}
+        # how many entries tell of each target that it leaves
+        self._tellers_by_leaving: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._reads: list[tuple[str, messages.PromptRead]] = []
         self._first_read = 0
         self._expired_ms = 0.0
@@ -78,7 +81,7 @@
             self._epoch,
             cursor,
             len(self._told_by_entry),
-            self._leaving(),
+            tuple(self._tellers_by_leaving),
         )
 
     def unread_tokens(self, target: int) -> int:
@@ -112,9 +115,8 @@
         if told is None and len(self._told_by_entry) >= MAX_ENTRIES:
             return False
         if told is not None:
-            self._count(told.loads, -1)
-        self._count(exchange.loads, 1)
-        self._told_by_entry[exchange.entry] = _Told(
+            self._count(told, -1)
+        told = _Told(
             exchange.incarnation,
             exchange.number,
             exchange.loads,
@@ -122,10 +124,17 @@
             exchange.leaving,
             exchange.first_read + len(exchange.reads),
         )
+        self._count(told, 1)
+        self._told_by_entry[exchange.entry] = told
         return True
 
-    def _count(self, loads: Iterable[messages.TargetLoad], sign: int) -> None:
-        for load in loads:
+    def _count(self, told: _Told, sign: int) -> None:
+        """Adds what an entry told to the sums, or takes it out of them."""
+        for target in told.leaving:
+            self._tellers_by_leaving[target] += sign
+            if not self._tellers_by_leaving[target]:
+                del self._tellers_by_leaving[target]
+        for load in told.loads:
             total = self._total_by_target.get(load.target)
             total = _sum(total or _none(load.target), load, sign)
             if total.requests:
@@ -140,7 +149,7 @@
         self._expired_ms = now_ms
         for name, told in list(self._told_by_entry.items()):
             if now_ms - told.at_ms > EXPIRY_MS:
-                self._count(told.loads, -1)
+                self._count(told, -1)
                 del self._told_by_entry[name]
 
     def _others(self, entry: str) -> tuple[messages.TargetLoad, ...]:
@@ -151,15 +160,6 @@
                 others[load.target] = _sum(others[load.target], load, -1)
         return tuple(load for load in others.values() if load.requests)
 
-    def _leaving(self) -> tuple[int, ...]:
-        return tuple(
-            {
-                target
-                for told in self._told_by_entry.values()
-                for target in told.leaving
-            }
-        )
-
     def _trim_reads(self) -> None:
         surplus = len(self._reads) - MAX_READS
         if surplus > MAX_READS:
--- a/src/lycheering/control/direct/weights_roll.py
+++ b/src/lycheering/control/direct/weights_roll.py
@@ -172,13 +172,18 @@
     async def _release_settled(self) -> None:
         """Gives engines back that are held though nothing is left to do."""
         fleet = self._group.machine.fleet
+        held = [
+            target
+            for target in fleet.direct_target_by_key.values()
+            if target.is_held and target.key not in self._rolling
+        ]
+        if not held:
+            return
         waiting = {target.key for target, _, _ in outdated(fleet)}
         settled = tuple(
             msgspec.structs.replace(target, is_held=False)
-            for target in fleet.direct_target_by_key.values()
-            if target.is_held
-            and target.key not in waiting
-            and target.key not in self._rolling
+            for target in held
+            if target.key not in waiting
         )
         if settled:
             await self._group.propose(commands.ChangeDirectTargets(settled))
@@ -247,8 +252,6 @@
         target = self._target(key)
         if target is None:
             return
-        # one that can't be reached is not worth holding
-        await self._engines.report(target)
         began_ms = self._clock.now_ms()
         version = await self._load(target, model)
         latest = self._target(key)
@@ -322,6 +325,7 @@
         until_ms = max(began_ms, self._orders_from_ms) + LOAD_TIMEOUT_MS
         order_from_ms = 0.0
         while self._clock.now_ms() < min(until_ms, began_ms + MOST_LOAD_MS):
+            # first of all, as one that can't be reached is not worth holding
             report = await self._engines.report(target)
             wanted = self._group.machine.fleet.version_by_model.get(model, 0)
             version = report.version_by_model.get(model, 0)
