--- a/src/lycheering/web/kept_connections.py
+++ b/src/lycheering/web/kept_connections.py
@@ -174,6 +174,7 @@
 
     def __init__(self, time: clock.Clock) -> None:
         self._clock = time
+        # no key without a connection
         self._idle_by_key: dict[str, collections.deque[_Idle]] = {}
         self.opened = 0
 
@@ -181,16 +182,20 @@
         """Returns a kept connection to a target, if there is a sound one."""
         idle = self._idle_by_key.get(key)
         now_ms = self._clock.now_ms()
-        while idle:
+        sound: KeptConnection | None = None
+        while idle and sound is None:
             kept = idle.pop()
             if kept.until_ms > now_ms and kept.connection.is_open:
-                return kept.connection
-            kept.connection.close()
-        return None
+                sound = kept.connection
+            else:
+                kept.connection.close()
+        if not idle:
+            self._idle_by_key.pop(key, None)
+        return sound
 
     def idle_keys(self) -> Collection[str]:
         """Returns the targets to which a connection is kept."""
-        return {key for key, idle in self._idle_by_key.items() if idle}
+        return self._idle_by_key.keys()
 
     async def open(
         self, origin: client.Origin, timeout_ms: float
@@ -237,13 +242,15 @@
         One on which something comes though nothing was asked is one of them.
         """
         now_ms = self._clock.now_ms()
-        for idle in self._idle_by_key.values():
+        for key, idle in list(self._idle_by_key.items()):
             for _ in range(len(idle)):
                 kept = idle.popleft()
                 if kept.until_ms > now_ms and kept.connection.is_open:
                     idle.append(kept)
                 else:
                     kept.connection.close()
+            if not idle:
+                del self._idle_by_key[key]
 
     def close(self) -> None:
         """Closes all idle connections."""
