Read whole numbers in headers, events and queries in one place

The reader of counts that the platform's headers got had twins: an engine's head, ids of events and the operators' queries went by `str.isdigit`, which takes digits that `int` does not read (a superscript two), so that one such value raised an error of another kind. `web/counts.py` serves all of them; what is a number of ASCII digits is read as before.

Ruled out: the entry's own headers, which are refused unless they are ASCII.

--- a/src/lycheering/control/operator_http.py
+++ b/src/lycheering/control/operator_http.py
@@ -16,6 +16,7 @@
 from lycheering.control import operator_models as models
 from lycheering.operator import answers
 from lycheering.telemetry import logs
+from lycheering.web import counts
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -262,11 +263,12 @@
     text = _text(request, name)
     if not text:
         return default
-    if not text.isdigit() or int(text) > high:
+    number = counts.read_count(text)
+    if number is None or number > high:
         raise operator_errors.bad_request(
             [f"{name}: expected a number from 0 to {high}, found {text!r}"]
         )
-    return int(text)
+    return number
 
 
 __all__ = ["MAX_BODY_BYTES", "OperatorEndpoint", "load_keys"]
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -12,6 +12,7 @@
 from lycheering.forward import refusals
 from lycheering.telemetry import logs
 from lycheering.web import client
+from lycheering.web import counts
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -344,9 +345,11 @@
 
 
 def _is_seen(event_id: str, last_event_id: str) -> bool:
-    if not event_id.isdigit() or not last_event_id.isdigit():
+    number = counts.read_count(event_id)
+    last_number = counts.read_count(last_event_id)
+    if number is None or last_number is None:
         return False
-    return int(event_id) <= int(last_event_id)
+    return number <= last_number
 
 
 async def deliver(
--- a/src/lycheering/platform/dialect.py
+++ b/src/lycheering/platform/dialect.py
@@ -7,6 +7,7 @@
 from lycheering.forward import api
 from lycheering.forward import event_stream
 from lycheering.telemetry import logs
+from lycheering.web import counts
 
 if TYPE_CHECKING:
     from lycheering.web import kept_connections
@@ -230,10 +231,7 @@
 
 def _count(text: str) -> int | None:
     """Returns a number of tokens or requests; None if it is none."""
-    digits = text.strip()
-    if not digits.isascii() or not digits.isdigit():
-        return None
-    return int(digits) if len(digits) <= MAX_COUNT_DIGITS else None
+    return counts.read_count(text.strip(), MAX_COUNT_DIGITS)
 
 
 def _key(text: str) -> str:
@@ -246,10 +244,10 @@
     if not text:
         return 0, 0
     prompt, _, output = text.partition(",")
-    counts = _count(prompt), _count(output or "0")
-    if counts[0] is None or counts[1] is None:
+    numbers = _count(prompt), _count(output or "0")
+    if numbers[0] is None or numbers[1] is None:
         raise api.BadRequestError(f"{TOKENS.decode()}: {text[:40]!r}")
-    return counts[0], counts[1]
+    return numbers[0], numbers[1]
 
 
 def _parts(text: str) -> tuple[api.PromptPart, ...]:
@@ -267,12 +265,12 @@
 
 def _load(text: str) -> tuple[int | None, int]:
     """Reads the requests running and those waiting, without the slots."""
-    counts = [_count(item) for item in text.split(",")]
-    if len(counts) != 3 or None in counts:
+    numbers = [_count(item) for item in text.split(",")]
+    if len(numbers) != 3 or None in numbers:
         if text:
             _LOG.warning("bad_header", name=LOAD.decode(), value=text[:40])
         return None, 0
-    return counts[0], counts[1] or 0
+    return numbers[0], numbers[1] or 0
 
 
 __all__ = ["PlatformDialect"]
--- a/src/lycheering/targets/engine.py
+++ b/src/lycheering/targets/engine.py
@@ -13,6 +13,7 @@
 from lycheering.targets import events
 from lycheering.targets import exchange as exchanges
 from lycheering.web import client
+from lycheering.web import counts
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -87,7 +88,7 @@
 
 
 def _count(text: str) -> int:
-    return int(text) if text.isdigit() else 0
+    return counts.read_count(text) or 0
 
 
 class EngineDriver(api.TargetDriver, cache_api.EventSource):
--- a/tests/platform/any_input.feature
+++ b/tests/platform/any_input.feature
@@ -17,5 +17,8 @@
     Then any bytes are responses or are refused as none
     And any damaged response is read or refused as none
 
+  Scenario: Any text that may be a number
+    Then any text is read as a number of its own digits or as none
+
   Scenario: Any bytes of a stream
     Then any bytes are parted into events that join to the same bytes
--- a/tests/steps/any_input_steps.py
+++ b/tests/steps/any_input_steps.py
@@ -14,6 +14,7 @@
 from lycheering.platform import dialect
 from lycheering.platform import documents
 from lycheering.platform import instance_list
+from lycheering.web import counts
 from lycheering.web import kept_connections
 from lycheering.web import responses
 
@@ -171,6 +172,20 @@
         assert target is None or 0 < target.port < 65_536, target
 
 
+@then("any text is read as a number of its own digits or as none")
+def step_any_number(context):
+    assert counts.read_count("012") == 12
+    assert counts.read_count("9" * counts.MOST_DIGITS) is not None
+
+    @check_any(TEXTS)
+    def check(text):
+        number = counts.read_count(text)
+        digits = set(text) <= set("0123456789") and text
+        is_number = bool(digits) and len(text) <= counts.MOST_DIGITS
+        assert (number is not None) == is_number, text
+        assert number is None or str(number) == (text.lstrip("0") or "0")
+
+
 def are_responses_or_none(parts):
     feed = responses.ResponseFeed()
     try:
