Keep a peer's clock that was read late from making all calls expire

Cause: frames carry the time by the receiver's clock after which they must not be acted on. A connection took that clock from the welcome and from each reply to a heartbeat, the last reading counting. One read later than a call may take (300 ms in the replicated log) made every call expire on arrival. The `expired` answers are signs of life, so no heartbeat was due, and the clock was not read again as long as calls followed each other. A group formed not at all, a leader reached a member never, until one end was restarted.

Change: wire/peer_clock.py keeps the highest reading, less what clocks may drift; a call answered with `expired` has the clock read again.

--- a/src/lycheering/wire/client.py
+++ b/src/lycheering/wire/client.py
@@ -16,6 +16,7 @@
 from lycheering.wire import errors
 from lycheering.wire import messages
 from lycheering.wire import pace
+from lycheering.wire import peer_clock
 from lycheering.wire import sockets
 from lycheering.wire import view_gate
 
@@ -74,7 +75,7 @@
         self._renewal = asyncio.Event()
         self._calls = calls.Calls()
         self._pace = pace.Pace(link.settings, link.clock, budget)
-        self._peer_clock_offset_ms = 0.0
+        self._peer_clock = peer_clock.PeerClock()
         self._task: asyncio.Task[None] | None = None
         self._closing = False
 
@@ -259,7 +260,7 @@
 
     def peer_time_ms(self, own_time_ms: float) -> float:
         """Returns a time of this process by the peer's clock, or earlier."""
-        return own_time_ms + self._peer_clock_offset_ms
+        return self._peer_clock.time_ms(own_time_ms)
 
     def _send(
         self,
@@ -373,10 +374,9 @@
     def _welcomed(
         self, envelope: messages.Envelope, welcome: messages.Welcome
     ) -> None:
-        now_ms = self._link.clock.now_ms()
         self._pace.welcomed(welcome.heartbeat_ms)
-        self._peer_clock_offset_ms = welcome.now_ms - now_ms
         self.peer_incarnation = envelope.sender_incarnation
+        self._read_peer_clock(welcome.now_ms)
         self._ready.set()
         self._accept(envelope)
         self._calls.replaced(self.peer_incarnation)
@@ -417,16 +417,28 @@
     def _dispatch(self, envelope: messages.Envelope) -> None:
         message = envelope.message
         if isinstance(message, messages.HeartbeatReply):
-            now_ms = self._link.clock.now_ms()
-            self._peer_clock_offset_ms = message.now_ms - now_ms
+            self._read_peer_clock(message.now_ms)
             self._pace.confirm()
         elif isinstance(message, messages.HelloRequired | messages.Bye):
             raise errors.PeerUnreachableError(self.address.name)
-        elif envelope.call_id and not self._calls.put(
-            envelope.call_id, message
+        else:
+            self._dispatch_to_call(envelope)
+
+    def _dispatch_to_call(self, envelope: messages.Envelope) -> None:
+        message = envelope.message
+        if (
+            isinstance(message, messages.Failure)
+            and message.reason is messages.Reason.EXPIRED
         ):
+            # perhaps only by what is known of the peer's clock
+            self._send(self._pace.heartbeat(busy=True))
+        if envelope.call_id and not self._calls.put(envelope.call_id, message):
             self._link.counters.increment("wire.late_frame")
 
+    def _read_peer_clock(self, told_ms: float) -> None:
+        now_ms = self._link.clock.now_ms()
+        self._peer_clock.read(self.peer_incarnation, told_ms, now_ms)
+
     async def _monitor(self, socket: sockets.FrameSocket) -> None:
         events = socket.monitor(zmq.EVENT_DISCONNECTED)
         try:
--- a/tests/control/group.feature
+++ b/tests/control/group.feature
@@ -90,6 +90,10 @@
     When the operator replaces "c3" by itself
     Then that changes nothing more
 
+  Scenario: A group forms though its first connections were slow
+    Given 3 new control instances whose connections are slow for 4 s
+    Then limits.max_running can be set to 5 through each that runs
+
   @cell.control_partition.config.propose @cell.control_partition.config.commit
   Scenario: A leader that nobody can reach gives its office away
     Given a group of 3 control instances behind proxies
--- a/tests/steps/control_group_steps.py
+++ b/tests/steps/control_group_steps.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import tempfile
+import time
 
 from behave import given
 from behave import then
@@ -12,15 +13,22 @@
 from lycheering.wire import messages
 from tests.support import control_group
 from tests.support import control_peers
+from tests.support import fault_proxy
 from tests.support import processes
 
 OPTION = "limits.max_running"
+# more than members wait for a reply, less than connections last in silence
+SLOW_MS = 450
 
 
-def start_group(context, size, **options):
+def prepare_group(context, size, **options):
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     running = context.stack.enter_context(processes.ProcessGroup(folder))
     context.group = control_group.ControlGroup(running, size, **options)
+
+
+def start_group(context, size, **options):
+    prepare_group(context, size, **options)
     context.group.start()
     context.group.wait_ready()
 
@@ -53,6 +61,22 @@
     start_group(context, size, proxies=context.stack)
 
 
+@given(
+    "{size:d} new control instances whose connections are slow for {lasting:d}"
+    " s"
+)
+def step_slow_start(context, size, lasting):
+    prepare_group(context, size, proxies=context.stack)
+    proxies = context.group.proxy_by_name.values()
+    for proxy in proxies:
+        proxy.delay(SLOW_MS, fault_proxy.Direction.TO_CALLER)
+    context.group.start()
+    time.sleep(lasting)
+    for proxy in proxies:
+        proxy.delay(0, fault_proxy.Direction.TO_CALLER)
+    context.group.wait_ready()
+
+
 @when("all that is sent to the leader is cut off")
 def step_cut_leader(context):
     context.old_leader = context.group.leader()
--- a/tests/wire/silence.feature
+++ b/tests/wire/silence.feature
@@ -67,3 +67,8 @@
     Then the wire client counts a silent connection
     And the wire client can make a call
     And the wire server forgets the muted session
+
+  Scenario: Calls reach a peer whose welcome was read late
+    Given a wire server whose process stands still for 300 ms after a welcome
+    And a connected wire client
+    Then a wire call that may take 200 ms is answered within 2 s
