Give an order that waited only if it is still wanted

Cause: the leader decides on a load by a target's report, and the order then waits for one of two places. It was given when a place came free, whatever had changed: the target served the weights by then, or this instance had lost its office and another leader had begun the load; after a lease that lapsed and came back, orders of before were given at once.

Test first: two scenarios in control/target_orders.feature on a clock moved by hand; both had the third target ordered ([1, 1, 1] for [0, 1, 1]).

Change: once a place is free the next order is worked out anew from the newest reports, which are dropped when the office is lost. What is decided differently is left to the next check.

--- a/src/lycheering/control/target_orders.py
+++ b/src/lycheering/control/target_orders.py
@@ -136,6 +136,7 @@
         self._tasks = app_api.TaskOwner()
         self._loads = asyncio.Semaphore(MAX_LOADS)
         self._busy: set[str] = set()
+        self._report_by_target: dict[str, messages.TargetReport] = {}
         self._backoff_by_target: dict[str, _Backoff] = {}
         self._leading_since_ms: float | None = None
         self._checked_revision = 0
@@ -159,7 +160,8 @@
                 continue
             snapshot = await self._status.follow()
             if self._group.is_leader():
-                self._check(snapshot.report_by_target)
+                self._report_by_target = snapshot.report_by_target
+                self._check()
 
     def _is_due(self) -> bool:
         revision = self._group.machine.fleet.view_revision
@@ -178,6 +180,7 @@
     def _is_settled_leader(self) -> bool:
         if not self._group.is_leader():
             self._leading_since_ms = None
+            self._report_by_target = {}
             self._status.forget()
             return False
         now_ms = self._clock.now_ms()
@@ -185,19 +188,16 @@
             self._leading_since_ms = now_ms
         return now_ms - self._leading_since_ms >= SETTLE_MS
 
-    def _check(
-        self, report_by_target: dict[str, messages.TargetReport]
-    ) -> None:
+    def _check(self) -> None:
         fleet = self._group.machine.fleet
         for name in list(self._backoff_by_target):
             if name not in fleet.target_by_name:
                 del self._backoff_by_target[name]
-        may_load = not self._is_loading_for_another(report_by_target)
+        may_load = not self._is_loading_for_another()
         for target in fleet.target_by_name.values():
-            report = report_by_target.get(target.name)
-            if report is None or not self._may_order(target, report):
+            if target.name in self._busy:
                 continue
-            wanted = next_order(fleet, target, report)
+            wanted = self._next_order(target)
             if wanted is None or (wanted.is_load and not may_load):
                 continue
             self._busy.add(target.name)
@@ -205,15 +205,20 @@
                 self._carry_out(target, wanted), f"order:{target.name}"
             )
 
-    def _is_loading_for_another(
-        self, report_by_target: dict[str, messages.TargetReport]
-    ) -> bool:
+    def _is_loading_for_another(self) -> bool:
         """Returns whether loads run that a leader before this one began."""
         return any(
             report.loading and name not in self._busy
-            for name, report in report_by_target.items()
+            for name, report in self._report_by_target.items()
         )
 
+    def _next_order(self, target: records.Target) -> WantedOrder | None:
+        """Returns what a target may be told now, by its last report."""
+        report = self._report_by_target.get(target.name)
+        if report is None or not self._may_order(target, report):
+            return None
+        return next_order(self._group.machine.fleet, target, report)
+
     def _may_order(
         self, target: records.Target, report: messages.TargetReport
     ) -> bool:
@@ -221,9 +226,7 @@
             return False
         if target.state != records.TargetState.LIVE:
             return False
-        if not report.engine_incarnation or target.name in self._busy:
-            return False
-        if report.loading:
+        if not report.engine_incarnation or report.loading:
             return False
         if report.agent_incarnation != target.agent_incarnation:
             return False
@@ -236,7 +239,12 @@
         try:
             if wanted.is_load:
                 async with self._loads:
-                    done = await self._load(target, wanted)
+                    # what was seen may have changed while it waited
+                    fleet = self._group.machine.fleet
+                    current = fleet.target_by_name.get(target.name)
+                    if current is None or self._next_order(current) != wanted:
+                        return
+                    done = await self._load(current, wanted)
             else:
                 done = await self._send(target, wanted)
             if done:
