Have the agents' bench resume answers on replaced connections, as entries do

The bench runs the agent and its entry in one loop with 1 s of silence allowed. Where that loop stands still for longer, the connection is replaced, as it must be, and the entry is told by `Replaced`. The product's entry answers with Resume; the bench took the event for the answer's end and waited 20 s for more.

Change: the bench's entry resumes.

--- a/tests/agent/runs.feature
+++ b/tests/agent/runs.feature
@@ -56,6 +56,11 @@
     When it acknowledges what it has
     Then the entry has the whole answer
 
+  Scenario: A reader that stands still for longer than a silence resumes
+    Given an agent beside an engine
+    When an entry that stands still for 1300 ms reads 1500 tokens
+    Then the entry has the whole answer
+
   Scenario: A cut stream is picked up at the same engine
     Given an agent beside a target that streams 2 of 3 events, then the rest
     When an entry submits request "r1" for 3 tokens
--- a/tests/helpers/agent_bench.py
+++ b/tests/helpers/agent_bench.py
@@ -16,6 +16,7 @@
 from lycheering.telemetry import counters
 from lycheering.web import client as web
 from lycheering.wire import api
+from lycheering.wire import channels
 from lycheering.wire import client
 from lycheering.wire import messages
 from lycheering.wire import server
@@ -314,9 +315,16 @@
                             first_seq + len(items),
                         )
                     )
+            case channels.Replaced():
+                self._resume(channel, message, outcome)
             case _:
                 outcome.ending = event
 
+    def _resume(self, channel, message, outcome):
+        """Picks an answer up on a new connection, as entries do."""
+        have = getattr(message, "continue_from", 0) + len(outcome.items)
+        channel.send(messages.Resume(message.request_id, message.attempt, have))
+
     async def stop_agent(self):
         self._application.stopping.set()
         await self._agent_task
--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from behave import given
 from behave import then
@@ -322,6 +323,25 @@
     bench.run(read())
 
 
+@when("an entry that stands still for {ms:d} ms reads {tokens:d} tokens")
+def step_stand_still(context, ms, tokens):
+    bench = context.bench
+    context.tokens = tokens
+    context.outcome = agent_bench.Outcome()
+    context.submit = bench.submit("r1", max_tokens=tokens)
+
+    async def read():
+        context.channel = await bench.send(context.submit)
+        while len(context.outcome.items) < tokens / 4:
+            await bench.read_one(
+                context.channel, context.submit, context.outcome
+            )
+        time.sleep(ms / 1_000)
+        await bench.read(context.channel, context.submit, context.outcome)
+
+    bench.run(read())
+
+
 @then("it is sent at least {count:d} tokens but not all")
 def step_paused(context, count):
     assert count <= len(context.outcome.items) < context.tokens
