--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup format lint types test demo measure
+.PHONY: setup format lint types test demo measure regressions
 
 setup: $(VENV)/.ready
 
@@ -33,3 +33,7 @@
 
 measure: setup
 	$(BIN)/python -m bench.measure
+
+# PROGRAM plays a deployment, FOLDER holds the deployments' folders
+regressions: setup
+	$(BIN)/python -m tools.regressions $(PROGRAM) $(FOLDER)
