Read data folders' frames with ready decoders, and numbers in one place

Found when reading the change again; behaviour is the same.

Files of 10,000 changes are read on each start, so decoders are made once again. - Batch.is_in_order built two lists for each batch; it compares in place. - The number in a log file's name was checked by a twin of read_count. That now stands beside the clock, as the store is below the web. - any_bytes and any_input steps each had a check of many inputs and damaged contents; both use tests/support/any_inputs.

--- a/src/lycheering/control/operator_http.py
+++ b/src/lycheering/control/operator_http.py
@@ -11,12 +11,12 @@
 import msgspec
 import pydantic
 
+from lycheering import counts
 from lycheering.control import commands
 from lycheering.control import operator_errors
 from lycheering.control import operator_models as models
 from lycheering.operator import answers
 from lycheering.telemetry import logs
-from lycheering.web import counts
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/src/lycheering/web/counts.py
+++ b/src/lycheering/counts.py
@@ -1,4 +1,4 @@
-"""Whole numbers in headers, queries and events."""
+"""Whole numbers in what others wrote."""
 
 from __future__ import annotations
 
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -6,13 +6,13 @@
 import enum
 from typing import TYPE_CHECKING
 
+from lycheering import counts
 from lycheering.forward import api
 from lycheering.forward import event_stream
 from lycheering.forward import job as jobs
 from lycheering.forward import refusals
 from lycheering.telemetry import logs
 from lycheering.web import client
-from lycheering.web import counts
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/lycheering/platform/dialect.py
+++ b/src/lycheering/platform/dialect.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from lycheering import counts
 from lycheering.forward import api
 from lycheering.forward import event_stream
 from lycheering.telemetry import logs
-from lycheering.web import counts
 
 if TYPE_CHECKING:
     from lycheering.web import kept_connections
--- a/src/lycheering/store/entries.py
+++ b/src/lycheering/store/entries.py
@@ -58,10 +58,9 @@
 
     def is_in_order(self) -> bool:
         """Returns whether each entry's index is that of its place."""
-        indexes = [entry.index for entry in self.entries]
-        end = self.first_index + len(self.entries)
-        return self.first_index > 0 and indexes == list(
-            range(self.first_index, end)
+        return self.first_index > 0 and all(
+            entry.index == place
+            for place, entry in enumerate(self.entries, self.first_index)
         )
 
 
--- a/src/lycheering/store/frames.py
+++ b/src/lycheering/store/frames.py
@@ -92,19 +92,21 @@
     return found.bodies[0]
 
 
-def read_body(path: pathlib.Path, body: bytes, kind: type[_T]) -> _T:
+def read_body(
+    path: pathlib.Path, body: bytes, decoder: msgspec.msgpack.Decoder[_T]
+) -> _T:
     """Returns what the body of a frame holds.
 
     Args:
         path: The file, for the error.
         body: The body, as it was written.
-        kind: What belongs there.
+        decoder: Reads what belongs there.
 
     Raises:
         DamagedFileError: The body holds something else.
     """
     try:
-        return msgspec.msgpack.decode(body, type=kind)
+        return decoder.decode(body)
     except msgspec.DecodeError as error:
         raise errors.DamagedFileError(path, 0, str(error)) from error
 
--- a/src/lycheering/store/hard_state.py
+++ b/src/lycheering/store/hard_state.py
@@ -24,6 +24,9 @@
     vote: str = ""
 
 
+_decoder = msgspec.msgpack.Decoder(HardState)
+
+
 class HardStateFile:
     """Keeps the hard state in a file of its own.
 
@@ -46,7 +49,7 @@
         self._order = asyncio.Lock()
         if self._path.exists():
             body = frames.read_single(self._path)
-            self.saved = frames.read_body(self._path, body, HardState)
+            self.saved = frames.read_body(self._path, body, _decoder)
 
     async def save(self, state: HardState) -> None:
         """Makes the state durable, unless it is already."""
--- a/src/lycheering/store/segments.py
+++ b/src/lycheering/store/segments.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from lycheering import counts
 from lycheering.store import entries
 from lycheering.store import errors
 from lycheering.store import folder as folders
@@ -22,6 +23,7 @@
 _SUFFIX = ".segment"
 
 _LOG = logs.get("store")
+_decoder = msgspec.msgpack.Decoder(list[entries.Batch])
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -118,9 +120,9 @@
         self, path: pathlib.Path, is_last: bool
     ) -> list[entries.Batch]:
         digits = path.name.removeprefix(_PREFIX).removesuffix(_SUFFIX)
-        if not (digits.isascii() and digits.isdigit()):
+        number = counts.read_count(digits)
+        if number is None:
             raise errors.DamagedFileError(path, 0, "no number in its name")
-        number = int(digits)
         if self._segments and number != self._segments[-1].number + 1:
             raise errors.DamagedFileError(path, 0, "the file before is missing")
         found = frames.scan(path, path.read_bytes(), may_be_torn=is_last)
@@ -129,7 +131,8 @@
         segment = Segment(number, path, size=found.valid_bytes)
         batches: list[entries.Batch] = []
         for body in found.bodies:
-            batches += frames.read_body(path, body, list[entries.Batch])
+            written = frames.read_body(path, body, _decoder)
+            batches += written
         if not all(batch.is_in_order() for batch in batches):
             raise errors.DamagedFileError(path, 0, "entries out of order")
         segment.add(batches)
--- a/src/lycheering/store/snapshots.py
+++ b/src/lycheering/store/snapshots.py
@@ -31,6 +31,9 @@
     data: bytes
 
 
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
 class SnapshotFiles:
     """Keeps the latest snapshot of a data folder."""
 
@@ -45,7 +48,7 @@
         paths = self._paths()
         if paths:
             body = frames.read_single(paths[-1])
-            self.latest = frames.read_body(paths[-1], body, Snapshot)
+            self.latest = frames.read_body(paths[-1], body, _decoder)
 
     async def save(self, snapshot: Snapshot) -> None:
         """Makes a snapshot durable, then removes the older ones."""
--- a/src/lycheering/targets/engine.py
+++ b/src/lycheering/targets/engine.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
+from lycheering import counts
 from lycheering.cache import api as cache_api
 from lycheering.targets import api
 from lycheering.targets import events
 from lycheering.targets import exchange as exchanges
 from lycheering.web import client
-from lycheering.web import counts
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
--- a/tests/steps/any_bytes_steps.py
+++ b/tests/steps/any_bytes_steps.py
@@ -8,7 +8,6 @@
 
 from behave import then
 from behave import when
-import hypothesis
 from hypothesis import strategies
 import msgspec
 
@@ -16,6 +15,7 @@
 from lycheering.store import frames
 from lycheering.store import storage
 from tests.steps import store_steps
+from tests.support import any_inputs
 
 PATTERN_BY_FILE = {
     "log segment": "log-*",
@@ -23,6 +23,8 @@
     "snapshot": "snapshot-*",
     "disk id": "disk-id",
 }
+# more than a frame's header
+MOST_DAMAGED = 24
 NAMES = ("log-x.segment", "log--1.segment", "snapshot-x.data", "hard-state.tmp")
 ITEMS = strategies.recursive(
     strategies.one_of(
@@ -50,22 +52,6 @@
 )
 
 
-def damaged(sound):
-    """Returns contents that differ from a sound one in a run of bytes."""
-    return strategies.tuples(
-        strategies.integers(0, len(sound)),
-        strategies.binary(max_size=24),
-        strategies.integers(0, 24),
-    ).map(lambda cut: sound[: cut[0]] + cut[1] + sound[cut[0] + cut[2] :])
-
-
-def check_any(contents, check):
-    """Runs a check on many contents, the same ones at each run."""
-    hypothesis.settings(
-        derandomize=True, database=None, deadline=None, max_examples=300
-    )(hypothesis.given(contents)(check))()
-
-
 def opened(context, name, content):
     """Returns what a copy of the folder holds, None if it is refused."""
     with tempfile.TemporaryDirectory() as other:
@@ -117,7 +103,7 @@
         # a last write that broke off was confirmed to nobody
         assert held == entries[: len(held)], held
 
-    check_any(damaged(sound), check)
+    any_inputs.check_any(any_inputs.damaged(sound, MOST_DAMAGED))(check)
 
 
 @then("any framed {file} opens the folder or is named as damaged")
@@ -132,7 +118,7 @@
             first = indexes[0] if indexes else 0
             assert indexes == list(range(first, first + len(entries))), entries
 
-    check_any(CONTENTS, check)
+    any_inputs.check_any(CONTENTS)(check)
 
 
 @then("files of any other name leave the folder as it was")
--- a/tests/steps/any_input_steps.py
+++ b/tests/steps/any_input_steps.py
@@ -5,18 +5,18 @@
 import json
 
 from behave import then
-import hypothesis
 from hypothesis import strategies
 import msgspec
 
+from lycheering import counts
 from lycheering.forward import api as forward_api
 from lycheering.forward import event_stream
 from lycheering.platform import dialect
 from lycheering.platform import documents
 from lycheering.platform import instance_list
-from lycheering.web import counts
 from lycheering.web import kept_connections
 from lycheering.web import responses
+from tests.support import any_inputs
 
 # digits of other scripts, signs and marks that numbers are made of
 TEXTS = strategies.one_of(
@@ -87,26 +87,6 @@
 )
 
 
-def check_any(*inputs):
-    """Runs a check on many inputs, the same ones at each run."""
-
-    def run(check):
-        hypothesis.settings(
-            derandomize=True, database=None, deadline=None, max_examples=400
-        )(hypothesis.given(*inputs)(check))()
-
-    return run
-
-
-def damaged(sound):
-    """Returns inputs that differ from a sound one in a few bytes."""
-    return strategies.tuples(
-        strategies.integers(0, len(sound) - 1),
-        strategies.binary(max_size=4),
-        strategies.integers(0, 3),
-    ).map(lambda cut: sound[: cut[0]] + cut[1] + sound[cut[0] + cut[2] :])
-
-
 def header_lists(names):
     values = TEXTS.map(lambda text: text.encode("latin-1", "replace"))
     pairs = strategies.tuples(strategies.sampled_from(names), values)
@@ -115,7 +95,7 @@
 
 @then("any request headers are read, with no number below 0, or refused")
 def step_any_request(context):
-    @check_any(header_lists(REQUEST_NAMES))
+    @any_inputs.check_any(header_lists(REQUEST_NAMES))
     def check(headers):
         named = [(dialect.REQUEST_ID, b"r1"), *headers]
         try:
@@ -132,7 +112,7 @@
 def step_any_answer(context):
     asked = forward_api.RequestTraits("r1", None, "")
 
-    @check_any(
+    @any_inputs.check_any(
         header_lists(ANSWER_NAMES), strategies.sampled_from([200, 421, 503])
     )
     def check(headers, status):
@@ -152,20 +132,20 @@
 
 @then("any bytes are a route table or are refused with findings")
 def step_any_document(context):
-    check_any(strategies.binary(max_size=100))(is_table_or_refused)
+    any_inputs.check_any(strategies.binary(max_size=100))(is_table_or_refused)
 
 
 @then("any damaged route table is read or refused with findings")
 def step_damaged_document(context):
     documents.read_table(TABLE)
-    check_any(damaged(TABLE))(is_table_or_refused)
+    any_inputs.check_any(any_inputs.damaged(TABLE))(is_table_or_refused)
 
 
 @then("any list entry is a target or is left out")
 def step_any_entry(context):
     assert instance_list._target(msgspec.json.encode(ENTRY)) is not None
 
-    @check_any(strategies.sampled_from(sorted(ENTRY)), VALUES)
+    @any_inputs.check_any(strategies.sampled_from(sorted(ENTRY)), VALUES)
     def check(name, value):
         raw = json.dumps(ENTRY | {name: value}).encode()
         target = instance_list._target(msgspec.Raw(raw))
@@ -177,7 +157,7 @@
     assert counts.read_count("012") == 12
     assert counts.read_count("9" * counts.MOST_DIGITS) is not None
 
-    @check_any(TEXTS)
+    @any_inputs.check_any(TEXTS)
     def check(text):
         number = counts.read_count(text)
         digits = set(text) <= set("0123456789") and text
@@ -198,15 +178,17 @@
 @then("any bytes are responses or are refused as none")
 def step_any_bytes(context):
     some = strategies.lists(strategies.binary(max_size=60), max_size=4)
-    check_any(some)(are_responses_or_none)
+    any_inputs.check_any(some)(are_responses_or_none)
 
 
 @then("any damaged response is read or refused as none")
 def step_damaged_response(context):
-    some = strategies.one_of(damaged(RESPONSE * 2), damaged(SWITCH))
+    some = strategies.one_of(
+        any_inputs.damaged(RESPONSE * 2), any_inputs.damaged(SWITCH)
+    )
     cuts = strategies.integers(0, len(RESPONSE))
 
-    @check_any(some, cuts)
+    @any_inputs.check_any(some, cuts)
     def check(data, cut):
         are_responses_or_none([data[:cut], data[cut:]])
 
@@ -217,7 +199,7 @@
         strategies.text("\r\nid: 1a", max_size=12), max_size=6
     )
 
-    @check_any(some)
+    @any_inputs.check_any(some)
     def check(texts):
         splitter = event_stream.EventSplitter()
         events = []
