--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -305,15 +305,20 @@
     bench.run(bench.recorded(lambda runs: is_first(runs, "cancelled")))
 
 
+async def send_for(context, tokens):
+    """Sends a request, whose answer the caller of this reads."""
+    context.tokens = tokens
+    context.outcome = agent_bench.Outcome()
+    context.submit = context.bench.submit("r1", max_tokens=tokens)
+    context.channel = await context.bench.send(context.submit)
+
+
 @when("an entry reads {tokens:d} tokens without acknowledging them")
 def step_no_acks(context, tokens):
     bench = context.bench
-    context.tokens = tokens
-    context.outcome = agent_bench.Outcome()
-    context.submit = bench.submit("r1", max_tokens=tokens)
 
     async def read():
-        context.channel = await bench.send(context.submit)
+        await send_for(context, tokens)
         while len(context.outcome.items) < 1_024:
             await bench.read_one(
                 context.channel, context.submit, context.outcome, acks=False
@@ -326,12 +331,9 @@
 @when("an entry that stands still for {ms:d} ms reads {tokens:d} tokens")
 def step_stand_still(context, ms, tokens):
     bench = context.bench
-    context.tokens = tokens
-    context.outcome = agent_bench.Outcome()
-    context.submit = bench.submit("r1", max_tokens=tokens)
 
     async def read():
-        context.channel = await bench.send(context.submit)
+        await send_for(context, tokens)
         while len(context.outcome.items) < tokens / 4:
             await bench.read_one(
                 context.channel, context.submit, context.outcome
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -8,16 +8,14 @@
 from behave import when
 
 from tests.helpers import agent_bench
+from tests.steps import agent_steps
 
 
 def read_to_end(context, tokens):
     bench = context.bench
-    context.tokens = tokens
-    context.outcome = agent_bench.Outcome()
-    context.submit = bench.submit("r1", max_tokens=tokens)
 
     async def read():
-        context.channel = await bench.send(context.submit)
+        await agent_steps.send_for(context, tokens)
         await bench.read(
             context.channel, context.submit, context.outcome, acks_end=False
         )
--- a/tests/steps/peer_clock_steps.py
+++ b/tests/steps/peer_clock_steps.py
@@ -33,16 +33,19 @@
     context.peer_clock = peer_clock.PeerClock()
 
 
+def read(context, incarnation, late_ms, now_ms):
+    told_ms = now_ms - late_ms + context.ahead_ms
+    context.peer_clock.read(incarnation, told_ms, now_ms)
+
+
 @when("the peer's time is read {late_ms:d} ms late at {now_ms:d} ms")
 def step_read_late(context, late_ms, now_ms):
-    told_ms = now_ms - late_ms + context.ahead_ms
-    context.peer_clock.read("i1", told_ms, now_ms)
+    read(context, "i1", late_ms, now_ms)
 
 
 @when("another incarnation's time is read {late_ms:d} ms late at {now_ms:d} ms")
 def step_read_other(context, late_ms, now_ms):
-    told_ms = now_ms - late_ms + context.ahead_ms
-    context.peer_clock.read("i2", told_ms, now_ms)
+    read(context, "i2", late_ms, now_ms)
 
 
 @then("the peer's time is known {behind_ms:g} ms too early at {now_ms:d} ms")
