--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -59,6 +59,20 @@
     TIMEOUT = "timeout"
 
 
+class AnswerProgress(enum.StrEnum):
+    """How much of an answer the target had sent when an attempt ended.
+
+    Attributes:
+        NONE: Nothing.
+        HEAD: Status and headers.
+        BODY: Also a part of the body, of a stream at least one event.
+    """
+
+    NONE = "none"
+    HEAD = "head"
+    BODY = "body"
+
+
 @dataclasses.dataclass(frozen=True)
 class Outcome:
     """How an attempt ended, with details.
@@ -74,6 +88,21 @@
     detail: str = ""
 
 
+@dataclasses.dataclass
+class AttemptProgress:
+    """What happened in one attempt so far.
+
+    Attributes:
+        sent_ms: Time at which the request was written to the target.
+        answer: How much of the answer was received.
+        body_ms: Time at which the body of the answer began; 0 before.
+    """
+
+    sent_ms: float
+    answer: AnswerProgress = AnswerProgress.NONE
+    body_ms: float = 0.0
+
+
 class AttemptRunner:
     """Makes attempts over kept connections.
 
@@ -109,6 +138,7 @@
         Raises:
             CallerGoneError: If the caller disconnected.
         """
+        request.progress = None
         estimate.state.count_selection(self._clock.now_ms())
         attempt = _Attempt(self, request, estimate)
         try:
@@ -124,6 +154,7 @@
             estimate.uncached_tokens,
             connection.abort,
         )
+        request.progress = attempt.progress
         request.caller.set_disconnect_callback(connection.abort)
         try:
             connection.send(self._encode(request, send_options))
@@ -180,7 +211,11 @@
 
 
 class _Attempt:
-    """Receives the answer of one attempt."""
+    """Receives the answer of one attempt.
+
+    Attributes:
+        progress: What happened in the attempt so far.
+    """
 
     def __init__(
         self,
@@ -188,6 +223,7 @@
         request: pending_request.PendingRequest,
         estimate: target_selection.Estimate,
     ) -> None:
+        self.progress = AttemptProgress(runner.now_ms())
         self._is_complete = False
         self._has_stale_answer = False
         self._runner = runner
@@ -226,6 +262,7 @@
         request = self._request
         head, metadata = await self._read_head(connection)
         now_ms = self._runner.now_ms()
+        self.progress.answer = AnswerProgress.HEAD
         self._state.apply_report(metadata, now_ms)
         self._state.mark_answering(in_flight_id, now_ms)
         if metadata.kind is api.AnswerKind.WRONG_TARGET:
@@ -300,6 +337,7 @@
         size = 0
         while size <= MAX_BUFFERED_BYTES:
             part = await connection.read_part(self._remaining_ms())
+            self._mark_body()
             if not part:
                 self._is_complete = True
                 answer = pending_request.BufferedAnswer(
@@ -354,6 +392,7 @@
                 raise client.ExchangeBrokenError("stream event is too large")
             if not events:
                 continue
+            self._mark_body()
             if not request.caller.has_begun:
                 request.first_byte_ms = self._runner.now_ms()
                 headers = self._runner.header_codec.caller_headers(head.headers)
@@ -367,6 +406,11 @@
         await request.caller.finish()
         return Outcome(Result.DONE, head.status)
 
+    def _mark_body(self) -> None:
+        if self.progress.answer is not AnswerProgress.BODY:
+            self.progress.answer = AnswerProgress.BODY
+            self.progress.body_ms = self._runner.now_ms()
+
     def _drop_seen_events(self, events: list[bytes]) -> bytes:
         """Returns the events that the caller has not received yet."""
         request = self._request
@@ -407,4 +451,11 @@
     await request.caller.finish(answer.body)
 
 
-__all__ = ["AttemptRunner", "Outcome", "Result", "send_buffered_answer"]
+__all__ = [
+    "AnswerProgress",
+    "AttemptProgress",
+    "AttemptRunner",
+    "Outcome",
+    "Result",
+    "send_buffered_answer",
+]
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -33,6 +33,9 @@
 # not read its answer keeps a request open for this long after the deadline.
 DEADLINE_SLACK_MS = 200.0
 
+MAX_LOGGED_PARTS = 16
+MAX_LOGGED_KEY = 32
+
 _LOG = logs.get("forward")
 
 
@@ -403,6 +406,8 @@
         outcome: attempts.Outcome,
     ) -> None:
         self._counters.increment(f"attempt.{outcome.result.value}")
+        now_ms = self._clock.now_ms()
+        progress = request.progress
         _LOG.event(
             "attempt",
             id=request.metadata.request_id,
@@ -411,6 +416,17 @@
             status=outcome.status,
             sends=request.send_count,
             detail=outcome.detail[:120],
+            answer=progress.answer.value if progress else "none",
+            age_ms=round(now_ms - progress.sent_ms) if progress else 0,
+            answering_ms=(
+                round(now_ms - progress.body_ms)
+                if progress and progress.body_ms
+                else 0
+            ),
+            shared_parts=",".join(
+                key[:MAX_LOGGED_KEY]
+                for key in request.shared_part_keys[:MAX_LOGGED_PARTS]
+            ),
         )
 
     def _record_request(
--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from lycheering.forward import api
+    from lycheering.forward import attempt
     from lycheering.forward import caller as callers
     from lycheering.routes import api as route_api
 
@@ -62,6 +63,7 @@
         failed_answer: Answer of a target that ran the request and failed. The
             caller gets it if no other target succeeds.
         may_have_run: Whether a target may have run it.
+        progress: What happened in the last attempt; None before the first.
     """
 
     caller: callers.Caller
@@ -91,6 +93,12 @@
     first_byte_ms: float = 0.0
     failed_answer: BufferedAnswer | None = None
     may_have_run: bool = False
+    progress: attempt.AttemptProgress | None = None
+
+    @property
+    def shared_part_keys(self) -> tuple[str, ...]:
+        """Keys of the prompt parts that other requests may contain as well."""
+        return tuple(part.key for part in self.metadata.prompt_parts[:-1])
 
     @property
     def is_repeatable(self) -> bool:
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -89,6 +89,7 @@
         "fails",
         "is another run",
         "cuts before the answer",
+        "cuts after the head",
         "cuts inside an event",
         "cuts the body",
         "answers another request",
@@ -202,6 +203,10 @@
             case "is silent for a while":
                 await asyncio.sleep(PAUSE_S)
                 writer.write(self._head(request, 200, b"whole"))
+            case "cuts after the head":
+                kind = "Content-Type: text/event-stream\r\n"
+                writer.write(self._head(request, 200, extra=kind, length=-2))
+                return False
             case "cuts the body":
                 head = self._head(request, 200, length=100)
                 writer.write(head + b"less")
--- a/tests/forward/forward.feature
+++ b/tests/forward/forward.feature
@@ -177,3 +177,15 @@
     When the entry drains while callers connect and send 100 ms later
     Then every caller that got a connection has a complete answer
     And callers that came afterwards got no connection
+
+  Scenario Outline: The log of a broken attempt tells what a crash has in common
+    Given a direct target that <behaviour>
+    When a request with the prompt "first:10,second:20,own:30" is logged
+    Then its attempt is logged with "shared_parts=first,second"
+    And its attempt is logged with "answer=<progress>"
+
+    Examples:
+      | behaviour              | progress |
+      | cuts before the answer | none     |
+      | cuts after the head    | head     |
+      | cuts inside an event   | body     |
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -8,6 +8,7 @@
 from behave import given
 from behave import then
 from behave import when
+import logbook
 
 from lycheering import clock
 from lycheering.forward import draining
@@ -149,6 +150,23 @@
     context.answers = run(context, ask_all)
 
 
+@when('a request with the prompt "{prompt}" is logged')
+def step_logged(context, prompt):
+    data = direct_entry.request("stream", X_Prefix_Hash=prompt)
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        run(context, lambda entry: direct_entry.ask(entry, data))
+    context.log_lines = [record.message for record in handler.records]
+
+
+@then('its attempt is logged with "{text}"')
+def step_attempt_logged(context, text):
+    (line,) = [
+        line for line in context.log_lines if line.startswith("event=attempt ")
+    ]
+    assert text in line.split(), line
+
+
 @when("a caller disconnects {wait_ms:d} ms after its request")
 def step_disconnects(context, wait_ms):
     async def disconnect(entry):
