Quarantine prompt parts under which targets keep crashing

What callers saw: targets crashed one after the other, each time breaking the streams of everybody else on that target.

Cause: circuits, suspicion and retries take every failure for a fault of the target. A crash that is carried by a request is then spread by the very means that route around a failed target, and nothing learned which request each crash had in common with the last. Class: a fault that travels with the work.

Change: entries record crashes with the prompt parts that the target had not answered, exchange this evidence with the loads, and quarantine the part that explains the most crashes and was not answered since. Refused requests get 503 with the part and 'was not run', before anything is sent.

Why it works: what is shared is answered elsewhere within a second, which clears it; what kills its targets is never answered. All entries know within an exchange or two.

--- a/src/lycheering/control/direct/load_aggregator.py
+++ b/src/lycheering/control/direct/load_aggregator.py
@@ -12,6 +12,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from lycheering.retries import crash_ledger
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -68,6 +69,7 @@
         # cursor of the first element of _reads
         self._first_read_cursor = 0
         self._last_expiry_check_ms = 0.0
+        self._crashes = crash_ledger.CrashLedger(time)
 
     def handle_exchange(
         self, exchange: messages.LoadExchange
@@ -80,6 +82,11 @@
             self._reads += [(exchange.entry, read) for read in new_reads]
             self._trim_reads()
         reads, cursor = self._reads_for_reply(exchange)
+        self._crashes.expire()
+        self._crashes.merge(exchange.evidence)
+        evidence_cursor = 0
+        if exchange.epoch == self._epoch:
+            evidence_cursor = exchange.evidence_cursor
         return messages.LoadReply(
             self._loads_of_others(exchange.entry),
             reads,
@@ -87,6 +94,8 @@
             cursor,
             len(self._report_by_entry),
             tuple(self._reporter_count_by_leaving),
+            self._crashes.evidence_since(evidence_cursor),
+            self._crashes.version,
         )
 
     def unread_tokens(self, target: int) -> int:
--- a/src/lycheering/forward/application.py
+++ b/src/lycheering/forward/application.py
@@ -116,7 +116,10 @@
         headers = self._header_codec.refusal_headers(
             incoming.headers, refusal.retry_after_ms
         )
-        body = f"{refusal.reason.value}\n".encode()
+        text = refusal.reason.value
+        if refusal.reason is refusals.Reason.QUARANTINED:
+            text = f"{text}: {refusal.detail}; the request was not run"
+        body = f"{text}\n".encode()
         headers.append((b"content-type", b"text/plain"))
         headers.append((b"content-length", b"%d" % len(body)))
         _LOG.event(
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -11,6 +11,7 @@
 from lycheering.forward import event_stream
 from lycheering.forward import pending_request
 from lycheering.forward import refusals
+from lycheering.retries import crash_ledger
 from lycheering.telemetry import logs
 from lycheering.web import client
 
@@ -32,6 +33,8 @@
 MAX_EVENT_BYTES = 1_048_576
 # late answers to earlier requests that are skipped in one exchange
 MAX_STALE_ANSWERS = 3
+# a target that crashes as it begins to answer does so within this time
+ANSWER_GRACE_MS = 250.0
 EVENT_STREAM = "text/event-stream"
 
 _LOG = logs.get("forward")
@@ -102,12 +105,17 @@
     answer: AnswerProgress = AnswerProgress.NONE
     body_ms: float = 0.0
 
+    def is_proven(self, now_ms: float) -> bool:
+        """Returns whether the target began to answer without a crash."""
+        return bool(self.body_ms) and now_ms >= self.body_ms + ANSWER_GRACE_MS
+
 
 class AttemptRunner:
     """Makes attempts over kept connections.
 
     Attributes:
         registry: The states of all targets.
+        crashes: Evidence of crashes of targets.
     """
 
     def __init__(
@@ -115,9 +123,11 @@
         connections: connection_pool.HttpConnectionPool,
         registry: target_registry.TargetRegistry,
         header_codec: api.HeaderCodec,
+        crashes: crash_ledger.CrashLedger,
         time: clock.Clock,
     ) -> None:
         self.registry = registry
+        self.crashes = crashes
         self._connections = connections
         self._header_codec = header_codec
         self._clock = time
@@ -385,6 +395,7 @@
     ) -> Outcome:
         request = self._request
         splitter = event_stream.EventSplitter()
+        is_proven = False
         while data := await connection.read_part(self._remaining_ms()):
             self._state.last_byte_ms = self._runner.now_ms()
             events = self._drop_seen_events(splitter.feed(data))
@@ -398,14 +409,24 @@
                 headers = self._runner.header_codec.caller_headers(head.headers)
                 await request.caller.begin(head.status, headers)
             await request.caller.send_part(events)
+            if not is_proven and self.progress.is_proven(self._runner.now_ms()):
+                is_proven = True
+                self._record_answered()
         if splitter.incomplete_event:
             raise client.ExchangeBrokenError("stream ended inside an event")
         self._is_complete = True
         if not request.caller.has_begun:
             raise client.ExchangeBrokenError("stream ended without an event")
         await request.caller.finish()
+        self._record_answered()
         return Outcome(Result.DONE, head.status)
 
+    def _record_answered(self) -> None:
+        """Records that the target has not crashed under the prompt."""
+        self._runner.crashes.record_answered(
+            crash_ledger.part_keys(self._request.shared_part_keys)
+        )
+
     def _mark_body(self) -> None:
         if self.progress.answer is not AnswerProgress.BODY:
             self.progress.answer = AnswerProgress.BODY
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from lycheering import clock
@@ -10,6 +11,7 @@
 from lycheering.fleet import view_holder
 from lycheering.forward import application
 from lycheering.forward import attempt
+from lycheering.forward import crash_detector
 from lycheering.forward import draining
 from lycheering.forward import forwarder
 from lycheering.forward import freshness
@@ -18,6 +20,8 @@
 from lycheering.forward import load_exchange
 from lycheering.forward import target_registry
 from lycheering.forward import target_selection
+from lycheering.retries import crash_ledger
+from lycheering.retries import prompt_quarantine
 from lycheering.retries import second_send_window
 from lycheering.settings import model
 from lycheering.telemetry import counters
@@ -71,6 +75,13 @@
             self._clock
         )
         self._registry = target_registry.TargetRegistry(self._clock)
+        self._crashes = crash_ledger.CrashLedger(self._clock)
+        self._crash_detector = crash_detector.CrashDetector(
+            self._crashes,
+            self._target_connections,
+            self._clock,
+            self._counters,
+        )
         self._head_limits = head_limits.HeadLimits()
         self._tasks = app_api.TaskOwner()
         self._create_control(settings)
@@ -101,6 +112,7 @@
             self._registry,
             self._identity,
             self._set_entry_count,
+            self._crashes,
             self._clock,
         )
 
@@ -133,7 +145,16 @@
                 self._target_connections,
                 self._registry,
                 header_codec,
+                self._crashes,
+                self._clock,
+            ),
+            self._crash_detector,
+            prompt_quarantine.PromptQuarantine(
+                self._crashes,
+                prompt_quarantine.QuarantineSettings(),
                 self._clock,
+                random.Random(),
+                self._counters,
             ),
             settings.instance.failure_domain,
             self._clock,
@@ -229,6 +250,7 @@
         await self._metrics.stop()
         await self._tasks.cancel_all()
         await self._load_exchanger.stop()
+        await self._crash_detector.stop()
         await self._liveness.stop()
         await self._freshness.stop()
         await self.control.stop()
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -15,6 +15,7 @@
 from lycheering.forward import prefix_transfer
 from lycheering.forward import refusals
 from lycheering.forward import target_selection
+from lycheering.retries import crash_ledger
 from lycheering.retries import second_send_window
 from lycheering.telemetry import logs
 
@@ -22,7 +23,9 @@
     from lycheering import clock
     from lycheering.fleet import view_holder
     from lycheering.forward import caller as callers
+    from lycheering.forward import crash_detector
     from lycheering.forward import target_state
+    from lycheering.retries import prompt_quarantine
     from lycheering.telemetry import counters
     from lycheering.telemetry import histograms
 
@@ -67,6 +70,8 @@
         view: view_holder.ViewHolder,
         intake: intakes.RequestIntake,
         attempt_runner: attempts.AttemptRunner,
+        crashes: crash_detector.CrashDetector,
+        quarantine: prompt_quarantine.PromptQuarantine,
         failure_domain: str,
         time: clock.Clock,
         counts: counters.Counters,
@@ -79,6 +84,8 @@
             view: The fleet view in force.
             intake: Accepts incoming requests.
             attempt_runner: Makes the attempts.
+            crashes: Detects crashes of targets.
+            quarantine: The prompt parts that crash targets.
             failure_domain: Failure domain of this entry.
             time: The clock.
             counts: The counters of the process.
@@ -89,6 +96,8 @@
         self._settings = settings
         self._view = view
         self._attempt_runner = attempt_runner
+        self._crashes = crashes
+        self._quarantine = quarantine
         self._failure_domain = failure_domain
         self._clock = time
         self._counters = counts
@@ -105,6 +114,7 @@
     def set_entry_count(self, entry_count: int) -> None:
         """Sets the number of entries that share the retry budget."""
         self._entry_count = entry_count
+        self._quarantine.entry_count = entry_count
         for limiter in self._second_send_limiter_by_service.values():
             limiter.process_count = entry_count
 
@@ -166,6 +176,7 @@
         """Makes attempts until one succeeds or no more are allowed."""
         connect_failures = 0
         while True:
+            self._check_quarantine(request)
             estimate = self._select_target(request)
             if estimate is None:
                 if request.failed_answer is None or request.caller.has_begun:
@@ -194,6 +205,7 @@
                     self._refuse_after_attempt(request, outcome)
                 continue
             if result in (attempts.Result.BROKEN, attempts.Result.CUT):
+                self._crashes.record_broken(state, request)
                 state.record_failure(self._clock.now_ms())
             if not self._may_retry(request, outcome):
                 if (
@@ -203,6 +215,29 @@
                     return await self._send_failed_answer(request)
                 self._refuse_after_attempt(request, outcome)
 
+    def _check_quarantine(
+        self, request: pending_request.PendingRequest
+    ) -> None:
+        """Refuses a request if a part of its prompt crashes targets."""
+        quarantine = self._quarantine.find(
+            crash_ledger.part_keys(request.shared_part_keys)
+        )
+        if quarantine is None:
+            return
+        detail = (
+            f"part {quarantine.part} of the prompt was in"
+            f" {quarantine.crash_count} crashes of targets"
+        )
+        if request.caller.has_begun:
+            raise refusals.AnswerCutError(detail)
+        if request.may_have_run:
+            raise refusals.RefusalError(refusals.Reason.BROKEN, detail)
+        raise refusals.RefusalError(
+            refusals.Reason.QUARANTINED,
+            detail,
+            self._quarantine.retry_after_ms(quarantine),
+        )
+
     async def _send_failed_answer(
         self, request: pending_request.PendingRequest
     ) -> attempts.Outcome:
--- a/src/lycheering/forward/load_exchange.py
+++ b/src/lycheering/forward/load_exchange.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from lycheering.forward import target_registry
+    from lycheering.retries import crash_ledger
     from lycheering.wire import api as wire_api
 
 INTERVAL_MS = 100.0
@@ -36,6 +37,7 @@
         registry: target_registry.TargetRegistry,
         identity: wire_api.Identity,
         on_entry_count: Callable[[int], None],
+        crashes: crash_ledger.CrashLedger,
         time: clock.Clock,
     ) -> None:
         """Creates a part that has not exchanged loads yet.
@@ -46,6 +48,7 @@
             identity: Identity of this entry.
             on_entry_count: Called with the number of entries after each
                 exchange.
+            crashes: Evidence of crashes, exchanged along with the loads.
             time: The clock.
         """
         self._entry_count = 1
@@ -53,6 +56,7 @@
         self._control = control
         self._registry = registry
         self._identity = identity
+        self._crashes = crashes
         self._clock = time
         self._tasks = app_api.TaskOwner()
         self._exchange_number = 0
@@ -60,6 +64,8 @@
         self._cursor = 0
         self._unacknowledged_prefills: tuple[messages.PromptRead, ...] = ()
         self._acknowledged_count = 0
+        self._evidence_cursor = 0
+        self._acknowledged_evidence = 0
         self._is_shared = False
 
     async def start(self) -> None:
@@ -89,6 +95,7 @@
         self._unacknowledged_prefills += self._registry.take_unshared_prefills(
             MAX_PREFILLS_PER_EXCHANGE - len(self._unacknowledged_prefills)
         )
+        evidence_version = self._crashes.version
         exchange = messages.LoadExchange(
             self._identity.name,
             self._identity.incarnation,
@@ -99,6 +106,8 @@
             self._cursor,
             self._registry.shutting_down_digests(),
             self._acknowledged_count,
+            self._crashes.evidence_since(self._acknowledged_evidence),
+            self._evidence_cursor,
         )
         try:
             reply = await self._control.call(exchange, EXCHANGE_TIMEOUT_MS)
@@ -112,6 +121,12 @@
             return False
         self._acknowledged_count += len(self._unacknowledged_prefills)
         self._unacknowledged_prefills = ()
+        self._acknowledged_evidence = evidence_version
+        if reply.epoch != self._epoch:
+            # another leader has only the evidence that it is sent
+            self._acknowledged_evidence = 0
+        self._crashes.merge(reply.evidence)
+        self._evidence_cursor = reply.evidence_cursor
         self._epoch = reply.epoch
         self._cursor = reply.cursor
         self._entry_count = max(1, reply.entries)
--- a/src/lycheering/forward/refusals.py
+++ b/src/lycheering/forward/refusals.py
@@ -23,6 +23,7 @@
     TIMEOUT = "timeout"
     BROKEN = "broken"
     INTERNAL = "internal"
+    QUARANTINED = "quarantined"
 
 
 _STATUS_BY_REASON = {
--- /dev/null
+++ b/src/lycheering/retries/crash_ledger.py
@@ -0,0 +1,240 @@
+"""Evidence of crashes of targets, merged from all processes of a fleet."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from lycheering.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from lycheering import clock
+
+MAX_CRASHES = 128
+MAX_PROMPTS_PER_CRASH = 32
+MAX_PARTS_PER_PROMPT = 16
+MAX_KEY_LENGTH = 32
+MAX_ANSWERED_PARTS = 4_096
+CRASH_TTL_MS = 7_200_000.0
+# Reports of a target's crash that are this close are about the same crash.
+SAME_CRASH_MS = 1_000.0
+
+
+@dataclasses.dataclass
+class Crash:
+    """A crash of a target.
+
+    Attributes:
+        target: Digest of the target's key.
+        crashed_ms: Time of the crash.
+        prompts: The prompts that the target had not answered yet.
+        version: Version of the ledger with the last change of this crash.
+    """
+
+    target: int
+    crashed_ms: float
+    prompts: set[messages.BrokenPrompt] = dataclasses.field(default_factory=set)
+    version: int = 0
+
+
+@dataclasses.dataclass
+class _Answered:
+    """The last answer to a prompt with a part.
+
+    Attributes:
+        answered_ms: Time of that answer.
+        version: Version of the ledger with the last change of this time.
+    """
+
+    answered_ms: float
+    version: int
+
+
+class CrashLedger:
+    """Crashes and the parts of their prompts that were answered otherwise.
+
+    Evidence of several processes can be merged in any order and more than
+    once. Of the answers, only those to parts of broken prompts are part of the
+    evidence, so that there is none without a crash.
+
+    Attributes:
+        version: Increased with each change of the evidence.
+        crashes: The crashes, the oldest first.
+    """
+
+    def __init__(self, time: clock.Clock) -> None:
+        self.version = 0
+        self.crashes: list[Crash] = []
+        self._clock = time
+        self._answered_by_part: dict[str, _Answered] = {}
+        # all parts of recent answers, the latest answer last
+        self._recent_ms_by_part: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    def record_crash(
+        self,
+        target: int,
+        crashed_ms: float,
+        prompts: Iterable[messages.BrokenPrompt],
+    ) -> None:
+        """Records a crash, or more prompts of a known one.
+
+        Args:
+            target: Digest of the target's key.
+            crashed_ms: Time of the crash.
+            prompts: The prompts that the target had not answered yet.
+        """
+        crash = self._find(target, crashed_ms)
+        if crash is None:
+            crash = Crash(target, crashed_ms)
+            self.crashes.append(crash)
+            self.crashes.sort(key=lambda known: known.crashed_ms)
+            self._remove_old()
+        added = set(prompts) - crash.prompts
+        room = MAX_PROMPTS_PER_CRASH - len(crash.prompts)
+        if not added or room <= 0:
+            return
+        crash.prompts.update(sorted(added, key=_evidence_order)[:room])
+        self.version += 1
+        crash.version = self.version
+        for prompt in crash.prompts:
+            for part in prompt.parts:
+                recent_ms = self._recent_ms_by_part.get(part)
+                if recent_ms is not None:
+                    self._add_answer(part, recent_ms)
+
+    def record_answered(
+        self, parts: Iterable[str], answered_ms: float | None = None
+    ) -> None:
+        """Records that a target answered a prompt without a crash.
+
+        Args:
+            parts: Keys of the shared parts of the prompt.
+            answered_ms: When it was known that the target had not crashed;
+                None for now.
+        """
+        if answered_ms is None:
+            answered_ms = self._clock.now_ms()
+        for part in parts:
+            self._recent_ms_by_part[part] = answered_ms
+            self._recent_ms_by_part.move_to_end(part)
+            self._add_answer(part, answered_ms)
+        while len(self._recent_ms_by_part) > MAX_ANSWERED_PARTS:
+            self._recent_ms_by_part.popitem(last=False)
+
+    def answered_ms(self, part: str) -> float | None:
+        """Returns when a part of a broken prompt was answered last."""
+        answered = self._answered_by_part.get(part)
+        return answered.answered_ms if answered is not None else None
+
+    def merge(self, evidence: messages.CrashEvidence) -> None:
+        """Adds the evidence of another process."""
+        now_ms = self._clock.now_ms()
+        for crash in evidence.crashes:
+            if 0 <= crash.age_ms < CRASH_TTL_MS:
+                self.record_crash(
+                    crash.target, now_ms - crash.age_ms, crash.prompts
+                )
+        for answered in evidence.answered:
+            self._add_answer(answered.part, now_ms - max(0, answered.age_ms))
+
+    def evidence_since(self, version: int) -> messages.CrashEvidence:
+        """Returns the evidence that changed after a version of the ledger."""
+        now_ms = self._clock.now_ms()
+        if version >= self.version:
+            return messages.CrashEvidence()
+        crashes = tuple(
+            messages.TargetCrash(
+                crash.target,
+                round(now_ms - crash.crashed_ms),
+                tuple(sorted(crash.prompts, key=_evidence_order)),
+            )
+            for crash in self.crashes
+            if crash.version > version
+        )
+        answered = tuple(
+            messages.AnsweredPart(part, round(now_ms - known.answered_ms))
+            for part, known in self._answered_by_part.items()
+            if known.version > version
+        )
+        return messages.CrashEvidence(crashes, answered)
+
+    def expire(self) -> None:
+        """Drops evidence that is too old."""
+        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
+        if self.crashes and self.crashes[0].crashed_ms < oldest_ms:
+            self.crashes = [
+                crash for crash in self.crashes if crash.crashed_ms >= oldest_ms
+            ]
+            self._remove_old()
+            self.version += 1
+
+    def _find(self, target: int, crashed_ms: float) -> Crash | None:
+        for crash in self.crashes:
+            if (
+                crash.target == target
+                and abs(crash.crashed_ms - crashed_ms) < SAME_CRASH_MS
+            ):
+                return crash
+        return None
+
+    def _add_answer(self, part: str, answered_ms: float) -> None:
+        """Adds an answer to the evidence if it says more about a crash."""
+        crash_times_ms = [
+            crash.crashed_ms
+            for crash in self.crashes
+            if any(part in prompt.parts for prompt in crash.prompts)
+        ]
+        known = self._answered_by_part.get(part)
+        if not crash_times_ms or (
+            known is not None
+            and not any(
+                known.answered_ms <= crashed_ms < answered_ms
+                for crashed_ms in crash_times_ms
+            )
+        ):
+            return
+        self.version += 1
+        self._answered_by_part[part] = _Answered(answered_ms, self.version)
+
+    def _remove_old(self) -> None:
+        """Drops surplus crashes, and answers to parts of no known crash."""
+        del self.crashes[: max(0, len(self.crashes) - MAX_CRASHES)]
+        parts = {
+            part
+            for crash in self.crashes
+            for prompt in crash.prompts
+            for part in prompt.parts
+        }
+        for part in self._answered_by_part.keys() - parts:
+            del self._answered_by_part[part]
+
+
+def part_keys(keys: Sequence[str]) -> tuple[str, ...]:
+    """Returns the keys of a prompt's shared parts as evidence names them.
+
+    Long keys are replaced by a hash, and surplus parts left out.
+    """
+    return tuple(
+        key
+        if len(key) <= MAX_KEY_LENGTH
+        else xxhash.xxh3_64_hexdigest(key.encode())
+        for key in keys[:MAX_PARTS_PER_PROMPT]
+    )
+
+
+def _evidence_order(
+    prompt: messages.BrokenPrompt,
+) -> tuple[bool, tuple[str, ...]]:
+    """Orders prompts so that those just begun come first."""
+    return not prompt.has_begun, prompt.parts
+
+
+__all__ = ["CRASH_TTL_MS", "Crash", "CrashLedger", "part_keys"]
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -30,6 +30,10 @@
     """No connection could be opened, so no byte of the request was sent."""
 
 
+class ConnectRefusedError(ConnectFailedError):
+    """The server's machine replied that nothing listens at its port."""
+
+
 class ExchangeBrokenError(HttpError):
     """The exchange failed after the request may have been received."""
 
@@ -121,7 +125,10 @@
                 byte_stream.ByteStream, origin.ip, origin.port
             )
     except (OSError, TimeoutError) as error:
-        raise ConnectFailedError(
+        error_class = ConnectFailedError
+        if isinstance(error, ConnectionRefusedError):
+            error_class = ConnectRefusedError
+        raise error_class(
             f"{origin.host_header}: {type(error).__name__} {error}"
         ) from error
     socket = stream.transport.get_extra_info("socket")
@@ -355,6 +362,7 @@
 
 __all__ = [
     "ConnectFailedError",
+    "ConnectRefusedError",
     "Exchange",
     "ExchangeBrokenError",
     "ResponseHead",
--- a/src/lycheering/wire/messages/__init__.py
+++ b/src/lycheering/wire/messages/__init__.py
@@ -7,6 +7,10 @@
 from lycheering.wire.messages.common import Reason
 from lycheering.wire.messages.common import Role
 from lycheering.wire.messages.common import WidthHint
+from lycheering.wire.messages.crashes import AnsweredPart
+from lycheering.wire.messages.crashes import BrokenPrompt
+from lycheering.wire.messages.crashes import CrashEvidence
+from lycheering.wire.messages.crashes import TargetCrash
 from lycheering.wire.messages.envelope import PROTOCOL_VERSION
 from lycheering.wire.messages.envelope import Envelope
 from lycheering.wire.messages.envelope import Message
@@ -77,7 +81,11 @@
     "Cancel",
     "Chunks",
     "ControlPeer",
+    "AnsweredPart",
+    "BrokenPrompt",
     "CountersFetch",
+    "CrashEvidence",
+    "TargetCrash",
     "CountersReply",
     "Current",
     "CurrentFetch",
--- a/src/lycheering/wire/messages/loads.py
+++ b/src/lycheering/wire/messages/loads.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from lycheering.wire.messages import crashes
+
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load that entries put on one target.
@@ -58,6 +60,8 @@
         first_read: Number of reads that this incarnation reported before
             these. If an exchange gets no reply, the entry can't know whether
             it was processed, and reports its reads again in the next one.
+        evidence: What changed in the entry's evidence of crashes.
+        evidence_cursor: Position up to which it has received that of others.
     """
 
     entry: str
@@ -69,6 +73,8 @@
     cursor: int = 0
     leaving: tuple[int, ...] = ()
     first_read: int = 0
+    evidence: crashes.CrashEvidence = crashes.CrashEvidence()
+    evidence_cursor: int = 0
 
 
 class LoadReply(msgspec.Struct, frozen=True, array_like=True, tag=65):
@@ -81,6 +87,8 @@
         cursor: Position up to which this reply covers the reads.
         entries: Number of entries that exchange loads.
         leaving: Digests of targets that announced their shutdown.
+        evidence: Evidence of crashes that changed after the cursor.
+        evidence_cursor: Position up to which this reply covers the evidence.
     """
 
     loads: tuple[TargetLoad, ...]
@@ -89,6 +97,8 @@
     cursor: int
     entries: int = 1
     leaving: tuple[int, ...] = ()
+    evidence: crashes.CrashEvidence = crashes.CrashEvidence()
+    evidence_cursor: int = 0
 
 
 __all__ = ["LoadExchange", "LoadReply", "PromptRead", "TargetLoad"]
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -18,6 +18,8 @@
 LATE_S = 0.05
 # longer than it takes until a silent target is probed
 PAUSE_S = 1.2
+DEADLY_PART = "deadly"
+DOWN_S = 0.5
 NOISE_GAP_S = 0.002
 TRICKLE_GAP_S = 0.05
 LARGE_BYTES = 600_000
@@ -80,6 +82,7 @@
         gap_s: Time between two events.
         event_bytes: What each event carries besides its number.
         noise_bytes: Bytes sent that are no answer.
+        crash_count: Number of its crashes.
     """
 
     BEHAVIOURS = (
@@ -89,6 +92,7 @@
         "fails",
         "is another run",
         "cuts before the answer",
+        "crashes under a prompt part",
         "cuts after the head",
         "cuts inside an event",
         "cuts the body",
@@ -124,6 +128,7 @@
         self.gap_s = 0.0
         self.event_bytes = 0
         self.noise_bytes = 0
+        self.crash_count = 0
         self._last_by_connection: dict[int, bytes] = {}
         self._connections = 0
         self._server: asyncio.Server | None = None
@@ -141,6 +146,8 @@
             self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _accept(
@@ -237,7 +244,17 @@
                 writer.write(head + b"whole")
                 await writer.drain()
                 return False
-            case "streams" | "cuts inside an event":
+            case "crashes under a prompt part" if self._is_deadly(request):
+                kind = "Content-Type: text/event-stream\r\n"
+                writer.write(self._head(request, 200, extra=kind, length=-2))
+                await writer.drain()
+                self._crash()
+                return False
+            case (
+                "streams"
+                | "cuts inside an event"
+                | "crashes under a prompt part"
+            ):
                 return await self._stream(request, reader, writer)
             case _:
                 writer.write(self._head(request, 200, b"whole"))
@@ -264,6 +281,26 @@
                 return self._head(request, 200, b"x" * LARGE_BYTES)
         return b""
 
+    def _is_deadly(self, request: Received) -> bool:
+        return DEADLY_PART in request.value_by_header.get("x-prefix-hash", "")
+
+    def _crash(self) -> None:
+        """Ends listening and every connection for a while."""
+        assert self._server is not None
+        self.crash_count += 1
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        task = asyncio.create_task(self._restart())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(DOWN_S)
+        self._server = await asyncio.start_server(
+            self._accept, self.host, self.port
+        )
+
     async def _late_copy(
         self, request: Received, writer: asyncio.StreamWriter
     ) -> None:
--- /dev/null
+++ b/tests/forward/crashes.feature
@@ -0,0 +1,30 @@
+Feature: Targets that crash under a part of a prompt
+
+  @promise.deadly_parts
+  Scenario Outline: Requests of one kind do not crash one target after the other
+    Given 4 direct targets that crash under a prompt part
+    When 12 requests of kind "<kind>" come, each third with the deadly part
+    Then targets crashed at most 5 times
+    And the last request with the deadly part was not sent and got 503
+    And its answer names the deadly part and says that it was not run
+    And the last sound request got 200
+
+    Examples:
+      | kind             |
+      | stream           |
+      | resumable stream |
+
+  @promise.deadly_parts
+  Scenario: What one entry learns of a deadly part another one knows
+    Given 1 direct targets that crash under a prompt part
+    And other entries report two crashes under the deadly part
+    When 1 requests of kind "stream" come, each third with the deadly part
+    Then targets crashed at most 0 times
+    And the last request with the deadly part was not sent and got 503
+
+  @promise.deadly_parts
+  Scenario: Targets that cut single requests have not crashed
+    Given a direct target that cuts after the head
+    And another direct target that cuts after the head
+    When 12 requests of kind "stream" come, each third with the deadly part
+    Then the requests reached targets 12 times
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 from lycheering import clock
 from lycheering.fleet import changes
@@ -12,12 +13,15 @@
 from lycheering.fleet import view_holder
 from lycheering.forward import application
 from lycheering.forward import attempt
+from lycheering.forward import crash_detector
 from lycheering.forward import forwarder
 from lycheering.forward import intake
 from lycheering.forward import liveness
 from lycheering.forward import target_registry
 from lycheering.forward import target_selection
 from lycheering.platform import header_codec
+from lycheering.retries import crash_ledger
+from lycheering.retries import prompt_quarantine
 from lycheering.retries import second_send_window
 from lycheering.routes import api as routes
 from lycheering.telemetry import counters
@@ -73,6 +77,7 @@
         self.counters = counters.Counters()
         self.connections = connection_pool.HttpConnectionPool(time)
         self.registry = target_registry.TargetRegistry(time)
+        self.crashes = crash_ledger.CrashLedger(time)
         codec = header_codec.PlatformHeaderCodec()
         self.intake = intake.RequestIntake(
             self.view,
@@ -88,7 +93,19 @@
             ),
             self.view,
             self.intake,
-            attempt.AttemptRunner(self.connections, self.registry, codec, time),
+            attempt.AttemptRunner(
+                self.connections, self.registry, codec, self.crashes, time
+            ),
+            crash_detector.CrashDetector(
+                self.crashes, self.connections, time, self.counters
+            ),
+            prompt_quarantine.PromptQuarantine(
+                self.crashes,
+                prompt_quarantine.QuarantineSettings(),
+                time,
+                random.Random(1),
+                self.counters,
+            ),
             "d1",
             time,
             self.counters,
--- /dev/null
+++ b/tests/steps/crash_steps.py
@@ -0,0 +1,100 @@
+"""Steps for targets that crash under a part of a prompt."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from lycheering.wire import messages
+from standins import direct_target
+from tests.helpers import direct_entry
+from tests.steps import forward_steps
+
+BEHAVIOUR = "crashes under a prompt part"
+SOUND_PROMPT = "first:10,second:20,own:30"
+DEADLY_PROMPT = "first:10,second:20,deadly:5,own:30"
+GAP_S = 0.3
+
+
+@given("{count:d} direct targets that crash under a prompt part")
+def step_targets(context, count):
+    context.targets = [
+        direct_target.DirectTarget(f"t{number}", BEHAVIOUR)
+        for number in range(count)
+    ]
+
+
+@given("other entries report two crashes under the deadly part")
+def step_reported(context):
+    prompt = messages.BrokenPrompt(("first", "second", "deadly"), True)
+
+    async def report(entry):
+        crashes = tuple(
+            messages.TargetCrash(number, 2_000 * number, (prompt,))
+            for number in (1, 2)
+        )
+        entry.crashes.merge(messages.CrashEvidence(crashes))
+
+    forward_steps.add_preparation(context, report)
+
+
+@when(
+    '{count:d} requests of kind "{kind}" come, each third with the deadly part'
+)
+def step_requests(context, count, kind):
+    async def ask_all(entry):
+        answers = []
+        for number in range(count):
+            prompt = SOUND_PROMPT if number % 3 else DEADLY_PROMPT
+            data = direct_entry.request(
+                kind, f"r{number}", X_Prefix_Hash=prompt
+            )
+            answers.append(await direct_entry.ask(entry, data))
+            await asyncio.sleep(GAP_S)
+        return answers
+
+    answers = forward_steps.run(context, ask_all)
+    context.answer_by_id = {
+        f"r{number}": answer for number, answer in enumerate(answers)
+    }
+    deadly_ids = [f"r{n}" for n in range(count) if n % 3 == 0]
+    context.last_deadly_id = deadly_ids[-1]
+
+
+@then("targets crashed at most {most:d} times")
+def step_crashes(context, most):
+    crash_count = sum(target.crash_count for target in context.targets)
+    assert crash_count <= most, crash_count
+
+
+@then("the last request with the deadly part was not sent and got 503")
+def step_not_sent(context):
+    answer = context.answer_by_id[context.last_deadly_id]
+    assert answer.status == 503, answer
+    assert float(answer.value_by_header["retry-after"]) > 0
+    for target in context.targets:
+        ids = [r.value_by_header["x-attempt-id"] for r in target.received]
+        assert context.last_deadly_id not in ids, ids
+
+
+@then("its answer names the deadly part and says that it was not run")
+def step_names_part(context):
+    body = context.answer_by_id[context.last_deadly_id].body
+    assert b"part deadly of the prompt" in body, body
+    assert b"was not run" in body, body
+
+
+@then("the last sound request got 200")
+def step_sound(context):
+    answer = list(context.answer_by_id.values())[-1]
+    assert answer.status == 200, answer
+    assert answer.is_complete, answer
+
+
+@then("the requests reached targets {count:d} times")
+def step_reached(context, count):
+    reached = sum(len(target.received) for target in context.targets)
+    assert reached == count, reached
--- a/tests/steps/load_aggregator_steps.py
+++ b/tests/steps/load_aggregator_steps.py
@@ -15,6 +15,7 @@
 from lycheering.entry import control_client
 from lycheering.forward import load_exchange
 from lycheering.forward import target_registry
+from lycheering.retries import crash_ledger
 from lycheering.routes import records as route_records
 from lycheering.wire import api as wire_api
 from lycheering.wire import messages
@@ -93,6 +94,7 @@
         context.registry,
         wire_api.Identity("e1", messages.Role.ENTRY, "d1"),
         lambda entries: None,
+        crash_ledger.CrashLedger(context.time),
         context.time,
     )
 
--- /dev/null
+++ b/tests/steps/quarantine_steps.py
@@ -0,0 +1,121 @@
+"""Steps for the quarantine of prompt parts."""
+
+from __future__ import annotations
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.helpers import crashing_fleet
+
+
+@given("{entries:d} entries before {engines:d} engines")
+def step_fleet(context, entries, engines):
+    context.fleet = crashing_fleet.CrashingFleet(entries, engines)
+
+
+@given(
+    "{per_s:d} requests a second, of which {share:d} in 100 are deadly",
+)
+def step_load(context, per_s, share):
+    context.load = (per_s, share / 100)
+
+
+@given("each request is sent {sends:d} times at most")
+def step_sends(context, sends):
+    context.fleet.sends_per_request = sends
+
+
+@given("{count:d} engines crash at once every {gap_ms:d} ms")
+def step_accidents(context, count, gap_ms):
+    context.fleet.accidents = [
+        (float(at_ms), count) for at_ms in range(3_000, 60_000, gap_ms)
+    ]
+
+
+@given("another leader takes over every {gap_ms:d} ms")
+def step_leaders(context, gap_ms):
+    context.fleet.new_leader_ms = list(range(gap_ms, 30_000, gap_ms))
+
+
+@given("the part is deadly until {until_ms:d} ms")
+def step_deadly_until(context, until_ms):
+    context.fleet.deadly_until_ms = until_ms
+
+
+@when("the fleet runs for {duration_ms:d} ms")
+def step_run(context, duration_ms):
+    per_s, share = context.load
+    context.fleet.add_load(per_s, duration_ms, share)
+    context.fleet.run()
+
+
+@when("an entry starts without evidence and exchanges twice")
+def step_restart(context):
+    fleet = context.fleet
+    context.new_entry = crashing_fleet.Entry(99, fleet.time, 6)
+    context.new_entry.exchange(fleet.aggregator)
+    context.new_entry.exchange(fleet.aggregator)
+
+
+@then("the new entry refuses the deadly part")
+def step_new_refuses(context):
+    parts = ("first", "second1", crashing_fleet.DEADLY)
+    assert context.new_entry.quarantine.find(parts) is not None
+    assert context.new_entry.quarantine.find(parts[:2]) is None
+
+
+@then(
+    "at most {most:d} deadly requests are sent later than {slack_ms:d} ms after"
+    " the fifth crash"
+)
+def step_few_sent(context, most, slack_ms):
+    crashes_ms = context.fleet.crashes_ms
+    if len(crashes_ms) < 5:
+        return
+    late = [
+        request
+        for request in context.fleet.requests
+        if request.is_deadly
+        and any(at > crashes_ms[4] + slack_ms for at in request.sent_ms)
+    ]
+    assert len(late) <= most, (len(late), crashes_ms)
+
+
+def sound_requests(context):
+    return [item for item in context.fleet.requests if not item.is_deadly]
+
+
+@then("at most {most:d} in 100 sound requests are refused")
+def step_few_refused(context, most):
+    sound = sound_requests(context)
+    refused = [item for item in sound if item.status == "refused"]
+    assert len(refused) <= len(sound) * most / 100, (
+        len(refused),
+        len(sound),
+        context.fleet.blamed,
+    )
+
+
+@then("half of the sound requests are answered")
+def step_half(context):
+    sound = sound_requests(context)
+    answered = [item for item in sound if item.status == "answered"]
+    assert len(answered) >= len(sound) / 2, (len(answered), len(sound))
+
+
+@then("neither the first part nor the second one is quarantined")
+def step_not_blamed(context):
+    assert not context.fleet.blamed & {"first", "second1"}, context.fleet.blamed
+
+
+@then("the last deadly request is answered")
+def step_last(context):
+    deadly = [item for item in context.fleet.requests if item.is_deadly]
+    assert deadly[-1].status == "answered", deadly[-1]
+
+
+@then("at most {most:d} prompts crash engines after the first {after_ms:d} ms")
+def step_few_tests(context, most, after_ms):
+    late = [at for at in context.fleet.crashes_ms if at > after_ms]
+    assert len(late) <= most, late
