Do not take a connection closed by this process for the end of an answer

What callers saw: an answer, or a stream, that has neither a length nor chunks and whose target falls silent and refuses connections ended as complete: two of four events with the final chunk, or 'who' of a longer body as a whole 200. A stream that may be resumed was not resumed.

Cause: such an answer ends with its connection. The liveness monitor aborts the connections of an unreachable target; asyncio then reports a connection that ended without an error, which the reader took for the target's own end.

Ruled out, each by a row of the new tests: an end inside an event (the rest of an event is noticed), a reset (an error is reported), a clean end after whole events (complete, as it has to be).

Change: a ByteStream that this process closes or aborts gives its reader an error instead of an end of input.

Tests: two rows of 'An answer without a length is complete only at a clean end' and one of 'A stream without a length goes on at another target' failed before. tests/web and tests/forward: 168 passed.

--- a/src/lycheering/web/byte_stream.py
+++ b/src/lycheering/web/byte_stream.py
@@ -68,7 +68,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Marks the end of the connection."""
         self._has_ended = True
-        self._error = exc
+        if self._error is None:
+            self._error = exc
         self._data_signal.signal()
 
     async def read(self, timeout_ms: float) -> bytes:
@@ -100,13 +101,20 @@
 
     def close(self) -> None:
         """Closes the connection after pending bytes are written."""
+        self._mark_closed_here()
         self._data_signal.close()
         self.transport.close()
 
     def abort(self) -> None:
         """Closes the connection at once; pending writes are discarded."""
+        self._mark_closed_here()
         self._data_signal.close()
         self.transport.abort()
 
+    def _mark_closed_here(self) -> None:
+        """Keeps a reader from taking this end for the end of the input."""
+        if not self._has_ended:
+            self._error = ConnectionAbortedError("closed by this process")
+
 
 __all__ = ["MAX_UNREAD_BYTES", "ByteStream"]
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -10,6 +10,8 @@
 import asyncio
 import dataclasses
 import os
+import socket
+import struct
 
 READ_BYTES = 65_536
 EVENT = b"id: %d\ndata: piece %d\n\n"
@@ -23,6 +25,36 @@
 NOISE_GAP_S = 0.002
 TRICKLE_GAP_S = 0.05
 LARGE_BYTES = 600_000
+# answers with neither a length nor chunks: media type, bytes that come before
+# the connection ends, and how it ends
+LENGTHLESS = {
+    "streams until its connection ends": (
+        "text/event-stream",
+        b"".join(EVENT % (number, number) for number in range(1, 5)),
+        "close",
+    ),
+    "ends its connection inside an event": (
+        "text/event-stream",
+        b"".join(EVENT % (number, number) for number in (1, 2)) + b"id: 3",
+        "close",
+    ),
+    "resets its connection after an event": (
+        "text/event-stream",
+        b"".join(EVENT % (number, number) for number in (1, 2)),
+        "reset",
+    ),
+    "falls silent after an event and refuses connections": (
+        "text/event-stream",
+        b"".join(EVENT % (number, number) for number in (1, 2)),
+        "silence",
+    ),
+    "resets its connection inside a body": ("text/plain", b"who", "reset"),
+    "falls silent inside a body and refuses connections": (
+        "text/plain",
+        b"who",
+        "silence",
+    ),
+}
 # what comes again and again, behind the start of an answer
 START_AND_NOISE = {
     "sends a head without end": (b"HTTP/1.1 200 Said\r\nX-A: ", b"a" * 4_096),
@@ -93,6 +125,7 @@
         "is another run",
         "cuts before the answer",
         "crashes under a prompt part",
+        *LENGTHLESS,
         "cuts after the head",
         "cuts inside an event",
         "cuts the body",
@@ -239,6 +272,9 @@
             case noisy if noisy in START_AND_NOISE:
                 await self._make_noise(request, writer)
                 return False
+            case lengthless if lengthless in LENGTHLESS:
+                await self._answer_lengthless(request, reader, writer)
+                return False
             case "ends with its connection":
                 head = self._head(request, 200, length=-1)
                 writer.write(head + b"whole")
@@ -332,6 +368,28 @@
             await writer.drain()
             await asyncio.sleep(NOISE_GAP_S)
 
+    async def _answer_lengthless(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        media_type, data, end = LENGTHLESS[self.behaviour]
+        kind = f"Content-Type: {media_type}\r\n"
+        writer.write(self._head(request, 200, extra=kind, length=-1) + data)
+        await writer.drain()
+        if end == "reset":
+            # the bytes before have to arrive, which a reset could prevent
+            await asyncio.sleep(LATE_S)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+        elif end == "silence":
+            assert self._server is not None
+            self._server.close()
+            await self._wait_gone(request, reader)
+
     async def _trickle(
         self,
         request: Received,
--- a/tests/forward/odd_answers.feature
+++ b/tests/forward/odd_answers.feature
@@ -120,3 +120,35 @@
     Given a direct target that sheds and asks to be spared
     When 8 requests are forwarded, and 8 more after 1400 ms
     Then targets got at least 4 requests
+
+  @promise.whole
+  @promise.every_event_once
+  Scenario Outline: An answer without a length is complete only at a clean end
+    Given a direct target that <behaviour>
+    When a request of kind "<kind>" is forwarded
+    Then the answer is <status>
+    And the answer is <state>
+
+    Examples:
+      | behaviour                                           | kind   | status | state      |
+      | ends with its connection                            | once   | 200    | complete   |
+      | streams until its connection ends                   | stream | 200    | complete   |
+      | ends its connection inside an event                 | stream | 200    | incomplete |
+      | resets its connection after an event                | stream | 200    | incomplete |
+      | falls silent after an event and refuses connections | stream | 200    | incomplete |
+      | resets its connection inside a body                 | once   | 502    | complete   |
+      | falls silent inside a body and refuses connections  | once   | 502    | complete   |
+
+  @promise.every_event_once
+  Scenario Outline: A stream without a length goes on at another target
+    Given a direct target that <behaviour>
+    And another direct target that streams until its connection ends
+    When a request of kind "resumable stream" is forwarded until both were tried
+    Then the caller has the events 1, 2, 3, 4 in order
+    And the answer is complete
+
+    Examples:
+      | behaviour                                           |
+      | ends its connection inside an event                 |
+      | resets its connection after an event                |
+      | falls silent after an event and refuses connections |
