Accept answers that end with their connection through agents

What callers saw: an answer of a plain service with neither a length nor chunks was refused as broken by its agent, though it was whole; an order that had run was reported as one of unknown outcome.

Cause: the client of the agents took each end of a connection for a broken exchange, unless a length or a last chunk had come before. The client of direct targets had its own, right rule. Now the parser has the only one.

The row 'a body of unknown length' of 'A response with ... fails the exchange' stated the old rule. It is wrong by the protocol page (an answer may have no length and end with its connection); it is replaced by two rows, as strict: such a body is complete at a clean end, and broken if it is reset.

A stream of an engine still needs its final chunk and end mark, whatever its framing; a test shows it for one that ends inside an event.

--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -303,11 +303,12 @@
 
     async def _feed(self, read_timeout_ms: float) -> None:
         data = await read_chunk(self._stream, read_timeout_ms)
-        if not data:
+        if data:
+            feed_bytes(self._responses, data)
+        elif not self._responses.end_input():
             raise ExchangeBrokenError(
                 "connection closed before the end of the response"
             )
-        feed_bytes(self._responses, data)
 
     def close(self) -> None:
         """Closes the connection."""
--- a/src/lycheering/web/connection_pool.py
+++ b/src/lycheering/web/connection_pool.py
@@ -61,7 +61,6 @@
         self._stream = stream
         self._responses = responses.ResponseParser()
         self._response: responses.Response | None = None
-        self._has_ended_cleanly = False
 
     @property
     def is_open(self) -> bool:
@@ -73,7 +72,6 @@
         self.request_count += 1
         self._responses = responses.ResponseParser()
         self._response = None
-        self._has_ended_cleanly = False
         self._stream.write(data)
 
     async def read_head(self, timeout_ms: float) -> ResponseHead:
@@ -104,7 +102,7 @@
         while True:
             if response.parts:
                 return response.take_body()
-            if response.is_complete or self._has_ended_cleanly:
+            if response.is_complete:
                 return b""
             await self._feed(timeout_ms)
 
@@ -117,7 +115,7 @@
         Raises:
             ExchangeBrokenError: If only the end of the connection ends it.
         """
-        if self._ends_with_connection():
+        if self._responses.current.ends_with_connection:
             raise client.ExchangeBrokenError(
                 "response to another request has no defined length"
             )
@@ -126,12 +124,6 @@
         self._responses.drop_current()
         self._response = None
 
-    def _ends_with_connection(self) -> bool:
-        head = self._head()
-        if head is None or head.get(b"content-length"):
-            return False
-        return "chunked" not in head.get(b"transfer-encoding").lower()
-
     def _head(self) -> ResponseHead | None:
         if self._response is None:
             return None
@@ -142,11 +134,10 @@
         if data:
             client.feed_bytes(self._responses, data)
             return
-        if not self._ends_with_connection() or self._response is None:
+        if not self._responses.end_input():
             raise client.ExchangeBrokenError(
                 "connection closed before the end of the response"
             )
-        self._has_ended_cleanly = True
 
     def idle_timeout_ms(self) -> float:
         """Returns how long it may stay idle; 0 if it must be closed."""
--- a/src/lycheering/web/responses.py
+++ b/src/lycheering/web/responses.py
@@ -35,6 +35,18 @@
         self.has_headers = False
         self.is_complete = False
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        if not self.has_headers or self.is_complete:
+            return False
+        value_by_name = dict(self.headers)
+        return (
+            not value_by_name.get(b"content-length")
+            and b"chunked"
+            not in value_by_name.get(b"transfer-encoding", b"").lower()
+        )
+
     def take_body(self) -> bytes:
         """Removes and returns the unread bytes of the body."""
         data = b"".join(self.parts)
@@ -113,6 +125,16 @@
                 f"{self._framing_bytes} bytes received without body data"
             )
 
+    def end_input(self) -> bool:
+        """Handles the end of the connection by its peer.
+
+        Returns:
+            Whether the current response is complete with it.
+        """
+        if self.current.ends_with_connection:
+            self.current.is_complete = True
+        return self.current.is_complete
+
     def on_message_begin(self) -> None:
         """Starts a new response, except for the first one."""
         if not self._has_message_begun:
--- a/tests/steps/target_steps.py
+++ b/tests/steps/target_steps.py
@@ -55,6 +55,19 @@
     start_target(context, [scripted.reply(b"half", length=8)], "service")
 
 
+@given("a plain service that sends a body without a length")
+def step_lengthless_body(context):
+    answer = b"HTTP/1.1 200 x\r\nContent-Type: text/plain\r\n\r\nwhole"
+    start_target(context, [answer], "service")
+
+
+@given("a target that streams half an event without a length")
+def step_half_event(context):
+    head = scripted.stream().replace(b"Content-Length: 1000000\r\n", b"")
+    events = scripted.event(0) + scripted.event(1)[:20]
+    start_target(context, [head + events])
+
+
 @given("a target that does not listen")
 def step_not_listening(context):
     start_target(context, [])
--- a/tests/targets/engine.feature
+++ b/tests/targets/engine.feature
@@ -25,6 +25,16 @@
     When the driver reads the answer
     Then it has 1 chunks and the answer is broken
 
+  Scenario: A body without a length is complete at the end of its connection
+    Given a plain service that sends a body without a length
+    When the driver reads the answer
+    Then it has 1 chunks and the answer is complete
+
+  Scenario: A stream without a length that ends inside an event is broken
+    Given a target that streams half an event without a length
+    When the driver reads the answer
+    Then it has 1 chunks and the answer is broken
+
   Scenario: Nothing is sent if the check before sending fails
     Given a target that streams all of its events and closes the connection
     When the check before sending fails
--- a/tests/web/client.feature
+++ b/tests/web/client.feature
@@ -17,7 +17,7 @@
       | too many headers            |
       | a body over the size limit  |
       | a pause in the body         |
-      | a body of unknown length    |
+      | a body of unknown length that is reset |
 
   Scenario Outline: A complete response with <kind> is read
     Given a web server that responds with <kind>
@@ -29,6 +29,7 @@
       | a body of known length        |
       | a chunked body                |
       | an interim response before it |
+      | a body of unknown length      |
 
   Scenario: A refused connection fails before the request is sent
     When the web client fetches from a port without a listener
