Do not believe a refusal that names no request on a reused connection

What callers saw: 503 'not run, retry' for a request that its target was running, when a faulty target wrote the refusal of the request before once more on the kept connection, without the request id (REFUSED; with a second send of a repeatable request a run too many).

Cause: an answer with another id was discarded, but one without an id counted as the answer to the request that had been sent last.

Ruled out, with a test each that passed before: a repeated refusal with the id of its own request is discarded; heads that stop at four places give 502 for plain answers and streams; after a stream has begun, ten kinds of second answers (errors, refusals, whole bodies, cut heads) put nothing but events into it, and it ends incomplete.

Change: without an id, an answer is accepted only on a fresh connection, and the connection is not reused after it.

Test: rows 3 and 4 of 'A refusal that a target repeats is not believed' failed before.

--- a/src/lycheering/forward/api.py
+++ b/src/lycheering/forward/api.py
@@ -112,6 +112,7 @@
 
     Attributes:
         kind: What the answer means for the request.
+        has_request_id: Whether it says which request it belongs to.
         running: Number of requests that the target runs; None if not given.
         waiting: Number of requests that wait at the target.
         is_shutting_down: Whether the target is about to shut down.
@@ -123,6 +124,7 @@
     waiting: int = 0
     is_shutting_down: bool = False
     retry_after_ms: float = 0.0
+    has_request_id: bool = True
 
 
 class HeaderCodec(abc.ABC):
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -235,7 +235,7 @@
     ) -> None:
         self.progress = AttemptProgress(runner.now_ms())
         self._is_complete = False
-        self._has_stale_answer = False
+        self._is_attributable = True
         self._runner = runner
         self._request = request
         self._estimate = estimate
@@ -244,7 +244,7 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the connection may be used for another request."""
-        return self._is_complete and not self._has_stale_answer
+        return self._is_complete and self._is_attributable
 
     async def forward_answer(
         self,
@@ -314,7 +314,9 @@
         """Returns the head of this request's answer.
 
         On a reused connection, a duplicate of an earlier answer may arrive
-        late, before this request's answer. It is discarded.
+        late, before this request's answer. It is discarded. An answer without
+        a request id may be such a duplicate, so it is not accepted there, and
+        no connection is reused after one.
         """
         for _ in range(MAX_STALE_ANSWERS):
             head = await connection.read_head(self._remaining_ms())
@@ -322,8 +324,13 @@
                 head, self._request.metadata
             )
             if metadata.kind is not api.AnswerKind.STALE:
-                return head, metadata
-            self._has_stale_answer = True
+                self._is_attributable &= metadata.has_request_id
+                if metadata.has_request_id or connection.request_count == 1:
+                    return head, metadata
+                raise client.ExchangeBrokenError(
+                    "answer without a request id on a reused connection"
+                )
+            self._is_attributable = False
             _LOG.warning(
                 "stale_answer",
                 id=self._request.metadata.request_id,
--- a/src/lycheering/platform/header_codec.py
+++ b/src/lycheering/platform/header_codec.py
@@ -174,7 +174,12 @@
             retry_after_ms = _parse_retry_after_ms(head.get(RETRY_AFTER_HEADER))
         is_shutting_down = head.get(SHUTTING_DOWN_HEADER).strip() == "1"
         return api.AnswerMetadata(
-            kind, running, waiting, is_shutting_down, retry_after_ms
+            kind,
+            running,
+            waiting,
+            is_shutting_down,
+            retry_after_ms,
+            bool(answered_id),
         )
 
     def caller_headers(self, headers: api.Headers) -> api.Headers:
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -55,6 +55,13 @@
         "silence",
     ),
 }
+# heads that stop midway, and the number of bytes missing at their end
+CUT_HEADS = {
+    "stops inside its status line": -20,
+    "stops inside a header": 9,
+    "stops before the end of its headers": 2,
+    "stops inside the end of its headers": 1,
+}
 # what comes again and again, behind the start of an answer
 START_AND_NOISE = {
     "sends a head without end": (b"HTTP/1.1 200 Said\r\nX-A: ", b"a" * 4_096),
@@ -115,6 +122,7 @@
         event_bytes: What each event carries besides its number.
         noise_bytes: Bytes sent that are no answer.
         crash_count: Number of its crashes.
+        run_ids: Ids of the requests that it ran although it repeated a refusal.
     """
 
     BEHAVIOURS = (
@@ -126,6 +134,9 @@
         "cuts before the answer",
         "crashes under a prompt part",
         *LENGTHLESS,
+        *CUT_HEADS,
+        "repeats its refusal of the request before",
+        "repeats a refusal that names no request",
         "cuts after the head",
         "cuts inside an event",
         "cuts the body",
@@ -162,6 +173,7 @@
         self.event_bytes = 0
         self.noise_bytes = 0
         self.crash_count = 0
+        self.run_ids: list[str] = []
         self._last_by_connection: dict[int, bytes] = {}
         self._connections = 0
         self._server: asyncio.Server | None = None
@@ -275,6 +287,16 @@
             case lengthless if lengthless in LENGTHLESS:
                 await self._answer_lengthless(request, reader, writer)
                 return False
+            case cut if cut in CUT_HEADS:
+                kind = "Content-Type: text/event-stream\r\n"
+                head = self._head(request, 200, extra=kind, length=-1)
+                writer.write(head[: -CUT_HEADS[cut]])
+                return False
+            case (
+                "repeats its refusal of the request before"
+                | "repeats a refusal that names no request"
+            ):
+                await self._repeat_refusal(request, writer)
             case "ends with its connection":
                 head = self._head(request, 200, length=-1)
                 writer.write(head + b"whole")
@@ -350,6 +372,25 @@
         self._last_by_connection[request.connection] = own
         writer.write(own)
 
+    async def _repeat_refusal(
+        self, request: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        """Refuses the first request of a connection, and runs all others."""
+        refusal = self._last_by_connection.get(request.connection)
+        if refusal is None:
+            refusal = self._head(request, 503, not_run=True)
+            writer.write(refusal)
+            if self.behaviour == "repeats a refusal that names no request":
+                unnamed = dataclasses.replace(request, value_by_header={})
+                refusal = self._head(unnamed, 503, not_run=True)
+            self._last_by_connection[request.connection] = refusal
+            return
+        writer.write(refusal)
+        await writer.drain()
+        await asyncio.sleep(LATE_S)
+        self.run_ids.append(request.value_by_header["x-attempt-id"])
+        writer.write(self._head(request, 200, b"whole"))
+
     async def _make_noise(
         self, request: Received, writer: asyncio.StreamWriter
     ) -> None:
@@ -463,7 +504,7 @@
         echoed = request_id or request.value_by_header.get("x-attempt-id", "")
         lines = [
             f"HTTP/1.1 {status} Said",
-            f"X-Attempt-Id: {echoed}",
+            *([f"X-Attempt-Id: {echoed}"] if echoed else []),
             f"X-Response-Stamp: stamp-{self.target_id}",
             "X-Instance-Load: 1,0,8",
             "Keep-Alive: timeout=5",
--- a/tests/forward/odd_answers.feature
+++ b/tests/forward/odd_answers.feature
@@ -152,3 +152,59 @@
       | ends its connection inside an event                 |
       | resets its connection after an event                |
       | falls silent after an event and refuses connections |
+
+  @promise.not_run
+  @promise.at_most_once
+  Scenario Outline: A refusal that a target repeats is not believed
+    Given a direct target that <behaviour>
+    And another direct target that <behaviour>
+    When 8 requests of kind "<kind>" are forwarded
+    Then no request that a target ran was reported as not run
+    And no request of kind "once" ran twice
+
+    Examples:
+      | behaviour                                 | kind       |
+      | repeats its refusal of the request before | once       |
+      | repeats its refusal of the request before | idempotent |
+      | repeats a refusal that names no request   | once       |
+      | repeats a refusal that names no request   | idempotent |
+
+  @promise.whole
+  Scenario Outline: An answer whose head stops midway is no answer
+    Given a direct target that <behaviour>
+    When a request of kind "<kind>" is forwarded
+    Then the answer is 502
+
+    Examples:
+      | behaviour                           | kind   |
+      | stops inside its status line        | once   |
+      | stops inside a header               | once   |
+      | stops before the end of its headers | once   |
+      | stops inside the end of its headers | once   |
+      | stops inside its status line        | stream |
+      | stops inside a header               | stream |
+      | stops before the end of its headers | stream |
+      | stops inside the end of its headers | stream |
+
+  @promise.whole
+  @promise.every_event_once
+  Scenario Outline: Nothing but events gets into a stream that has begun
+    Given a direct target that cuts inside an event
+    And another direct target that <behaviour>
+    When streams are forwarded until the first target began one
+    Then the caller has the events 1, 2 in order
+    And its body holds nothing but these events
+    And the answer is incomplete
+
+    Examples:
+      | behaviour                           |
+      | fails                               |
+      | sheds                               |
+      | is another run                      |
+      | answers                             |
+      | answers another request             |
+      | cuts after the head                 |
+      | cuts before the answer              |
+      | stops inside a header               |
+      | ends with its connection            |
+      | resets its connection inside a body |
--- a/tests/steps/odd_answers_steps.py
+++ b/tests/steps/odd_answers_steps.py
@@ -9,9 +9,12 @@
 from behave import when
 
 from lycheering.wire import messages
+from standins import direct_target
 from tests.helpers import direct_entry
 from tests.steps import forward_steps
 
+MAX_TRIES = 40
+
 
 @given("other entries report that the target shuts down")
 def step_reported(context):
@@ -61,6 +64,51 @@
     assert context.targets[0].noise_bytes < most, context.targets[0].noise_bytes
 
 
+@when("streams are forwarded until the first target began one")
+def step_until_begun(context):
+    async def ask_all(entry):
+        for number in range(MAX_TRIES):
+            for target in context.targets:
+                target.received.clear()
+            data = direct_entry.request("resumable stream", f"r{number}")
+            answer = await direct_entry.ask(entry, data)
+            if answer.body.startswith(b"id: 1"):
+                return answer
+        raise AssertionError("the first target was never tried first")
+
+    context.answer = forward_steps.run(context, ask_all)
+
+
+@then("its body holds nothing but these events")
+def step_only_events(context):
+    expected = b"".join(
+        direct_target.EVENT % (number, number) for number in (1, 2)
+    )
+    assert context.answer.body == expected, context.answer.body
+
+
+@then("no request that a target ran was reported as not run")
+def step_truly_not_run(context):
+    run_ids = {i for target in context.targets for i in target.run_ids}
+    assert run_ids, "no target repeated a refusal"
+    for number, answer in enumerate(context.answers):
+        is_not_run = answer.status in (408, 421, 429, 503)
+        assert not (is_not_run and f"r{number}" in run_ids), answer
+
+
+@then('no request of kind "once" ran twice')
+def step_not_twice(context):
+    run_ids = [
+        (request.line, request_id)
+        for target in context.targets
+        for request_id in target.run_ids
+        for request in target.received
+        if request.value_by_header["x-attempt-id"] == request_id
+    ]
+    once = [item for item in run_ids if "/once/" in item[0]]
+    assert len(once) == len(set(once)), once
+
+
 @then("its body has {size:d} bytes")
 def step_size(context, size):
     assert len(context.answer.body) == size, len(context.answer.body)
