Show that no error of another engine gets into an answer that has begun

Report of another operator: the next worker's error, at times its whole head, in the middle of a stream. Through agents it does not happen: a continuation with another status is refused as broken ('a later attempt answered with status'), and the stream ends with an explicit error and without its end mark.

--- a/tests/entry/answers.feature
+++ b/tests/entry/answers.feature
@@ -55,6 +55,18 @@
       | streamed |
       | whole    |
 
+  Scenario Outline: An error of another engine gets into no answer that has begun
+    Given an entry with fake peers
+    And agents that break off after 8 chunks
+    And agents that continue answers with an error page of status <status>
+    When a caller asks for a streamed chat "hi" with a seed
+    Then the caller gets the first 8 chunks and an error "target_failed", may have run
+
+    Examples:
+      | status |
+      | 500    |
+      | 404    |
+
   Scenario: A streamed answer that is not deterministic ends with an error
     Given an entry with fake peers
     And agents that break off after 8 chunks
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -110,6 +110,11 @@
     )
 
 
+@given("agents that continue answers with an error page of status {status:d}")
+def step_agents_error_page(context, status):
+    entry_calls.update_scripts(context.fleet.engines, error_status=status)
+
+
 @given('agent "{name}" refuses with "{reason}"')
 def step_agent_refuses(context, name, reason):
     entry_calls.update_scripts(
--- a/tests/support/fake_fleet.py
+++ b/tests/support/fake_fleet.py
@@ -57,6 +57,8 @@
 
     Attributes:
         not_run: The reason to refuse requests with, if any.
+        error_status: Status of the error page that an answer is continued
+            with; 0 for none.
         break_after: The chunk at which answers fail; -1 for never.
         silent_after: The chunk at which answers stop; -1 for never.
         ignore_requests: Whether requests get no reply.
@@ -71,6 +73,7 @@
     """
 
     not_run: str = ""
+    error_status: int = 0
     break_after: int = -1
     silent_after: int = -1
     ignore_requests: bool = False
@@ -154,6 +157,21 @@
         script = self.script
         self.runs += 1
         session.send(messages.Accepted(0.0), call_id)
+        if script.error_status and submit.continue_from:
+            session.send(
+                messages.Started(
+                    script.error_status,
+                    "text/html",
+                    0,
+                    0,
+                    script.weights_version,
+                ),
+                call_id,
+            )
+            page = (b"<html>HTTP/1.1 500 engine failed</html>",)
+            session.send(messages.Chunks(submit.continue_from, page), call_id)
+            session.send(messages.Finished(submit.continue_from + 1), call_id)
+            return
         kind = "text/event-stream"
         if not submit.model:
             kind = "application/json"
