Look up a part's crashes by key, and bound the tests behind agents

Each answered request compared its prompt parts with all prompts of up to 128 crashes. The ledger now has the times of the crashes by part, so the parts of no crash cost one look-up each.

Behind agents the number of entries is not known; the number of live targets, of which there are at least as many in the fleets described, takes its place when entries share the tests of a quarantined part.

--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -99,6 +99,13 @@
         self.view.listen(self._view_changed)
 
     def _build_api(self, settings: model.Settings) -> None:
+        self._quarantine = prompt_quarantine.PromptQuarantine(
+            self._crashes,
+            prompt_quarantine.QuarantineSettings(),
+            self._clock,
+            random.Random(),
+            self.counters,
+        )
         targets = target_access.TargetAccess(
             self._clock,
             self.view,
@@ -107,13 +114,7 @@
             self._budget,
             self._circuit_breakers,
             self._crashes,
-            prompt_quarantine.PromptQuarantine(
-                self._crashes,
-                prompt_quarantine.QuarantineSettings(),
-                self._clock,
-                random.Random(),
-                self.counters,
-            ),
+            self._quarantine,
             self.counters,
             SUSPECT_HEARTBEATS * settings.wire.heartbeat_ms,
         )
@@ -186,7 +187,10 @@
 
     def _view_changed(self) -> None:
         self._circuit_breakers.retain(set(self.view.fleet.target_by_name))
-        self._budget.target_count = len(self._live_targets())
+        target_count = len(self._live_targets())
+        self._budget.target_count = target_count
+        # an upper bound, as entries are not in the view
+        self._quarantine.entry_count = max(1, target_count)
 
     def _live_targets(self) -> list[records.Target]:
         return [
--- a/src/lycheering/retries/crash_ledger.py
+++ b/src/lycheering/retries/crash_ledger.py
@@ -73,6 +73,7 @@
         self.crashes: list[Crash] = []
         self._clock = time
         self._answered_by_part: dict[str, _Answered] = {}
+        self._crash_times_ms_by_part: dict[str, set[float]] = {}
         # all parts of recent answers, the latest answer last
         self._recent_ms_by_part: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -104,11 +105,12 @@
         crash.prompts.update(sorted(added, key=_evidence_order)[:room])
         self.version += 1
         crash.version = self.version
-        for prompt in crash.prompts:
-            for part in prompt.parts:
-                recent_ms = self._recent_ms_by_part.get(part)
-                if recent_ms is not None:
-                    self._add_answer(part, recent_ms)
+        for part in _parts_of(crash):
+            times_ms = self._crash_times_ms_by_part.setdefault(part, set())
+            times_ms.add(crash.crashed_ms)
+            recent_ms = self._recent_ms_by_part.get(part)
+            if recent_ms is not None:
+                self._add_answer(part, recent_ms)
 
     def record_answered(
         self, parts: Iterable[str], answered_ms: float | None = None
@@ -187,11 +189,7 @@
 
     def _add_answer(self, part: str, answered_ms: float) -> None:
         """Adds an answer to the evidence if it says more about a crash."""
-        crash_times_ms = [
-            crash.crashed_ms
-            for crash in self.crashes
-            if any(part in prompt.parts for prompt in crash.prompts)
-        ]
+        crash_times_ms = self._crash_times_ms_by_part.get(part)
         known = self._answered_by_part.get(part)
         if not crash_times_ms or (
             known is not None
@@ -207,16 +205,22 @@
     def _remove_old(self) -> None:
         """Drops surplus crashes, and answers to parts of no known crash."""
         del self.crashes[: max(0, len(self.crashes) - MAX_CRASHES)]
-        parts = {
-            part
-            for crash in self.crashes
-            for prompt in crash.prompts
-            for part in prompt.parts
-        }
-        for part in self._answered_by_part.keys() - parts:
+        self._crash_times_ms_by_part = {}
+        for crash in self.crashes:
+            for part in _parts_of(crash):
+                self._crash_times_ms_by_part.setdefault(part, set()).add(
+                    crash.crashed_ms
+                )
+        for part in self._answered_by_part.keys() - (
+            self._crash_times_ms_by_part.keys()
+        ):
             del self._answered_by_part[part]
 
 
+def _parts_of(crash: Crash) -> set[str]:
+    return {part for prompt in crash.prompts for part in prompt.parts}
+
+
 def request_digest(request_id: str) -> int:
     """Returns the digest by which evidence names a request."""
     return xxhash.xxh3_64_intdigest(request_id.encode()) >> 16
