Ignore reports of crashes older than all that a ledger keeps

A ledger keeps 128 crashes. The report of an older one was added, dropped at once and still counted as a change, and its parts were looked up in vain. Also: record_answered loses an argument without use, and the crash detector is no part of the application, as it has nothing to start.

--- a/src/lycheering/forward/crash_detector.py
+++ b/src/lycheering/forward/crash_detector.py
@@ -25,7 +25,7 @@
 _LOG = logs.get("crashes")
 
 
-class CrashDetector(app_api.Part):
+class CrashDetector:
     """Records the crashes of targets that broke requests of this entry.
 
     A target has crashed if it ends connections in the middle of exchanges and
@@ -47,9 +47,6 @@
         self._tasks = app_api.TaskOwner()
         self._prompts_by_key: dict[str, set[messages.BrokenPrompt]] = {}
 
-    async def start(self) -> None:
-        """Does nothing."""
-
     async def stop(self) -> None:
         """Ends open probes."""
         await self._tasks.cancel_all()
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -70,7 +70,7 @@
         view: view_holder.ViewHolder,
         intake: intakes.RequestIntake,
         attempt_runner: attempts.AttemptRunner,
-        crashes: crash_detector.CrashDetector,
+        detector: crash_detector.CrashDetector,
         quarantine: prompt_quarantine.PromptQuarantine,
         failure_domain: str,
         time: clock.Clock,
@@ -84,7 +84,7 @@
             view: The fleet view in force.
             intake: Accepts incoming requests.
             attempt_runner: Makes the attempts.
-            crashes: Detects crashes of targets.
+            detector: Detects crashes of targets.
             quarantine: The prompt parts that crash targets.
             failure_domain: Failure domain of this entry.
             time: The clock.
@@ -96,7 +96,7 @@
         self._settings = settings
         self._view = view
         self._attempt_runner = attempt_runner
-        self._crashes = crashes
+        self._crash_detector = detector
         self._quarantine = quarantine
         self._failure_domain = failure_domain
         self._clock = time
@@ -205,7 +205,7 @@
                     self._refuse_after_attempt(request, outcome)
                 continue
             if result in (attempts.Result.BROKEN, attempts.Result.CUT):
-                self._crashes.record_broken(state, request)
+                self._crash_detector.record_broken(state, request)
                 state.record_failure(self._clock.now_ms())
             if not self._may_retry(request, outcome):
                 if (
--- a/src/lycheering/retries/crash_ledger.py
+++ b/src/lycheering/retries/crash_ledger.py
@@ -98,6 +98,9 @@
             self.crashes.append(crash)
             self.crashes.sort(key=lambda known: known.crashed_ms)
             self._remove_old()
+            if self.crashes[0].crashed_ms > crashed_ms:
+                # older than all that are kept
+                return
         added = set(prompts) - crash.prompts
         room = MAX_PROMPTS_PER_CRASH - len(crash.prompts)
         if not added or room <= 0:
@@ -112,22 +115,17 @@
             if recent_ms is not None:
                 self._add_answer(part, recent_ms)
 
-    def record_answered(
-        self, parts: Iterable[str], answered_ms: float | None = None
-    ) -> None:
-        """Records that a target answered a prompt without a crash.
+    def record_answered(self, parts: Iterable[str]) -> None:
+        """Records that a target has just answered a prompt without a crash.
 
         Args:
             parts: Keys of the shared parts of the prompt.
-            answered_ms: When it was known that the target had not crashed;
-                None for now.
         """
-        if answered_ms is None:
-            answered_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
         for part in parts:
-            self._recent_ms_by_part[part] = answered_ms
+            self._recent_ms_by_part[part] = now_ms
             self._recent_ms_by_part.move_to_end(part)
-            self._add_answer(part, answered_ms)
+            self._add_answer(part, now_ms)
         while len(self._recent_ms_by_part) > MAX_ANSWERED_PARTS:
             self._recent_ms_by_part.popitem(last=False)
 
--- a/tests/retries/quarantine.feature
+++ b/tests/retries/quarantine.feature
@@ -69,3 +69,8 @@
     And 1 engines crash at once every 40000 ms
     When the fleet runs for 60000 ms
     Then at most 0 in 100 sound requests are refused
+
+  Scenario: A crash older than all that are kept changes no evidence
+    Given a ledger with 128 crashes
+    When an older crash is reported to it
+    Then the ledger has the same evidence
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -6,6 +6,9 @@
 from behave import then
 from behave import when
 
+from lycheering import clock
+from lycheering.retries import crash_ledger
+from lycheering.wire import messages
 from tests.helpers import crashing_fleet
 
 
@@ -119,3 +122,27 @@
 def step_few_tests(context, most, after_ms):
     late = [at for at in context.fleet.crashes_ms if at > after_ms]
     assert len(late) <= most, late
+
+
+@given("a ledger with {count:d} crashes")
+def step_full_ledger(context, count):
+    context.time = clock.ManualClock(1_000_000.0)
+    context.ledger = crash_ledger.CrashLedger(context.time)
+    prompt = messages.BrokenPrompt(("first", "second"))
+    for number in range(count):
+        context.ledger.record_crash(number, 500_000.0 + number, (prompt,))
+    context.version = context.ledger.version
+
+
+@when("an older crash is reported to it")
+def step_older_crash(context):
+    prompt = messages.BrokenPrompt(("first", "other"))
+    crash = messages.TargetCrash(999, 900_000, (prompt,))
+    context.ledger.merge(messages.CrashEvidence((crash,)))
+
+
+@then("the ledger has the same evidence")
+def step_same_evidence(context):
+    assert context.ledger.version == context.version
+    targets = [crash.target for crash in context.ledger.crashes]
+    assert targets == list(range(len(targets))), targets
