Tell apart deadly prompt parts whose crashes coincide

The whole moment was then explained by one part: the second crash of one part fell within 30 ms of a crash of the other, which explained both, and left the first part with one crash.

Ruled out: an answer that cleared the part (none was ever given), a change of leader, lost evidence (all entries had both crashes).

Change: crashes are explained one by one; only their number counts moments. Two accidents at one moment still count once for each part.

--- a/src/lycheering/retries/prompt_quarantine.py
+++ b/src/lycheering/retries/prompt_quarantine.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Set as AbstractSet
     import random
 
     from lycheering import clock
@@ -74,31 +75,36 @@
     """A part of prompts that were not answered before crashes.
 
     Attributes:
-        crashes: Indexes of these crashes.
+        moment_by_crash: The crashes, by index, and the moment of each; crashes
+            at the same moment may be one accident.
         begun_count: How many of them came as an answer to it had just begun.
         targets_by_request: Targets that crashed under each request.
         depth: Its position in a prompt; parts that many prompts share come
             first.
     """
 
-    crashes: set[int] = dataclasses.field(default_factory=set)
+    moment_by_crash: dict[int, int] = dataclasses.field(default_factory=dict)
     begun_count: int = 0
     depth: int = 0
     targets_by_request: dict[int, set[int]] = dataclasses.field(
         default_factory=dict
     )
 
-    def crash_count(self, crashes: set[int]) -> int:
+    def crash_count(self, crashes: AbstractSet[int]) -> int:
         """Returns how many crashes the part explains among the given ones.
 
         Targets that crash one after the other under the same request do not
         crash at once by coincidence, so each of them counts.
         """
-        count = len(self.crashes & crashes)
-        if not count:
+        moments = {
+            moment
+            for crash, moment in self.moment_by_crash.items()
+            if crash in crashes
+        }
+        if not moments:
             return 0
         targets = map(len, self.targets_by_request.values())
-        return max(count, max(targets, default=0))
+        return max(len(moments), max(targets, default=0))
 
 
 class PromptQuarantine:
@@ -221,8 +227,8 @@
 
     def _explain_crashes(self) -> dict[str, Quarantine]:
         """Returns the parts that explain the crashes."""
-        times_ms, suspect_by_part = self._suspects()
-        unexplained = set(range(len(times_ms)))
+        suspect_by_part = self._suspects()
+        unexplained = set(range(len(self._ledger.crashes)))
         quarantine_by_part: dict[str, Quarantine] = {}
         while suspect_by_part:
             part, suspect = max(
@@ -241,11 +247,12 @@
                 break
             if crash_count < self._min_crashes(part, suspect):
                 continue
-            unexplained -= suspect.crashes
+            crashes = suspect.moment_by_crash.keys()
+            unexplained -= crashes
             quarantine_by_part[part] = self._quarantine(
                 part,
-                suspect.crash_count(suspect.crashes),
-                times_ms[max(suspect.crashes)],
+                suspect.crash_count(crashes),
+                self._ledger.crashes[max(crashes)].crashed_ms,
             )
         return quarantine_by_part
 
@@ -256,23 +263,20 @@
             return self._settings.min_crashes_if_outermost
         return self._settings.min_crashes_if_answered
 
-    def _suspects(self) -> tuple[list[float], dict[str, _Suspect]]:
-        """Returns the times of the crashes, and the suspects of each."""
+    def _suspects(self) -> dict[str, _Suspect]:
+        """Returns the parts of all prompts that crashes left unanswered."""
         now_ms = self._clock.now_ms()
         self._next_update_ms = math.inf
-        times_ms: list[float] = []
+        moment = 0
+        moment_ms = -math.inf
         suspect_by_part: dict[str, _Suspect] = {}
-        for crash in self._ledger.crashes:
+        for index, crash in enumerate(self._ledger.crashes):
             settled_ms = crash.crashed_ms + self._settings.settling_ms
             if settled_ms > now_ms:
                 self._next_update_ms = min(self._next_update_ms, settled_ms)
-            if (
-                not times_ms
-                or crash.crashed_ms - times_ms[-1]
-                >= self._settings.simultaneous_ms
-            ):
-                times_ms.append(crash.crashed_ms)
-            index = len(times_ms) - 1
+            if crash.crashed_ms - moment_ms >= self._settings.simultaneous_ms:
+                moment += 1
+                moment_ms = crash.crashed_ms
             for prompt in crash.prompts:
                 for depth, part in enumerate(prompt.parts):
                     answered_ms = self._ledger.answered_ms(part)
@@ -281,14 +285,14 @@
                     ):
                         continue
                     suspect = suspect_by_part.setdefault(part, _Suspect())
-                    suspect.crashes.add(index)
+                    suspect.moment_by_crash[index] = moment
                     suspect.begun_count += prompt.has_begun
                     suspect.depth = max(suspect.depth, depth)
                     if prompt.request:
                         suspect.targets_by_request.setdefault(
                             prompt.request, set()
                         ).add(crash.target)
-        return times_ms, suspect_by_part
+        return suspect_by_part
 
     def _quarantine(
         self, part: str, crash_count: int, last_crash_ms: float
--- a/tests/retries/quarantine.feature
+++ b/tests/retries/quarantine.feature
@@ -74,3 +74,11 @@
     Given a ledger with 128 crashes
     When an older crash is reported to it
     Then the ledger has the same evidence
+
+  # Deadly requests of two kinds kept reaching engines after coinciding crashes.
+  @promise.deadly_parts
+  Scenario: Two deadly parts whose crashes coincide are both quarantined
+    Given engines that crash under "first,one" at 1000 and 3000 ms
+    And engines that crash under "first,two" at 2000 and 3100 ms
+    And "first,sound" is answered at 3500 ms
+    Then exactly "one,two" are quarantined
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -146,3 +146,32 @@
     assert context.ledger.version == context.version
     targets = [crash.target for crash in context.ledger.crashes]
     assert targets == list(range(len(targets))), targets
+
+
+def new_quarantine(context):
+    context.time = clock.ManualClock(1_000_000.0)
+    context.started_ms = context.time.now_ms()
+    context.entry = crashing_fleet.Entry(1, context.time, 1)
+
+
+@given('engines that crash under "{parts}" at {first:d} and {second:d} ms')
+def step_crashes_under(context, parts, first, second):
+    if not hasattr(context, "entry"):
+        new_quarantine(context)
+    prompt = messages.BrokenPrompt(tuple(parts.split(",")), has_begun=True)
+    for at_ms in (first, second):
+        engine = len(context.entry.ledger.crashes)
+        crashed_ms = context.started_ms + at_ms
+        context.entry.ledger.record_crash(engine, crashed_ms, (prompt,))
+
+
+@given('"{parts}" is answered at {at_ms:d} ms')
+def step_answered(context, parts, at_ms):
+    context.time.time_ms = context.started_ms + at_ms
+    context.entry.ledger.record_answered(parts.split(","))
+
+
+@then('exactly "{parts}" are quarantined')
+def step_exactly_quarantined(context, parts):
+    found = sorted(found.part for found in context.entry.quarantine.parts())
+    assert found == parts.split(","), found
