Let whole answers clear the prompt parts that they share with crashes

What callers saw: where a prompt is answered whole instead of as a stream, two different deadly parts below one shared part had the shared part quarantined: sound requests were refused as 'quarantined'.

Cause: only streams were recorded as answered. What is shared is told from what crashes targets by answers elsewhere, so without any the innermost part that all crashes have in common was taken for the deadly one.

Found while reading who clears a part.

Change: a complete 2xx answer counts too. A refusal or a failure does not, as it may have come before the target read the prompt.

Test: 'Whole answers clear the parts that they share with deadly prompts' failed before (503 for sound requests).

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -297,7 +297,10 @@
             not is_success and request.is_repeatable and head.status >= 500
         )
         if not may_retry and not request.caller.has_begun:
-            return await self._forward_body(connection, head)
+            outcome = await self._forward_body(connection, head)
+            if is_success:
+                self._record_answered()
+            return outcome
         body = await self._read_body(connection, MAX_BUFFERED_BYTES)
         if may_retry:
             request.failed_answer = pending_request.BufferedAnswer(
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -308,6 +308,8 @@
                 await writer.drain()
                 self._crash()
                 return False
+            case "crashes under a prompt part" if " /once/" in request.line:
+                writer.write(self._head(request, 200, b"whole"))
             case (
                 "streams"
                 | "cuts inside an event"
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -28,3 +28,11 @@
     And another direct target that cuts after the head
     When 12 requests of kind "stream" come, each third with the deadly part
     Then the requests reached targets 12 times
+
+  # Whole answers cleared no part, so what all prompts share was quarantined.
+  @promise.deadly_parts
+  Scenario: Whole answers clear the parts that they share with deadly prompts
+    Given 4 direct targets that crash under a prompt part
+    When 8 requests of kind "once" come, each third with a deadly part of its own
+    Then targets crashed at most 3 times
+    And all sound requests got 200
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -16,6 +16,7 @@
 BEHAVIOUR = "crashes under a prompt part"
 SOUND_PROMPT = "first:10,second:20,own:30"
 DEADLY_PROMPT = "first:10,second:20,deadly:5,own:30"
+OTHER_DEADLY_PROMPT = "first:10,second:20,deadly%d:5,own:30"
 GAP_S = 0.3
 
 
@@ -45,10 +46,22 @@
     '{count:d} requests of kind "{kind}" come, each third with the deadly part'
 )
 def step_requests(context, count, kind):
-    async def ask_all(entry):
+    ask_all(context, count, kind, lambda _: DEADLY_PROMPT)
+
+
+@when(
+    '{count:d} requests of kind "{kind}" come, each third with a deadly part'
+    " of its own"
+)
+def step_own_parts(context, count, kind):
+    ask_all(context, count, kind, lambda number: OTHER_DEADLY_PROMPT % number)
+
+
+def ask_all(context, count, kind, deadly_prompt):
+    async def ask_entry(entry):
         answers = []
         for number in range(count):
-            prompt = SOUND_PROMPT if number % 3 else DEADLY_PROMPT
+            prompt = SOUND_PROMPT if number % 3 else deadly_prompt(number)
             data = direct_entry.request(
                 kind, f"r{number}", X_Prefix_Hash=prompt
             )
@@ -56,7 +69,7 @@
             await asyncio.sleep(GAP_S)
         return answers
 
-    answers = forward_steps.run(context, ask_all)
+    answers = forward_steps.run(context, ask_entry)
     context.answer_by_id = {
         f"r{number}": answer for number, answer in enumerate(answers)
     }
@@ -94,6 +107,13 @@
     assert answer.is_complete, answer
 
 
+@then("all sound requests got 200")
+def step_all_sound(context):
+    answers = enumerate(context.answer_by_id.values())
+    sound = [answer for number, answer in answers if number % 3]
+    assert [answer.status for answer in sound] == [200] * len(sound), sound
+
+
 @then("the requests reached targets {count:d} times")
 def step_reached(context, count):
     reached = sum(len(target.received) for target in context.targets)
