--- /dev/null
+++ b/tests/tools/run_tests.feature
@@ -0,0 +1,6 @@
+Feature: The run of all tests says why scenarios failed
+
+  Scenario: The reason of a failed scenario is its failed step and the error
+    Given a report with a scenario whose step "it works" failed with "AssertionError: 5"
+    When the report is read
+    Then the scenario counts as failed, with the reason "it works: AssertionError: 5"
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import NoReturn
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
 PARALLEL_RUNS = 4
 RUN_TIMEOUT_S = 420
 ABORT_GRACE_S = 5
+MAX_REASON_LENGTH = 2_000
 SIGNAL_EXIT_BASE = 128
 RUNNING: set[subprocess.Popen[str]] = set()
 ENVIRONMENT = {
@@ -43,6 +45,7 @@
         failed: Locations of the scenarios that failed.
         output: What behave printed.
         duration_s: How long it took.
+        reason_by_place: The failed step and its error, by location.
     """
 
     feature: str
@@ -50,6 +53,7 @@
     failed: list[str]
     output: str
     duration_s: float = 0.0
+    reason_by_place: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def known_red() -> set[str]:
@@ -130,12 +134,10 @@
     return output
 
 
-def read_report(features: list[dict[str, object]], outcome: Outcome) -> None:
+def read_report(features: list[dict[str, Any]], outcome: Outcome) -> None:
     """Adds the scenarios of a behave report to the outcome."""
     for feature in features:
-        elements = feature.get("elements", [])
-        assert isinstance(elements, list)
-        for element in elements:
+        for element in feature.get("elements", []):
             if element["type"] == "background":
                 continue
             name = element["name"].strip()
@@ -144,6 +146,18 @@
                 outcome.passed.append(place)
             elif element["status"] != "skipped":
                 outcome.failed.append(place)
+                outcome.reason_by_place[place] = failure_reason(element)
+
+
+def failure_reason(element: dict[str, Any]) -> str:
+    """Returns the step of a scenario that failed, with its error."""
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status", "passed") != "passed":
+            lines = result.get("error_message", result.get("status", ""))
+            text = lines if isinstance(lines, str) else "\n".join(lines)
+            return f"{step['name']}: {text}"[:MAX_REASON_LENGTH]
+    return "no step failed"
 
 
 def main() -> int:
@@ -158,6 +172,7 @@
     features = wanted or sorted((ROOT / "tests").rglob("*.feature"))
     red = known_red()
     passed = failed = 0
+    reasons: list[str] = []
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_RUNS) as pool:
         for outcome in pool.map(run_timed, features):
             passed += len(outcome.passed)
@@ -171,13 +186,25 @@
             for place in outcome.failed:
                 mark = "known red" if place in red else "FAILED"
                 print(f"{mark}: {place}", flush=True)
+                reason = outcome.reason_by_place.get(place, "no report")
+                reasons.append(f"{mark}: {place}\n{reason}")
             if unexpected:
                 print(outcome.output, flush=True)
+    # logs of long runs are often cut in the middle
+    for reason in reasons:
+        print(reason)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
 
 
-__all__ = ["Outcome", "known_red", "main", "read_report", "run_feature"]
+__all__ = [
+    "Outcome",
+    "failure_reason",
+    "known_red",
+    "main",
+    "read_report",
+    "run_feature",
+]
 
 if __name__ == "__main__":
     sys.exit(main())
