Count the registrations of a herd over all leaders

The counters of the last leader alone were read, though the leader before had proposed most (901 + 40, in 10 + 1 batches). And a registration of unknown outcome counted as a refusal; that answer is allowed, and agents register again.

Change: the counters of all instances are summed, against the same bounds, and a registration of unknown outcome is repeated, as agents do.

--- a/tests/control/wire_calls.feature
+++ b/tests/control/wire_calls.feature
@@ -72,7 +72,7 @@
   Scenario: A herd of agents registers in few batches
     When 940 agents register at once
     Then the entry sees 940 live targets
-    And the leader proposed them in at most 100 batches
+    And the leaders proposed them in at most 100 batches
 
   Scenario: Any control instance takes what an agent says of its target
     Given a scripted agent "t1"
--- a/tests/steps/control_wire_steps.py
+++ b/tests/steps/control_wire_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 from behave import given
 from behave import then
@@ -15,6 +16,7 @@
 from tests.support import control_peers
 from tests.support import processes
 
+REGISTER_PAUSE_S = 0.1
 LEADERLESS = (
     messages.Reason.NO_QUORUM,
     messages.Reason.NOT_LEADER,
@@ -195,7 +197,15 @@
 
     async def register(target):
         message = messages.Register(target)
-        return await context.agent.call_leader(message, 10_000)
+        while True:
+            reply = await context.agent.call_leader(message, 10_000)
+            is_unknown = isinstance(reply, messages.Failure) and (
+                reply.reason == messages.Reason.UNKNOWN_OUTCOME
+            )
+            if not is_unknown:
+                return reply
+            # agents register again while the outcome is unknown
+            await asyncio.sleep(REGISTER_PAUSE_S)
 
     async def register_all():
         return await asyncio.gather(*(register(t) for t in targets))
@@ -212,12 +222,14 @@
     processes.wait_for(seen, f"{count} targets")
 
 
-@then("the leader proposed them in at most {count:d} batches")
+@then("the leaders proposed them in at most {count:d} batches")
 def step_batches(context, count):
-    leader = context.group.leader()
-    counts = context.group.call(leader, "GET", "/v1/counters").json["counters"]
-    assert counts["control.registrations"] >= 940
-    assert counts["control.registration_batches"] <= count, counts
+    totals = collections.Counter()
+    for name in context.group.names:
+        answer = context.group.call(name, "GET", "/v1/counters")
+        totals.update(answer.json["counters"])
+    assert totals["control.registrations"] >= 940, totals
+    assert totals["control.registration_batches"] <= count, totals
 
 
 @when("the agent deregisters")
