Test suspected weights on single engines instead of crashing the fleet

Weights that crash the engines that load them were loaded by one engine after the other, as each failure was taken for a fault of the engine: it was penalized, and the next one got the order.

Ruled out: the limit on engines out of service holds back nothing, as an engine that crashed is not being updated any more; nor do retries of the same engine, as each run has another key.

Change: two engines that failed after they had accepted the order, and none that serves the version, make it suspected. One engine at a time tests it then, 2 s after the last failure, doubling. Engines that fail within a second are one round, as a whole failure domain may be lost while its engines load. An engine that serves the version ends this, and another version is not affected.

Two accidents during sound weights, and weights named after the suspected ones, are loaded everywhere as before.

The knowledge is the leader's alone; behind agents loads are not held back.

--- a/src/lycheering/control/direct/rollout_plan.py
+++ b/src/lycheering/control/direct/rollout_plan.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
 # subtracted from the outdated time of an engine for each consecutive failure,
@@ -83,17 +84,32 @@
 
 
 def next_engines(
-    engines: Sequence[OutdatedEngine], free: int
+    engines: Sequence[OutdatedEngine],
+    free: int,
+    free_by_model: Mapping[str, int] | None = None,
 ) -> list[OutdatedEngine]:
     """Returns the engines to update now, the most urgent first.
 
     Args:
         engines: Outdated engines without an update in progress.
         free: How many more engines may be out of service.
+        free_by_model: How many more engines may load a model's newest weights,
+            for the models that have such a limit.
     """
+    left_by_model = dict(free_by_model or {})
+    chosen: list[OutdatedEngine] = []
     eligible = [engine for engine in engines if not engine.is_paused]
     eligible.sort(key=_urgency, reverse=True)
-    return eligible[: max(0, free)]
+    for engine in eligible:
+        if len(chosen) >= free:
+            break
+        left = left_by_model.get(engine.model)
+        if left is not None:
+            if left <= 0:
+                continue
+            left_by_model[engine.model] = left - 1
+        chosen.append(engine)
+    return chosen
 
 
 def _urgency(engine: OutdatedEngine) -> tuple[float, bool, str]:
--- a/src/lycheering/control/direct/weights_rollout.py
+++ b/src/lycheering/control/direct/weights_rollout.py
@@ -13,6 +13,7 @@
 from lycheering.app import api as app_api
 from lycheering.control import commands
 from lycheering.control.direct import api
+from lycheering.control.direct import load_failures
 from lycheering.control.direct import rollout_plan
 from lycheering.fleet import records
 from lycheering.replication import errors
@@ -136,7 +137,10 @@
         self._clock = time
         self._counters = counts
         self._tasks = app_api.TaskOwner()
-        self._keys_in_update: set[str] = set()
+        self._model_by_updating_key: dict[str, str] = {}
+        self._load_failures = load_failures.LoadFailures(time, counts)
+        # versions that engines in update have accepted an order to load
+        self._accepted_version_by_key: dict[str, int] = {}
         self._mean_out_ms = INITIAL_MEAN_OUT_MS
         self._fence = 0
         self._orders_allowed_from_ms = 0.0
@@ -194,7 +198,7 @@
         held_targets = [
             target
             for target in fleet.direct_target_by_key.values()
-            if target.is_held and target.key not in self._keys_in_update
+            if target.is_held and target.key not in self._model_by_updating_key
         ]
         if not held_targets:
             return
@@ -229,19 +233,40 @@
                 is_paused=now_ms < self._retry_at_ms_by_key.get(target.key, 0),
             )
             for target, model, named_wall_ms in find_outdated_engines(fleet)
-            if target.key not in self._keys_in_update
+            if target.key not in self._model_by_updating_key
             and (target.is_held or not only_held)
         ]
-        free = self._max_out_of_service(fleet) - len(self._keys_in_update)
-        for engine in rollout_plan.next_engines(outdated_engines, free):
-            if engine.key in self._keys_in_update:
+        free = self._max_out_of_service(fleet) - len(
+            self._model_by_updating_key
+        )
+        for engine in rollout_plan.next_engines(
+            outdated_engines, free, self._free_loads_by_model(fleet)
+        ):
+            if engine.key in self._model_by_updating_key:
                 continue
-            self._keys_in_update.add(engine.key)
+            self._model_by_updating_key[engine.key] = engine.model
             self._tasks.spawn(
                 self._update_engine(engine.key, engine.model),
                 f"weights:{engine.key}",
             )
 
+    def _free_loads_by_model(self, fleet: view.FleetView) -> dict[str, int]:
+        """Returns how many more engines may load suspected weights."""
+        free_by_model = {}
+        updating_models = list(self._model_by_updating_key.values())
+        for model in self._load_failures.failed_models():
+            version = fleet.requested_version_by_model.get(model, 0)
+            is_loaded = any(
+                target.version_by_model.get(model, 0) >= version
+                for target in fleet.direct_target_by_key.values()
+            )
+            max_loads = self._load_failures.max_loads(
+                model, version, is_loaded=is_loaded
+            )
+            if max_loads is not None:
+                free_by_model[model] = max_loads - updating_models.count(model)
+        return free_by_model
+
     def _max_out_of_service(self, fleet: view.FleetView) -> int:
         """Returns how many engines may be out of service at one time."""
         reachable = sum(
@@ -273,7 +298,8 @@
         else:
             self._failures_by_key.pop(key, None)
         finally:
-            self._keys_in_update.discard(key)
+            self._model_by_updating_key.pop(key, None)
+            self._accepted_version_by_key.pop(key, None)
             self._held_from_ms_by_key.pop(key, None)
 
     async def _try_update(self, key: str, model: str) -> None:
@@ -281,7 +307,13 @@
         if target is None:
             return
         started_ms = self._clock.now_ms()
-        version = await self._load_weights(target, model)
+        try:
+            version = await self._load_weights(target, model)
+        except api.EngineUnreachableError:
+            self._record_failed_load(target, model)
+            raise
+        if not version:
+            self._record_failed_load(target, model)
         latest = self._target(key)
         if latest is None or not version:
             return
@@ -302,6 +334,14 @@
             out_of_service_ms=round(out_ms),
         )
 
+    def _record_failed_load(
+        self, target: records.DirectTarget, model: str
+    ) -> None:
+        """Records that an engine failed, if it was loading weights."""
+        version = self._accepted_version_by_key.pop(target.key, 0)
+        if version:
+            self._load_failures.record_failed(model, version, target.target_id)
+
     async def _wait_for_prefills(self, target: records.DirectTarget) -> None:
         """Waits until a held engine has prefilled the prompts it received."""
         await self._clock.sleep(self._settings.hold_ms)
@@ -405,6 +445,7 @@
             if result is api.OrderResult.ACCEPTED:
                 report_delay_ms = FIRST_REPORT_DELAY_MS
                 deadline_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
+                self._accepted_version_by_key[target.key] = named_version
             elif result is api.OrderResult.UNKNOWN:
                 order_pause_ms = UNANSWERED_ORDER_PAUSE_MS
             await self._clock.sleep(report_delay_ms)
--- a/tests/control/direct/weights.feature
+++ b/tests/control/direct/weights.feature
@@ -80,3 +80,23 @@
     When weights 2 are named and 15 s pass
     Then every engine has weights 2
     And no fencing number was used again after it was refused
+
+  # Weights that crash what loads them were given to one engine after the other.
+  Scenario: Weights that crash the engines that load them reach few engines
+    Given 6 engines on weights 1
+    And weights 2 crash each engine that loads them, which is back after 3000 ms
+    When weights 2 are named and 30 s pass
+    Then loads crashed engines at most 8 times
+    And 4 or more engines ran for 90 in 100 of the time
+
+  Scenario: Weights that crash no engine are loaded everywhere despite accidents
+    Given 6 engines on weights 1
+    And 2 engines crash once as they load weights 2 and are back after 3000 ms
+    When weights 2 are named and 10 s pass
+    Then every engine has weights 2
+
+  Scenario: Other weights than those that crash engines are loaded at once
+    Given 6 engines on weights 1
+    And weights 2 crash each engine that loads them, which is back after 3000 ms
+    When weights 2 are named, weights 3 after 1 s, and 10 s pass
+    Then every engine has weights 3
--- a/tests/steps/weights_rollout_steps.py
+++ b/tests/steps/weights_rollout_steps.py
@@ -52,13 +52,34 @@
         self.received_fences = []
         self.loading_until_ms = 0.0
         self.next_version = 1
+        self.deadly_version = 0
+        self.max_crashes = 0
+        self.down_ms = 0.0
+        self.crashed_ms = []
 
     @property
     def is_busy(self):
         return self.time.now_ms() < self.loading_until_ms
 
+    @property
+    def is_running(self):
+        """Whether it runs; one that crashed starts again with old weights."""
+        crashes_now = (
+            self.next_version == self.deadly_version
+            and not self.is_busy
+            and len(self.crashed_ms) < self.max_crashes
+        )
+        if crashes_now:
+            self.crashed_ms.append(self.loading_until_ms)
+            self.next_version = self.version
+            self.sequence = 0
+        now_ms = self.time.now_ms()
+        return not self.crashed_ms or (
+            now_ms >= self.crashed_ms[-1] + self.down_ms
+        )
+
     def finish_load(self):
-        if not self.is_busy:
+        if self.is_running and not self.is_busy:
             self.version = self.next_version
 
     def start_load(self, version):
@@ -80,7 +101,7 @@
 
     async def fetch_report(self, target):
         engine = self.engine_by_name[target.target_id]
-        if not engine.is_reachable:
+        if not engine.is_reachable or not engine.is_running:
             raise api.EngineUnreachableError("gone")
         engine.finish_load()
         return api.EngineReport(
@@ -174,6 +195,29 @@
     context.initially_held = {context.engine.name}
 
 
+@given(
+    "weights 2 crash each engine that loads them, which is back after"
+    " {down_ms:d} ms"
+)
+def step_deadly_weights(context, down_ms):
+    crash_in_load(context.engine_list, down_ms, 1_000)
+
+
+@given(
+    "{count:d} engines crash once as they load weights 2 and are back after"
+    " {down_ms:d} ms"
+)
+def step_accidents(context, count, down_ms):
+    crash_in_load(context.engine_list[:count], down_ms, 1)
+
+
+def crash_in_load(engines, down_ms, max_crashes):
+    for engine in engines:
+        engine.deadly_version = 2
+        engine.down_ms = down_ms
+        engine.max_crashes = max_crashes
+
+
 @given("each load takes {load_ms:d} ms")
 def step_load_time(context, load_ms):
     for engine in context.engine_list:
@@ -225,6 +269,7 @@
     context.updates = updates
     await updates.start()
     context.held_sample_counts = collections.Counter()
+    context.running_samples = []
     sampling = asyncio.create_task(_sample_held(context))
     try:
         await group.propose(commands.NameWeights(MODEL, versions[0]))
@@ -243,6 +288,8 @@
 async def _sample_held(context):
     """Samples how often each engine is held, and counts the samples."""
     while True:
+        running = sum(engine.is_running for engine in context.engine_list)
+        context.running_samples.append(running)
         targets = context.group.machine.fleet.direct_target_by_key.values()
         context.held_sample_counts.update(
             t.target_id for t in targets if t.is_held
@@ -339,3 +386,16 @@
     assert refused_fences, "no order was refused"
     for engine in context.engine_list:
         assert engine.received_fences.count(refused_fences[0]) <= 1
+
+
+@then("loads crashed engines at most {most:d} times")
+def step_crashes(context, most):
+    crashes = sum(len(engine.crashed_ms) for engine in context.engine_list)
+    assert 0 < crashes <= most, crashes
+
+
+@then("{count:d} or more engines ran for {share:d} in 100 of the time")
+def step_ran(context, count, share):
+    samples = context.running_samples
+    enough = sum(running >= count for running in samples)
+    assert enough >= len(samples) * share / 100, (enough, len(samples))
