Propose the commands of a test to the next leader when the lease has expired

The error is right: the leader's lease of 480 ms had expired, and nothing was appended. The test proposed to the member that led at first and did not look for the next leader, as its single proposals do.

Change: each command is proposed until a leader accepts it. A command of unknown outcome still fails the test, and the checks of counts and bounds are as before.

--- a/tests/replication/fakes.py
+++ b/tests/replication/fakes.py
@@ -232,15 +232,15 @@
                     await asyncio.sleep(POLL_S)
 
     async def fill(self, count: int, prefix: str = "c") -> None:
-        """Proposes many commands, several at a time."""
-        name = await self.leader()
-        member = self.log_by_instance[name]
-        timeout_ms = TIMEOUT_S * clock.MS_PER_S
+        """Proposes many commands, several at a time.
+
+        A leader whose lease expires, as the event loop was held up, refuses
+        commands without an effect; they are proposed to the next leader.
+        """
         for first in range(0, count, PROPOSAL_BATCH):
             numbers = range(first, min(first + PROPOSAL_BATCH, count))
             commands = [f"{prefix}{number}".encode() for number in numbers]
-            proposals = [member.propose(item, timeout_ms) for item in commands]
-            await asyncio.gather(*proposals)
+            await asyncio.gather(*map(self.propose, commands))
 
 
 class LeaderMonitor:
