Hold a change at the next leader when the lease of the first has expired

A leader whose lease has expired refuses the change (503, no_quorum), which is right: nothing is sent. The test waited for bytes that could not come.

Change, of the set-up alone: a change that is refused so is held at the leader of that time. Any other answer fails the test at once, earlier than before. What is checked after the fault is as it was.

--- a/tests/steps/config_fault_steps.py
+++ b/tests/steps/config_fault_steps.py
@@ -38,23 +38,58 @@
 
 
 def hold_commit(context, fleet, through=None):
-    """Has a change on its way from the leader to nobody."""
-    context.body = fleet.new_change(reason=config_fleet.LONG_REASON)
-    links = fleet.links([context.victim], fleet.controls)
-    for proxy in links:
-        proxy.cut(fault_proxy.Direction.TO_TARGET)
-    context.call = fleet.in_background(
-        fleet.send, context.body, through or context.victim
-    )
-    size = len(config_fleet.LONG_REASON)
-    processes.wait_for(
-        lambda: any(proxy.held_bytes > size for proxy in links),
-        "the change to be on its way",
-    )
+    """Has a change on its way from the leader to nobody.
+
+    A leader whose lease expires before the change reaches it refuses the
+    change; it is held at the next leader then, unless another instance is to
+    forward it to this one.
+    """
+
+    def held():
+        if not through:
+            context.victim = fleet.leader()
+        links = cut_outgoing_links(context.victim, fleet)
+        context.body = fleet.new_change(revision, config_fleet.LONG_REASON)
+        context.call = fleet.in_background(
+            fleet.send, context.body, through or context.victim
+        )
+        size = len(config_fleet.LONG_REASON)
+        processes.wait_for(
+            lambda: (
+                any(proxy.held_bytes > size for proxy in links)
+                or is_refused(context.call)
+            ),
+            "the change to be on its way",
+        )
+        if not is_refused(context.call):
+            return True
+        assert not through, "the change was refused"
+        fleet.heal()
+        return False
+
+    revision = fleet.revision()
+    processes.wait_for(held, "a leader that holds the change")
     assert not context.call.done()
     context.step = "commit"
 
 
+def cut_outgoing_links(name, fleet):
+    """Cuts the links from a control instance to all others."""
+    links = fleet.links([name], fleet.controls)
+    for proxy in links:
+        proxy.cut(fault_proxy.Direction.TO_TARGET)
+    return links
+
+
+def is_refused(call):
+    """Returns whether a call in the background was refused without effect."""
+    if not call.done():
+        return False
+    answer = call.result()
+    assert answer.status == 503, answer
+    return answer.json["error"]["reason"] == "no_quorum"
+
+
 def hold_spread(context, fleet):
     """Has a change accepted that no entry and no agent has heard of."""
     others = [*fleet.entries, *fleet.agents]
