--- a/bench/operator_calls.py
+++ b/bench/operator_calls.py
@@ -62,10 +62,31 @@
             time.sleep(PAUSE_S)
 
     def revision(self) -> int:
-        """Returns the config revision in force at control."""
-        reply = self.operator("/v1/defaults")
-        assert isinstance(reply, dict)
-        return int(reply["config_revision"])
+        """Returns the config revision in force at control.
+
+        An instance that is behind says that its state may not be current; the
+        next one is asked then.
+
+        Raises:
+            json_calls.OperatorError: If an instance refuses.
+            OSError: If no instance knows it in time.
+        """
+        give_up_s = time.monotonic() + PATIENCE_S
+        while time.monotonic() < give_up_s:
+            for url in self.operator_urls:
+                try:
+                    reply = json_calls.call_json(url + "/v1/defaults")
+                except json_calls.OperatorError as error:
+                    if error.status != 503:
+                        raise
+                    continue
+                except OSError:
+                    continue
+                assert isinstance(reply, dict)
+                if reply["current"]:
+                    return int(reply["config_revision"])
+            time.sleep(PAUSE_S)
+        raise OSError("no control instance has the current revision")
 
     def change(self, reason: str, **fields: object) -> dict[str, object]:
         """Returns the body of a change of what is in force now."""
