--- a/tests/steps/weights_rollout_steps.py
+++ b/tests/steps/weights_rollout_steps.py
@@ -63,23 +63,20 @@
 
     @property
     def is_running(self):
-        """Whether it runs; one that crashed starts again with old weights."""
-        crashes_now = (
-            self.next_version == self.deadly_version
-            and not self.is_busy
-            and len(self.crashed_ms) < self.max_crashes
-        )
-        if crashes_now:
-            self.crashed_ms.append(self.loading_until_ms)
-            self.next_version = self.version
-            self.sequence = 0
-        now_ms = self.time.now_ms()
         return not self.crashed_ms or (
-            now_ms >= self.crashed_ms[-1] + self.down_ms
+            self.time.now_ms() >= self.crashed_ms[-1] + self.down_ms
         )
 
     def finish_load(self):
-        if self.is_running and not self.is_busy:
+        """Ends a load that is due; after a crash the old weights are back."""
+        if self.is_busy or self.version == self.next_version:
+            return
+        crashes = len(self.crashed_ms) < self.max_crashes
+        if crashes and self.next_version == self.deadly_version:
+            self.crashed_ms.append(self.loading_until_ms)
+            self.next_version = self.version
+            self.sequence = 0
+        else:
             self.version = self.next_version
 
     def start_load(self, version):
@@ -101,9 +98,9 @@
 
     async def fetch_report(self, target):
         engine = self.engine_by_name[target.target_id]
+        engine.finish_load()
         if not engine.is_reachable or not engine.is_running:
             raise api.EngineUnreachableError("gone")
-        engine.finish_load()
         return api.EngineReport(
             {MODEL: engine.version}, engine.is_busy, engine.sequence
         )
@@ -288,6 +285,8 @@
 async def _sample_held(context):
     """Samples how often each engine is held, and counts the samples."""
     while True:
+        for engine in context.engine_list:
+            engine.finish_load()
         running = sum(engine.is_running for engine in context.engine_list)
         context.running_samples.append(running)
         targets = context.group.machine.fleet.direct_target_by_key.values()
