Hold SIGHUP back while a process starts

What operators saw: a process that had just been started ended by itself when its settings changed and it was told so (exit by SIGHUP), and had to be started again. SIGHUP was handled from the moment when the application ran; until then, while modules are imported, its default action ends the process.

Ruled out: SIGTERM in the same time ends the process too, as it should: nothing has been accepted yet.

Change: SIGHUP is blocked first of all and delivered once it is handled, so it is not lost either. The first milliseconds, in which the interpreter itself starts, can't be covered by the process.

Test: 'SIGHUP does not end a process that is starting', both ways of starting, failed before (ended with -1).

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -91,12 +91,14 @@
         command: How it is started, without the interpreter.
         log_path: Where its output goes.
         popen: The running process, if it was started.
+        value_by_variable: Environment variables that it gets besides.
     """
 
     name: str
     command: list[str]
     log_path: pathlib.Path
     popen: subprocess.Popen[bytes] | None = None
+    value_by_variable: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def running(self) -> bool:
@@ -116,7 +118,7 @@
             self.popen = subprocess.Popen(
                 [sys.executable, *self.command],
                 cwd=ROOT,
-                env=os.environ | {"PYTHONPATH": path},
+                env=os.environ | {"PYTHONPATH": path} | self.value_by_variable,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/deploy/start.py
+++ b/deploy/start.py
@@ -10,6 +10,10 @@
 # nothing that is loaded now is ever collected
 gc.disable()
 
+from lycheering import reload_signal  # noqa: E402
+
+reload_signal.hold()
+
 from lycheering.platform import start  # noqa: E402
 
 if __name__ == "__main__":
--- a/src/lycheering/app/api.py
+++ b/src/lycheering/app/api.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from lycheering import clock
+from lycheering import reload_signal
 from lycheering.app import memory
 from lycheering.telemetry import logs
 
@@ -92,6 +93,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        reload_signal.release()
         try:
             for part in self._parts:
                 if self.stop_requested.is_set():
--- a/src/lycheering/run.py
+++ b/src/lycheering/run.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from lycheering.commands import roles
+from lycheering import reload_signal
 
 ROLE_ARGUMENT_COUNT = 2
 
@@ -21,10 +21,14 @@
     if len(arguments) == ROLE_ARGUMENT_COUNT and not arguments[1].startswith(
         "-"
     ):
+        reload_signal.hold()
+        from lycheering.commands import roles
+
         role, file = arguments
         if role in roles.SECTION_BY_ROLE:
             # A restarted role serves sooner without importing all commands.
             return roles.run(role, file)
+        reload_signal.release()
 
     from lycheering.commands import root
 
--- a/tests/commands/roles.feature
+++ b/tests/commands/roles.feature
@@ -27,5 +27,16 @@
       | agent   | cappa,rich,lycheering.control,uvicorn  |
       | control | cappa,rich,lycheering.entry            |
 
+  # A settings change that was signalled while a process started ended it.
+  Scenario Outline: SIGHUP does not end a process that is starting
+    Given an entry that is started by "<command>"
+    When it gets SIGHUP while it imports its modules
+    Then it logs "event=started" and "event=reload"
+
+    Examples:
+      | command                 |
+      | -m lycheering entry     |
+      | deploy/start.py entry   |
+
   Scenario: The documentation lists each reason for a refusal
     Then the page of refusals lists every reason once
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -14,7 +15,10 @@
 from behave import then
 from behave import when
 
+from bench import processes as bench_processes
 from lycheering.wire import messages
+from standins import direct_target
+from tests.support import background
 from tests.support import control_group
 from tests.support import processes
 
@@ -33,6 +37,20 @@
     "agent": "[agent]\ntarget = t\nmodel = m\nurl = http://127.0.0.1:1\n",
 }
 
+DIRECT_SECTIONS = """\
+[instance]
+name = {host}
+ip = {host}
+failure_domain = d
+[control]
+seeds = {host}:1
+[entry]
+[direct]
+caller_address = {host}:8080
+ready_address = {host}:8081
+list_address = {host}:1
+"""
+
 
 def folder_of(context):
     if not hasattr(context, "command_folder"):
@@ -120,6 +138,49 @@
     assert result.stdout.strip() == "[]", (result.stdout, result.stderr)
 
 
+@given('an entry that is started by "{command}"')
+def step_starting(context, command):
+    folder = folder_of(context)
+    host = direct_target.own_host()
+    sections = COMMON_SECTIONS + SECTION_BY_ROLE["entry"]
+    if command.startswith("deploy/"):
+        sections = DIRECT_SECTIONS.format(host=host)
+    file = folder / "role.ini"
+    file.write_text(sections)
+    arguments = command.split()
+    if arguments[0] == "-m":
+        arguments.append(str(file))
+    context.starting = bench_processes.Process(
+        "entry",
+        arguments,
+        folder / "entry.log",
+        value_by_variable={"LYCHEERING_SETTINGS": str(file)},
+    )
+    context.starting.start()
+    context.stack.callback(context.starting.kill)
+
+
+@when("it gets SIGHUP while it imports its modules")
+def step_early_signal(context):
+    process = context.starting
+    maps = pathlib.Path(f"/proc/{process.pid}/maps")
+    background.wait_until(lambda: "/msgspec/" in maps.read_text())
+    assert "event=" not in process.log_text(), process.log_text()
+    os.kill(process.pid, signal.SIGHUP)
+
+
+@then('it logs "{started}" and "{reloaded}"')
+def step_logs(context, started, reloaded):
+    process = context.starting
+
+    def has_logged():
+        assert process.running, f"ended with {process.popen.returncode}"
+        text = process.log_text()
+        return started in text and reloaded in text
+
+    background.wait_until(has_logged)
+
+
 @then("the page of refusals lists every reason once")
 def step_refusals(context):
     page = (ROOT / "docs" / "operators" / "refusals.md").read_text()
