Withdraw waiting requests when their prompt part becomes quarantined

Cause: the quarantine held for requests that arrive. Those that had been sent and waited in their target's queue, some 0.3 s, went on to crash it.

Change: when a part becomes quarantined, an entry ends its exchanges with that part whose target has not begun to answer. The callers get a 502 that names the part, as the request may have run, and the target is not taken for failed. A request that tests a quarantined part is left alone. Behind agents nothing changes.

Test: 'A deadly prompt that its target has not begun is withdrawn' failed before in its three rows (502 'broken' after the target's crash).

--- a/src/lycheering/forward/application.py
+++ b/src/lycheering/forward/application.py
@@ -119,6 +119,8 @@
         text = refusal.reason.value
         if refusal.reason is refusals.Reason.QUARANTINED:
             text = f"{text}: {refusal.detail}; the request was not run"
+        elif refusal.reason is refusals.Reason.WITHDRAWN:
+            text = f"{text}: {refusal.detail}; the request may have run"
         body = f"{text}\n".encode()
         headers.append((b"content-type", b"text/plain"))
         headers.append((b"content-length", b"%d" % len(body)))
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -165,12 +165,14 @@
             connection.abort,
         )
         request.progress = attempt.progress
+        request.abort_exchange = connection.abort
         request.caller.set_disconnect_callback(connection.abort)
         try:
             connection.send(self._encode(request, send_options))
             return await attempt.forward_answer(connection, in_flight_id)
         finally:
             request.caller.set_disconnect_callback(None)
+            request.abort_exchange = None
             estimate.state.remove_request(in_flight_id)
             if request.caller.is_disconnected or not attempt.is_reusable:
                 connection.close()
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -84,6 +84,13 @@
         )
         self._head_limits = head_limits.HeadLimits()
         self._tasks = app_api.TaskOwner()
+        self._quarantine = prompt_quarantine.PromptQuarantine(
+            self._crashes,
+            prompt_quarantine.QuarantineSettings(),
+            self._clock,
+            random.Random(),
+            self._counters,
+        )
         self._create_control(settings)
         self._create_forwarding(settings, header_codec)
         self.view.listen(self._apply_view)
@@ -111,7 +118,7 @@
             self.control,
             self._registry,
             self._identity,
-            self._set_entry_count,
+            self._apply_exchange,
             self._crashes,
             self._clock,
         )
@@ -149,13 +156,7 @@
                 self._clock,
             ),
             self._crash_detector,
-            prompt_quarantine.PromptQuarantine(
-                self._crashes,
-                prompt_quarantine.QuarantineSettings(),
-                self._clock,
-                random.Random(),
-                self._counters,
-            ),
+            self._quarantine,
             settings.instance.failure_domain,
             self._clock,
             self._counters,
@@ -196,8 +197,9 @@
             and self._freshness.is_current()
         )
 
-    def _set_entry_count(self, entry_count: int) -> None:
+    def _apply_exchange(self, entry_count: int) -> None:
         self._forwarder.set_entry_count(entry_count)
+        self._quarantine.refresh()
 
     def _apply_view(self) -> None:
         fleet = self.view.fleet
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -110,6 +110,8 @@
             str, second_send_window.SecondSendLimiter
         ] = {}
         self._entry_count = 1
+        self._open_requests: dict[int, pending_request.PendingRequest] = {}
+        quarantine.on_quarantined = self._withdraw_requests
 
     def set_entry_count(self, entry_count: int) -> None:
         """Sets the number of entries that share the retry budget."""
@@ -130,6 +132,7 @@
         """
         request = await self._intake.accept(incoming, caller)
         caller.watch_disconnect()
+        self._open_requests[id(request)] = request
         self._second_send_limiter(request.service.name).count_request()
         outcome = "refused"
         reason = ""
@@ -147,6 +150,7 @@
             raise
         finally:
             caller.close()
+            del self._open_requests[id(request)]
             self._record_request(request, outcome, reason)
 
     async def _send_before_deadline(
@@ -197,6 +201,8 @@
                 state.record_success()
                 return outcome
             self._log_attempt(request, outcome)
+            if request.withdrawal:
+                self._refuse_withdrawn(request)
             request.tried_keys.add(state.target.key)
             if result is attempts.Result.NOT_SENT:
                 state.record_failure(self._clock.now_ms())
@@ -238,6 +244,34 @@
             self._quarantine.retry_after_ms(quarantine),
         )
 
+    def _withdraw_requests(self, part: str) -> None:
+        """Ends the exchanges of prompts with a part that crashes targets.
+
+        A target that has begun to answer may as well finish.
+        """
+        for request in list(self._open_requests.values()):
+            progress = request.progress
+            if (
+                request.abort_exchange is None
+                or progress is None
+                or progress.answer is not attempts.AnswerProgress.NONE
+                or part not in crash_ledger.part_keys(request.shared_part_keys)
+            ):
+                continue
+            request.withdrawal = f"part {part} of the prompt crashes targets"
+            request.abort_exchange()
+            self._counters.increment("quarantine.withdrawn")
+
+    def _refuse_withdrawn(
+        self, request: pending_request.PendingRequest
+    ) -> None:
+        """Raises the error of a request whose exchange this entry ended."""
+        if request.caller.has_begun:
+            raise refusals.AnswerCutError(request.withdrawal)
+        raise refusals.RefusalError(
+            refusals.Reason.WITHDRAWN, request.withdrawal
+        )
+
     async def _send_failed_answer(
         self, request: pending_request.PendingRequest
     ) -> attempts.Outcome:
--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -9,6 +9,8 @@
 from lycheering.forward import target_selection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lycheering.forward import api
     from lycheering.forward import attempt
     from lycheering.forward import caller as callers
@@ -64,6 +66,9 @@
             caller gets it if no other target succeeds.
         may_have_run: Whether a target may have run it.
         progress: What happened in the last attempt; None before the first.
+        abort_exchange: Ends the open exchange with a target; None without one.
+        withdrawal: Why its exchange was ended by this entry; empty if it was
+            not.
     """
 
     caller: callers.Caller
@@ -94,6 +99,8 @@
     failed_answer: BufferedAnswer | None = None
     may_have_run: bool = False
     progress: attempt.AttemptProgress | None = None
+    abort_exchange: Callable[[], None] | None = None
+    withdrawal: str = ""
 
     @property
     def shared_part_keys(self) -> tuple[str, ...]:
--- a/src/lycheering/forward/refusals.py
+++ b/src/lycheering/forward/refusals.py
@@ -24,6 +24,7 @@
     BROKEN = "broken"
     INTERNAL = "internal"
     QUARANTINED = "quarantined"
+    WITHDRAWN = "withdrawn"
 
 
 _STATUS_BY_REASON = {
@@ -36,6 +37,7 @@
     Reason.TIMEOUT: 504,
     Reason.BROKEN: 502,
     Reason.INTERNAL: 500,
+    Reason.WITHDRAWN: 502,
 }
 NOT_RUN_STATUS = 503
 
--- a/src/lycheering/retries/prompt_quarantine.py
+++ b/src/lycheering/retries/prompt_quarantine.py
@@ -9,6 +9,7 @@
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Set as AbstractSet
     import random
@@ -120,6 +121,7 @@
 
     Attributes:
         entry_count: Number of entries that share the tests of a part.
+        on_quarantined: Called with each part that becomes quarantined.
     """
 
     def __init__(
@@ -140,6 +142,7 @@
             counts: The counters of the process.
         """
         self.entry_count = 1
+        self.on_quarantined: Callable[[str], None] = lambda part: None
         self._ledger = ledger
         self._settings = settings
         self._clock = time
@@ -172,6 +175,10 @@
             quarantine.until_ms - self._clock.now_ms(),
         )
 
+    def refresh(self) -> None:
+        """Considers new evidence now, not only for the next prompt."""
+        self._update()
+
     def parts(self) -> list[Quarantine]:
         """Returns all quarantined parts."""
         self._update()
@@ -218,6 +225,8 @@
                     duration_ms=round(quarantine.until_ms - now_ms),
                     known_crashes=len(self._ledger.crashes),
                 )
+            if known is None:
+                self.on_quarantined(part)
         for part in before.keys() - self._quarantine_by_part.keys():
             self._trial_ms_by_part.pop(part, None)
             _LOG.event("part_released", part=part)
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -123,6 +123,8 @@
         noise_bytes: Bytes sent that are no answer.
         crash_count: Number of its crashes.
         run_ids: Ids of the requests that it ran although it repeated a refusal.
+        names_requests: Whether its answers contain the request's id.
+        queue_s: Time until it begins to answer a prompt that crashes it.
     """
 
     BEHAVIOURS = (
@@ -174,6 +176,8 @@
         self.noise_bytes = 0
         self.crash_count = 0
         self.run_ids: list[str] = []
+        self.names_requests = False
+        self.queue_s = 0.0
         self._last_by_connection: dict[int, bytes] = {}
         self._connections = 0
         self._server: asyncio.Server | None = None
@@ -303,13 +307,15 @@
                 await writer.drain()
                 return False
             case "crashes under a prompt part" if self._is_deadly(request):
+                if await self._gone_within(request, reader, self.queue_s):
+                    return False
                 kind = "Content-Type: text/event-stream\r\n"
                 writer.write(self._head(request, 200, extra=kind, length=-2))
                 await writer.drain()
                 self._crash()
                 return False
             case "crashes under a prompt part" if " /once/" in request.line:
-                writer.write(self._head(request, 200, b"whole"))
+                writer.write(self._head(request, 200, self._body(request)))
             case (
                 "streams"
                 | "cuts inside an event"
@@ -317,7 +323,7 @@
             ):
                 return await self._stream(request, reader, writer)
             case _:
-                writer.write(self._head(request, 200, b"whole"))
+                writer.write(self._head(request, 200, self._body(request)))
         await writer.drain()
         return True
 
@@ -341,6 +347,11 @@
                 return self._head(request, 200, b"x" * LARGE_BYTES)
         return b""
 
+    def _body(self, request: Received) -> bytes:
+        if not self.names_requests:
+            return b"whole"
+        return b"whole " + request.value_by_header["x-attempt-id"].encode()
+
     def _is_deadly(self, request: Received) -> bool:
         return DEADLY_PART in request.value_by_header.get("x-prefix-hash", "")
 
@@ -455,9 +466,12 @@
         first = int(request.value_by_header.get("last-event-id", "0")) + 1
         kind = "Content-Type: text/event-stream\r\n"
         writer.write(self._head(request, 200, extra=kind, length=-2))
+        comment = b"." * self.event_bytes
+        if self.names_requests:
+            comment = request.value_by_header["x-attempt-id"].encode()
         for number in range(first, self.pieces + 1):
-            padding = b": %s\n" % (b"." * self.event_bytes)
-            event = (padding if self.event_bytes else b"") + EVENT % (
+            padding = b": %s\n" % comment
+            event = (padding if comment else b"") + EVENT % (
                 number,
                 number,
             )
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -36,3 +36,20 @@
     When 8 requests of kind "once" come, each third with a deadly part of its own
     Then targets crashed at most 3 times
     And all sound requests got 200
+
+  # Prompts that waited at targets crashed them after their part was known.
+  @promise.deadly_parts
+  Scenario Outline: A deadly prompt that its target has not begun is withdrawn
+    Given 1 direct targets that crash under a prompt part
+    And targets begin to answer deadly prompts after 1500 ms
+    When requests of kind "<kind>" wait there, one with the deadly part
+    And other entries report two crashes under it
+    Then the deadly request got 502 that names the part
+    And its target saw it leave and did not crash
+    And the sound request got 200
+
+    Examples:
+      | kind             |
+      | stream           |
+      | resumable stream |
+      | once             |
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -78,6 +78,13 @@
         self.connections = connection_pool.HttpConnectionPool(time)
         self.registry = target_registry.TargetRegistry(time)
         self.crashes = crash_ledger.CrashLedger(time)
+        self.quarantine = prompt_quarantine.PromptQuarantine(
+            self.crashes,
+            prompt_quarantine.QuarantineSettings(),
+            time,
+            random.Random(1),
+            self.counters,
+        )
         codec = header_codec.PlatformHeaderCodec()
         self.intake = intake.RequestIntake(
             self.view,
@@ -99,13 +106,7 @@
             crash_detector.CrashDetector(
                 self.crashes, self.connections, time, self.counters
             ),
-            prompt_quarantine.PromptQuarantine(
-                self.crashes,
-                prompt_quarantine.QuarantineSettings(),
-                time,
-                random.Random(1),
-                self.counters,
-            ),
+            self.quarantine,
             "d1",
             time,
             self.counters,
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -18,6 +18,7 @@
 DEADLY_PROMPT = "first:10,second:20,deadly:5,own:30"
 OTHER_DEADLY_PROMPT = "first:10,second:20,deadly%d:5,own:30"
 GAP_S = 0.3
+POLL_S = 0.01
 
 
 @given("{count:d} direct targets that crash under a prompt part")
@@ -28,18 +29,78 @@
     ]
 
 
+async def report_crashes(entry):
+    """Gives an entry the evidence that others have of the deadly part."""
+    prompt = messages.BrokenPrompt(("first", "second", "deadly"), True)
+    crashes = tuple(
+        messages.TargetCrash(number, 2_000 * number, (prompt,))
+        for number in (1, 2)
+    )
+    entry.crashes.merge(messages.CrashEvidence(crashes))
+    entry.quarantine.refresh()
+
+
 @given("other entries report two crashes under the deadly part")
 def step_reported(context):
-    prompt = messages.BrokenPrompt(("first", "second", "deadly"), True)
+    forward_steps.add_preparation(context, report_crashes)
+
+
+@given("targets begin to answer deadly prompts after {queue_ms:d} ms")
+def step_queue(context, queue_ms):
+    for target in context.targets:
+        target.queue_s = queue_ms / 1_000
+
+
+@when('requests of kind "{kind}" wait there, one with the deadly part')
+def step_wait(context, kind):
+    context.kind = kind
+
+
+@when("other entries report two crashes under it")
+def step_reported_later(context):
+    async def ask_entry(entry):
+        asking = []
+        for request_id, prompt in (
+            ("deadly", DEADLY_PROMPT),
+            ("sound", SOUND_PROMPT),
+        ):
+            data = direct_entry.request(
+                context.kind, request_id, X_Prefix_Hash=prompt
+            )
+            asking.append(asyncio.create_task(direct_entry.ask(entry, data)))
+        while len(context.targets[0].received) < len(asking):
+            await asyncio.sleep(POLL_S)
+        await report_crashes(entry)
+        answers = await asyncio.gather(*asking)
+        # the end of a connection arrives later than the answer
+        await asyncio.sleep(GAP_S)
+        return answers
+
+    context.deadly, context.sound = forward_steps.run(context, ask_entry)
+
+
+@then("the deadly request got 502 that names the part")
+def step_withdrawn(context):
+    assert context.deadly.status == 502, context.deadly
+    assert b"part deadly of the prompt" in context.deadly.body, context.deadly
+
+
+@then("its target saw it leave and did not crash")
+def step_left(context):
+    target = context.targets[0]
+    cut_ids = [
+        received.value_by_header["x-attempt-id"]
+        for received in target.received
+        if received.was_cut
+    ]
+    assert cut_ids == ["deadly"], cut_ids
+    assert not target.crash_count, target.crash_count
 
-    async def report(entry):
-        crashes = tuple(
-            messages.TargetCrash(number, 2_000 * number, (prompt,))
-            for number in (1, 2)
-        )
-        entry.crashes.merge(messages.CrashEvidence(crashes))
 
-    forward_steps.add_preparation(context, report)
+@then("the sound request got 200")
+def step_other_sound(context):
+    assert context.sound.status == 200, context.sound
+    assert context.sound.is_complete, context.sound
 
 
 @when(
