--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes, with checks while faults last."""
--- a/tests/standins/fault_proxy.feature
+++ b/tests/standins/fault_proxy.feature
@@ -56,3 +56,10 @@
     And caller "a" of the fault proxy sends "one"
     And caller "a" of the fault proxy sends "two"
     Then caller "a" of the fault proxy reads "onetwo"
+
+  Scenario: Bytes trickle a few at a time
+    Given caller "a" of the fault proxy has exchanged a message
+    When the fault proxy hands on 2 bytes at a time
+    And caller "a" of the fault proxy sends "trickled"
+    Then the target has not received "trickled"
+    And the target receives "trickled"
--- a/tests/steps/fault_proxy_steps.py
+++ b/tests/steps/fault_proxy_steps.py
@@ -117,6 +117,11 @@
     context.proxy.delay(delay)
 
 
+@when("the fault proxy hands on {size:d} bytes at a time")
+def step_trickle(context, size):
+    context.proxy.trickle(size)
+
+
 @then('caller "{name}" of the fault proxy reads "{text}"')
 def step_reads(context, name, text):
     read_text(context, name, text)
--- a/tests/support/fault_proxy.py
+++ b/tests/support/fault_proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy that cuts, delays, silences, refuses and closes connections."""
+"""A TCP proxy that cuts, delays, trickles, silences, refuses and closes."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 READ_BYTES = 65_536
 RECHECK_S = 0.05  # so soon a shorter delay counts for bytes held back
 QUEUED_READS = 256
+TRICKLE_PAUSE_S = 0.02
 START_TIMEOUT_S = 10
 CALL_TIMEOUT_S = 10
 
@@ -75,6 +76,7 @@
         self.port = 0
         self._refuses = False
         self._delay_s = dict.fromkeys(Direction, 0.0)
+        self._trickled_bytes = 0
         self._open_by_direction: dict[Direction, asyncio.Event] = {}
         self._connections: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -104,6 +106,10 @@
         for direction in directions or BOTH:
             self._delay_s[direction] = delay_ms / 1_000
 
+    def trickle(self, size: int) -> None:
+        """Hands on so many bytes at a time, with pauses; all for 0."""
+        self._trickled_bytes = size
+
     def silence_open(self) -> int:
         """Swallows all bytes of the connections that are open now.
 
@@ -254,8 +260,16 @@
                 if not delayed.data:
                     sink.write_eof()
                     return
-                sink.write(delayed.data)
-                await sink.drain()
+                await self._hand_on(delayed.data, sink)
+
+    async def _hand_on(self, data, sink) -> None:
+        while data:
+            size = self._trickled_bytes or len(data)
+            sink.write(data[:size])
+            await sink.drain()
+            data = data[size:]
+            if data:
+                await asyncio.sleep(TRICKLE_PAUSE_S)
 
 
 __all__ = ["BOTH", "Direction", "FaultProxy"]
--- a/tests/support/held_fleet.py
+++ b/tests/support/held_fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import threading
 import time
+import urllib.error
 
 from bench import checker
 from bench import fleet
@@ -70,6 +71,9 @@
     def process(self, name):
         return self.fleet.group.process_by_name[name]
 
+    def around(self, name):
+        return self.board.around(name)
+
     def names(self, prefix):
         names = self.fleet.group.process_by_name
         return [name for name in names if name.startswith(prefix)]
@@ -343,9 +347,17 @@
 
     def kill(self, name):
         if name in self.fleet.url_by_target:
-            self.recorder.keep(name)
+            self._keep_record(name)
         self.process(name).kill()
 
+    def _keep_record(self, name):
+        try:
+            self.recorder.keep(name)
+        except urllib.error.URLError as error:
+            # a target that does not listen yet has recorded nothing
+            if not isinstance(error.reason, ConnectionRefusedError):
+                raise
+
     def start_again(self, name):
         if name in self.engines_of_plan():
             self.fleet.start_engine(name)
@@ -353,7 +365,7 @@
             self.process(name).start()
 
     def engines_of_plan(self):
-        return [f"engine-{number}" for number in range(ENGINES)]
+        return [f"engine-{n}" for n in range(self.fleet.plan.engines)]
 
     def _kill_until_ended(self, *names):
         for name in names:
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -32,9 +32,11 @@
         return json.loads(self.body)
 
 
-def call(port, method, path, body=None, headers=None, timeout_s=10.0):
+def call(
+    port, method, path, body=None, headers=None, timeout_s=10.0, host=HOST
+):
     """Does one HTTP call; raises OSError or HTTPException if it can't."""
-    connection = http.client.HTTPConnection(HOST, port, timeout=timeout_s)
+    connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
     with contextlib.closing(connection):
         data = None if body is None else json.dumps(body).encode()
         connection.request(method, path, data, headers or {})
--- a/tests/support/storms.py
+++ b/tests/support/storms.py
@@ -13,6 +13,7 @@
 from tests.support import fault_proxy
 from tests.support import held_callers
 from tests.support import held_fleet
+from tests.support import strikes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -60,6 +61,7 @@
         self.told = []
         self._struck = struck
         self._operators = config_fleet.ConfigFleet(struck.fleet)
+        self._striker = strikes.Striker(struck)
         self._random = random.Random(seed)
         self._open = []
         self._stopped = threading.Event()
@@ -107,7 +109,10 @@
         if name in {strike.name for strike in self._open}:
             return
         self.told.append(f"{fault} {name} for {lasts_s:.1f} s")
-        end = getattr(self, f"_{fault}")(name)
+        directions = fault_proxy.BOTH
+        if fault == "half_cut":
+            directions = [self._random.choice(fault_proxy.BOTH)]
+        end = self._striker.strike(fault, name, directions)
         self._open.append(Strike(name, time.monotonic() + lasts_s, end))
 
     def _wait_until(self, until_s):
@@ -119,46 +124,6 @@
             self._open.remove(strike)
         time.sleep(max(0, until_s - time.monotonic()))
 
-    # faults; each returns what ends it
-
-    def _kill(self, name):
-        self._struck.kill(name)
-        return lambda: self._struck.start_again(name)
-
-    def _stop(self, name):
-        process = self._struck.process(name)
-        process.terminate()
-
-        def start_again():
-            process.wait()
-            process.start()
-
-        return start_again
-
-    def _freeze(self, name):
-        process = self._struck.process(name)
-        process.pause()
-        return process.resume
-
-    def _cut(self, name, *directions):
-        proxies = self._struck.board.around(name)
-        for proxy in proxies:
-            proxy.cut(*directions)
-        return lambda: [proxy.heal() for proxy in proxies]
-
-    def _half_cut(self, name):
-        return self._cut(name, self._random.choice(fault_proxy.BOTH))
-
-    def _silence(self, name):
-        for proxy in self._struck.board.around(name):
-            proxy.silence_open()
-        return held_fleet.do_nothing
-
-    def _reset(self, name):
-        for proxy in self._struck.board.around(name):
-            proxy.close_all()
-        return held_fleet.do_nothing
-
 
 def spread(trace, change):
     """Returns calls that are due one after another all through a storm."""
@@ -169,4 +134,4 @@
     ]
 
 
-__all__ = ["COMPLETIONS", "Storm"]
+__all__ = ["COMPLETIONS", "Storm", "spread"]
--- /dev/null
+++ b/tests/support/strikes.py
@@ -0,0 +1,89 @@
+"""Faults that strike one process of a proxied fleet."""
+
+from __future__ import annotations
+
+import os
+import signal
+
+from tests.support import fault_proxy
+from tests.support import held_fleet
+
+DELAY_MS = 150
+TRICKLED_BYTES = 200
+
+
+class Striker:
+    """Strikes processes; each fault returns what ends it."""
+
+    def __init__(self, struck):
+        """Prepares to strike.
+
+        Args:
+            struck: A fleet with the methods `process`, `kill`, `start_again`
+                and `around`, which returns the proxies around a process.
+        """
+        self._struck = struck
+
+    def strike(self, fault, name, directions=fault_proxy.BOTH):
+        """Strikes a process with the named fault."""
+        if fault == "half_cut":
+            return self._cut(name, *directions)
+        try:
+            return getattr(self, f"_{fault}")(name)
+        except ProcessLookupError:
+            # it has ended by itself, which is for others to report
+            return held_fleet.do_nothing
+
+    def _kill(self, name):
+        self._struck.kill(name)
+        return lambda: self._struck.start_again(name)
+
+    def _stop(self, name):
+        process = self._struck.process(name)
+        process.terminate()
+
+        def start_again():
+            process.wait()
+            process.start()
+
+        return start_again
+
+    def _freeze(self, name):
+        process = self._struck.process(name)
+        process.pause()
+        return process.resume
+
+    def _reload(self, name):
+        os.kill(self._struck.process(name).pid, signal.SIGHUP)
+        return held_fleet.do_nothing
+
+    def _cut(self, name, *directions):
+        proxies = self._struck.around(name)
+        for proxy in proxies:
+            proxy.cut(*directions)
+        return lambda: [proxy.heal() for proxy in proxies]
+
+    def _delay(self, name):
+        proxies = self._struck.around(name)
+        for proxy in proxies:
+            proxy.delay(DELAY_MS)
+        return lambda: [proxy.delay(0) for proxy in proxies]
+
+    def _trickle(self, name):
+        proxies = self._struck.around(name)
+        for proxy in proxies:
+            proxy.trickle(TRICKLED_BYTES)
+        return lambda: [proxy.trickle(0) for proxy in proxies]
+
+    def _silence(self, name):
+        for proxy in self._struck.around(name):
+            proxy.silence_open()
+        return held_fleet.do_nothing
+
+    def _reset(self, name):
+        for proxy in self._struck.around(name):
+            proxy.close_all()
+        return held_fleet.do_nothing
+
+
+__all__ = ["Striker"]
