Go on to the next target when connections are refused

Cause: a request gave up after three failed connections of any kind. Crashed engines are free of load, so they are selected first, and each entry finds each of them by itself. The limit is right for targets that are silent, where each costs 400 ms; a refused connection costs a round trip.

Change: three connections that time out, or 30 that are refused.

Test: 'Requests are answered while most targets refuse connections' failed before (503 six times).

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -84,11 +84,13 @@
         result: How it ended.
         status: The target's HTTP status; 0 for none.
         detail: Explanation for logs.
+        is_connect_refused: Whether the target refused the connection at once.
     """
 
     result: Result
     status: int = 0
     detail: str = ""
+    is_connect_refused: bool = False
 
 
 @dataclasses.dataclass
@@ -154,7 +156,13 @@
         try:
             connection = await self._connect(estimate.state)
         except client.ConnectFailedError as error:
-            return Outcome(Result.NOT_SENT, detail=str(error))
+            return Outcome(
+                Result.NOT_SENT,
+                detail=str(error),
+                is_connect_refused=isinstance(
+                    error, client.ConnectRefusedError
+                ),
+            )
         if request.caller.is_disconnected:
             self._connections.release(estimate.state.target.key, connection)
             raise refusals.CallerGoneError
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -31,6 +31,8 @@
 
 # failed connects for one request, which do not count as sends
 MAX_CONNECT_FAILURES = 3
+# refused connections cost little time, and many targets may crash at once
+MAX_REFUSED_CONNECTS = 30
 MIN_RETRY_AFTER_MS = 300.0
 # Waits for targets end at the deadline by themselves. Only a caller that does
 # not read its answer keeps a request open for this long after the deadline.
@@ -179,6 +181,7 @@
     ) -> attempts.Outcome:
         """Makes attempts until one succeeds or no more are allowed."""
         connect_failures = 0
+        refused_connects = 0
         while True:
             self._check_quarantine(request)
             estimate = self._select_target(request)
@@ -206,8 +209,12 @@
             request.tried_keys.add(state.target.key)
             if result is attempts.Result.NOT_SENT:
                 state.record_failure(self._clock.now_ms())
-                connect_failures += 1
-                if connect_failures >= MAX_CONNECT_FAILURES:
+                refused_connects += outcome.is_connect_refused
+                connect_failures += not outcome.is_connect_refused
+                if (
+                    connect_failures >= MAX_CONNECT_FAILURES
+                    or refused_connects >= MAX_REFUSED_CONNECTS
+                ):
                     self._refuse_after_attempt(request, outcome)
                 continue
             if result in (attempts.Result.BROKEN, attempts.Result.CUT):
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -53,3 +53,10 @@
       | stream           |
       | resumable stream |
       | once             |
+
+  # Requests got 503 within milliseconds although most targets took connections.
+  Scenario: Requests are answered while most targets refuse connections
+    Given 20 direct targets that crash under a prompt part
+    And all targets but one refuse connections
+    When 6 sound requests come at once
+    Then each of them got 200
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -179,3 +179,34 @@
 def step_reached(context, count):
     reached = sum(len(target.received) for target in context.targets)
     assert reached == count, reached
+
+
+@given("all targets but one refuse connections")
+def step_most_refuse(context):
+    async def stop(entry):
+        for target in entry.targets[1:]:
+            await target.stop()
+
+    forward_steps.add_preparation(context, stop)
+
+
+@when("{count:d} sound requests come at once")
+def step_at_once(context, count):
+    async def ask_entry(entry):
+        requests = [
+            direct_entry.request(
+                "stream", f"r{number}", X_Prefix_Hash=SOUND_PROMPT
+            )
+            for number in range(count)
+        ]
+        return await asyncio.gather(
+            *(direct_entry.ask(entry, data) for data in requests)
+        )
+
+    context.answers = forward_steps.run(context, ask_entry)
+
+
+@then("each of them got 200")
+def step_each(context):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * len(statuses), statuses
