Take the end of an early answer for one only once the request was taken

Callers got the part of an answer as a whole one if a target broke off a long upload like this: it answered 200 without a length, sent a part, ended its side, and reset the connection on the next bytes of the upload. The end came first and was taken for that of the answer; a reset after it was not seen.

The end of a connection now completes an answer without a length or chunks only once the target's machine has acknowledged the whole request, and a reset until then breaks the exchange. The wait is within the timeout of the read, and no other answer has it. It is in the client that entries, agents and all other callers of targets share.

Left: a target whose machine has taken the whole request, and that ends its side without having read it, is passed on as an answer whose end isn't proven.

--- a/src/lycheering/web/byte_stream.py
+++ b/src/lycheering/web/byte_stream.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import os
+import socket
+import sys
+import termios
 import typing
 
 from lycheering import signal_waiter
 
 # Reading from the network pauses while more received bytes are unread.
 MAX_UNREAD_BYTES = 131_072
+ACKNOWLEDGE_POLL_S = 0.005
 
 
 class ByteStream(asyncio.Protocol):
@@ -99,6 +105,33 @@
         """Writes bytes to the connection."""
         self.transport.write(data)
 
+    async def wait_acknowledged(self, timeout_ms: float) -> None:
+        """Waits until the peer's machine has all bytes that were written.
+
+        Used after the end of the input, as a reset is no longer reported then.
+
+        Raises:
+            TimeoutError: If it did not acknowledge them in time.
+            OSError: If the connection broke before.
+        """
+        async with asyncio.timeout(timeout_ms / 1_000):
+            while self._has_unacknowledged_bytes():
+                await asyncio.sleep(ACKNOWLEDGE_POLL_S)
+
+    def _has_unacknowledged_bytes(self) -> bool:
+        if self._error is not None:
+            raise self._error
+        if self.transport.is_closing():
+            raise ConnectionAbortedError("closed by this process")
+        connection = self.transport.get_extra_info("socket")
+        number = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if number:
+            raise OSError(number, os.strerror(number))
+        # bytes that were not sent, and sent ones without an acknowledgement
+        queued = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+        is_queue_empty = int.from_bytes(queued, sys.byteorder) == 0
+        return not (self.is_write_buffer_empty and is_queue_empty)
+
     def close(self) -> None:
         """Closes the connection after pending bytes are written."""
         self._mark_closed_here()
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -169,6 +169,43 @@
         raise InvalidResponseError(str(error)) from error
 
 
+async def read_end(
+    parser: responses.ResponseParser,
+    stream: byte_stream.ByteStream,
+    timeout_ms: float,
+) -> None:
+    """Handles the end of a connection before that of its current response.
+
+    A response without a length is complete with it, unless the server closed
+    the connection instead of reading the rest of the request: it may have
+    broken off there, and resets the connection on the next bytes.
+
+    Args:
+        parser: The parser of the connection.
+        stream: The connection.
+        timeout_ms: The longest wait for the server to read the request.
+
+    Raises:
+        SilenceError: If the server did not read the request in time.
+        ExchangeBrokenError: If the response is incomplete.
+    """
+    if parser.current.ends_with_connection:
+        try:
+            await stream.wait_acknowledged(timeout_ms)
+        except TimeoutError as error:
+            raise SilenceError(
+                f"request not read within {timeout_ms:.0f} ms"
+            ) from error
+        except OSError as error:
+            raise ExchangeBrokenError(
+                f"connection closed before the request was read: {error}"
+            ) from error
+    if not parser.end_input():
+        raise ExchangeBrokenError(
+            "connection closed before the end of the response"
+        )
+
+
 async def read_final_response(
     parser: responses.ResponseParser,
     read: Callable[[float], Awaitable[None]],
@@ -309,10 +346,8 @@
         data = await read_chunk(self._stream, read_timeout_ms)
         if data:
             feed_bytes(self._responses, data)
-        elif not self._responses.end_input():
-            raise ExchangeBrokenError(
-                "connection closed before the end of the response"
-            )
+        else:
+            await read_end(self._responses, self._stream, read_timeout_ms)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -381,4 +416,5 @@
     "read_final_response",
     "read_chunk",
     "feed_bytes",
+    "read_end",
 ]
--- a/src/lycheering/web/connection_pool.py
+++ b/src/lycheering/web/connection_pool.py
@@ -140,11 +140,8 @@
         data = await client.read_chunk(self._stream, timeout_ms)
         if data:
             client.feed_bytes(self._responses, data)
-            return
-        if not self._responses.end_input():
-            raise client.ExchangeBrokenError(
-                "connection closed before the end of the response"
-            )
+        else:
+            await client.read_end(self._responses, self._stream, timeout_ms)
 
     def idle_timeout_ms(self) -> float:
         """Returns how long it may stay idle; 0 if it must be closed."""
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 
+from standins import early_answers
 from standins import odd_heads
 from standins import spoiled_streams
 
@@ -155,6 +156,7 @@
         *LENGTHLESS,
         *CUT_HEADS,
         *odd_heads.ANSWERS,
+        *early_answers.ANSWERS,
         "repeats its refusal of the request before",
         "repeats a refusal that names no request",
         "cuts after the head",
@@ -211,8 +213,16 @@
 
     async def start(self) -> None:
         """Begins to listen."""
-        self._server = await asyncio.start_server(self._accept, self.host, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        listener = socket.create_server((self.host, 0))
+        if self.behaviour in early_answers.ANSWERS:
+            # the rest of a body does not fit into what the system buffers
+            listener.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                early_answers.RECEIVE_BUFFER_BYTES,
+            )
+        self._server = await asyncio.start_server(self._accept, sock=listener)
+        self.port = listener.getsockname()[1]
 
     async def stop(self) -> None:
         """Ends listening and every connection."""
@@ -258,7 +268,10 @@
             if colon:
                 value_by_header[name.lower()] = value.strip()
         length = int(value_by_header.get("content-length", "0"))
-        body = await reader.readexactly(length)
+        read_bytes = length
+        if self.behaviour in early_answers.ANSWERS:
+            read_bytes = min(length, early_answers.READ_BYTES)
+        body = await reader.readexactly(read_bytes)
         request = Received(lines[0], value_by_header, body, number)
         self.received.append(request)
         self.received_s.append(asyncio.get_running_loop().time())
@@ -319,6 +332,9 @@
             case lengthless if lengthless in LENGTHLESS:
                 await self._answer_lengthless(request, reader, writer)
                 return False
+            case early if early in early_answers.ANSWERS:
+                await self._answer_early(request, reader, writer)
+                return False
             case odd if odd in odd_heads.ANSWERS:
                 return await self._answer_oddly(request, reader, writer)
             case cut if cut in CUT_HEADS:
@@ -476,6 +492,30 @@
             self._server.close()
             await self._wait_gone(request, reader)
 
+    async def _answer_early(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        answer = early_answers.ANSWERS[self.behaviour]
+        head = self._head(request, 200, extra=answer.headers, length=-1)
+        writer.write(head + answer.framed_body)
+        await writer.drain()
+        match answer.end:
+            case early_answers.End.RESETS:
+                await _reset(writer)
+            case early_answers.End.RESETS_AT_ONCE:
+                _reset_at_once(writer)
+            case early_answers.End.ENDS:
+                writer.write_eof()
+                await _reset(writer)
+            case early_answers.End.READS_ON:
+                if answer.framing is spoiled_streams.Framing.CLOSE:
+                    writer.write_eof()
+                while data := await reader.read(READ_BYTES):
+                    request.body += data
+
     async def _answer_oddly(
         self,
         request: Received,
@@ -483,7 +523,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         stamp = f"stamp-{self.target_id}"
-        request_id = request.value_by_header["x-attempt-id"]
+        request_id = request.value_by_header.get("x-attempt-id", "")
         for part in odd_heads.parts(self.behaviour, request_id, stamp):
             writer.write(part)
             await writer.drain()
@@ -621,6 +661,10 @@
 async def _reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection once the bytes before have arrived."""
     await asyncio.sleep(LATE_S)
+    _reset_at_once(writer)
+
+
+def _reset_at_once(writer: asyncio.StreamWriter) -> None:
     writer.get_extra_info("socket").setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -37,6 +37,7 @@
 KEY = "secret-key"
 TEAM = "team-a"
 READ_TIMEOUT_S = 10
+MAX_BODY_BYTES = 1_000
 # of one target, from all entries together
 MAX_CONNECTIONS = 100
 PATH_BY_KIND = {
@@ -79,6 +80,7 @@
         self.control = control or local_control.LocalControl()
         self.timeout_ms = timeout_ms
         self.is_current = True
+        self.max_body_bytes = MAX_BODY_BYTES
         self.limits = head_limits.HeadLimits(
             max_header_bytes=4_096, header_timeout_ms=300.0
         )
@@ -202,7 +204,9 @@
             table_routes,
             (routes.Service("s", MAX_CONNECTIONS),),
             (routes.RouteTableTeam(TEAM, digests),),
-            routes.CallerLimits(max_header_bytes=4_096, max_body_bytes=1_000),
+            routes.CallerLimits(
+                max_header_bytes=4_096, max_body_bytes=self.max_body_bytes
+            ),
         )
         self.apply_change(changes.RouteTablePut(table))
 
