Load reports say how long work takes, and entries use it

Cause: a fourth figure in a load report (how long work takes at the target now, 100 is usual) made the whole report malformed. It was ignored, with a warning for each answer.

Change: the figure is parsed, more figures are ignored, and a malformed one leaves the three counts in use. Each entry keeps for each target the mean of what it and others heard and the deviation of the last reports (forward/work_pace.py), passed on with the prompts prefilled. It scales the expected wait (rate and overhead), so placing and admission; the learned slowness of an engine is what the reports don't explain. Prefixes prefer fast targets (weighted rendezvous hashing). Plain requests go by the wait for a slot at targets that say it. Malformed headers and impossible loads are logged once for each cause and at powers of ten. Without a fourth figure nothing changes.

--- a/src/lycheering/forward/api.py
+++ b/src/lycheering/forward/api.py
@@ -124,6 +124,8 @@
         rate_limit_per_s: Requests a second that the target takes from all
             entries together; infinite without a limit, None if what it says
             is malformed.
+        work_percent: How long work takes at the target at this moment; 100 is
+            usual, more is slower. None if it does not say so.
     """
 
     kind: AnswerKind
@@ -133,6 +135,7 @@
     retry_after_ms: float = 0.0
     has_request_id: bool = True
     rate_limit_per_s: float | None = math.inf
+    work_percent: float | None = None
 
 
 class HeaderCodec(abc.ABC):
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -323,12 +323,15 @@
         is_success = 200 <= head.status < 300
         if is_success:
             tokens = [part.tokens for part in request.metadata.prompt_parts]
+            estimate = self._estimate
+            elapsed_ms = now_ms - request.last_sent_ms - estimate.overhead_ms
             self._runner.registry.record_prefill(
                 self._state,
                 request.profile.prefix_hashes,
                 tokens,
-                self._estimate.total_prefill_tokens,
-                now_ms - request.last_sent_ms - self._estimate.overhead_ms,
+                estimate.total_prefill_tokens,
+                elapsed_ms / estimate.time_factor,
+                metadata.work_percent,
             )
             request.transfer_plan.record_use(self._runner.registry, tokens)
         if self._is_numbered_stream and is_success:
--- a/src/lycheering/forward/target_registry.py
+++ b/src/lycheering/forward/target_registry.py
@@ -23,6 +23,8 @@
 
 MAX_UNSHARED_PREFILLS = 1_000
 PREFILL_HALF_LIFE_MS = 6_000.0
+# mean age of what another entry heard, after two exchanges
+SHARED_REPORT_AGE_MS = 100.0
 
 
 class TargetRegistry:
@@ -48,6 +50,11 @@
                 lambda: recent_rate.RecentMean(PREFILL_HALF_LIFE_MS)
             )
         )
+        self._work_ms_by_service: dict[str, recent_rate.RecentMean] = (
+            collections.defaultdict(
+                lambda: recent_rate.RecentMean(target_state.WORK_HALF_LIFE_MS)
+            )
+        )
         self._stores: list[target_state.TargetState] = []
         self._unshared_prefills: collections.deque[messages.PromptRead] = (
             collections.deque(maxlen=MAX_UNSHARED_PREFILLS)
@@ -76,6 +83,7 @@
                     now_ms,
                     self._rate_by_service[target.service],
                     self.rate_reporter.share,
+                    self._work_ms_by_service[target.service],
                 )
             elif state.target.version_by_model != target.version_by_model:
                 state.cache.clear()
@@ -103,6 +111,7 @@
         tokens: Sequence[int],
         prefill_tokens: int = 0,
         prefill_ms: float = 0.0,
+        work_percent: float | None = None,
     ) -> None:
         """Records that a target has prefilled a prompt.
 
@@ -114,13 +123,18 @@
             tokens: Number of tokens in each part of the prompt.
             prefill_tokens: Tokens that the target prefilled until the answer
                 started, those of the prompts before it included; 0 if unknown.
-            prefill_ms: How long that took.
+            prefill_ms: How long that, or the work on a request without a
+                prompt, would have taken at the usual pace.
+            work_percent: How long work takes at the target, as the answer
+                says; None if it does not.
         """
         state.cache.add(prefix_hashes, tokens)
         state.prefill_rate.observe(
             prefill_tokens, prefill_ms, self._clock.now_ms()
         )
-        if prefix_hashes:
+        if not prefill_tokens and prefill_ms > 0:
+            state.work_ms.add(prefill_ms, self._clock.now_ms())
+        if prefix_hashes or work_percent is not None:
             self._unshared_prefills.append(
                 messages.PromptRead(
                     state.digest,
@@ -128,6 +142,7 @@
                     tuple(tokens),
                     prefill_tokens,
                     round(prefill_ms),
+                    round(work_percent or 0),
                 )
             )
 
@@ -193,6 +208,10 @@
                 source.prefill_rate.observe(
                     read.read_tokens, read.read_ms, now_ms
                 )
+                if read.work_percent > 0:
+                    source.pace.observe(
+                        read.work_percent, SHARED_REPORT_AGE_MS, now_ms
+                    )
             # the use of a store is not a request of its own
             if source in self._stores:
                 continue
--- a/src/lycheering/forward/target_selection.py
+++ b/src/lycheering/forward/target_selection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,8 @@
 
 # a target that has been silent for this long is not used as a fetch source
 MAX_SOURCE_SILENCE_MS = 800.0
+# leading bits of a hash that make a fraction below 1 without rounding
+FRACTION_BITS = 52
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,6 +157,7 @@
             request.
         total_prefill_tokens: Those and the tokens of requests queued before.
         overhead_ms: Part of the queue that does not depend on tokens.
+        time_factor: How much longer than usual work is expected to take.
     """
 
     state: target_state.TargetState
@@ -163,6 +167,7 @@
     uncached_tokens: int
     total_prefill_tokens: int = 0
     overhead_ms: float = 0.0
+    time_factor: float = 1.0
 
 
 def select_target(
@@ -336,16 +341,18 @@
     """Returns targets by rendezvous hashing, the most preferred first.
 
     All entries compute the same order for a key. It is empty for the key 0.
+    A target on which work takes half as long is preferred for twice as many
+    keys, and a change of its pace moves no other keys.
     """
     if not key:
         return []
-    return sorted(
-        states,
-        key=lambda state: xxhash.xxh3_64_intdigest(
-            state.target.target_id.encode(), key
-        ),
-        reverse=True,
-    )
+
+    def score(state: target_state.TargetState) -> float:
+        digest = xxhash.xxh3_64_intdigest(state.target.target_id.encode(), key)
+        fraction = ((digest >> (64 - FRACTION_BITS)) + 0.5) / 2**FRACTION_BITS
+        return -state.pace.preference / math.log(fraction)
+
+    return sorted(states, key=score, reverse=True)
 
 
 def _estimate(
@@ -364,7 +371,8 @@
         )
     uncached = max(0, profile.prompt_tokens - cached)
     own_requests = len(state.in_flight_by_id)
-    tokens_per_ms = state.prefill_rate.tokens_per_ms()
+    time_factor = state.pace.time_factor(now_ms)
+    tokens_per_ms = state.tokens_per_ms(now_ms)
     queued_tokens = state.pending_prefill_tokens()
     other_load = state.other_load(now_ms)
     if other_load is not None:
@@ -376,9 +384,16 @@
         overhead_ms = state.other_waiting(now_ms) * settings.waiting_request_ms
         overhead_ms += own_requests * settings.own_request_overhead_ms
         overhead_ms += state.other_running(now_ms) * settings.running_request_ms
+    cost_ms = 0.0
+    if state.pace.is_known and not profile.model:
+        # how long a request waits for a slot follows from the pace
+        requests = own_requests + state.other_requests(now_ms)
+        cost_ms = requests * settings.request_overhead_ms * time_factor
+        overhead_ms = state.slot_wait_ms(requests, now_ms)
+    overhead_ms *= time_factor
     queue_ms = queued_tokens / tokens_per_ms + overhead_ms
     wait_ms = queue_ms + uncached / tokens_per_ms
-    cost_ms = wait_ms
+    cost_ms += wait_ms
     if profile.affinity_key and state not in preferred:
         cost_ms += settings.non_preferred_penalty_ms
     target = state.target
@@ -414,6 +429,7 @@
         uncached,
         queued_tokens + uncached,
         overhead_ms,
+        time_factor,
     )
 
 
--- a/src/lycheering/forward/target_state.py
+++ b/src/lycheering/forward/target_state.py
@@ -8,8 +8,11 @@
 from lycheering.forward import api
 from lycheering.forward import prefill_rates
 from lycheering.forward import prefix_cache_model
+from lycheering.forward import work_pace
+from lycheering.limits import recent_rate
 from lycheering.limits import target_rate
 from lycheering.telemetry import logs
+from lycheering.telemetry import repeated_warning
 from lycheering.wire import messages
 
 if TYPE_CHECKING:
@@ -22,12 +25,14 @@
 WAITING_HALF_LIFE_MS = 1_000.0
 # age at which the shared load of other entries is no longer used
 SHARED_LOAD_TTL_MS = 500.0
+WORK_HALF_LIFE_MS = 6_000.0
 INITIAL_SUSPECT_MS = 300.0
 MAX_SUSPECT_MS = 4_000.0
 # requests that may still be sent to a target during its back-off
 MAX_SENDS_DURING_BACK_OFF = 2
 
 _LOG = logs.get("targets")
+_IMPOSSIBLE_LOAD = repeated_warning.RepeatedWarning(_LOG, "impossible_load")
 
 
 @dataclasses.dataclass
@@ -57,7 +62,11 @@
         digest: Hash that stands for its key in exchanges of loads.
         in_flight_by_id: This entry's requests that are in flight there.
         cache: Model of the prompt prefixes in its KV cache.
-        prefill_rate: Estimate of its prefill rate.
+        prefill_rate: Estimate of its prefill rate while work takes as long
+            as usual there.
+        pace: How long work takes there now, as it reports.
+        work_ms: How long requests without a prompt take at the targets of its
+            service at the usual pace, once they run.
         last_byte_ms: Time at which its last byte arrived.
         last_connect_ms: Time at which a connection to it was last opened.
         suspect_until_ms: Time until which it gets work only if there is no
@@ -81,6 +90,7 @@
         now_ms: float,
         service_rate: prefill_rates.ServicePrefillRate,
         fleet_share: target_rate.FleetShare | None = None,
+        work_ms: recent_rate.RecentMean | None = None,
     ) -> None:
         self.target = target
         self.in_flight_by_id: dict[int, InFlightRequest] = {}
@@ -96,6 +106,8 @@
         self._sends_during_back_off = 0
         self._failures = 0
         self.prefill_rate = prefill_rates.TargetPrefillRate(service_rate)
+        self.pace = work_pace.WorkPace()
+        self.work_ms = work_ms or recent_rate.RecentMean(WORK_HALF_LIFE_MS)
         self.digest = target.digest
         self.rate = target_rate.TargetRate(
             target.target_id, fleet_share or target_rate.FleetShare()
@@ -153,6 +165,8 @@
         is_own_answer = answer.kind is not api.AnswerKind.WRONG_TARGET
         if answer.rate_limit_per_s is not None and is_own_answer:
             self.rate.apply_answer(answer.rate_limit_per_s, now_ms)
+        if answer.work_percent is not None and is_own_answer:
+            self.pace.observe(answer.work_percent, 0.0, now_ms)
         if answer.running is None or not self._may_wait(answer.waiting):
             return
         own = len(self.in_flight_by_id)
@@ -171,8 +185,10 @@
         """
         if not self.max_connections or waiting <= self.max_connections:
             return True
-        _LOG.warning(
-            "impossible_load", target=self.target.target_id, waiting=waiting
+        _IMPOSSIBLE_LOAD.warn(
+            self.target.target_id,
+            target=self.target.target_id,
+            waiting=waiting,
         )
         return False
 
@@ -232,7 +248,7 @@
         load = self.other_load(now_ms)
         if load is None or not load.unread_tokens:
             return 0
-        prefilled_tokens = self.prefill_rate.tokens_per_ms() * (
+        prefilled_tokens = self.tokens_per_ms(now_ms) * (
             now_ms - self._other_load_ms
         )
         share = load.unread_tokens / (
@@ -240,6 +256,10 @@
         )
         return max(0, round(load.unread_tokens - share * prefilled_tokens))
 
+    def tokens_per_ms(self, now_ms: float) -> float:
+        """Returns the prompt tokens that it prefills per millisecond now."""
+        return self.prefill_rate.tokens_per_ms() / self.pace.time_factor(now_ms)
+
     def own_load(self) -> messages.TargetLoad:
         """Returns the load that this entry has there."""
         return messages.TargetLoad(
@@ -263,23 +283,45 @@
             0.5 ** (age_ms / WAITING_HALF_LIFE_MS)
         )
 
+    def other_requests(self, now_ms: float) -> float:
+        """Returns the estimated requests of other entries in flight there."""
+        load = self.other_load(now_ms)
+        if load is not None:
+            return load.requests
+        return self.other_running(now_ms) + self.other_waiting(now_ms)
+
+    def slot_wait_ms(self, requests: float, now_ms: float) -> float:
+        """Returns how long a request waits for a slot at the usual pace.
+
+        Args:
+            requests: Number of requests that are there before it.
+            now_ms: The current time.
+        """
+        slots = max(1, self.target.slots)
+        ahead = max(0.0, requests + 1.0 - slots)
+        return ahead / slots * self.work_ms.mean(now_ms)
+
     def describe_load(self, now_ms: float) -> str:
         """Returns the known load as text for logs."""
         load = self.other_load(now_ms)
+        pace = ""
+        if self.pace.is_known:
+            percent = self.pace.time_factor(now_ms) * work_pace.USUAL_PERCENT
+            pace = f",work_percent:{percent:.0f}"
         if load is not None:
             return (
                 f"own_requests:{len(self.in_flight_by_id)}"
                 f",own_prefill_tokens:{self.pending_prefill_tokens()}"
                 f",other_requests:{load.requests}"
                 f",other_prefill_tokens:{load.unread_tokens}"
-                f",age_ms:{now_ms - self._other_load_ms:.0f}"
+                f",age_ms:{now_ms - self._other_load_ms:.0f}{pace}"
             )
         return (
             f"own_requests:{len(self.in_flight_by_id)}"
             f",own_prefill_tokens:{self.pending_prefill_tokens()}"
             f",other_running:{self._other_running:.0f}"
             f",other_waiting:{self._other_waiting:.0f}"
-            f",age_ms:{now_ms - self._reported_ms:.0f}"
+            f",age_ms:{now_ms - self._reported_ms:.0f}{pace}"
         )
 
     def pending_prefill_tokens(self) -> int:
--- a/src/lycheering/platform/header_codec.py
+++ b/src/lycheering/platform/header_codec.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from lycheering import integers
 from lycheering.forward import api
 from lycheering.limits import target_rate
 from lycheering.telemetry import logs
+from lycheering.telemetry import repeated_warning
 
 if TYPE_CHECKING:
     from lycheering.web import connection_pool
@@ -84,7 +86,15 @@
 # no target asks for such a time, and shorter ones are safe to calculate with
 MAX_RETRY_AFTER_S = 1_000_000_000.0
 
+# the first figures of a load report; others may follow some day
+LOAD_COUNTS = 3
+WORK_PERCENT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
+# No machine is so much faster or slower than usual that work is planned by it.
+MIN_WORK_PERCENT = 5.0
+MAX_WORK_PERCENT = 2_000.0
+
 _LOG = logs.get("platform")
+_BAD_HEADER = repeated_warning.RepeatedWarning(_LOG, "bad_header")
 
 
 class PlatformHeaderCodec(api.HeaderCodec):
@@ -177,7 +187,9 @@
             kind = api.AnswerKind.WRONG_TARGET
         elif head.get(NOT_RUN_HEADER) and head.status in (429, 503):
             kind = api.AnswerKind.NOT_RUN
-        running, waiting = _parse_load(head.get(TARGET_LOAD_HEADER))
+        running, waiting, work_percent = _parse_load(
+            head.get(TARGET_LOAD_HEADER)
+        )
         retry_after_ms = 0.0
         if head.status == BUSY_STATUS:
             retry_after_ms = _parse_retry_after_ms(head.get(RETRY_AFTER_HEADER))
@@ -190,6 +202,7 @@
             retry_after_ms,
             bool(answered_id),
             _parse_rate_limit(head.get(RATE_LIMIT_HEADER)),
+            work_percent,
         )
 
     def caller_headers(self, headers: api.Headers) -> api.Headers:
@@ -272,9 +285,7 @@
     except ValueError:
         seconds = -1.0
     if not 0 <= seconds < MAX_RETRY_AFTER_S:
-        _LOG.warning(
-            "bad_header", name=RETRY_AFTER_HEADER.decode(), value=text[:40]
-        )
+        _warn_bad_header(RETRY_AFTER_HEADER, text)
         return 0.0
     return seconds * MS_PER_S
 
@@ -283,9 +294,7 @@
     """Parses a limit in requests a second; None if it is malformed."""
     per_s = target_rate.parse_per_s(text)
     if per_s is None:
-        _LOG.warning(
-            "bad_header", name=RATE_LIMIT_HEADER.decode(), value=text[:40]
-        )
+        _warn_bad_header(RATE_LIMIT_HEADER, text)
     return per_s
 
 
@@ -327,23 +336,43 @@
     return tuple(parts)
 
 
-def _parse_load(text: str) -> tuple[int | None, int]:
-    """Parses a load report of three counts.
+def _parse_load(text: str) -> tuple[int | None, int, float | None]:
+    """Parses a load report: three counts, the work percentage, and others.
 
     Returns:
-        The running and the waiting requests. `(None, 0)` if the report is
-        missing or malformed, or if more requests run than the third count,
-        the target's slots.
+        The running and the waiting requests, and how long work takes now, 100
+        being usual. The last is None if it is missing or malformed. `(None, 0,
+        None)` if the counts are missing or malformed, or if more requests run
+        than the third count, the target's slots.
     """
-    counts = [_parse_count(item) for item in text.split(",")]
+    items = text.split(",", LOAD_COUNTS + 1)
+    counts = [_parse_count(item) for item in items[:LOAD_COUNTS]]
     match counts:
         case [int(running), int(waiting), int(slots)] if running <= slots:
-            return running, waiting
+            work_percent = None
+            if len(items) > LOAD_COUNTS:
+                work_percent = _parse_work_percent(items[LOAD_COUNTS].strip())
+            return running, waiting, work_percent
     if text:
-        _LOG.warning(
-            "bad_header", name=TARGET_LOAD_HEADER.decode(), value=text[:40]
-        )
-    return None, 0
+        _warn_bad_header(TARGET_LOAD_HEADER, text)
+    return None, 0, None
+
+
+def _parse_work_percent(text: str) -> float | None:
+    """Parses how long work takes; None if it is malformed or impossible."""
+    if WORK_PERCENT.fullmatch(text):
+        percent = float(text)
+        if MIN_WORK_PERCENT <= percent <= MAX_WORK_PERCENT:
+            return percent
+    _warn_bad_header(TARGET_LOAD_HEADER, text, part="work_percent")
+    return None
+
+
+def _warn_bad_header(name: bytes, text: str, part: str = "value") -> None:
+    """Logs a malformed header of a target, once for each header and part."""
+    _BAD_HEADER.warn(
+        f"{name.decode()}.{part}", name=name.decode(), value=text[:40]
+    )
 
 
 __all__ = ["PlatformHeaderCodec"]
--- a/src/lycheering/wire/messages/loads.py
+++ b/src/lycheering/wire/messages/loads.py
@@ -26,7 +26,7 @@
 
 
 class PromptRead(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt that a target has prefilled.
+    """A prompt that a target has prefilled, or another answer of a target.
 
     Attributes:
         target: Digest of the target's key.
@@ -36,7 +36,10 @@
         read_tokens: Number of tokens that the target prefilled until the
             first token of the answer, including prompts ahead of this one; 0
             if not known.
-        read_ms: Duration of that prefill.
+        read_ms: Duration of that prefill, as long as it would have taken at
+            the usual pace of the target.
+        work_percent: How long work takes there at the time of the answer; 100
+            is usual, more is slower, 0 is not known.
     """
 
     target: int
@@ -44,6 +47,7 @@
     tokens: tuple[int, ...]
     read_tokens: int = 0
     read_ms: int = 0
+    work_percent: int = 0
 
 
 class LoadExchange(msgspec.Struct, frozen=True, array_like=True, tag=64):
--- a/tests/helpers/direct_targets.py
+++ b/tests/helpers/direct_targets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import heapq
 import random
 
 from lycheering import clock
@@ -59,19 +61,26 @@
     )
 
 
+def usual(now_ms):
+    return 1.0
+
+
 class Engine:
     """Prefills prompts one after another, with a prefix cache."""
 
     def __init__(self, tokens_per_ms=50.0):
         self.free_at_ms = 0.0
+        self.busy_ms = 0.0
         self.cache = prefix_cache_model.PrefixCacheModel(CACHE_TOKENS)
         self._tokens_per_ms = tokens_per_ms
 
-    def run(self, arrived_ms, prefix_hashes, parts, tokens):
+    def run(self, arrived_ms, prefix_hashes, parts, tokens, factor=usual):
         """Returns the time at which the prefill of a prompt is done."""
         uncached = max(0, tokens - self.cache.cached_tokens(prefix_hashes))
         begin_ms = max(arrived_ms, self.free_at_ms)
-        self.free_at_ms = begin_ms + uncached / self._tokens_per_ms
+        work_ms = factor(begin_ms) * uncached / self._tokens_per_ms
+        self.busy_ms += work_ms
+        self.free_at_ms = begin_ms + work_ms
         self.cache.add(prefix_hashes, [part.tokens for part in parts])
         return self.free_at_ms
 
@@ -199,6 +208,158 @@
     return waits_ms
 
 
+@dataclasses.dataclass
+class PlacedLoad:
+    """What became of a load.
+
+    Attributes:
+        waits: Time of arrival, time to first token and number of the engine
+            of each request.
+        busy_ms: How long each engine worked.
+    """
+
+    waits: list
+    busy_ms: list
+
+
+def place_by_pace(arrivals, entries, select, paces, is_reported):
+    """Places a load on engines that change, and report so.
+
+    Each entry knows its own requests, and the reports that came with their
+    answers, at once; those of the others as of the last exchange.
+    `select` gets the target states, the request profile and the time. It
+    returns the number of a target and the estimate for it.
+    """
+    count = len(paces)
+    engines = [Engine() for _ in range(count)]
+    rates = [prefill_rates.ServicePrefillRate() for _ in range(entries)]
+    states_by_entry = [
+        [state(number, service_rate=rate) for number in range(count)]
+        for rate in rates
+    ]
+    rng = random.Random(3)
+    placed = PlacedLoad([], [])
+    in_flight = []
+    unshared = []
+    exchanged_ms = 0.0
+    for index, (at_ms, parts) in enumerate(arrivals):
+        while in_flight and in_flight[0][0] <= at_ms:
+            done_ms, _, entry, number, in_flight_id, estimate, sent_ms = (
+                heapq.heappop(in_flight)
+            )
+            own = states_by_entry[entry][number]
+            own.remove_request(in_flight_id)
+            own.last_byte_ms = done_ms
+            percent = paces[number].percent(done_ms) if is_reported else 0
+            elapsed_ms = done_ms - sent_ms - estimate.overhead_ms
+            read = (
+                number,
+                estimate.total_prefill_tokens,
+                elapsed_ms / estimate.time_factor,
+                percent,
+            )
+            _observe(own, read, 0.0, done_ms)
+            unshared.append((entry, read))
+        if at_ms - exchanged_ms >= EXCHANGE_INTERVAL_MS:
+            exchanged_ms = at_ms
+            _exchange(states_by_entry, at_ms)
+            for entry, states in enumerate(states_by_entry):
+                for reader, read in unshared:
+                    if reader != entry:
+                        _observe(states[read[0]], read, 100.0, at_ms)
+            unshared = []
+        entry = rng.randrange(entries)
+        states = states_by_entry[entry]
+        request = profile(parts)
+        number, estimate = select(states, request, at_ms)
+        done_ms = engines[number].run(
+            at_ms,
+            request.prefix_hashes,
+            parts,
+            request.prompt_tokens,
+            paces[number].factor,
+        )
+        in_flight_id = states[number].add_request(
+            at_ms,
+            request.prompt_tokens,
+            estimate.uncached_tokens,
+            lambda: None,
+        )
+        sizes = [part.tokens for part in parts]
+        for known in states_by_entry:
+            known[number].cache.add(request.prefix_hashes, sizes)
+        heapq.heappush(
+            in_flight,
+            (done_ms, index, entry, number, in_flight_id, estimate, at_ms),
+        )
+        placed.waits.append((at_ms, done_ms - at_ms, number))
+    placed.busy_ms = [engine.busy_ms for engine in engines]
+    return placed
+
+
+def _observe(known, read, age_ms, now_ms):
+    _, tokens, elapsed_ms, percent = read
+    known.prefill_rate.observe(tokens, elapsed_ms, now_ms)
+    if percent:
+        known.pace.observe(percent, age_ms, now_ms)
+
+
+PLAIN_WORK_MS = 45.0
+PLAIN_SLOTS = 6
+PLAIN_LOAD_MS = 20_000.0
+
+
+def place_plain(levels, entries, settings, per_ms, is_reported):
+    """Returns how long requests without prompts take at targets of few slots.
+
+    The targets take `levels` times as long as usual, and tell the entries if
+    `is_reported`.
+    """
+    rng = random.Random(6)
+    count = len(levels)
+    states_by_entry = [
+        [state(number, slots=PLAIN_SLOTS) for number in range(count)]
+        for _ in range(entries)
+    ]
+    free_at_ms = [[0.0] * PLAIN_SLOTS for _ in range(count)]
+    request = target_selection.RequestProfile()
+    in_flight = []
+    answered_ms = []
+    now_ms = exchanged_ms = 0.0
+    while now_ms < PLAIN_LOAD_MS:
+        now_ms += rng.expovariate(per_ms)
+        while in_flight and in_flight[0][0] <= now_ms:
+            done_ms, _, entry, number, in_flight_id, work_ms = heapq.heappop(
+                in_flight
+            )
+            states_by_entry[entry][number].remove_request(in_flight_id)
+            for states in states_by_entry:
+                known = states[number]
+                known.work_ms.add(work_ms, done_ms)
+                if is_reported:
+                    known.pace.observe(100 * levels[number], 0.0, done_ms)
+        if now_ms - exchanged_ms >= EXCHANGE_INTERVAL_MS:
+            exchanged_ms = now_ms
+            _exchange(states_by_entry, now_ms)
+        entry = rng.randrange(entries)
+        states = states_by_entry[entry]
+        estimate = target_selection.select_target(
+            states, request, settings, "d0", (), now_ms, rng
+        )
+        number = states.index(estimate.state)
+        work_ms = rng.lognormvariate(0.0, 0.5) * PLAIN_WORK_MS
+        begin_ms = max(now_ms, heapq.heappop(free_at_ms[number]))
+        done_ms = begin_ms + work_ms * levels[number]
+        heapq.heappush(free_at_ms[number], done_ms)
+        in_flight_id = estimate.state.add_request(now_ms, 0, 0, lambda: None)
+        heapq.heappush(
+            in_flight,
+            (done_ms, len(answered_ms), entry, number, in_flight_id, work_ms),
+        )
+        answered_ms.append(done_ms - now_ms)
+    return answered_ms
+
+
 def _exchange(states_by_entry, now_ms):
     """Gives each entry the total load of all others at each target."""
     for states_of_target in zip(*states_by_entry, strict=True):
@@ -223,6 +384,8 @@
     "fleet_load",
     "place",
     "place_by_entries",
+    "place_by_pace",
+    "place_plain",
     "profile",
     "state",
     "target",
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -123,6 +123,32 @@
     Then reading the list fails
     And the list was called 2 times
 
+  Scenario Outline: The load that a target reports
+    When a target answers 200 with the load "<load>"
+    Then the answer says <running> running, <waiting> waiting, pace <percent>
+
+    Examples:
+      | load                | running | waiting | percent |
+      | 3,1,32              | 3       | 1       | None    |
+      | 3,1,32,70           | 3       | 1       | 70      |
+      | 3, 1, 32, 170.5     | 3       | 1       | 170.5   |
+      | 3,1,32,100,8,x      | 3       | 1       | 100     |
+      | 3,1,32,             | 3       | 1       | None    |
+      | 3,1,32,0            | 3       | 1       | None    |
+      | 3,1,32,-70          | 3       | 1       | None    |
+      | 3,1,32,nan          | 3       | 1       | None    |
+      | 3,1,32,1e3          | 3       | 1       | None    |
+      | 3,1,32,99999999     | 3       | 1       | None    |
+      | 3,1,32,1_00         | 3       | 1       | None    |
+      | 33,1,32,70          | None    | 0       | None    |
+      | 3,1                 | None    | 0       | None    |
+      | 3,-1,32,70          | None    | 0       | None    |
+      | fast,slow,70        | None    | 0       | None    |
+
+  Scenario: A load that is malformed in each answer costs few lines
+    When a target answers 250 times with the load "3,1,32,fast"
+    Then at most 3 lines say so
+
   @promise.no_foreign_cache
   Scenario: What a target fetches and saves is told by the system alone
     When a caller's headers that name stores are forwarded with the entry's own
--- a/tests/steps/telemetry_steps.py
+++ b/tests/steps/telemetry_steps.py
@@ -20,6 +20,7 @@
 from lycheering.telemetry import counters
 from lycheering.telemetry import logs
 from lycheering.telemetry import rate_limited_warning
+from lycheering.telemetry import repeated_warning
 
 PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"]+)(?: |$)')
 TIMEOUT_S = 20
@@ -131,6 +132,37 @@
         warning.warn(peer="p")
 
 
+@when(
+    "a warning occurs {count:d} times for one cause and once for {others:d}"
+    " others"
+)
+def step_causes(context, count, others):
+    with logbook.TestHandler().applicationbound() as handler:
+        warning = repeated_warning.RepeatedWarning(logs.get("test"), "odd")
+        for _ in range(count):
+            warning.warn("one")
+        for number in range(others):
+            warning.warn(f"c{number}")
+        context.messages = [record.message for record in handler.records]
+
+
+@then("its counts of that cause are logged as 1, 10, 100, 1000")
+def step_counts(context):
+    ones = [line for line in context.messages if "cause=one" in line]
+    assert [line.rpartition("=")[2] for line in ones] == [
+        "1",
+        "10",
+        "100",
+        "1000",
+    ], ones
+
+
+@then("the other causes cost at most {count:d} lines")
+def step_other_lines(context, count):
+    others = [line for line in context.messages if "cause=one" not in line]
+    assert len(others) <= count, len(others)
+
+
 @then("2 lines are logged, the second with {count:d} suppressed warnings")
 def step_suppressed(context, count):
     lines = [record.message for record in context.handler.records]
--- a/tests/steps/translation_steps.py
+++ b/tests/steps/translation_steps.py
@@ -7,6 +7,7 @@
 
 from behave import then
 from behave import when
+import logbook
 import msgspec
 
 from lycheering.control.direct import api as direct_api
@@ -93,6 +94,43 @@
     context.answer = HEADER_CODEC.read_answer(head, metadata)
 
 
+def read_load(status, load):
+    head = connection_pool.ResponseHead(
+        status, headers({"x-instance-load": load})
+    )
+    metadata = api.RequestMetadata("r1", None, "")
+    return HEADER_CODEC.read_answer(head, metadata)
+
+
+@when('a target answers {status:d} with the load "{load}"')
+def step_load(context, status, load):
+    context.answer = read_load(status, load)
+
+
+@then("the answer says {running} running, {waiting:d} waiting, pace {percent}")
+def step_says(context, running, waiting, percent):
+    answer = context.answer
+    assert str(answer.running) == running, answer
+    assert answer.waiting == waiting, answer
+    expected = None if percent == "None" else float(percent)
+    assert answer.work_percent == expected, answer
+
+
+@when('a target answers {count:d} times with the load "{load}"')
+def step_load_often(context, count, load):
+    with logbook.TestHandler().applicationbound() as handler:
+        for _ in range(count):
+            read_load(200, load)
+        context.lines = [
+            line for line in handler.formatted_records if "bad_header" in line
+        ]
+
+
+@then("at most {count:d} lines say so")
+def step_lines(context, count):
+    assert len(context.lines) <= count, context.lines
+
+
 @then("the answer means {meaning}")
 def step_means(context, meaning):
     assert context.answer.kind.value == meaning, context.answer
--- a/tests/telemetry/telemetry.feature
+++ b/tests/telemetry/telemetry.feature
@@ -40,3 +40,8 @@
   Scenario: A repeated warning is rate limited
     When a warning repeats 500 times within one second and once after it
     Then 2 lines are logged, the second with 499 suppressed warnings
+
+  Scenario: A warning is logged once for each cause and counted after that
+    When a warning occurs 1500 times for one cause and once for 300 others
+    Then its counts of that cause are logged as 1, 10, 100, 1000
+    And the other causes cost at most 260 lines
