Of several sources of a prefix the nearest is used

Cause: of targets that cache the same part of a prefix the first in the order of the view was its source, wherever it is. A transfer between failure domains takes twice as long on the platform.

Change: among equal ones, one in the failure domain of the selected target.

--- a/src/lycheering/forward/target_selection.py
+++ b/src/lycheering/forward/target_selection.py
@@ -264,7 +264,9 @@
 ) -> target_state.TargetState | None:
     """Returns the target to fetch cached prefixes from, or None.
 
-    It is the target that most likely caches what the selected one lacks. Only
+    It is the target that most likely caches what the selected one lacks; of
+    several that cache the same, one in its failure domain, as transfers between
+    failure domains take longer and cost more. Only
     targets with the same weights version as the selected one qualify, as KV
     cache blocks computed with other weights must not be used.
 
@@ -288,9 +290,12 @@
     ]
     if not available:
         return None
-    best = max(
-        available, key=lambda state: state.cache.cached_tokens(shared_hashes)
-    )
+
+    def usefulness(state: target_state.TargetState) -> tuple[int, bool]:
+        is_near = state.target.failure_domain == selected.target.failure_domain
+        return state.cache.cached_tokens(shared_hashes), is_near
+
+    best = max(available, key=usefulness)
     if best.cache.cached_tokens(shared_hashes) > selected.cache.cached_tokens(
         shared_hashes
     ):
--- a/tests/forward/choice.feature
+++ b/tests/forward/choice.feature
@@ -118,6 +118,18 @@
     When target 3 gets the prompt
     Then it fetches from target 2
 
+  Scenario Outline: A shared prefix is fetched from the nearest of its targets
+    Given 6 direct targets
+    And target 2 caches the shared prefix of a prompt
+    And target 6 caches the shared prefix of a prompt
+    When target <selected> gets the prompt
+    Then it fetches from target <source>
+
+    Examples:
+      | selected | source |
+      | 3        | 6      |
+      | 5        | 2      |
+
   @promise.no_foreign_cache
   Scenario: Nothing is fetched from a target on other weights
     Given 4 direct targets
