Keep teams to their allowances at all entries together

The leader keeps a token bucket for each team, of which entries hold parts; what is refused is answered 429 with the time to come back.

--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -28,7 +28,9 @@
 from lycheering.control.direct import route_admin
 from lycheering.control.direct import store_watcher
 from lycheering.control.direct import target_list_poller
+from lycheering.control.direct import team_allowances
 from lycheering.control.direct import weights_rollout
+from lycheering.limits import allowance_terms
 from lycheering.membership import watcher
 from lycheering.orders import order_reconciler
 from lycheering.replication import members
@@ -250,6 +252,16 @@
         self._handler.group_membership = self.group_membership
         aggregator = load_aggregator.LoadAggregator(self._clock)
         self._handler.load_aggregator = aggregator
+        self._handler.allowances = team_allowances.TeamAllowances(
+            self.group.machine,
+            allowance_terms.AllowanceRule(
+                settings.quota_window_s,
+                settings.quota_over,
+                settings.quota_slack,
+            ),
+            self._clock,
+            self._counters,
+        )
         self._direct_parts = [
             self.group_membership,
             *self._target_parts(settings, direct, aggregator),
--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -22,6 +22,7 @@
     from lycheering.control import replica
     from lycheering.control.direct import group_membership
     from lycheering.control.direct import load_aggregator
+    from lycheering.control.direct import team_allowances
     from lycheering.telemetry import counters
     from lycheering.wire import server
 
@@ -57,6 +58,7 @@
         self._open_calls = 0
         self.group_membership: group_membership.GroupMembership | None = None
         self.load_aggregator: load_aggregator.LoadAggregator | None = None
+        self.allowances: team_allowances.TeamAllowances | None = None
         self._evidence_hub = evidence_exchange.EvidenceHub(time)
 
     async def handle(
@@ -130,6 +132,9 @@
             case messages.StreamExchange() if self.load_aggregator is not None:
                 self._group.log.check_lease()
                 return self.load_aggregator.streams.handle(message)
+            case messages.AllowanceExchange() if self.allowances is not None:
+                self._group.log.check_lease()
+                return self.allowances.handle(message, self._group.log.term)
             case messages.EvidenceExchange():
                 self._group.log.check_lease()
                 return self._evidence_hub.handle(message)
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -9,6 +9,7 @@
 from lycheering.app import api as app_api
 from lycheering.entry import control_client
 from lycheering.fleet import view_holder
+from lycheering.forward import allowance_gate
 from lycheering.forward import application
 from lycheering.forward import attempt
 from lycheering.forward import crash_detector
@@ -20,6 +21,7 @@
 from lycheering.forward import load_exchange
 from lycheering.forward import target_registry
 from lycheering.forward import target_selection
+from lycheering.limits import allowance_terms
 from lycheering.retries import crash_ledger
 from lycheering.retries import prompt_quarantine
 from lycheering.retries import second_send_window
@@ -118,6 +120,17 @@
         self._streams = stream_versions.StreamVersions(
             self.control, self._clock
         )
+        self._allowances = allowance_gate.AllowanceGate(
+            self.control,
+            self._identity,
+            allowance_terms.AllowanceRule(
+                self._direct.quota_window_s,
+                self._direct.quota_over,
+                self._direct.quota_slack,
+            ),
+            self._clock,
+            self._counters,
+        )
         self._load_exchanger = load_exchange.LoadExchanger(
             self.control,
             self._registry,
@@ -167,6 +180,7 @@
             self._clock,
             self._counters,
             self._times,
+            self._allowances,
         )
         self._application = application.ForwardApplication(
             self._forwarder,
@@ -205,6 +219,7 @@
 
     def _apply_exchange(self, entry_count: int) -> None:
         self._forwarder.set_entry_count(entry_count)
+        self._allowances.set_entry_count(entry_count)
         self._quarantine.refresh()
 
     def _apply_view(self) -> None:
@@ -224,6 +239,7 @@
         await self._freshness.start()
         await self._liveness.start()
         await self._load_exchanger.start()
+        await self._allowances.start()
         await self._streams.start()
         self._tasks.spawn_with_restarts(
             self._run_housekeeping, "entry:housekeeping"
@@ -261,6 +277,7 @@
         await self._metrics.stop()
         await self._tasks.cancel_all()
         await self._streams.stop()
+        await self._allowances.stop()
         await self._load_exchanger.stop()
         await self._crash_detector.stop()
         await self._liveness.stop()
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from lycheering import clock
     from lycheering.fleet import view_holder
+    from lycheering.forward import allowance_gate
     from lycheering.forward import caller as callers
     from lycheering.forward import crash_detector
     from lycheering.forward import target_state
@@ -87,6 +88,7 @@
         time: clock.Clock,
         counts: counters.Counters,
         times: histograms.Histograms,
+        allowances: allowance_gate.AllowanceGate | None = None,
     ) -> None:
         """Creates a forwarder.
 
@@ -101,7 +103,10 @@
             time: The clock.
             counts: The counters of the process.
             times: The latency histograms of the process.
+            allowances: Charges requests to the allowances of their teams;
+                None if teams have none.
         """
+        self._allowances = allowances
         self.registry = attempt_runner.registry
         self.stops_at_ms = math.inf
         self._intake = intake
@@ -156,13 +161,19 @@
         outcome = "refused"
         reason = ""
         try:
+            if self._allowances is not None:
+                await self._allowances.admit(request)
             result = await self._send_before_deadline(request)
             outcome, reason = result.result.value, result.detail
         except refusals.RefusalError as refusal:
             reason = refusal.reason.value
+            if refusal.is_not_run:
+                self._refund(request)
             raise
         except refusals.CallerGoneError:
             outcome = "caller_gone"
+            if not request.last_sent_ms:
+                self._refund(request)
             raise
         except refusals.AnswerCutError as error:
             outcome, reason = "cut", str(error)
@@ -172,6 +183,10 @@
             del self._open_requests[id(request)]
             self._record_request(request, outcome, reason)
 
+    def _refund(self, request: pending_request.PendingRequest) -> None:
+        if self._allowances is not None:
+            self._allowances.refund(request)
+
     async def _send_before_deadline(
         self, request: pending_request.PendingRequest
     ) -> attempts.Outcome:
@@ -538,6 +553,12 @@
         if not self._second_send_limiter(request.service.name).try_spend():
             self._counters.increment("second_send.over_budget")
             return False
+        if (
+            outcome.result is not attempts.Result.NOT_RUN
+            and self._allowances is not None
+            and not self._allowances.admit_repeat(request)
+        ):
+            return False
         self._counters.count_retry(outcome.result.value)
         return True
 
@@ -648,6 +669,12 @@
             uncached_tokens=request.uncached_tokens,
             resumes=request.metadata.resumed_id,
             after_event=request.metadata.last_event_id,
+            allowance=(
+                request.allowance_charge.amount
+                if request.allowance_charge is not None
+                else 0
+            ),
+            allowance_wait_ms=round(request.allowance_wait_ms),
             bound_to=request.bound_version or "",
             version=request.target_version,
             weights=send_options.weights_version if send_options else 0,
--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -17,6 +17,7 @@
     from lycheering.forward import api
     from lycheering.forward import attempt
     from lycheering.forward import caller as callers
+    from lycheering.limits import team_allowance
     from lycheering.routes import api as route_api
 
 
@@ -81,6 +82,9 @@
         abort_exchange: Ends the open exchange with a target; None without one.
         withdrawal: Why its exchange was ended by this entry; empty if it was
             not.
+        allowance_charge: What its last run was charged to its team's
+            allowance; None without a limit.
+        allowance_wait_ms: How long it waited for that.
     """
 
     caller: callers.Caller
@@ -117,6 +121,8 @@
     progress: attempt.AttemptProgress | None = None
     abort_exchange: Callable[[], None] | None = None
     withdrawal: str = ""
+    allowance_charge: team_allowance.Charge | None = None
+    allowance_wait_ms: float = 0.0
 
     @property
     def shared_part_keys(self) -> tuple[str, ...]:
--- a/src/lycheering/forward/refusals.py
+++ b/src/lycheering/forward/refusals.py
@@ -22,6 +22,7 @@
     TARGETS_FULL = "targets_full"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
+    OVER_ALLOWANCE = "over_allowance"
     TIMEOUT = "timeout"
     BROKEN = "broken"
     INTERNAL = "internal"
@@ -40,15 +41,19 @@
     Reason.BODY_TOO_LARGE: 413,
     Reason.BODY_TOO_SLOW: 408,
     Reason.BODY_INCOMPLETE: 400,
+    Reason.OVER_ALLOWANCE: 429,
     Reason.TIMEOUT: 504,
     Reason.BROKEN: 502,
     Reason.INTERNAL: 500,
     Reason.WITHDRAWN: 502,
 }
 NOT_RUN_STATUS = 503
+# statuses that promise that the request has not run and never will
+NOT_RUN_STATUSES = frozenset({429, NOT_RUN_STATUS})
 # refusals of which the caller is told the detail
 EXPLAINED_NOT_RUN = frozenset(
     {
+        Reason.OVER_ALLOWANCE,
         Reason.QUARANTINED,
         Reason.STREAM_VERSION_UNKNOWN,
         Reason.STREAM_VERSION_GONE,
@@ -76,9 +81,14 @@
 
     @property
     def status(self) -> int:
-        """The HTTP status; 503 means that the request did not run."""
+        """The HTTP status; 429 and 503 mean that the request did not run."""
         return _STATUS_BY_REASON.get(self.reason, NOT_RUN_STATUS)
 
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the request has not run and never will."""
+        return self.status in NOT_RUN_STATUSES
+
 
 class CallerGoneError(Exception):
     """The caller closed its connection before the answer was complete."""
--- a/src/lycheering/platform/documents.py
+++ b/src/lycheering/platform/documents.py
@@ -39,6 +39,13 @@
     pydantic.Field(ge=-json_input.MAX_INTEGER, le=json_input.MAX_INTEGER),
 ]
 _Milliseconds = Annotated[float, pydantic.Field(strict=False)]
+# none is named by null too; larger amounts are surely mistakes
+MAX_ALLOWANCE = 1e12
+_Allowance = Annotated[
+    float,
+    pydantic.BeforeValidator(lambda value: 0 if value is None else value),
+    pydantic.Field(strict=False, ge=0, le=MAX_ALLOWANCE, allow_inf_nan=False),
+]
 
 
 class _ServiceShare(_DocumentPart):
@@ -142,12 +149,23 @@
     keys: list[str]
     priority: _Integer | None = None
     is_isolated: bool = False
+    rate_per_s: _Allowance = 0.0
+    burst: _Allowance = 0.0
+    unit: Literal["requests", "tokens", ""] | None = None
+    plain_tokens: Annotated[int, pydantic.Field(ge=0, le=MAX_ALLOWANCE)] = 0
 
     def to_record(self) -> route_api.RouteTableTeam:
         """Returns the team as a record of the route table."""
         digests = tuple(view.key_digest(key) for key in self.keys)
         return route_api.RouteTableTeam(
-            self.name, digests, self.priority, self.is_isolated
+            self.name,
+            digests,
+            self.priority,
+            self.is_isolated,
+            self.rate_per_s,
+            self.burst,
+            route_api.AllowanceUnit(self.unit or "requests"),
+            self.plain_tokens,
         )
 
 
--- a/src/lycheering/replication/log.py
+++ b/src/lycheering/replication/log.py
@@ -179,6 +179,11 @@
                 raise errors.UnavailableError(message) from error
         self.check_lease()
 
+    @property
+    def term(self) -> int:
+        """The highest term that this member knows."""
+        return self._core.term
+
     def check_lease(self) -> None:
         """Checks that a read of the state is current at this moment.
 
--- a/src/lycheering/routes/api.py
+++ b/src/lycheering/routes/api.py
@@ -4,6 +4,7 @@
 
 from lycheering.routes.difference import diff_tables
 from lycheering.routes.index import RouteIndex
+from lycheering.routes.records import AllowanceUnit
 from lycheering.routes.records import CacheStore
 from lycheering.routes.records import CallerLimits
 from lycheering.routes.records import EngineCapacity
@@ -16,6 +17,7 @@
 from lycheering.routes.validation import check_table
 
 __all__ = [
+    "AllowanceUnit",
     "CallerLimits",
     "EngineCapacity",
     "RouteTableTeam",
--- a/src/lycheering/routes/records.py
+++ b/src/lycheering/routes/records.py
@@ -111,6 +111,13 @@
     store: CacheStore | None = None
 
 
+class AllowanceUnit(enum.StrEnum):
+    """What an allowance of a team is counted in."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
 class RouteTableTeam(msgspec.Struct, frozen=True, array_like=True):
     """A team of a route table, identified by its bearer keys.
 
@@ -121,12 +128,27 @@
             route.
         is_isolated: Whether the team shares no cache entries with other
             teams.
+        rate_per_s: The team's allowance at all entries together, in units a
+            second; 0 for no limit.
+        burst: How much the team may use at once beyond that rate, in units.
+        unit: What the allowance is counted in.
+        plain_tokens: The number of tokens that a request counts as if it
+            does not tell its tokens.
     """
 
     name: str
     key_digests: tuple[str, ...]
     priority: int | None = None
     is_isolated: bool = False
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    unit: AllowanceUnit = AllowanceUnit.REQUESTS
+    plain_tokens: int = 0
+
+    @property
+    def has_allowance(self) -> bool:
+        """Whether the team's traffic is limited."""
+        return self.rate_per_s > 0
 
 
 class CallerLimits(msgspec.Struct, frozen=True, array_like=True):
@@ -165,6 +187,7 @@
 
 
 __all__ = [
+    "AllowanceUnit",
     "CallerLimits",
     "EngineCapacity",
     "RouteTableTeam",
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -343,6 +343,12 @@
         second_send_allowance: Second sends allowed in addition, for all
             entries together.
         second_send_window_s: The time window over which both are counted.
+        quota_window_s: The time window over which a team's allowance is
+            judged.
+        quota_over: The part of its allowance in that window by which a team
+            may exceed it.
+        quota_slack: How much it may exceed it in addition, in the unit of the
+            allowance, at all entries together.
         loads_at_once: The maximum number of engines that load weights at the
             same time; never more than half of the reachable ones.
         hold_ms: The minimum time that an engine gets no new requests before
@@ -369,6 +375,9 @@
     second_send_ratio: Annotated[float, pydantic.Field(ge=0)] = 0.2
     second_send_allowance: Annotated[float, pydantic.Field(ge=0)] = 20.0
     second_send_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+    quota_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+    quota_over: Annotated[float, pydantic.Field(ge=0)] = 0.1
+    quota_slack: Annotated[float, pydantic.Field(ge=0)] = 0.0
     loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 400
     hold_ms: Annotated[int, pydantic.Field(ge=0)] = 350
     old_weights_ms: PositiveMs = 10_000
--- a/src/lycheering/wire/messages/__init__.py
+++ b/src/lycheering/wire/messages/__init__.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from lycheering.fleet.view_parts import ViewPart
+from lycheering.wire.messages.allowances import AllowanceAsk
+from lycheering.wire.messages.allowances import AllowanceExchange
+from lycheering.wire.messages.allowances import AllowanceGrant
+from lycheering.wire.messages.allowances import AllowanceReply
 from lycheering.wire.messages.common import LoadReport
 from lycheering.wire.messages.common import Reason
 from lycheering.wire.messages.common import Role
@@ -81,6 +85,10 @@
 from lycheering.wire.messages.streams import WantedStream
 
 __all__ = [
+    "AllowanceReply",
+    "AllowanceGrant",
+    "AllowanceExchange",
+    "AllowanceAsk",
     "WantedStream",
     "StreamReply",
     "StreamExchange",
--- a/src/lycheering/wire/messages/envelope.py
+++ b/src/lycheering/wire/messages/envelope.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lycheering.fleet import view_parts
+from lycheering.wire.messages import allowances
 from lycheering.wire.messages import common
 from lycheering.wire.messages import crashes
 from lycheering.wire.messages import loads
@@ -68,6 +69,8 @@
     | crashes.EvidenceExchange
     | streams.StreamExchange
     | streams.StreamReply
+    | allowances.AllowanceExchange
+    | allowances.AllowanceReply
 )
 
 
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -11,6 +11,7 @@
 from lycheering.fleet import records
 from lycheering.fleet import view
 from lycheering.fleet import view_holder
+from lycheering.forward import allowance_gate
 from lycheering.forward import application
 from lycheering.forward import attempt
 from lycheering.forward import crash_detector
@@ -30,6 +31,8 @@
 from lycheering.web import connection_pool
 from lycheering.web import head_limits
 from lycheering.web import server
+from lycheering.wire import api as wire_api
+from lycheering.wire import messages
 from standins import direct_target
 from tests.helpers import local_control
 
@@ -78,6 +81,7 @@
         self.targets = targets
         self.control = control or local_control.LocalControl()
         self.timeout_ms = timeout_ms
+        self.team_options = {}
         self.is_current = True
         self.limits = head_limits.HeadLimits(
             max_header_bytes=4_096, header_timeout_ms=300.0
@@ -105,6 +109,13 @@
             self._wait_until_current,
             time,
         )
+        self.allowances = allowance_gate.AllowanceGate(
+            self.control,
+            wire_api.Identity(f"e{id(self)}", messages.Role.ENTRY, "d1"),
+            self.control.rule,
+            time,
+            self.counters,
+        )
         self.forwarder = forwarder.Forwarder(
             forwarder.ForwardSettings(
                 target_selection.SelectionSettings(),
@@ -128,6 +139,7 @@
             time,
             self.counters,
             histograms.Histograms(self.counters),
+            self.allowances,
         )
         self.liveness = liveness.LivenessMonitor(
             self.registry, self.connections, time, self.counters
@@ -152,11 +164,13 @@
         self.put_targets()
         await self.liveness.start()
         await self.streams.start()
+        await self.allowances.start()
         await self.web.start()
         return self
 
     async def __aexit__(self, *exc_info):
         await self.web.stop()
+        await self.allowances.stop()
         await self.streams.stop()
         await self.liveness.stop()
         self.connections.close()
@@ -201,7 +215,7 @@
             revision,
             table_routes,
             (routes.Service("s", MAX_CONNECTIONS),),
-            (routes.RouteTableTeam(TEAM, digests),),
+            (routes.RouteTableTeam(TEAM, digests, **self.team_options),),
             routes.CallerLimits(max_header_bytes=4_096, max_body_bytes=1_000),
         )
         self.apply_change(changes.RouteTablePut(table))
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -107,6 +107,38 @@
       | slots          |
       | max_body_bytes |
 
+  Scenario: The allowance of a team is read from a document
+    When a document whose team has rate_per_s 5.5, burst 9, unit "tokens" and plain_tokens 200 is read
+    Then the team may use 5.5 tokens a second and 9 more, and a plain request counts as 200
+
+  Scenario Outline: An allowance that names no limit is none
+    When a document whose team has <field> <value> is read
+    Then the team has no allowance
+
+    Examples:
+      | field      | value |
+      | rate_per_s | 0     |
+      | rate_per_s | null  |
+      | burst      | 9     |
+      | unit       | null  |
+
+  Scenario Outline: An allowance that is no number is a finding
+    When a document whose team has <field> <value> is read
+    Then the document is rejected with at least 1 findings
+
+    Examples:
+      | field        | value    |
+      | rate_per_s   | -1       |
+      | rate_per_s   | NaN      |
+      | rate_per_s   | Infinity |
+      | rate_per_s   | 1e300    |
+      | rate_per_s   | "many"   |
+      | burst        | -1       |
+      | burst        | [1]      |
+      | unit         | "pages"  |
+      | plain_tokens | -5       |
+      | plain_tokens | 1.5      |
+
   Scenario: A list that can't be read completely is an error
     When a list whose second page fails is read
     Then reading the list fails
--- a/tests/steps/translation_steps.py
+++ b/tests/steps/translation_steps.py
@@ -302,6 +302,57 @@
         context.findings = error.findings
 
 
+def read_team(context, **text_by_field):
+    fields = "".join(
+        f', "{name}": {text}' for name, text in text_by_field.items()
+    )
+    document = json.dumps(platform_document.DOCUMENT)
+    end = '"is_isolated": true'
+    assert end in document, document
+    context.findings = []
+    try:
+        table = documents.read_table(
+            document.replace(end, end + fields).encode()
+        )
+    except documents.DocumentError as error:
+        context.findings = error.findings
+    else:
+        (context.team,) = table.teams
+
+
+@when(
+    "a document whose team has rate_per_s {rate}, burst {burst}, unit {unit}"
+    " and plain_tokens {plain} is read"
+)
+def step_allowance(context, rate, burst, unit, plain):
+    read_team(
+        context, rate_per_s=rate, burst=burst, unit=unit, plain_tokens=plain
+    )
+
+
+@when("a document whose team has {field:w} {value} is read")
+def step_allowance_field(context, field, value):
+    read_team(context, **{field: value})
+
+
+@then(
+    "the team may use {rate:g} tokens a second and {burst:g} more, and a plain"
+    " request counts as {plain:d}"
+)
+def step_has_allowance(context, rate, burst, plain):
+    team = context.team
+    assert team.has_allowance
+    assert team.unit.value == "tokens"
+    read = (team.rate_per_s, team.burst, team.plain_tokens)
+    assert read == (rate, burst, plain), read
+
+
+@then("the team has no allowance")
+def step_no_allowance(context):
+    assert not context.findings
+    assert not context.team.has_allowance
+
+
 @when("a list whose second page fails is read")
 def step_failing(context):
     context.targets = None
