Send nothing more to a run in whose place another one answers

Cause: engines that crash and start again at the same address have another id until the list of targets names them, and answer 421 to all that is meant for the run before. These answers come within some ms, so that the address looks idle and attracts the requests of all entries.

Change: an answer of 421 to a request that named no weights marks the run as gone, at this entry and, as a target that leaves, at all others. One to a request that named weights makes the target suspect, as either may be the cause.

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -298,6 +298,20 @@
                 result = Result.CUT
             return Outcome(result, detail=str(error))
 
+    def _record_wrong_target(self, now_ms: float) -> None:
+        """Records that the target did not take what was meant for it.
+
+        Either it has other weights, or the run that the request was meant for
+        is gone and another one has its address. If the request named no
+        weights, it is the latter.
+        """
+        options = self._request.send_options
+        if options is not None and options.weights_version:
+            self._state.has_version_mismatch = True
+            self._state.record_failure(now_ms)
+        else:
+            self._state.mark_gone()
+
     async def _forward_answer(
         self,
         connection: connection_pool.PersistentConnection,
@@ -310,7 +324,7 @@
         self._state.apply_report(metadata, now_ms)
         self._state.mark_answering(in_flight_id, now_ms)
         if metadata.kind is api.AnswerKind.WRONG_TARGET:
-            self._state.has_version_mismatch = True
+            self._record_wrong_target(now_ms)
         if metadata.kind is not api.AnswerKind.RAN:
             await self._read_body(connection, MAX_NOT_RUN_BYTES)
             return Outcome(Result.NOT_RUN, head.status, metadata.kind.value)
--- a/src/lycheering/forward/target_state.py
+++ b/src/lycheering/forward/target_state.py
@@ -67,8 +67,8 @@
             than its record says.
         is_unreachable: Whether probes found that it takes no connections, and
             none has succeeded since.
-        is_shutting_down: Whether it announced its shutdown. This stays so for
-            the rest of its run.
+        is_shutting_down: Whether it announced its shutdown, or is found to be
+            gone. This stays so for the rest of its run.
         rate: The rate limit that it names.
         max_connections: Number of connections that it accepts from all
             entries together; 0 if that is not known.
@@ -312,6 +312,17 @@
         for request in list(self.in_flight_by_id.values()):
             request.abort()
 
+    def mark_gone(self) -> None:
+        """Marks the run as over, as something else answered in its place.
+
+        Such an answer comes at once. The target would look idle and attract
+        all requests until the list of targets names its next run, so other
+        entries are told as well, as of a target that leaves.
+        """
+        if not self.is_shutting_down:
+            self.is_shutting_down = True
+            _LOG.event("target_gone", target=self.target.target_id)
+
     def is_suspect(self, now_ms: float) -> bool:
         """Returns whether it gets work only if there is no other target."""
         if self.is_unreachable or self.is_backing_off(now_ms):
--- a/tests/forward/forward.feature
+++ b/tests/forward/forward.feature
@@ -243,3 +243,12 @@
       | cuts before the answer | none     |
       | cuts after the head    | head     |
       | cuts inside an event   | body     |
+
+  # Such answers come at once, so that the address looked idle and attracted
+  # all requests until the list of targets named its next run.
+  @promise.own_target
+  Scenario: Nothing more is sent to a run in whose place another one answers
+    Given a direct target that is another run
+    When 5 requests of kind "once" are forwarded
+    Then the request reached targets 1 times
+    And the other entries are told that the target is leaving
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -140,12 +140,14 @@
 @when('{count:d} requests of kind "{kind}" are forwarded')
 def step_many(context, count, kind):
     async def ask_all(entry):
-        return [
+        answers = [
             await direct_entry.ask(
                 entry, direct_entry.request(kind, f"r{number}")
             )
             for number in range(count)
         ]
+        context.leaving = entry.registry.shutting_down_digests()
+        return answers
 
     context.answers = run(context, ask_all)
 
@@ -463,3 +465,8 @@
 @then("callers that came afterwards got no connection")
 def step_no_connection(context):
     assert context.answers[-1] is None
+
+
+@then("the other entries are told that the target is leaving")
+def step_told_leaving(context):
+    assert len(context.leaving) == 1, context.leaving
