Let the buckets of allowances fill from the start of a term

The leader's buckets began with the first exchange about allowances, so the first burst after a start found them empty. They begin with the first exchange of loads in the term. A request waits an eighth of its objective at most.

--- a/src/lycheering/control/direct/team_allowances.py
+++ b/src/lycheering/control/direct/team_allowances.py
@@ -39,6 +39,14 @@
         self._table: route_api.RouteTable | None = None
         self._terms_by_team: dict[str, tuple[float, float]] = {}
 
+    def begin_term(self, term: int) -> None:
+        """Lets the buckets fill from now on, if this term is new.
+
+        Args:
+            term: The term of this leader.
+        """
+        self._hub.begin_term(term, self._clock.now_ms())
+
     def handle(
         self, exchange: messages.AllowanceExchange, term: int
     ) -> messages.AllowanceReply:
--- a/src/lycheering/control/handler.py
+++ b/src/lycheering/control/handler.py
@@ -128,6 +128,8 @@
             case messages.LoadExchange() if self.load_aggregator is not None:
                 # only the leader sums loads, so that the sums cover all entries
                 self._group.log.check_lease()
+                if self.allowances is not None:
+                    self.allowances.begin_term(self._group.log.term)
                 return self.load_aggregator.handle_exchange(message)
             case messages.StreamExchange() if self.load_aggregator is not None:
                 self._group.log.check_lease()
--- a/src/lycheering/forward/allowance_gate.py
+++ b/src/lycheering/forward/allowance_gate.py
@@ -36,7 +36,7 @@
 # A request waits for its part at most this long, and this fraction of its
 # latency objective.
 MAX_WAIT_MS = 250.0
-MAX_WAIT_FRACTION = 0.2
+MAX_WAIT_FRACTION = 0.125
 # without a reply from the leader for this long, requests don't wait for it
 LEADER_TIMEOUT_MS = 600.0
 MIN_RETRY_MS = 200.0
--- a/src/lycheering/limits/allowance_hub.py
+++ b/src/lycheering/limits/allowance_hub.py
@@ -115,10 +115,18 @@
         """
         self._rule = rule
         self._counters = counts
-        self._term = -1
-        self._begin_term(-1, 0.0)
+        self._term: int | None = None
+        self.begin_term(-1, 0.0)
 
-    def _begin_term(self, term: int, now_ms: float) -> None:
+    def begin_term(self, term: int, now_ms: float) -> None:
+        """Empties all buckets, which fill from now on, if the term is new.
+
+        Args:
+            term: The term of this leader.
+            now_ms: The current time.
+        """
+        if term == self._term:
+            return
         self._term = term
         self._epoch = secrets.token_hex(4)
         self._began_ms = now_ms
@@ -143,8 +151,7 @@
             term: The term of this leader.
             now_ms: The current time.
         """
-        if term != self._term:
-            self._begin_term(term, now_ms)
+        self.begin_term(term, now_ms)
         self._expire(now_ms)
         if exchange.epoch != self._epoch:
             return messages.AllowanceReply(self._epoch)
--- a/tests/helpers/allowed_fleet.py
+++ b/tests/helpers/allowed_fleet.py
@@ -99,6 +99,7 @@
     def new_leader(self):
         self.term += 1
         self.hub = allowance_hub.AllowanceHub(self.rule, counters.Counters())
+        self.hub.begin_term(self.term, self.now_ms)
 
     def _entry(self, name):
         self._incarnations += 1
