--- a/src/lycheering/control/replica.py
+++ b/src/lycheering/control/replica.py
@@ -161,6 +161,8 @@
             election_timeout_ms=store_settings.election_timeout_ms,
             lease_ms=store_settings.leader_lease_ms,
             snapshot_entries=store_settings.snapshot_entries,
+            snapshot_bytes=store_settings.snapshot_bytes,
+            retained_bytes=store_settings.snapshot_bytes // 2,
         )
 
     def is_leader(self) -> bool:
--- a/src/lycheering/replication/applier.py
+++ b/src/lycheering/replication/applier.py
@@ -23,6 +23,8 @@
     def __init__(self, core: cores.Core) -> None:
         self._core = core
         self._snapshot_task: asyncio.Task[None] | None = None
+        # bytes of the entries applied since the last snapshot
+        self._applied_bytes = 0
 
     async def run(self) -> None:
         """Applies entries as they are committed, until cancelled."""
@@ -46,6 +48,7 @@
             if entry.kind == entries.EntryKind.COMMAND:
                 result = core.machine.apply(index, entry.data)
             core.applied_index = index
+            self._applied_bytes += len(entry.data)
             if core.leadership is not None:
                 core.leadership.resolve(index, result)
             if entry.kind == entries.EntryKind.CONFIGURATION:
@@ -60,24 +63,40 @@
             core.step_down("removed")
 
     def _snapshot_if_due(self) -> None:
-        core = self._core
         if self._snapshot_task is not None and not self._snapshot_task.done():
             return
+        if self._is_snapshot_due():
+            # runs in the background: a slow or full disk must not hold up the
+            # entries that follow
+            self._snapshot_task = self._core.spawn(
+                self._snapshot_while_due(), "snapshot"
+            )
+
+    def _is_snapshot_due(self) -> bool:
+        core = self._core
         latest = core.store.snapshots.latest
         snapshot_index = latest.position.index if latest else 0
+        new_entries = core.applied_index - snapshot_index
+        return new_entries > 0 and (
+            new_entries >= core.settings.snapshot_entries
+            or self._applied_bytes >= core.settings.snapshot_bytes
+        )
+
+    async def _snapshot_while_due(self) -> None:
+        """Takes snapshots; the next may be due once one is written."""
+        while self._is_snapshot_due():
+            await self._save_snapshot(self._make_snapshot())
+
+    def _make_snapshot(self) -> snapshots.Snapshot:
+        core = self._core
+        self._applied_bytes = 0
         index = core.applied_index
-        if index - snapshot_index < core.settings.snapshot_entries:
-            return
         term = core.log.term_at(index)
         assert term is not None
         position = entries.Position(index, term)
         configuration = core.history.at(index).encode()
-        data = core.machine.snapshot()
-        snapshot = snapshots.Snapshot(position, configuration, data)
-        # runs in the background: a slow or full disk must not hold up the
-        # entries that follow
-        self._snapshot_task = core.spawn(
-            self._save_snapshot(snapshot), "snapshot"
+        return snapshots.Snapshot(
+            position, configuration, core.machine.snapshot()
         )
 
     async def _save_snapshot(self, snapshot: snapshots.Snapshot) -> None:
@@ -87,7 +106,11 @@
         if core.store.snapshots.latest is not snapshot:
             return
         core.history.discard_before(position.index)
-        await core.log.compact(position, core.settings.retained_entries)
+        await core.log.compact(
+            position,
+            core.settings.retained_entries,
+            core.settings.retained_bytes,
+        )
         _LOG.event(
             "snapshot_taken",
             index=position.index,
--- a/src/lycheering/replication/settings.py
+++ b/src/lycheering/replication/settings.py
@@ -21,9 +21,12 @@
         lease_ms: How long a leader may serve after a quorum last confirmed it;
             less than the election timeout to allow for clock drift.
         call_timeout_ms: Longest wait for the reply of another member.
-        snapshot_entries: Number of entries applied between two snapshots.
-        retained_entries: Number of entries before a snapshot that stay in the
-            log, for members that lag behind.
+        snapshot_entries: Most entries applied between two snapshots.
+        snapshot_bytes: Bytes of entries after which a snapshot is taken
+            sooner.
+        retained_entries: Most entries before a snapshot that stay in the log,
+            for members that lag behind.
+        retained_bytes: Most bytes of these entries.
         append_max_entries: Maximum number of entries in one request.
         append_max_bytes: Maximum bytes of entries in one request.
         snapshot_piece_bytes: Bytes of a snapshot in one request.
@@ -35,7 +38,9 @@
     lease_ms: float = 480.0
     call_timeout_ms: float = 300.0
     snapshot_entries: int = 5_000
+    snapshot_bytes: int = 16 * 1024 * 1024
     retained_entries: int = 1_000
+    retained_bytes: int = 8 * 1024 * 1024
     append_max_entries: int = 1_000
     append_max_bytes: int = 512 * 1024
     snapshot_piece_bytes: int = 256 * 1024
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -245,7 +245,10 @@
             an election.
         leader_lease_ms: How long a leader may act after a quorum last
             responded to it.
-        snapshot_entries: Log entries applied between two snapshots.
+        snapshot_entries: Log entries applied between two snapshots at most.
+        snapshot_bytes: Size of the log entries, in bytes, after which a
+            snapshot is taken sooner; the disk needs room for twice as much,
+            and for two snapshots.
         platform_url: The URL of the platform's list of instances, if any.
         platform_poll_ms: Time between two polls of that list.
         operator_key_file: File with the operators' bearer keys, if any.
@@ -257,6 +260,7 @@
     election_timeout_ms: PositiveMs = 900
     leader_lease_ms: PositiveMs = 600
     snapshot_entries: Annotated[int, pydantic.Field(ge=10)] = 5_000
+    snapshot_bytes: Annotated[int, pydantic.Field(ge=1_048_576)] = 16_777_216
     platform_url: str = ""
     platform_poll_ms: PositiveMs = 500
     operator_key_file: str = ""
--- a/src/lycheering/store/log.py
+++ b/src/lycheering/store/log.py
@@ -144,17 +144,21 @@
         await done
 
     async def compact(
-        self, base: log_entries.Position, keep_entries: int
+        self,
+        base: log_entries.Position,
+        keep_entries: int,
+        keep_bytes: int,
     ) -> None:
         """Drops entries that a snapshot covers, from memory and disk.
 
         Args:
             base: Position of the snapshot.
-            keep_entries: Number of entries up to `base` to keep, for members
-                that lag behind.
+            keep_entries: Most entries up to `base` to keep, for members that
+                lag behind.
+            keep_bytes: Most bytes of their data.
         """
         self._base = base
-        first_index = base.index + 1 - keep_entries
+        first_index = self._first_kept(base.index, keep_entries, keep_bytes)
         if first_index > self._first_index:
             del self._entries[: first_index - self._first_index]
             self._first_index = first_index
@@ -193,6 +197,17 @@
             self._first_index = batch.first_index
             self._entries = list(batch.entries)
 
+    def _first_kept(
+        self, last_index: int, keep_entries: int, keep_bytes: int
+    ) -> int:
+        lowest = max(self._first_index, last_index + 1 - keep_entries)
+        size_bytes = 0
+        for index in range(last_index, lowest - 1, -1):
+            size_bytes += len(self.entry(index).data)
+            if size_bytes > keep_bytes:
+                return index + 1
+        return lowest
+
     def _reconcile_with_base(self) -> None:
         base = self._base
         if self.last_index < base.index:
--- a/tests/steps/replication_steps.py
+++ b/tests/steps/replication_steps.py
@@ -73,6 +73,76 @@
     start_group(context, options)
 
 
+@given("a group of members a, b, c with a snapshot every {size:d} bytes")
+def step_group_snapshot_bytes(context, size):
+    options = dataclasses.replace(
+        fakes.FAST_SETTINGS,
+        snapshot_bytes=size,
+        retained_bytes=size // 2,
+    )
+    start_group(context, options)
+
+
+@when("{count:d} commands of {size:d} bytes are proposed")
+def step_propose_large(context, count, size):
+    # one after another, as those of operators
+    for number in range(count):
+        command = f"{number}-".encode().ljust(size, b"x")
+        log_group.run(context, context.group.propose(command))
+    context.proposed_count += count
+
+
+@when(
+    "the snapshots of a follower wait while {count:d} commands of {size:d}"
+    " bytes are proposed"
+)
+def step_snapshots_wait(context, count, size):
+    context.name = log_group.followers(context)[0]
+    files = context.group.store_by_instance[context.name].snapshots
+    save = files.save
+    may_save = asyncio.Event()
+
+    async def save_later(snapshot):
+        await may_save.wait()
+        await save(snapshot)
+
+    files.save = save_later
+    step_propose_large(context, count, size)
+    machine = context.group.machine_by_instance[context.name]
+    log_group.wait(
+        context, lambda: len(machine.commands) == count, "all applied"
+    )
+    may_save.set()
+
+
+@then("its last snapshot has all but {count:d} of them")
+def step_last_snapshot(context, count):
+    store = context.group.store_by_instance[context.name]
+
+    def recent():
+        latest = store.snapshots.latest
+        return (
+            latest is not None
+            and store.log.last_index - latest.position.index <= count
+        )
+
+    log_group.wait(context, recent, "a recent snapshot")
+
+
+@then("the log of each member has at most {size:d} bytes")
+def step_log_bytes(context, size):
+    stores = context.group.store_by_instance.values()
+
+    def bounded():
+        return all(store.log.size() <= size for store in stores)
+
+    log_group.wait(context, bounded, f"logs of {size} bytes")
+    for store in stores:
+        log = store.log
+        kept = log.read(log.first_index, log.last_index, 100 * size)
+        assert sum(len(entry.data) for entry in kept) <= size
+
+
 @given("{count:d} commands were proposed")
 @when("{count:d} commands are proposed")
 def step_propose_many(context, count):
--- a/tests/steps/store_steps.py
+++ b/tests/steps/store_steps.py
@@ -262,13 +262,27 @@
     context.runner.run(replaced())
 
 
+@given("compaction keeps {keep_bytes:d} bytes")
+def step_keep_bytes(context, keep_bytes):
+    context.keep_bytes = keep_bytes
+
+
 @when("{count:d} store entries are appended and compacted after every {step:d}")
 def step_compact(context, count, step):
     for first in range(1, count + 1, step):
         append(context, first, step, 1)
         last = first + step - 1
         step_snapshot_of_term(context, last, 1)
-        context.runner.run(context.store.log.compact(context.position, 500))
+        keep_bytes = getattr(context, "keep_bytes", 1_000_000)
+        context.runner.run(
+            context.store.log.compact(context.position, 500, keep_bytes)
+        )
+
+
+@then("the store holds at most {count:d} entries")
+def step_few(context, count):
+    log = context.store.log
+    assert log.last_index - log.first_index < count, log.first_index
 
 
 @then("the log files are smaller than those of {count:d} entries")
--- a/tests/store/store.feature
+++ b/tests/store/store.feature
@@ -74,6 +74,12 @@
     Then the store ends at entry 4000
     And the store still holds entry 3501
 
+  Scenario: Compaction keeps no more bytes than asked
+    Given compaction keeps 100 bytes
+    When 1000 store entries are appended and compacted after every 500
+    Then the store holds at most 20 entries
+    And the store ends at entry 1000
+
   Scenario: A log that was replaced by a snapshot stays replaced after a restart
     When 10 store entries are appended in term 1
     And a snapshot at entry 8 of term 2 replaces the log
