Add a command that checks a configuration before it is sent

Operators learned of a route that no request can match, of an exception without a target or of limits that contradict each other only from what callers saw, and saw what a file changes only after it was sent.

`lycheering check-config FILE` checks a route table or a seed file: what control instances refuse, entries without effect, limits that contradict each other, and with an endpoint or a second file what differs from the configuration in force.

--- a/src/lycheering/commands/base.py
+++ b/src/lycheering/commands/base.py
@@ -121,8 +121,8 @@
         ),
     ] = client.RETRY_TIMEOUT_MS
 
-    def client(self) -> client.OperatorClient:
-        """Returns a client of the given operator endpoints.
+    def origins(self) -> list[web_client.Origin]:
+        """Returns the given operator endpoints.
 
         Raises:
             UsageError: If no endpoint is given or one is malformed.
@@ -133,8 +133,16 @@
         ]
         if not origins:
             raise UsageError(f"give --at ip:port or set {ENDPOINTS_VARIABLE}")
+        return origins
+
+    def client(self) -> client.OperatorClient:
+        """Returns a client of the given operator endpoints.
+
+        Raises:
+            UsageError: If no endpoint is given or one is malformed.
+        """
         key = read_key(self.key_file)
-        return client.OperatorClient(origins, key, self.patience_ms)
+        return client.OperatorClient(self.origins(), key, self.patience_ms)
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/src/lycheering/commands/root.py
+++ b/src/lycheering/commands/root.py
@@ -10,6 +10,7 @@
 import cappa
 
 from lycheering.commands import check
+from lycheering.commands import check_config
 from lycheering.commands import counters
 from lycheering.commands import defaults
 from lycheering.commands import exceptions
@@ -87,6 +88,7 @@
         | Agent
         | Control
         | Check
+        | check_config.CheckConfig
         | defaults.Defaults
         | exceptions.Exceptions
         | teams.Teams
--- /dev/null
+++ b/src/lycheering/config_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks a configuration before it is sent to a control instance."""
--- a/tests/commands/fleet.feature
+++ b/tests/commands/fleet.feature
@@ -8,6 +8,10 @@
     When the fleet's operator applies the seed file "examples/mavazi/fleet.ini"
     Then the fleet's command exits with 0
     And the standard output of the fleet's command contains " 0 made,"
+    When the fleet's operator runs "check-config examples/mavazi/fleet.ini"
+    Then the fleet's command exits with 0
+    And the standard output of the fleet's command contains "service:portal"
+    And the standard output of the fleet's command contains " 0 differences"
     When the fleet's operator runs "teams show"
     Then the standard output of the fleet's command contains "malaika"
     When the fleet's operator runs "exceptions show"
