Give room at engines in one order while it is short

Cause: the direct way refused by one limit on the expected queue, whoever asked. Refused callers came back after the same time, and teams did not count.

Change: limits/room.py decides for each service: more urgent kinds first, by limits that fall while a more urgent kind is refused more often; kinds that would be starved go with the most urgent ones; teams that got less than their max-min share of tokens before others; then by arrival. Requests are held for up to 0.12 of their objective if that may help, else refused at once. Refused callers return one after the other; returns are told by the time left. forward/prompt_order.py sends requests at levels of rank and available time, and estimates what is read before a prompt by its level; entries share the urgent part of the unread tokens. forward/admission.py is now limits/queue_limit.py with the same limits; its tests ask the new decision and keep their bounds.

--- a/src/lycheering/control/direct/load_aggregator.py
+++ b/src/lycheering/control/direct/load_aggregator.py
@@ -218,6 +218,7 @@
         total.unread_tokens + sign * load.unread_tokens,
         total.requests + sign * load.requests,
         total.held_tokens + sign * load.held_tokens,
+        total.first_tokens + sign * load.first_tokens,
     )
 
 
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -192,7 +192,12 @@
             request.profile.prompt_tokens + request.metadata.output_tokens,
             estimate.uncached_tokens,
             connection.abort,
+            is_first=request.profile.is_first,
         )
+        if request.profile.is_first:
+            self.registry.record_urgent_prompt(
+                request.service.name, estimate.uncached_tokens
+            )
         request.progress = attempt.progress
         request.abort_exchange = connection.abort
         request.caller.set_disconnect_callback(connection.abort)
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -8,14 +8,15 @@
 import random
 from typing import TYPE_CHECKING
 
-from lycheering.forward import admission
 from lycheering.forward import api
 from lycheering.forward import attempt as attempts
 from lycheering.forward import intake as intakes
 from lycheering.forward import pending_request
 from lycheering.forward import prefix_transfer
 from lycheering.forward import refusals
+from lycheering.forward import room_gate
 from lycheering.forward import target_selection
+from lycheering.limits import room as rooms
 from lycheering.retries import crash_ledger
 from lycheering.retries import second_send_window
 from lycheering.streams import stream_versions
@@ -58,12 +59,12 @@
     Attributes:
         selection: Cost terms of target selection.
         second_sends: Retry budget: limit on second sends to a service.
-        admission: Limits on the queueing delay at engines.
+        room: How room at engines is given while it is short.
     """
 
     selection: target_selection.SelectionSettings
     second_sends: second_send_window.SecondSendSettings
-    admission: admission.AdmissionSettings = admission.AdmissionSettings()
+    room: rooms.RoomSettings = rooms.RoomSettings()
 
 
 class Forwarder:
@@ -115,9 +116,7 @@
         self._counters = counts
         self._times = times
         self._rng = random.Random()
-        self._admission = admission.AdmissionController(
-            settings.admission, self._rng
-        )
+        self._room = room_gate.RoomGate(settings.room, time, self._rng, counts)
         self._second_send_limiter_by_service: dict[
             str, second_send_window.SecondSendLimiter
         ] = {}
@@ -152,6 +151,7 @@
         caller.watch_disconnect()
         self._open_requests[id(request)] = request
         self._second_send_limiter(request.service.name).count_request()
+        self._room.record_arrival(request)
         self.registry.rate_reporter.count_request()
         outcome = "refused"
         reason = ""
@@ -169,6 +169,7 @@
             raise
         finally:
             caller.close()
+            self._room.leave(request)
             del self._open_requests[id(request)]
             self._record_request(request, outcome, reason)
 
@@ -209,8 +210,9 @@
                 if request.failed_answer is None or request.caller.has_begun:
                     self._refuse_without_target(request)
                 return await self._send_failed_answer(request)
-            if not request.send_count and request.metadata.model:
-                self._check_admission(request, estimate)
+            is_first_send = not request.send_count and request.metadata.model
+            if is_first_send and not await self._room.admit(request, estimate):
+                continue
             request.send_options = self._send_options(request, estimate)
             request.last_sent_ms = self._clock.now_ms()
             outcome = await self._attempt_runner.run(
@@ -365,26 +367,6 @@
         await request.caller.finish()
         return attempts.Outcome(attempts.Result.UNPROVEN)
 
-    def _check_admission(
-        self,
-        request: pending_request.PendingRequest,
-        estimate: target_selection.Estimate,
-    ) -> None:
-        """Refuses a request whose queueing delay would be too long."""
-        rejection = self._admission.check(
-            estimate,
-            request.route.objective_ms,
-            request.route.priority,
-            self._clock.now_ms(),
-        )
-        if rejection is not None:
-            raise refusals.RefusalError(
-                refusals.Reason.OVERLOADED,
-                f"expected queueing delay is {rejection.queue_ms:.0f} ms"
-                f", the mean is {rejection.mean_queue_ms:.0f} ms",
-                rejection.retry_after_ms,
-            )
-
     def _refuse_without_target(
         self, request: pending_request.PendingRequest
     ) -> None:
@@ -641,6 +623,8 @@
             reason=reason[:120],
             cost_ms=round(request.cost_ms),
             wait_ms=round(request.wait_ms),
+            rank=request.rank,
+            has_returned=request.has_returned,
             prefix=f"{request.profile.affinity_key:016x}",
             load=request.load_description,
             limit=request.limit_description,
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -10,6 +10,7 @@
 from lycheering.forward import api
 from lycheering.forward import pending_request
 from lycheering.forward import prefix_cache_model
+from lycheering.forward import prompt_order
 from lycheering.forward import refusals
 from lycheering.forward import target_selection
 from lycheering.forward import weight_versions
@@ -81,6 +82,7 @@
             time: The clock.
         """
         self.route_index: route_api.RouteIndex | None = None
+        self._prompt_order: prompt_order.PromptOrder | None = None
         self._view = view
         self._registry = registry
         self._header_codec = header_codec
@@ -98,6 +100,7 @@
             return
         if self.route_index is None or self.route_index.table is not table:
             self.route_index = route_api.RouteIndex(table)
+            self._prompt_order = prompt_order.PromptOrder(table)
         self._registry.update(
             fleet.direct_target_by_key.values(),
             self.route_index.service_by_name,
@@ -135,6 +138,19 @@
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
+        profile = self._profile(metadata, team, route, service.name)
+        first_level = 0
+        if metadata.model and self._prompt_order is not None:
+            order = self._prompt_order
+            priority = order.level(priority, route, service.name)
+            first_level = order.first_level(service.name)
+            is_first = priority <= first_level
+            overtaking = 0.0
+            if not is_first:
+                overtaking = self._registry.overtaking(service.name)
+            profile = dataclasses.replace(
+                profile, is_first=is_first, overtaking=overtaking
+            )
         return pending_request.PendingRequest(
             caller=caller,
             metadata=metadata,
@@ -148,7 +164,8 @@
             priority=priority,
             arrived_ms=incoming.arrived_ms,
             deadline_ms=incoming.arrived_ms + timeout_ms,
-            profile=self._profile(metadata, team, route, service.name),
+            first_level=first_level,
+            profile=profile,
             last_event_id=_resumed_event_id(metadata, route),
         )
 
--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -17,6 +17,7 @@
     from lycheering.forward import api
     from lycheering.forward import attempt
     from lycheering.forward import caller as callers
+    from lycheering.limits import held_requests
     from lycheering.routes import api as route_api
 
 
@@ -52,8 +53,9 @@
         route: Its route.
         service: The service that it is forwarded to.
         team: The team of its key; None on a public route.
-        priority: Its priority; 0 is the most urgent.
+        priority: Level at which its target gets it; 0 is the most urgent.
         arrived_ms: Time at which it arrived.
+        first_level: The most urgent level of the routes of its service.
         deadline_ms: Time until which its caller has to be answered.
         profile: The properties that target selection depends on.
         send_count: Number of times it was sent to a target.
@@ -81,6 +83,11 @@
         abort_exchange: Ends the open exchange with a target; None without one.
         withdrawal: Why its exchange was ended by this entry; empty if it was
             not.
+        has_returned: Whether its caller seems to return after an earlier
+            attempt.
+        applied_ms: Time at which it was first decided whether there is room.
+        place: Its place among the held requests; None before that.
+        rank: Where it stood among the others at the last decision.
     """
 
     caller: callers.Caller
@@ -95,6 +102,7 @@
     priority: int
     arrived_ms: float
     deadline_ms: float
+    first_level: int = 0
     profile: target_selection.RequestProfile = target_selection.RequestProfile()
     send_count: int = 0
     tried_keys: set[str] = dataclasses.field(default_factory=set)
@@ -117,6 +125,10 @@
     progress: attempt.AttemptProgress | None = None
     abort_exchange: Callable[[], None] | None = None
     withdrawal: str = ""
+    has_returned: bool = False
+    applied_ms: float = 0.0
+    place: held_requests.HeldRequest | None = None
+    rank: str = ""
 
     @property
     def shared_part_keys(self) -> tuple[str, ...]:
--- a/src/lycheering/forward/target_registry.py
+++ b/src/lycheering/forward/target_registry.py
@@ -8,6 +8,7 @@
 from lycheering.fleet import records
 from lycheering.forward import prefill_rates
 from lycheering.forward import prefix_load
+from lycheering.forward import prompt_order
 from lycheering.forward import target_state
 from lycheering.limits import rate_reporter
 from lycheering.limits import recent_rate
@@ -48,6 +49,9 @@
                 lambda: recent_rate.RecentMean(PREFILL_HALF_LIFE_MS)
             )
         )
+        self._overtaking_by_service: dict[str, prompt_order.Overtaking] = (
+            collections.defaultdict(prompt_order.Overtaking)
+        )
         self._stores: list[target_state.TargetState] = []
         self._unshared_prefills: collections.deque[messages.PromptRead] = (
             collections.deque(maxlen=MAX_UNSHARED_PREFILLS)
@@ -137,6 +141,24 @@
             uncached_tokens, self._clock.now_ms()
         )
 
+    def record_urgent_prompt(self, service: str, uncached_tokens: int) -> None:
+        """Records that a prompt of the most urgent level is sent."""
+        self._overtaking_by_service[service].record(
+            uncached_tokens, self._clock.now_ms()
+        )
+
+    def overtaking(self, service: str) -> float:
+        """Returns the part of a service's engines that urgent prompts take."""
+        tokens_per_ms = sum(
+            state.prefill_rate.tokens_per_ms()
+            for state in self.live_targets(service)
+        )
+        return self._overtaking_by_service[service].share(
+            self.rate_reporter.share.entry_count,
+            tokens_per_ms,
+            self._clock.now_ms(),
+        )
+
     def mean_prefill_tokens(self, service: str) -> float:
         """Returns the mean prefill of recent requests to a service."""
         return self._prefill_by_service[service].mean(self._clock.now_ms())
--- a/src/lycheering/forward/target_selection.py
+++ b/src/lycheering/forward/target_selection.py
@@ -8,6 +8,8 @@
 
 import xxhash
 
+from lycheering.forward import prompt_order
+
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Sequence
@@ -105,6 +107,9 @@
         objective_ms: Latency objective of its route; 0 for none.
         mean_prefill_tokens: Mean of the tokens that targets had to prefill
             for recent requests to its service.
+        is_first: Whether it is of the most urgent level at its engines.
+        overtaking: The part of the engines' time that goes to more urgent
+            prompts, those that come after this one included.
     """
 
     prompt_tokens: int = 0
@@ -116,6 +121,8 @@
     version_ages: tuple[tuple[int, float], ...] = ()
     objective_ms: float = 0.0
     mean_prefill_tokens: float = 0.0
+    is_first: bool = False
+    overtaking: float = 0.0
 
     def outdated_ms(self, state: target_state.TargetState) -> float:
         """Returns for how long a target's weights have been outdated.
@@ -365,10 +372,13 @@
     uncached = max(0, profile.prompt_tokens - cached)
     own_requests = len(state.in_flight_by_id)
     tokens_per_ms = state.prefill_rate.tokens_per_ms()
-    queued_tokens = state.pending_prefill_tokens()
+    if not profile.is_first:
+        tokens_per_ms *= 1.0 - profile.overtaking
+    queued_tokens = prompt_order.tokens_ahead(
+        state, now_ms, is_first=profile.is_first
+    )
     other_load = state.other_load(now_ms)
     if other_load is not None:
-        queued_tokens += state.other_prefill_tokens(now_ms)
         overhead_ms = (
             own_requests + other_load.requests
         ) * settings.request_overhead_ms
--- a/src/lycheering/forward/target_state.py
+++ b/src/lycheering/forward/target_state.py
@@ -40,6 +40,7 @@
         uncached_tokens: Prompt tokens that the target has to prefill for it.
         abort: Closes its connection at once.
         is_answering: Whether its answer has started.
+        is_first: Whether the target reads it before less urgent ones.
     """
 
     sent_ms: float
@@ -47,6 +48,7 @@
     uncached_tokens: int
     abort: Callable[[], None]
     is_answering: bool = False
+    is_first: bool = False
 
 
 class TargetState:
@@ -113,6 +115,8 @@
         kv_cache_tokens: int,
         uncached_tokens: int,
         abort: Callable[[], None],
+        *,
+        is_first: bool = False,
     ) -> int:
         """Adds a request that is about to be sent and returns its id.
 
@@ -121,13 +125,14 @@
             kv_cache_tokens: Tokens that it occupies in the target's KV cache.
             uncached_tokens: Prompt tokens that the target has to prefill.
             abort: Closes the request's connection at once.
+            is_first: Whether the target reads it before less urgent ones.
         """
         self._last_id += 1
         if not self.in_flight_by_id:
             # silence counts only while a request is in flight
             self.last_byte_ms = now_ms
         self.in_flight_by_id[self._last_id] = InFlightRequest(
-            now_ms, kv_cache_tokens, uncached_tokens, abort
+            now_ms, kv_cache_tokens, uncached_tokens, abort, is_first=is_first
         )
         return self._last_id
 
@@ -247,6 +252,7 @@
             self.pending_prefill_tokens(),
             len(self.in_flight_by_id),
             self.kv_cache_tokens(),
+            self._own_first_tokens(),
         )
 
     def other_running(self, now_ms: float) -> float:
@@ -290,6 +296,32 @@
             if not request.is_answering
         )
 
+    def _own_first_tokens(self) -> int:
+        return sum(
+            request.uncached_tokens
+            for request in self.in_flight_by_id.values()
+            if request.is_first and not request.is_answering
+        )
+
+    def first_prefill_tokens(self, now_ms: float) -> int:
+        """Returns the unread tokens of requests of the most urgent level.
+
+        The target reads these first, so all that it is expected to have read
+        since the shared load was reported is taken from them.
+
+        Args:
+            now_ms: The current time.
+        """
+        own = self._own_first_tokens()
+        load = self.other_load(now_ms)
+        if load is None or not load.first_tokens:
+            return own
+        read_tokens = self.prefill_rate.tokens_per_ms() * (
+            now_ms - self._other_load_ms
+        )
+        share = load.first_tokens / (load.first_tokens + own)
+        return own + max(0, round(load.first_tokens - share * read_tokens))
+
     def kv_cache_tokens(self) -> int:
         """Returns the KV cache tokens that this entry's requests occupy."""
         return sum(
--- a/src/lycheering/wire/messages/loads.py
+++ b/src/lycheering/wire/messages/loads.py
@@ -17,12 +17,15 @@
         unread_tokens: Number of prompt tokens that it still has to prefill.
         requests: Number of requests in flight.
         held_tokens: Number of tokens of the requests in flight.
+        first_tokens: The part of the unread tokens that is read first, as no
+            route of the service is more urgent.
     """
 
     target: int
     unread_tokens: int
     requests: int
     held_tokens: int
+    first_tokens: int = 0
 
 
 class PromptRead(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/steps/placed_load_steps.py
+++ b/tests/steps/placed_load_steps.py
@@ -10,8 +10,9 @@
 from behave import then
 from behave import when
 
-from lycheering.forward import admission
 from lycheering.forward import target_selection
+from lycheering.limits import queue_limit
+from lycheering.limits import room as rooms
 from tests.helpers import direct_targets
 
 NOW_MS = 10_000.0
@@ -19,6 +20,15 @@
 SETTINGS = target_selection.SelectionSettings()
 
 
+def room_control(settings, rng):
+    """Returns a decision that holds nothing."""
+    return rooms.RoomControl(rooms.RoomSettings(settings, hold_fraction=0), rng)
+
+
+def applicant():
+    return rooms.Applicant(1, "", 1.0, 1_000.0, OBJECTIVE_MS, 10_000.0)
+
+
 def place_admitted(
     load, settings, rejected_queues_ms, rates=(50.0,), is_rate_learned=True
 ):
@@ -32,13 +42,14 @@
         is_rate_learned: Whether the prefill rate is learned from answers.
     """
     rng = random.Random(1)
-    controller = admission.AdmissionController(settings, rng)
+    control = room_control(settings, rng)
 
     def by_selection(states, profile, now_ms):
         estimate = target_selection.select_target(
             states, profile, SETTINGS, "d0", (), now_ms, rng
         )
-        if controller.check(estimate, OBJECTIVE_MS, 1, now_ms) is not None:
+        decision = control.decide(applicant(), estimate.queue_ms, now_ms)
+        if decision.verdict is rooms.Verdict.REFUSE:
             rejected_queues_ms.append(estimate.queue_ms)
             return None
         number = states.index(estimate.state)
@@ -54,7 +65,7 @@
 def step_overload(context):
     context.load = direct_targets.burst_load(factor=1.6)
     context.rejected_queues_ms = []
-    settings = admission.AdmissionSettings()
+    settings = queue_limit.QueueLimitSettings()
     context.waits_ms = place_admitted(
         context.load, settings, context.rejected_queues_ms
     )
@@ -62,7 +73,7 @@
 
 @when("the same overload is placed without admission control")
 def step_overload_all(context):
-    no_limits = admission.AdmissionSettings(
+    no_limits = queue_limit.QueueLimitSettings(
         max_queue_fraction=1e9, sustained_queue_fraction=1e9
     )
     context.unlimited_waits_ms = place_admitted(
@@ -92,7 +103,7 @@
 @then("no request with a short queueing delay was rejected")
 def step_short(context):
     assert context.rejected_queues_ms
-    fraction = admission.AdmissionSettings().sustained_queue_fraction
+    fraction = queue_limit.QueueLimitSettings().sustained_queue_fraction
     assert min(context.rejected_queues_ms) > fraction * OBJECTIVE_MS
 
 
@@ -158,16 +169,13 @@
 
 @given("an admission controller with a half-life of {half_life_ms:d} ms")
 def step_controller(context, half_life_ms):
-    context.controller = admission.AdmissionController(
-        admission.AdmissionSettings(half_life_ms=half_life_ms), random.Random(1)
-    )
+    settings = queue_limit.QueueLimitSettings(half_life_ms=half_life_ms)
+    context.control = room_control(settings, random.Random(1))
     context.now_ms = 1_000.0
 
 
 def check_queue(context, queue_ms):
-    state = direct_targets.state(1, NOW_MS)
-    estimate = target_selection.Estimate(state, queue_ms, queue_ms, queue_ms, 0)
-    return context.controller.check(estimate, OBJECTIVE_MS, 1, context.now_ms)
+    return context.control.decide(applicant(), queue_ms, context.now_ms)
 
 
 @when(
@@ -184,5 +192,6 @@
     "a queueing delay of {queue_ms:d} ms is {verdict} for a less urgent route"
 )
 def step_verdict(context, queue_ms, verdict):
-    rejection = check_queue(context, queue_ms)
-    assert (rejection is None) == (verdict == "admitted"), rejection
+    decision = check_queue(context, queue_ms)
+    is_sent = decision.verdict is rooms.Verdict.SEND
+    assert is_sent == (verdict == "admitted"), decision
--- a/tests/steps/prefill_rates_steps.py
+++ b/tests/steps/prefill_rates_steps.py
@@ -10,9 +10,9 @@
 from behave import when
 
 from lycheering import clock
-from lycheering.forward import admission
 from lycheering.forward import prefill_rates
 from lycheering.forward import target_registry
+from lycheering.limits import queue_limit
 from lycheering.routes import records as route_records
 from lycheering.wire import messages
 from tests.helpers import direct_targets
@@ -107,7 +107,7 @@
     def on_time_share(is_rate_learned):
         waits_ms = placed_load_steps.place_admitted(
             direct_targets.burst_load(factor=rate / 50.0),
-            admission.AdmissionSettings(),
+            queue_limit.QueueLimitSettings(),
             [],
             (float(rate),),
             is_rate_learned,
