--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -17,6 +17,7 @@
     from lycheering.forward import api
     from lycheering.forward import attempt
     from lycheering.forward import caller as callers
+    from lycheering.limits import held_requests
     from lycheering.limits import team_allowance
     from lycheering.routes import api as route_api
 
@@ -53,8 +54,9 @@
         route: Its route.
         service: The service that it is forwarded to.
         team: The team of its key; None on a public route.
-        priority: Its priority; 0 is the most urgent.
+        priority: Level at which its target gets it; 0 is the most urgent.
         arrived_ms: Time at which it arrived.
+        first_level: The most urgent level of the routes of its service.
         deadline_ms: Time until which its caller has to be answered.
         profile: The properties that target selection depends on.
         send_count: Number of times it was sent to a target.
@@ -87,6 +89,11 @@
         allowance_charge: What its last run was charged to its team's
             allowance; None without a limit.
         allowance_wait_ms: How long it waited for that.
+        has_returned: Whether its caller seems to return after an earlier
+            attempt.
+        applied_ms: Time at which it was first decided whether there is room.
+        place: Its place among the held requests; None before that.
+        rank: Where it stood among the others at the last decision.
     """
 
     caller: callers.Caller
@@ -101,6 +108,7 @@
     priority: int
     arrived_ms: float
     deadline_ms: float
+    first_level: int = 0
     profile: target_selection.RequestProfile = target_selection.RequestProfile()
     send_count: int = 0
     tried_keys: set[str] = dataclasses.field(default_factory=set)
@@ -127,6 +135,10 @@
     allowance_wait_ms: float = 0.0
     last_event_ms: float = 0.0
     longest_gap_ms: float = 0.0
+    has_returned: bool = False
+    applied_ms: float = 0.0
+    place: held_requests.HeldRequest | None = None
+    rank: str = ""
 
     def record_event(self, now_ms: float) -> None:
         """Records that an event of its stream arrived."""
