--- a/tests/soak/direct_fleet.py
+++ b/tests/soak/direct_fleet.py
@@ -142,10 +142,27 @@
         targets=4,
         tolerated_members=1,
         seed=1,
+        limit_by_name=None,
+        more_sections=None,
     ):
+        """Prepares the processes.
+
+        Args:
+            stack: Ends what is started.
+            folder: Keeps their settings, logs and data.
+            controls: The number of control instances.
+            entries: The number of entries.
+            targets: The number of targets.
+            tolerated_members: Control instances that may be lost at once.
+            seed: The seed of the targets.
+            limit_by_name: Limits of callers in the route table that differ.
+            more_sections: Options of further sections of all settings files.
+        """
         self.group = processes.ProcessGroup(folder)
         self.gone = set()
         self._tolerated_members = tolerated_members
+        self._limit_by_name = limit_by_name or {}
+        self._more_sections = more_sections or {}
         self.targets = TargetThread(stack, targets, seed)
         self._folder = folder
         self._network = f"127.{100 + next(STARTED_FLEETS) % 100}"
@@ -294,9 +311,11 @@
             AssertionError: If it is refused, or not kept in time.
         """
         names = itertools.cycle(self.names("control-"))
+        sent = table(version)
+        sent["limits"] |= self._limit_by_name
 
         def kept():
-            answer = self.operate(next(names), "PUT", table(version))
+            answer = self.operate(next(names), "PUT", sent)
             assert answer.status < 400 or answer.status >= 500, answer
             return answer.status == 200
 
@@ -343,6 +362,7 @@
                 "tolerated_losses": f"members:{self._tolerated_members}",
                 "list_address": self._list_address,
             }
+        sections |= self._more_sections
         path = self._folder / f"{name}.ini"
         lines = []
         for section, options in sections.items():
@@ -413,6 +433,8 @@
     "HOST_NAME",
     "KEY",
     "METRICS_PORT",
+    "OPERATOR_PORT",
+    "READY_PORT",
     "DirectFleet",
     "created",
     "running",
--- a/tests/steps/run_tests_steps.py
+++ b/tests/steps/run_tests_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import pathlib
+import tempfile
+
 from behave import given
 from behave import then
 from behave import when
@@ -38,3 +41,16 @@
 def step_reason(context, reason):
     assert context.outcome.failed == ["a.feature: A scenario"]
     assert list(context.outcome.reason_by_place.values()) == [reason]
+
+
+@given('a feature file that begins with "{tag}"')
+def step_feature_file(context, tag):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.feature_file = pathlib.Path(folder) / "a.feature"
+    context.feature_file.write_text(f"{tag}\nFeature: A\n")
+
+
+@then("it runs {when} the others")
+def step_when(context, when):
+    is_alone = run_tests.runs_alone(context.feature_file)
+    assert is_alone == (when == "after")
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -24,6 +25,8 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 PARALLEL_RUNS = 4
 RUN_TIMEOUT_S = 420
+# tag of features that measure their processes
+ALONE_TAG = "@alone"
 ABORT_GRACE_S = 5
 MAX_REASON_LENGTH = 2_000
 SIGNAL_EXIT_BASE = 128
@@ -65,6 +68,12 @@
     return names
 
 
+def runs_alone(feature: pathlib.Path) -> bool:
+    """Returns whether a feature runs after all others, beside none."""
+    lines = feature.read_text().splitlines()
+    return ALONE_TAG in lines
+
+
 def run_timed(feature: pathlib.Path) -> Outcome:
     """Runs one feature file and takes the time."""
     began_s = time.monotonic()
@@ -173,8 +182,12 @@
     red = known_red()
     passed = failed = 0
     reasons: list[str] = []
+    beside = [feature for feature in features if not runs_alone(feature)]
+    alone = [feature for feature in features if runs_alone(feature)]
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_RUNS) as pool:
-        for outcome in pool.map(run_timed, features):
+        for outcome in itertools.chain(
+            pool.map(run_timed, beside), map(run_timed, alone)
+        ):
             passed += len(outcome.passed)
             unexpected = [place for place in outcome.failed if place not in red]
             failed += len(unexpected)
@@ -204,6 +217,7 @@
     "main",
     "read_report",
     "run_feature",
+    "runs_alone",
 ]
 
 if __name__ == "__main__":
