Count refused amounts for the time to come back

What was refused at once, without asking the leader, did not count for the delay that others are told, and what waited counted once for each exchange. Entries report what they refuse.

--- a/src/lycheering/forward/allowance_gate.py
+++ b/src/lycheering/forward/allowance_gate.py
@@ -220,6 +220,8 @@
             self._log("allowance_exceeded", allowance, amount)
         allowance.refused_ms = now_ms
         allowance.refused_count += 1
+        allowance.unreported += amount
+        self._reporter.mark_changed(allowance.name)
         self._counters.increment("allowance.refused")
         terms = allowance.terms
         raise refusals.RefusalError(
--- a/src/lycheering/limits/allowance_hub.py
+++ b/src/lycheering/limits/allowance_hub.py
@@ -259,11 +259,11 @@
         if not (account.held or waiting or ask.expected > 0):
             self._close(name, entry, ask.team)
         self._note_exhaustion(ask.team, bucket, unmet)
-        if not unmet:
+        bucket.refused.add(max(0, ask.refused), bucket.refilled_ms)
+        if not unmet and bucket.level > 0:
             return messages.AllowanceGrant(ask.team, account.granted)
         per_s = bucket.terms.per_s
         now_ms = bucket.refilled_ms
-        bucket.refused.add(unmet, now_ms)
         exhausted = max(0.0, -bucket.level)
         # it waits for an amount that this bucket may not have, although it has
         # some left for smaller ones
--- a/src/lycheering/limits/allowance_reporter.py
+++ b/src/lycheering/limits/allowance_reporter.py
@@ -176,8 +176,10 @@
                     max(0, sum(waiting) - held),
                     allowance.expected(now_ms),
                     max(0, waiting[0] - held),
+                    allowance.unreported,
                 )
             )
+            allowance.unreported = 0
         self._reported = tuple(names)
         self._number += 1
         self._sent_ms = now_ms
--- a/src/lycheering/limits/team_allowance.py
+++ b/src/lycheering/limits/team_allowance.py
@@ -61,6 +61,7 @@
         refused_ms: Time of the last refusal; None if none was refused since
             the team was last within its allowance.
         refused_count: Number of refusals since then.
+        unreported: How much was refused since the last exchange.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self.asked_ms = now_ms
         self.refused_ms: float | None = None
         self.refused_count = 0
+        self.unreported = 0
         self._session = 0
         self._carried = 0
         self._carried_until_ms = 0.0
--- a/src/lycheering/wire/messages/allowances.py
+++ b/src/lycheering/wire/messages/allowances.py
@@ -19,6 +19,7 @@
         expected: How much it would like to hold for the requests to come.
         first: How much the first one of those that wait needs. Less than that
             is of no use.
+        refused: How much it has refused since the last exchange.
     """
 
     team: str
@@ -27,6 +28,7 @@
     waiting: int
     expected: int
     first: int = 0
+    refused: int = 0
 
 
 class AllowanceGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/helpers/allowed_fleet.py
+++ b/tests/helpers/allowed_fleet.py
@@ -162,12 +162,18 @@
         if not entry.waiting[name] and self._try(entry, name, size):
             return
         if allowance.exhausted_until_ms > self.now_ms:
+            self._refuse(entry, name, [(size, 0.0)])
             return
         end_wait_ms = self.now_ms + allowance_gate.MAX_WAIT_MS
         entry.waiting[name].append((size, end_wait_ms))
         if not entry.is_calling:
             self._exchange(entry)
 
+    def _refuse(self, entry, name, waiters):
+        for size, _ in waiters:
+            entry.reporter.by_team[name].unreported += size
+            entry.reporter.mark_changed(name)
+
     def _try(self, entry, name, size):
         allowance = entry.reporter.find(self.team_by_name[name], self.now_ms)
         is_connected = entry.reporter.is_connected(self.now_ms)
@@ -190,6 +196,8 @@
         reporter = entry.reporter
         waiting = {}
         for name, waiters in entry.waiting.items():
+            late = [w for w in waiters if w[1] <= self.now_ms]
+            self._refuse(entry, name, late)
             waiters[:] = [w for w in waiters if w[1] > self.now_ms]
             if waiters:
                 waiting[name] = [size for size, _ in waiters]
@@ -254,9 +262,10 @@
             allowance = entry.reporter.by_team[name]
             longest_ms = self.now_ms + allowance_gate.MAX_WAIT_MS
             if allowance.exhausted_until_ms >= longest_ms:
+                self._refuse(entry, name, waiters)
                 waiters.clear()
             elif waiters and allowance.first_at_ms >= longest_ms:
-                waiters.pop(0)
+                self._refuse(entry, name, [waiters.pop(0)])
         self._later(allowance_gate.MIN_INTERVAL_MS, "wake", entry)
 
     def _on_wake(self, entry):
