Streams whose gaps come near their bound go to faster targets

Placing knew of first tokens only.

Change: the route's gap_aim_ms is read (a value that is no positive number counts as none, as tables were accepted with any). Entries learn the mean longest gap of a route's streams at the usual pace, and the expected share of streams with too long a gap at a target costs that share of the latency objective. It matters only among targets that tell their pace.

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -516,6 +516,11 @@
             )
         await request.caller.finish()
         self._record_answered()
+        if not request.send_count and not request.metadata.last_event_id:
+            self._runner.registry.record_gap(
+                request.route.name,
+                request.longest_gap_ms / self._estimate.time_factor,
+            )
         return Outcome(Result.DONE, head.status)
 
     async def _begin_empty_stream(
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -222,6 +222,8 @@
             version_ages=self._weight_versions.ages(metadata.model),
             objective_ms=route.objective_ms,
             mean_prefill_tokens=self._registry.mean_prefill_tokens(service),
+            gap_ms=self._registry.mean_gap_ms(route.name),
+            gap_objective_ms=route.gap_objective_ms,
         )
 
 
--- a/src/lycheering/forward/target_registry.py
+++ b/src/lycheering/forward/target_registry.py
@@ -23,6 +23,8 @@
 
 MAX_UNSHARED_PREFILLS = 1_000
 PREFILL_HALF_LIFE_MS = 6_000.0
+GAP_HALF_LIFE_MS = 6_000.0
+MAX_GAP_ROUTES = 1_000
 # mean age of what another entry heard, after two exchanges
 SHARED_REPORT_AGE_MS = 100.0
 
@@ -55,6 +57,7 @@
                 lambda: recent_rate.RecentMean(target_state.WORK_HALF_LIFE_MS)
             )
         )
+        self._gap_by_route: dict[str, recent_rate.RecentMean] = {}
         self._stores: list[target_state.TargetState] = []
         self._unshared_prefills: collections.deque[messages.PromptRead] = (
             collections.deque(maxlen=MAX_UNSHARED_PREFILLS)
@@ -156,6 +159,26 @@
         """Returns the mean prefill of recent requests to a service."""
         return self._prefill_by_service[service].mean(self._clock.now_ms())
 
+    def record_gap(self, route: str, gap_ms: float) -> None:
+        """Records the longest gap between events of a complete stream.
+
+        Args:
+            route: Name of its route.
+            gap_ms: The gap, at the usual pace of the target.
+        """
+        if len(self._gap_by_route) >= MAX_GAP_ROUTES:
+            # routes come and go, and a mean is soon learned again
+            self._gap_by_route.clear()
+        mean = self._gap_by_route.setdefault(
+            route, recent_rate.RecentMean(GAP_HALF_LIFE_MS)
+        )
+        mean.add(gap_ms, self._clock.now_ms())
+
+    def mean_gap_ms(self, route: str) -> float:
+        """Returns the mean of the longest gap in a route's recent streams."""
+        mean = self._gap_by_route.get(route)
+        return mean.mean(self._clock.now_ms()) if mean is not None else 0.0
+
     def take_unshared_prefills(
         self, max_count: int
     ) -> tuple[messages.PromptRead, ...]:
--- a/src/lycheering/forward/target_selection.py
+++ b/src/lycheering/forward/target_selection.py
@@ -108,6 +108,10 @@
         objective_ms: Latency objective of its route; 0 for none.
         mean_prefill_tokens: Mean of the tokens that targets had to prefill
             for recent requests to its service.
+        gap_ms: Mean of the longest gap between events in recent streams of its
+            route, at the usual pace; 0 if not known.
+        gap_objective_ms: Longest gap with which its stream is on time; 0 for
+            any.
     """
 
     prompt_tokens: int = 0
@@ -119,6 +123,20 @@
     version_ages: tuple[tuple[int, float], ...] = ()
     objective_ms: float = 0.0
     mean_prefill_tokens: float = 0.0
+    gap_ms: float = 0.0
+    gap_objective_ms: float = 0.0
+
+    def late_gap_share(
+        self, state: target_state.TargetState, now_ms: float
+    ) -> float:
+        """Returns the expected share of streams with too long a gap.
+
+        The longest gaps of streams are about exponentially distributed.
+        """
+        if not self.gap_ms or not self.gap_objective_ms:
+            return 0.0
+        gap_ms = self.gap_ms * state.pace.mean_factor(now_ms)
+        return math.exp(-self.gap_objective_ms / gap_ms)
 
     def outdated_ms(self, state: target_state.TargetState) -> float:
         """Returns for how long a target's weights have been outdated.
@@ -399,6 +417,9 @@
     queue_ms = queued_tokens / tokens_per_ms + overhead_ms
     wait_ms = queue_ms + uncached / tokens_per_ms
     cost_ms += wait_ms
+    if state.pace.is_known:
+        late_gap_share = profile.late_gap_share(state, now_ms)
+        cost_ms += profile.objective_ms * late_gap_share
     if profile.affinity_key and state not in preferred:
         cost_ms += settings.non_preferred_penalty_ms
     target = state.target
--- a/src/lycheering/forward/work_pace.py
+++ b/src/lycheering/forward/work_pace.py
@@ -69,6 +69,10 @@
         self._newest_ms = max(self._newest_ms, now_ms - age_ms)
         self._update_preference(now_ms)
 
+    def mean_factor(self, now_ms: float) -> float:
+        """Returns how much longer than usual work takes that lasts seconds."""
+        return self._mean.value(now_ms, USUAL_WEIGHT)
+
     def time_factor(self, now_ms: float) -> float:
         """Returns how much longer than usual work takes that is sent now."""
         if not self.is_known:
--- a/src/lycheering/platform/documents.py
+++ b/src/lycheering/platform/documents.py
@@ -59,6 +59,8 @@
     max_sends: _Integer = 1
     is_public: bool = False
     is_resumable: bool = False
+    # of any type, as tables were accepted before it was read
+    gap_aim_ms: object = 0.0
 
     def to_record(self) -> route_api.Route:
         """Returns the route as a record of the route table."""
@@ -78,9 +80,16 @@
             max_sends=self.max_sends,
             is_public=self.is_public,
             is_resumable=self.is_resumable,
+            gap_objective_ms=_positive_or_zero(self.gap_aim_ms),
         )
 
 
+def _positive_or_zero(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return 0.0
+    return float(value) if 0 < value < json_input.MAX_INTEGER else 0.0
+
+
 class _Model(_DocumentPart):
     name: str
 
--- a/src/lycheering/routes/records.py
+++ b/src/lycheering/routes/records.py
@@ -43,6 +43,8 @@
         max_sends: The highest number of targets that a request may be sent to.
         is_public: Whether requests need no bearer key.
         is_resumable: Whether a stream may be resumed at another target.
+        gap_objective_ms: The longest time between two events with which a
+            stream is on time; 0 for any.
     """
 
     name: str
@@ -56,6 +58,7 @@
     max_sends: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    gap_objective_ms: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
--- a/tests/forward/work_pace.feature
+++ b/tests/forward/work_pace.feature
@@ -100,3 +100,28 @@
       | 110  | 99    |
       | 160  | 97    |
       | 200  | 94    |
+
+  Scenario Outline: Streams whose gaps come near their bound go to fast engines
+    Given a fast and a slow engine, and <tokens> tokens to prefill at the fast
+    When a stream with gaps of <gap> ms is placed, of which <most> are on time
+    Then the <engine> engine is selected
+
+    Examples:
+      | tokens | gap | most | engine |
+      | 12000  | 0   | 400  | slow   |
+      | 12000  | 20  | 400  | slow   |
+      | 12000  | 300 | 400  | fast   |
+      | 12000  | 300 | 0    | slow   |
+      | 60000  | 300 | 400  | slow   |
+
+  Scenario Outline: The bound on gaps that an operator sends
+    When a table whose route has the pause <given> is read
+    Then its streams are on time with gaps of up to <kept> ms
+
+    Examples:
+      | given | kept |
+      | 400   | 400  |
+      | 0     | 0    |
+      | -5    | 0    |
+      | "x"   | 0    |
+      | null  | 0    |
--- a/tests/steps/work_pace_steps.py
+++ b/tests/steps/work_pace_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import json
 import math
 import random
 import statistics
@@ -18,15 +19,18 @@
 from lycheering.forward import target_registry
 from lycheering.forward import target_selection
 from lycheering.forward import work_pace
+from lycheering.platform import documents
 from lycheering.routes import records as route_records
 from lycheering.wire import messages
 from tests.helpers import direct_targets
 from tests.helpers import paces
+from tests.helpers import platform_document
 
 SETTINGS = target_selection.SelectionSettings()
 PREFIX_COUNT = 1_000
 # most of 26 entries, so that few prefill a prefix elsewhere
 AGREEING_ENTRIES = 24
+OBJECTIVE_MS = 600.0
 FAST = 0.7
 # times between which an engine is faster, and how much
 BOOST = (6_000.0, 7_000.0, 3.0)
@@ -413,3 +417,48 @@
     met = in_time(context.answered_ms, context.most_ms)
     unreported = in_time(context.unreported_ms, context.most_ms)
     assert met >= unreported, (met, unreported)
+
+
+@given("a fast and a slow engine, and {tokens:d} tokens to prefill at the fast")
+def step_fast_and_slow(context, tokens):
+    # both in the failure domain of the entry
+    context.states = [direct_targets.state(number) for number in (0, 3)]
+    for state, percent in zip(context.states, (70, 170), strict=True):
+        for now_ms in range(0, 5_000, 100):
+            state.pace.observe(percent, 0.0, float(now_ms))
+    context.states[0].add_request(5_000.0, tokens, tokens, lambda: None)
+
+
+@when(
+    "a stream with gaps of {gap_ms:d} ms is placed, of which {most_ms:d} are"
+    " on time"
+)
+def step_gaps(context, gap_ms, most_ms):
+    profile = target_selection.RequestProfile(
+        prompt_tokens=2_000,
+        model=direct_targets.MODEL,
+        objective_ms=OBJECTIVE_MS,
+        gap_ms=float(gap_ms),
+        gap_objective_ms=float(most_ms),
+    )
+    context.estimate = target_selection.select_target(
+        context.states, profile, SETTINGS, "d0", (), 5_000.0, random.Random(1)
+    )
+
+
+@then("the {name} engine is selected")
+def step_selected(context, name):
+    number = ("fast", "slow").index(name)
+    assert context.estimate.state is context.states[number]
+
+
+@when("a table whose route has the pause {given_bound} is read")
+def step_bound(context, given_bound):
+    document = json.loads(json.dumps(platform_document.DOCUMENT))
+    document["routes"][0]["gap_aim_ms"] = json.loads(given_bound)
+    context.route_table = documents.read_table(json.dumps(document).encode())
+
+
+@then("its streams are on time with gaps of up to {kept:d} ms")
+def step_kept(context, kept):
+    assert context.route_table.routes[0].gap_objective_ms == kept
