--- a/tests/forward/work_pace.feature
+++ b/tests/forward/work_pace.feature
@@ -125,3 +125,25 @@
       | -5    | 0    |
       | "x"   | 0    |
       | null  | 0    |
+
+  Scenario: An entry learns pace and gaps from the answers that it passes on
+    Given a direct target that streams
+    And the target sends an event every 60 ms
+    And the target says that work takes 170
+    When 3 streams are passed on
+    Then the entry expects work to take between 160 and 171 there
+    And it expects gaps of 30 to 70 ms at the usual pace
+    And the next exchange passes 170 on 3 times
+
+  Scenario Outline: A target that says <odd> is used as before
+    Given a direct target that streams
+    And the target says that work takes <odd>
+    When 3 streams are passed on
+    Then the entry expects work to take between 100 and 100 there
+
+    Examples:
+      | odd                  |
+      | 0                    |
+      | -1                   |
+      | 99999999999999999999 |
+      | nan                  |
--- a/tests/steps/work_pace_steps.py
+++ b/tests/steps/work_pace_steps.py
@@ -22,9 +22,11 @@
 from lycheering.platform import documents
 from lycheering.routes import records as route_records
 from lycheering.wire import messages
+from tests.helpers import direct_entry
 from tests.helpers import direct_targets
 from tests.helpers import paces
 from tests.helpers import platform_document
+from tests.steps import forward_steps
 
 SETTINGS = target_selection.SelectionSettings()
 PREFIX_COUNT = 1_000
@@ -462,3 +464,40 @@
 @then("its streams are on time with gaps of up to {kept:d} ms")
 def step_kept(context, kept):
     assert context.route_table.routes[0].gap_objective_ms == kept
+
+
+@given("the target says that work takes {percent}")
+def step_says(context, percent):
+    context.targets[0].load = f"1,0,8,{percent}"
+
+
+@when("{count:d} streams are passed on")
+def step_streams(context, count):
+    async def ask_all(entry):
+        for number in range(count):
+            data = direct_entry.request("stream", f"r{number}")
+            answer = await direct_entry.ask(entry, data)
+            assert answer.status == 200, answer
+        (context.state,) = entry.registry.state_by_key.values()
+        context.now_ms = context.state.last_byte_ms
+        context.gap_ms = entry.registry.mean_gap_ms("stream")
+        context.reads = entry.registry.take_unshared_prefills(10)
+
+    forward_steps.run(context, ask_all)
+
+
+@then("the entry expects work to take between {low:d} and {high:d} there")
+def step_entry_expects(context, low, high):
+    found = context.state.pace.time_factor(context.now_ms) * 100
+    assert low <= found <= high, found
+
+
+@then("it expects gaps of {low:d} to {high:d} ms at the usual pace")
+def step_expects_gaps(context, low, high):
+    assert low <= context.gap_ms <= high, context.gap_ms
+
+
+@then("the next exchange passes {percent:d} on {count:d} times")
+def step_passes_on(context, percent, count):
+    percents = [read.work_percent for read in context.reads]
+    assert percents == [percent] * count, percents
