--- a/src/lycheering/forward/target_selection.py
+++ b/src/lycheering/forward/target_selection.py
@@ -113,6 +113,10 @@
         is_first: Whether it is of the most urgent level at its engines.
         overtaking: The part of the engines' time that goes to more urgent
             prompts, those that come after this one included.
+        gap_ms: Mean of the longest gap between events in recent streams of its
+            route, at the usual pace; 0 if not known.
+        gap_objective_ms: Longest gap with which its stream is on time; 0 for
+            any.
     """
 
     prompt_tokens: int = 0
@@ -126,6 +130,20 @@
     mean_prefill_tokens: float = 0.0
     is_first: bool = False
     overtaking: float = 0.0
+    gap_ms: float = 0.0
+    gap_objective_ms: float = 0.0
+
+    def late_gap_share(
+        self, state: target_state.TargetState, now_ms: float
+    ) -> float:
+        """Returns the expected share of streams with too long a gap.
+
+        The longest gaps of streams are about exponentially distributed.
+        """
+        if not self.gap_ms or not self.gap_objective_ms:
+            return 0.0
+        gap_ms = self.gap_ms * state.pace.mean_factor(now_ms)
+        return math.exp(-self.gap_objective_ms / gap_ms)
 
     def outdated_ms(self, state: target_state.TargetState) -> float:
         """Returns for how long a target's weights have been outdated.
@@ -409,6 +427,9 @@
     queue_ms = queued_tokens / tokens_per_ms + overhead_ms
     wait_ms = queue_ms + uncached / tokens_per_ms
     cost_ms += wait_ms
+    if state.pace.is_known:
+        late_gap_share = profile.late_gap_share(state, now_ms)
+        cost_ms += profile.objective_ms * late_gap_share
     if profile.affinity_key and state not in preferred:
         cost_ms += settings.non_preferred_penalty_ms
     target = state.target
--- a/tests/forward/work_pace.feature
+++ b/tests/forward/work_pace.feature
@@ -100,3 +100,50 @@
       | 110  | 99    |
       | 160  | 97    |
       | 200  | 94    |
+
+  Scenario Outline: Streams whose gaps come near their bound go to fast engines
+    Given a fast and a slow engine, and <tokens> tokens to prefill at the fast
+    When a stream with gaps of <gap> ms is placed, of which <most> are on time
+    Then the <engine> engine is selected
+
+    Examples:
+      | tokens | gap | most | engine |
+      | 12000  | 0   | 400  | slow   |
+      | 12000  | 20  | 400  | slow   |
+      | 12000  | 300 | 400  | fast   |
+      | 12000  | 300 | 0    | slow   |
+      | 60000  | 300 | 400  | slow   |
+
+  Scenario Outline: The bound on gaps that an operator sends
+    When a table whose route has the pause <given> is read
+    Then its streams are on time with gaps of up to <kept> ms
+
+    Examples:
+      | given | kept |
+      | 400   | 400  |
+      | 0     | 0    |
+      | -5    | 0    |
+      | "x"   | 0    |
+      | null  | 0    |
+
+  Scenario: An entry learns pace and gaps from the answers that it passes on
+    Given a direct target that streams
+    And the target sends an event every 60 ms
+    And the target says that work takes 170
+    When 3 streams are passed on
+    Then the entry expects work to take between 160 and 171 there
+    And it expects gaps of 30 to 70 ms at the usual pace
+    And the next exchange passes 170 on 3 times
+
+  Scenario Outline: A target that says <odd> is used as before
+    Given a direct target that streams
+    And the target says that work takes <odd>
+    When 3 streams are passed on
+    Then the entry expects work to take between 100 and 100 there
+
+    Examples:
+      | odd                  |
+      | 0                    |
+      | -1                   |
+      | 99999999999999999999 |
+      | nan                  |
