--- a/src/lycheering/forward/room_gate.py
+++ b/src/lycheering/forward/room_gate.py
@@ -121,6 +121,10 @@
             raise refusals.CallerGoneError
         return False
 
+    def control(self, service: str) -> rooms.RoomControl:
+        """Returns the decision on the room of a service."""
+        return self._control_by_service[service]
+
     def leave(self, request: pending_request.PendingRequest) -> None:
         """Gives up the place of a request that has ended."""
         if request.place is not None:
--- /dev/null
+++ b/tests/forward/room_gate.feature
@@ -0,0 +1,30 @@
+Feature: An entry holds or refuses requests while room at targets is short
+
+  Scenario: A request is sent at once while there is room
+    When a request finds a queue of 0 ms
+    Then it is sent
+
+  Scenario: A request is held, and sent once there is room
+    When a request finds a queue of 250 ms, then one of 0 ms
+    Then it is sent
+    And it was held for 15 ms
+
+  Scenario: A request that is held for too long is refused
+    When a request finds a queue of 250 ms each time
+    Then it is refused as overloaded, with a time to return
+    And it was held for 60 ms
+    And nothing is held any more
+
+  Scenario: A caller that leaves gives up its place
+    When a request finds a queue of 250 ms and its caller leaves
+    Then nothing is held any more
+
+  Scenario: An entry that stops gives up the places of held requests
+    When a request finds a queue of 250 ms and the entry cancels it
+    Then nothing is held any more
+
+  Scenario: A request of a starved kind is sent with the urgent ones
+    Given requests of priority 2 are refused always, and those of 0 never
+    When a request finds a queue of 0 ms
+    Then it is sent
+    And its target gets it at the most urgent level
