Compute the part of urgent prompts at most every 50 ms

Cause: it summed the rates of all engines for each request, which in a fleet of some hundred engines costs more than the rest of the selection.

Change: the last result is used for 50 ms.

Result: features of prompt order, room and selection pass with the same bounds.

--- a/src/lycheering/forward/prompt_order.py
+++ b/src/lycheering/forward/prompt_order.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from lycheering.limits import recent_work
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lycheering.forward import target_state
     from lycheering.routes import api as route_api
 
@@ -25,6 +28,7 @@
 # half-life of the rate at which urgent prompts come
 OVERTAKING_HALF_LIFE_MS = 1_000.0
 MAX_OVERTAKING = 0.75
+OVERTAKING_INTERVAL_MS = 50.0
 
 
 class Overtaking:
@@ -36,6 +40,8 @@
     """
 
     def __init__(self) -> None:
+        self._share = 0.0
+        self._computed_ms = -math.inf
         self._rate = recent_work.RecentWork(OVERTAKING_HALF_LIFE_MS)
 
     def record(self, uncached_tokens: int, now_ms: float) -> None:
@@ -43,20 +49,29 @@
         self._rate.add("", 1.0, float(uncached_tokens), now_ms)
 
     def share(
-        self, entry_count: int, tokens_per_ms: float, now_ms: float
+        self,
+        entry_count: int,
+        tokens_per_ms: Callable[[], float],
+        now_ms: float,
     ) -> float:
         """Returns the part of the engines' time that goes to urgent prompts.
 
+        It is up to 50 ms old, as there may be many engines.
+
         Args:
             entry_count: Number of entries.
-            tokens_per_ms: What all engines together read in a millisecond.
+            tokens_per_ms: Returns what all engines together read in a
+                millisecond.
             now_ms: The current time.
         """
-        if tokens_per_ms <= 0:
-            return 0.0
+        if now_ms - self._computed_ms < OVERTAKING_INTERVAL_MS:
+            return self._share
+        self._computed_ms = now_ms
         self._rate.decay(now_ms)
-        used = self._rate.total_slots() * entry_count / tokens_per_ms
-        return min(MAX_OVERTAKING, used)
+        used = self._rate.total_slots() * entry_count
+        rate = tokens_per_ms()
+        self._share = min(MAX_OVERTAKING, used / rate) if rate > 0 else 0.0
+        return self._share
 
 
 class PromptOrder:
--- a/src/lycheering/forward/target_registry.py
+++ b/src/lycheering/forward/target_registry.py
@@ -149,13 +149,12 @@
 
     def overtaking(self, service: str) -> float:
         """Returns the part of a service's engines that urgent prompts take."""
-        tokens_per_ms = sum(
-            state.prefill_rate.tokens_per_ms()
-            for state in self.live_targets(service)
-        )
         return self._overtaking_by_service[service].share(
             self.rate_reporter.share.entry_count,
-            tokens_per_ms,
+            lambda: sum(
+                state.prefill_rate.tokens_per_ms()
+                for state in self.live_targets(service)
+            ),
             self._clock.now_ms(),
         )
 
--- a/tests/helpers/short_room.py
+++ b/tests/helpers/short_room.py
@@ -234,7 +234,7 @@
             is_first=call.kind is SHORT,
             overtaking=entry.overtaking.share(
                 ENTRIES,
-                TOKENS_PER_MS * sum(e.is_up for e in self.engines),
+                lambda: TOKENS_PER_MS * sum(e.is_up for e in self.engines),
                 self.now_ms,
             ),
         )
--- a/tests/steps/prompt_order_steps.py
+++ b/tests/steps/prompt_order_steps.py
@@ -150,5 +150,5 @@
     "they take {share:g} of the time of engines that read {rate:d} tokens a ms"
 )
 def step_share(context, share, rate):
-    found = context.sent.share(context.entries, rate, context.now_ms)
+    found = context.sent.share(context.entries, lambda: rate, context.now_ms)
     assert abs(found - share) < 0.25 * share, found
