--- a/src/lycheering/forward/target_registry.py
+++ b/src/lycheering/forward/target_registry.py
@@ -168,11 +168,13 @@
     def overtaking(self, service: str) -> float:
         """Returns the part of a service's engines that urgent prompts take."""
         now_ms = self._clock.now_ms()
-        tokens_per_ms = sum(
-            state.tokens_per_ms(now_ms) for state in self.live_targets(service)
-        )
         return self._overtaking_by_service[service].share(
-            self.rate_reporter.share.entry_count, tokens_per_ms, now_ms
+            self.rate_reporter.share.entry_count,
+            lambda: sum(
+                state.tokens_per_ms(now_ms)
+                for state in self.live_targets(service)
+            ),
+            now_ms,
         )
 
     def mean_prefill_tokens(self, service: str) -> float:
