Wait longer for a leader that has not replied about an allowance

A request was refused after an eighth of its objective also if the leader's reply was late, although its team was far below the allowance. It waits half of the objective now, 250 ms at most, until the leader replies that it has not enough; then an eighth in all.

--- a/src/lycheering/forward/allowance_gate.py
+++ b/src/lycheering/forward/allowance_gate.py
@@ -33,10 +33,12 @@
 EXCHANGE_TIMEOUT_MS = 200.0
 # while requests wait, so that a lost exchange is repeated in time
 EARLY_EXCHANGE_TIMEOUT_MS = 150.0
-# A request waits for its part at most this long, and this fraction of its
-# latency objective.
+# A request waits for the leader's reply at most this long, and this fraction
+# of its latency objective.
 MAX_WAIT_MS = 250.0
-MAX_WAIT_FRACTION = 0.125
+MAX_WAIT_FRACTION = 0.5
+# the same after the leader has replied that it has not enough yet
+MAX_SHORTAGE_FRACTION = 0.125
 # without a reply from the leader for this long, requests don't wait for it
 LEADER_TIMEOUT_MS = 600.0
 MIN_RETRY_MS = 200.0
@@ -51,10 +53,20 @@
 
 
 class _Waiter:
-    """A request that waits for its part of an allowance."""
+    """A request that waits for its part of an allowance.
+
+    Attributes:
+        amount: What it counts as.
+        shortage_until_ms: Time until which it waits if the leader has not
+            enough.
+        is_asked_for: Whether an exchange has asked the leader for it.
+        charge: Its charge; None if it is refused.
+    """
 
-    def __init__(self, amount: int) -> None:
+    def __init__(self, amount: int, shortage_until_ms: float) -> None:
         self.amount = amount
+        self.shortage_until_ms = shortage_until_ms
+        self.is_asked_for = False
         self.charge: asyncio.Future[team_allowance.Charge | None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -185,7 +197,8 @@
         now_ms = self._clock.now_ms()
         if allowance.exhausted_until_ms > now_ms or self._is_cut_off(now_ms):
             return None
-        waiter = _Waiter(amount)
+        shortage_ms = min(MAX_WAIT_MS, MAX_SHORTAGE_FRACTION * objective_ms)
+        waiter = _Waiter(amount, now_ms + shortage_ms)
         waiters = self._waiters_by_team.setdefault(
             allowance.name, collections.deque()
         )
@@ -305,8 +318,10 @@
             name: [waiter.amount for waiter in waiters]
             for name, waiters in self._waiters_by_team.items()
         }
-        for name in waiting_by_team:
+        for name, waiters in self._waiters_by_team.items():
             self._reporter.mark_changed(name)
+            for waiter in waiters:
+                waiter.is_asked_for = True
         exchange = self._reporter.next_exchange(
             waiting_by_team, self._clock.now_ms()
         )
@@ -353,11 +368,15 @@
             if charge is None:
                 break
             self._end_wait(waiters.popleft(), charge)
-        if allowance.exhausted_until_ms - now_ms >= MAX_WAIT_MS:
-            while waiters:
-                self._end_wait(waiters.popleft(), None)
-        elif waiters and allowance.first_at_ms - now_ms >= MAX_WAIT_MS:
+        enough_at_ms = max(now_ms, allowance.first_at_ms)
+        while (
+            waiters
+            and waiters[0].is_asked_for
+            and waiters[0].shortage_until_ms <= enough_at_ms
+        ):
             self._end_wait(waiters.popleft(), None)
+            # what is said of the first one does not hold for the others
+            enough_at_ms = max(now_ms, allowance.exhausted_until_ms)
 
     def _end_wait(
         self, waiter: _Waiter, charge: team_allowance.Charge | None
