What clients make a process hold is bounded

Cause: the HTTP server parsed all requests that a client sent ahead, some 3 KB each, and let it send more with every answer. Bodies were held for as many clients as came, also without a key, and operators' documents without any limit. Nothing bounded connections.

Change: each process counts what its HTTP clients make it hold (web/held_bytes, web/head_limits) and how many connections they have. Beyond [web] max_held_bytes (default: a quarter of the machine's memory) the incomplete requests that hold the most for the longest are answered 503 and idle connections are closed; beyond max_connections (default: half of the descriptors) the oldest of those. An entry with direct targets checks the key and the announced length before it reads a body.

--- a/src/lycheering/control/daemon.py
+++ b/src/lycheering/control/daemon.py
@@ -36,6 +36,8 @@
 from lycheering.telemetry import counters
 from lycheering.telemetry import histograms
 from lycheering.telemetry import metrics
+from lycheering.web import head_limits
+from lycheering.web import held_bytes
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
 from lycheering.wire import link_factory
@@ -108,6 +110,9 @@
         self._store_settings = settings.log_store
         self._clock = clock.Clock()
         self._counters = counters.Counters(settings.metrics)
+        self._held = held_bytes.from_settings(
+            settings.web, self._counters, self._clock
+        )
         self._context = sockets.new_context()
         self.application = app_api.Application(
             settings.instance.drain_timeout_ms
@@ -225,6 +230,8 @@
             endpoint.application,
             self._settings.instance.ip,
             self._store_settings.operator_port,
+            head_limits.HeadLimits(max_body_bytes=operator_http.MAX_BODY_BYTES),
+            self._held,
         )
 
     def _build_direct(
@@ -318,11 +325,21 @@
         ip, port = model.split_address(settings.operator_address)
         admin = route_admin.RouteAdmin(self.group, self._clock)
         return [
-            web_server.WebServer(direct.create_operator_app(admin), ip, port),
+            web_server.WebServer(
+                direct.create_operator_app(admin),
+                ip,
+                port,
+                # a larger document can't be passed to the other instances
+                head_limits.HeadLimits(
+                    max_body_bytes=self._settings.wire.max_frame_bytes
+                ),
+                self._held,
+            ),
             metrics.MetricsServer(
                 self._settings.instance.ip,
                 settings.metrics_port,
                 histograms.Histograms(self._counters),
+                self._held,
             ),
         ]
 
--- a/src/lycheering/entry/daemon.py
+++ b/src/lycheering/entry/daemon.py
@@ -28,6 +28,7 @@
 from lycheering.routing import router as routers
 from lycheering.telemetry import counters
 from lycheering.telemetry import logs
+from lycheering.web import held_bytes
 from lycheering.web import server as web_server
 from lycheering.wire import api as wire_api
 from lycheering.wire import byte_budget
@@ -143,7 +144,12 @@
             self.is_current,
         )
         self.web = web_server.WebServer(
-            api.application, settings.instance.ip, self._settings.http_port
+            api.application,
+            settings.instance.ip,
+            self._settings.http_port,
+            held=held_bytes.from_settings(
+                settings.web, self.counters, self._clock
+            ),
         )
 
     def is_current(self) -> bool:
--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -31,6 +31,7 @@
 from lycheering.web import asgi
 from lycheering.web import connection_pool
 from lycheering.web import head_limits
+from lycheering.web import held_bytes
 from lycheering.web import server as web_server
 from lycheering.wire import link_factory
 from lycheering.wire import messages
@@ -84,6 +85,9 @@
             self._counters,
         )
         self._head_limits = head_limits.HeadLimits()
+        self._held = held_bytes.from_settings(
+            settings.web, self._counters, self._clock
+        )
         self._tasks = app_api.TaskOwner()
         self._quarantine = prompt_quarantine.PromptQuarantine(
             self._crashes,
@@ -183,15 +187,17 @@
         )
         ip, port = model.split_address(direct.caller_address)
         self.web = web_server.WebServer(
-            self._application, ip, port, self._head_limits
+            self._application, ip, port, self._head_limits, self._held
         )
         ready = asgi.TextPages(
             {READY_PATH: lambda: (200 if self.is_ready() else 503, b"")}
         )
         ip, port = model.split_address(direct.ready_address)
-        self.ready_web = web_server.WebServer(ready, ip, port)
+        self.ready_web = web_server.WebServer(
+            ready, ip, port, asgi.page_limits(), self._held
+        )
         self._metrics = metrics.MetricsServer(
-            settings.instance.ip, direct.metrics_port, self._times
+            settings.instance.ip, direct.metrics_port, self._times, self._held
         )
 
     def is_ready(self) -> bool:
@@ -244,6 +250,7 @@
                 "target_connections", self._target_connections.opened_count
             )
             self._counters.set_gauge("view_revision", self.view.revision())
+            self._counters.set_gauge("held_bytes", self._held.total_bytes)
 
     async def drain(self) -> None:
         """Lets the open requests finish, up to the configured time."""
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -126,6 +126,10 @@
         if metadata.caller_timeout_ms is not None:
             timeout_ms = min(timeout_ms, metadata.caller_timeout_ms)
         limits = index.table.limits
+        # what is refused by its head is not read
+        _check_announced(incoming.headers, limits.max_body_bytes)
+        if index.find_team(metadata.bearer_key) is None:
+            await self._team(index, route, metadata.bearer_key, timeout_ms)
         body = await caller.read_body(limits.max_body_bytes, timeout_ms)
         _check_length(incoming.headers, body)
         # The key is checked last, since it may be withdrawn while the body is
@@ -247,6 +251,22 @@
     return str(number)
 
 
+def _check_announced(headers: api.Headers, max_bytes: int) -> None:
+    """Checks the length of a body before it is read.
+
+    Raises:
+        RefusalError: If it is too large.
+    """
+    for name, value in headers:
+        if name == b"content-length":
+            length = integers.parse_non_negative(value.decode("latin-1"))
+            if length is not None and length > max_bytes:
+                raise refusals.RefusalError(
+                    refusals.Reason.BODY_TOO_LARGE,
+                    f"body exceeds {max_bytes} bytes",
+                )
+
+
 def _check_length(headers: api.Headers, body: bytes) -> None:
     """Checks that a body is as long as its header says.
 
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -219,6 +219,24 @@
     prefix: str = "lycheering"
 
 
+class WebSettings(Section):
+    """What all HTTP clients of the process together may take from it.
+
+    Attributes:
+        max_held_bytes: Bytes of memory that requests and unread responses may
+            take; 0 allows a quarter of the machine's memory. Beyond it, the
+            connections whose incomplete requests take the most for the
+            longest time are ended, and new requests are refused with 503
+            while those that are being served take all of it.
+        max_connections: Connections of clients; 0 allows half of the
+            descriptors that the process may open. Beyond it, idle connections
+            and those with incomplete requests are closed.
+    """
+
+    max_held_bytes: Annotated[int, pydantic.Field(ge=0)] = 0
+    max_connections: Annotated[int, pydantic.Field(ge=0)] = 0
+
+
 class ControlSettings(Section):
     """The control instances; every role needs them.
 
@@ -386,6 +404,7 @@
         wire: The internal protocol.
         log: Logging.
         metrics: Metrics.
+        web: What all HTTP clients together may take.
         control: The control instances.
         log_store: Set in the file of a control instance.
         entry: Set in the file of an entry.
@@ -397,6 +416,7 @@
     wire: WireSettings = WireSettings()
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    web: WebSettings = WebSettings()
     control: ControlSettings
     log_store: LogStoreSettings | None = None
     entry: EntrySettings | None = None
@@ -418,6 +438,7 @@
     "wire": WireSettings,
     "log": LogSettings,
     "metrics": MetricsSettings,
+    "web": WebSettings,
     "control": ControlSettings,
     "log_store": LogStoreSettings,
     "entry": EntrySettings,
@@ -448,5 +469,6 @@
     "PositiveMs",
     "Section",
     "Settings",
+    "WebSettings",
     "WireSettings",
 ]
--- a/src/lycheering/telemetry/metrics.py
+++ b/src/lycheering/telemetry/metrics.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from lycheering.telemetry import histograms
+    from lycheering.web import held_bytes
 
 METRICS_PATH = "/metrics"
 
@@ -18,7 +19,11 @@
     """Serves metrics to scrapers; does nothing if the port is 0."""
 
     def __init__(
-        self, ip: str, port: int, metrics: histograms.Histograms
+        self,
+        ip: str,
+        port: int,
+        metrics: histograms.Histograms,
+        held: held_bytes.HeldBytes | None = None,
     ) -> None:
         """Creates the endpoint.
 
@@ -26,13 +31,16 @@
             ip: The IP address to listen on.
             port: The port; 0 disables the endpoint.
             metrics: The metrics to serve.
+            held: Bounds what all clients of the process take.
         """
         application = asgi.TextPages(
             {METRICS_PATH: lambda: (200, metrics.text())}
         )
         self._server: server.WebServer | None = None
         if port:
-            self._server = server.WebServer(application, ip, port)
+            self._server = server.WebServer(
+                application, ip, port, asgi.page_limits(), held
+            )
 
     async def start(self) -> None:
         """Starts serving."""
--- a/src/lycheering/web/asgi.py
+++ b/src/lycheering/web/asgi.py
@@ -11,6 +11,8 @@
 from typing import Any
 from typing import Protocol
 
+from lycheering.web import head_limits
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -23,6 +25,8 @@
     Send = Callable[[Message], Awaitable[None]]
     Page = Callable[[], tuple[int, bytes]]
 
+# of requests, whose bodies are not read
+MAX_PAGE_BODY_BYTES = 65_536
 TEXT_CONTENT_TYPE = b"text/plain; version=0.0.4"
 
 
@@ -78,4 +82,9 @@
         await send({"type": "http.response.body", "body": text})
 
 
-__all__ = ["AsgiApplication", "TextPages"]
+def page_limits() -> head_limits.HeadLimits:
+    """Returns the limits of a server of text pages."""
+    return head_limits.HeadLimits(max_body_bytes=MAX_PAGE_BODY_BYTES)
+
+
+__all__ = ["AsgiApplication", "TextPages", "page_limits"]
--- a/src/lycheering/web/server.py
+++ b/src/lycheering/web/server.py
@@ -12,6 +12,7 @@
 from lycheering.app import api as app_api
 from lycheering.telemetry import logs
 from lycheering.web import head_limits
+from lycheering.web import held_bytes
 from lycheering.web import keepalive
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
         ip: str,
         port: int,
         limits: head_limits.HeadLimits | None = None,
+        held: held_bytes.HeldBytes | None = None,
     ) -> None:
         """Creates the server.
 
@@ -61,9 +63,12 @@
             port: The port; 0 selects any free one.
             limits: Limits on request headers and idle connections; by default
                 those of `HeadLimits`.
+            held: Bounds what all clients of the process take; by default,
+                nothing does.
         """
         self.port = port
         self._limits = limits or head_limits.HeadLimits()
+        self._held = held or held_bytes.HeldBytes()
         self._application = application
         self._ip = ip
         self._server: _EmbeddedServer | None = None
@@ -77,7 +82,7 @@
         config = uvicorn.Config(
             self._application,
             loop="asyncio",
-            http=head_limits.protocol_with_limits(self._limits),
+            http=head_limits.protocol_with_limits(self._limits, self._held),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -116,6 +121,13 @@
             for connection in self._limited_connections()
         )
 
+    def open_requests(self) -> int:
+        """Returns how many requests are begun and not answered."""
+        return sum(
+            connection.open_requests
+            for connection in self._limited_connections()
+        )
+
     def _limited_connections(self) -> list[head_limits.HeadLimitProtocol]:
         if self._server is None:
             return []
--- a/tests/faults/crowds_doors.feature
+++ b/tests/faults/crowds_doors.feature
@@ -2,6 +2,7 @@
 @alone
 Feature: Crowds of misbehaving clients at other doors do not end an entry
 
+  @promise.crowds
   Scenario Outline: A crowd sends <form> to the <door>
     Given a fleet whose limits are lowered for crowds
     When a crowd sends "<form>" to the <door>
--- a/tests/faults/crowds_entry.feature
+++ b/tests/faults/crowds_entry.feature
@@ -2,6 +2,7 @@
 @alone
 Feature: Crowds of misbehaving clients do not end an entry
 
+  @promise.crowds
   Scenario Outline: A crowd sends <form> to the <door>
     Given a fleet whose limits are lowered for crowds
     When a crowd sends "<form>" to the <door>
@@ -23,6 +24,7 @@
       | half bodies               | callers' door |
       | nothing                   | callers' door |
 
+  @promise.crowds
   Scenario: Crowds of all forms come one after the other
     Given a fleet whose limits are lowered for crowds
     When crowds of all forms come to the callers' door one after the other
