Rank requests for room only where the configuration asks for it

Cause: the order by kinds and shares was in force at all deployments.

Change: the setting room_order, by default auto: requests are ranked if a team of the route table has an allowance, and get room in order of arrival otherwise, by the limits of before.

--- a/src/lycheering/forward/daemon.py
+++ b/src/lycheering/forward/daemon.py
@@ -155,6 +155,7 @@
             header_codec,
             self._freshness.wait_until_current,
             self._clock,
+            direct.room_order,
         )
         self._forwarder = forwarder.Forwarder(
             forwarder.ForwardSettings(
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -24,6 +24,7 @@
     from lycheering.fleet import view_holder
     from lycheering.forward import caller as callers
     from lycheering.forward import target_registry
+    from lycheering.settings import model
 
 NO_TABLE_RETRY_AFTER_MS = 700.0
 # A request waits for the confirmation that the settings are current for at
@@ -68,6 +69,7 @@
         header_codec: api.HeaderCodec,
         wait_until_current: Callable[[float], Awaitable[bool]],
         time: clock.Clock,
+        room_order: model.RoomOrder = "auto",
     ) -> None:
         """Creates an intake that follows the fleet view.
 
@@ -80,7 +82,9 @@
                 current, for at most the given milliseconds, and returns
                 whether they are.
             time: The clock.
+            room_order: In which order requests get room at targets.
         """
+        self._room_order = room_order
         self.route_index: route_api.RouteIndex | None = None
         self._prompt_order: prompt_order.PromptOrder | None = None
         self._view = view
@@ -100,7 +104,9 @@
             return
         if self.route_index is None or self.route_index.table is not table:
             self.route_index = route_api.RouteIndex(table)
-            self._prompt_order = prompt_order.PromptOrder(table)
+            self._prompt_order = None
+            if ranks_requests(table, self._room_order):
+                self._prompt_order = prompt_order.PromptOrder(table)
         self._registry.update(
             fleet.direct_target_by_key.values(),
             self.route_index.service_by_name,
@@ -168,6 +174,7 @@
             priority=priority,
             arrived_ms=incoming.arrived_ms,
             deadline_ms=incoming.arrived_ms + timeout_ms,
+            is_ranked=self._prompt_order is not None,
             first_level=first_level,
             profile=profile,
             last_event_id=_resumed_event_id(metadata, route),
@@ -248,6 +255,15 @@
         )
 
 
+def ranks_requests(
+    table: route_api.RouteTable, room_order: model.RoomOrder
+) -> bool:
+    """Returns whether teams and kinds decide who gets room at targets."""
+    if room_order != "auto":
+        return room_order == "ranked"
+    return any(team.has_allowance for team in table.teams)
+
+
 def _resumed_event_id(
     metadata: api.RequestMetadata, route: route_api.Route
 ) -> str:
@@ -302,4 +318,4 @@
                 )
 
 
-__all__ = ["IncomingRequest", "RequestIntake"]
+__all__ = ["IncomingRequest", "RequestIntake", "ranks_requests"]
--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -56,6 +56,8 @@
         team: The team of its key; None on a public route.
         priority: Level at which its target gets it; 0 is the most urgent.
         arrived_ms: Time at which it arrived.
+        is_ranked: Whether its team and its kind decide when there is room for
+            it, not only its arrival.
         first_level: The most urgent level of the routes of its service.
         deadline_ms: Time until which its caller has to be answered.
         profile: The properties that target selection depends on.
@@ -108,6 +110,7 @@
     priority: int
     arrived_ms: float
     deadline_ms: float
+    is_ranked: bool = False
     first_level: int = 0
     profile: target_selection.RequestProfile = target_selection.RequestProfile()
     send_count: int = 0
--- a/src/lycheering/forward/room_gate.py
+++ b/src/lycheering/forward/room_gate.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from lycheering.forward import refusals
+from lycheering.limits import arrival_order
 from lycheering.limits import returns
 from lycheering.limits import room as rooms
 from lycheering.telemetry import logs
@@ -33,6 +34,7 @@
     """Sends, holds or refuses the requests of this entry.
 
     There is one decision for each service, as its targets are its room.
+    Requests that are not ranked get room in order of arrival.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self._control_by_service: dict[str, rooms.RoomControl] = (
             collections.defaultdict(lambda: rooms.RoomControl(settings, rng))
         )
+        self._arrival_order = arrival_order.ArrivalOrder(settings, rng)
         self._returns_by_route: dict[str, returns.ReturnDetector] = (
             collections.defaultdict(returns.ReturnDetector)
         )
@@ -85,8 +88,11 @@
             RefusalError: If it is refused.
             CallerGoneError: If its caller disconnected while it was held.
         """
-        control = self._control_by_service[request.service.name]
         now_ms = self._clock.now_ms()
+        if not request.is_ranked:
+            self._admit_by_arrival(request, estimate, now_ms)
+            return True
+        control = self._control_by_service[request.service.name]
         place = request.place
         if place is None:
             place = control.held.create(
@@ -125,6 +131,33 @@
         """Returns the decision on the room of a service."""
         return self._control_by_service[service]
 
+    def _admit_by_arrival(
+        self,
+        request: pending_request.PendingRequest,
+        estimate: target_selection.Estimate,
+        now_ms: float,
+    ) -> None:
+        """Refuses a request that is not ranked if its queue is too long.
+
+        Raises:
+            RefusalError: If it is refused.
+        """
+        request.applied_ms = now_ms
+        applicant = rooms.Applicant(
+            priority=request.route.priority,
+            team=_team_name(request),
+            team_weight=TEAM_WEIGHT,
+            work=_work(request, estimate),
+            objective_ms=request.route.objective_ms,
+            remaining_ms=request.deadline_ms - now_ms,
+        )
+        decision = self._arrival_order.decide(
+            applicant, estimate.queue_ms, now_ms
+        )
+        request.rank = decision.rank
+        if decision.verdict is rooms.Verdict.REFUSE:
+            self._refuse(request, decision, now_ms)
+
     def leave(self, request: pending_request.PendingRequest) -> None:
         """Gives up the place of a request that has ended."""
         if request.place is not None:
@@ -139,12 +172,11 @@
         place: held_requests.HeldRequest,
         now_ms: float,
     ) -> rooms.Applicant:
-        output_tokens = request.metadata.output_tokens
         return rooms.Applicant(
             priority=request.route.priority,
             team=place.team,
             team_weight=place.team_weight,
-            work=estimate.uncached_tokens + OUTPUT_TOKEN_WORK * output_tokens,
+            work=_work(request, estimate),
             objective_ms=request.route.objective_ms,
             remaining_ms=request.deadline_ms - now_ms,
             held_ms=now_ms - request.applied_ms,
@@ -191,6 +223,15 @@
     request.profile = dataclasses.replace(request.profile, is_first=True)
 
 
+def _work(
+    request: pending_request.PendingRequest,
+    estimate: target_selection.Estimate,
+) -> float:
+    """Returns the work that a request causes, in prompt tokens."""
+    output_work = OUTPUT_TOKEN_WORK * request.metadata.output_tokens
+    return estimate.uncached_tokens + output_work
+
+
 def _team_name(request: pending_request.PendingRequest) -> str:
     return request.team.name if request.team is not None else ""
 
--- a/src/lycheering/limits/room.py
+++ b/src/lycheering/limits/room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
@@ -124,7 +125,23 @@
     is_raised: bool = False
 
 
-class RoomControl:
+class RoomDecision(abc.ABC):
+    """Decides which requests are sent, held or refused."""
+
+    @abc.abstractmethod
+    def decide(
+        self, applicant: Applicant, queue_ms: float, now_ms: float
+    ) -> Decision:
+        """Decides whether a request is sent, held or refused now.
+
+        Args:
+            applicant: The request.
+            queue_ms: Expected queueing delay at the best target.
+            now_ms: The current time.
+        """
+
+
+class RoomControl(RoomDecision):
     """Decides on the requests to one service, at one entry.
 
     While room is short, the order is: callers that returned after a refusal,
@@ -283,6 +300,7 @@
     "Decision",
     "Rank",
     "RoomControl",
+    "RoomDecision",
     "RoomSettings",
     "Verdict",
 ]
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -346,6 +346,9 @@
     kv_store_url: str = ""
 
 
+RoomOrder = Literal["auto", "arrival", "ranked"]
+
+
 class DirectSettings(Section):
     """A deployment whose entries send requests to targets without agents.
 
@@ -371,6 +374,10 @@
             may exceed it.
         quota_slack: How much it may exceed it in addition, in the unit of the
             allowance, at all entries together.
+        room_order: In which order requests get room at engines while it is
+            short: `arrival`; `ranked`, by their teams' shares and their
+            kinds; or `auto`, which is `ranked` if any team of the route table
+            has an allowance.
         loads_at_once: The maximum number of engines that load weights at the
             same time; never more than half of the reachable ones.
         hold_ms: The minimum time that an engine gets no new requests before
@@ -400,6 +407,7 @@
     quota_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
     quota_over: Annotated[float, pydantic.Field(ge=0)] = 0.1
     quota_slack: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    room_order: RoomOrder = "auto"
     loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 400
     hold_ms: Annotated[int, pydantic.Field(ge=0)] = 350
     old_weights_ms: PositiveMs = 10_000
@@ -465,6 +473,7 @@
     "REQUIRED_SECTIONS",
     "SECTION_TYPE_BY_NAME",
     "AgentSettings",
+    "RoomOrder",
     "ControlSettings",
     "DirectSettings",
     "EntrySettings",
--- a/tests/forward/room_gate.feature
+++ b/tests/forward/room_gate.feature
@@ -28,3 +28,19 @@
     When a request finds a queue of 0 ms
     Then it is sent
     And its target gets it at the most urgent level
+
+  Scenario: A request that is not ranked is refused at once
+    Given requests are not ranked
+    When a request finds a queue of 250 ms each time
+    Then it is refused as overloaded, with a time to return
+    And it was held for 0 ms
+
+  Scenario Outline: Requests are <ranked> with the order <order> and <allowance>
+    Then requests to a table of teams with <allowance> are <ranked> under the order "<order>"
+
+    Examples:
+      | order   | allowance    | ranked     |
+      | auto    | no allowance | not ranked |
+      | auto    | allowances   | ranked     |
+      | ranked  | no allowance | ranked     |
+      | arrival | allowances   | not ranked |
--- a/tests/steps/room_gate_steps.py
+++ b/tests/steps/room_gate_steps.py
@@ -11,10 +11,12 @@
 from behave import when
 
 from lycheering import clock
+from lycheering.forward import intake
 from lycheering.forward import refusals
 from lycheering.forward import room_gate
 from lycheering.forward import target_selection
 from lycheering.limits import room as rooms
+from lycheering.routes import api as routes
 from lycheering.telemetry import counters
 from tests.helpers import direct_targets
 
@@ -55,6 +57,7 @@
         team=None,
         caller=types.SimpleNamespace(is_disconnected=False),
         place=None,
+        is_ranked=True,
         applied_ms=0.0,
         has_returned=False,
         deadline_ms=now_ms + 9_000.0,
@@ -69,6 +72,7 @@
     """Asks until the request is sent or refused."""
     make_gate(context)
     context.request = make_request(context.clock.now_ms())
+    context.request.is_ranked = getattr(context, "is_ranked", True)
     context.refusal = None
     state = direct_targets.state(1)
 
@@ -102,6 +106,25 @@
             control.decide(applicant, queue_ms, now_ms)
 
 
+@given("requests are not ranked")
+def step_not_ranked(context):
+    context.is_ranked = False
+
+
+@then(
+    "requests to a table of teams with {allowance} are {ranked} under the"
+    ' order "{order}"'
+)
+def step_ranked(context, allowance, ranked, order):
+    per_s = 5.0 if allowance == "allowances" else 0.0
+    teams = (
+        routes.RouteTableTeam("free", ()),
+        routes.RouteTableTeam("team", (), rate_per_s=per_s),
+    )
+    table = routes.RouteTable(1, (), (), teams)
+    assert intake.ranks_requests(table, order) == (ranked == "ranked")
+
+
 @when("a request finds a queue of {queue:d} ms")
 def step_queue(context, queue):
     ask(context, [float(queue)])
