--- a/tests/forward/allowances.feature
+++ b/tests/forward/allowances.feature
@@ -20,6 +20,13 @@
     When each entry gets 20 requests of 200 tokens a second for 3 s
     Then no request of the team was refused
 
+  # They were refused after an eighth of the objective, which is 500 ms.
+  Scenario: Requests within the allowance wait for a late leader
+    Given 2 entries and a team that may use 20000 tokens a second
+    And the leader of allowances replies after 90 ms
+    When each entry gets 2 requests of 900 tokens a second for 3 s
+    Then no request of the team was refused
+
   @promise.allowances
   Scenario: Without a leader the bound holds, and what is refused comes back
     Given 2 entries and a team that may use 2000 tokens a second
--- a/tests/helpers/local_control.py
+++ b/tests/helpers/local_control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from lycheering import clock
 from lycheering.control.direct import load_aggregator
 from lycheering.entry import control_client
@@ -16,6 +18,7 @@
 
     Attributes:
         is_reachable: Whether calls are answered.
+        delay_s: Time until a call about allowances is answered.
         aggregator: What the leader knows of loads, limits and streams.
         term: The term of the leader.
         rule: How much teams may exceed their allowances.
@@ -25,6 +28,7 @@
 
     def __init__(self):
         self.is_reachable = True
+        self.delay_s = 0.0
         self.term = 0
         self.rule = allowance_terms.AllowanceRule(2.0, 0.1, 200.0)
         self.find_terms = lambda team: None
@@ -43,6 +47,7 @@
         if isinstance(message, messages.StreamExchange):
             return self.aggregator.streams.handle(message)
         if isinstance(message, messages.AllowanceExchange):
+            await asyncio.sleep(self.delay_s)
             return self.allowances.handle(
                 message, self.find_terms, self.term, clock.Clock().now_ms()
             )
--- a/tests/steps/allowance_gate_steps.py
+++ b/tests/steps/allowance_gate_steps.py
@@ -22,6 +22,7 @@
 async def serving(context):
     """Starts the entries of the scenario; the first owns the target."""
     control = local_control.LocalControl()
+    control.delay_s = context.delay_s
     context.rule = control.rule
     rate = context.team_options["rate_per_s"]
     control.find_terms = lambda team: (rate, rate)
@@ -68,6 +69,7 @@
 def step_entries(context, count, rate, unit):
     context.entry_count = count
     context.leader_lost_s = None
+    context.delay_s = 0.0
     context.targets = [direct_entry.direct_target.DirectTarget("t1")]
     context.team_options = {
         "rate_per_s": float(rate),
@@ -76,6 +78,11 @@
     }
 
 
+@given("the leader of allowances replies after {delay_ms:d} ms")
+def step_delay(context, delay_ms):
+    context.delay_s = delay_ms / 1_000
+
+
 @given("the leader of allowances is lost after {lost_s:d} s")
 def step_lost(context, lost_s):
     context.leader_lost_s = lost_s
