--- a/tests/steps/any_input_steps.py
+++ b/tests/steps/any_input_steps.py
@@ -134,6 +134,7 @@
         assert float(metadata.running or 0) >= 0
         assert float(metadata.waiting) >= 0
         assert 0 <= metadata.retry_after_ms < float("inf")
+        assert 0 < (metadata.work_percent or 100) < float("inf")
 
 
 def check_table_or_rejected(data):
