--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -625,6 +625,7 @@
             wait_ms=round(request.wait_ms),
             rank=request.rank,
             has_returned=request.has_returned,
+            caller_timeout_ms=round(request.metadata.caller_timeout_ms or 0),
             prefix=f"{request.profile.affinity_key:016x}",
             load=request.load_description,
             limit=request.limit_description,
