--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import tempfile
 
 from behave import given
 from behave import then
@@ -138,3 +139,59 @@
 @then("ordinary requests are answered")
 def step_served(context):
     wait_served(context)
+
+
+@given("an entry of the agents' way whose limits are lowered for crowds")
+def step_agents_way(context):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    group = context.stack.enter_context(processes.ProcessGroup(folder))
+    context.port = processes.PORTS.take()
+    # it refuses what callers ask, as no control instance answers it
+    control = f"c1@{processes.HOST}:{processes.PORTS.take()}"
+    sections = {
+        "instance": {"name": "e1", "failure_domain": "d1"},
+        "control": {"members": control},
+        "entry": {"http_port": context.port},
+    } | crowds.lowered_settings()
+    lines = []
+    for section, options in sections.items():
+        lines.append(f"[{section}]")
+        lines += [f"{key} = {value}" for key, value in options.items()]
+    path = group.folder / "e1.ini"
+    path.write_text("\n".join(lines) + "\n")
+    process = group.prepare("e1", "-m", "lycheering", "entry", str(path))
+    process.start()
+    wait_live(context)
+    context.usage = crowds.Usage(process)
+
+
+def wait_live(context):
+    processes.wait_for(
+        lambda: (
+            processes.call(context.port, "GET", "/health/live").status == 200
+        ),
+        "the entry to say that it lives",
+    )
+
+
+@when('a crowd sends "{form}" to its path "{path}"')
+def step_path_crowd(context, form, path):
+    line = b"POST " + path.encode()
+    count = (
+        crowds.MANY_CONNECTIONS if form in crowds.FEW_BYTES else crowds.CROWD
+    )
+    crowd = crowds.Crowd(
+        (processes.HOST, context.port),
+        crowds.PIECES_BY_FORM[form](line, crowds.KEY_FIELD),
+        count,
+    )
+    with contextlib.closing(crowd):
+        crowd.wait_sent()
+        context.usage.sample()
+        wait_live(context)
+
+
+@then("it says that it lives, and has not exceeded its bounds")
+def step_agents_way_bounds(context):
+    wait_live(context)
+    assert not context.usage.findings(), context.usage.findings()
