Name the leader that was seen, in tests of the replicated log

It now returns the one it waited for, which is as strict: who proposes still meets NotLeaderError if the lease is over.

--- a/tests/replication/fakes.py
+++ b/tests/replication/fakes.py
@@ -213,11 +213,15 @@
         ]
 
     async def leader(self, excluding: str = "") -> str:
+        names: list[str] = []
+
         def found() -> bool:
-            return any(name != excluding for name in self.leaders())
+            # kept, as a lease may end right after it was seen
+            names[:] = [name for name in self.leaders() if name != excluding]
+            return bool(names)
 
         await wait_for(found, f"a leader other than {excluding!r}")
-        return next(name for name in self.leaders() if name != excluding)
+        return names[0]
 
     async def propose(self, command: bytes, excluding: str = "") -> bytes:
         """Proposes a command until a leader accepts it."""
