A stalled request does not keep others out for being the only one

Cause: a request that alone holds more than the limit is served all the same. One that stalled there, at a door without a timeout for bodies, was still taken for the only one when others came, and all of these were refused with 503.

Change: a new request counts before room is made for it, so that the stalled one is ended.

--- a/src/lycheering/web/head_limits.py
+++ b/src/lycheering/web/head_limits.py
@@ -344,6 +344,8 @@
         self._end_head()
         self._body_bytes = 0
         self._body_bytes_left = _body_length(self.headers)
+        # a request that was the only one until now is not any more
+        self._count_held()
         self.held.make_room(self.loop.time())
         if self.held.is_full and self._open_cost < self.held.total_bytes:
             self._refusal = (503, b"Service Unavailable")
--- a/tests/faults/crowds_control.feature
+++ b/tests/faults/crowds_control.feature
@@ -28,3 +28,10 @@
       | requests ahead            | control door |
       | many short fields         | metrics door |
       | requests ahead            | metrics door |
+
+  # The frames of each connection are bounded, not those of all.
+  Scenario: A crowd sends frames to the inner door
+    Given a fleet whose limits are lowered for crowds
+    When a crowd sends "frames short of their end" to the inner door
+    Then ordinary requests are answered
+    And no process has ended or exceeded its bounds
--- a/tests/soak/direct_fleet.py
+++ b/tests/soak/direct_fleet.py
@@ -435,6 +435,7 @@
     "METRICS_PORT",
     "OPERATOR_PORT",
     "READY_PORT",
+    "WIRE_PORT",
     "DirectFleet",
     "created",
     "running",
--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -47,6 +47,7 @@
         direct_fleet.OPERATOR_PORT,
         (b"POST /v1/defaults",),
     ),
+    "inner door": (CONTROL, direct_fleet.WIRE_PORT, (b"",)),
     "metrics door": (
         CONTROL,
         direct_fleet.METRICS_PORT,
@@ -107,12 +108,13 @@
 
 def send(context, form, door):
     name, port, parts = DOOR_BY_NAME[door]
+    pieces_by_form = crowds.PIECES_BY_FORM | crowds.INNER_PIECES_BY_FORM
     count = (
         crowds.MANY_CONNECTIONS if form in crowds.FEW_BYTES else crowds.CROWD
     )
     crowd = crowds.Crowd(
         (context.fleet.ip_by_name[name], port),
-        crowds.PIECES_BY_FORM[form](*parts),
+        pieces_by_form[form](*parts),
         count,
     )
     with contextlib.closing(crowd):
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -130,11 +130,22 @@
     return [head(line, *fields, b"Content-Length: 20\r\n\r\n"), b"x"]
 
 
+def frames(line, *fields):
+    """Returns most of a frame of the inner protocol, after its greeting."""
+    greeting = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(16 + 1 + 31)
+    ready = b"\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
+    size = MAX_BODY_BYTES.to_bytes(8, "big")
+    frame = b"\x02" + size + b"x" * (MAX_BODY_BYTES - LACKING_BYTES)
+    return [greeting, b"\x04%c" % len(ready) + ready, frame]
+
+
 def nothing(line, *fields):
     """Returns nothing to send."""
     return []
 
 
+# at doors that do not speak HTTP
+INNER_PIECES_BY_FORM = {"frames short of their end": frames}
 PIECES_BY_FORM = {
     "bodies short of their end": bodies,
     "bodies in small pieces": bodies_in_pieces,
@@ -245,6 +256,7 @@
     "CROWD",
     "FEW_BYTES",
     "ID_FIELD",
+    "INNER_PIECES_BY_FORM",
     "KEY_FIELD",
     "MANY_CONNECTIONS",
     "MAX_BODY_BYTES",
