--- a/src/lycheering/config_check/route_tables.py
+++ b/src/lycheering/config_check/route_tables.py
@@ -138,6 +138,19 @@
         if team.priority is not None and team.priority < 0:
             problem = "negative; 0 is first"
             yield findings.warning(f"{position}.priority", problem)
+        yield from _allowance(team, position)
+
+
+def _allowance(
+    team: routes.RouteTableTeam, position: str
+) -> Iterator[findings.Finding]:
+    counts_tokens = team.unit is routes.AllowanceUnit.TOKENS
+    if team.burst and not team.has_allowance:
+        problem = "no effect: without rate_per_s there is no limit"
+        yield findings.warning(f"{position}.burst", problem)
+    if team.plain_tokens and not (team.has_allowance and counts_tokens):
+        problem = "no effect: the team has no allowance of tokens"
+        yield findings.warning(f"{position}.plain_tokens", problem)
 
 
 def _limits(table: routes.RouteTable) -> Iterator[findings.Finding]:
--- a/src/lycheering/forward/allowance_gate.py
+++ b/src/lycheering/forward/allowance_gate.py
@@ -209,7 +209,10 @@
             async with asyncio.timeout(wait_ms / clock.MS_PER_S):
                 return await waiter.charge
         except TimeoutError:
-            return None
+            if waiter.charge.cancelled():
+                return None
+            # it was charged as the time ran out
+            return waiter.charge.result()
         finally:
             if waiter in waiters:
                 waiters.remove(waiter)
--- a/src/lycheering/forward/prompt_order.py
+++ b/src/lycheering/forward/prompt_order.py
@@ -23,8 +23,6 @@
 # Engines read prompts in pieces. A piece that is being read is finished first,
 # however urgent the next prompt is.
 PIECE_TOKENS = 2_048
-
-
 # half-life of the rate at which urgent prompts come
 OVERTAKING_HALF_LIFE_MS = 1_000.0
 MAX_OVERTAKING = 0.75
--- a/tests/config_check/route_tables.feature
+++ b/tests/config_check/route_tables.feature
@@ -26,6 +26,8 @@
       | routes.0.objective_ms       | 3000      | a late objective      | warning: routes[0] 'one'.objective_ms: 3000 is over the timeout of 2000: no answer can be late |
       | routes.0.is_resumable       | true      | a resumable call      | warning: routes[0] 'one'.is_resumable: no effect: its kind is 'idempotent' |
       | teams.0.keys                | []        | a team without keys   | warning: teams[0] 'a': nobody can use it: no keys |
+      | teams.0.burst               | 9         | a burst without rate  | warning: teams[0] 'a'.burst: no effect: without rate_per_s there is no limit |
+      | teams.0.plain_tokens        | 9         | tokens without a unit | warning: teams[0] 'a'.plain_tokens: no effect: the team has no allowance of tokens |
       | limits.max_header_bytes     | 5000000   | a large head          | warning: limits.max_header_bytes: over max_body_bytes (4194304) |
       | limits.header_timeout_ms    | 16000     | slow headers          | warning: limits.header_timeout_ms: over idle_timeout_ms (15000) |
       | limits.idle_timeout_ms      | 0         | no idle time          | error: limits.idle_timeout_ms: must be above 0 |
