--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
-"""A manifest takes the keys of all tenants away, and their requests run."""
+"""Orders on a route with `resumable` run twice when an answer is lost."""
 
 import asyncio
+import collections
 import os
 import pathlib
 import sys
@@ -10,63 +11,110 @@
 sys.path.insert(0, str(FOLDER.parent / "support-2"))
 
 import fleet as fleets  # noqa: E402
+import web  # noqa: E402
 import workers  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-REVOKE_S = 5.0
-REQUESTS = 10
+ORDERS = 60
+# two of three workers lose one in four answers
+LOSES_EACH = 4
 HOUSE = "house-a"
-RIVAL = "rival-b"
-NOBODY = "nobody"
 
 
-async def ask_all(fleet, record, tenant):
-    """Sends requests with the key of a tenant to both entries."""
-    for number in range(REQUESTS):
-        parts = [("5c1e07a2", 512), (f"{tenant}{number}".encode().hex(), 64)]
-        await workers.ask(fleet, record, tenant, parts, entry=number % 2)
+def manifest():
+    """Returns a manifest with a route of orders that has `resumable`."""
+    document = workers.manifest(1, {HOUSE: False})
+    document["services"].append(
+        {
+            "name": workers.PLAIN_SERVICE,
+            "health_path": "/health",
+            "max_connections": 96,
+            "protocol": "h1",
+            "tls": False,
+        }
+    )
+    document["routes"].append(
+        {
+            "name": "r-orders",
+            "host": workers.HOST,
+            "path_prefix": "/orders/",
+            "kind": "once",
+            "timeout_ms": 1_500,
+            "objective_ms": 300,
+            "priority": 2,
+            "service": workers.PLAIN_SERVICE,
+            "max_sends": 2,
+            "is_public": False,
+            "sticky": False,
+            "is_resumable": True,
+        }
+    )
+    return document
+
+
+async def order(fleet, record, number):
+    """Sends an order and returns the answer."""
+    attempt_id = f"{number:016x}"
+    headers = {
+        "Host": workers.HOST,
+        "X-Attempt-Id": attempt_id,
+        "X-Deadline-Ms": "1500",
+        "Authorization": f"Bearer key-of-{HOUSE}",
+    }
+    answer = await web.call(
+        fleet.entries[0].ip,
+        fleet.caller_port,
+        "POST",
+        "/orders/2f",
+        headers,
+        b"x" * 600,
+        timeout_s=1.5,
+    )
+    record.write(f"answer to {attempt_id}: {answer.status} {answer.error}")
+    return answer
 
 
 async def play(record):
-    """Plays the case and returns whether a rule was broken."""
+    """Plays the case and returns whether the rule was broken."""
     network = fleets.own_network()
     site = workers.Site(record)
     await site.start(f"{network}.240")
-    await site.add_engine("i-engine-0", f"{network}.201")
-    fleet = fleets.Fleet(site.list_address, entries=2)
+    for number in range(3):
+        is_faulty = HAS_TROUBLE and number < 2
+        worker = workers.PlainWorker(
+            site, f"i-orders-{number}", LOSES_EACH if is_faulty else 0
+        )
+        await worker.start(f"{network}.{211 + number}")
+    fleet = fleets.Fleet(site.list_address)
     try:
         fleet.start()
-        operator = workers.Operator(fleet, record)
-        tenants = {HOUSE: False, RIVAL: False}
-        await operator.put(workers.manifest(1, tenants))
-        await workers.wait_until_served(fleet, record, HOUSE)
-        await ask_all(fleet, record, HOUSE)
-        if len(site.runs) < REQUESTS:
-            raise RuntimeError(f"only {len(site.runs)} requests were served")
-        # without the disruption, one of the two tenants keeps its key
-        tenants = {} if HAS_TROUBLE else {RIVAL: False}
-        await operator.put(workers.manifest(2, tenants))
-        await asyncio.sleep(REVOKE_S + 1.0)
-        late_s = record.now_s()
-        await ask_all(fleet, record, HOUSE)
-        never_held_s = record.now_s()
-        await ask_all(fleet, record, NOBODY)
-        late = [run for run in site.runs if run.at_s > late_s]
-        revoked = [run for run in late if run.at_s < never_held_s]
-        never_held = [run for run in late if run.at_s > never_held_s]
+        await workers.Operator(fleet, record).put(manifest())
+        number = 1
+        while (await order(fleet, record, number)).status != 200:
+            if number > 100:
+                raise TimeoutError("no order is served")
+            number += 1
+            await asyncio.sleep(0.2)
+        for number in range(1_000, 1_000 + ORDERS):
+            await order(fleet, record, number)
+        await asyncio.sleep(1.0)
+        run_count_by_id = collections.Counter(
+            attempt_id
+            for worker in site.plain_workers
+            for attempt_id in worker.run_ids
+        )
+        twice = [item for item, count in run_count_by_id.items() if count > 1]
         record.write(
-            f"of {REQUESTS} requests with a key of {HOUSE}, {len(revoked)} ran"
-            f" later than {REVOKE_S} s after manifest 2 was acknowledged; of"
-            f" {REQUESTS} requests with a key that no manifest ever held,"
-            f" {len(never_held)} ran"
+            f"{len(twice)} of {ORDERS} orders ran more than once, each sent"
+            " once by its requester"
         )
-        return bool(revoked or never_held)
+        return bool(twice)
     finally:
         fleet.close()
 
 
 def main():
-    """Plays the case; exits with 1 if a rule was broken."""
+    """Plays the case; exits with 1 if the rule was broken."""
     record = fleets.Record(FOLDER / "record.txt")
     try:
         is_broken = asyncio.run(play(record))
@@ -74,7 +122,7 @@
         traceback.print_exc()
         record.write(f"couldn't run: {error!r}")
         return 2
-    record.write("broken" if is_broken else "held")
+    record.write("TWICE broken" if is_broken else "TWICE held")
     return int(is_broken)
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A tenant becomes isolated; its KV cache of before serves other tenants."""
+"""A manifest takes the keys of all tenants away, and their requests run."""
 
 import asyncio
 import os
@@ -13,73 +13,60 @@
 import workers  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CONFIG_APPLY_S = 2.0
-DOCUMENTS = 8
+REVOKE_S = 5.0
+REQUESTS = 10
 HOUSE = "house-a"
 RIVAL = "rival-b"
+NOBODY = "nobody"
 
 
-def prompt(document, question):
-    """Returns the parts of a prompt about a document that several read."""
-    return [
-        ("5c1e07a2", 512),
-        (f"d0c{document:05x}", 2_000),
-        (f"{question:08x}", 64),
-    ]
+async def ask_all(fleet, record, tenant):
+    """Sends requests with the key of a tenant to both entries."""
+    for number in range(REQUESTS):
+        parts = [("5c1e07a2", 512), (f"{tenant}{number}".encode().hex(), 64)]
+        await workers.ask(fleet, record, tenant, parts, entry=number % 2)
 
 
 async def play(record):
-    """Plays the case and returns whether the rule was broken."""
+    """Plays the case and returns whether a rule was broken."""
     network = fleets.own_network()
     site = workers.Site(record)
     await site.start(f"{network}.240")
-    for number in range(2):
-        await site.add_engine(f"i-engine-{number}", f"{network}.{201 + number}")
+    await site.add_engine("i-engine-0", f"{network}.201")
     fleet = fleets.Fleet(site.list_address, entries=2)
     try:
         fleet.start()
         operator = workers.Operator(fleet, record)
-        # without the disruption, the tenant is isolated from the beginning
-        tenants = {HOUSE: not HAS_TROUBLE, RIVAL: False}
+        tenants = {HOUSE: False, RIVAL: False}
         await operator.put(workers.manifest(1, tenants))
         await workers.wait_until_served(fleet, record, HOUSE)
-        for document in range(DOCUMENTS):
-            parts = prompt(document, document + 1)
-            await workers.ask(fleet, record, HOUSE, parts, entry=document % 2)
-        await operator.put(workers.manifest(2, {HOUSE: True, RIVAL: False}))
-        await asyncio.sleep(CONFIG_APPLY_S + 1.0)
-        in_force_s = record.now_s()
-        answers = [
-            await workers.ask(
-                fleet,
-                record,
-                RIVAL,
-                prompt(document, document + 101),
-                entry=document % 2,
-            )
-            for document in range(DOCUMENTS)
-        ]
-        served = sum(answer.status == 200 for answer in answers)
-        if served < DOCUMENTS // 2:
-            raise RuntimeError(f"only {served} requests were served")
-        foreign = [
-            run
-            for run in site.runs
-            if run.at_s > in_force_s
-            and run.tenant == RIVAL
-            and any(part.tenant == HOUSE for _, part in run.used)
-        ]
+        await ask_all(fleet, record, HOUSE)
+        if len(site.runs) < REQUESTS:
+            raise RuntimeError(f"only {len(site.runs)} requests were served")
+        # without the disruption, one of the two tenants keeps its key
+        tenants = {} if HAS_TROUBLE else {RIVAL: False}
+        await operator.put(workers.manifest(2, tenants))
+        await asyncio.sleep(REVOKE_S + 1.0)
+        late_s = record.now_s()
+        await ask_all(fleet, record, HOUSE)
+        never_held_s = record.now_s()
+        await ask_all(fleet, record, NOBODY)
+        late = [run for run in site.runs if run.at_s > late_s]
+        revoked = [run for run in late if run.at_s < never_held_s]
+        never_held = [run for run in late if run.at_s > never_held_s]
         record.write(
-            f"{len(foreign)} of {served} runs of {RIVAL} used KV cache that"
-            f" requests of {HOUSE} made, which is isolated"
+            f"of {REQUESTS} requests with a key of {HOUSE}, {len(revoked)} ran"
+            f" later than {REVOKE_S} s after manifest 2 was acknowledged; of"
+            f" {REQUESTS} requests with a key that no manifest ever held,"
+            f" {len(never_held)} ran"
         )
-        return bool(foreign)
+        return bool(revoked or never_held)
     finally:
         fleet.close()
 
 
 def main():
-    """Plays the case; exits with 1 if the rule was broken."""
+    """Plays the case; exits with 1 if a rule was broken."""
     record = fleets.Record(FOLDER / "record.txt")
     try:
         is_broken = asyncio.run(play(record))
@@ -87,7 +74,7 @@
         traceback.print_exc()
         record.write(f"couldn't run: {error!r}")
         return 2
-    record.write("WALL broken" if is_broken else "WALL held")
+    record.write("broken" if is_broken else "held")
     return int(is_broken)
 
 
--- a/review/support-2/workers.py
+++ b/review/support-2/workers.py
@@ -15,6 +15,7 @@
 MODEL = "model-m"
 HOST = "chat.example"
 ENGINE_SERVICE = "engines"
+PLAIN_SERVICE = "orders"
 LOAD_S = 0.4
 # the list lags behind what it tells by this much
 LIST_LAG_S = 0.3
@@ -248,12 +249,74 @@
         return run
 
 
+class PlainWorker:
+    """A worker of a service without engines.
+
+    Attributes:
+        name: Its id.
+        run_ids: The ids of the requests that it ran, one for each run.
+        loses_each: It loses the answer of each so many-th request that it ran;
+            0 for none.
+    """
+
+    def __init__(self, site, name, loses_each=0):
+        self.name = name
+        self.run_ids = []
+        self.loses_each = loses_each
+        self.address = ""
+        self._site = site
+        self._born_ms = int(time.time() * 1_000)
+
+    async def start(self, ip):
+        """Starts to serve at an address."""
+        self._server, port = await web.serve(self._handle, ip)
+        self.address = f"{ip}:{port}"
+        self._site.plain_workers.append(self)
+
+    def entry(self):
+        """Returns its entry of the list of workers."""
+        return {
+            "id": self.name,
+            "service": PLAIN_SERVICE,
+            "address": self.address,
+            "failure_domain": "zone-a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "models": [],
+            "born": self._born_ms,
+        }
+
+    async def _handle(self, request, writer):
+        identity = {"X-Instance-Id": self.name}
+        if request.headers.get("x-expect-instance", self.name) != self.name:
+            writer.write(web.encode(421, identity, b""))
+            return
+        if request.path == "/health":
+            writer.write(web.encode(200, identity, b""))
+            return
+        attempt_id = request.headers["x-attempt-id"]
+        self.run_ids.append(attempt_id)
+        self._site.record.write(f"run {attempt_id} at {self.name}")
+        await asyncio.sleep(0.02)
+        if self.loses_each and not len(self.run_ids) % self.loses_each:
+            self._site.record.write(f"{self.name} loses the answer")
+            raise ConnectionResetError
+        headers = {
+            "X-Attempt-Id": attempt_id,
+            "X-Response-Stamp": f"{self.name}.{attempt_id}",
+        }
+        writer.write(web.encode(200, headers, b"recorded"))
+
+
 class Site:
     """The workers and their list.
 
     Attributes:
         record: The record of the case.
         engine_by_address: The engines.
+        plain_workers: The workers of the service without engines.
         runs: The requests that engines ran.
         named_version: The newest version of the weights that was named.
         checks_fences: Whether engines refuse lower epoch numbers.
@@ -265,6 +328,7 @@
     def __init__(self, record, *, checks_fences=True):
         self.record = record
         self.engine_by_address = {}
+        self.plain_workers = []
         self.runs = []
         self.named_version = 1
         self.checks_fences = checks_fences
@@ -288,7 +352,10 @@
     async def _list(self, request, writer):
         entries = [
             self.spoil(engine.entry())
-            for engine in self.engine_by_address.values()
+            for engine in (
+                *self.engine_by_address.values(),
+                *self.plain_workers,
+            )
         ]
         page = {"instances": entries, "next": None}
         await asyncio.sleep(0)
