--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -260,7 +261,8 @@
         return Process(name, role, ip, path, self.folder / f"{name}.log")
 
     def start(self):
-        """Starts all processes."""
+        """Starts all processes; a SIGTERM to the case ends them too."""
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         for process in (*self.control, *self.entries):
             process.start()
 
