--- a/review/support-2/workers.py
+++ b/review/support-2/workers.py
@@ -426,6 +426,10 @@
         self._port = fleet.operator_port
         self._record = record
 
+    def prefer(self, ip):
+        """Makes a control instance the first one to be called."""
+        self._ips.sort(key=lambda item: item != ip)
+
     async def _send(self, method, path, document, limit_s):
         body = json.dumps(document).encode()
         until_s = time.monotonic() + limit_s
