Pass on sound text that looks like the id of an event

Cause: the event reader refused an event by the form of one line. Bytes were compared only for later events, and held events had no evidence at the end of a stream.

Change: an event that names itself is refused only if what follows begins with the bytes before it. At an end that length or chunks prove, the record of the target decides, and a second run with the same bytes proves an event.

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -511,18 +511,12 @@
         reader = events.EventReader(
             int(request.last_event_id or 0) + 1,
             self._runner.header_codec.event_fields,
+            repeated=request.unproven_events,
         )
-        is_proven = False
-        while data := await connection.read_part(self._remaining_ms()):
-            self._state.last_byte_ms = self._runner.now_ms()
-            await self._forward_events(reader.feed(data), head)
-            if reader.violation:
-                raise client.InvalidResponseError(reader.violation)
-            if not is_proven and self.progress.is_proven(self._runner.now_ms()):
-                is_proven = True
-                self._record_answered()
-        if reader.is_inside_event:
-            raise client.ExchangeBrokenError("stream ended inside an event")
+        try:
+            await self._read_events(connection, reader, head)
+        finally:
+            request.unproven_events = reader.unproven
         self._is_complete = True
         if not request.caller.has_begun:
             await self._begin_empty_stream(head)
@@ -542,6 +536,46 @@
             )
         return Outcome(Result.DONE, head.status)
 
+    async def _read_events(
+        self,
+        connection: connection_pool.PersistentConnection,
+        reader: events.EventReader,
+        head: connection_pool.ResponseHead,
+    ) -> None:
+        """Forwards events until the stream ends.
+
+        Raises:
+            InvalidResponseError: If something else than the next event came.
+            ExchangeBrokenError: If the stream was broken off.
+        """
+        is_proven = False
+        while data := await connection.read_part(self._remaining_ms()):
+            self._state.last_byte_ms = self._runner.now_ms()
+            await self._forward_events(reader.feed(data), head)
+            if reader.has_held_number:
+                self._mark_body()
+            if reader.violation:
+                raise client.InvalidResponseError(reader.violation)
+            if not is_proven and self.progress.is_proven(self._runner.now_ms()):
+                is_proven = True
+                self._record_answered()
+        trust = events.Trust.NONE
+        if not head.ends_with_connection:
+            is_resumable = self._request.route.is_resumable
+            trust = self._state.end_trust(
+                self._runner.now_ms(), is_resumable=is_resumable
+            )
+            self._state.record_end()
+        await self._forward_events(reader.accept_held(trust), head)
+        if reader.has_held_number:
+            raise client.ExchangeBrokenError(
+                "stream ended with events that may be joined with others"
+            )
+        if reader.is_inside_event:
+            if not head.ends_with_connection:
+                self._state.record_broken_off(self._runner.now_ms())
+            raise client.ExchangeBrokenError("stream ended inside an event")
+
     async def _begin_empty_stream(
         self, head: connection_pool.ResponseHead
     ) -> None:
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -257,6 +257,8 @@
             if result in attempts.BROKEN_RESULTS:
                 self._crash_detector.record_broken(state, request)
                 state.record_failure(self._clock.now_ms())
+                if result is attempts.Result.INVALID:
+                    state.record_broken_off(self._clock.now_ms())
             if not self._may_retry(request, outcome):
                 if self._may_end_unproven(request):
                     return await self._end_unproven(request)
--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -64,6 +64,8 @@
         send_count: Number of times it was sent to a target.
         tried_keys: Keys of targets that must not be selected again.
         last_event_id: Id of the last stream event that the caller received.
+        unproven_events: Whole events of its last run that the caller did not
+            get, as they may be joined with others.
         proof_deadline_ms: Time until which a stream that has ended without
             proof of its end waits for it; infinite for others.
         target_id: Id of the target that was selected last.
@@ -116,6 +118,7 @@
     send_count: int = 0
     tried_keys: set[str] = dataclasses.field(default_factory=set)
     last_event_id: str = ""
+    unproven_events: tuple[bytes, ...] = ()
     proof_deadline_ms: float = math.inf
     target_id: str = ""
     bound_version: str | None = None
--- a/src/lycheering/forward/target_state.py
+++ b/src/lycheering/forward/target_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from lycheering.forward import api
@@ -11,6 +12,7 @@
 from lycheering.forward import work_pace
 from lycheering.limits import recent_rate
 from lycheering.limits import target_rate
+from lycheering.streams import events
 from lycheering.telemetry import logs
 from lycheering.telemetry import repeated_warning
 from lycheering.wire import messages
@@ -30,6 +32,8 @@
 MAX_SUSPECT_MS = 4_000.0
 # requests that may still be sent to a target during its back-off
 MAX_SENDS_DURING_BACK_OFF = 2
+# how long a target that broke an event off is not trusted
+BROKEN_OFF_TTL_MS = 60_000.0
 
 _LOG = logs.get("targets")
 _IMPOSSIBLE_LOAD = repeated_warning.RepeatedWarning(_LOG, "impossible_load")
@@ -107,6 +111,8 @@
         self.back_off_until_ms = 0.0
         self._sends_during_back_off = 0
         self._failures = 0
+        self._has_ended_stream = False
+        self._broken_off_ms = -math.inf
         self.prefill_rate = prefill_rates.TargetPrefillRate(service_rate)
         self.pace = work_pace.WorkPace()
         self.work_ms = work_ms or recent_rate.RecentMean(WORK_HALF_LIFE_MS)
@@ -414,5 +420,27 @@
         self._failures = 0
         self.suspect_until_ms = 0.0
 
+    def record_end(self) -> None:
+        """Records that it ended a stream in a way that proves the end."""
+        self._has_ended_stream = True
+
+    def record_broken_off(self, now_ms: float) -> None:
+        """Records that it broke an event off, or sent what is none."""
+        self._broken_off_ms = now_ms
+
+    def end_trust(self, now_ms: float, *, is_resumable: bool) -> events.Trust:
+        """Returns what is believed of a stream whose end it proves.
+
+        Args:
+            now_ms: The current time.
+            is_resumable: Whether another target can repeat what is doubted,
+                so that doubt costs less.
+        """
+        if now_ms - self._broken_off_ms < BROKEN_OFF_TTL_MS:
+            return events.Trust.NONE
+        if self._has_ended_stream:
+            return events.Trust.ALL
+        return events.Trust.NONE if is_resumable else events.Trust.LAST_EVENT
+
 
 __all__ = ["InFlightRequest", "TargetState"]
--- a/src/lycheering/streams/events.py
+++ b/src/lycheering/streams/events.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import enum
 import re
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 MAX_EVENT_BYTES = 1_048_576
 MAX_REPORTED_BYTES = 40
@@ -16,6 +22,41 @@
 _EVENT_END = re.compile(rb"\n\r?\n")
 # what the line of an id leaves at the end of a line that was broken off
 _JOINED_ID = re.compile(rb"id: *(\d{1,18})\Z")
+_ID_LINE_END = re.compile(rb"id: *\d{1,18}\r?\n")
+_DATA_NAME = re.compile(rb"^data: ?", re.MULTILINE)
+# letters and digits; indentation and list markers recur in sound text
+_WORD = re.compile(rb"[0-9A-Za-z\x80-\xff]")
+
+
+class Trust(enum.Enum):
+    """What is believed of held events once the end of a stream is proven.
+
+    Attributes:
+        NONE: Nothing, as the target may break events off.
+        LAST_EVENT: That the last event is sound. Nothing is known of the
+            target; events before the last one are doubted if an event that
+            they name is near and did not come.
+        ALL: That no event was broken off.
+    """
+
+    NONE = "none"
+    LAST_EVENT = "last event"
+    ALL = "all"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinedId:
+    """Text inside the data of an event that may be the id of another one.
+
+    Attributes:
+        number: The id.
+        offset: Where the other event would begin.
+        is_disproven: Whether that event came before with other bytes.
+    """
+
+    number: int
+    offset: int
+    is_disproven: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,14 +67,14 @@
         raw: Its bytes, with the blank line that ends it.
         data: Its data, lines joined by line feeds.
         number: Its id; None for a comment, a retry time or the end mark.
-        joined_numbers: Ids of the events that may be joined with the rest of
-            this one, if it was broken off inside its data.
+        joined_ids: The other events that may be joined with the rest of this
+            one, if it was broken off inside its data.
     """
 
     raw: bytes
     data: bytes = b""
     number: int | None = None
-    joined_numbers: tuple[int, ...] = ()
+    joined_ids: tuple[JoinedId, ...] = ()
 
 
 class _InvalidEventError(Exception):
@@ -58,6 +99,7 @@
         next_id: int,
         extension_fields: frozenset[bytes] = frozenset(),
         end_mark: bytes | None = None,
+        repeated: Collection[bytes] = (),
     ) -> None:
         """Creates a reader.
 
@@ -67,6 +109,8 @@
                 those of the standard.
             end_mark: Data of an event without an id that ends the stream;
                 None if streams have no such event.
+            repeated: Events that a run at another target sent and that were
+                not accepted.
         """
         self.next_id = next_id
         self.violation = ""
@@ -74,14 +118,55 @@
         self._end_mark = end_mark
         self._buffer = b""
         self._searched_bytes = 0
+        self._repeated = frozenset(repeated)
         # an event that may be joined with another one, and all after it
         self._held: list[Event] = []
+        self._refused = b""
+        # the events to which a faulty target would go back
+        self._first: Event | None = None
+        self._recent: collections.deque[Event] = collections.deque(
+            maxlen=MAX_DISORDER
+        )
 
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun and is not accepted yet."""
         return bool(self._buffer or self._held)
 
+    @property
+    def has_held_number(self) -> bool:
+        """Whether a numbered event has come and is not accepted yet."""
+        return bool(self._held)
+
+    @property
+    def unproven(self) -> tuple[bytes, ...]:
+        """The whole events that were not accepted."""
+        held = [event.raw for event in self._held if event.number is not None]
+        return (*held, self._refused) if self._refused else tuple(held)
+
+    def accept_held(self, trust: Trust) -> list[Event]:
+        """Returns events that no later one can prove, as the stream has ended.
+
+        Nothing is accepted inside an event. Events that differ from those that
+        they name are accepted in any case.
+
+        Args:
+            trust: What is believed of the others.
+        """
+        if self._buffer or self.violation:
+            return []
+        accepted = []
+        while self._held and self._is_believed(self._held[0], trust):
+            accepted.append(self._held.pop(0))
+        return accepted
+
+    def _is_believed(self, held: Event, trust: Trust) -> bool:
+        if all(joined.is_disproven for joined in held.joined_ids):
+            return True
+        if trust is Trust.LAST_EVENT:
+            return held.number == self.next_id - 1
+        return trust is Trust.ALL
+
     def feed(self, data: bytes) -> list[Event]:
         """Adds bytes and returns the events that they complete.
 
@@ -101,6 +186,7 @@
             try:
                 self._accept(self._read(raw), events)
             except _InvalidEventError as error:
+                self._refused = raw
                 self._violate(str(error), raw)
                 return events
         self._buffer = self._buffer[begin:]
@@ -116,7 +202,10 @@
         Raises:
             _InvalidEventError: If it came before, joined with another one.
         """
-        if not self._held and not event.joined_numbers:
+        if event.number is not None:
+            self._first = self._first or event
+            self._recent.append(event)
+        if not self._held and not event.joined_ids:
             events.append(event)
             return
         self._held.append(event)
@@ -130,7 +219,10 @@
     ) -> None:
         """Accepts the events that an event proves."""
         for held in self._held:
-            if number in held.joined_numbers and held.raw.endswith(event.raw):
+            is_named = any(
+                joined.number == number for joined in held.joined_ids
+            )
+            if is_named and held.raw.endswith(event.raw):
                 raise _InvalidEventError(
                     f"came before, joined with event {held.number}"
                 )
@@ -182,15 +274,38 @@
             raise _InvalidEventError("not its id")
         if not data_lines:
             raise _InvalidEventError("no data")
-        joined_ids = [
-            found[1]
-            for line in data_lines[:-1]
-            if (found := _JOINED_ID.search(line))
-        ]
-        if ids[0] in joined_ids:
-            raise _InvalidEventError("broken off and sent again")
+        joined_ids: tuple[JoinedId, ...] = ()
+        if len(data_lines) > 1 and raw not in self._repeated:
+            joined_ids = self._find_joined(raw, number)
         self.next_id += 1
-        return Event(raw, data, number, tuple(map(int, joined_ids)))
+        return Event(raw, data, number, joined_ids)
+
+    def _find_joined(self, raw: bytes, number: int) -> tuple[JoinedId, ...]:
+        """Returns the ids of the events that an event may be joined with.
+
+        Raises:
+            _InvalidEventError: If the event was broken off and sent again.
+        """
+        found = []
+        for joined in _joined_ids(raw):
+            if joined.number == number:
+                if _begins_again(raw, joined.offset):
+                    raise _InvalidEventError("broken off and sent again")
+                continue
+            earlier = self._find_earlier(joined.number)
+            if earlier is not None and raw[joined.offset :] != earlier.raw:
+                joined = dataclasses.replace(joined, is_disproven=True)
+            found.append(joined)
+        return tuple(found)
+
+    def _find_earlier(self, number: int) -> Event | None:
+        """Returns an event of this run if it is remembered."""
+        if self._first is not None and self._first.number == number:
+            return self._first
+        for event in self._recent:
+            if event.number == number:
+                return event
+        return None
 
     def _find_plain_data(self, raw: bytes) -> int:
         """Returns where the data of the next event begins; 0 if it is unusual.
@@ -221,12 +336,55 @@
         return values_by_name
 
 
+def _joined_ids(raw: bytes) -> list[JoinedId]:
+    """Returns what ends a line of data like an id, in an event of many lines.
+
+    The last line of data is none, as data has to follow an id.
+    """
+    found: list[JoinedId] = []
+    last: JoinedId | None = None
+    offset = 0
+    for line in raw.splitlines(keepends=True):
+        content = line.rstrip(b"\r\n")
+        if content.partition(b":")[0] == b"data":
+            if last is not None:
+                found.append(last)
+            match = _JOINED_ID.search(content)
+            last = None
+            if match is not None:
+                last = JoinedId(int(match[1]), offset + match.start())
+        offset += len(line)
+    return found
+
+
+def _begins_again(raw: bytes, offset: int) -> bool:
+    """Returns whether an event was broken off and sent again from its start.
+
+    What was broken off is then the beginning of what came after it. Data
+    without a letter or digit is no evidence, as text may have two such lines,
+    nor are lines that differ in their ids alone.
+
+    Args:
+        raw: The event.
+        offset: Where it would begin again.
+    """
+    broken_off = raw[:offset]
+    if not raw.startswith(broken_off, offset):
+        return False
+    if _ID_LINE_END.match(raw, 2 * offset):
+        return False
+    data = broken_off[broken_off.index(b"data:") :]
+    return bool(_WORD.search(_DATA_NAME.sub(b"", data)))
+
+
 def _proof_number(event: Event) -> int:
     """Returns the id whose event shows that another event is sound."""
-    if event.number is None or not event.joined_numbers:
+    if event.number is None or not event.joined_ids:
         return 0
     last = event.number + MAX_DISORDER
-    near = (number for number in event.joined_numbers if number <= last)
+    near = (
+        joined.number for joined in event.joined_ids if joined.number <= last
+    )
     return max([event.number + 1, *near])
 
 
--- a/standins/direct_target.py
+++ b/standins/direct_target.py
@@ -138,6 +138,7 @@
         software_version: Version of its software, as the list names it.
         spoiled_stream: The stream that it spoils.
         spoiled_share: The share of its streams that it spoils at random.
+        text_by_number: The text of some events of its streams.
         rng: Determines these.
         received_s: When each request arrived, on the clock of the loop.
     """
@@ -203,6 +204,7 @@
         self.software_version = ""
         self.spoiled_stream = spoiled_streams.SpoiledStream()
         self.spoiled_share = 0.0
+        self.text_by_number: dict[int, str] = {}
         self.rng = random.Random(1)
         self.received_s: list[float] = []
         self._last_by_connection: dict[int, bytes] = {}
@@ -568,6 +570,17 @@
             writer.write(_chunk(b"d"))
             await writer.drain()
 
+    def stream_body(self) -> bytes:
+        """Returns all events of a sound stream."""
+        return b"".join(map(self._event, range(1, self.pieces + 1)))
+
+    def _event(self, number: int) -> bytes:
+        if number not in self.text_by_number:
+            return EVENT % (number, number)
+        lines = self.text_by_number[number].split("\n")
+        data = "".join(f"data: {line}\n" for line in lines)
+        return f"id: {number}\n{data}\n".encode()
+
     async def _stream(
         self,
         request: Received,
@@ -587,7 +600,7 @@
         kind = "Content-Type: text/event-stream\r\n"
         writer.write(self._head(request, 200, extra=kind, length=-2))
         for number in range(first, self.pieces + 1):
-            event = padding + EVENT % (number, number)
+            event = padding + self._event(number)
             if self.behaviour.endswith("like ids") and number == 2:
                 event = b"id: 2\ndata: ticket id: 3\ndata: closed\n\n"
             if self.behaviour == "cuts inside an event" and number == 3:
--- a/tests/steps/spoiled_stream_steps.py
+++ b/tests/steps/spoiled_stream_steps.py
@@ -86,3 +86,42 @@
 @then("the caller has no events")
 def step_no_events(context):
     assert context.answer.body == b"", context.answer
+
+
+@given("its event {number:d} has the text {text}")
+def step_text(context, number, text):
+    for target in context.targets:
+        target.text_by_number[number] = text.replace(" / ", "\n")
+
+
+@then("the answer is complete and has all events of the target")
+def step_whole(context):
+    target = context.targets[0]
+    answer = context.answer
+    assert answer.is_complete, answer
+    assert answer.body == target.stream_body(), answer.body
+
+
+@then("the last answer is complete and has all events of the target")
+def step_last_whole(context):
+    context.answer = context.answers[-1]
+    step_whole(context)
+
+
+@when("two requests are forwarded, and then event 4 is joined with event 5")
+def step_joined_after_noise(context):
+    (target,) = context.targets
+
+    async def ask_all(entry):
+        ask = direct_entry.ask
+        target.behaviour = "streams"
+        await ask(entry, direct_entry.request("stream", "r1"))
+        target.behaviour = "spoils its stream"
+        await ask(entry, direct_entry.request("stream", "r2"))
+        target.spoiled_stream = spoiled_streams.SpoiledStream(
+            "an event broken off inside its data",
+            end=spoiled_streams.End.ENDS,
+        )
+        return await ask(entry, direct_entry.request("stream", "r3"))
+
+    context.answer = forward_steps.run(context, ask_all)
--- a/tests/steps/stream_event_steps.py
+++ b/tests/steps/stream_event_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from behave import then
+import hypothesis
 from hypothesis import strategies
 
 from lycheering.platform import header_codec
@@ -216,3 +217,117 @@
         reader, passed, _ = read(data.draw(split(b"".join(found))))
         assert passed == b"".join(found), reader.violation
         assert not reader.is_inside_event
+
+
+# what may stand before text that looks like an id
+BEFORE_IDS = [b"", b"- ", b"see ", b"  ", b"pap"]
+
+
+@strategies.composite
+def hostile_events(draw, first=1):
+    """Returns the events of a sound stream whose text looks like events.
+
+    Left out is text that has the bytes of a joined event: what begins like
+    its own event and repeats words of it, and what quotes a later event.
+    """
+    line_end = draw(strategies.sampled_from([b"\n", b"\r\n"]))
+    found = []
+    for number in range(first, first + draw(strategies.integers(1, 12))):
+        lines = []
+        for _ in range(draw(strategies.integers(0, 3))):
+            near = strategies.integers(-9, 9).map(lambda by, n=number: n + by)
+            named = draw(near | strategies.sampled_from([0, number, 10**17]))
+            before = draw(strategies.sampled_from(BEFORE_IDS))
+            gap = draw(strategies.sampled_from([b" ", b"", b"  "]))
+            lines.append(before + b"id:" + gap + b"%d" % max(0, named))
+        quoted = draw(
+            strategies.none() | strategies.sampled_from(found or [b""])
+        )
+        if quoted:
+            text = [value for _, value in _fields(quoted)]
+            lines += [b"said id: " + text[0], *text[1:]]
+        if not quoted or draw(strategies.booleans()):
+            # no line of an id is followed by itself
+            lines.append(b"end of %d" % number)
+        event = b"id: %d\n" % number
+        event += b"".join(b"data: %s\n" % line for line in lines)
+        found.append((event + b"\n").replace(b"\n", line_end))
+    return found
+
+
+def _fields(event):
+    """Returns name and value of each line of an event."""
+    return [
+        (name, value.removeprefix(b" "))
+        for name, _, value in (
+            line.partition(b":") for line in event.splitlines() if line
+        )
+    ]
+
+
+def read_to_end(parts, first, trust, repeated=()):
+    """Returns the reader and what it passes on of a stream that ends."""
+    reader = events.EventReader(first, FIELDS, repeated=repeated)
+    found = [event for part in parts for event in reader.feed(part)]
+    found += reader.accept_held(trust)
+    return reader, b"".join(event.raw for event in found)
+
+
+@then("any text that looks like ids is passed on to the end of its stream")
+def step_hostile(context):
+    first = strategies.shared(strategies.integers(1, 30), key="first")
+    sound = first.flatmap(lambda number: hostile_events(number))
+
+    @any_inputs.check_generated(first, sound, strategies.data())
+    def check(first, found, data):
+        whole = b"".join(found)
+        reader, passed = read_to_end(
+            data.draw(split(whole)), first, events.Trust.ALL
+        )
+        assert not reader.violation, reader.violation
+        assert passed == whole, reader.unproven
+        assert not reader.is_inside_event
+
+
+@then("of text that looks like ids, no event that was joined is passed on")
+def step_hostile_joined(context):
+    @any_inputs.check_generated(hostile_events(), strategies.data())
+    def check(found, data):
+        place = data.draw(strategies.integers(0, len(found) - 1))
+        broken_off = found[place]
+        # a word of its data tells it from text that repeats a list marker
+        begin = broken_off.index(b"data: ") + len(b"data: pap")
+        cut = data.draw(strategies.integers(begin, len(broken_off) - 4))
+        # lines that differ in their ids alone have the bytes of sound text
+        hypothesis.assume(not broken_off.startswith(b"id:", cut))
+        other = data.draw(strategies.integers(0, len(found) - 1))
+        goes_on_at = data.draw(
+            strategies.sampled_from([other + 1, place + 1, len(found)])
+        )
+        if other < place and goes_on_at == place + 1:
+            # sound text that quotes an earlier event has the same bytes
+            goes_on_at = other + 1
+        stream = [*found[:place], broken_off[:cut], found[other]]
+        stream += found[goes_on_at:]
+        reader, passed = read_to_end(
+            data.draw(split(b"".join(stream))), 1, events.Trust.NONE
+        )
+        view = callers_view(passed)
+        assert view == callers_view(b"".join(found))[: len(view)], view
+        assert len(view) <= place or broken_off in passed, view
+
+
+@then("events that were held at the end are accepted if they come once more")
+def step_repeated(context):
+    event = b"id: 2\ndata: see id: 3\ndata: closed\n\n"
+    stream = [b"id: 1\ndata: a\n\n", event]
+    reader, passed = read_to_end(stream, 1, events.Trust.NONE)
+    assert passed == stream[0]
+    assert reader.unproven == (event,)
+    repeated = reader.unproven
+    reader, passed = read_to_end([event], 2, events.Trust.NONE, repeated)
+    assert passed == event
+    other = b"id: 2\ndata: see id: 3\ndata: open\n\n"
+    reader, passed = read_to_end([other], 2, events.Trust.NONE, repeated)
+    assert passed == b""
+    assert reader.is_inside_event
--- a/tests/streams/events.feature
+++ b/tests/streams/events.feature
@@ -29,3 +29,18 @@
   @promise.every_event_once
   Scenario: Sound data that ends like an id is passed on once that event came
     Then sound events whose data ends like an id are passed on byte by byte
+
+  # Sound streams were broken off at text like ids, and at their last event.
+  @promise.every_event_once
+  Scenario: Text that looks like ids does not end a sound stream
+    Then any text that looks like ids is passed on to the end of its stream
+
+  # Guards against joined events beside text that looks like ids.
+  @promise.every_event_once
+  Scenario: Nothing of a joined event is passed on beside text like ids
+    Then of text that looks like ids, no event that was joined is passed on
+
+  # Guards against a stream that each target breaks off at the same sound text.
+  @promise.every_event_once
+  Scenario: What two runs send in the same bytes is sound
+    Then events that were held at the end are accepted if they come once more
