Let the kind of a route decide what may run again

Cause: Route.is_repeatable and four other places asked for the flag of streams without the kind of the route.

Change: Route.resumes_streams, used by all of them and by check-config.

--- a/src/lycheering/config_check/route_tables.py
+++ b/src/lycheering/config_check/route_tables.py
@@ -93,7 +93,7 @@
         yield findings.warning(f"{position}.priority", "negative; 0 is first")
     if not route.is_resumable:
         return
-    if route.kind is not routes.RouteKind.STREAM:
+    if not route.resumes_streams:
         problem = f"no effect: its kind is {route.kind.value!r}"
         yield findings.warning(f"{position}.is_resumable", problem)
     elif route.max_sends < 2:
--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -561,7 +561,7 @@
                 self._record_answered()
         trust = events.Trust.NONE
         if not head.ends_with_connection:
-            is_resumable = self._request.route.is_resumable
+            is_resumable = self._request.route.resumes_streams
             trust = self._state.end_trust(
                 self._runner.now_ms(), is_resumable=is_resumable
             )
@@ -636,7 +636,10 @@
     async def _bind_to_version(self) -> None:
         """Binds a stream to the software version that brings its events."""
         request = self._request
-        if not request.route.is_resumable or request.bound_version is not None:
+        if (
+            not request.route.resumes_streams
+            or request.bound_version is not None
+        ):
             return
         request.bound_version = self._state.target.software_version
         await self._runner.streams.record_begin(
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -280,7 +280,7 @@
             RefusalError: If that version can't be told.
         """
         metadata = request.metadata
-        if not metadata.last_event_id or not request.route.is_resumable:
+        if not metadata.last_event_id or not request.route.resumes_streams:
             return
         try:
             request.bound_version = await self._attempt_runner.streams.find(
@@ -527,7 +527,7 @@
             request.may_have_run = True
             if not request.is_repeatable:
                 return False
-        if request.caller.has_begun and not request.route.is_resumable:
+        if request.caller.has_begun and not request.route.resumes_streams:
             return False
         if (
             request.send_count >= request.route.max_sends
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -275,7 +275,7 @@
     text = metadata.last_event_id
     if route.kind is not route_api.RouteKind.STREAM or not text:
         return text
-    if not route.is_resumable:
+    if not route.resumes_streams:
         return ""
     number = integers.parse_non_negative(text, MAX_EVENT_ID_DIGITS)
     if number is None:
--- a/src/lycheering/routes/records.py
+++ b/src/lycheering/routes/records.py
@@ -42,7 +42,8 @@
         shares: The services that the requests are distributed to.
         max_sends: The highest number of targets that a request may be sent to.
         is_public: Whether requests need no bearer key.
-        is_resumable: Whether a stream may be resumed at another target.
+        is_resumable: Whether a stream may be resumed at another target. It
+            has no effect on routes of other kinds; see `resumes_streams`.
         gap_objective_ms: The longest time between two events with which a
             stream is on time; 0 for any.
     """
@@ -60,10 +61,15 @@
     is_resumable: bool = False
     gap_objective_ms: float = 0.0
 
+    @property
+    def resumes_streams(self) -> bool:
+        """Whether a broken-off answer may go on at another target."""
+        return self.kind is RouteKind.STREAM and self.is_resumable
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a request that may have run may be sent again."""
-        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+        return self.kind is RouteKind.IDEMPOTENT or self.resumes_streams
 
 
 class EngineCapacity(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -48,6 +48,8 @@
     "once": "/once/",
     "stream": "/stream/",
     "resumable stream": "/resume/",
+    "once, resumable": "/once-resumable/",
+    "idempotent, resumable": "/safe-resumable/",
 }
 
 
@@ -196,6 +198,8 @@
             "once": (routes.RouteKind.ONCE, 1, False),
             "stream": (routes.RouteKind.STREAM, 1, False),
             "resumable stream": (routes.RouteKind.STREAM, 2, True),
+            "once, resumable": (routes.RouteKind.ONCE, 2, True),
+            "idempotent, resumable": (routes.RouteKind.IDEMPOTENT, 2, True),
         }
         table_routes = tuple(
             routes.Route(
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -470,3 +470,14 @@
 @then("the other entries are told that the target is leaving")
 def step_told_leaving(context):
     assert len(context.leaving) == 1, context.leaving
+
+
+@when('a request of kind "{kind}" is forwarded from the start')
+def step_from_start(context, kind):
+    step_forward(context, kind)
+
+
+@when('a request of kind "{kind}" is forwarded after event {number:d}')
+def step_after_event(context, kind, number):
+    data = direct_entry.request(kind, Last_Event_Id=str(number), Resumes="r0")
+    context.answer = run(context, lambda entry: direct_entry.ask(entry, data))
