Begin a new cache generation once a team that shared becomes isolated

Cause: the shared cache scope was the weights version alone, so isolation changed only the scope of the team's own later requests. Waiting and repeated requests also kept the scope of their arrival, and a prompt for any weights had a scope that its caller chose.

Change: control instances keep a generation of the shared scope with the table, and who has shared in it. The scope is determined at each send.

--- a/src/lycheering/config_check/route_tables.py
+++ b/src/lycheering/config_check/route_tables.py
@@ -30,6 +30,7 @@
         found += part(table)
     if active is None:
         return findings.Report(found)
+    found += _newly_isolated(active, table)
     differences = list(_differences(active, table))
     if differences and table.revision <= active.revision:
         problem = f"not above {active.revision}, which is in force"
@@ -141,6 +142,20 @@
         yield from _allowance(team, position)
 
 
+def _newly_isolated(
+    active: routes.RouteTable, table: routes.RouteTable
+) -> Iterator[findings.Finding]:
+    shared = {team.name for team in active.teams if not team.is_isolated}
+    for number, team in enumerate(table.teams):
+        if team.is_isolated and team.name in shared:
+            problem = (
+                "the team shared its cache entries: all teams that share"
+                " begin with empty caches"
+            )
+            position = f"teams[{number}] {team.name!r}.is_isolated"
+            yield findings.warning(position, problem)
+
+
 def _allowance(
     team: routes.RouteTableTeam, position: str
 ) -> Iterator[findings.Finding]:
--- a/src/lycheering/control/commands.py
+++ b/src/lycheering/control/commands.py
@@ -217,10 +217,13 @@
     Attributes:
         table: The table.
         source: The table as submitted, stored for callers that read it back.
+        cache_generation: The generation that is known to the proposer; -1 in
+            commands of releases without generations, which change none.
     """
 
     table: route_records.RouteTable
     source: bytes
+    cache_generation: int = -1
 
 
 class NameWeights(msgspec.Struct, frozen=True, array_like=True, tag=31):
--- a/src/lycheering/control/direct/route_admin.py
+++ b/src/lycheering/control/direct/route_admin.py
@@ -50,8 +50,10 @@
         findings = route_api.check_table(table)
         if findings:
             raise InvalidTableError(findings)
+        active = self._group.machine.fleet.route_table
+        generation = active.cache_generation if active is not None else 0
         reply = await self._group.propose_via_leader(
-            commands.PutRouteTable(table, source)
+            commands.PutRouteTable(table, source, generation)
         )
         if isinstance(reply, commands.Refused):
             raise InvalidTableError([reply.detail])
--- a/src/lycheering/control/machine.py
+++ b/src/lycheering/control/machine.py
@@ -16,6 +16,7 @@
 from lycheering.orders import ledger
 from lycheering.orders import records as order_records
 from lycheering.routes import api as route_api
+from lycheering.routes import cache_sharing
 from lycheering.telemetry import logs
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         route_table_source: The route table, byte for byte as it was submitted.
         direct_orders_holder: The instance that sends orders to targets
             without an agent.
+        sharing: Who has shared cache entries; None if nobody has kept it.
     """
 
     highest_fence: int
@@ -45,6 +47,7 @@
     orders: order_records.LedgerSnapshot
     route_table_source: bytes = b""
     direct_orders_holder: str = ""
+    sharing: cache_sharing.SharingHistory | None = None
 
 
 class ControlMachine:
@@ -62,6 +65,7 @@
         route_table_source: The route table, byte for byte as it was submitted.
         direct_orders_holder: The instance that sends orders to targets
             without an agent.
+        sharing: Who has shared cache entries; None if nobody has kept it.
     """
 
     def __init__(self) -> None:
@@ -72,6 +76,7 @@
         self.highest_fence = 0
         self.route_table_source = b""
         self.direct_orders_holder = ""
+        self.sharing: cache_sharing.SharingHistory | None = None
         self._listeners: list[Callable[[], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -102,6 +107,7 @@
                 self.orders.snapshot(),
                 self.route_table_source,
                 self.direct_orders_holder,
+                self.sharing,
             )
         )
 
@@ -116,6 +122,7 @@
         self.highest_fence = state.highest_fence
         self.route_table_source = state.route_table_source
         self.direct_orders_holder = state.direct_orders_holder
+        self.sharing = state.sharing
         self._notify_listeners()
 
     def _notify_listeners(self) -> None:
@@ -162,11 +169,39 @@
         if current is not None and command.table.revision <= current.revision:
             return commands.Applied(False)
         self.route_table_source = command.source
+        table = self._with_cache_generation(current, command)
         self.fleet.add_change(
-            _route_table_change(current, command.table), by_operator=True
+            _route_table_change(current, table), by_operator=True
         )
         return commands.Applied(True)
 
+    def _with_cache_generation(
+        self,
+        current: route_api.RouteTable | None,
+        command: commands.PutRouteTable,
+    ) -> route_api.RouteTable:
+        """Returns the table of a command with its cache generation.
+
+        Commands of releases without generations are applied as these did, so
+        that all instances reach the same state.
+        """
+        generation = current.cache_generation if current is not None else 0
+        if command.cache_generation >= 0:
+            before = generation
+            self.sharing, generation = cache_sharing.update_generation(
+                self.sharing, current, command.table
+            )
+            generation = max(generation, command.cache_generation)
+            if generation > before:
+                _LOG.event(
+                    "cache_generation",
+                    generation=generation,
+                    table=command.table.revision,
+                )
+        return msgspec.structs.replace(
+            command.table, cache_generation=generation
+        )
+
     def _name_weights(self, command: commands.NameWeights) -> commands.Reply:
         current_version = self.fleet.requested_version_by_model.get(
             command.model, 0
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -183,7 +183,7 @@
             target.name: target for target in snapshot.targets
         }
         self.has_teams = snapshot.has_teams
-        self.route_table = snapshot.route_table
+        self._set_route_table(snapshot.route_table)
         self.direct_target_by_key = {
             target.key: target for target in snapshot.direct_targets
         }
@@ -312,12 +312,14 @@
         """Applies a change of routes, weights or targets without an agent."""
         match change:
             case changes.RouteTablePut(table):
-                self.route_table = table
+                self._set_route_table(table)
             case changes.RouteTableChanged(difference):
                 # changes are applied in order, so the previous table is present
                 assert self.route_table is not None
-                self.route_table = table_difference.apply_difference(
-                    self.route_table, difference
+                self._set_route_table(
+                    table_difference.apply_difference(
+                        self.route_table, difference
+                    )
                 )
             case changes.DirectTargetPut(target):
                 self.direct_target_by_key[target.key] = target
@@ -331,6 +333,22 @@
                     -MAX_NAMED_VERSIONS:
                 ]
 
+    def _set_route_table(self, table: route_records.RouteTable | None) -> None:
+        """Sets the table; its cache generation never goes back.
+
+        A control instance of a release without generations names none.
+        """
+        current = self.route_table
+        if (
+            table is not None
+            and current is not None
+            and table.cache_generation < current.cache_generation
+        ):
+            table = msgspec.structs.replace(
+                table, cache_generation=current.cache_generation
+            )
+        self.route_table = table
+
     def _remove_digests(self, team_name: str) -> None:
         team = self.team_by_name.get(team_name)
         if team is not None:
--- a/src/lycheering/forward/forwarder.py
+++ b/src/lycheering/forward/forwarder.py
@@ -218,6 +218,7 @@
         refused_connects = 0
         while True:
             self._check_quarantine(request)
+            self._intake.update_cache_scope(request)
             estimate = self._select_target(request)
             if estimate is None:
                 if self._may_end_unproven(request):
@@ -466,10 +467,12 @@
     ) -> api.SendOptions:
         target = estimate.state.target
         version = target.version_by_model.get(request.metadata.model, 0)
-        scope = str(version) if request.metadata.model else ""
         team = request.team
-        if team is not None and team.is_isolated and scope:
-            scope = f"{scope}.{team.name}"
+        # the table may have changed since the target was selected
+        self._intake.update_cache_scope(request)
+        scope = ""
+        if request.metadata.model:
+            scope = f"{version}{request.cache_scope}"
         send_options = api.SendOptions(
             target_id=target.target_id,
             remaining_ms=self._attempt_runner.remaining_ms(request),
@@ -485,7 +488,7 @@
             request.transfer_plan = prefix_transfer.TransferPlan()
             return dataclasses.replace(
                 send_options,
-                cache_scope=request.metadata.request_id,
+                cache_scope=f"request:{request.metadata.request_id}",
                 weights_version=0,
             )
         plan = prefix_transfer.plan_transfer(
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -15,6 +15,7 @@
 from lycheering.forward import target_selection
 from lycheering.forward import weight_versions
 from lycheering.routes import api as route_api
+from lycheering.routes import cache_sharing
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -148,7 +149,8 @@
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
-        profile = self._profile(metadata, team, route, service.name)
+        cache_scope = self._cache_scope(team)
+        profile = self._profile(metadata, cache_scope, route, service.name)
         first_level = 0
         if metadata.model and self._prompt_order is not None:
             order = self._prompt_order
@@ -176,6 +178,7 @@
             deadline_ms=incoming.arrived_ms + timeout_ms,
             is_ranked=self._prompt_order is not None,
             first_level=first_level,
+            cache_scope=cache_scope,
             profile=profile,
             last_event_id=_resumed_event_id(metadata, route),
         )
@@ -215,10 +218,38 @@
             raise refusals.RefusalError(refusals.Reason.BAD_KEY)
         return team
 
+    def _cache_scope(self, team: route_api.RouteTableTeam | None) -> str:
+        """Returns the cache scope of a team by the table in force."""
+        index = self._current_index()
+        if team is None:
+            return cache_sharing.cache_scope(index.table, None)
+        current = index.team_by_name.get(team.name)
+        return cache_sharing.cache_scope(
+            index.table, current or team, is_removed=current is None
+        )
+
+    def update_cache_scope(
+        self, request: pending_request.PendingRequest
+    ) -> None:
+        """Lets a request use the cache scope of the table in force.
+
+        A team may have become isolated while the request waited.
+        """
+        scope = self._cache_scope(request.team)
+        if scope == request.cache_scope:
+            return
+        request.cache_scope = scope
+        hashes = prefix_cache_model.hash_prefixes(
+            scope, request.metadata.prompt_parts
+        )
+        request.profile = dataclasses.replace(
+            request.profile, prefix_hashes=tuple(hashes)
+        )
+
     def _profile(
         self,
         metadata: api.RequestMetadata,
-        team: route_api.RouteTableTeam | None,
+        cache_scope: str,
         route: route_api.Route,
         service: str,
     ) -> target_selection.RequestProfile:
@@ -226,9 +257,8 @@
             return target_selection.RequestProfile(
                 objective_ms=route.objective_ms
             )
-        scope = team.name if team is not None and team.is_isolated else ""
         prefix_hashes = prefix_cache_model.hash_prefixes(
-            scope, metadata.prompt_parts
+            cache_scope, metadata.prompt_parts
         )
         tokens_in_parts = sum(part.tokens for part in metadata.prompt_parts)
         prompt_tokens = max(metadata.prompt_tokens, tokens_in_parts)
--- a/src/lycheering/forward/pending_request.py
+++ b/src/lycheering/forward/pending_request.py
@@ -60,6 +60,7 @@
             it, not only its arrival.
         first_level: The most urgent level of the routes of its service.
         deadline_ms: Time until which its caller has to be answered.
+        cache_scope: Its cache scope, for one weights version.
         profile: The properties that target selection depends on.
         send_count: Number of times it was sent to a target.
         tried_keys: Keys of targets that must not be selected again.
@@ -114,6 +115,7 @@
     deadline_ms: float
     is_ranked: bool = False
     first_level: int = 0
+    cache_scope: str = ""
     profile: target_selection.RequestProfile = target_selection.RequestProfile()
     send_count: int = 0
     tried_keys: set[str] = dataclasses.field(default_factory=set)
--- a/src/lycheering/routes/difference.py
+++ b/src/lycheering/routes/difference.py
@@ -29,6 +29,7 @@
         teams_put: The added or changed teams.
         teams_removed: The names of the removed teams.
         limits: The caller limits of the new table.
+        cache_generation: The cache generation of the new table.
     """
 
     revision: int
@@ -39,6 +40,7 @@
     teams_put: tuple[records.RouteTableTeam, ...]
     teams_removed: tuple[str, ...]
     limits: records.CallerLimits
+    cache_generation: int = 0
 
 
 def diff_tables(
@@ -63,6 +65,7 @@
         *_diff_items(old.services, new.services, _item_name),
         *_diff_items(old.teams, new.teams, _item_name),
         new.limits,
+        new.cache_generation,
     )
 
 
@@ -99,6 +102,7 @@
             _item_name,
         ),
         difference.limits,
+        difference.cache_generation,
     )
 
 
--- a/src/lycheering/routes/index.py
+++ b/src/lycheering/routes/index.py
@@ -17,6 +17,7 @@
     Attributes:
         table: The route table.
         service_by_name: The table's services by their names.
+        team_by_name: The table's teams by their names.
     """
 
     def __init__(self, table: records.RouteTable) -> None:
@@ -30,6 +31,7 @@
                 route.host.lower(), {}
             )
             route_by_prefix[route.path_prefix] = route
+        self.team_by_name = {team.name: team for team in table.teams}
         self._team_by_digest = {
             digest: team for team in table.teams for digest in team.key_digests
         }
--- a/src/lycheering/routes/records.py
+++ b/src/lycheering/routes/records.py
@@ -186,6 +186,9 @@
         services: The services.
         teams: The teams; if there are none, requests need no bearer key.
         limits: The limits on callers' requests.
+        cache_generation: Number of times that cache entries which teams
+            share were given up, as a team became isolated. The control
+            instances set it, not the submitter.
     """
 
     revision: int
@@ -193,6 +196,7 @@
     services: tuple[Service, ...]
     teams: tuple[RouteTableTeam, ...] = ()
     limits: CallerLimits = CallerLimits()
+    cache_generation: int = 0
 
 
 __all__ = [
--- a/tests/config_check/route_tables.feature
+++ b/tests/config_check/route_tables.feature
@@ -48,6 +48,13 @@
       | teams.0.keys             | ["x"]   | changed team a: keys 1 added, 1 removed |
       | limits.max_body_bytes    | 100000  | changed limits: max_body_bytes 4194304 -> 100000 |
 
+  Scenario: What the isolation of a team costs the others is told
+    Given a route table
+    And the table has in version the value 8
+    And the table has in teams.0.is_isolated the value true
+    When the route table is checked against the sound one
+    Then the check finds "warning: teams[0] 'a'.is_isolated: the team shared its cache entries: all teams that share begin with empty caches"
+
   Scenario: A change under the version in force is an error
     Given a route table
     And the table has in routes.0.timeout_ms the value 2500
