--- a/src/lycheering/config_check/route_tables.py
+++ b/src/lycheering/config_check/route_tables.py
@@ -130,6 +130,18 @@
     if table.teams and table.routes and not closed:
         problem = "no effect: all routes are public"
         yield findings.warning("teams", problem)
+    if closed and not table.needs_key:
+        problem = (
+            f"missing: {len(closed)} routes that are not public are open to"
+            " everybody, without a key"
+        )
+        yield findings.warning("teams", problem)
+    if closed and table.needs_key and not table.teams:
+        problem = (
+            f"empty: all requests to {len(closed)} routes that are not public"
+            " are refused with 401"
+        )
+        yield findings.warning("teams", problem)
     for number, team in enumerate(table.teams):
         position = f"teams[{number}] {team.name!r}"
         if not team.key_digests:
@@ -216,6 +228,8 @@
     )
     yield from _item_differences("team", old.teams, difference.teams_put, _name)
     yield from (f"removed team {name}" for name in difference.teams_removed)
+    if old.needs_key != new.needs_key:
+        yield f"changed teams: needs_key {old.needs_key} -> {new.needs_key}"
     if old.limits != new.limits:
         yield f"changed limits: {_changed_fields(old.limits, new.limits)}"
 
--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -199,7 +199,7 @@
         key: str,
         timeout_ms: float,
     ) -> route_api.RouteTableTeam | None:
-        if route.is_public or not index.table.teams:
+        if route.is_public or not index.table.needs_key:
             return None
         # an outdated table may accept withdrawn keys or reject new ones
         max_wait_ms = min(
--- a/src/lycheering/platform/documents.py
+++ b/src/lycheering/platform/documents.py
@@ -208,6 +208,8 @@
         services=tuple(service.to_record() for service in table.services),
         teams=tuple(team.to_record() for team in table.teams),
         limits=route_api.CallerLimits(**table.limits.model_dump()),
+        # an empty list takes all keys away
+        needs_key="teams" in table.model_fields_set,
     )
 
 
--- a/src/lycheering/routes/difference.py
+++ b/src/lycheering/routes/difference.py
@@ -30,6 +30,7 @@
         teams_removed: The names of the removed teams.
         limits: The caller limits of the new table.
         cache_generation: The cache generation of the new table.
+        needs_key: Whether requests need a bearer key in the new table.
     """
 
     revision: int
@@ -41,6 +42,7 @@
     teams_removed: tuple[str, ...]
     limits: records.CallerLimits
     cache_generation: int = 0
+    needs_key: bool = True
 
 
 def diff_tables(
@@ -66,6 +68,7 @@
         *_diff_items(old.teams, new.teams, _item_name),
         new.limits,
         new.cache_generation,
+        new.needs_key,
     )
 
 
@@ -103,6 +106,7 @@
         ),
         difference.limits,
         difference.cache_generation,
+        difference.needs_key,
     )
 
 
--- a/src/lycheering/routes/records.py
+++ b/src/lycheering/routes/records.py
@@ -184,11 +184,14 @@
             the highest revision is in force.
         routes: The routes.
         services: The services.
-        teams: The teams; if there are none, requests need no bearer key.
+        teams: The teams.
         limits: The limits on callers' requests.
         cache_generation: Number of times that cache entries which teams
             share were given up, as a team became isolated. The control
             instances set it, not the submitter.
+        needs_key: Whether requests need a bearer key of a team, unless their
+            route is public. Records of releases that did not store it need
+            one, as an empty list of teams may have taken all keys away.
     """
 
     revision: int
@@ -197,6 +200,7 @@
     teams: tuple[RouteTableTeam, ...] = ()
     limits: CallerLimits = CallerLimits()
     cache_generation: int = 0
+    needs_key: bool = True
 
 
 __all__ = [
--- a/tests/config_check/route_tables.feature
+++ b/tests/config_check/route_tables.feature
@@ -26,6 +26,7 @@
       | routes.0.objective_ms       | 3000      | a late objective      | warning: routes[0] 'one'.objective_ms: 3000 is over the timeout of 2000: no answer can be late |
       | routes.0.is_resumable       | true      | a resumable call      | warning: routes[0] 'one'.is_resumable: no effect: its kind is 'idempotent' |
       | teams.0.keys                | []        | a team without keys   | warning: teams[0] 'a': nobody can use it: no keys |
+      | teams                       | []        | an empty list of teams | warning: teams: empty: all requests to 2 routes that are not public are refused with 401 |
       | teams.0.burst               | 9         | a burst without rate  | warning: teams[0] 'a'.burst: no effect: without rate_per_s there is no limit |
       | teams.0.plain_tokens        | 9         | tokens without a unit | warning: teams[0] 'a'.plain_tokens: no effect: the team has no allowance of tokens |
       | limits.max_header_bytes     | 5000000   | a large head          | warning: limits.max_header_bytes: over max_body_bytes (4194304) |
@@ -48,6 +49,15 @@
       | teams.0.keys             | ["x"]   | changed team a: keys 1 added, 1 removed |
       | limits.max_body_bytes    | 100000  | changed limits: max_body_bytes 4194304 -> 100000 |
 
+  # Nothing was said of a table that opens all routes.
+  Scenario: What a table without a list of teams does to callers is told
+    Given a route table
+    And the table has in version the value 8
+    And the table has no teams
+    When the route table is checked against the sound one
+    Then the check finds "warning: teams: missing: 2 routes that are not public are open to everybody, without a key"
+    And the differences are "removed team a, changed teams: needs_key True -> False"
+
   Scenario: What the isolation of a team costs the others is told
     Given a route table
     And the table has in version the value 8
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -50,6 +50,7 @@
     "resumable stream": "/resume/",
     "once, resumable": "/once-resumable/",
     "idempotent, resumable": "/safe-resumable/",
+    "public": "/public/",
 }
 
 
@@ -85,6 +86,8 @@
         self.control = control or local_control.LocalControl()
         self.timeout_ms = timeout_ms
         self.team_options = {}
+        self.has_teams = True
+        self.needs_key = True
         self.is_current = True
         self.max_body_bytes = MAX_BODY_BYTES
         self.limits = head_limits.HeadLimits(
@@ -200,6 +203,7 @@
             "resumable stream": (routes.RouteKind.STREAM, 2, True),
             "once, resumable": (routes.RouteKind.ONCE, 2, True),
             "idempotent, resumable": (routes.RouteKind.IDEMPOTENT, 2, True),
+            "public": (routes.RouteKind.IDEMPOTENT, 2, False),
         }
         table_routes = tuple(
             routes.Route(
@@ -213,18 +217,21 @@
                 shares=service_shares,
                 max_sends=sends,
                 is_resumable=resumable,
+                is_public=name == "public",
             )
             for name, (kind, sends, resumable) in options_by_name.items()
         )
         digests = tuple(view.key_digest(key) for key in keys)
+        teams = (routes.RouteTableTeam(TEAM, digests, **self.team_options),)
         table = routes.RouteTable(
             revision,
             table_routes,
             (routes.Service("s", MAX_CONNECTIONS),),
-            (routes.RouteTableTeam(TEAM, digests, **self.team_options),),
+            teams if self.has_teams else (),
             routes.CallerLimits(
                 max_header_bytes=4_096, max_body_bytes=self.max_body_bytes
             ),
+            needs_key=self.needs_key,
         )
         self.apply_change(changes.RouteTablePut(table))
 
--- a/tests/steps/config_check_steps.py
+++ b/tests/steps/config_check_steps.py
@@ -96,6 +96,11 @@
     part[last] = json.loads(value)
 
 
+@given("the table has no teams")
+def step_no_teams(context):
+    del context.document["teams"]
+
+
 @when("the route table is checked")
 def step_check(context):
     context.report = route_tables.check(read(context.document))
