Begin a sharing generation once a team shares fewer prompt levels

Cause: the salt of shared levels was the model alone, so a lower number of shared levels changed only the team's own later requests.

Change: the fleet view keeps the config revision of the last change that may leave somebody with fewer shared levels; it is a part of the shared salt and goes with each request.

Measured: 10 new scenarios of tests/fleet/view.feature and one each of runs, prompt_pieces and api pass.

--- a/src/lycheering/agent/kv_policy.py
+++ b/src/lycheering/agent/kv_policy.py
@@ -41,7 +41,7 @@
     if not (leave_export_ms and context.peer_departures.has_recent):
         # only targets that leave export pieces of single teams, so a look-up
         # of those is in vain at other times
-        salt = prompt_pieces.shared_salt(submit.model)
+        salt = prompt_pieces.shared_salt(submit.model, submit.shared_generation)
         missing = [piece_key for piece_key in missing if piece_key.salt == salt]
     count = await transfer.import_missing(
         missing, version, context.cost_model.piece_ms
--- a/src/lycheering/agent/requests.py
+++ b/src/lycheering/agent/requests.py
@@ -80,7 +80,7 @@
     prompt = split_prompt(context, submit)
     piece_keys = prompt.piece_keys(submit.model, version)
     keys = tuple(piece_key.key for piece_key in piece_keys)
-    salt = prompt_pieces.shared_salt(submit.model)
+    salt = prompt_pieces.shared_salt(submit.model, submit.shared_generation)
     shared_piece_keys = tuple(
         piece_key for piece_key in piece_keys if piece_key.salt == salt
     )
@@ -148,6 +148,7 @@
         model=submit.model,
         team=submit.team,
         piece_chars=context.settings.piece_chars,
+        generation=submit.shared_generation,
     )
 
 
--- a/src/lycheering/cache/prompt_pieces.py
+++ b/src/lycheering/cache/prompt_pieces.py
@@ -132,9 +132,14 @@
         return uncached_chars / piece_chars
 
 
-def shared_salt(model: str) -> str:
-    """Returns the cache salt of the levels that all teams share."""
-    return f"shared:{model}"
+def shared_salt(model: str, generation: int = 0) -> str:
+    """Returns the cache salt of the levels that all teams share.
+
+    Args:
+        model: The model.
+        generation: The sharing generation of the fleet view.
+    """
+    return f"shared.{generation}:{model}" if generation else f"shared:{model}"
 
 
 def team_salt(team: str) -> str:
@@ -166,6 +171,7 @@
     model: str,
     team: str,
     piece_chars: int,
+    generation: int = 0,
 ) -> SplitPrompt:
     """Splits a prompt at the ends of its levels and each level into pieces.
 
@@ -176,17 +182,20 @@
         model: The model, which determines the salt of the shared levels.
         team: The team, which determines the salt of the other levels.
         piece_chars: Number of characters in a full-size piece.
+        generation: The sharing generation, which determines the salt of the
+            shared levels as well.
 
     Returns:
         The pieces with their salts.
     """
+    common_salt = shared_salt(model, generation)
     ends = valid_level_ends(level_ends, len(text))
     shared_count = min(max(shared_levels, 0), len(ends))
     shared_end = ends[shared_count - 1] if shared_count else 0
     pieces: list[str] = []
     salts: list[str] = []
     for start, end in itertools.pairwise([0, *ends, len(text)]):
-        salt = shared_salt(model) if end <= shared_end else team_salt(team)
+        salt = common_salt if end <= shared_end else team_salt(team)
         for piece_start in range(start, end, piece_chars):
             pieces.append(
                 text[piece_start : min(piece_start + piece_chars, end)]
--- a/src/lycheering/entry/attempt.py
+++ b/src/lycheering/entry/attempt.py
@@ -136,6 +136,7 @@
             content_type=job.content_type,
             ticket=self._ticket,
             share_use=self._decision.fair_share_ratio,
+            shared_generation=job.levels.shared_generation,
         )
         try:
             channel.send(submit, ttl_ms)
--- a/src/lycheering/entry/request_parser.py
+++ b/src/lycheering/entry/request_parser.py
@@ -236,7 +236,12 @@
             raise refusals.bad_request(str(error)) from error
         shared_count = self._view.fleet.integer("prefix.shared_levels", subject)
         return prefix_levels.from_declared_ends(
-            prompt, ends, model=body.model, team=team, shared_count=shared_count
+            prompt,
+            ends,
+            model=body.model,
+            team=team,
+            shared_count=shared_count,
+            shared_generation=self._view.fleet.shared_generation,
         )
 
     def _priority_class(
--- a/src/lycheering/fleet/view.py
+++ b/src/lycheering/fleet/view.py
@@ -21,6 +21,7 @@
 MAX_RECENT_CHANGES = 1_000
 # weights versions requested for a model, of which a whole view has the latest
 MAX_NAMED_VERSIONS = 32
+SHARED_LEVELS = "prefix.shared_levels"
 
 
 class Subject(msgspec.Struct, frozen=True):
@@ -70,6 +71,7 @@
             instances of an earlier release.
         weights_requests_by_model: Version and wall-clock time of the latest
             requests for each model, the oldest first.
+        shared_generation: The sharing generation.
     """
 
     view_revision: int
@@ -84,6 +86,7 @@
     requested_version_by_model: dict[str, int] = {}
     named_wall_ms_by_model: dict[str, int] = {}
     weights_requests_by_model: dict[str, tuple[tuple[int, int], ...]] = {}
+    shared_generation: int = 0
 
 
 class ViewGapError(Exception):
@@ -112,6 +115,9 @@
             each model.
         weights_requests_by_model: Version and wall-clock time of the latest
             requests for each model, the oldest first.
+        shared_generation: Config revision of the last change after which some
+            team or model shares fewer levels of prompts. What was cached as
+            shared before is not used any more, as it may be a team's own now.
     """
 
     def __init__(self) -> None:
@@ -128,6 +134,7 @@
         self.weights_requests_by_model: dict[
             str, tuple[tuple[int, int], ...]
         ] = {}
+        self.shared_generation = 0
         self._team_by_digest: dict[str, records.Team] = {}
         self._value_by_scope_by_option: dict[
             str, dict[records.Scope, options.OptionValue]
@@ -159,6 +166,7 @@
                 for model, named in self.weights_requests_by_model.items()
             },
             dict(self.weights_requests_by_model),
+            self.shared_generation,
         )
 
     def restore(self, snapshot: ViewSnapshot) -> bool:
@@ -197,6 +205,9 @@
             model: ((version, snapshot.named_wall_ms_by_model.get(model, 0)),)
             for model, version in snapshot.requested_version_by_model.items()
         }
+        self.shared_generation = max(
+            self.shared_generation, snapshot.shared_generation
+        )
         self._recent_changes.clear()
         self._index_teams()
         self._index_exceptions()
@@ -284,6 +295,8 @@
         self.view_revision = item.view_revision
         self.config_revision = item.config_revision
         self._recent_changes.append(item)
+        if self._shares_fewer_levels(item.change):
+            self.shared_generation = item.config_revision
         match item.change:
             case changes.DefaultSet(option, value):
                 self.value_by_option[option] = value
@@ -308,6 +321,37 @@
             case _:
                 self._apply_direct(item.change)
 
+    def _shares_fewer_levels(self, change: changes.Change) -> bool:
+        """Returns whether some scope may share fewer levels after a change."""
+        match change:
+            case changes.DefaultSet(option, value) if option == SHARED_LEVELS:
+                return int(value) < self.integer(SHARED_LEVELS)
+            case changes.ExceptionAdded(record) if (
+                record.option == SHARED_LEVELS
+            ):
+                others = self._shared_levels(record.scope)
+                before = self._value_by_scope_by_option.get(
+                    SHARED_LEVELS, {}
+                ).get(record.scope)
+                if before is not None:
+                    others = [int(before)]
+                return int(record.value) < max(others)
+            case changes.ExceptionRemoved(exception_id):
+                removed = self.exception_by_id.get(exception_id)
+                if removed is None or removed.option != SHARED_LEVELS:
+                    return False
+                others = self._shared_levels(removed.scope)
+                return min(others) < int(removed.value)
+        return False
+
+    def _shared_levels(self, scope: records.Scope) -> list[int]:
+        """Returns the default and the values of all scopes but one."""
+        values = self._value_by_scope_by_option.get(SHARED_LEVELS, {})
+        return [
+            self.integer(SHARED_LEVELS),
+            *(int(value) for other, value in values.items() if other != scope),
+        ]
+
     def _apply_direct(self, change: changes.Change) -> None:
         """Applies a change of routes, weights or targets without an agent."""
         match change:
--- a/src/lycheering/routing/levels.py
+++ b/src/lycheering/routing/levels.py
@@ -34,6 +34,7 @@
         shared_count: How many of the outermost levels are shared among teams.
         ranking_level: The index of the level that targets are ranked by.
         prompt_pieces: Number of cache pieces of the whole prompt.
+        shared_generation: The sharing generation of the shared levels.
     """
 
     ends: tuple[int, ...] = ()
@@ -42,6 +43,7 @@
     shared_count: int = 0
     ranking_level: int = 0
     prompt_pieces: int = 0
+    shared_generation: int = 0
 
     @property
     def rank_key(self) -> str:
@@ -98,6 +100,7 @@
     model: str,
     team: str,
     shared_count: int,
+    shared_generation: int = 0,
 ) -> Levels:
     """Returns the levels of a prompt whose caller declared their ends.
 
@@ -107,6 +110,7 @@
         model: The requested model.
         team: The team that sent the request.
         shared_count: How many of the outermost levels are shared among teams.
+        shared_generation: The sharing generation of the fleet view.
 
     Returns:
         The levels. Targets are ranked by the innermost shared one, or by
@@ -116,7 +120,15 @@
         return Levels()
     shared_count = min(shared_count, len(ends))
     ranking_level = shared_count - 1 if shared_count else max(0, len(ends) - 2)
-    return _build(prompt, tuple(ends), model, team, shared_count, ranking_level)
+    return _build(
+        prompt,
+        tuple(ends),
+        model,
+        team,
+        shared_count,
+        ranking_level,
+        shared_generation,
+    )
 
 
 def from_message_ends(
@@ -151,14 +163,18 @@
     team: str,
     shared_count: int,
     ranking_level: int,
+    shared_generation: int = 0,
 ) -> Levels:
+    shared_scope = SHARED_SCOPE
+    if shared_generation:
+        shared_scope = f"{SHARED_SCOPE}.{shared_generation}"
     keys: list[str] = []
     cumulative_pieces: list[int] = []
     parent = xxhash.xxh3_128_digest(model.encode())
     start = 0
     piece_count = 0
     for index, end in enumerate(ends):
-        scope = SHARED_SCOPE if index < shared_count else f"team:{team}"
+        scope = shared_scope if index < shared_count else f"team:{team}"
         hasher = xxhash.xxh3_128(parent)
         hasher.update(scope.encode())
         hasher.update(b"\0")
@@ -176,6 +192,7 @@
         shared_count,
         ranking_level,
         piece_count + tail_pieces,
+        shared_generation,
     )
 
 
--- a/src/lycheering/wire/messages/requests.py
+++ b/src/lycheering/wire/messages/requests.py
@@ -44,6 +44,8 @@
         ticket: The claim, for an order; None for other requests.
         share_use: The team's demand for all targets through the sender, as a
             multiple of its fair share; 0 while all demand is met.
+        shared_generation: The sharing generation of the sender's view, to
+            which its number of shared levels belongs.
     """
 
     request_id: str
@@ -66,6 +68,7 @@
     content_type: str = "application/json"
     ticket: OrderTicket | None = None
     share_use: float = 0.0
+    shared_generation: int = 0
 
 
 class Resume(msgspec.Struct, frozen=True, array_like=True, tag=21):
--- a/tests/agent/runs.feature
+++ b/tests/agent/runs.feature
@@ -113,6 +113,14 @@
     When team "a" submits its prompt again
     Then it finds 2 of its pieces cached
 
+  # Guards against pieces of a team that no longer shares their level.
+  @promise.no_foreign_cache
+  Scenario: What was shared in an earlier generation is not found
+    Given an agent beside an engine
+    When teams "a" and "b" submit prompts that share 1 of 2 levels
+    And team "b" submits its prompt in sharing generation 4
+    Then it finds 0 of its pieces cached
+
   Scenario: A caller can't choose its cache salt
     Given an agent beside an engine
     When a caller sets the cache salt "team:other" in its body
--- a/tests/cache/prompt_pieces.feature
+++ b/tests/cache/prompt_pieces.feature
@@ -10,6 +10,15 @@
     When 1 of its levels is shared
     Then its salts are "shared:m, shared:m, team:t, team:t"
 
+  # Guards against pieces of one sharing generation under the salt of another.
+  @promise.no_foreign_cache
+  Scenario: No shared piece has its key in two sharing generations
+    Given a prompt of 12000 characters with levels ending at 4000 and 8000
+    When 2 of its levels is shared
+    Then its salts in generation 7 are "shared.7:m, shared.7:m, team:t"
+    And no key in generation 7 is one of generation 0 or 8
+    And neither is a key by which targets are ranked
+
   Scenario: Level ends outside the prompt or out of order are ignored
     Given a prompt of 5000 characters with levels ending at 3000 and 2000
     Then its pieces have 3000, 2000 characters
--- a/tests/entry/api.feature
+++ b/tests/entry/api.feature
@@ -86,6 +86,13 @@
     When a caller sends header "X-Priority-Class" with value "check"
     Then the agent got priority 10, a deadline within 10000 ms and a level key
 
+  # Guards against shared pieces of a team that has stopped sharing them.
+  @promise.no_foreign_cache
+  Scenario: A request carries the sharing generation of its shared levels
+    Given the option "prefix.shared_levels" is 1 for team "team-a"
+    When a caller posts {"model":"m","messages":[{"role":"u","content":"xyz"}],"prefix_levels":[1,2]} to "/v1/chat/completions"
+    Then the agent got 2 shared levels of the sharing generation in force
+
   Scenario: A restarted entry chooses the same targets as before
     When the caller asks for 10 different chats
     And the entry restarts
--- a/tests/fleet/view.feature
+++ b/tests/fleet/view.feature
@@ -13,6 +13,27 @@
       | failure_domain                           | failure_domain |
       | none                                     | default        |
 
+  # A team's pieces were found by others after it stopped sharing their levels.
+  @promise.no_foreign_cache
+  Scenario Outline: <changes> begins <count> sharing generations
+    Given a fleet view with 2 shared levels of prompts
+    When its shared levels are changed by "<changes>"
+    Then <count> of the changes began a sharing generation
+    And a peer of the view has the same sharing generation
+
+    Examples:
+      | changes                     | count |
+      | default=1                   | 1     |
+      | default=3                   | 0     |
+      | team a=0                    | 1     |
+      | team a=2                    | 0     |
+      | team a=3, remove team a     | 1     |
+      | team a=0, remove team a     | 1     |
+      | team a=0, team a=1          | 1     |
+      | team a=0, team a=1, team a=0 | 2    |
+      | model m=1, team a=1         | 2     |
+      | other=1                     | 0     |
+
   Scenario: An exception for another name does not apply
     Given a fleet view with an exception of target other
     Then the fleet value for target t, team a, service s, model m in d is of "default"
--- a/tests/steps/agent_steps.py
+++ b/tests/steps/agent_steps.py
@@ -374,7 +374,12 @@
     ask(context, team_submit(context, team))
 
 
-def team_submit(context, team):
+@when('team "{team}" submits its prompt in sharing generation {number:d}')
+def step_in_generation(context, team, number):
+    ask(context, team_submit(context, team, shared_generation=number))
+
+
+def team_submit(context, team, **fields):
     # both levels have the same text for all teams, but only the first one is
     # shared
     prompt = "a" * (PIECE_CHARS - len("user\n")) + "b" * PIECE_CHARS
@@ -387,6 +392,7 @@
         level_ends=ends,
         shared_levels=1,
         level_keys=("archive", f"archive/{team}"),
+        **fields,
     )
 
 
--- a/tests/steps/cache_steps.py
+++ b/tests/steps/cache_steps.py
@@ -18,14 +18,21 @@
 from lycheering.cache import index_sync
 from lycheering.cache import prompt_pieces
 from lycheering.entry import request_bodies
+from lycheering.routing import levels
 from lycheering.telemetry import counters
 from standins.engine import cache as engine_cache
 from standins.engine import messages as engine_messages
 
 
-def split(text, ends, shared=0, team="t", piece_chars=4_000):
+def split(text, ends, shared=0, team="t", piece_chars=4_000, generation=0):
     return prompt_pieces.split_prompt(
-        text, ends, shared, model="m", team=team, piece_chars=piece_chars
+        text,
+        ends,
+        shared,
+        model="m",
+        team=team,
+        piece_chars=piece_chars,
+        generation=generation,
     )
 
 
@@ -249,3 +256,41 @@
 def step_gap(context):
     assert context.source.requested_seqs[0] == context.listing.seq + 1
     assert context.counters.value_by_name["cache.gap"] >= 1
+
+
+def split_in_generation(context, generation):
+    return split(
+        context.prompt_text,
+        context.ends,
+        context.shared_levels,
+        generation=generation,
+    )
+
+
+@then('its salts in generation {generation:d} are "{salts}"')
+def step_generation_salts(context, generation, salts):
+    found = split_in_generation(context, generation).salts
+    assert ", ".join(found) == salts, found
+
+
+@then("no key in generation 7 is one of generation 0 or 8")
+def step_generation_keys(context):
+    found = [set(keys(split_in_generation(context, n))) for n in (0, 7, 8)]
+    assert all(len(item) == 3 for item in found)
+    assert len(set.union(*found)) == 9
+
+
+@then("neither is a key by which targets are ranked")
+def step_generation_levels(context):
+    found = [
+        levels.from_declared_ends(
+            context.prompt_text,
+            context.ends,
+            model="m",
+            team="t",
+            shared_count=context.shared_levels,
+            shared_generation=generation,
+        )
+        for generation in (0, 7, 8)
+    ]
+    assert len({key for item in found for key in item.keys}) == 6
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -394,6 +394,15 @@
     assert submit.level_ends
 
 
+@then(
+    "the agent got {count:d} shared levels of the sharing generation in force"
+)
+def step_submitted_generation(context, count):
+    (submit,) = [s for a in context.fleet.engines for s in a.submits]
+    assert submit.shared_levels == count, submit
+    assert submit.shared_generation > 0, submit
+
+
 @when("the caller asks for {count:d} different chats")
 def step_ask_many(context, count):
     for number in range(count):
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -60,6 +60,63 @@
             context.fleet.add_change(change, by_operator=True)
 
 
+@given("a fleet view with 2 shared levels of prompts")
+def step_shared_levels(context):
+    context.fleet = view.FleetView()
+    assert context.fleet.integer(view.SHARED_LEVELS) == 2
+
+
+def sharing_change(text):
+    """Returns the change that a text such as `team a=1` stands for."""
+    name, _, value = text.partition("=")
+    if name == "other":
+        return changes.DefaultSet(OPTION, int(value))
+    if name == "default":
+        return changes.DefaultSet(view.SHARED_LEVELS, int(value))
+    kind, _, subject = name.removeprefix("remove ").partition(" ")
+    exception_id = f"{kind}-{subject}"
+    if not value:
+        return changes.ExceptionRemoved(exception_id)
+    scope = records.Scope(options.ScopeKind(kind), subject)
+    return changes.ExceptionAdded(
+        records.ExceptionRecord(
+            exception_id,
+            scope,
+            view.SHARED_LEVELS,
+            int(value),
+            "why",
+            "ada",
+            1,
+        )
+    )
+
+
+@when('its shared levels are changed by "{texts}"')
+def step_change_sharing(context, texts):
+    found = [context.fleet.shared_generation]
+    for text in texts.split(", "):
+        context.fleet.add_change(sharing_change(text), by_operator=True)
+        found.append(context.fleet.shared_generation)
+    assert found == sorted(found), found
+    context.generation_count = len(set(found)) - 1
+
+
+@then("{count:d} of the changes began a sharing generation")
+def step_generation_count(context, count):
+    assert context.generation_count == count, context.generation_count
+
+
+@then("a peer of the view has the same sharing generation")
+def step_peer_generation(context):
+    generation = context.fleet.shared_generation
+    by_changes = view.FleetView()
+    by_changes.apply_changes(context.fleet.changes_since(0))
+    assert by_changes.shared_generation == generation
+    whole = view.FleetView()
+    whole.restore(context.fleet.snapshot(with_teams=False))
+    assert whole.shared_generation == generation
+
+
 @given("a fleet view with an exception of target other")
 def step_other(context):
     context.fleet = view.FleetView()
