Use no target whose list entry lacks a field

Cause: version, cold_remaining_ms, models and a model's version were optional when the list was read.

Change: the fields that each entry has are required; engines that name no model of their service are left out by the poller, which knows the services.

--- a/src/lycheering/control/direct/target_list_poller.py
+++ b/src/lycheering/control/direct/target_list_poller.py
@@ -12,6 +12,7 @@
 from lycheering.control.direct import store_watcher
 from lycheering.replication import errors
 from lycheering.telemetry import logs
+from lycheering.telemetry import repeated_warning
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +22,7 @@
     from lycheering import clock
     from lycheering.control import replica
     from lycheering.fleet import records
+    from lycheering.routes import api as route_api
     from lycheering.telemetry import counters
 
 IDLE_CHECK_INTERVAL_MS = 100
@@ -28,6 +30,40 @@
 _LOG = logs.get("target_list")
 
 
+_WITHOUT_MODEL = repeated_warning.RepeatedWarning(_LOG, "target_without_model")
+
+
+def usable_targets(
+    listed: Iterable[records.DirectTarget], table: route_api.RouteTable
+) -> list[records.DirectTarget]:
+    """Returns the targets on a list without engines that name no model.
+
+    The weights of such an engine are not known, so nothing may run there.
+
+    Args:
+        listed: The targets on the list.
+        table: The route table, which says what engines serve.
+    """
+    models_by_service = {
+        service.name: frozenset(service.engine.models)
+        for service in table.services
+        if service.engine is not None
+    }
+    usable = []
+    for target in listed:
+        served = models_by_service.get(target.service)
+        named = target.version_by_model.keys()
+        if served is not None and not (named & served if served else named):
+            _WITHOUT_MODEL.warn(
+                target.target_id,
+                target=target.target_id,
+                service=target.service,
+            )
+            continue
+        usable.append(target)
+    return usable
+
+
 def compute_target_changes(
     active_by_key: Mapping[str, records.DirectTarget],
     listed: Iterable[records.DirectTarget],
@@ -142,6 +178,8 @@
     async def _update_targets(self) -> None:
         listed = await self._list.read()
         fleet = self._group.machine.fleet
+        if fleet.route_table is not None:
+            listed = usable_targets(listed, fleet.route_table)
         store_services = store_watcher.store_by_service(fleet)
         active_by_key = {
             key: target
--- a/src/lycheering/platform/instance_list.py
+++ b/src/lycheering/platform/instance_list.py
@@ -40,20 +40,27 @@
 
 class _LoadedModel(msgspec.Struct):
     name: _Text
-    version: _Count = 0
+    version: _Count
 
 
-class _Instance(msgspec.Struct):
+class _Instance(msgspec.Struct, kw_only=True):
+    """An entry of the list, which is malformed without one of its fields.
+
+    Only engines have models, and not all lists have the time of the start.
+    """
+
     id: _Id
     service: _Text
     address: _Text
     failure_domain: _Text
     slots: _Count
     state: _Text
+    # of the software, not of the weights
+    version: _Text
+    # not used
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
     models: Annotated[list[_LoadedModel], msgspec.Meta(max_length=64)] = []
     born: _Count = 0
-    # of the software, not of the weights
-    version: _Text = ""
 
 
 class _Page(msgspec.Struct):
--- a/tests/control/direct/targets.feature
+++ b/tests/control/direct/targets.feature
@@ -1,5 +1,22 @@
 Feature: The list of direct targets
 
+  # Engines whose entry lacked its models ran prompts on weights nobody knew.
+  @promise.no_old_weights
+  Scenario Outline: An entry of service <service> with the models <models> is <fate>
+    When the list has an entry of service "<service>" with the models "<models>"
+    Then the entry is <fate>
+
+    Examples:
+      | service   | models | fate    |
+      | engines   | m      | used    |
+      | engines   | m, n   | used    |
+      | engines   | none   | skipped |
+      | engines   | n      | skipped |
+      | unlabeled | n      | used    |
+      | unlabeled | none   | skipped |
+      | plain     | none   | used    |
+      | unknown   | none   | used    |
+
   Scenario: New targets on the list are added, and missing ones are removed
     Given the direct targets a, b and c are active
     When the list names a, c and d
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -73,7 +73,8 @@
     When a list with well-formed and malformed entries is read
     Then only the well-formed entries are targets
 
-  # One odd entry made the whole list unreadable, or could not be stored.
+  # One odd entry made the whole list unreadable, could not be stored, or named
+  # a target although it lacked a field.
   Scenario Outline: One odd entry of the list leaves the others in force
     When a list with a good entry and one that <oddity> is read
     Then only the good entry is a target, and it can be stored
@@ -95,6 +96,23 @@
       | has the port -1                      |
       | has a bare word as its id            |
       | has brackets in a text and no state  |
+      | lacks its id                         |
+      | lacks its service                    |
+      | lacks its address                    |
+      | lacks its failure_domain             |
+      | lacks its slots                      |
+      | lacks its state                      |
+      | lacks its version                    |
+      | lacks its cold_remaining_ms          |
+      | has an array as its id               |
+      | has an array as its service          |
+      | has an array as its address          |
+      | has an array as its failure_domain   |
+      | has an array as its slots            |
+      | has an array as its state            |
+      | has an array as its version          |
+      | has an array as its cold_remaining_ms |
+      | has a model without its version      |
 
   Scenario Outline: Integers that can't be stored are findings
     When a document with 10^30 as its <field> is read
--- a/tests/soak/direct_fleet.py
+++ b/tests/soak/direct_fleet.py
@@ -94,6 +94,8 @@
                 "state": "ready",
                 "models": [],
                 "born": 1,
+                "version": "v1",
+                "cold_remaining_ms": 0,
             }
             for number, (name, proxy) in enumerate(
                 targets.proxy_by_name.items()
--- a/tests/steps/any_input_steps.py
+++ b/tests/steps/any_input_steps.py
@@ -82,6 +82,8 @@
     "state": "ready",
     "models": [{"name": "m", "version": 1}],
     "born": 0,
+    "version": "v1",
+    "cold_remaining_ms": 0,
 }
 VALUES = strategies.one_of(
     strategies.none(),
--- a/tests/steps/direct_list_steps.py
+++ b/tests/steps/direct_list_steps.py
@@ -9,6 +9,7 @@
 
 from lycheering.control.direct import target_list_poller
 from lycheering.fleet import records
+from lycheering.routes import api as routes
 
 
 def target(name, version=1, born_ms=1, **fields):
@@ -35,6 +36,33 @@
     return [item.target_id for item in targets]
 
 
+@when('the list has an entry of service "{service}" with the models "{models}"')
+def step_entry_with_models(context, service, models):
+    names = [] if models == "none" else models.split(", ")
+    listed = msgspec.structs.replace(
+        target("a"),
+        service=service,
+        version_by_model=dict.fromkeys(names, 1),
+    )
+    table = routes.RouteTable(
+        1,
+        (),
+        (
+            routes.Service(
+                "engines", engine=routes.EngineCapacity(8, 9, ("m",))
+            ),
+            routes.Service("unlabeled", engine=routes.EngineCapacity(8, 9)),
+            routes.Service("plain"),
+        ),
+    )
+    context.usable = target_list_poller.usable_targets([listed], table)
+
+
+@then("the entry is {fate}")
+def step_fate(context, fate):
+    assert len(context.usable) == int(fate == "used"), context.usable
+
+
 @given("the direct targets a, b and c are active")
 def step_active(context):
     context.active_by_key = {t.key: t for t in map(target, "abc")}
--- a/tests/steps/translation_steps.py
+++ b/tests/steps/translation_steps.py
@@ -39,6 +39,8 @@
     "state": "leaving",
     "models": [{"name": "m", "version": 3}],
     "born": 5,
+    "version": "v1",
+    "cold_remaining_ms": 0,
 }
 HEADER_CODEC = header_codec.PlatformHeaderCodec()
 
@@ -259,6 +261,7 @@
         {"m": 3},
         False,
         5,
+        "v1",
     )
     expected_second = msgspec.structs.replace(
         first, target_id="i-2", state=records.TargetState.LIVE
@@ -290,6 +293,7 @@
     "has weights of the version 10^30": lambda: damaged(
         b'"version": 3', b'"version": ' + HUGE
     ),
+    "has a model without its version": lambda: damaged(b', "version": 3', b""),
     "has an id with a lone surrogate": lambda: damaged(b"odd", b"\\ud800"),
     "has an id that is not UTF-8": lambda: damaged(b"odd", b"\xff\xfe"),
     "has an id of two lines": lambda: damaged(b"odd", b"a\\r\\nb"),
@@ -304,6 +308,15 @@
 }
 
 
+for field in LIST_ENTRY.keys() - {"models", "born"}:
+    ODD_ENTRY_BY_ODDITY[f"lacks its {field}"] = lambda name=field: json.dumps(
+        {key: value for key, value in LIST_ENTRY.items() if key != name}
+    ).encode()
+    ODD_ENTRY_BY_ODDITY[f"has an array as its {field}"] = lambda name=field: (
+        json.dumps({**LIST_ENTRY, name: []}).encode()
+    )
+
+
 @when("a list with a good entry and one that {oddity} is read")
 def step_odd_entry(context, oddity):
     odd = ODD_ENTRY_BY_ODDITY[oddity]()
