Keep the wait for a predecessor's lease across elections

Cause: a holder that was elected again found itself as the holder before and dropped the wait that was left.

Change: the wait that was begun stays, and a process that has not been the holder itself always waits.

--- a/src/lycheering/control/direct/weights_rollout.py
+++ b/src/lycheering/control/direct/weights_rollout.py
@@ -144,6 +144,8 @@
         self._accepted_version_by_key: dict[str, int] = {}
         self._mean_out_ms = INITIAL_MEAN_OUT_MS
         self._fence = 0
+        # whether this process has had a fencing number
+        self._has_held = False
         # engines whose refusal of a fencing number led to another one
         self._fencing_keys: set[str] = set()
         self._orders_allowed_from_ms = 0.0
@@ -179,21 +181,25 @@
         """Acquires a new fencing number.
 
         Orders of another previous holder may still reach engines, so the
-        first order has to wait until its lease has expired.
+        first order has to wait until its lease has expired. A holder that is
+        elected again goes on with the wait that it began, and a process that
+        has not been the holder before can't know of one.
         """
         reply = await self._group.propose(commands.TakeDirectOrders(self._name))
         if not isinstance(reply, commands.DirectOrdersTaken):
             raise errors.UnavailableError(str(reply))
         self._fence = reply.fence
-        wait_ms = 0.0
-        if reply.previous_holder not in ("", self._name):
-            wait_ms = self._settings.lease_ms
-        self._orders_allowed_from_ms = self._clock.now_ms() + wait_ms
+        now_ms = self._clock.now_ms()
+        was_holder = self._has_held and reply.previous_holder == self._name
+        self._has_held = True
+        if reply.previous_holder and not was_holder:
+            self._orders_allowed_from_ms = now_ms + self._settings.lease_ms
+        wait_ms = max(0.0, self._orders_allowed_from_ms - now_ms)
         _LOG.event(
             "order_fence_acquired",
             fence=reply.fence,
             previous_holder=reply.previous_holder,
-            wait_ms=wait_ms,
+            wait_ms=round(wait_ms),
         )
 
     async def _release_updated_engines(self) -> None:
--- a/tests/control/direct/weights.feature
+++ b/tests/control/direct/weights.feature
@@ -86,6 +86,30 @@
     When 10 s more pass
     Then every engine has weights 2
 
+  # A holder that was elected twice ordered within its predecessor's lease.
+  @promise.one_holder
+  Scenario Outline: A holder that <event> waits for its predecessor's lease
+    Given 4 engines on weights 1
+    And another instance gave orders before
+    And the instance <event>
+    When weights 2 are named and 2 s pass
+    Then no order was given
+    When 10 s more pass
+    Then every engine has weights 2
+
+    Examples:
+      | event                               |
+      | is elected again after 600 ms       |
+      | was the holder, and then started    |
+
+  @promise.one_holder
+  Scenario: A holder that is elected again begins no second wait
+    Given 4 engines on weights 1
+    And another instance gave orders before
+    And the instance is elected again after 2000 ms
+    When weights 2 are named and 4 s pass
+    Then an order was given
+
   @promise.one_holder
   Scenario: An instance that is not the leader gives no orders
     Given 4 engines on weights 1
--- a/tests/steps/weights_rollout_steps.py
+++ b/tests/steps/weights_rollout_steps.py
@@ -247,6 +247,28 @@
     asyncio.run(context.group.propose(commands.TakeDirectOrders("other")))
 
 
+@given("the instance is elected again after {delay_ms:d} ms")
+def step_elected_again(context, delay_ms):
+    context.elected_again_after_ms = delay_ms
+
+
+@given("the instance was the holder, and then started")
+def step_was_holder(context):
+    asyncio.run(context.group.propose(commands.TakeDirectOrders("own")))
+
+
+async def lose_leadership_once(context, after_ms):
+    await context.time.sleep(after_ms)
+    context.group.is_leading = False
+    await context.time.sleep(200)
+    context.group.is_leading = True
+
+
+@then("an order was given")
+def step_ordered(context):
+    assert context.early_order_count > 0
+
+
 @given("the instance is not the leader")
 def step_not_leader(context):
     context.group.is_leading = False
@@ -289,6 +311,11 @@
     context.held_sample_counts = collections.Counter()
     context.running_samples = []
     sampling = asyncio.create_task(_sample_held(context))
+    elected_again_after_ms = getattr(context, "elected_again_after_ms", 0)
+    if elected_again_after_ms:
+        context.loss = asyncio.create_task(
+            lose_leadership_once(context, elected_again_after_ms)
+        )
     try:
         await group.propose(commands.NameWeights(MODEL, versions[0]))
         if len(versions) > 1:
