Refuse tables with unknown services beside shares, or keys twice

Cause: the check sees the record of a route, which has its shares alone, and tells teams apart by their names.

Change: both are checked where the document is read.

--- a/src/lycheering/platform/documents.py
+++ b/src/lycheering/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Literal
 
@@ -12,6 +13,9 @@
 from lycheering.routes import api as route_api
 from lycheering.settings import model
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 MAX_FINDINGS = 20
 
 
@@ -202,6 +206,9 @@
         table = _Table.model_validate_json(data)
     except pydantic.ValidationError as error:
         raise DocumentError(_findings(error)) from error
+    findings = [*_unknown_services(table), *_shared_keys(table)]
+    if findings:
+        raise DocumentError(findings[:MAX_FINDINGS])
     return route_api.RouteTable(
         revision=table.version,
         routes=tuple(route.to_record() for route in table.routes),
@@ -213,6 +220,31 @@
     )
 
 
+def _unknown_services(table: _Table) -> Iterator[str]:
+    """Yields findings of services that routes name beside their shares.
+
+    The record of a route has its shares alone, so that the table's own check
+    does not see such a service.
+    """
+    names = {service.name for service in table.services}
+    for number, route in enumerate(table.routes):
+        if route.shares and route.service and route.service not in names:
+            yield f"routes.{number}.service: unknown service {route.service!r}"
+
+
+def _shared_keys(table: _Table) -> Iterator[str]:
+    """Yields findings of keys that two teams of one name have.
+
+    The table's own check tells teams apart by their names.
+    """
+    first_number_by_key: dict[tuple[str, str], int] = {}
+    for number, team in enumerate(table.teams):
+        for key in team.keys:
+            first = first_number_by_key.setdefault((team.name, key), number)
+            if first != number:
+                yield f"teams.{number}: has a bearer key of teams.{first}"
+
+
 def read_weights(data: bytes) -> tuple[str, int]:
     """Parses a document that names the weights version of a model.
 
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -68,6 +68,13 @@
       | has two fields of a wrong type | 2     |
       | is not JSON                    | 1     |
       | has a store without a port     | 1     |
+      | names a service it lacks beside sound shares | 1 |
+      | has two teams of one name with one key | 1 |
+
+  # Documents that the platform calls invalid were put in force.
+  Scenario: A service beside shares and a key twice in one team are sound
+    When the platform's document names a service twice and a key twice
+    Then the table has its two shares
 
   Scenario: Malformed entries of the list are skipped
     When a list with well-formed and malformed entries is read
--- a/tests/steps/translation_steps.py
+++ b/tests/steps/translation_steps.py
@@ -191,6 +191,19 @@
     assert table.limits.max_body_bytes == 2
 
 
+@when("the platform's document names a service twice and a key twice")
+def step_sound_repeats(context):
+    changed = json.loads(json.dumps(platform_document.DOCUMENT))
+    changed["routes"][1]["service"] = "s"
+    changed["teams"][0]["keys"] = ["a", "a"]
+    context.table_read = documents.read_table(json.dumps(changed).encode())
+
+
+@then("the table has its two shares")
+def step_shares(context):
+    assert len(context.table_read.routes[1].shares) == 2
+
+
 @when("the platform's document {defect}")
 def step_defect(context, defect):
     changed = json.loads(json.dumps(platform_document.DOCUMENT))
@@ -198,6 +211,10 @@
         del changed["routes"]
     if defect == "has a store without a port":
         changed["services"][2]["kv_store_addr"] = "10.0.0.1"
+    if defect == "names a service it lacks beside sound shares":
+        changed["routes"][1]["service"] = "unknown"
+    if defect == "has two teams of one name with one key":
+        changed["teams"].append({"name": "t", "keys": ["b", "c"]})
     if defect == "has two fields of a wrong type":
         changed["routes"][0]["host"] = 5
         changed["services"][0]["name"] = None
