Read the memory limit of the control group

The default of max_held_bytes was a quarter of the machine's memory, also where the control group of the process may use less, so that a crowd could have ended the process there.

Change: the smallest memory limit of the process's control groups counts, of both versions of control groups.

--- a/src/lycheering/settings/model.py
+++ b/src/lycheering/settings/model.py
@@ -224,7 +224,8 @@
 
     Attributes:
         max_held_bytes: Bytes of memory that requests and unread responses may
-            take; 0 allows a quarter of the machine's memory. Beyond it, the
+            take; 0 allows a quarter of the memory of the machine, or of the
+            control group if that may use less. Beyond it, the
             connections whose incomplete requests take the most for the
             longest time are ended, and new requests are refused with 503
             while those that are being served take all of it.
--- a/src/lycheering/web/held_bytes.py
+++ b/src/lycheering/web/held_bytes.py
@@ -20,8 +20,10 @@
     from lycheering.telemetry import counters
 
 MEMORY_FILE = pathlib.Path("/proc/meminfo")
+CONTROL_GROUPS_FILE = pathlib.Path("/proc/self/cgroup")
+CONTROL_GROUPS_FOLDER = pathlib.Path("/sys/fs/cgroup")
 BYTES_PER_KB = 1_024
-# of the machine's memory, if the settings name no limit
+# of the memory that the process may use, if the settings name no limit
 MEMORY_SHARE = 0.25
 DEFAULT_MEMORY_BYTES = 1_073_741_824
 # of the descriptors; targets, peers and files need the others
@@ -236,6 +238,50 @@
     return DEFAULT_MEMORY_BYTES
 
 
+def control_group_memory_bytes(
+    groups_file: pathlib.Path = CONTROL_GROUPS_FILE,
+    folder: pathlib.Path = CONTROL_GROUPS_FOLDER,
+) -> float:
+    """Returns the memory that the process's control groups may use.
+
+    The smallest limit of a group and those that it is in applies; infinite
+    without a limit.
+
+    Args:
+        groups_file: Names the control groups of the process.
+        folder: Where control groups are mounted.
+    """
+    try:
+        lines = groups_file.read_text().splitlines()
+    except OSError:
+        return math.inf
+    limit = math.inf
+    for line in lines:
+        hierarchy, _, controllers_and_path = line.partition(":")
+        controllers, colon, path = controllers_and_path.partition(":")
+        if hierarchy == "0" and colon and not controllers:
+            mounted, name = folder, "memory.max"
+        elif "memory" in controllers.split(","):
+            mounted, name = folder / "memory", "memory.limit_in_bytes"
+        else:
+            continue
+        group = pathlib.PurePosixPath(path.lstrip("/"))
+        if ".." in group.parts:
+            # the group is outside of what is mounted
+            group = pathlib.PurePosixPath()
+        for part in (group, *group.parents):
+            limit = min(limit, _read_limit(mounted / part / name))
+    return limit
+
+
+def _read_limit(file: pathlib.Path) -> float:
+    try:
+        text = file.read_text().strip()
+    except (OSError, UnicodeDecodeError):
+        return math.inf
+    return int(text) if text.isdecimal() and int(text) else math.inf
+
+
 def max_descriptors() -> float:
     """Returns how many descriptors the process may open."""
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -250,13 +296,13 @@
     """Returns the bounds of a process.
 
     Args:
-        settings: The settings; what is 0 there follows from the machine.
+        settings: The settings; what is 0 there follows from the machine and
+            the control groups of the process.
         counts: The counters of the process.
         time: The clock.
     """
-    max_bytes = settings.max_held_bytes or int(
-        MEMORY_SHARE * machine_memory_bytes()
-    )
+    memory_bytes = min(machine_memory_bytes(), control_group_memory_bytes())
+    max_bytes = settings.max_held_bytes or int(MEMORY_SHARE * memory_bytes)
     max_connections = settings.max_connections or min(
         MAX_CONNECTIONS, DESCRIPTOR_SHARE * max_descriptors()
     )
@@ -266,6 +312,7 @@
 __all__ = [
     "HeldBytes",
     "HeldConnection",
+    "control_group_memory_bytes",
     "from_settings",
     "machine_memory_bytes",
     "max_descriptors",
--- a/tests/steps/held_bytes_steps.py
+++ b/tests/steps/held_bytes_steps.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import pathlib
 import re
+import tempfile
 
 from behave import given
 from behave import then
@@ -99,6 +102,28 @@
     assert held_bytes.machine_memory_bytes([line]) == size
 
 
+@given('the control groups "{groups}" with the limits "{limits}"')
+def step_groups(context, groups, limits):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.groups_folder = pathlib.Path(folder) / "mounted"
+    context.groups_file = pathlib.Path(folder) / "groups"
+    lines = [groups] if groups == "no group" else groups.split()
+    context.groups_file.write_text("".join(f"{line}\n" for line in lines))
+    for limit in limits.split():
+        name, _, value = limit.partition("=")
+        file = context.groups_folder / name
+        file.parent.mkdir(parents=True, exist_ok=True)
+        file.write_text(f"{value}\n")
+
+
+@then("the memory of the control groups is {size}")
+def step_group_memory(context, size):
+    found = held_bytes.control_group_memory_bytes(
+        context.groups_file, context.groups_folder
+    )
+    assert found == (math.inf if size == "none" else int(size)), found
+
+
 class CountingApplication:
     """Answers each request with its path.
 
--- a/tests/web/held_bytes.feature
+++ b/tests/web/held_bytes.feature
@@ -34,6 +34,24 @@
       | MemTotal: many        | 1073741824 |
       | MemFree: 10 kB        | 1073741824 |
 
+  # Processes took a quarter of the machine where their group had less.
+  Scenario Outline: Of the groups "<groups>" with <limits>, the memory is <bytes>
+    Given the control groups "<groups>" with the limits "<limits>"
+    Then the memory of the control groups is <bytes>
+
+    Examples:
+      | groups                 | limits                                    | bytes |
+      | 0::/a/b                | a/b/memory.max=900                        | 900   |
+      | 0::/a/b                | a/b/memory.max=900 a/memory.max=500       | 500   |
+      | 0::/a/b                | a/b/memory.max=max a/memory.max=500       | 500   |
+      | 0::/                   | memory.max=700                            | 700   |
+      | 0::/../of/host         | memory.max=700                            | 700   |
+      | 0::/a                  | a/memory.max=max                          | none  |
+      | 0::/a                  | a/memory.max=-5                           | none  |
+      | 3:cpu,memory:/c 1:x:/d | memory/c/memory.limit_in_bytes=800        | 800   |
+      | 3:cpu:/c               | memory/c/memory.limit_in_bytes=800        | none  |
+      | no group               | memory.max=700                            | none  |
+
   # 4,000 requests were begun at once, and more with each answer.
   Scenario: Requests sent ahead are begun as earlier ones are answered
     Given an HTTP server that counts the requests that are open
