Serve teams whatever their names are

Callers of a team whose name is no Latin-1 text got 500 for each request, and a control character in a name ended the header.

Cause: names from the route table were encoded as headers without a check.

Change: UTF-8 where Latin-1 has no such letter, ? for control characters, and percent-encoded names in cache scopes.

--- a/src/lycheering/platform/header_codec.py
+++ b/src/lycheering/platform/header_codec.py
@@ -161,7 +161,7 @@
         if send_options.weights_version:
             added[WEIGHTS_VERSION_HEADER] = str(send_options.weights_version)
         forwarded += [
-            (name, value.encode("latin-1"))
+            (name, _encode_value(value))
             for name, value in added.items()
             if value
         ]
@@ -250,6 +250,16 @@
     return value_by_name
 
 
+def _encode_value(value: str) -> bytes:
+    """Returns a header value; names of teams may have any characters."""
+    if not value.isprintable():
+        value = "".join(char if char.isprintable() else "?" for char in value)
+    try:
+        return value.encode("latin-1")
+    except UnicodeEncodeError:
+        return value.encode("utf-8", "replace")
+
+
 def _connection_options(headers: api.Headers) -> set[bytes]:
     """Returns the header names that `Connection` marks as hop-by-hop."""
     options: set[bytes] = set()
--- a/src/lycheering/routes/cache_sharing.py
+++ b/src/lycheering/routes/cache_sharing.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import urllib.parse
+
 import msgspec
 
 from lycheering.routes import records
@@ -41,7 +43,8 @@
             nothing then, as the history counts it as one that has shared.
     """
     if team is not None and (team.is_isolated or is_removed):
-        return f".{team.name}"
+        # as a header; two names never become one
+        return f".{urllib.parse.quote(team.name)}"
     return f":{table.cache_generation}" if table.cache_generation else ""
 
 
--- a/tests/helpers/direct_entry.py
+++ b/tests/helpers/direct_entry.py
@@ -87,6 +87,7 @@
         self.timeout_ms = timeout_ms
         self.team_options = {}
         self.has_teams = True
+        self.team = TEAM
         self.needs_key = True
         self.is_current = True
         self.max_body_bytes = MAX_BODY_BYTES
@@ -222,7 +223,9 @@
             for name, (kind, sends, resumable) in options_by_name.items()
         )
         digests = tuple(view.key_digest(key) for key in keys)
-        teams = (routes.RouteTableTeam(TEAM, digests, **self.team_options),)
+        teams = (
+            routes.RouteTableTeam(self.team, digests, **self.team_options),
+        )
         table = routes.RouteTable(
             revision,
             table_routes,
--- a/tests/steps/cache_sharing_steps.py
+++ b/tests/steps/cache_sharing_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+
+from behave import given
 from behave import then
 from behave import when
 
@@ -137,3 +140,33 @@
 @then("the cache scopes of its runs are {scopes}")
 def step_scopes(context, scopes):
     assert context.scopes == scopes.split(" and "), context.scopes
+
+
+@given("the team has the name {name} and {isolation}")
+def step_team_name(context, name, isolation):
+    async def put(entry):
+        entry.team = json.loads(name)
+        entry.team_options = {"is_isolated": isolation == "is isolated"}
+        entry.put_table(revision=2)
+
+    forward_steps.add_preparation(context, put)
+
+
+@when("a prompt of the team is forwarded")
+def step_prompt(context):
+    data = direct_entry.request(
+        "idempotent", X_Model="m", X_Prefix_Hash="p:500,q:100"
+    )
+    context.answer = forward_steps.run(
+        context, lambda entry: direct_entry.ask(entry, data)
+    )
+
+
+@then("the target got the team {team} and the cache scope {scope}")
+def step_got_team(context, team, scope):
+    (got,) = context.targets[0].received
+    text = got.value_by_header["x-tenant"]
+    # the target reads its headers as Latin-1
+    expected = json.loads(team)
+    assert text in (expected, expected.encode().decode("latin-1")), ascii(text)
+    assert got.value_by_header["x-cache-salt"] == json.loads(scope)
