--- a/tests/forward/texts_like_ids.feature
+++ b/tests/forward/texts_like_ids.feature
@@ -48,3 +48,22 @@
     When two requests are forwarded, and then event 4 is joined with event 5
     Then the caller has the events 1, 2, 3 in order
     And the answer is incomplete
+
+  # Guards against the loss of events that were held when the entry stopped.
+  @promise.whole
+  Scenario: An entry that stops passes a held event on once it is proven
+    Given a direct target that streams
+    And the target sends an event every 100 ms
+    And its event 2 has the text see id: 4 / closed
+    When the entry starts to drain during a stream
+    Then the rest of the stream has the text see id: 4 and is complete
+
+  # Guards against events that are passed on unproven as the time is up.
+  @promise.every_event_once
+  Scenario: Nothing of a held event is passed on at the deadline
+    Given a direct target that streams
+    And the target sends an event every 900 ms
+    And its event 2 has the text see id: 4 / closed
+    When a request of kind "stream" is forwarded
+    Then the caller has the events 1 in order
+    And the answer is incomplete
--- a/tests/steps/spoiled_stream_steps.py
+++ b/tests/steps/spoiled_stream_steps.py
@@ -125,3 +125,9 @@
         return await ask(entry, direct_entry.request("stream", "r3"))
 
     context.answer = forward_steps.run(context, ask_all)
+
+
+@then("the rest of the stream has the text {text} and is complete")
+def step_rest(context, text):
+    assert text.encode() in context.rest, context.rest
+    assert context.rest.endswith(b"0\r\n\r\n"), context.rest
