Trust no target by ends in doubt alone

A target that joined its last events once was trusted the next time, as an end in doubt counted like a whole stream.

Change: only ends without doubt count, or three in a row with doubt and nothing broken off, as for a target whose answers are all of such text.

--- a/src/lycheering/forward/attempt.py
+++ b/src/lycheering/forward/attempt.py
@@ -552,29 +552,41 @@
         while data := await connection.read_part(self._remaining_ms()):
             self._state.last_byte_ms = self._runner.now_ms()
             await self._forward_events(reader.feed(data), head)
-            if reader.has_held_number:
+            if reader.has_held:
                 self._mark_body()
             if reader.violation:
                 raise client.InvalidResponseError(reader.violation)
             if not is_proven and self.progress.is_proven(self._runner.now_ms()):
                 is_proven = True
                 self._record_answered()
+        await self._end_events(reader, head)
+
+    async def _end_events(
+        self, reader: events.EventReader, head: connection_pool.ResponseHead
+    ) -> None:
+        """Forwards what is believed of the held events of a stream that ended.
+
+        Raises:
+            ExchangeBrokenError: If something is left.
+        """
+        is_end_proven = not head.ends_with_connection
         trust = events.Trust.NONE
-        if not head.ends_with_connection:
-            is_resumable = self._request.route.resumes_streams
+        if is_end_proven:
             trust = self._state.end_trust(
-                self._runner.now_ms(), is_resumable=is_resumable
+                self._runner.now_ms(),
+                is_resumable=self._request.route.resumes_streams,
             )
-            self._state.record_end()
         await self._forward_events(reader.accept_held(trust), head)
-        if reader.has_held_number:
+        if reader.is_cut:
+            if is_end_proven:
+                self._state.record_broken_off(self._runner.now_ms())
+            raise client.ExchangeBrokenError("stream ended inside an event")
+        if is_end_proven:
+            self._state.record_end(is_doubtful=reader.has_held)
+        if reader.has_held:
             raise client.ExchangeBrokenError(
                 "stream ended with events that may be joined with others"
             )
-        if reader.is_inside_event:
-            if not head.ends_with_connection:
-                self._state.record_broken_off(self._runner.now_ms())
-            raise client.ExchangeBrokenError("stream ended inside an event")
 
     async def _begin_empty_stream(
         self, head: connection_pool.ResponseHead
--- a/src/lycheering/forward/target_state.py
+++ b/src/lycheering/forward/target_state.py
@@ -34,6 +34,9 @@
 MAX_SENDS_DURING_BACK_OFF = 2
 # how long a target that broke an event off is not trusted
 BROKEN_OFF_TTL_MS = 60_000.0
+# Streams in a row whose end is doubted; after them, it is the text that looks
+# like ids in all answers of a target.
+MAX_DOUBTFUL_ENDS = 3
 
 _LOG = logs.get("targets")
 _IMPOSSIBLE_LOAD = repeated_warning.RepeatedWarning(_LOG, "impossible_load")
@@ -112,6 +115,7 @@
         self._sends_during_back_off = 0
         self._failures = 0
         self._has_ended_stream = False
+        self._doubtful_ends = 0
         self._broken_off_ms = -math.inf
         self.prefill_rate = prefill_rates.TargetPrefillRate(service_rate)
         self.pace = work_pace.WorkPace()
@@ -420,13 +424,19 @@
         self._failures = 0
         self.suspect_until_ms = 0.0
 
-    def record_end(self) -> None:
-        """Records that it ended a stream in a way that proves the end."""
-        self._has_ended_stream = True
+    def record_end(self, *, is_doubtful: bool) -> None:
+        """Records that it ended a stream in a way that proves the end.
+
+        Args:
+            is_doubtful: Whether the last events may be joined with others.
+        """
+        self._doubtful_ends += is_doubtful
+        self._has_ended_stream |= not is_doubtful
 
     def record_broken_off(self, now_ms: float) -> None:
         """Records that it broke an event off, or sent what is none."""
         self._broken_off_ms = now_ms
+        self._doubtful_ends = 0
 
     def end_trust(self, now_ms: float, *, is_resumable: bool) -> events.Trust:
         """Returns what is believed of a stream whose end it proves.
@@ -438,7 +448,7 @@
         """
         if now_ms - self._broken_off_ms < BROKEN_OFF_TTL_MS:
             return events.Trust.NONE
-        if self._has_ended_stream:
+        if self._has_ended_stream or self._doubtful_ends >= MAX_DOUBTFUL_ENDS:
             return events.Trust.ALL
         return events.Trust.NONE if is_resumable else events.Trust.LAST_EVENT
 
--- a/src/lycheering/streams/events.py
+++ b/src/lycheering/streams/events.py
@@ -129,15 +129,20 @@
         )
 
     @property
-    def is_inside_event(self) -> bool:
-        """Whether an event has begun and is not accepted yet."""
-        return bool(self._buffer or self._held)
+    def is_cut(self) -> bool:
+        """Whether the last event has begun and is not whole."""
+        return bool(self._buffer)
 
     @property
-    def has_held_number(self) -> bool:
-        """Whether a numbered event has come and is not accepted yet."""
+    def has_held(self) -> bool:
+        """Whether a whole event has come and is not accepted yet."""
         return bool(self._held)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not accepted yet."""
+        return self.is_cut or self.has_held
+
     @property
     def unproven(self) -> tuple[bytes, ...]:
         """The whole events that were not accepted."""
--- a/tests/steps/spoiled_stream_steps.py
+++ b/tests/steps/spoiled_stream_steps.py
@@ -131,3 +131,12 @@
 def step_rest(context, text):
     assert text.encode() in context.rest, context.rest
     assert context.rest.endswith(b"0\r\n\r\n"), context.rest
+
+
+@then("each of the answers has the events {numbers} and is incomplete")
+def step_each_incomplete(context, numbers):
+    expected = [int(text) for text in numbers.split(", ")]
+    for answer in context.answers:
+        assert forward_steps.event_numbers(answer) == expected, answer
+        assert not answer.is_complete, answer
+        assert not answer.is_ended_unframed, answer
