Draw the soak's requests from the kinds that its fleet serves

The soak of direct targets ended with KeyError: it drew from the kinds of the tests' entry, which has had two more since, and a third since.

Change: it draws from the kinds whose number of sends it checks, the same as before.

--- a/tests/soak/direct_soak.py
+++ b/tests/soak/direct_soak.py
@@ -130,7 +130,7 @@
             )
 
     async def _exchange(self, reader, writer):
-        kind = self._rng.choice(list(direct_entry.PATH_BY_KIND))
+        kind = self._rng.choice(list(MAX_SENDS_BY_KIND))
         request_id = f"soak-{next(self._numbers)}"
         resumed_id, seen = "", 0
         if kind == "resumable stream" and self._broken:
@@ -336,7 +336,7 @@
     findings = []
     give_up_s = time.monotonic() + soak.RECOVERY_S
     for name in fleet.names("entry-"):
-        for kind in direct_entry.PATH_BY_KIND:
+        for kind in MAX_SENDS_BY_KIND:
             while not asyncio.run(_is_answered(fleet, name, kind)):
                 if time.monotonic() > give_up_s:
                     findings.append(f"{name} does not answer a {kind}")
