Move the search for joined ids into a module of its own

streams/events.py had grown by two parts of one question: whether text in an event may be another event's id, and what is done with such an event.

--- a/src/lycheering/platform/instance_list.py
+++ b/src/lycheering/platform/instance_list.py
@@ -57,7 +57,7 @@
     state: _Text
     # of the software, not of the weights
     version: _Text
-    # not used
+    # of no use here, but an entry without it is not the platform's
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
     models: Annotated[list[_LoadedModel], msgspec.Meta(max_length=64)] = []
     born: _Count = 0
--- a/src/lycheering/streams/events.py
+++ b/src/lycheering/streams/events.py
@@ -8,24 +8,18 @@
 import re
 from typing import TYPE_CHECKING
 
+from lycheering.streams import joined_ids
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
 MAX_EVENT_BYTES = 1_048_576
 MAX_REPORTED_BYTES = 40
-# how far ahead of its place an event may come that was joined with another one
-MAX_DISORDER = 8
 
 _TOO_LARGE = f"larger than {MAX_EVENT_BYTES} bytes"
 _STANDARD_FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 _LINE_END = re.compile(rb"\r?\n")
 _EVENT_END = re.compile(rb"\n\r?\n")
-# what the line of an id leaves at the end of a line that was broken off
-_JOINED_ID = re.compile(rb"id: *(\d{1,18})\Z")
-_ID_LINE_END = re.compile(rb"id: *\d{1,18}\r?\n")
-_DATA_NAME = re.compile(rb"^data: ?", re.MULTILINE)
-# letters and digits; indentation and list markers recur in sound text
-_WORD = re.compile(rb"[0-9A-Za-z\x80-\xff]")
 
 
 class Trust(enum.Enum):
@@ -44,21 +38,6 @@
     ALL = "all"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JoinedId:
-    """Text inside the data of an event that may be the id of another one.
-
-    Attributes:
-        number: The id.
-        offset: Where the other event would begin.
-        is_disproven: Whether that event came before with other bytes.
-    """
-
-    number: int
-    offset: int
-    is_disproven: bool = False
-
-
 @dataclasses.dataclass(slots=True)
 class Event:
     """A numbered event, or a block that has no place in their order.
@@ -67,14 +46,21 @@
         raw: Its bytes, with the blank line that ends it.
         data: Its data, lines joined by line feeds.
         number: Its id; None for a comment, a retry time or the end mark.
-        joined_ids: The other events that may be joined with the rest of this
-            one, if it was broken off inside its data.
+        joined: The other events that may be joined with the rest of this one,
+            if it was broken off inside its data.
     """
 
     raw: bytes
     data: bytes = b""
     number: int | None = None
-    joined_ids: tuple[JoinedId, ...] = ()
+    joined: tuple[joined_ids.JoinedId, ...] = ()
+
+    @property
+    def proof_number(self) -> int:
+        """Id of the event that shows that this one is sound; 0 without need."""
+        if self.number is None or not self.joined:
+            return 0
+        return joined_ids.proof_number(self.number, self.joined)
 
 
 class _InvalidEventError(Exception):
@@ -125,7 +111,7 @@
         # the events to which a faulty target would go back
         self._first: Event | None = None
         self._recent: collections.deque[Event] = collections.deque(
-            maxlen=MAX_DISORDER
+            maxlen=joined_ids.MAX_DISORDER
         )
 
     @property
@@ -166,7 +152,7 @@
         return accepted
 
     def _is_believed(self, held: Event, trust: Trust) -> bool:
-        if all(joined.is_disproven for joined in held.joined_ids):
+        if all(named.is_disproven for named in held.joined):
             return True
         if trust is Trust.LAST_EVENT:
             return held.number == self.next_id - 1
@@ -210,7 +196,7 @@
         if event.number is not None:
             self._first = self._first or event
             self._recent.append(event)
-        if not self._held and not event.joined_ids:
+        if not self._held and not event.joined:
             events.append(event)
             return
         self._held.append(event)
@@ -224,9 +210,7 @@
     ) -> None:
         """Accepts the events that an event proves."""
         for held in self._held:
-            is_named = any(
-                joined.number == number for joined in held.joined_ids
-            )
+            is_named = any(named.number == number for named in held.joined)
             if is_named and held.raw.endswith(event.raw):
                 raise _InvalidEventError(
                     f"came before, joined with event {held.number}"
@@ -234,7 +218,7 @@
         waiting = (
             index
             for index, held in enumerate(self._held)
-            if _proof_number(held) > number
+            if held.proof_number > number
         )
         proven_count = next(waiting, len(self._held))
         events += self._held[:proven_count]
@@ -279,22 +263,24 @@
             raise _InvalidEventError("not its id")
         if not data_lines:
             raise _InvalidEventError("no data")
-        joined_ids: tuple[JoinedId, ...] = ()
+        joined: tuple[joined_ids.JoinedId, ...] = ()
         if len(data_lines) > 1 and raw not in self._repeated:
-            joined_ids = self._find_joined(raw, number)
+            joined = self._find_joined(raw, number)
         self.next_id += 1
-        return Event(raw, data, number, joined_ids)
+        return Event(raw, data, number, joined)
 
-    def _find_joined(self, raw: bytes, number: int) -> tuple[JoinedId, ...]:
+    def _find_joined(
+        self, raw: bytes, number: int
+    ) -> tuple[joined_ids.JoinedId, ...]:
         """Returns the ids of the events that an event may be joined with.
 
         Raises:
             _InvalidEventError: If the event was broken off and sent again.
         """
         found = []
-        for joined in _joined_ids(raw):
+        for joined in joined_ids.find(raw):
             if joined.number == number:
-                if _begins_again(raw, joined.offset):
+                if joined_ids.begins_again(raw, joined.offset):
                     raise _InvalidEventError("broken off and sent again")
                 continue
             earlier = self._find_earlier(joined.number)
@@ -341,56 +327,4 @@
         return values_by_name
 
 
-def _joined_ids(raw: bytes) -> list[JoinedId]:
-    """Returns what ends a line of data like an id, in an event of many lines.
-
-    The last line of data is none, as data has to follow an id.
-    """
-    found: list[JoinedId] = []
-    last: JoinedId | None = None
-    offset = 0
-    for line in raw.splitlines(keepends=True):
-        content = line.rstrip(b"\r\n")
-        if content.partition(b":")[0] == b"data":
-            if last is not None:
-                found.append(last)
-            match = _JOINED_ID.search(content)
-            last = None
-            if match is not None:
-                last = JoinedId(int(match[1]), offset + match.start())
-        offset += len(line)
-    return found
-
-
-def _begins_again(raw: bytes, offset: int) -> bool:
-    """Returns whether an event was broken off and sent again from its start.
-
-    What was broken off is then the beginning of what came after it. Data
-    without a letter or digit is no evidence, as text may have two such lines,
-    nor are lines that differ in their ids alone.
-
-    Args:
-        raw: The event.
-        offset: Where it would begin again.
-    """
-    broken_off = raw[:offset]
-    if not raw.startswith(broken_off, offset):
-        return False
-    if _ID_LINE_END.match(raw, 2 * offset):
-        return False
-    data = broken_off[broken_off.index(b"data:") :]
-    return bool(_WORD.search(_DATA_NAME.sub(b"", data)))
-
-
-def _proof_number(event: Event) -> int:
-    """Returns the id whose event shows that another event is sound."""
-    if event.number is None or not event.joined_ids:
-        return 0
-    last = event.number + MAX_DISORDER
-    near = (
-        joined.number for joined in event.joined_ids if joined.number <= last
-    )
-    return max([event.number + 1, *near])
-
-
 __all__ = ["MAX_EVENT_BYTES", "Event", "EventReader"]
