Reset calls to targets that have failed

Cause: a failed call was closed like an answered one, which sends what is pending.

Change: a call that has failed after its first byte is reset.

--- a/src/lycheering/web/byte_stream.py
+++ b/src/lycheering/web/byte_stream.py
@@ -6,6 +6,7 @@
 import fcntl
 import os
 import socket
+import struct
 import sys
 import termios
 import typing
@@ -15,6 +16,8 @@
 # Reading from the network pauses while more received bytes are unread.
 MAX_UNREAD_BYTES = 131_072
 ACKNOWLEDGE_POLL_S = 0.005
+# option of a socket that is reset when it is closed
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ByteStream(asyncio.Protocol):
@@ -144,10 +147,23 @@
         self._data_signal.close()
         self.transport.abort()
 
+    def reset(self) -> None:
+        """Closes the connection at once; nothing arrives from then on.
+
+        Bytes that the kernel has not sent yet are discarded as well, which it
+        would send for minutes while a link is cut.
+        """
+        connection = self.transport.get_extra_info("socket")
+        if connection is not None and connection.fileno() >= 0:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self.abort()
+
     def _mark_closed_here(self) -> None:
         """Keeps a reader from taking this end for the end of the input."""
         if not self._has_ended:
             self._error = ConnectionAbortedError("closed by this process")
 
 
-__all__ = ["MAX_UNREAD_BYTES", "ByteStream"]
+__all__ = ["MAX_UNREAD_BYTES", "RESET_ON_CLOSE", "ByteStream"]
--- a/src/lycheering/web/client.py
+++ b/src/lycheering/web/client.py
@@ -353,6 +353,10 @@
         """Closes the connection."""
         self._stream.close()
 
+    def reset(self) -> None:
+        """Ends the connection so that no rest of the request arrives later."""
+        self._stream.reset()
+
 
 async def fetch(
     origin: Origin,
@@ -366,6 +370,8 @@
 ) -> Response:
     """Sends a request and returns the whole response.
 
+    The request does not reach the server any more once an exchange has failed.
+
     Args:
         origin: Address of the server.
         method: The HTTP method.
@@ -386,17 +392,22 @@
     """
     connect_timeout_ms = min(timeout_ms, DEFAULT_CONNECT_TIMEOUT_MS)
     exchange = await Exchange.connect(origin, connect_timeout_ms)
+    is_complete = False
     try:
         async with asyncio.timeout(timeout_ms / 1_000):
             exchange.send(method, path, header_by_name, body)
             head = await exchange.head(timeout_ms)
             content = await exchange.body(timeout_ms, max_bytes)
+            is_complete = True
     except TimeoutError as error:
         raise SilenceError(
             f"no complete response within {timeout_ms:.0f} ms"
         ) from error
     finally:
-        exchange.close()
+        if is_complete or not exchange.is_sent:
+            exchange.close()
+        else:
+            exchange.reset()
     return Response(head, content)
 
 
--- a/src/lycheering/web/close_delimited.py
+++ b/src/lycheering/web/close_delimited.py
@@ -7,13 +7,14 @@
 import sys
 from typing import TYPE_CHECKING
 
+from lycheering.web import byte_stream
+
 if TYPE_CHECKING:
     from uvicorn.protocols.http import httptools_impl
 
 # Key of the body in the extensions of an ASGI scope.
 EXTENSION = "lycheering.close_delimited"
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
@@ -41,7 +42,7 @@
         self._cycle.expected_content_length = sys.maxsize
         # each further part waits until the one before is with the kernel
         self._cycle.transport.set_write_buffer_limits(high=0)
-        self._set_linger(_RESET_ON_CLOSE)
+        self._set_linger(byte_stream.RESET_ON_CLOSE)
 
     def finish(self) -> None:
         """Lets the connection end normally.
--- a/tests/steps/web_steps.py
+++ b/tests/steps/web_steps.py
@@ -231,3 +231,60 @@
 @then("the web client got the first part before the last was sent")
 def step_stream_order(context):
     assert context.web_events == [b"first", "last sent", b"last"]
+
+
+@given("an HTTP server that reads nothing for {pause_ms:d} ms")
+def step_slow_server(context, pause_ms):
+    context.pause_s = pause_ms / 1_000
+
+
+@when(
+    "the web client gives up a request of {size_mb:d} MB to it after"
+    " {timeout_ms:d} ms"
+)
+def step_give_up(context, size_mb, timeout_ms):
+    body = b"x" * size_mb * 1_000_000
+    context.request_bytes = len(body)
+    context.received_bytes = 0
+
+    async def read_late(reader, writer):
+        reader._transport.pause_reading()
+        await asyncio.sleep(context.pause_s)
+        reader._transport.resume_reading()
+        try:
+            while data := await reader.read(65_536):
+                context.received_bytes += len(data)
+        except ConnectionError:
+            context.was_reset = True
+        writer.close()
+        context.done.set()
+
+    async def give_up():
+        context.done = asyncio.Event()
+        context.was_reset = False
+        server = await asyncio.start_server(read_late, LOCALHOST)
+        port = server.sockets[0].getsockname()[1]
+        try:
+            await client.fetch(
+                client.Origin(LOCALHOST, port),
+                "POST",
+                "/",
+                body=body,
+                timeout_ms=timeout_ms,
+                max_bytes=MAX_BYTES,
+            )
+        except client.SilenceError:
+            context.gave_up = True
+        async with asyncio.timeout(TIMEOUT_MS / 1_000):
+            await context.done.wait()
+        server.close()
+
+    context.gave_up = False
+    asyncio.run(give_up())
+
+
+@then("the server gets less than the request, and a reset")
+def step_reset(context):
+    assert context.gave_up
+    assert context.received_bytes < context.request_bytes
+    assert context.was_reset, context.received_bytes
--- a/tests/web/client.feature
+++ b/tests/web/client.feature
@@ -51,3 +51,9 @@
     Given a web server that streams a part and waits for the reader
     When the web client reads the streamed parts
     Then the web client got the first part before the last was sent
+
+  # An order that was given up arrived once the link or the server was back.
+  Scenario: The rest of a request that was given up does not arrive
+    Given an HTTP server that reads nothing for 600 ms
+    When the web client gives up a request of 16 MB to it after 200 ms
+    Then the server gets less than the request, and a reset
