Isolate a team whose name occurs twice if one of both is isolated

A table may have two teams of one name. Requests had the scope of the last of them, and each new table began a generation if one of them was isolated.

Change: scopes are found by the names that share, which one isolated team leaves; the scopes of a table are computed once.

--- a/src/lycheering/forward/intake.py
+++ b/src/lycheering/forward/intake.py
@@ -15,7 +15,6 @@
 from lycheering.forward import target_selection
 from lycheering.forward import weight_versions
 from lycheering.routes import api as route_api
-from lycheering.routes import cache_sharing
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -220,13 +219,7 @@
 
     def _cache_scope(self, team: route_api.RouteTableTeam | None) -> str:
         """Returns the cache scope of a team by the table in force."""
-        index = self._current_index()
-        if team is None:
-            return cache_sharing.cache_scope(index.table, None)
-        current = index.team_by_name.get(team.name)
-        return cache_sharing.cache_scope(
-            index.table, current or team, is_removed=current is None
-        )
+        return self._current_index().cache_scopes.scope(team)
 
     def update_cache_scope(
         self, request: pending_request.PendingRequest
--- a/src/lycheering/routes/index.py
+++ b/src/lycheering/routes/index.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lycheering.fleet import view
+from lycheering.routes import cache_sharing
 
 if TYPE_CHECKING:
     from lycheering.routes import records
@@ -17,7 +18,7 @@
     Attributes:
         table: The route table.
         service_by_name: The table's services by their names.
-        team_by_name: The table's teams by their names.
+        cache_scopes: The scopes of the teams' cache entries.
     """
 
     def __init__(self, table: records.RouteTable) -> None:
@@ -31,7 +32,7 @@
                 route.host.lower(), {}
             )
             route_by_prefix[route.path_prefix] = route
-        self.team_by_name = {team.name: team for team in table.teams}
+        self.cache_scopes = cache_sharing.CacheScopes(table)
         self._team_by_digest = {
             digest: team for team in table.teams for digest in team.key_digests
         }
--- a/tests/routes/cache_sharing.feature
+++ b/tests/routes/cache_sharing.feature
@@ -26,6 +26,8 @@
       | a b c* / a! b c*=a    | 0          |
       | a / - / a*            | 1          |
       | a / a* / - / a        | 1          |
+      | a! a* / a! a* / a! a* b | 0      |
+      | a / a! a* / a! a*     | 1          |
 
   # Instances of two releases reached two states from the same commands.
   Scenario: Commands of a release without generations change none
